--- /dev/null
+++ b/src/ospreyford/__init__.py
@@ -0,0 +1,1 @@
+"""Ospreyford: a load balancer for expert-parallel model groups."""
--- /dev/null
+++ b/src/ospreyford/http/client.py
@@ -0,0 +1,201 @@
+"""The client's side of an HTTP/1.1 connection."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any
+
+import curio
+import h11
+
+from ospreyford.http.errors import (
+    BadMessage,
+    ConnectionLost,
+    ConnectionRefused,
+)
+from ospreyford.http.message import Request, Response
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+READ_BYTES = 65_536
+
+
+class ClientConnection:
+    """One connection to a server; one request at a time.
+
+    :param sock: a connected curio socket.
+    """
+
+    def __init__(self, sock: Socket) -> None:
+        self._sock = sock
+        self._parser = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def open(
+        cls, host: str, port: int, timeout: float
+    ) -> ClientConnection:
+        """Connect.
+
+        :param host: the server's IP number.
+        :param port: the server's port.
+        :param timeout: seconds to wait for the connection.
+        :returns: the open connection.
+        :raises ConnectionRefused: no connection; nothing was sent.
+        """
+        try:
+            sock = await curio.timeout_after(
+                timeout, curio.open_connection(host, port)
+            )
+        except (OSError, curio.TaskTimeout):
+            raise ConnectionRefused from None
+        return cls(sock)
+
+    async def send(self, request: Request, body: bytes = b'') -> None:
+        """Send a whole request.
+
+        :param request: the head; ``host`` must be among its fields.
+        :param body: the body's bytes; its length is announced.
+        :raises ConnectionLost: the request may or may not have arrived.
+        """
+        length = (b'content-length', str(len(body)).encode())
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=[*request.headers, length],
+        )
+        encoded = [self._parser.send(head) or b'']
+        if body:
+            encoded.append(self._parser.send(h11.Data(data=body)) or b'')
+        encoded.append(self._parser.send(h11.EndOfMessage()) or b'')
+        await self._send_all(b''.join(encoded))
+
+    async def read_head(self) -> Response:
+        """Wait for the answer's head.
+
+        :returns: status and header fields.
+        :raises ConnectionLost: the server went away before it.
+        :raises BadMessage: the server broke the protocol.
+        """
+        event = await self._read_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._read_event()
+        if not isinstance(event, h11.Response):
+            raise ConnectionLost
+        return Response(event.status_code, tuple(event.headers))
+
+    async def read_pieces(self) -> AsyncIterator[bytes]:
+        """Read the answer's body as it comes.
+
+        :returns: an iterator of pieces that ends with the answer.
+        :raises ConnectionLost: the body was cut.
+        :raises BadMessage: the server broke the protocol.
+        """
+        while True:
+            event = await self._read_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise ConnectionLost
+            yield bytes(event.data)
+
+    async def read_body(self) -> bytes:
+        """Read the answer's whole body.
+
+        :returns: the body's bytes.
+        :raises ConnectionLost: the body was cut.
+        """
+        return b''.join([piece async for piece in self.read_pieces()])
+
+    def start_next_cycle(self) -> bool:
+        """Make ready for another request.
+
+        :returns: whether the connection can carry one. One with an unread
+            answer never can: the next caller would be given that answer.
+        """
+        reusable = (
+            self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+        )
+        if reusable:
+            self._parser.start_next_cycle()
+        return reusable
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+    async def _send_all(self, encoded: bytes) -> None:
+        try:
+            await self._sock.sendall(encoded)
+        except OSError:
+            raise ConnectionLost from None
+
+    async def _read_event(self) -> Any:
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._explain(error) from None
+            if event is not h11.NEED_DATA:
+                return event
+            await self._feed()
+
+    async def _feed(self) -> None:
+        try:
+            received = await self._sock.recv(READ_BYTES)
+        except OSError:
+            raise ConnectionLost from None
+        self._parser.receive_data(received)
+
+    def _explain(
+        self, error: h11.RemoteProtocolError
+    ) -> BadMessage | ConnectionLost:
+        # h11 reports a body that ends early as a protocol error; for the
+        # caller that is a cut answer, not a malformed one.
+        if self._parser.trailing_data[1]:
+            return ConnectionLost()
+        return BadMessage(error.error_status_hint, str(error))
+
+
+async def fetch(
+    address: tuple[str, int],
+    request: Request,
+    body: bytes = b'',
+    timeout: float = 2.0,
+) -> tuple[Response, bytes]:
+    """Send one request on a fresh connection and read the whole answer.
+
+    :param address: the server's IP number and port.
+    :param request: the head; ``host`` is added.
+    :param body: the body's bytes.
+    :param timeout: seconds for everything.
+    :returns: the answer's head and body.
+    :raises ConnectionRefused: nothing was sent.
+    :raises ConnectionLost: cut, or not whole in time.
+    :raises BadMessage: the server broke the protocol.
+    """
+    try:
+        answer: tuple[Response, bytes] = await curio.timeout_after(
+            timeout, _fetch(address, request, body, timeout)
+        )
+    except curio.TaskTimeout:
+        raise ConnectionLost from None
+    return answer
+
+
+async def _fetch(
+    address: tuple[str, int],
+    request: Request,
+    body: bytes,
+    timeout: float,
+) -> tuple[Response, bytes]:
+    connection = await ClientConnection.open(*address, timeout)
+    host = (b'host', ':'.join(map(str, address)).encode())
+    framed = request._replace(headers=(host, *request.headers))
+    try:
+        await connection.send(framed, body)
+        head = await connection.read_head()
+        return head, await connection.read_body()
+    finally:
+        await connection.close()
--- /dev/null
+++ b/src/ospreyford/http/errors.py
@@ -0,0 +1,40 @@
+"""What can go wrong on an HTTP connection."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+class HttpError(Exception):
+    """Base of the failures of an HTTP connection."""
+
+
+@dataclass(frozen=True)
+class BadMessage(HttpError):
+    """The peer broke the protocol; ``status`` is what a caller is told."""
+
+    status: int
+    detail: str
+
+
+@dataclass(frozen=True)
+class BodyTooLarge(HttpError):
+    """The body is longer than the limit, in bytes."""
+
+    limit: int
+
+
+@dataclass(frozen=True)
+class TooSlow(HttpError):
+    """The peer took longer than ``seconds`` over one part of a message."""
+
+    part: str
+    seconds: float
+
+
+class ConnectionLost(HttpError):
+    """The connection ended before the message did."""
+
+
+class ConnectionRefused(HttpError):
+    """No connection could be opened, so nothing was sent."""
--- /dev/null
+++ b/src/ospreyford/http/server.py
@@ -0,0 +1,301 @@
+"""The server's side of an HTTP/1.1 connection: one task each."""
+
+from __future__ import annotations
+
+import socket as plain_socket
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+import curio
+import h11
+
+from ospreyford.http.errors import (
+    BadMessage,
+    BodyTooLarge,
+    ConnectionLost,
+    HttpError,
+    TooSlow,
+)
+from ospreyford.http.message import Headers, Limits, Request
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+READ_BYTES = 65_536
+BACKLOG = 512
+BAD_REQUEST = 400
+
+
+class Exchange:
+    """One request on a connection, and the answer to it.
+
+    :param connection: the connection that the request came on.
+    :param request: the request's head.
+    """
+
+    def __init__(self, connection: ServerConnection, request: Request) -> None:
+        self.request = request
+        self.started = False
+        self._connection = connection
+
+    async def read_body(self) -> bytes:
+        """Read the whole body.
+
+        :returns: the body's bytes.
+        :raises BodyTooLarge: beyond the limit of the connection.
+        :raises TooSlow: the body took longer than the limit.
+        :raises ConnectionLost: the caller went away.
+        """
+        return await self._connection.read_body()
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes,
+        headers: Headers = (),
+    ) -> None:
+        """Send a whole answer.
+
+        :param status: the HTTP status.
+        :param body: the body's bytes; its length is announced.
+        :param headers: further header fields.
+        """
+        length = (b'content-length', str(len(body)).encode())
+        await self.start(status, (*headers, length))
+        await self.write(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Headers = ()) -> None:
+        """Send the head of an answer; its body follows in pieces.
+
+        :param status: the HTTP status.
+        :param headers: header fields; without a length the body is chunked.
+        """
+        self.started = True
+        head = h11.Response(status_code=status, headers=list(headers))
+        await self._connection.send(head)
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of the body.
+
+        :param piece: the bytes; an empty piece sends nothing.
+        """
+        if piece:
+            await self._connection.send(h11.Data(data=piece))
+
+    async def finish(self) -> None:
+        """Send the mark that the answer is whole."""
+        await self._connection.send(h11.EndOfMessage())
+
+    async def wait_for_hangup(self) -> None:
+        """Wait until the caller closes its side of the connection."""
+        await self._connection.wait_for_hangup()
+
+
+class ServerConnection:
+    """One caller's connection.
+
+    :param sock: the accepted curio socket.
+    :param limits: what the connection may cost.
+    """
+
+    def __init__(self, sock: Socket, limits: Limits) -> None:
+        self._sock = sock
+        self._limits = limits
+        self._parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=limits.head_bytes,
+        )
+
+    async def next_exchange(self) -> Exchange | None:
+        """Read the next request's head.
+
+        :returns: the exchange, or ``None`` when the caller is done.
+        :raises BadMessage: malformed or oversized head.
+        :raises TooSlow: the head did not arrive in time.
+        """
+        if not await self._wait_for_start():
+            return None
+        event = await self._next_event('head', self._limits.head_seconds)
+        if not isinstance(event, h11.Request):
+            return None
+        request = Request(
+            event.method.decode('ascii'),
+            event.target.decode('ascii'),
+            tuple(event.headers),
+        )
+        return Exchange(self, request)
+
+    async def read_body(self) -> bytes:
+        """Read the whole body of the current request.
+
+        :returns: the body's bytes.
+        :raises BodyTooLarge: beyond the limit.
+        :raises TooSlow: the body took longer than the limit.
+        :raises ConnectionLost: the caller went away.
+        """
+        limit = self._limits.body_seconds
+        try:
+            body: bytes = await curio.timeout_after(limit, self._collect_body())
+        except curio.TaskTimeout:
+            raise TooSlow('body', limit) from None
+        return body
+
+    async def send(self, event: Any) -> None:
+        """Send one h11 event.
+
+        :param event: a response, a piece of data or the end mark.
+        :raises ConnectionLost: the caller went away.
+        """
+        encoded = self._parser.send(event)
+        if not encoded:
+            return
+        try:
+            await self._sock.sendall(encoded)
+        except OSError:
+            raise ConnectionLost from None
+
+    async def wait_for_hangup(self) -> None:
+        """Wait until the caller closes its side of the connection."""
+        # A pipelined request stays in the socket's buffer: peeking shows
+        # an empty read only when the caller has really gone.
+        while True:
+            try:
+                seen = await self._sock.recv(1, plain_socket.MSG_PEEK)
+            except OSError:
+                return
+            if not seen:
+                return
+            await curio.sleep(1)
+
+    def start_next_cycle(self) -> bool:
+        """Make ready for another request.
+
+        :returns: whether the connection can carry one.
+        """
+        reusable = (
+            self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+        )
+        if reusable:
+            self._parser.start_next_cycle()
+        return reusable
+
+    async def _wait_for_start(self) -> bool:
+        if self._parser.trailing_data[0]:
+            return True
+        try:
+            started: bool = await curio.timeout_after(
+                self._limits.idle_seconds,
+                self._feed(),
+            )
+        except curio.TaskTimeout:
+            return False
+        return started
+
+    async def _next_event(self, part: str, seconds: float) -> Any:
+        try:
+            return await curio.timeout_after(seconds, self._read_event())
+        except curio.TaskTimeout:
+            raise TooSlow(part, seconds) from None
+
+    async def _read_event(self) -> Any:
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BadMessage(error.error_status_hint, str(error)) from None
+            if event is not h11.NEED_DATA:
+                return event
+            await self._answer_expectation()
+            await self._feed()
+
+    async def _answer_expectation(self) -> None:
+        if self._parser.they_are_waiting_for_100_continue:
+            await self.send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+
+    async def _feed(self) -> bool:
+        try:
+            received = await self._sock.recv(READ_BYTES)
+        except OSError:
+            received = b''
+        self._parser.receive_data(received)
+        return bool(received)
+
+    async def _collect_body(self) -> bytes:
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._read_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(pieces)
+            if not isinstance(event, h11.Data):
+                raise ConnectionLost
+            size += len(event.data)
+            if size > self._limits.body_bytes:
+                raise BodyTooLarge(self._limits.body_bytes)
+            pieces.append(bytes(event.data))
+
+
+#: Serves one request; it must answer or raise.
+RequestHandler = Callable[[Exchange], Awaitable[None]]
+
+#: Told of each connection that ended in an error, for the counters.
+ErrorHandler = Callable[[HttpError, ServerConnection], Awaitable[None]]
+
+
+async def serve_connection(
+    sock: Socket,
+    limits: Limits,
+    handler: RequestHandler,
+    on_error: ErrorHandler | None = None,
+) -> None:
+    """Serve the requests of one connection, one after the other.
+
+    :param sock: the accepted socket; closed at the end.
+    :param limits: what the connection may cost.
+    :param handler: called once for each request.
+    :param on_error: called with a broken message, to count and answer it.
+    """
+    connection = ServerConnection(sock, limits)
+    async with sock:
+        try:
+            await _serve_exchanges(connection, handler)
+        except HttpError as error:
+            if on_error is not None:
+                await on_error(error, connection)
+
+
+async def _serve_exchanges(
+    connection: ServerConnection,
+    handler: RequestHandler,
+) -> None:
+    while True:
+        exchange = await connection.next_exchange()
+        if exchange is None:
+            return
+        await handler(exchange)
+        if not connection.start_next_cycle():
+            return
+
+
+def listen(host: str, port: int) -> Socket:
+    """Open a listening socket.
+
+    :param host: the IP number to bind.
+    :param port: the port; 0 lets the kernel choose.
+    :returns: a curio socket.
+    :raises OSError: the address is taken or not ours.
+    """
+    return curio.tcp_server_socket(host, port, backlog=BACKLOG)
+
+
+def port_of(sock: Socket) -> int:
+    """Tell the port that a socket is bound to.
+
+    :param sock: a bound socket.
+    :returns: the port number.
+    """
+    return int(sock.getsockname()[1])
