Add settings, logs, metrics, spans and the admin port

Cause: the programs need checked settings and something to look at before anything is composed.

Ruled out: pydantic-like models (another package; msgspec decodes and bounds already); own OTel SDK span per hop in the loop (made only for sampled or failed hops, in the writer's thread); writing log lines from the loop (a blocked destination stops every request).

Change: ospreyford.settings loads TOML into frozen Structs and explains each wrong key in one line; ospreyford.observability holds typed state changes logged by eliot through a bounded buffer and a thread, metrics in a registry of their own, W3C trace context, hops in a bounded store, and the admin HTTP port with registered providers.

--- /dev/null
+++ b/src/ospreyford/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, trace spans and the admin HTTP port."""
--- /dev/null
+++ b/src/ospreyford/settings/__init__.py
@@ -0,0 +1,1 @@
+"""TOML settings of each program, checked before anything starts."""
--- /dev/null
+++ b/src/ospreyford/settings/allowed.py
@@ -0,0 +1,123 @@
+"""What a settings key allows, told from its type.
+
+Asked only once a file turned out wrong, so that a correct start pays nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from msgspec import inspect
+
+from ospreyford.settings.types import ALLOWED_BY_PATTERN
+
+ANYTHING = 'a value of the documented type'
+
+
+def find_type(kind: type, path: list[str]) -> inspect.Type:
+    """Find the type of a key.
+
+    :param kind: the settings' class.
+    :param path: field names and list indexes from the top.
+    :returns: the key's type, or the innermost one that could be found.
+    """
+    found = inspect.type_info(kind)
+    for step in path:
+        found = _descend(found, step)
+    return found
+
+
+def describe_type(kind: inspect.Type) -> str:
+    """Tell what a type allows.
+
+    :param kind: as msgspec describes it.
+    :returns: a phrase for an operator.
+    """
+    match kind:
+        case inspect.BoolType():
+            return 'true or false'
+        case inspect.IntType() | inspect.FloatType():
+            return _describe_number(kind)
+        case inspect.StrType():
+            return _describe_text(kind)
+        case inspect.LiteralType(values=values):
+            return _describe_choice(values)
+        case inspect.EnumType():
+            return _describe_choice([member.value for member in kind.cls])
+        case _:
+            return _describe_compound(kind)
+
+
+def describe_fields(kind: inspect.Type) -> str:
+    """Name the keys of a section.
+
+    :param kind: the section's type.
+    :returns: a phrase for an operator.
+    """
+    names = [field.encode_name for field in _fields_of(kind)]
+    listed = ', '.join(names)
+    return f'only the keys {listed}'
+
+
+def _describe_compound(kind: inspect.Type) -> str:
+    match kind:
+        case inspect.StructType():
+            return f'a section with {describe_fields(kind)}'
+        case (
+            inspect.VarTupleType(item_type=inner)
+            | inspect.ListType(item_type=inner)
+        ):
+            return f'a list, each {describe_type(inner)}'
+        case inspect.DictType(value_type=inner):
+            return f'a table, each value {describe_type(inner)}'
+        case inspect.UnionType(types=types):
+            return ' or '.join(map(describe_type, types))
+        case _:
+            return ANYTHING
+
+
+def _describe_choice(choices: Iterable[object]) -> str:
+    listed = ', '.join(map(repr, choices))
+    return f'one of {listed}'
+
+
+def _describe_number(kind: inspect.IntType | inspect.FloatType) -> str:
+    noun = 'an integer' if isinstance(kind, inspect.IntType) else 'a number'
+    bounds = (
+        ('from', kind.ge),
+        ('above', kind.gt),
+        ('up to', kind.le),
+        ('below', kind.lt),
+    )
+    told = [f'{word} {bound}' for word, bound in bounds if bound is not None]
+    return ' '.join([noun, *told])
+
+
+def _describe_text(kind: inspect.StrType) -> str:
+    if kind.pattern is None:
+        return 'a string'
+    return ALLOWED_BY_PATTERN.get(
+        kind.pattern, f'a string matching {kind.pattern}'
+    )
+
+
+def _descend(kind: inspect.Type, step: str) -> inspect.Type:
+    match kind:
+        case inspect.StructType():
+            for field in _fields_of(kind):
+                if field.encode_name == step:
+                    return field.type
+        case (
+            inspect.VarTupleType(item_type=inner)
+            | inspect.ListType(item_type=inner)
+        ):
+            return inner
+        case inspect.DictType(value_type=inner):
+            return inner
+    return kind
+
+
+def _fields_of(kind: inspect.Type) -> tuple[inspect.Field, ...]:
+    if isinstance(kind, inspect.StructType):
+        return kind.fields
+    return ()
--- /dev/null
+++ b/src/ospreyford/settings/sections.py
@@ -0,0 +1,256 @@
+"""Sections that entry and agent share.
+
+Each section is a frozen Struct; its checks across keys stand in
+``__post_init__`` and raise :class:`KeyConflict`. All durations are in
+seconds, all sizes in bytes.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from ospreyford.http.message import Limits
+from ospreyford.settings.errors import KeyConflict
+from ospreyford.settings.types import (
+    Address,
+    BufferedLines,
+    BufferedSpans,
+    Bytes,
+    Count,
+    FilePath,
+    HeadBytes,
+    Name,
+    Ratio,
+    Seconds,
+    split_address,
+)
+
+ANY_HOST = '0.0.0.0'  # noqa: S104 (refused below, never bound)
+
+
+class Identity(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Who this process is.
+
+    :param name: the slot's lasting name.
+    :param instance: the platform's id of the machine now in the slot.
+    :param zone: availability zone.
+    :param region: region.
+    """
+
+    name: Name
+    instance: Name
+    zone: Name
+    region: Name
+
+
+class Listen(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Where this process listens.
+
+    :param data_address: callers at an entry, entries at an agent.
+    :param admin_address: metrics, health, status; for operators and scrapers.
+    :param peer_address: messages between the system's own processes.
+    """
+
+    data_address: Address
+    admin_address: Address
+    peer_address: Address
+
+    def __post_init__(self) -> None:
+        """Refuse one address twice, and a peer address that none can reach.
+
+        :raises KeyConflict: names the key.
+        """
+        if self.admin_address == self.data_address:
+            raise KeyConflict(
+                'admin_address', 'an address other than listen.data_address'
+            )
+        if self.peer_address in {self.data_address, self.admin_address}:
+            raise KeyConflict(
+                'peer_address',
+                'an address that no other key of listen has',
+            )
+        if split_address(self.peer_address)[0] == ANY_HOST:
+            raise KeyConflict(
+                'peer_address',
+                'the IP number that other hosts reach this one by',
+            )
+
+
+class Platform(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Where the platform answers.
+
+    :param config_service: the configuration service.
+    :param host_list: the list of live and leaving hosts.
+    """
+
+    config_service: Address
+    host_list: Address
+
+
+class Backend(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """The backend server beside an agent.
+
+    :param address: where it listens.
+    :param service: the service that it belongs to.
+    :param kind: ``model`` for an engine, ``plain`` for any other service.
+    """
+
+    address: Address
+    service: Name
+    kind: Literal['model', 'plain']
+
+
+class Peers(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Other processes of the system to start from.
+
+    :param seeds: peer addresses asked first, besides the host list's.
+    """
+
+    seeds: tuple[Address, ...] = ()
+
+
+class HttpLimits(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What one caller's connection may cost.
+
+    :param head_seconds: from a head's first byte to its end.
+    :param idle_seconds: between requests.
+    :param body_seconds: for a whole body.
+    :param head_bytes: size of a head.
+    :param body_bytes: size of a body.
+    """
+
+    head_seconds: Seconds = 5.0
+    idle_seconds: Seconds = 60.0
+    body_seconds: Seconds = 15.0
+    head_bytes: HeadBytes = 16_384
+    body_bytes: Bytes = 1_048_576
+
+    def to_limits(self) -> Limits:
+        """Hand them to the HTTP server.
+
+        :returns: the server's limits.
+        """
+        return Limits(**msgspec.structs.asdict(self))
+
+
+class Requests(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Deadlines of requests.
+
+    :param default_deadline_seconds: for a request that names none.
+    :param max_deadline_seconds: the longest that a request may name.
+    """
+
+    default_deadline_seconds: Seconds = 30.0
+    max_deadline_seconds: Seconds = 120.0
+
+    def __post_init__(self) -> None:
+        """Refuse a default beyond the maximum.
+
+        :raises KeyConflict: names the key.
+        """
+        longest = self.max_deadline_seconds
+        if self.default_deadline_seconds > longest:
+            raise KeyConflict(
+                'default_deadline_seconds',
+                f'at most requests.max_deadline_seconds, {longest}',
+            )
+
+
+class Records(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """The agent's execution record.
+
+    :param retention_seconds: how long a finished request is remembered.
+    :param max_records: requests remembered at a time.
+    :param max_answer_bytes: longest answer kept for a caller's retry.
+    """
+
+    retention_seconds: Seconds = 900.0
+    max_records: Count = 20_000
+    max_answer_bytes: Bytes = 65_536
+
+
+class Drain(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """A planned stop.
+
+    :param deadline_seconds: after it, work still in flight is cut.
+    """
+
+    deadline_seconds: Seconds = 150.0
+
+
+class Logs(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Log lines, one JSON object each.
+
+    :param destination: ``stderr`` or ``file``.
+    :param path: where to write, for ``file`` only.
+    :param level: the lowest level written.
+    :param max_buffered_lines: lines kept while the destination is slow; more
+        are dropped and counted.
+    """
+
+    destination: Literal['stderr', 'file'] = 'stderr'
+    path: FilePath | None = None
+    level: Literal['info', 'warning', 'error'] = 'info'
+    max_buffered_lines: BufferedLines = 4096
+
+    def __post_init__(self) -> None:
+        """Refuse a destination without a file, and a file that stays unused.
+
+        :raises KeyConflict: names the key.
+        """
+        _check_file('destination', self.destination, self.path)
+
+
+class Traces(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Trace spans.
+
+    :param sample_ratio: share of requests whose spans are exported and kept
+        apart; failed ones always are.
+    :param exporter: ``none`` or ``file``, JSON lines.
+    :param path: where to write, for ``file`` only.
+    :param max_spans: spans kept in memory for ``/traces``, and as many again
+        of sampled and failed ones.
+    """
+
+    sample_ratio: Ratio = 0.01
+    exporter: Literal['none', 'file'] = 'none'
+    path: FilePath | None = None
+    max_spans: BufferedSpans = 4096
+
+    def __post_init__(self) -> None:
+        """Refuse an exporter without a file, and a file that stays unused.
+
+        :raises KeyConflict: names the key.
+        """
+        _check_file('exporter', self.exporter, self.path)
+
+
+def _check_file(key: str, destination: str, path: str | None) -> None:
+    if destination == 'file' and path is None:
+        raise KeyConflict('path', f'a path, since {key} is "file"')
+    if destination != 'file' and path is not None:
+        raise KeyConflict('path', f'no path, since {key} is "{destination}"')
