Add the wire frames and the agent's execution record, runner and service

Change: length-prefixed msgpack frames on TCP (one request at a time on a connection, sequence numbers, heartbeats both ways, a greeting that names the incarnation), the execution record with tombstones, and a run that is not bound to the connection that asked for it, so that a fresh connection takes the answer over.

--- /dev/null
+++ b/src/ospreyford/agent/execution.py
@@ -0,0 +1,180 @@
+"""One run of a request on the backend server, and its answer so far."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.wire.frame import (
+    AnswerFrame,
+    End,
+    Failed,
+    Fate,
+    Head,
+    Piece,
+    Start,
+)
+
+if TYPE_CHECKING:
+    from ospreyford.http.message import Headers
+    from ospreyford.ports.fleet import LoadReport
+
+
+class Execution:
+    """A request that runs or ran, with the frames of its answer.
+
+    Any number of connections follow it, each from its own sequence number:
+    a fresh connection in place of a silent one goes on where that stood, and
+    a caller's retry through another entry gets the same answer.
+
+    :param start: the frame that started it.
+    :param begun: monotonic seconds at its start.
+    """
+
+    def __init__(self, start: Start, begun: float) -> None:
+        self.identity = start.execution
+        self.idempotent = start.idempotent
+        self.dated = start.dated
+        self.fingerprint = start.fingerprint
+        self.begun = begun
+        self.ended: float | None = None
+        self.abandoned: float | None = begun
+        self.task: curio.Task | None = None
+        self._followers = 0
+        self._dropped = False
+        self._frames: list[AnswerFrame] = []
+        self._changed = curio.Event()
+
+    @property
+    def fate(self) -> Fate | None:
+        """What became of it, if it ended without a whole answer."""
+        last = self._frames[-1] if self._frames else None
+        return last.fate if isinstance(last, Failed) else None
+
+    def read_frames(self, sequence: int) -> list[AnswerFrame]:
+        """Read the answer so far.
+
+        :param sequence: number of the first frame wanted.
+        :returns: the frames from that number on; perhaps none yet.
+        """
+        if self._dropped:
+            return [self._fail_dropped(sequence)]
+        return self._frames[sequence:]
+
+    async def wait_for_change(self, sequence: int) -> None:
+        """Wait until the answer is longer.
+
+        :param sequence: number of the first frame wanted.
+        """
+        while len(self._frames) <= sequence and self.ended is None:
+            await self._changed.wait()
+
+    def follow(self) -> None:
+        """Note that one more connection follows."""
+        self._followers += 1
+        self.abandoned = None
+
+    def unfollow(self, now: float) -> None:
+        """Note that one connection no longer follows.
+
+        :param now: monotonic seconds.
+        """
+        self._followers -= 1
+        if not self._followers:
+            self.abandoned = now
+
+    def is_abandoned_since(self, oldest: float) -> bool:
+        """Tell whether nobody has followed since a moment.
+
+        :param oldest: monotonic seconds.
+        :returns: whether the last follower went before it.
+        """
+        return self.abandoned is not None and self.abandoned <= oldest
+
+    async def add_head(self, status: int, headers: Headers) -> None:
+        """Add the answer's head.
+
+        :param status: HTTP status.
+        :param headers: HTTP header fields.
+        """
+        await self._append(
+            Head(
+                execution=self.identity,
+                sequence=len(self._frames),
+                status=status,
+                headers=headers,
+            ),
+        )
+
+    async def add_piece(self, content: bytes) -> None:
+        """Add a piece of the answer's body.
+
+        :param content: the bytes.
+        """
+        await self._append(
+            Piece(
+                execution=self.identity,
+                sequence=len(self._frames),
+                content=content,
+            ),
+        )
+
+    async def finish(self, load: LoadReport, now: float) -> None:
+        """Mark the answer whole.
+
+        :param load: the backend server's load.
+        :param now: monotonic seconds.
+        """
+        self.ended = now
+        await self._append(
+            End(
+                execution=self.identity,
+                sequence=len(self._frames),
+                load=load,
+            ),
+        )
+
+    async def fail(self, fate: Fate, now: float) -> None:
+        """Mark that the answer will never be whole.
+
+        :param fate: what became of the run.
+        :param now: monotonic seconds.
+        """
+        self.ended = now
+        await self._append(
+            Failed(
+                execution=self.identity,
+                sequence=len(self._frames),
+                fate=fate,
+            ),
+        )
+
+    def bound_answer(self, max_bytes: int) -> None:
+        """Forget a long answer that nobody reads, but not that it ran.
+
+        :param max_bytes: longest answer to keep, in bytes of its body.
+        """
+        if self._followers or self.fate is not None:
+            return
+        size = sum(
+            len(frame.content)
+            for frame in self._frames
+            if isinstance(frame, Piece)
+        )
+        if size > max_bytes:
+            self._dropped = True
+            self._frames.clear()
+
+    async def _append(self, frame: AnswerFrame) -> None:
+        self._frames.append(frame)
+        changed = self._changed
+        self._changed = curio.Event()
+        await changed.set()
+
+    def _fail_dropped(self, sequence: int) -> Failed:
+        return Failed(
+            execution=self.identity,
+            sequence=sequence,
+            fate=Fate.answer_dropped,
+        )
--- /dev/null
+++ b/src/ospreyford/agent/memory.py
@@ -0,0 +1,139 @@
+"""What an agent remembers of ids, within bounds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+from ospreyford.agent.execution import Execution
+
+if TYPE_CHECKING:
+    from ospreyford.agent.settings import RecordSettings
+    from ospreyford.ports.clock import Clock
+
+
+@dataclass(frozen=True)
+class Tombstone:
+    """A voided id.
+
+    :param until: monotonic seconds until which it is refused.
+    :param moved: voided because it was to run on another backend server.
+    """
+
+    until: float
+    moved: bool
+
+
+Entry: TypeAlias = Execution | Tombstone
+
+
+class Memory:
+    """Executions and tombstones by id; full rather than forgetful.
+
+    :param settings: bounds and times.
+    :param clock: source of time.
+    """
+
+    def __init__(self, settings: RecordSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._entries: dict[str, Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, identity: str) -> Entry | None:
+        """Find what is known of an id.
+
+        :param identity: the execution's id.
+        :returns: the execution, its tombstone, or ``None``.
+        """
+        return self._entries.get(identity)
+
+    def has_room(self) -> bool:
+        """Tell whether one more entry fits, after forgetting what may go.
+
+        :returns: whether it fits.
+        """
+        limit = self._settings.max_entries
+        if len(self._entries) >= limit:
+            self.sweep()
+        return len(self._entries) < limit
+
+    def hold(self, execution: Execution) -> None:
+        """Remember an execution.
+
+        :param execution: the new one.
+        """
+        self._entries[execution.identity] = execution
+
+    def bury(self, identity: str, *, moved: bool) -> bool:
+        """Remember that an id must not run here.
+
+        :param identity: the execution's id.
+        :param moved: it is to run on another backend server.
+        :returns: whether there was room to remember it.
+        """
+        if not self.has_room():
+            return False
+        held = self._settings.tombstone_seconds
+        if moved:
+            held = self._settings.retention_seconds
+        until = self._clock.monotonic() + held + self._margin()
+        self._entries[identity] = Tombstone(until, moved)
+        return True
+
+    def sweep(self) -> None:
+        """Forget what may be forgotten."""
+        forgotten = [
+            identity
+            for identity, entry in self._entries.items()
+            if self._may_forget(entry)
+        ]
+        for identity in forgotten:
+            self._entries.pop(identity)
+        for entry in self._entries.values():
+            if isinstance(entry, Execution) and entry.ended is not None:
+                entry.bound_answer(self._settings.max_answer_bytes)
+
+    def list_running(self) -> list[Execution]:
+        """List the executions that have not ended.
+
+        :returns: the executions.
+        """
+        return [
+            entry
+            for entry in self._entries.values()
+            if isinstance(entry, Execution) and entry.ended is None
+        ]
+
+    def list_abandoned(self, orphan_seconds: float) -> list[Execution]:
+        """List idempotent executions that nobody follows any more.
+
+        :param orphan_seconds: how long nobody followed.
+        :returns: the executions.
+        """
+        oldest = self._clock.monotonic() - orphan_seconds
+        return [
+            execution
+            for execution in self.list_running()
+            if execution.idempotent and execution.is_abandoned_since(oldest)
+        ]
+
+    def _margin(self) -> float:
+        return 2 * self._settings.skew_seconds
+
+    def _may_forget(self, entry: Entry) -> bool:
+        now = self._clock.monotonic()
+        match entry:
+            case Tombstone(until=until):
+                return now > until
+            case Execution(ended=None):
+                return False
+            case Execution(idempotent=True, ended=float(ended)):
+                return now > ended + self._settings.linger_seconds
+            case Execution(begun=begun):
+                # Counted from the start, not from the key's date: a clock
+                # that is set must not shorten it.
+                held = self._settings.retention_seconds + self._margin()
+                return now > begun + held
--- /dev/null
+++ b/src/ospreyford/agent/runner.py
@@ -0,0 +1,129 @@
+"""Runs executions on the backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.http.errors import (
+    ConnectionRefused,
+    HttpError,
+    Unsendable,
+)
+from ospreyford.http.message import Request
+from ospreyford.wire.frame import Fate
+
+if TYPE_CHECKING:
+    from ospreyford.agent.execution import Execution
+    from ospreyford.agent.load import LoadMeter
+    from ospreyford.agent.record import ExecutionRecord
+    from ospreyford.agent.settings import ServiceSettings
+    from ospreyford.ports.backend import BackendCall, BackendPort
+    from ospreyford.ports.clock import Clock
+    from ospreyford.wire.frame import Start
+
+MILLISECONDS = 1000
+
+
+class Runner:
+    """Starts executions and writes their answers into the record.
+
+    :param settings: times.
+    :param record: where executions are kept.
+    :param backend: the backend server.
+    :param meter: counts what runs.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        record: ExecutionRecord,
+        backend: BackendPort,
+        meter: LoadMeter,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._record = record
+        self._backend = backend
+        self._meter = meter
+        self._clock = clock
+
+    async def launch(self, execution: Execution, start: Start) -> None:
+        """Start an execution in a task of its own.
+
+        It is not bound to the connection that asked for it: that one may go
+        silent, and a fresh one takes the answer over.
+
+        :param execution: a new entry of the record.
+        :param start: the frame that started it.
+        """
+        execution.task = await curio.spawn(
+            self._run,
+            execution,
+            start,
+            daemon=True,
+        )
+
+    async def cancel(self, execution: Execution) -> None:
+        """Stop an idempotent execution that nobody waits for.
+
+        A non-idempotent one goes on: its key must end with an answer.
+
+        :param execution: the execution.
+        """
+        if execution.idempotent and execution.task and execution.ended is None:
+            await execution.task.cancel(blocking=False)
+
+    async def cancel_abandoned(self) -> None:
+        """Stop the idempotent executions that nobody follows any more."""
+        orphan_seconds = self._settings.orphan_seconds
+        for execution in self._record.memory.list_abandoned(orphan_seconds):
+            await self.cancel(execution)
+
+    async def _run(self, execution: Execution, start: Start) -> None:
+        self._meter.in_flight += 1
+        try:
+            await self._run_bounded(execution, start)
+        finally:
+            self._meter.in_flight -= 1
+
+    async def _run_bounded(self, execution: Execution, start: Start) -> None:
+        limit = self._settings.run_seconds
+        if start.idempotent:
+            left = start.expires / MILLISECONDS - self._clock.wall()
+            limit = max(left, 0)
+        try:
+            await curio.timeout_after(limit, self._call(execution, start))
+        except (ConnectionRefused, Unsendable):
+            # Nothing was sent, so "not run" is true.
+            await execution.fail(Fate.not_run, self._clock.monotonic())
+        except (HttpError, curio.TaskTimeout):
+            await execution.fail(Fate.unknown, self._clock.monotonic())
+        except curio.TaskCancelled:
+            await execution.fail(Fate.unknown, self._clock.monotonic())
+            raise
+
+    async def _call(self, execution: Execution, start: Start) -> None:
+        call = await self._backend.open(reuse=start.idempotent)
+        whole = False
+        try:
+            await self._relay(call, execution, start)
+            whole = True
+        finally:
+            await call.finish(whole=whole)
+
+    async def _relay(
+        self,
+        call: BackendCall,
+        execution: Execution,
+        start: Start,
+    ) -> None:
+        request = Request(start.method, start.target, start.headers)
+        await call.send(request, start.body)
+        head = await call.read_head()
+        await execution.add_head(head.status, head.headers)
+        async for piece in call.read_pieces():
+            await execution.add_piece(piece)
+        await execution.finish(self._meter.report(), self._clock.monotonic())
--- /dev/null
+++ b/src/ospreyford/agent/service.py
@@ -0,0 +1,278 @@
+"""The agent's side of its connections with entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.agent.record import Begun, Denied, Known
+from ospreyford.wire.connection import accept_entry
+from ospreyford.wire.errors import Malformed, WireError
+from ospreyford.wire.frame import (
+    Beat,
+    Cancel,
+    EntryFrame,
+    Follow,
+    Greeting,
+    Opened,
+    Refused,
+    Start,
+)
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+    from ospreyford.agent.execution import Execution
+    from ospreyford.agent.load import LoadMeter
+    from ospreyford.agent.record import Decision, ExecutionRecord
+    from ospreyford.agent.runner import Runner
+    from ospreyford.agent.settings import ServiceSettings
+    from ospreyford.ports.clock import Clock
+    from ospreyford.wire.connection import FrameConnection
+
+SWEEP_SECONDS = 1.0
+
+
+class AgentService:
+    """Serves entries: one task for each connection.
+
+    :param name: name of the backend server.
+    :param settings: times.
+    :param record: what ran and runs here.
+    :param runner: runs executions.
+    :param meter: the backend server's load.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: ServiceSettings,
+        record: ExecutionRecord,
+        runner: Runner,
+        meter: LoadMeter,
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._settings = settings
+        self._record = record
+        self._runner = runner
+        self._meter = meter
+        self._clock = clock
+
+    async def serve(self, sock: Socket) -> None:
+        """Serve one entry's connection until it ends.
+
+        :param sock: the accepted socket.
+        """
+        connection = accept_entry(sock)
+        session = Session(connection, self._settings, self._clock)
+        try:
+            await self._serve_frames(connection, session)
+        except (WireError, curio.TaskTimeout):
+            # Severed, silent or malformed: the entry asks on a fresh
+            # connection for whatever it still misses.
+            return
+        finally:
+            await session.stop()
+            await connection.close()
+
+    async def run_sweeps(self) -> None:
+        """Forget old entries and stop orphans, for ever."""
+        while True:
+            await self._clock.sleep(SWEEP_SECONDS)
+            self._record.memory.sweep()
+            await self._runner.cancel_abandoned()
+
+    async def _serve_frames(
+        self,
+        connection: FrameConnection[EntryFrame],
+        session: Session,
+    ) -> None:
+        await connection.send(
+            Greeting(
+                execution='',
+                server=self._name,
+                incarnation=self._record.incarnation,
+            ),
+        )
+        while True:
+            frame: EntryFrame = await curio.timeout_after(
+                session.patience(),
+                connection.receive(),
+            )
+            await self._answer(frame, session)
+
+    async def _answer(self, frame: EntryFrame, session: Session) -> None:
+        match frame:
+            case Start():
+                decision = self._record.start(frame)
+                await self._carry_out(frame, decision, session)
+            case Follow():
+                decision = self._record.follow(frame)
+                await self._carry_out(frame, decision, session)
+            case Cancel():
+                await self._cancel(frame, session)
+            case Beat():
+                return
+
+    async def _carry_out(
+        self,
+        frame: Start | Follow,
+        decision: Decision,
+        session: Session,
+    ) -> None:
+        sequence = frame.next_sequence if isinstance(frame, Follow) else 0
+        match decision:
+            case Begun(execution):
+                # The record holds the id before the back end sees the
+                # request: a status question from now on says "running".
+                if isinstance(frame, Start):
+                    await self._runner.launch(execution, frame)
+                await session.follow(execution, sequence, self._open(frame))
+            case Known(execution):
+                await session.follow(execution, sequence, self._open(frame))
+            case Denied():
+                await session.refuse(self._refuse(frame, decision))
+
+    async def _cancel(self, frame: Cancel, session: Session) -> None:
+        execution = await session.leave(frame.execution)
+        if execution is not None:
+            await self._runner.cancel(execution)
+
+    def _open(self, frame: Start | Follow) -> Opened:
+        return Opened(
+            execution=frame.execution,
+            incarnation=self._record.incarnation,
+            load=self._meter.report(),
+        )
+
+    def _refuse(self, frame: Start | Follow, denied: Denied) -> Refused:
+        return Refused(
+            execution=frame.execution,
+            incarnation=self._record.incarnation,
+            reason=denied.reason,
+            retry_after=denied.retry_after,
+            load=self._meter.report(),
+        )
+
+
+class Session:
+    """What one connection follows; one execution at a time.
+
+    :param connection: the entry's connection.
+    :param settings: times.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        connection: FrameConnection[EntryFrame],
+        settings: ServiceSettings,
+        clock: Clock,
+    ) -> None:
+        self._connection = connection
+        self._settings = settings
+        self._clock = clock
+        self._execution: Execution | None = None
+        self._task: curio.Task | None = None
+
+    def patience(self) -> float:
+        """Tell how long the entry may say nothing.
+
+        :returns: seconds; short while an answer is on its way.
+        """
+        if self._execution is None:
+            return self._settings.idle_seconds
+        return self._settings.silence_seconds
+
+    async def follow(
+        self,
+        execution: Execution,
+        sequence: int,
+        opened: Opened,
+    ) -> None:
+        """Send an execution's answer in a task of its own.
+
+        :param execution: the execution.
+        :param sequence: number of the first frame to send.
+        :param opened: the frame that goes first.
+        :raises Malformed: the entry asked before the last answer ended.
+        """
+        if self._execution is not None:
+            raise Malformed('a second request before the first answer ended')
+        self._execution = execution
+        self._task = await curio.spawn(
+            self._stream,
+            execution,
+            sequence,
+            opened,
+            daemon=True,
+        )
+
+    async def refuse(self, refused: Refused) -> None:
+        """Send a refusal.
+
+        :param refused: the frame.
+        :raises Severed: the connection is gone.
+        """
+        await self._connection.send(refused)
+
+    async def leave(self, identity: str) -> Execution | None:
+        """Stop following an execution that the entry gave up.
+
+        :param identity: its id.
+        :returns: the execution if nobody else follows it.
+        """
+        execution = self._execution
+        if execution is None or execution.identity != identity:
+            return None
+        await self.stop()
+        return None if execution.abandoned is None else execution
+
+    async def stop(self) -> None:
+        """Stop following."""
+        task = self._task
+        self._task = None
+        if task:
+            await task.cancel()
+
+    async def _stream(
+        self,
+        execution: Execution,
+        sequence: int,
+        opened: Opened,
+    ) -> None:
+        execution.follow()
+        try:
+            await self._stream_frames(execution, sequence, opened)
+        except WireError:
+            # The reading side of the connection notices too and ends it.
+            return
+        finally:
+            execution.unfollow(self._clock.monotonic())
+            self._execution = None
+
+    async def _stream_frames(
+        self,
+        execution: Execution,
+        sequence: int,
+        opened: Opened,
+    ) -> None:
+        await self._connection.send(opened)
+        beat = Beat(execution=execution.identity)
+        while True:
+            frames = execution.read_frames(sequence)
+            sequence += len(frames)
+            ended = execution.ended is not None
+            if ended:
+                # Free for the next request before the entry can send it.
+                self._execution = None
+            await self._connection.send(*(frames or (beat,)))
+            if ended:
+                return
+            await curio.ignore_after(
+                self._settings.beat_seconds,
+                execution.wait_for_change(sequence),
+            )
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -12,6 +12,7 @@
     BadMessage,
     ConnectionLost,
     ConnectionRefused,
+    Unsendable,
 )
 from ospreyford.http.message import Request, Response
 
@@ -56,19 +57,10 @@
 
         :param request: the head; ``host`` must be among its fields.
         :param body: the body's bytes; its length is announced.
+        :raises Unsendable: not a valid request; nothing was sent.
         :raises ConnectionLost: the request may or may not have arrived.
         """
-        length = (b'content-length', str(len(body)).encode())
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=[*request.headers, length],
-        )
-        encoded = [self._parser.send(head) or b'']
-        if body:
-            encoded.append(self._parser.send(h11.Data(data=body)) or b'')
-        encoded.append(self._parser.send(h11.EndOfMessage()) or b'')
-        await self._send_all(b''.join(encoded))
+        await self._send_all(self._encode(request, body))
 
     async def read_head(self) -> Response:
         """Wait for the answer's head.
@@ -125,6 +117,21 @@
         """Close the connection."""
         await self._sock.close()
 
+    def _encode(self, request: Request, body: bytes) -> bytes:
+        length = (b'content-length', str(len(body)).encode())
+        fields = [*request.headers, length]
+        try:
+            head = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=fields,
+            )
+            encoded = self._parser.send(head) or b''
+        except h11.LocalProtocolError as error:
+            raise Unsendable(str(error)) from None
+        encoded += self._parser.send(h11.Data(data=body)) or b''
+        return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
+
     async def _send_all(self, encoded: bytes) -> None:
         try:
             await self._sock.sendall(encoded)
--- a/src/ospreyford/http/errors.py
+++ b/src/ospreyford/http/errors.py
@@ -38,3 +38,10 @@
 
 class ConnectionRefused(HttpError):
     """No connection could be opened, so nothing was sent."""
+
+
+@dataclass(frozen=True)
+class Unsendable(HttpError):
+    """A message that the protocol does not allow; nothing was sent."""
+
+    detail: str
--- /dev/null
+++ b/src/ospreyford/wire/connection.py
@@ -0,0 +1,160 @@
+"""One TCP connection that carries frames."""
+
+from __future__ import annotations
+
+import socket as plain_socket
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+import curio
+import msgspec
+
+from ospreyford.wire.errors import Malformed, Severed, Unreachable
+from ospreyford.wire.frame import AgentFrame, EntryFrame, Frame
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+READ_BYTES = 65_536
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 4_194_304
+
+Received = TypeVar('Received')
+
+_encoder = msgspec.msgpack.Encoder()
+_entry_decoder = msgspec.msgpack.Decoder(EntryFrame)
+_agent_decoder = msgspec.msgpack.Decoder(AgentFrame)
+
+
+def encode_frames(*frames: Frame) -> bytes:
+    """Encode frames for the wire.
+
+    :param frames: any number of frames.
+    :returns: each frame behind its length, 4 bytes, big-endian.
+    """
+    encoded = bytearray()
+    for frame in frames:
+        body = _encoder.encode(frame)
+        encoded += len(body).to_bytes(LENGTH_BYTES, 'big')
+        encoded += body
+    return bytes(encoded)
+
+
+class FrameReader(Generic[Received]):
+    """Cuts received bytes into frames.
+
+    :param decoder: the decoder of the frames that this side may receive.
+    """
+
+    def __init__(self, decoder: msgspec.msgpack.Decoder[Received]) -> None:
+        self._decoder = decoder
+        self._buffer = bytearray()
+
+    def feed(self, received: bytes) -> None:
+        """Take bytes from the connection.
+
+        :param received: bytes in order of arrival.
+        """
+        self._buffer += received
+
+    def next_frame(self) -> Received | None:
+        """Cut off one frame.
+
+        :returns: the frame, or ``None`` if it has not wholly arrived.
+        :raises Malformed: the bytes are no frame of this protocol.
+        """
+        if len(self._buffer) < LENGTH_BYTES:
+            return None
+        size = int.from_bytes(self._buffer[:LENGTH_BYTES], 'big')
+        if size > MAX_FRAME_BYTES:
+            raise Malformed(f'frame of {size} bytes')
+        end = LENGTH_BYTES + size
+        if len(self._buffer) < end:
+            return None
+        body = bytes(self._buffer[LENGTH_BYTES:end])
+        del self._buffer[:end]  # noqa: WPS420 -- cut in place, not copied
+        try:
+            return self._decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            raise Malformed(str(error)) from None
+
+
+class FrameConnection(Generic[Received]):
+    """Frames over one socket.
+
+    :param sock: a connected curio socket.
+    :param decoder: the decoder of the frames that this side may receive.
+    """
+
+    def __init__(
+        self,
+        sock: Socket,
+        decoder: msgspec.msgpack.Decoder[Received],
+    ) -> None:
+        self._sock = sock
+        self._reader = FrameReader(decoder)
+        sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+
+    async def send(self, *frames: Frame) -> None:
+        """Send frames in one write.
+
+        :param frames: the frames, in order.
+        :raises Severed: the connection is gone.
+        """
+        try:
+            await self._sock.sendall(encode_frames(*frames))
+        except OSError:
+            raise Severed from None
+
+    async def receive(self) -> Received:
+        """Wait for the next frame.
+
+        :returns: the frame.
+        :raises Severed: the connection is gone.
+        :raises Malformed: the peer broke the protocol.
+        """
+        while True:
+            frame = self._reader.next_frame()
+            if frame is not None:
+                return frame
+            try:
+                received = await self._sock.recv(READ_BYTES)
+            except OSError:
+                raise Severed from None
+            if not received:
+                raise Severed
+            self._reader.feed(received)
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self._sock.close()
+
+
+def accept_entry(sock: Socket) -> FrameConnection[EntryFrame]:
+    """Wrap a socket that an agent accepted.
+
+    :param sock: the accepted curio socket.
+    :returns: a connection that receives an entry's frames.
+    """
+    return FrameConnection(sock, _entry_decoder)
+
+
+async def open_to_agent(
+    address: str,
+    timeout: float,
+) -> FrameConnection[AgentFrame]:
+    """Connect to an agent.
+
+    :param address: the agent's data address, as ``ip:port``.
+    :param timeout: seconds to wait for the connection.
+    :returns: a connection that receives an agent's frames.
+    :raises Unreachable: no connection; nothing was sent.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        sock = await curio.timeout_after(
+            timeout,
+            curio.open_connection(host, int(port)),
+        )
+    except (OSError, curio.TaskTimeout):
+        raise Unreachable from None
+    return FrameConnection(sock, _agent_decoder)
--- /dev/null
+++ b/src/ospreyford/wire/identity.py
@@ -0,0 +1,34 @@
+"""Dated ids: UUID version 7 (RFC 9562) for executions and caller's keys."""
+
+from __future__ import annotations
+
+import uuid
+
+import uuid_utils
+
+DATE_SHIFT = 80
+DATED_VERSION = 7
+
+
+def make_id() -> str:
+    """Make a new dated id.
+
+    :returns: a UUID version 7 in its usual text form.
+    """
+    return str(uuid_utils.uuid7())
+
+
+def read_date(key: str) -> int | None:
+    """Read the date that a key carries.
+
+    :param key: an idempotency key as the caller gave it.
+    :returns: Unix time in milliseconds, or ``None`` for a key that is not a
+        UUID version 7.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != DATED_VERSION:
+        return None
+    return parsed.int >> DATE_SHIFT
