Void one sending rather than a key; greet first on each connection

Cause: a caller told "not run" must be able to come again with its key, while the late copy of the first sending must stay refused. Change: tombstones hold attempt ids; the greeting shows who answers before anything is sent; a finished idempotent id outlives every late question.

--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -30,12 +30,18 @@
 
     :param start: the frame that started it.
     :param begun: monotonic seconds at its start.
+    :param voided: earlier attempts at the same id that must not run.
     """
 
-    def __init__(self, start: Start, begun: float) -> None:
+    def __init__(
+        self,
+        start: Start,
+        begun: float,
+        voided: frozenset[str],
+    ) -> None:
         self.identity = start.execution
+        self.voided = voided | {start.attempt}
         self.idempotent = start.idempotent
-        self.dated = start.dated
         self.fingerprint = start.fingerprint
         self.begun = begun
         self.ended: float | None = None
--- a/src/ospreyford/agent/memory.py
+++ b/src/ospreyford/agent/memory.py
@@ -14,14 +14,17 @@
 
 @dataclass(frozen=True)
 class Tombstone:
-    """A voided id.
+    """Voided attempts at an id.
 
-    :param until: monotonic seconds until which it is refused.
-    :param moved: voided because it was to run on another backend server.
+    :param until: monotonic seconds until which they are refused.
+    :param moved: the id was to run on another backend server, so no attempt
+        may run here.
+    :param attempts: the sendings that were voided.
     """
 
     until: float
     moved: bool
+    attempts: frozenset[str]
 
 
 Entry: TypeAlias = Execution | Tombstone
@@ -67,22 +70,39 @@
         """
         self._entries[execution.identity] = execution
 
-    def bury(self, identity: str, *, moved: bool) -> bool:
-        """Remember that an id must not run here.
+    def bury(self, identity: str, attempt: str, *, moved: bool) -> bool:
+        """Remember that an attempt at an id must not run here.
 
         :param identity: the execution's id.
-        :param moved: it is to run on another backend server.
+        :param attempt: the sending that is voided.
+        :param moved: no other may run here either.
         :returns: whether there was room to remember it.
         """
         if not self.has_room():
             return False
+        earlier = self.list_voided(identity)
         held = self._settings.tombstone_seconds
         if moved:
             held = self._settings.retention_seconds
         until = self._clock.monotonic() + held + self._margin()
-        self._entries[identity] = Tombstone(until, moved)
+        voided = earlier | {attempt}
+        self._entries[identity] = Tombstone(until, moved, voided)
         return True
 
+    def list_voided(self, identity: str) -> frozenset[str]:
+        """List the attempts at an id that must not run any more.
+
+        :param identity: the execution's id.
+        :returns: ids of sendings.
+        """
+        match self.find(identity):
+            case Tombstone(attempts=attempts):
+                return attempts
+            case Execution(voided=voided):
+                return voided
+            case _:
+                return frozenset()
+
     def sweep(self) -> None:
         """Forget what may be forgotten."""
         forgotten = [
@@ -94,7 +114,7 @@
             self._entries.pop(identity)
         for entry in self._entries.values():
             if isinstance(entry, Execution) and entry.ended is not None:
-                entry.bound_answer(self._settings.max_answer_bytes)
+                self._bound_answer(entry, entry.ended)
 
     def list_running(self) -> list[Execution]:
         """List the executions that have not ended.
@@ -120,6 +140,17 @@
             if execution.idempotent and execution.is_abandoned_since(oldest)
         ]
 
+    def _bound_answer(self, execution: Execution, ended: float) -> None:
+        lingers = (
+            self._clock.monotonic() <= ended + self._settings.linger_seconds
+        )
+        if lingers:
+            return
+        kept = 0
+        if not execution.idempotent:
+            kept = self._settings.max_answer_bytes
+        execution.bound_answer(kept)
+
     def _margin(self) -> float:
         return 2 * self._settings.skew_seconds
 
@@ -131,7 +162,10 @@
             case Execution(ended=None):
                 return False
             case Execution(idempotent=True, ended=float(ended)):
-                return now > ended + self._settings.linger_seconds
+                # An entry that was paused may ask late. Forgetting that it
+                # ran would void it and make "not run" a lie.
+                held = self._settings.tombstone_seconds + self._margin()
+                return now > ended + held
             case Execution(begun=begun):
                 # Counted from the start, not from the key's date: a clock
                 # that is set must not shorten it.
--- a/src/ospreyford/agent/record.py
+++ b/src/ospreyford/agent/record.py
@@ -76,14 +76,16 @@
         :returns: what to do with it.
         """
         match self.memory.find(frame.execution):
-            case Tombstone(moved=moved):
-                return Denied(Refusal.moved if moved else Refusal.voided)
-            case Execution(fate=Fate.not_run):
-                return self._start_unknown(frame)
-            case Execution() as execution:
+            case Tombstone(moved=True):
+                return Denied(Refusal.moved)
+            case Execution(fate=None) as execution:
+                return self._join(execution, frame)
+            case (
+                Execution(fate=Fate.unknown | Fate.answer_dropped) as execution
+            ):
                 return self._join(execution, frame)
             case _:
-                return self._start_unknown(frame)
+                return self._start_unless_voided(frame)
 
     def follow(self, frame: Follow) -> Decision:
         """Tell the state of an id, and void it if it is not known.
@@ -101,8 +103,6 @@
                 return Known(execution)
             case Tombstone(moved=True):
                 return Denied(Refusal.moved)
-            case Tombstone():
-                return Denied(Refusal.voided)
             case _:
                 return self._void(frame)
 
@@ -113,11 +113,16 @@
             return Denied(Refusal.key_reused)
         return Known(execution)
 
-    def _start_unknown(self, frame: Start) -> Decision:
+    def _start_unless_voided(self, frame: Start) -> Decision:
+        # Voided is the one sending, not the caller's key: told "not run", a
+        # caller may come again with the same key and be served.
+        voided = self.memory.list_voided(frame.execution)
+        if frame.attempt in voided:
+            return Denied(Refusal.voided)
         denied = self._judge_date(frame) or self._judge_state(frame)
         if denied is not None:
             return denied
-        execution = Execution(frame, self._clock.monotonic())
+        execution = Execution(frame, self._clock.monotonic(), voided)
         self.memory.hold(execution)
         return Begun(execution)
 
@@ -157,11 +162,31 @@
         # The entry may take the key to the next home. If the drain request
         # is withdrawn later, a retry that comes here first must not run it a
         # second time: the tombstone holds it off.
-        if frame.idempotent or self.memory.bury(frame.execution, moved=True):
+        if frame.idempotent or self._bury(frame, moved=True):
             return Denied(Refusal.draining, DRAIN_RETRY_SECONDS)
         return Denied(Refusal.record_full, FULL_RETRY_SECONDS)
 
     def _void(self, frame: Follow) -> Denied:
-        if not self.memory.bury(frame.execution, moved=frame.moved):
+        denied = self._judge_question(frame)
+        if denied is not None:
+            return denied
+        if not self._bury(frame, moved=frame.moved):
             return Denied(Refusal.record_full, FULL_RETRY_SECONDS)
         return Denied(Refusal.moved if frame.moved else Refusal.voided)
+
+    def _judge_question(self, frame: Follow) -> Denied | None:
+        dated = frame.dated / MILLISECONDS
+        held = self._settings.tombstone_seconds
+        if frame.moved:
+            held = self._settings.retention_seconds
+        # After so long the record may have forgotten that it ran.
+        if self._clock.wall() - dated > held:
+            return Denied(Refusal.key_expired)
+        # Another home asks about a key that it never sent here: this life
+        # knows nothing of what an earlier one ran.
+        if frame.moved and dated <= self._born + self._settings.skew_seconds:
+            return Denied(Refusal.predates)
+        return None
+
+    def _bury(self, frame: Start | Follow, *, moved: bool) -> bool:
+        return self.memory.bury(frame.execution, frame.attempt, moved=moved)
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import socket as plain_socket
+import select
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
@@ -23,7 +23,7 @@
 
 READ_BYTES = 65_536
 BACKLOG = 512
-BAD_REQUEST = 400
+HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Exchange:
@@ -87,9 +87,12 @@
         """Send the mark that the answer is whole."""
         await self._connection.send(h11.EndOfMessage())
 
-    async def wait_for_hangup(self) -> None:
-        """Wait until the caller closes its side of the connection."""
-        await self._connection.wait_for_hangup()
+    def is_abandoned(self) -> bool:
+        """Tell whether the caller has closed its side of the connection.
+
+        :returns: whether nobody waits for the answer any more.
+        """
+        return self._connection.is_hung_up()
 
 
 class ServerConnection:
@@ -155,18 +158,14 @@
         except OSError:
             raise ConnectionLost from None
 
-    async def wait_for_hangup(self) -> None:
-        """Wait until the caller closes its side of the connection."""
-        # A pipelined request stays in the socket's buffer: peeking shows
-        # an empty read only when the caller has really gone.
-        while True:
-            try:
-                seen = await self._sock.recv(1, plain_socket.MSG_PEEK)
-            except OSError:
-                return
-            if not seen:
-                return
-            await curio.sleep(1)
+    def is_hung_up(self) -> bool:
+        """Tell whether the caller has closed its side of the connection.
+
+        :returns: whether a hang-up is known to the kernel.
+        """
+        poller = select.poll()
+        poller.register(self._sock.fileno(), HANGUP)
+        return bool(poller.poll(0))
 
     def start_next_cycle(self) -> bool:
         """Make ready for another request.
--- a/src/ospreyford/wire/frame.py
+++ b/src/ospreyford/wire/frame.py
@@ -72,6 +72,7 @@
 class Start(Frame, frozen=True, kw_only=True):
     """Entry to agent: run a request, unless its id is known already.
 
+    :param attempt: id of this one sending of the request.
     :param idempotent: whether the request may run more than once.
     :param fresh: the entry made the id itself and sends it the first time.
     :param dated: Unix time in milliseconds that the id carries.
@@ -83,6 +84,7 @@
     :param body: the request's body.
     """
 
+    attempt: str
     idempotent: bool
     fresh: bool
     dated: int
@@ -97,15 +99,19 @@
 class Follow(Frame, frozen=True, kw_only=True):
     """Entry to agent: tell me the state, and go on from a sequence number.
 
-    An id that the agent does not know is voided: a late copy of its start
-    will be refused. That is what makes "not run" true.
+    An attempt that the agent does not know is voided: a late copy of its
+    start will be refused. That is what makes "not run" true.
 
+    :param attempt: id of the sending in question.
+    :param dated: Unix time in milliseconds that the execution's id carries.
     :param next_sequence: the first frame of the answer still missing.
     :param incarnation: the incarnation that the start was sent to. Another
         one knows nothing of it and must not void it.
     :param moved: the id is to run on another backend server from now on.
     """
 
+    attempt: str
+    dated: int
     next_sequence: int
     incarnation: str
     moved: bool = False
--- a/src/ospreyford/wire/pool.py
+++ b/src/ospreyford/wire/pool.py
@@ -5,7 +5,11 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
+import curio
+
 from ospreyford.wire.connection import FrameConnection, open_to_agent
+from ospreyford.wire.errors import Unreachable, WireError
+from ospreyford.wire.frame import Greeting
 
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
@@ -24,11 +28,18 @@
     idle_each: int = 32
 
 
+class AgentConnection(NamedTuple):
+    """A connection to an agent and the greeting that it opened with."""
+
+    frames: FrameConnection[AgentFrame]
+    greeting: Greeting
+
+
 class IdleConnection(NamedTuple):
     """A connection at rest since a moment of the monotonic clock."""
 
     since: float
-    connection: FrameConnection[AgentFrame]
+    connection: AgentConnection
 
 
 class ConnectionPool:
@@ -46,7 +57,7 @@
         self._clock = clock
         self._idle: dict[str, list[IdleConnection]] = defaultdict(list)
 
-    async def take(self, address: str) -> FrameConnection[AgentFrame]:
+    async def take(self, address: str) -> AgentConnection:
         """Take an idle connection, or open one.
 
         :param address: the agent's data address.
@@ -59,22 +70,34 @@
             rested = idle.pop()
             if rested.since >= youngest:
                 return rested.connection
-            await rested.connection.close()
+            await rested.connection.frames.close()
         return await self.open(address)
 
-    async def open(self, address: str) -> FrameConnection[AgentFrame]:
+    async def open(self, address: str) -> AgentConnection:
         """Open a fresh connection.
 
         :param address: the agent's data address.
-        :returns: the connection.
+        :returns: the connection, greeted.
         :raises Unreachable: none could be opened; nothing was sent.
         """
-        return await open_to_agent(address, self._settings.connect_seconds)
+        # The kernel accepts for a process that is paused or hung; only its
+        # greeting shows that somebody answers, before anything is sent.
+        limit = self._settings.connect_seconds
+        frames = await open_to_agent(address, limit)
+        try:
+            greeting = await curio.timeout_after(limit, frames.receive())
+        except (WireError, curio.TaskTimeout):
+            await frames.close()
+            raise Unreachable from None
+        if isinstance(greeting, Greeting):
+            return AgentConnection(frames, greeting)
+        await frames.close()
+        raise Unreachable
 
     async def give_back(
         self,
         address: str,
-        connection: FrameConnection[AgentFrame],
+        connection: AgentConnection,
     ) -> None:
         """Keep a connection whose last answer was read to its end.
 
@@ -83,7 +106,7 @@
         """
         idle = self._idle[address]
         if len(idle) >= self._settings.idle_each:
-            await connection.close()
+            await connection.frames.close()
             return
         idle.append(IdleConnection(self._clock.monotonic(), connection))
 
@@ -91,4 +114,4 @@
         """Close every idle connection."""
         for idle in self._idle.values():
             while idle:
-                await idle.pop().connection.close()
+                await idle.pop().connection.frames.close()
