Add the entry's attempt: one sending seen through to a proved end

Cause: an answer must arrive whole or be seen as cut, and "not run" needs proof. Ruled out: reading a lost connection as "not run".

--- a/src/ospreyford/agent/record.py
+++ b/src/ospreyford/agent/record.py
@@ -170,21 +170,23 @@
         denied = self._judge_question(frame)
         if denied is not None:
             return denied
-        if not self._bury(frame, moved=frame.moved):
-            return Denied(Refusal.record_full, FULL_RETRY_SECONDS)
+        buries = frame.sent or frame.moved
+        if buries and not self._bury(frame, moved=frame.moved):
+            return Denied(Refusal.undecided, FULL_RETRY_SECONDS)
         return Denied(Refusal.moved if frame.moved else Refusal.voided)
 
     def _judge_question(self, frame: Follow) -> Denied | None:
         dated = frame.dated / MILLISECONDS
+        stranger = frame.moved or not frame.sent
         held = self._settings.tombstone_seconds
-        if frame.moved:
+        if stranger:
             held = self._settings.retention_seconds
         # After so long the record may have forgotten that it ran.
         if self._clock.wall() - dated > held:
             return Denied(Refusal.key_expired)
-        # Another home asks about a key that it never sent here: this life
-        # knows nothing of what an earlier one ran.
-        if frame.moved and dated <= self._born + self._settings.skew_seconds:
+        # An entry asks about a key that it never sent to this life of the
+        # agent, which knows nothing of what an earlier one ran.
+        if stranger and dated <= self._born + self._settings.skew_seconds:
             return Denied(Refusal.predates)
         return None
 
--- /dev/null
+++ b/src/ospreyford/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that callers reach: admission, choice, relay, retries."""
--- /dev/null
+++ b/src/ospreyford/entry/answer.py
@@ -0,0 +1,112 @@
+"""An answer on its way from an agent to a caller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+from ospreyford.entry.outcome import Answered, AttemptOutcome
+from ospreyford.entry.verdict import Progress, judge_failure, judge_refusal
+from ospreyford.wire.frame import (
+    AnswerFrame,
+    Beat,
+    End,
+    Failed,
+    Head,
+    Opened,
+    Piece,
+    Refused,
+)
+
+if TYPE_CHECKING:
+    from ospreyford.entry.sink import Sink
+    from ospreyford.ports.fleet import LoadReport
+    from ospreyford.wire.frame import AgentFrame
+
+
+@dataclass(frozen=True)
+class Interrupted:
+    """The connection fell silent, ended or crossed answers."""
+
+
+Step: TypeAlias = AttemptOutcome | Interrupted | None
+
+
+class IncomingAnswer:
+    """Takes an answer's frames in order, over any number of connections.
+
+    :param execution: the id whose frames are expected.
+    :param sink: where the answer goes.
+    """
+
+    def __init__(self, execution: str, sink: Sink) -> None:
+        self.load: LoadReport | None = None
+        self.sequence = 0
+        self._execution = execution
+        self._sink = sink
+        self._opened = False
+        self._began = False
+
+    @property
+    def progress(self) -> Progress:
+        """How far the answer came."""
+        return Progress(opened=self._opened, began=self._began)
+
+    def is_abandoned(self) -> bool:
+        """Tell whether the caller has gone.
+
+        :returns: whether nobody waits for the answer any more.
+        """
+        return self._sink.is_abandoned()
+
+    async def take(self, frame: AgentFrame) -> Step:
+        """Take the next frame of a connection.
+
+        :param frame: the frame.
+        :returns: the end of the attempt or of the connection, or ``None``.
+        :raises CallerGone: the caller's connection broke.
+        """
+        if isinstance(frame, Beat):
+            return None
+        # Symptom without this check: a caller reads a part of somebody
+        # else's answer. A crossed frame ends the connection.
+        if frame.execution != self._execution:
+            return Interrupted()
+        match frame:
+            case Opened(load=load):
+                self._opened = True
+                self.load = load
+                return None
+            case Refused(load=load):
+                self.load = load
+                return judge_refusal(frame, self.progress)
+            case Head() | Piece() | End() | Failed():
+                return await self._take_part(frame)
+            case _:
+                return Interrupted()
+
+    async def _take_part(self, frame: AnswerFrame) -> Step:
+        # Duplicates are passed over; a gap means that a part was lost, and a
+        # fresh connection asks for it by its number.
+        if frame.sequence < self.sequence:
+            return None
+        if frame.sequence > self.sequence:
+            return Interrupted()
+        self.sequence += 1
+        return await self._relay(frame)
+
+    async def _relay(self, frame: AnswerFrame) -> Step:
+        match frame:
+            case Head(status=status, headers=headers):
+                self._began = True
+                await self._sink.begin(status, headers)
+                return None
+            case Piece(content=content):
+                await self._sink.relay(content)
+                return None
+            case End(load=load):
+                self.load = load
+                await self._sink.finish()
+                return Answered()
+            case Failed():
+                return judge_failure(frame, self.progress)
--- /dev/null
+++ b/src/ospreyford/entry/conversation.py
@@ -0,0 +1,113 @@
+"""One connection's part in an attempt."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.entry.answer import Interrupted, Step
+from ospreyford.entry.outcome import Abandoned, AttemptOutcome, Cause
+from ospreyford.entry.sink import CallerGone
+from ospreyford.entry.verdict import give_up
+from ospreyford.wire.errors import WireError
+from ospreyford.wire.frame import Beat, Cancel, Follow, Start
+
+if TYPE_CHECKING:
+    from ospreyford.entry.answer import IncomingAnswer
+    from ospreyford.entry.settings import AttemptSettings
+    from ospreyford.ports.clock import Clock
+    from ospreyford.wire.connection import FrameConnection
+    from ospreyford.wire.frame import AgentFrame
+
+
+class Conversation:
+    """Sends one frame and listens until the attempt or the connection ends.
+
+    :param settings: times.
+    :param clock: source of time.
+    :param connection: a greeted connection with nothing unread on it.
+    :param answer: the answer so far.
+    :param deadline: monotonic seconds by which all must be over.
+    """
+
+    def __init__(
+        self,
+        settings: AttemptSettings,
+        clock: Clock,
+        connection: FrameConnection[AgentFrame],
+        answer: IncomingAnswer,
+        deadline: float,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._connection = connection
+        self._answer = answer
+        self._deadline = deadline
+        self._heard = clock.monotonic()
+        self._beaten = self._heard
+
+    async def run(self, first: Start | Follow) -> AttemptOutcome | Interrupted:
+        """Hold the conversation.
+
+        :param first: the frame that opens it.
+        :returns: how it ended.
+        """
+        try:
+            await self._connection.send(first)
+            return await self._listen(first.execution)
+        except WireError:
+            return Interrupted()
+        except CallerGone:
+            await self._cancel(first.execution)
+            return Abandoned()
+
+    async def _listen(self, execution: str) -> AttemptOutcome | Interrupted:
+        while True:
+            frame = await self._receive()
+            now = self._clock.monotonic()
+            step = await self._check_time(execution, now)
+            if step is None:
+                step = await self._take(frame, now)
+            if step is not None:
+                return step
+
+    async def _receive(self) -> AgentFrame | None:
+        left = self._deadline - self._clock.monotonic()
+        wait = min(self._settings.beat_seconds, max(left, 0))
+        try:
+            frame: AgentFrame = await curio.timeout_after(
+                wait,
+                self._connection.receive(),
+            )
+        except curio.TaskTimeout:
+            return None
+        return frame
+
+    async def _check_time(self, execution: str, now: float) -> Step:
+        if now >= self._deadline:
+            await self._cancel(execution)
+            return give_up(Cause.deadline, self._answer.progress)
+        if now - self._beaten >= self._settings.beat_seconds:
+            self._beaten = now
+            await self._connection.send(Beat(execution=execution))
+        return None
+
+    async def _take(self, frame: AgentFrame | None, now: float) -> Step:
+        if frame is not None:
+            self._heard = now
+            return await self._answer.take(frame)
+        if self._answer.is_abandoned():
+            raise CallerGone
+        # The kernel shows a connection as open long after something between
+        # the two ends has lost track of it; only missing heartbeats tell.
+        if now - self._heard > self._settings.silence_seconds:
+            return Interrupted()
+        return None
+
+    async def _cancel(self, execution: str) -> None:
+        try:
+            await self._connection.send(Cancel(execution=execution))
+        except WireError:
+            # The agent stops an execution that nobody follows by itself.
+            return
--- a/src/ospreyford/wire/frame.py
+++ b/src/ospreyford/wire/frame.py
@@ -29,6 +29,7 @@
     key_from_future = 'key-from-future'
     key_reused = 'key-reused'
     wrong_incarnation = 'wrong-incarnation'
+    undecided = 'undecided'
 
 
 class Fate(StrEnum):
@@ -108,6 +109,8 @@
     :param incarnation: the incarnation that the start was sent to. Another
         one knows nothing of it and must not void it.
     :param moved: the id is to run on another backend server from now on.
+    :param sent: a start may be under way, which is to be voided. Otherwise
+        the question leaves no trace.
     """
 
     attempt: str
@@ -115,6 +118,7 @@
     next_sequence: int
     incarnation: str
     moved: bool = False
+    sent: bool = True
 
 
 class Cancel(Frame, frozen=True, kw_only=True):
