--- /dev/null
+++ b/src/ospreyford/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Customer limits, their sharing between entries, and the fair queue."""
--- /dev/null
+++ b/src/ospreyford/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server for a request."""
--- /dev/null
+++ b/src/ospreyford/routing/backend.py
@@ -0,0 +1,126 @@
+"""What an entry knows of one back end."""
+
+from __future__ import annotations
+
+from collections import deque
+from math import exp
+from typing import TYPE_CHECKING, NamedTuple
+
+from ospreyford.routing.budget import AttemptBudget
+from ospreyford.routing.health import Health
+
+if TYPE_CHECKING:
+    from ospreyford.ports.fleet import Host, LoadReport
+    from ospreyford.routing.settings import RoutingSettings
+
+#: Earlier incarnations remembered, so that their late reports are refused.
+INCARNATIONS_KEPT = 4
+#: Share that a fresh back end starts with.
+FIRST_SHARE = 0.1
+
+
+class Others(NamedTuple):
+    """Requests of other entries, and the report's weight, 0 to 1."""
+
+    weight: float
+    requests: float
+
+
+class Backend:
+    """Load and health of one back end, as seen from this entry.
+
+    ``in_flight`` counts this entry's own requests, ``step_seconds`` is the
+    step time of the last report, 0 if never told.
+
+    :param host: its entry in the host list.
+    :param settings: the router's settings.
+    """
+
+    def __init__(self, host: Host, settings: RoutingSettings) -> None:
+        self.host = host
+        self.in_flight = 0
+        self.draining = False
+        self.step_seconds: float = 0
+        self.health = Health(settings.ejection)
+        self.retries = AttemptBudget(
+            settings.budget.retry_ratio, settings.budget.burst
+        )
+        self._settings = settings
+        self._incarnation = ''
+        self._earlier: deque[str] = deque(maxlen=INCARNATIONS_KEPT)
+        self._reported_at = float('-inf')
+        self._others: float = 0
+        self._fresh_since = float('-inf')
+
+    def note_load(self, report: LoadReport, now: float) -> None:
+        """Take in a load report unless a newer one is known.
+
+        :param report: the report.
+        :param now: seconds on the monotonic clock.
+        """
+        measured_at = now - report.age_seconds
+        if report.incarnation in self._earlier:
+            # A report of a process that is gone, late on its way: taking it
+            # would bring back its load and its draining mark.
+            return
+        if report.incarnation != self._incarnation:
+            self._note_incarnation(report.incarnation, now)
+        elif measured_at < self._reported_at:
+            return
+        self._reported_at = measured_at
+        self.draining = report.draining
+        self.step_seconds = report.step_seconds
+        waiting = report.queued_tokens / self._settings.tokens_per_request
+        total = report.in_flight + max(report.queued, waiting)
+        self._others = max(0, total - self.in_flight)
+
+    def load(self, now: float, mean_others: float) -> float:
+        """Estimate the requests on this back end.
+
+        The report's part fades to the mean of the pool: an old report says
+        no more than that the back end is one of the pool, and fading to
+        zero would send everybody to whoever stopped reporting.
+
+        :param now: seconds on the monotonic clock.
+        :param mean_others: mean of :meth:`others` over the pool.
+        :returns: requests, this entry's own included.
+        """
+        weight = self._report_weight(now)
+        others = weight * self._others + (1 - weight) * mean_others
+        return self.in_flight + others
+
+    def others(self, now: float) -> Others:
+        """Tell the last reported load of other entries.
+
+        :param now: seconds on the monotonic clock.
+        :returns: the requests and what the report is still worth.
+        """
+        return Others(self._report_weight(now), self._others)
+
+    def share(self, now: float) -> float:
+        """Tell what share of a full load it may take.
+
+        :param now: seconds on the monotonic clock.
+        :returns: 1, or less while it is fresh.
+        """
+        age = now - self._fresh_since
+        ramp = age / self._settings.slow_start_seconds
+        return max(FIRST_SHARE, min(1, ramp))
+
+    def start_slowly(self, now: float) -> None:
+        """Begin the slow start of a fresh back end.
+
+        :param now: seconds on the monotonic clock.
+        """
+        self._fresh_since = now
+
+    def _report_weight(self, now: float) -> float:
+        age = max(0, now - self._reported_at)
+        return exp(-age / self._settings.load_decay_seconds)
+
+    def _note_incarnation(self, incarnation: str, now: float) -> None:
+        if self._incarnation:
+            self._earlier.append(self._incarnation)
+            self.start_slowly(now)
+            self.health = Health(self._settings.ejection)
+        self._incarnation = incarnation
--- /dev/null
+++ b/src/ospreyford/routing/pool.py
@@ -0,0 +1,114 @@
+"""Back ends that an entry follows for one service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+
+from ospreyford.ports.fleet import Host, HostState
+
+if TYPE_CHECKING:
+    from ospreyford.routing.backend import Backend
+    from ospreyford.routing.query import Identity, RoutingQuery
+    from ospreyford.routing.settings import RoutingSettings
+
+#: Homes kept for each prefix bucket, best first.
+HOMES = 2
+
+
+class Match:
+    """Labels that a back end must carry.
+
+    :param settings: names of the labels.
+    :param query: what the request asks for.
+    """
+
+    def __init__(self, settings: RoutingSettings, query: RoutingQuery) -> None:
+        self._settings = settings
+        self._query = query
+
+    def accepts(self, host: Host) -> bool:
+        """Tell whether a host fits.
+
+        :param host: the host.
+        :returns: whether service, version and adapter match and the host
+            does not leave.
+        """
+        query = self._query
+        if host.state is HostState.leaving or host.service != query.service:
+            return False
+        labels = host.labels
+        version = labels.get(self._settings.version_label)
+        if query.version is not None and version != query.version:
+            return False
+        adapters = labels.get(self._settings.adapter_label, '')
+        return query.adapter is None or query.adapter in adapters.split()
+
+
+class Pool:
+    """Stable subset of a service's back ends, and the homes of prefixes.
+
+    The subset is chosen by rendezvous hash of entry, service and host, the
+    own zone first: it changes by one member when one host comes or goes,
+    and different entries spread over different subsets.
+
+    :param hosts: the matching hosts.
+    :param service: the service's name.
+    :param me: this entry.
+    :param settings: sizes.
+    :param backend_of: finds or makes the record of a host.
+    """
+
+    def __init__(
+        self,
+        hosts: Sequence[Host],
+        service: str,
+        me: Identity,
+        settings: RoutingSettings,
+        backend_of: Callable[[Host], Backend],
+    ) -> None:
+        self._hosts = hosts
+        self._settings = settings
+        self._me = me
+        self._backend_of = backend_of
+        self._homes: dict[int, tuple[Backend, ...]] = {}
+        seed = xxh3_64_intdigest(f'{me.name}/{service}'.encode())
+        ranked = sorted(hosts, key=lambda host: _score(host, seed))
+        local = [host for host in ranked if host.zone == me.zone]
+        remote = [host for host in ranked if host.zone != me.zone]
+        remote.sort(key=lambda host: host.region != me.region)
+        kept = local[: settings.local_size]
+        total = settings.local_size + settings.spill_size
+        spill = remote[: max(settings.spill_size, total - len(kept))]
+        self.backends = tuple(backend_of(host) for host in (*kept, *spill))
+
+    def homes(self, prefix: bytes) -> tuple[Backend, ...]:
+        """Find where a prefix belongs.
+
+        Over all matching hosts of the region, not the subset alone, so that
+        every entry sends a prefix to the same place and the fleet keeps few
+        copies of it.
+
+        :param prefix: hash of the prompt prefix.
+        :returns: back ends, the first choice first.
+        """
+        bucket = xxh3_64_intdigest(prefix) % self._settings.prefix_buckets
+        homes = self._homes.get(bucket)
+        if homes is None:
+            homes = self._rank_homes(bucket)
+            self._homes[bucket] = homes
+        return homes
+
+    def _rank_homes(self, bucket: int) -> tuple[Backend, ...]:
+        region = self._me.region
+        near = [host for host in self._hosts if host.region == region]
+        ranked = sorted(
+            near or self._hosts, key=lambda host: _score(host, bucket)
+        )
+        return tuple(self._backend_of(host) for host in ranked[:HOMES])
+
+
+def _score(host: Host, seed: int) -> int:
+    return xxh3_64_intdigest(host.name.encode(), seed)
--- /dev/null
+++ b/src/ospreyford/routing/query.py
@@ -0,0 +1,134 @@
+"""Question to the router and its answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum, StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from ospreyford.ports.fleet import Host
+
+
+class Identity(NamedTuple):
+    """The entry that routes: its name, availability zone and region."""
+
+    name: str
+    zone: str
+    region: str
+
+
+class Priority(IntEnum):
+    """Priority of a request; a higher one may use more of the capacity."""
+
+    low = 0
+    normal = 1
+    high = 2
+
+
+class Outcome(StrEnum):
+    """How an attempt at a back end ended, as the router sees it.
+
+    ``cancelled`` (by the caller, or a hedge that lost) says nothing about
+    the back end's health.
+    """
+
+    answered = 'answered'
+    failed = 'failed'
+    cancelled = 'cancelled'
+
+
+class Attempt(StrEnum):
+    """Why an attempt is sent; only first attempts earn budget."""
+
+    first = 'first'
+    retry = 'retry'
+    hedge = 'hedge'
+
+
+class RoutingQuery(NamedTuple):
+    """What the router must know of a request.
+
+    :param service: name of the service.
+    :param customer: name of the customer.
+    :param deadline: seconds on the monotonic clock.
+    :param prefix: hash of the cacheable prompt prefix, if any.
+    :param adapter: adapter that the back end must have loaded.
+    :param version: model version that the back end must run.
+    :param priority: see :class:`Priority`.
+    :param excluded: names of back ends that must not be chosen.
+    :param prompt_tokens: estimated length of the prompt.
+    :param idempotent: only idempotent requests are used as probes.
+    """
+
+    service: str
+    customer: str
+    deadline: float
+    prefix: bytes | None = None
+    adapter: str | None = None
+    version: str | None = None
+    priority: Priority = Priority.normal
+    excluded: frozenset[str] = frozenset()
+    prompt_tokens: int = 0
+    idempotent: bool = True
+
+
+class Basis(StrEnum):
+    """Why this back end was chosen; a counter's label."""
+
+    affinity = 'affinity'
+    load = 'load'
+    probe = 'probe'
+    panic = 'panic'
+
+
+@dataclass(frozen=True)
+class Choice:
+    """A back end was chosen.
+
+    :param host: the back end.
+    :param basis: what decided it.
+    """
+
+    host: Host
+    basis: Basis
+
+
+@dataclass(frozen=True)
+class NoCandidate:
+    """No back end matches the request's service, version and adapter."""
+
+
+@dataclass(frozen=True)
+class AllLeaving:
+    """Every matching back end drains, leaves or is excluded."""
+
+
+@dataclass(frozen=True)
+class Overloaded:
+    """Every usable back end is at the load bound of the priority.
+
+    :param priority: the request's priority.
+    """
+
+    priority: Priority
+
+
+@dataclass(frozen=True)
+class DeadlinePassed:
+    """The deadline was over before a back end was chosen."""
+
+
+Reason = NoCandidate | AllLeaving | Overloaded | DeadlinePassed
+
+
+@dataclass(frozen=True)
+class NoBackend:
+    """No back end was chosen, so nothing was sent.
+
+    :param reason: why.
+    :param retry_after: seconds after which coming back may help.
+    """
+
+    reason: Reason
+    retry_after: float
--- /dev/null
+++ b/src/ospreyford/routing/registry.py
@@ -0,0 +1,75 @@
+"""Records of the back ends that an entry knows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.routing.backend import Backend
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ospreyford.ports.fleet import Host
+    from ospreyford.routing.settings import RoutingSettings
+
+
+class Registry:
+    """Finds the record of a back end by name, and its peers by service.
+
+    :param settings: the router's settings.
+    """
+
+    def __init__(self, settings: RoutingSettings) -> None:
+        self._settings = settings
+        self._backends: dict[str, Backend] = {}
+        self._services: dict[str, dict[str, Backend]] = {}
+        self._started_at: float | None = None
+
+    def find(self, host: Host, now: float) -> Backend:
+        """Find the record of a host, or make it.
+
+        :param host: the host.
+        :param now: seconds on the monotonic clock.
+        :returns: its record; a new one if the instance was replaced.
+        """
+        known = self._backends.get(host.name)
+        if known and known.host.instance == host.instance:
+            known.host = host
+            return known
+        made = Backend(host, self._settings)
+        if self._started_at is None:
+            self._started_at = now
+        # An entry that has just started knows nobody, and that says nothing
+        # of their age; later, a name or instance not seen before is new.
+        if now > self._started_at:
+            made.start_slowly(now)
+        self._backends[host.name] = made
+        self._services.setdefault(host.service, {})[host.name] = made
+        return made
+
+    def get(self, name: str) -> Backend | None:
+        """Look a record up.
+
+        :param name: the back end.
+        :returns: its record, if it is known.
+        """
+        return self._backends.get(name)
+
+    def drop(self, name: str) -> None:
+        """Forget a back end.
+
+        :param name: the back end.
+        """
+        known = self._backends.pop(name, None)
+        if known:
+            self._services[known.host.service].pop(name, None)
+
+    def peers(self, backend: Backend) -> Iterator[Backend]:
+        """List the other back ends of the same service.
+
+        :param backend: the one to leave out.
+        :yields: the others.
+        """
+        for peer in self._services[backend.host.service].values():
+            if peer is not backend:
+                yield peer
--- /dev/null
+++ b/src/ospreyford/routing/scores.py
@@ -0,0 +1,54 @@
+"""Load of each back end made comparable."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ospreyford.routing.backend import Backend
+
+#: Bounds of the factor by which a step slower or faster than the pool's
+#: median weighs: beyond them a report is rather wrong than right.
+SLOWEST = 8.0
+FASTEST = 0.5
+
+Scores = dict['Backend', float]
+
+
+class _Means(NamedTuple):
+    others: float
+    step_seconds: float
+
+
+def score_backends(backends: Sequence[Backend], now: float) -> Scores:
+    """Weigh the load of each back end by its speed and slow start.
+
+    :param backends: the back ends to compare.
+    :param now: seconds on the monotonic clock.
+    :returns: score of each; lower is better, in requests on a back end of
+        median speed.
+    """
+    means = _measure(backends, now)
+    return {backend: _weigh(backend, means, now) for backend in backends}
+
+
+def _measure(backends: Sequence[Backend], now: float) -> _Means:
+    reported = [backend.others(now) for backend in backends]
+    weight = sum(report.weight for report in reported)
+    others = sum(report.weight * report.requests for report in reported)
+    steps = [backend.step_seconds for backend in backends]
+    return _Means(others / weight if weight else 0, median(steps))
+
+
+def _weigh(backend: Backend, means: _Means, now: float) -> float:
+    load = backend.load(now, means.others)
+    slowness = 1.0
+    if backend.step_seconds and means.step_seconds:
+        ratio = backend.step_seconds / means.step_seconds
+        slowness = max(FASTEST, min(SLOWEST, ratio))
+    # One is added so that among idle back ends, too, the slow or fresh one
+    # comes last.
+    return (load + 1) * slowness / backend.share(now)
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,247 @@
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from ospreyford.ports.fleet import Host, HostState, LoadReport
+from ospreyford.routing.query import (
+    AllLeaving,
+    Choice,
+    DeadlinePassed,
+    NoBackend,
+    NoCandidate,
+    Outcome,
+    Overloaded,
+    Priority,
+    Reason,
+)
+from ospreyford.routing.router import Router
+from tests.routing.fleet import (
+    make_host,
+    make_hosts,
+    make_query,
+    make_router,
+)
+
+DRAINING = LoadReport(incarnation='1', draining=True)
+
+
+def choose_name(
+    router: Router, hosts: tuple[Host, ...], now: float = 0, **fields: Any
+) -> str:
+    """Choose once; there must be a back end."""
+    choice = router.choose(make_query(**fields), hosts, now)
+    assert isinstance(choice, Choice)
+    return choice.host.name
+
+
+def count_choices(
+    router: Router, hosts: tuple[Host, ...], now: float, times: int = 300
+) -> Counter[str]:
+    """Choose without sending; tell how often each was chosen."""
+    names: Counter[str] = Counter()
+    for _ in range(times):
+        names[choose_name(router, hosts, now)] += 1
+    return names
+
+
+@pytest.mark.parametrize(
+    ('hosts', 'fields', 'reason'),
+    [
+        ((), {}, NoCandidate()),
+        ((make_host(1),), {'service': 'other'}, NoCandidate()),
+        ((make_host(1),), {'version': '2'}, NoCandidate()),
+        ((make_host(1),), {'adapter': 'meals'}, NoCandidate()),
+        ((make_host(1, state=HostState.leaving),), {}, NoCandidate()),
+        (
+            (make_host(1),),
+            {'excluded': frozenset(('backend-1',))},
+            AllLeaving(),
+        ),
+        ((make_host(1),), {'deadline': 5}, DeadlinePassed()),
+    ],
+)
+def test_says_why_there_is_no_back_end(
+    hosts: tuple[Host, ...], fields: dict[str, Any], reason: Reason
+) -> None:
+    answer = make_router().choose(make_query(**fields), hosts, 5)
+    assert isinstance(answer, NoBackend)
+    assert answer.reason == reason
+
+
+@pytest.mark.parametrize(
+    ('labels', 'fields'),
+    [
+        ({'model-version': '2'}, {'version': '2'}),
+        ({'adapters': 'trays meals'}, {'adapter': 'meals'}),
+    ],
+)
+def test_matches_labels(labels: dict[str, str], fields: dict[str, Any]) -> None:
+    hosts = (make_host(1), make_host(2, labels=labels))
+    assert choose_name(make_router(), hosts, **fields) == 'backend-2'
+
+
+def test_draining_back_end_gets_nothing() -> None:
+    """A back end that drains keeps receiving requests.
+
+    Sequence: its agent reports that it drains; a report measured before
+    that arrives late; a request comes.
+    Cause: the late report would clear the mark.
+    """
+    router = make_router()
+    hosts = (make_host(1), make_host(2))
+    router.choose(make_query(), hosts, 0)
+    router.note_load('backend-1', DRAINING, 10)
+    late = LoadReport(incarnation='1', age_seconds=5)
+    router.note_load('backend-1', late, 11)
+    assert set(count_choices(router, hosts, 11)) == {'backend-2'}
+    router.note_load('backend-2', DRAINING, 11)
+    answer = router.choose(make_query(), hosts, 11)
+    assert isinstance(answer, NoBackend)
+    assert answer.reason == AllLeaving()
+
+
+def test_report_of_an_earlier_incarnation_is_refused() -> None:
+    """A replaced back end gets no request although it is up.
+
+    Sequence: the old process drains and ends; the new one reports; the old
+    one's last report arrives late.
+    Cause: the late report's draining mark would be taken for the new one's.
+    """
+    router = make_router()
+    hosts = (make_host(1),)
+    router.choose(make_query(), hosts, 0)
+    router.note_load('backend-1', DRAINING, 10)
+    router.note_load('backend-1', LoadReport(incarnation='2'), 11)
+    router.note_load('backend-1', DRAINING, 12)
+    assert isinstance(router.choose(make_query(), hosts, 12), Choice)
+
+
+def test_load_bound_depends_on_priority() -> None:
+    hosts = (make_host(1),)
+    router = make_router(max_load=10)
+    verdicts: dict[Priority, int] = {}
+    router.choose(make_query(), hosts, 0)
+    for in_flight in range(11):
+        for priority in Priority:
+            answer = router.choose(make_query(priority=priority), hosts, 0)
+            if isinstance(answer, NoBackend):
+                assert answer.reason == Overloaded(priority)
+                verdicts.setdefault(priority, in_flight)
+        router.note_sent('backend-1', 0)
+    assert verdicts == {
+        Priority.low: 7,
+        Priority.normal: 9,
+        Priority.high: 10,
+    }
+
+
+def test_own_zone_first_and_spills_over() -> None:
+    hosts = make_hosts(9)
+    router = make_router()
+    local = {host.name for host in hosts if host.zone == 'a'}
+    assert set(count_choices(router, hosts, 0)) == local
+    for name in local:
+        for _ in range(4):
+            router.note_sent(name, 0)
+    assert not set(count_choices(router, hosts, 0)) & local
+
+
+def test_old_reports_fade_to_the_mean() -> None:
+    """All requests go to the one back end that stopped reporting.
+
+    Sequence: every back end reports some 10 requests; one stops reporting,
+    the others go on; its report fades.
+    Cause: a load that fades to zero makes the silent one look idle.
+    """
+    hosts = make_hosts(4, 'a')
+    router = make_router(choices=4)
+    router.choose(make_query(), hosts, 0)
+    for second in range(0, 30, 2):
+        for number in range(4 if second == 0 else 3):
+            busy = LoadReport(incarnation='1', in_flight=9 + number)
+            router.note_load(f'backend-{number}', busy, second)
+    assert set(count_choices(router, hosts, 30)) == {'backend-0'}
+
+
+def test_prefix_goes_home_until_the_home_is_loaded() -> None:
+    hosts = make_hosts(9)
+    router = make_router()
+    home = choose_name(router, hosts, prefix=b'letter')
+    for _ in range(3):
+        assert choose_name(router, hosts, prefix=b'letter') == home
+        router.note_sent(home, 0)
+    router.note_sent(home, 0)
+    router.note_sent(home, 0)
+    assert choose_name(router, hosts, prefix=b'letter') != home
+
+
+def test_fresh_back_end_starts_slowly() -> None:
+    """A replaced back end times out on its first requests.
+
+    Sequence: it comes up idle beside busy peers; all requests go to it.
+    Cause: its caches are cold, and least load means all at once.
+    """
+    hosts = make_hosts(4, 'a')
+    router = make_router(slow_start_seconds=20)
+    router.choose(make_query(), hosts, 0)
+    for host in hosts:
+        for _ in range(4):
+            router.note_sent(host.name, 0)
+    replaced = (*hosts[:3], hosts[3]._replace(instance='i-new'))
+    early = count_choices(router, replaced, 5)
+    assert early['backend-3'] == 0
+    late = count_choices(router, replaced, 24)
+    assert late['backend-3'] > 100
+
+
+def test_failing_back_end_is_ejected_probed_and_readmitted() -> None:
+    hosts = make_hosts(4, 'a')
+    router = make_router()
+    router.choose(make_query(), hosts, 0)
+    for _ in range(5):
+        router.note_finished('backend-0', Outcome.failed, 1, 0)
+    assert 'backend-0' not in count_choices(router, hosts, 4)
+    for _ in range(3):
+        assert choose_name(router, hosts, 5) == 'backend-0'
+        unsafe = choose_name(router, hosts, 5, idempotent=False)
+        assert unsafe != 'backend-0'
+        router.note_sent('backend-0', 5)
+        assert 'backend-0' not in count_choices(router, hosts, 5)
+        router.note_finished('backend-0', Outcome.answered, 1, 5)
+    assert 'backend-0' in count_choices(router, hosts, 6)
+
+
+def test_straggler_is_ejected() -> None:
+    """Every tenth request is slow for as long as one rank is.
+
+    Sequence: one back end answers six times slower than its peers, but
+    answers.
+    Cause: failures alone never count against it.
+    """
+    hosts = make_hosts(4, 'a')
+    router = make_router()
+    router.choose(make_query(), hosts, 0)
+    for _ in range(11):
+        for host in hosts:
+            slow = 6 if host.name == 'backend-2' else 1
+            router.note_finished(host.name, Outcome.answered, slow, 0)
+    assert 'backend-2' not in count_choices(router, hosts, 1)
+
+
+def test_panic_ignores_ejection() -> None:
+    """Nobody is answered although most back ends would.
+
+    Sequence: this entry's network drops packets; each back end fails a few
+    times and is ejected, until one is left and takes all.
+    Cause: the failures were not the back ends'.
+    """
+    hosts = make_hosts(4, 'a')
+    router = make_router()
+    router.choose(make_query(), hosts, 0)
+    for host in hosts[:3]:
+        for _ in range(5):
+            router.note_finished(host.name, Outcome.failed, 1, 0)
+    assert len(count_choices(router, hosts, 1)) == 4
