--- a/src/ospreyford/standins/process.py
+++ b/src/ospreyford/standins/process.py
@@ -113,11 +113,12 @@
 
     :param options_type: a data class; each field is an option.
     :returns: the options.
+    :raises msgspec.ValidationError: an option has the wrong type.
     """
     # fire prints what it made unless the serializer makes nothing of it,
     # and the port line has to be the only output.
-    options: Options = fire.Fire(options_type, serialize=_serialize_nothing)
-    return options
+    options = fire.Fire(options_type, serialize=_serialize_nothing)
+    return msgspec.convert(options, options_type, from_attributes=True)
 
 
 def run(handler: RequestHandler, port: int, job: Job | None = None) -> None:
