Add the ZeroMQ adapter of PeerPort

Cause: every part that talks between processes needs a PeerPort that runs. Change: a ROUTER at the peer address, one DEALER per peer asked (bounded, closed when idle, replaced when silent), answers matched by nonce, questions judged by age on the receiver's own clock. Ruled out: judging age by a minimum-delay filter at the receiver (state for every sender, drifts); ZMTP heartbeats on each connection (bytes on idle connections; says nothing of the peer's program). Not proved yet: silent connections through a proxy, pauses, fuzz.

--- /dev/null
+++ b/src/ospreyford/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Question and answer between the system's processes, over ZeroMQ."""
--- /dev/null
+++ b/src/ospreyford/peers/counters.py
@@ -0,0 +1,85 @@
+"""Counters of the messages between processes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Drop(StrEnum):
+    """Why a message was dropped, or a question left without an answer."""
+
+    malformed = 'malformed'
+    late_answer = 'late_answer'
+    expired = 'expired'
+    unknown_topic = 'unknown_topic'
+    overloaded = 'overloaded'
+    handler_failed = 'handler_failed'
+    queue_full = 'queue_full'
+    too_large = 'too_large'
+
+
+@dataclass
+class TopicCounters:
+    """Messages and bytes of one topic, questions and answers together."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+
+
+@dataclass
+class PeerCounters:
+    """Counters of one node; bytes are of envelopes, without TCP's headers.
+
+    :param topics: by topic; only topics asked or served here get an entry.
+    :param drops: by reason.
+    :param opened: connections opened to peers.
+    :param replaced: connections given up because the peer was silent.
+    """
+
+    topics: dict[str, TopicCounters] = field(default_factory=dict)
+    drops: dict[Drop, int] = field(default_factory=dict)
+    opened: int = 0
+    replaced: int = 0
+
+    def sent(self, topic: str, size: int) -> None:
+        """Count a message sent.
+
+        :param topic: its topic.
+        :param size: the envelope's bytes.
+        """
+        counters = self._topic(topic)
+        counters.sent_messages += 1
+        counters.sent_bytes += size
+
+    def received(self, topic: str, size: int) -> None:
+        """Count a message received.
+
+        :param topic: its topic, asked or served by this process.
+        :param size: the envelope's bytes.
+        """
+        counters = self._topic(topic)
+        counters.received_messages += 1
+        counters.received_bytes += size
+
+    def dropped(self, reason: Drop) -> None:
+        """Count a message dropped.
+
+        :param reason: why.
+        """
+        self.drops[reason] = self.drops.get(reason, 0) + 1
+
+    def total_bytes(self) -> int:
+        """Add up the bytes of all topics, both ways.
+
+        :returns: bytes of envelopes.
+        """
+        return sum(
+            counters.sent_bytes + counters.received_bytes
+            for counters in self.topics.values()
+        )
+
+    def _topic(self, topic: str) -> TopicCounters:
+        return self.topics.setdefault(topic, TopicCounters())
--- /dev/null
+++ b/src/ospreyford/peers/node.py
@@ -0,0 +1,106 @@
+"""The adapter of ``PeerPort`` over ZeroMQ and curio."""
+
+from __future__ import annotations
+
+import curio
+import zmq
+
+from ospreyford.peers.answerer import Answerer
+from ospreyford.peers.asker import Asker
+from ospreyford.peers.counters import PeerCounters
+from ospreyford.peers.envelope import incarnation_hash
+from ospreyford.peers.errors import AddressUnavailable
+from ospreyford.peers.freshness import WATCH_SECONDS
+from ospreyford.peers.link import Links
+from ospreyford.peers.settings import PeerSettings
+from ospreyford.peers.sockets import open_socket, read_forever
+from ospreyford.ports.peers import Handler
+
+
+class PeerNode:
+    """One process's end of the messages between processes.
+
+    A ROUTER answers at the peer address; a DEALER for each peer asked is
+    opened on first use and closed when idle, when too many are open, or when
+    the peer was silent: a connection that something between the ends has
+    lost track of never recovers, so silence always leads to a new one.
+
+    :param settings: the bounds and the address.
+    :param incarnation: this process's incarnation.
+    """
+
+    def __init__(self, settings: PeerSettings, incarnation: str) -> None:
+        self.counters = PeerCounters()
+        self.address = settings.address
+        me = incarnation_hash(incarnation)
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._router = open_socket(self._context, zmq.ROUTER, settings)
+        self._links = Links(self._context, settings, self.counters)
+        self._asker = Asker(self._links, me, settings, self.counters)
+        self._answerer = Answerer(self._router, me, settings, self.counters)
+        self._tasks: list[curio.Task] = []
+
+    async def start(self) -> None:
+        """Bind the peer address and start to answer.
+
+        :raises AddressUnavailable: the address could not be bound.
+        """
+        try:
+            self._router.bind(f'tcp://{self.address}')
+        except zmq.ZMQError as error:
+            raise AddressUnavailable(self.address, str(error)) from error
+        endpoint = self._router.get(zmq.LAST_ENDPOINT).rstrip(b'\x00')
+        self.address = endpoint.decode().removeprefix('tcp://')
+        reader = read_forever(self._router, self._answerer.accept)
+        self._tasks = [
+            await curio.spawn(reader, daemon=True),
+            await curio.spawn(self._look_after(), daemon=True),
+        ]
+
+    async def ask(
+        self,
+        address: str,
+        topic: str,
+        body: bytes,
+        timeout: float,
+    ) -> bytes | None:
+        """Send one question and wait for its answer; see ``PeerPort``.
+
+        :param address: the peer, as ``ip:port``.
+        :param topic: which handler of the peer is meant.
+        :param body: the encoded question.
+        :param timeout: seconds, by this process's monotonic clock.
+        :returns: the encoded answer, or ``None`` if none came in time.
+        """
+        return await self._asker.ask(address, topic, body, timeout)
+
+    def serve(self, topic: str, handler: Handler) -> None:
+        """Register the handler of a topic; see ``PeerPort``.
+
+        :param topic: the topic's name, unique in this process.
+        :param handler: called once for each question received.
+        :raises TopicTaken: the topic has a handler already.
+        """
+        self._answerer.serve(topic, handler)
+
+    def link_count(self) -> int:
+        """Count the connections open to peers.
+
+        :returns: how many are in use.
+        """
+        return len(self._links)
+
+    async def stop(self) -> None:
+        """Close everything; questions still waiting get no answer."""
+        while self._tasks:
+            await self._tasks.pop().cancel()
+        await self._answerer.stop()
+        await self._links.close()
+        self._router.close(linger=0)
+        self._context.destroy(linger=0)
+
+    async def _look_after(self) -> None:
+        while True:
+            await curio.sleep(WATCH_SECONDS)
+            self._answerer.watch.tick()
+            await self._links.retire_idle()
--- /dev/null
+++ b/tests/peers/test_node.py
@@ -0,0 +1,146 @@
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import pytest
+
+from ospreyford.peers.counters import Drop
+from ospreyford.peers.errors import AddressUnavailable, TopicTaken
+from ospreyford.peers.node import PeerNode
+from ospreyford.peers.settings import PeerSettings
+
+LOOPBACK = '127.0.0.1:0'
+
+
+async def echo(body: bytes) -> bytes:
+    return body
+
+
+async def silent(body: bytes) -> None:
+    """Answer nothing."""
+
+
+async def failing(body: bytes) -> bytes:
+    raise ZeroDivisionError
+
+
+async def slow(body: bytes) -> bytes:
+    await curio.sleep(0.3)
+    return body
+
+
+def run_pair(
+    scenario: Callable[[PeerNode, PeerNode], Awaitable[None]],
+    **bounds: float,
+) -> None:
+    """Run a scenario with two started nodes."""
+
+    async def main() -> None:
+        settings = PeerSettings(address=LOOPBACK, **bounds)  # type: ignore[arg-type]
+        nodes = PeerNode(settings, 'a'), PeerNode(settings, 'b')
+        for node in nodes:
+            await node.start()
+        try:
+            async with curio.timeout_after(20):
+                await scenario(*nodes)
+        finally:
+            for node in nodes:
+                await node.stop()
+
+    curio.run(main)
+
+
+def test_questions_get_their_own_answers() -> None:
+    async def scenario(one: PeerNode, two: PeerNode) -> None:
+        two.serve('echo', echo)
+        tasks = [
+            await curio.spawn(
+                one.ask, two.address, 'echo', str(number).encode(), 5
+            )
+            for number in range(200)
+        ]
+        answers = [await task.join() for task in tasks]
+        assert answers == [str(number).encode() for number in range(200)]
+        assert one.counters.topics['echo'].received_messages == 200
+        assert two.counters.topics['echo'].sent_messages == 200
+        assert one.counters.opened == 1
+
+    run_pair(scenario)
+
+
+@pytest.mark.parametrize(
+    ('handler', 'reason'),
+    [
+        (silent, None),
+        (failing, Drop.handler_failed),
+        (None, Drop.unknown_topic),
+    ],
+)
+def test_silence_then_service(
+    handler: Callable[[bytes], Awaitable[bytes | None]] | None,
+    reason: Drop | None,
+) -> None:
+    """A topic without an answer leaves the others working."""
+
+    async def scenario(one: PeerNode, two: PeerNode) -> None:
+        two.serve('echo', echo)
+        if handler:
+            two.serve('other', handler)
+        assert await one.ask(two.address, 'other', b'x', 0.2) is None
+        assert await one.ask(two.address, 'echo', b'x', 5) == b'x'
+        if reason:
+            assert two.counters.drops[reason] == 1
+
+    run_pair(scenario)
+
+
+def test_late_answer_is_dropped() -> None:
+    """Symptom: the answer to an earlier question is taken for a later one.
+
+    Sequence: the first question times out, the second is asked on the same
+    topic, then the first one's answer arrives.
+    Cause: answers matched by order instead of by question.
+    """
+
+    async def scenario(one: PeerNode, two: PeerNode) -> None:
+        two.serve('slow', slow)
+        two.serve('echo', echo)
+        # The second asker keeps the connection open for the late answer.
+        other = await curio.spawn(one.ask, two.address, 'slow', b'2', 5)
+        assert await one.ask(two.address, 'slow', b'1', 0.1) is None
+        assert await other.join() == b'2'
+        assert await one.ask(two.address, 'echo', b'3', 5) == b'3'
+        assert one.counters.drops == {Drop.late_answer: 1}
+
+    run_pair(scenario)
+
+
+def test_taken_names() -> None:
+    async def scenario(one: PeerNode, two: PeerNode) -> None:
+        two.serve('echo', echo)
+        with pytest.raises(TopicTaken):
+            two.serve('echo', echo)
+        third = PeerNode(PeerSettings(address=one.address), 'c')
+        with pytest.raises(AddressUnavailable):
+            await third.start()
+        await third.stop()
+
+    run_pair(scenario)
+
+
+def test_connections_are_bounded() -> None:
+    async def main() -> None:
+        settings = PeerSettings(address=LOOPBACK, link_limit=2)
+        nodes = [PeerNode(settings, str(number)) for number in range(5)]
+        for node in nodes:
+            node.serve('echo', echo)
+            await node.start()
+        first = nodes[0]
+        for node in nodes[1:]:
+            assert await first.ask(node.address, 'echo', b'x', 5) == b'x'
+            assert first.link_count() <= 2
+        for node in nodes:
+            await node.stop()
+
+    curio.run(main)
