--- a/src/ospreyford/peers/node.py
+++ b/src/ospreyford/peers/node.py
@@ -49,8 +49,8 @@
             self._router.bind(f'tcp://{self.address}')
         except zmq.ZMQError as error:
             raise AddressUnavailable(self.address, str(error)) from error
-        endpoint = self._router.get(zmq.LAST_ENDPOINT).rstrip(b'\x00')
-        self.address = endpoint.decode().removeprefix('tcp://')
+        endpoint = self._router.get_string(zmq.LAST_ENDPOINT)
+        self.address = endpoint.removeprefix('tcp://')
         reader = read_forever(self._router, self._answerer.accept)
         self._tasks = [
             await curio.spawn(reader, daemon=True),
--- a/src/ospreyford/peers/sockets.py
+++ b/src/ospreyford/peers/sockets.py
@@ -82,7 +82,7 @@
     :param accept: gets each message's frames.
     """
     taken = 0
-    while not socket.closed and socket.get(zmq.EVENTS) & zmq.POLLIN:
+    while not socket.closed and int(socket.get(zmq.EVENTS)) & zmq.POLLIN:
         await accept(socket.recv_multipart(zmq.NOBLOCK))
         taken += 1
         if taken % BURST == 0:
