--- /dev/null
+++ b/src/ospreyford/entry/admission.py
@@ -0,0 +1,189 @@
+"""Reads a caller's request and checks it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from ospreyford.entry.call import Call
+from ospreyford.entry.outcome import Cause
+from ospreyford.http.message import find_header
+from ospreyford.wire.identity import make_id, read_date
+
+if TYPE_CHECKING:
+    from ospreyford.entry.call import Directory
+    from ospreyford.entry.settings import RequestSettings
+    from ospreyford.http.message import Headers, Request
+    from ospreyford.ports.clock import Clock
+
+CUSTOMER = b'ospreyford-customer'
+SERVICE = b'ospreyford-service'
+DEADLINE = b'ospreyford-deadline-ms'
+IDEMPOTENT = b'ospreyford-idempotent'
+KEY = b'idempotency-key'
+MILLISECONDS = 1000
+#: Bytes of text that count as one token in an estimate.
+BYTES_PER_TOKEN = 4
+DEFAULT_ANSWER_TOKENS = 64
+MAX_NAME_BYTES = 128
+
+#: Fields that belong to one connection, or that this system sets itself.
+NOT_FORWARDED = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+        b'host',
+        b'x-request-id',
+        b'x-priority',
+        b'traceparent',
+        b'tracestate',
+    ),
+)
+
+
+@dataclass(frozen=True)
+class BadCall(Exception):
+    """The request breaks the rules of admission; nothing was sent."""
+
+    cause: Cause
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """The parts of a model request that admission looks at.
+
+    :param prefix: the part of the prompt that others share.
+    :param max_tokens: longest answer, in tokens.
+    """
+
+    prefix: str = ''
+    max_tokens: int = DEFAULT_ANSWER_TOKENS
+
+
+class Admission:
+    """Turns requests into calls.
+
+    :param settings: bounds of a request.
+    :param directory: which calls are idempotent.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        settings: RequestSettings,
+        directory: Directory,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._clock = clock
+
+    def read_call(self, request: Request, body: bytes) -> Call:
+        """Check a request and make a call of it.
+
+        :param request: the request's head.
+        :param body: the request's whole body.
+        :returns: the call.
+        :raises BadCall: a header field is missing or wrong.
+        """
+        customer = _read_name(request.headers, CUSTOMER, Cause.missing_customer)
+        service = _read_name(request.headers, SERVICE, Cause.unknown_service)
+        deadline = self._clock.monotonic() + self._read_deadline(request)
+        key = read_key(request.headers)
+        request_id = make_id()
+        prompt = _read_prompt(body)
+        prefix = prompt.prefix.encode()
+        return Call(
+            request_id=request_id,
+            customer=customer,
+            service=service,
+            deadline=deadline,
+            idempotent=self._read_idempotent(request, service),
+            key=key,
+            dated=read_date(key or request_id) or 0,
+            method=request.method,
+            target=request.target,
+            headers=_select_headers(request.headers, request_id),
+            body=body,
+            prefix=xxhash.xxh3_64_digest(prefix) if prefix else None,
+            tokens=len(body) // BYTES_PER_TOKEN + prompt.max_tokens,
+        )
+
+    def _read_deadline(self, request: Request) -> float:
+        raw = find_header(request.headers, DEADLINE)
+        if raw is None:
+            return self._settings.default_deadline_seconds
+        try:
+            seconds = float(raw) / MILLISECONDS
+        except ValueError:
+            raise BadCall(Cause.bad_deadline) from None
+        if not math.isfinite(seconds) or seconds <= 0:
+            raise BadCall(Cause.bad_deadline)
+        return min(seconds, self._settings.max_deadline_seconds)
+
+    def _read_idempotent(self, request: Request, service: str) -> bool:
+        marked = find_header(request.headers, IDEMPOTENT)
+        if marked not in {None, b'true', b'false'}:
+            raise BadCall(Cause.bad_request)
+        # Either side's mark is enough: running twice what may not be is
+        # worse than not retrying what may.
+        return marked != b'false' and self._directory.is_repeatable(
+            service,
+            request.method,
+            request.target,
+        )
+
+
+def read_key(headers: Headers) -> str:
+    """Read the caller's idempotency key.
+
+    :param headers: the request's header fields.
+    :returns: the key, or an empty string.
+    :raises BadCall: the key is not a UUID version 7. Only a dated key lets
+        an agent that restarted tell a retry from a new request.
+    """
+    raw = find_header(headers, KEY)
+    if raw is None:
+        return ''
+    key = raw.decode('latin-1').strip().strip('"').lower()
+    if read_date(key) is None:
+        raise BadCall(Cause.bad_key)
+    return key
+
+
+def _read_name(headers: Headers, field: bytes, missing: Cause) -> str:
+    raw = find_header(headers, field)
+    if not raw:
+        raise BadCall(missing)
+    try:
+        name = raw.decode('utf-8')
+    except UnicodeDecodeError:
+        raise BadCall(Cause.bad_request) from None
+    if len(raw) > MAX_NAME_BYTES or '/' in name or not name.isprintable():
+        raise BadCall(Cause.bad_request)
+    return name
+
+
+def _read_prompt(body: bytes) -> Prompt:
+    try:
+        return msgspec.json.decode(body, type=Prompt)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        # Not a model request: its body is the back end's business.
+        return Prompt(max_tokens=0)
+
+
+def _select_headers(headers: Headers, request_id: str) -> Headers:
+    kept = [pair for pair in headers if pair[0] not in NOT_FORWARDED]
+    kept.append((b'host', b'backend'))
+    kept.append((b'x-request-id', request_id.encode()))
+    return tuple(kept)
--- /dev/null
+++ b/src/ospreyford/entry/call.py
@@ -0,0 +1,80 @@
+"""A caller's request after admission."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+if TYPE_CHECKING:
+    from ospreyford.entry.homes import Home
+    from ospreyford.entry.outcome import NotRun
+    from ospreyford.http.message import Headers
+    from ospreyford.limits.limit import Limit
+    from ospreyford.ports.fleet import Host
+    from ospreyford.routing.query import Priority
+
+
+class Call(NamedTuple):
+    """What a caller asked for.
+
+    ``deadline`` is in monotonic seconds, ``dated`` the Unix time in
+    milliseconds that ``key`` carries. ``key`` is the caller's idempotency
+    key, or empty. ``tokens`` estimates prompt and answer together.
+    """
+
+    request_id: str
+    customer: str
+    service: str
+    deadline: float
+    idempotent: bool
+    key: str
+    dated: int
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    prefix: bytes | None
+    tokens: int
+
+
+class Plan(NamedTuple):
+    """What the published documents say of a customer's calls to a service.
+
+    ``pools`` holds the hosts of each capacity pool, the preferred pool
+    first. ``homes`` are the backend servers that hold idempotency keys.
+    """
+
+    pools: tuple[tuple[Host, ...], ...]
+    limit: Limit
+    weight: float
+    priority: Priority
+    version: str | None
+    adapter: str | None
+    homes: tuple[Home, ...]
+
+
+class Directory(Protocol):
+    """The published documents and the host list, as admission sees them."""
+
+    def find_plan(self, customer: str, service: str) -> Plan | NotRun:
+        """Find out what a customer's call to a service may use.
+
+        :param customer: the customer's id.
+        :param service: the service's name.
+        :returns: the plan, or why there is none.
+        """
+
+    def is_repeatable(self, service: str, method: str, target: str) -> bool:
+        """Tell whether a call may run more than once.
+
+        :param service: the service's name.
+        :param method: HTTP method.
+        :param target: HTTP target.
+        :returns: whether the service's document calls it idempotent.
+        """
+
+    def find_host(self, name: str) -> Host | None:
+        """Find a backend server's host.
+
+        :param name: the backend server's name.
+        :returns: the host, or ``None`` if the host list has none.
+        """
--- /dev/null
+++ b/src/ospreyford/entry/caller.py
@@ -0,0 +1,77 @@
+"""The caller's connection as the place where an answer goes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.entry.admission import NOT_FORWARDED
+from ospreyford.entry.sink import CallerGone
+from ospreyford.http.errors import ConnectionLost
+
+if TYPE_CHECKING:
+    from ospreyford.http.message import Headers
+    from ospreyford.http.server import Exchange
+
+#: Kept although it is not forwarded towards back ends: with it a caller sees
+#: by the length that an answer was cut.
+LENGTH = b'content-length'
+
+
+class CallerSink:
+    """Relays an answer to the caller as it comes.
+
+    :param exchange: the caller's request.
+    :param extra: header fields that this system adds to the answer.
+    """
+
+    def __init__(self, exchange: Exchange, extra: Headers) -> None:
+        self.first_content = False
+        self.relayed_bytes = 0
+        self._exchange = exchange
+        self._extra = extra
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Relay the answer's head.
+
+        :param status: HTTP status.
+        :param headers: HTTP header fields of the back end.
+        :raises CallerGone: nobody waits for it.
+        """
+        kept = tuple(
+            pair
+            for pair in headers
+            if pair[0] == LENGTH or pair[0] not in NOT_FORWARDED
+        )
+        try:
+            await self._exchange.start(status, (*kept, *self._extra))
+        except ConnectionLost:
+            raise CallerGone from None
+
+    async def relay(self, content: bytes) -> None:
+        """Relay a piece of the answer's body.
+
+        :param content: the bytes.
+        :raises CallerGone: nobody waits for it.
+        """
+        self.relayed_bytes += len(content)
+        try:
+            await self._exchange.write(content)
+        except ConnectionLost:
+            raise CallerGone from None
+
+    async def finish(self) -> None:
+        """Relay that the answer is whole.
+
+        :raises CallerGone: nobody waits for it.
+        """
+        try:
+            await self._exchange.finish()
+        except ConnectionLost:
+            raise CallerGone from None
+
+    def is_abandoned(self) -> bool:
+        """Tell whether the caller has gone.
+
+        :returns: whether nobody waits for the answer any more.
+        """
+        return self._exchange.is_abandoned()
--- /dev/null
+++ b/src/ospreyford/entry/homes.py
@@ -0,0 +1,82 @@
+"""Which backend server holds an idempotency key."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import xxhash
+
+MILLISECONDS = 1000
+HOUR_SECONDS = 3_600
+#: How long after a home joined its predecessor is still asked for a key.
+#: An entry that knows an older document may go on sending keys there.
+HORIZON_MS = HOUR_SECONDS * MILLISECONDS
+
+
+class Home(NamedTuple):
+    """A declared home of keys, by its backend server's name.
+
+    It takes keys dated from ``since`` up to ``until``: Unix times in
+    milliseconds, ``None`` for no bound.
+    """
+
+    name: str
+    since: int | None = None
+    until: int | None = None
+
+
+class HomeOrder(NamedTuple):
+    """Where a key is looked for.
+
+    ``asked``: servers that may have run the key under an older document;
+    each must give it up first. ``chain``: the key's home, then the servers
+    that take it when those before them drain.
+    """
+
+    asked: tuple[str, ...]
+    chain: tuple[str, ...]
+
+
+def order_homes(homes: tuple[Home, ...], key: str, dated: int) -> HomeOrder:
+    """Order the homes of a key by rendezvous hash.
+
+    The key's date, not the moment of asking, picks the set of homes: every
+    entry that knows the document finds the same home however late a retry
+    comes.
+
+    :param homes: the declared homes.
+    :param key: the idempotency key with its customer and service.
+    :param dated: the key's date, Unix time in milliseconds.
+    :returns: whom to ask and whom to send it to.
+    """
+    ranked = sorted(homes, key=lambda home: _weigh(home.name, key))
+    chain = _list_valid(ranked, dated)
+    asked = {
+        earlier[0]
+        for earlier in _list_earlier(ranked, dated)
+        if earlier and earlier[0] != chain[0]
+    }
+    return HomeOrder(tuple(sorted(asked)), chain)
+
+
+def _list_earlier(ranked: list[Home], dated: int) -> list[tuple[str, ...]]:
+    joins = [home.since for home in ranked if home.since is not None]
+    return [
+        _list_valid(ranked, joined - 1)
+        for joined in joins
+        if dated - HORIZON_MS < joined <= dated
+    ]
+
+
+def _list_valid(ranked: list[Home], moment: int) -> tuple[str, ...]:
+    return tuple(home.name for home in ranked if _is_valid(home, moment))
+
+
+def _is_valid(home: Home, moment: int) -> bool:
+    joined = home.since is None or home.since <= moment
+    left = home.until is not None and home.until < moment
+    return joined and not left
+
+
+def _weigh(name: str, key: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{name}\0{key}')
