--- a/src/ospreyford/standins/process.py
+++ b/src/ospreyford/standins/process.py
@@ -5,6 +5,7 @@
 import socket as plain_socket
 import sys
 from collections.abc import Awaitable, Callable
+from dataclasses import asdict
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -24,6 +25,7 @@
 from ospreyford.standins.journal import Journal, JournalFull
 
 if TYPE_CHECKING:
+    from _typeshed import DataclassInstance
     from curio.io import Socket
 
 LOOPBACK = '127.0.0.1'
@@ -35,8 +37,9 @@
 #: Idle connections of a pool stay open; bodies may be large documents.
 LIMITS = Limits(idle_seconds=IDLE_SECONDS, body_bytes=MAX_BODY_BYTES)
 
-Options = TypeVar('Options')
+Options = TypeVar('Options', bound='DataclassInstance')
 Job = Callable[[], Awaitable[None]]
+Carrier = Callable[['Socket'], Awaitable[None]]
 
 
 class Route(NamedTuple):
@@ -118,7 +121,7 @@
     # fire prints what it made unless the serializer makes nothing of it,
     # and the port line has to be the only output.
     options = fire.Fire(options_type, serialize=_serialize_nothing)
-    return msgspec.convert(options, options_type, from_attributes=True)
+    return msgspec.convert(asdict(options), options_type)
 
 
 def run(handler: RequestHandler, port: int, job: Job | None = None) -> None:
@@ -128,43 +131,63 @@
     :param port: the port on loopback; 0 lets the kernel choose.
     :param job: what runs beside the requests.
     """
-    curio.run(_serve_forever, handler, port, job)
+    curio.run(_serve_with_job, handler, port, job)
 
 
-def announce(port: int) -> None:
-    """Print the one line that tells a launcher the port.
+def announce(**ports: int) -> None:
+    """Print the one line that tells a launcher the ports.
 
-    :param port: the port that takes connections now.
+    :param ports: the ports that take connections now, by name.
     """
-    line = msgspec.json.encode({'port': port}).decode()
+    line = msgspec.json.encode(ports).decode()
     sys.stdout.writelines((line, '\n'))
     sys.stdout.flush()
 
 
-async def _serve_forever(
-    handler: RequestHandler, port: int, job: Job | None
-) -> None:
-    if job is not None:
-        await curio.spawn(job, daemon=True)
-    listener = listen(LOOPBACK, port)
-    announce(port_of(listener))
+async def accept_forever(listener: Socket, carry: Carrier) -> None:
+    """Accept connections, with a task for each.
+
+    :param listener: the listening socket.
+    :param carry: carries one connection to its end and closes it.
+    """
     async with listener:
         while True:
             sock, _ = await listener.accept()
-            await curio.spawn(_serve_client, sock, handler, daemon=True)
+            # Head and body go out in separate sends; with Nagle's algorithm
+            # the second waits for a delayed acknowledgement, 40 ms.
+            sock.setsockopt(
+                plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
+            )
+            await curio.spawn(carry, sock, daemon=True)
+
+
+async def serve_forever(listener: Socket, handler: RequestHandler) -> None:
+    """Serve HTTP on a listening socket.
 
+    :param listener: the listening socket.
+    :param handler: answers one request.
+    """
+    checked = _CheckedHandler(handler)
+    await accept_forever(listener, checked.serve_client)
 
-async def _serve_client(sock: Socket, handler: RequestHandler) -> None:
-    # Head and body go out in separate sends; with Nagle's algorithm the
-    # second waits for the caller's delayed acknowledgement, 40 ms.
-    sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
-    await serve_connection(sock, LIMITS, _CheckedHandler(handler).serve)
+
+async def _serve_with_job(
+    handler: RequestHandler, port: int, job: Job | None
+) -> None:
+    if job is not None:
+        await curio.spawn(job, daemon=True)
+    listener = listen(LOOPBACK, port)
+    announce(port=port_of(listener))
+    await serve_forever(listener, handler)
 
 
 class _CheckedHandler:
     def __init__(self, handler: RequestHandler) -> None:
         self._handler = handler
 
+    async def serve_client(self, sock: Socket) -> None:
+        await serve_connection(sock, LIMITS, self.serve)
+
     async def serve(self, exchange: Exchange) -> None:
         try:
             await self._handler(exchange)
