Add the distribution of documents between processes

Cause: at 5,500 processes not everyone may watch the configuration service. A few readers of each zone watch it, the others learn changes from rumours and repair by comparing checksums. Marks only rise; a fresh process asks peers first.

--- /dev/null
+++ b/src/ospreyford/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""How published documents reach every process."""
--- /dev/null
+++ b/src/ospreyford/distribution/bootstrap.py
@@ -0,0 +1,162 @@
+"""How a process that knows nothing yet gets its first picture."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from ospreyford.distribution.freshness import Moment
+    from ospreyford.distribution.members import Neighbours
+    from ospreyford.distribution.messages import Digest
+    from ospreyford.distribution.repair import Repair
+    from ospreyford.distribution.state import State
+
+
+class NotReadyReason(enum.StrEnum):
+    """Why a fresh process has no picture yet."""
+
+    peers_silent = 'peers silent'
+    peers_unmerged = 'peers not wholly merged'
+    too_few_peers = 'too few peers'
+    asking_peers = 'asking peers'
+    service_unread = 'service not read'
+
+
+class Ready(NamedTuple):
+    """There is a whole picture, at a revision."""
+
+    revision: int
+
+
+class NotReady(NamedTuple):
+    """There is no whole picture yet."""
+
+    reason: NotReadyReason
+
+
+class ColdPermit:
+    """Whether a fresh process may trust the service without a peer's word.
+
+    A fresh process has no mark to tell a stale service by. It may trust the
+    service only when nobody knows better: rounds in a row in which every
+    peer that was asked answered that it is fresh too. A permit does not last
+    through a pause, in which others may have learned more.
+
+    :param state: settings and clocks.
+    """
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+        self._rounds = 0
+        self._last: Moment | None = None
+
+    def is_valid(self) -> bool:
+        """Tell whether the service may be trusted now.
+
+        :returns: ``False`` also when the last round is long ago.
+        """
+        enough = self._rounds >= self._state.settings.cold_start_rounds
+        return enough and self._is_recent()
+
+    def note_round(self, asked: Moment) -> None:
+        """Note a round that met fresh peers only.
+
+        :param asked: the moment before its first question.
+        """
+        if not self._is_recent():
+            self._rounds = 0
+        self._rounds += 1
+        self._last = asked
+
+    def revoke(self) -> None:
+        """Note a peer that is silent or knows better."""
+        self._rounds = 0
+
+    def _is_recent(self) -> bool:
+        last = self._last
+        return last is not None and self._state.freshness.is_recent(last)
+
+
+class Bootstrap:
+    """Asks peers first, and lets the service be read only when none knows.
+
+    :param state: what the process knows.
+    :param repair: pulls a peer's picture.
+    :param neighbours: the members in view.
+    :param permit: given to the reader.
+    """
+
+    def __init__(
+        self,
+        state: State,
+        repair: Repair,
+        neighbours: Neighbours,
+        permit: ColdPermit,
+    ) -> None:
+        self._state = state
+        self._repair = repair
+        self._neighbours = neighbours
+        self._permit = permit
+
+    async def attempt(self) -> Ready | NotReady:
+        """Make one round.
+
+        :returns: whether there is a whole picture now.
+        """
+        reason = None if self._state.settled else await self._ask_peers()
+        if reason is None or self._state.settled:
+            return Ready(self._state.replica.revision)
+        await self._state.clock.sleep(self._state.settings.bootstrap_seconds)
+        return NotReady(reason)
+
+    async def _ask_peers(self) -> NotReadyReason | None:
+        asked = self._state.freshness.moment()
+        size = self._state.settings.bootstrap_peers
+        addresses = self._neighbours.sample(size)
+        digests: dict[str, Digest | None] = {}
+        while addresses:
+            address = addresses.pop()
+            digests[address] = await self._repair.ask_digest(address)
+        settled = [
+            (address, digest)
+            for address, digest in digests.items()
+            if digest is not None and digest.settled
+        ]
+        if settled:
+            self._permit.revoke()
+            return await self._merge(settled, asked)
+        return self._judge(list(digests.values()), asked)
+
+    async def _merge(
+        self, settled: list[tuple[str, Digest]], asked: Moment
+    ) -> NotReadyReason | None:
+        # Peers may differ while a change spreads: the newest first, then
+        # what the others hold beyond it.
+        settled.sort(key=_revision_of)
+        while settled:
+            address, digest = settled.pop()
+            await self._repair.pull(address, digest, asked)
+        if self._state.settled:
+            return None
+        return NotReadyReason.peers_unmerged
+
+    def _judge(
+        self, digests: list[Digest | None], asked: Moment
+    ) -> NotReadyReason:
+        if None in digests:
+            # A silent peer may hold a newer picture than the service gives.
+            # Membership drops it from the view if it is dead.
+            self._permit.revoke()
+            return NotReadyReason.peers_silent
+        if self._neighbours.count() < self._state.settings.cold_start_peers:
+            self._permit.revoke()
+            return NotReadyReason.too_few_peers
+        self._permit.note_round(asked)
+        if self._permit.is_valid():
+            return NotReadyReason.service_unread
+        return NotReadyReason.asking_peers
+
+
+def _revision_of(answer: tuple[str, Digest]) -> int:
+    return answer[1].revision
--- /dev/null
+++ b/src/ospreyford/distribution/checksums.py
@@ -0,0 +1,58 @@
+"""Checksums by which two processes find the documents they differ in."""
+
+from __future__ import annotations
+
+import xxhash
+
+BRANCHES = 32
+LEAVES = BRANCHES * BRANCHES
+
+
+class ChecksumTree:
+    """A tree of 32 branches with 32 leaves each, over hashes of the names.
+
+    A checksum is the exclusive or of the fingerprints below it, so that it
+    does not depend on the order in which entries came.
+    """
+
+    def __init__(self) -> None:
+        self.root = 0
+        self._sums: dict[int, int] = {}
+
+    def toggle(self, name: str, fingerprint: int) -> None:
+        """Put an entry in, or take it out again.
+
+        :param name: the document's name.
+        :param fingerprint: the entry's fingerprint.
+        """
+        leaf = leaf_of(name)
+        self._sums[leaf] = self._sums.get(leaf, 0) ^ fingerprint
+        self.root ^= fingerprint
+
+    def children(self, branch: int | None = None) -> tuple[int, ...]:
+        """Give the checksums below the root or a branch.
+
+        :param branch: the branch's number; ``None`` for the root.
+        :returns: 32 checksums.
+        """
+        if branch is None:
+            return tuple(map(self._sum_branch, range(BRANCHES)))
+        first = branch * BRANCHES
+        return tuple(
+            self._sums.get(leaf, 0) for leaf in range(first, first + BRANCHES)
+        )
+
+    def _sum_branch(self, branch: int) -> int:
+        checksum = 0
+        for leaf_sum in self.children(branch):
+            checksum ^= leaf_sum
+        return checksum
+
+
+def leaf_of(name: str) -> int:
+    """Give the leaf that a name belongs to.
+
+    :param name: a document's name.
+    :returns: the leaf's number among all, the same on every process.
+    """
+    return xxhash.xxh3_64_intdigest(name.encode()) % LEAVES
--- /dev/null
+++ b/src/ospreyford/distribution/gossip.py
@@ -0,0 +1,122 @@
+"""Spreading changes to peers, and comparing with them."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from ospreyford.distribution.answers import cut_page
+from ospreyford.distribution.codec import pack
+from ospreyford.distribution.entries import Entry, head_of
+from ospreyford.distribution.jitter import spread
+from ospreyford.distribution.messages import Delta, Offer, Topic, Wanted
+from ospreyford.distribution.rumours import ByteBudget
+
+if TYPE_CHECKING:
+    from ospreyford.distribution.exchange import Exchange
+    from ospreyford.distribution.members import Neighbours
+    from ospreyford.distribution.repair import Repair
+    from ospreyford.distribution.state import State
+
+#: Rounds that a leaving process spends on its last rumours.
+FLUSH_ROUNDS = 8
+
+
+class Gossip:
+    """Rumours to a few random peers, and a digest to one now and then.
+
+    :param state: what the process knows.
+    :param exchange: carries the questions.
+    :param neighbours: the members in view.
+    :param repair: compares digests.
+    :param rng: for jitter.
+    """
+
+    def __init__(
+        self,
+        state: State,
+        exchange: Exchange,
+        neighbours: Neighbours,
+        repair: Repair,
+        rng: Random,
+    ) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._neighbours = neighbours
+        self._repair = repair
+        self._rng = rng
+        self._budget = ByteBudget(state.settings, state.clock)
+        self._compare_at = state.clock.monotonic()
+
+    async def run(self) -> None:
+        """Go on for ever."""
+        while True:
+            seconds = self._state.settings.gossip_seconds
+            await self._state.clock.sleep(spread(self._rng, seconds))
+            await self.step()
+
+    async def step(self) -> None:
+        """Make one round."""
+        await self._offer_round()
+        await self._repair.run_queued()
+        await self._compare_when_due()
+
+    async def flush(self) -> None:
+        """Offer the last rumours before this process leaves.
+
+        Otherwise a change that only this process has yet would be lost with
+        it, and the service may by then serve an older replica.
+        """
+        rounds = FLUSH_ROUNDS
+        while rounds and self._state.rumours.select():
+            await self._offer_round()
+            rounds -= 1
+
+    async def _offer_round(self) -> None:
+        chosen = self._neighbours.sample(self._state.settings.fanout)
+        while chosen:
+            await self._offer(chosen.pop())
+
+    async def _compare_when_due(self) -> None:
+        now = self._state.clock.monotonic()
+        if now < self._compare_at:
+            return
+        seconds = self._state.settings.digest_seconds
+        self._compare_at = now + spread(self._rng, seconds)
+        chosen = self._neighbours.sample(1)
+        if chosen:
+            await self._repair.compare(chosen[0])
+
+    async def _offer(self, address: str) -> None:
+        names = self._state.rumours.select()
+        if not names:
+            return
+        entries = {name: self._state.replica.find(name) for name in names}
+        held = {name: entry for name, entry in entries.items() if entry}
+        self._state.counters.offers += 1
+        self._state.rumours.note_offer(names)
+        offer = Offer(tuple(map(head_of, held.values())))
+        answer = await self._exchange.ask(address, Topic.offer, offer, Wanted)
+        if answer is None:
+            return
+        wanted = set(answer.names)
+        self._state.rumours.note_known(
+            [name for name in names if name not in wanted]
+        )
+        await self._push(address, [held[one] for one in wanted & held.keys()])
+
+    async def _push(self, address: str, entries: list[Entry]) -> None:
+        while entries:
+            if not self._budget.allows():
+                self._state.counters.push_deferred += 1
+                return
+            page = cut_page(entries, self._state.settings.page_bytes)
+            delta = Delta(page.entries)
+            self._budget.spend(len(pack(delta)))
+            answer = await self._exchange.ask(
+                address, Topic.push, delta, Wanted
+            )
+            if answer is None:
+                return
+            self._state.counters.pushed_entries += len(page.entries)
+            entries = entries[len(page.entries) :]
--- /dev/null
+++ b/src/ospreyford/distribution/members.py
@@ -0,0 +1,103 @@
+"""Live peers, and which of them read the service."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+from typing import Protocol
+
+import xxhash
+
+
+class Member(Protocol):
+    """One process, as membership sees it."""
+
+    @property
+    def name(self) -> str:
+        """The process's lasting name."""
+
+    @property
+    def address(self) -> str:
+        """Where it takes messages of peers, as ``ip:port``."""
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+
+
+class Members(Protocol):
+    """The live processes, this one among them or not."""
+
+    def members(self) -> Sequence[Member]:
+        """List the live processes.
+
+        :returns: the members; views of two processes may differ.
+        """
+
+
+class Neighbours:
+    """The peers of one process.
+
+    :param me: this process.
+    :param members: the live processes.
+    :param rng: for random choices.
+    """
+
+    def __init__(self, me: Member, members: Members, rng: Random) -> None:
+        self._me = me
+        self._members = members
+        self._rng = rng
+
+    def count(self) -> int:
+        """Count the live peers.
+
+        :returns: how many there are beside this process.
+        """
+        return sum(
+            1 for one in self._members.members() if one.name != self._me.name
+        )
+
+    def sample(self, size: int) -> list[str]:
+        """Choose random peers.
+
+        :param size: how many at most.
+        :returns: their addresses.
+        """
+        members = self._members.members()
+        chosen = self._rng.sample(members, min(size + 1, len(members)))
+        others = [one.address for one in chosen if one.name != self._me.name]
+        return others[:size]
+
+    def count_zone(self) -> int:
+        """Count the processes of this zone, with this one.
+
+        :returns: at least 1.
+        """
+        return 1 + sum(
+            one.zone == self._me.zone and one.name != self._me.name
+            for one in self._members.members()
+        )
+
+    def reads(self, readers: int, term: int) -> bool:
+        """Tell whether this process is among its zone's readers.
+
+        Rendezvous hashing: every process of a zone ranks all by a hash, and
+        the first ones read. Views that differ in a few members choose the
+        same readers but for those few.
+
+        :param readers: how many a zone has.
+        :param term: number of the term; another one ranks anew.
+        :returns: whether to read.
+        """
+        mine = _score(self._me.name, term)
+        ahead = 0
+        for one in self._members.members():
+            if one.zone == self._me.zone and one.name != self._me.name:
+                ahead += _score(one.name, term) > mine
+            if ahead >= readers:
+                return False
+        return True
+
+
+def _score(name: str, term: int) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(f'{term}/{name}'.encode()), name
--- /dev/null
+++ b/src/ospreyford/distribution/messages.py
@@ -0,0 +1,97 @@
+"""What processes say to each other about documents."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from ospreyford.distribution.entries import Entry, Head
+
+
+class Topic(enum.StrEnum):
+    """What a question to a peer is about."""
+
+    digest = 'distribution.digest'
+    offer = 'distribution.offer'
+    push = 'distribution.push'
+    page = 'distribution.page'
+    branch = 'distribution.branch'
+    leaf = 'distribution.leaf'
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True):
+    """What a process holds, in a few bytes.
+
+    :param revision: the highest revision held.
+    :param checksum: over all entries.
+    :param complete: every change up to this store revision is held; -1
+        before anything is known.
+    :param settled: the process has a whole picture; a fresh one has none.
+    :param stale: the process has not checked its picture lately.
+    """
+
+    revision: int
+    checksum: int
+    complete: int
+    settled: bool
+    stale: bool
+
+
+class Greeting(msgspec.Struct, frozen=True, array_like=True):
+    """A digest, and where the process that it belongs to is asked back."""
+
+    address: str
+    digest: Digest
+
+
+class Offer(msgspec.Struct, frozen=True, array_like=True):
+    """Versions that the sender would push."""
+
+    heads: tuple[Head, ...]
+
+
+class Wanted(msgspec.Struct, frozen=True, array_like=True):
+    """Names out of an offer that the receiver lacks."""
+
+    names: tuple[str, ...]
+
+
+class Delta(msgspec.Struct, frozen=True, array_like=True):
+    """Changed documents with their texts."""
+
+    entries: tuple[Entry, ...]
+
+
+class PageQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the entries behind a place in the order of revisions."""
+
+    revision: int
+    name: str
+
+
+class Page(msgspec.Struct, frozen=True, array_like=True):
+    """Entries in answer to a question; ``more`` when they were cut off."""
+
+    entries: tuple[Entry, ...]
+    more: bool
+
+
+class BranchQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks which children differ; no ``branch`` compares the branches."""
+
+    branch: int | None
+    sums: tuple[int, ...]
+
+
+class Differing(msgspec.Struct, frozen=True, array_like=True):
+    """The children whose checksums differ."""
+
+    children: tuple[int, ...]
+
+
+class LeafQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the entries of a leaf that the asker does not hold."""
+
+    leaf: int
+    fingerprints: frozenset[int]
--- /dev/null
+++ b/src/ospreyford/distribution/reader.py
@@ -0,0 +1,174 @@
+"""Reading the configuration service, in the few processes that do."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from random import Random
+from typing import TYPE_CHECKING, NamedTuple
+
+from ospreyford.distribution.budget import Backoff, CallBudget
+from ospreyford.distribution.entries import Entry
+from ospreyford.distribution.service import (
+    Change,
+    DocumentService,
+    ServiceUnavailable,
+)
+
+if TYPE_CHECKING:
+    from ospreyford.distribution.bootstrap import ColdPermit
+    from ospreyford.distribution.freshness import Moment
+    from ospreyford.distribution.members import Neighbours
+    from ospreyford.distribution.state import State
+
+
+class Reading(enum.Enum):
+    """How one reading of the service went."""
+
+    current = 'current'
+    behind = 'behind'
+    unavailable = 'unavailable'
+
+
+class Asked(NamedTuple):
+    """What was so before the service was asked."""
+
+    moment: Moment
+    revision: int
+
+
+class Reader:
+    """Watches the service while this process is one of its zone's readers.
+
+    :param state: what the process knows.
+    :param service: the configuration service.
+    :param neighbours: the members in view.
+    :param permit: whether a fresh process may trust the service.
+    :param rng: for jitter.
+    """
+
+    def __init__(
+        self,
+        state: State,
+        service: DocumentService,
+        neighbours: Neighbours,
+        permit: ColdPermit,
+        rng: Random,
+    ) -> None:
+        self._state = state
+        self._service = service
+        self._neighbours = neighbours
+        self._permit = permit
+        self._budget = CallBudget(state.settings, state.clock, neighbours, rng)
+        self._backoff = Backoff(state.settings, rng)
+        self._reads = False
+
+    async def run(self) -> None:
+        """Read for ever, whenever the role is this process's."""
+        while True:
+            await self.step()
+
+    async def step(self) -> None:
+        """Read once, or wait a while for the role."""
+        clock = self._state.clock
+        if not self._may_read():
+            self._reads = False
+            await clock.sleep(self._state.settings.role_seconds)
+            return
+        if not self._reads:
+            self._reads = True
+            self._budget.restart()
+        if await self._read() is Reading.current:
+            self._backoff.reset()
+        else:
+            await clock.sleep(self._backoff.next_wait())
+
+    def _may_read(self) -> bool:
+        settings = self._state.settings
+        if not (self._state.settled or self._permit.is_valid()):
+            return False
+        # The term comes from the wall clock: a wrong one gives another set
+        # of readers, never more calls than the budget.
+        term = int(self._state.clock.wall() // settings.rotation_seconds)
+        return self._neighbours.reads(settings.readers_per_zone, term)
+
+    async def _read(self) -> Reading:
+        await self._budget.take()
+        asked = Asked(
+            self._state.freshness.moment(),
+            max(self._state.complete, self._state.replica.revision),
+        )
+        try:
+            revision, changes = await self._ask()
+            await self._fetch(changes)
+        except ServiceUnavailable:
+            self._state.counters.service_failures += 1
+            return Reading.unavailable
+        return self._conclude(revision, changes, asked)
+
+    async def _ask(self) -> tuple[int, Sequence[Change]]:
+        state = self._state
+        state.counters.service_calls += 1
+        if state.complete < 0:
+            listing = await self._service.list_documents()
+            return listing.revision, [
+                Change(name=name, revision=one.revision, deleted=one.deleted)
+                for name, one in listing.documents.items()
+            ]
+        # Not after the highest revision held: a rumour may have brought that
+        # one ahead of an earlier change, which a watch would then skip.
+        wait = state.settings.watch_seconds
+        started = state.clock.monotonic()
+        answer = await self._service.watch(state.complete, wait)
+        if not answer.changes and state.clock.monotonic() < started + wait / 2:
+            # A service that answers at once without news would be called
+            # again at once, as often as the budget allows.
+            raise ServiceUnavailable
+        return answer.revision, answer.changes
+
+    async def _fetch(self, changes: Sequence[Change]) -> None:
+        missing = [
+            change
+            for change in reversed(changes)
+            if not self._state.replica.covers(change.name, change.revision)
+        ]
+        while missing:
+            await self._fetch_change(missing.pop())
+
+    async def _fetch_change(self, change: Change) -> None:
+        # A peer may have brought it while others were fetched.
+        if self._state.replica.covers(change.name, change.revision):
+            return
+        if change.deleted:
+            entry = Entry(change.name, change.revision, b'', deleted=True)
+        else:
+            entry = await self._fetch_text(change.name)
+        self._state.apply((entry,), tell=self._state.settled)
+
+    async def _fetch_text(self, name: str) -> Entry:
+        await self._budget.take()
+        if not self._may_read():
+            raise ServiceUnavailable
+        self._state.counters.service_calls += 1
+        answer = await self._service.read_document(name)
+        return Entry(name, answer.revision, answer.text)
+
+    def _conclude(
+        self, revision: int, changes: Sequence[Change], asked: Asked
+    ) -> Reading:
+        state = self._state
+        whole = all(
+            state.replica.covers(change.name, change.revision)
+            for change in changes
+        )
+        # An older replica of the service answered one of the calls. What it
+        # gave has been refused by the marks; nothing is concluded from it.
+        if not whole or revision < asked.revision:
+            state.counters.service_stale += 1
+            return Reading.behind
+        if not state.settled and not self._permit.is_valid():
+            return Reading.behind
+        state.adopt_complete(revision)
+        state.settle()
+        state.freshness.confirm(asked.moment)
+        return Reading.current
--- /dev/null
+++ b/src/ospreyford/distribution/settings.py
@@ -0,0 +1,67 @@
+"""Settings of the distribution of documents."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class DistributionSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How a process reads, relays and repairs documents.
+
+    :param fleet_size: the most processes that the deployment may grow to; it
+        divides ``service_calls_per_second`` into each process's share.
+    :param service_calls_per_second: calls that all processes together may
+        make to the configuration service.
+    :param reader_calls_per_second: the most calls of one reader.
+    :param readers_per_zone: processes of a zone that watch the service.
+    :param rotation_seconds: how long one set of readers stays chosen.
+    :param watch_seconds: how long a watch waits for a change.
+    :param role_seconds: how often a process asks whether it is a reader.
+    :param backoff_seconds: first wait after a failed call.
+    :param backoff_limit_seconds: longest wait after failed calls.
+    :param gossip_seconds: time between two rounds of rumours.
+    :param fanout: peers that are offered the rumours of a round.
+    :param rumour_interest: peers that knew a rumour already before it is
+        dropped.
+    :param rumour_offers: the most peers that one process offers a rumour to.
+    :param rumour_heads: the most rumours in one offer.
+    :param digest_seconds: time between two comparisons with a random peer.
+    :param ask_seconds: how long to wait for a peer's answer.
+    :param page_bytes: text in one message; one larger text goes alone.
+    :param push_bytes_per_second: mean rate of pushed texts.
+    :param push_burst_bytes: pushed texts that may go at once after a rest.
+    :param stale_seconds: age of the last check from which on this process
+        counts as stale.
+    :param stale_peers: stale peers to compare with where no other is found.
+    :param bootstrap_peers: peers that a fresh process asks in one round.
+    :param bootstrap_seconds: time between two rounds of a fresh process.
+    :param cold_start_rounds: rounds in a row that met fresh peers only
+        before a fresh process may trust the service.
+    :param cold_start_peers: live peers that must be in view for that.
+    """
+
+    fleet_size: int = 5_500
+    service_calls_per_second: float = 1_000
+    reader_calls_per_second: float = 80
+    readers_per_zone: int = 2
+    rotation_seconds: float = 120
+    watch_seconds: float = 20
+    role_seconds: float = 2
+    backoff_seconds: float = 0.5
+    backoff_limit_seconds: float = 16
+    gossip_seconds: float = 0.25
+    fanout: int = 2
+    rumour_interest: int = 3
+    rumour_offers: int = 24
+    rumour_heads: int = 64
+    digest_seconds: float = 1
+    ask_seconds: float = 0.4
+    page_bytes: int = 65_536
+    push_bytes_per_second: float = 1_536
+    push_burst_bytes: int = 2_097_152
+    stale_seconds: float = 6
+    stale_peers: int = 3
+    bootstrap_peers: int = 5
+    bootstrap_seconds: float = 1
+    cold_start_rounds: int = 10
+    cold_start_peers: int = 1
--- /dev/null
+++ b/src/ospreyford/distribution/state.py
@@ -0,0 +1,132 @@
+"""What one process knows, shared by its tasks and handlers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, fields
+from typing import TYPE_CHECKING
+
+from ospreyford.distribution.entries import Entry
+from ospreyford.distribution.freshness import Freshness
+from ospreyford.distribution.messages import Digest
+from ospreyford.distribution.replica import Replica, Verdict
+from ospreyford.distribution.rumours import Rumours
+
+if TYPE_CHECKING:
+    from ospreyford.distribution.settings import DistributionSettings
+    from ospreyford.ports.clock import Clock
+
+#: Told of the entries that changed, once the process has a whole picture.
+Subscriber = Callable[[tuple[Entry, ...]], None]
+
+NOTHING_COMPLETE = -1
+
+
+@dataclass
+class Counters:
+    """Counts since the start of the process."""
+
+    accepted: int = 0
+    refused_older: int = 0
+    conflicts: int = 0
+    service_calls: int = 0
+    service_failures: int = 0
+    service_stale: int = 0
+    bad_messages: int = 0
+    offers: int = 0
+    pushed_entries: int = 0
+    push_deferred: int = 0
+    repairs: int = 0
+    pulled_entries: int = 0
+
+    def as_dict(self) -> dict[str, int]:
+        """Give the counts by name, for the metrics.
+
+        :returns: one entry for each counter.
+        """
+        return {one.name: getattr(self, one.name) for one in fields(self)}
+
+
+class State:
+    """The replica and what is known about it.
+
+    :param settings: of the distribution.
+    :param clock: the process's clock.
+    """
+
+    def __init__(self, settings: DistributionSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.replica = Replica()
+        self.rumours = Rumours(settings)
+        self.freshness = Freshness(settings, clock)
+        self.counters = Counters()
+        self.complete = NOTHING_COMPLETE
+        self.settled = False
+        self._subscribers: list[Subscriber] = []
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Have changes told, once there is a whole picture.
+
+        :param subscriber: called with the changed entries.
+        """
+        self._subscribers.append(subscriber)
+        if self.settled:
+            subscriber(tuple(self.replica))
+
+    def apply(self, entries: Iterable[Entry], *, tell: bool = True) -> int:
+        """Take in entries from the service or a peer.
+
+        :param entries: in any order, with or without news.
+        :param tell: whether to offer the accepted ones to peers.
+        :returns: how many were accepted.
+        """
+        changed = [entry for entry in entries if self._accept(entry)]
+        if tell:
+            for entry in changed:
+                self.rumours.add(entry.name)
+        if self.settled and changed:
+            self._notify(tuple(changed))
+        return len(changed)
+
+    def adopt_complete(self, revision: int) -> None:
+        """Note that every change up to a store revision is held.
+
+        :param revision: what a peer whose entries are all held knew, or the
+            service said.
+        """
+        self.complete = max(self.complete, revision)
+
+    def settle(self) -> None:
+        """Note that the picture is whole, and show it to the subscribers."""
+        if not self.settled:
+            self.settled = True
+            self._notify(tuple(self.replica))
+
+    def digest(self) -> Digest:
+        """Sum up what is held.
+
+        :returns: the digest to send to peers.
+        """
+        return Digest(
+            revision=self.replica.revision,
+            checksum=self.replica.checksum,
+            complete=self.complete,
+            settled=self.settled,
+            stale=self.freshness.is_stale(),
+        )
+
+    def _accept(self, entry: Entry) -> bool:
+        verdict = self.replica.accept(entry)
+        match verdict:
+            case Verdict.accepted:
+                self.counters.accepted += 1
+            case Verdict.older:
+                self.counters.refused_older += 1
+            case Verdict.conflict_accepted | Verdict.conflict_refused:
+                self.counters.conflicts += 1
+        return verdict in {Verdict.accepted, Verdict.conflict_accepted}
+
+    def _notify(self, changed: tuple[Entry, ...]) -> None:
+        for subscriber in self._subscribers:
+            subscriber(changed)
