Prove the execution record: table and state machine

Seen failing first: 15 guards were removed one at a time (date checks, tombstones, attempt check, incarnation check, expiry, full record, retention, moved keys, fingerprint); each turned tests/agent red, with all of them green.

--- a/src/ospreyford/entry/homes.py
+++ b/src/ospreyford/entry/homes.py
@@ -79,4 +79,4 @@
 
 
 def _weigh(name: str, key: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{name}\0{key}')
+    return xxhash.xxh3_64_intdigest(f'{name}\0{key}'.encode())
--- a/src/ospreyford/entry/service.py
+++ b/src/ospreyford/entry/service.py
@@ -54,18 +54,18 @@
         self._dispatcher = dispatcher
         self._clock = clock
 
-    async def handle(self, exchange: Exchange) -> None:
+    async def serve(self, exchange: Exchange) -> None:
         """Serve one request.
 
         :param exchange: the caller's request.
         """
         self.in_flight += 1
         try:
-            await self._handle(exchange)
+            await self._admit(exchange)
         finally:
             self.in_flight -= 1
 
-    async def _handle(self, exchange: Exchange) -> None:
+    async def _admit(self, exchange: Exchange) -> None:
         try:
             body = await exchange.read_body()
             call = self._admission.read_call(exchange.request, body)
@@ -76,9 +76,9 @@
         except BadCall as error:
             await _tell(exchange, NotRun(error.cause, 0), make_id())
         else:
-            await self._serve(exchange, call)
+            await self._answer(exchange, call)
 
-    async def _serve(self, exchange: Exchange, call: Call) -> None:
+    async def _answer(self, exchange: Exchange, call: Call) -> None:
         sink = CallerSink(exchange, _make_headers(call))
         outcome = await self._settle(call, sink)
         match outcome:
@@ -109,9 +109,11 @@
         try:
             return await self._dispatcher.dispatch(call, plan, sink)
         finally:
-            now = self._clock.monotonic()
-            used = call.tokens
-            self._gate.release(call.customer, call.tokens, used, now)
+            self._release(call)
+
+    def _release(self, call: Call) -> None:
+        now = self._clock.monotonic()
+        self._gate.release(call.customer, call.tokens, call.tokens, now)
 
 
 def _judge_planless(call: Call, refusal: NotRun) -> Outcome:
--- /dev/null
+++ b/tests/agent/test_record.py
@@ -0,0 +1,225 @@
+"""The execution record: a table of single decisions."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from ospreyford.agent.record import Begun, Denied, ExecutionRecord, Known
+from ospreyford.agent.settings import RecordSettings
+from ospreyford.ports.fleet import LoadReport
+from ospreyford.wire.frame import Fate, Refusal
+from tests.agent.frames import INCARNATION, make_follow, make_start
+from tests.fakes.clock import FakeClock
+
+SETTINGS = RecordSettings(max_entries=3)
+
+
+@pytest.fixture
+def clock() -> FakeClock:
+    return FakeClock()
+
+
+@pytest.fixture
+def record(clock: FakeClock) -> ExecutionRecord:
+    made = ExecutionRecord(SETTINGS, INCARNATION, clock)
+    clock.advance(100)
+    return made
+
+
+def _ms(clock: FakeClock, offset: float = 0) -> int:
+    return int((clock.wall() + offset) * 1000)
+
+
+@pytest.mark.parametrize(
+    ('dated', 'expires', 'fresh', 'reason'),
+    [
+        (0, -1, False, Refusal.expired),
+        (3, 30, False, Refusal.key_from_future),
+        (-601, 30, False, Refusal.key_expired),
+        (-99, 30, False, Refusal.predates),
+        (-99, 30, True, None),
+        (-97, 30, False, None),
+        (0, 30, False, None),
+    ],
+)
+def test_key_date_decides(
+    record: ExecutionRecord,
+    clock: FakeClock,
+    dated: float,
+    expires: float,
+    fresh: bool,
+    reason: Refusal | None,
+) -> None:
+    start = make_start(
+        'key',
+        'a1',
+        dated=_ms(clock, dated),
+        expires=_ms(clock, expires),
+        fresh=fresh,
+    )
+    decision = record.start(start)
+    if reason is None:
+        assert isinstance(decision, Begun)
+    else:
+        assert isinstance(decision, Denied)
+        assert decision.reason is reason
+
+
+def test_late_start_after_void_is_refused(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    """A request told "not run" must not run later.
+
+    Symptom: a caller told "not run" finds its quote issued.
+    Sequence: the start is delayed; the entry asks on a fresh connection and
+    is told that the id is not known; the start arrives.
+    Cause: the answer "not known" alone does not stop the late copy.
+    """
+    times = {'dated': _ms(clock), 'expires': _ms(clock, 30)}
+    verdict = record.follow(make_follow('key', 'a1', dated=_ms(clock)))
+    assert verdict == Denied(Refusal.voided)
+    late = record.start(make_start('key', 'a1', **times))
+    assert late == Denied(Refusal.voided)
+    again = record.start(make_start('key', 'a2', **times))
+    assert isinstance(again, Begun)
+
+
+def test_late_question_after_end_is_not_voided(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    """A paused entry that wakes late must not be told "not run".
+
+    Symptom: "not run" for a request that the journal shows as run.
+    Sequence: an idempotent request runs and ends; its entry was paused and
+    asks only after the answer has been dropped.
+    Cause: an id that is forgotten with its answer looks like one never seen.
+    """
+    dated = _ms(clock)
+    start = make_start(
+        'id', 'a1', dated=dated, expires=_ms(clock, 30), idempotent=True
+    )
+    begun = record.start(start)
+    assert isinstance(begun, Begun)
+    load = LoadReport(incarnation=INCARNATION)
+    curio.run(begun.execution.finish(load, clock.monotonic()))
+    for _ in range(30):
+        clock.advance(10)
+        record.memory.sweep()
+        verdict = record.follow(make_follow('id', 'a1', dated=dated))
+        assert verdict != Denied(Refusal.voided)
+
+
+def test_finished_key_is_known_for_its_whole_life(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    """A key's retry after the end must not run it again.
+
+    Symptom: a second quote for one key.
+    Sequence: the request runs and ends; its answer is lost on the way; the
+    caller retries at any time up to the key's retention.
+    Cause: an entry that is forgotten before its key can no longer come.
+    """
+    start = make_start('key', 'a0', dated=_ms(clock), expires=_ms(clock, 30))
+    begun = record.start(start)
+    assert isinstance(begun, Begun)
+    load = LoadReport(incarnation=INCARNATION)
+    curio.run(begun.execution.finish(load, clock.monotonic()))
+    for number in range(90):
+        clock.advance(10)
+        record.memory.sweep()
+        retry = make_start(
+            'key',
+            f'a{number + 1}',
+            dated=start.dated,
+            expires=_ms(clock, 30),
+        )
+        assert not isinstance(record.start(retry), Begun)
+
+
+def test_full_record_refuses_and_does_not_forget(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    """A full record refuses new work.
+
+    Symptom: a key's retry runs a second time under load.
+    Sequence: the record is full of live keys; one more comes; the oldest is
+    dropped to make room; its retry arrives.
+    Cause: a bounded memory that forgets instead of refusing.
+    """
+    times = {'dated': _ms(clock), 'expires': _ms(clock, 30)}
+    for number in range(SETTINGS.max_entries):
+        record.start(make_start(f'key{number}', 'a1', **times))
+    full = record.start(make_start('one-more', 'a1', **times))
+    assert isinstance(full, Denied)
+    assert full.reason is Refusal.record_full
+    retry = record.start(make_start('key0', 'a2', **times))
+    assert isinstance(retry, Known)
+
+
+@pytest.mark.parametrize(
+    ('follow', 'reason'),
+    [
+        ({'incarnation': 'agent-0'}, Refusal.wrong_incarnation),
+        ({'moved': True}, Refusal.moved),
+        ({'sent': False}, Refusal.voided),
+        ({}, Refusal.voided),
+    ],
+)
+def test_question_about_an_unknown_id(
+    record: ExecutionRecord,
+    clock: FakeClock,
+    follow: dict[str, object],
+    reason: Refusal,
+) -> None:
+    question = make_follow('key', 'a1', dated=_ms(clock), **follow)
+    assert record.follow(question) == Denied(reason)
+
+
+def test_question_of_a_stranger_leaves_no_trace(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    record.follow(make_follow('key', 'a1', dated=_ms(clock), sent=False))
+    assert len(record.memory) == 0
+
+
+def test_draining_record_keeps_keys_away_for_good(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    """A key that went to the next home must not come back.
+
+    Symptom: one quote issued by two homes.
+    Sequence: the first home drains and refuses a key; the second runs it;
+    the drain request is withdrawn; the caller's retry reaches the first.
+    Cause: a refusal that leaves no trace.
+    """
+    times = {'dated': _ms(clock), 'expires': _ms(clock, 30)}
+    record.draining = True
+    first = record.start(make_start('key', 'a1', **times))
+    assert isinstance(first, Denied)
+    assert first.reason is Refusal.draining
+    record.draining = False
+    retry = record.start(make_start('key', 'a2', **times))
+    assert retry == Denied(Refusal.moved)
+
+
+def test_key_of_another_request_is_refused(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    times = {'dated': _ms(clock), 'expires': _ms(clock, 30)}
+    record.start(make_start('key', 'a1', **times))
+    other = record.start(make_start('key', 'a2', fingerprint=2, **times))
+    assert other == Denied(Refusal.key_reused)
+
+
+def test_proved_not_run_may_run_again(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    times = {'dated': _ms(clock), 'expires': _ms(clock, 30)}
+    begun = record.start(make_start('key', 'a1', **times))
+    assert isinstance(begun, Begun)
+    curio.run(begun.execution.fail(Fate.not_run, clock.monotonic()))
+    copy = record.start(make_start('key', 'a1', **times))
+    assert copy == Denied(Refusal.voided)
+    retry = record.start(make_start('key', 'a2', **times))
+    assert isinstance(retry, Begun)
--- /dev/null
+++ b/tests/agent/test_record_machine.py
@@ -0,0 +1,201 @@
+"""The execution record under every order of late, lost and doubled frames."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import curio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from ospreyford.agent.record import Begun, Denied, ExecutionRecord
+from ospreyford.agent.settings import RecordSettings
+from ospreyford.ports.fleet import LoadReport
+from ospreyford.wire.frame import Fate, Refusal, Start
+from tests.agent.frames import make_follow, make_start
+from tests.fakes.clock import FakeClock
+
+SETTINGS = RecordSettings(
+    max_entries=4,
+    retention_seconds=100,
+    tombstone_seconds=40,
+    linger_seconds=5,
+)
+LIFETIME = 30
+PROVED_UNRUN = frozenset((Refusal.voided, Refusal.expired, Refusal.record_full))
+ELSEWHERE = frozenset((Refusal.draining, Refusal.moved))
+
+
+class Home:
+    """One agent's record, which a restart empties."""
+
+    def __init__(self, clock: FakeClock, number: int) -> None:
+        self.clock = clock
+        self.number = number
+        self.life = 0
+        self.running: list[Begun] = []
+        self.boot()
+
+    def boot(self) -> None:
+        self.life += 1
+        self.running.clear()
+        self.record = ExecutionRecord(SETTINGS, self.name(), self.clock)
+
+    def name(self) -> str:
+        return f'home{self.number}-{self.life}'
+
+
+class RecordMachine(RuleBasedStateMachine):
+    """Two homes of keys, entries that send, a network that does anything.
+
+    Symptom looked for: a key's request runs twice, or a sending that a
+    caller was told had not run runs later.
+    Sequence: hypothesis chooses it: sendings are delivered late, twice or
+    never, questions overtake them, an agent restarts, drains and comes back,
+    time passes, the record fills.
+    Cause: any guard of the record left out.
+    """
+
+    keys = Bundle('keys')
+    frames = Bundle('frames')
+
+    @initialize()
+    def start_agents(self) -> None:
+        self.clock = FakeClock()
+        self.homes = [Home(self.clock, 0), Home(self.clock, 1)]
+        self.runs: Counter[str] = Counter()
+        self.denied: set[str] = set()
+        self.attempts = 0
+        self.clock.advance(10)
+
+    @rule(
+        target=keys, idempotent=st.booleans(), ahead=st.sampled_from([0, 0, 5])
+    )
+    def make_key(self, idempotent: bool, ahead: float) -> Any:
+        dated = int((self.clock.wall() + ahead) * 1000)
+        return f'key-{dated}-{idempotent}', dated, idempotent
+
+    @rule(target=frames, key=keys)
+    def send(self, key: Any) -> Any:
+        return self.homes[0].name(), self._make(key)
+
+    @rule(key=keys)
+    def send_and_deliver(self, key: Any) -> None:
+        start = self._make(key)
+        reason = self._deliver(self.homes[0], start)
+        if reason in ELSEWHERE and not start.idempotent:
+            self._deliver(self.homes[1], start)
+
+    @rule(frame=frames)
+    def deliver_late(self, frame: Any) -> None:
+        life, start = frame
+        home = self.homes[0]
+        if life == home.name():
+            self._deliver(home, start)
+
+    @rule(frame=frames)
+    def ask(self, frame: Any) -> None:
+        life, start = frame
+        asked = make_follow(
+            start.execution,
+            start.attempt,
+            dated=start.dated,
+            incarnation=life,
+        )
+        if self.homes[0].record.follow(asked) == Denied(Refusal.voided):
+            assert not self._ran(start)
+            self.denied.add(start.attempt)
+
+    @rule(key=keys)
+    def look_up(self, key: Any) -> None:
+        start = self._make(key)
+        if start.idempotent:
+            return
+        asked = make_follow(
+            start.execution,
+            start.attempt,
+            dated=start.dated,
+            incarnation=self.homes[0].name(),
+            sent=False,
+        )
+        if self.homes[0].record.follow(asked) == Denied(Refusal.voided):
+            assert not self.runs[start.execution]
+
+    @rule(home=st.sampled_from([0, 1]), refused=st.booleans())
+    def end(self, home: int, refused: bool) -> None:
+        if not self.homes[home].running:
+            return
+        execution = self.homes[home].running.pop().execution
+        if refused:
+            self.runs[execution.identity] -= 1
+            curio.run(execution.fail(Fate.not_run, self.clock.monotonic()))
+        else:
+            load = LoadReport(incarnation='')
+            curio.run(execution.finish(load, self.clock.monotonic()))
+
+    @rule(home=st.sampled_from([0, 1]))
+    def restart(self, home: int) -> None:
+        self.homes[home].boot()
+
+    @rule(seconds=st.sampled_from([1, 3, 12, 45, 110]))
+    def wait(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        for home in self.homes:
+            home.record.memory.sweep()
+
+    @rule(draining=st.booleans())
+    def drain(self, draining: bool) -> None:
+        self.homes[0].record.draining = draining
+
+    @invariant()
+    def keys_run_at_most_once(self) -> None:
+        for key, runs in self.runs.items():
+            assert key.endswith('True') or runs <= 1, key
+
+    def _deliver(self, home: Home, start: Start) -> Refusal | None:
+        decision = home.record.start(start)
+        match decision:
+            case Begun():
+                assert start.attempt not in self.denied
+                self.runs[start.execution] += 1
+                home.running.append(decision)
+            case Denied(reason=reason):
+                if reason in PROVED_UNRUN:
+                    self.denied.add(start.attempt)
+                return reason
+        return None
+
+    def _ran(self, start: Start) -> bool:
+        return start.idempotent and bool(self.runs[start.execution])
+
+    def _make(self, key: Any) -> Start:
+        identity, dated, idempotent = key
+        self.attempts += 1
+        attempt = f'a{self.attempts}'
+        # Each sending of an idempotent request has an id of its own.
+        execution = f'{attempt}-True' if idempotent else identity
+        now = self.clock.wall()
+        return make_start(
+            execution,
+            attempt,
+            dated=int(now * 1000) if idempotent else dated,
+            expires=int((now + LIFETIME) * 1000),
+            idempotent=idempotent,
+        )
+
+
+TestRecordMachine = RecordMachine.TestCase
+TestRecordMachine.settings = settings(
+    max_examples=300,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+)
