Resolve published documents into one picture

Cause: many teams publish documents that know nothing of each other; every process must see the same outcome of them. Ruled out: one mutable registry updated in order of arrival (two processes would differ); scanning all selectors for each request (thousands of them).

--- /dev/null
+++ b/src/ospreyford/documents/capacity.py
@@ -0,0 +1,117 @@
+"""Pools, limits and drain requests: what capacity there is, and for whom."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import Annotated
+
+import msgspec
+
+from ospreyford.documents.selectors import Name, Selector
+from ospreyford.documents.values import (
+    Count,
+    Part,
+    PublishedDocument,
+    Rate,
+    Ratio,
+    Title,
+    Weight,
+)
+
+
+class FormerHome(Part, frozen=True, kw_only=True):
+    """A backend server that held idempotency keys earlier.
+
+    :param name: the backend server's lasting name.
+    :param until: keys dated after this cannot have been taken there.
+    """
+
+    name: Name
+    until: Annotated[datetime, msgspec.Meta(tz=True)]
+
+    def until_seconds(self) -> float:
+        """Give ``until`` as the clocks of the system count.
+
+        :returns: seconds since the Unix epoch, UTC.
+        """
+        return self.until.timestamp()
+
+
+class CapacityPool(
+    PublishedDocument, frozen=True, kw_only=True, tag='capacity-pool'
+):
+    """Backend servers of one service that are used alike.
+
+    :param name: what routing intents call it.
+    :param service: the service that the backend servers run.
+    :param hosts: which hosts belong to it, by their labels.
+    :param homes: for services with non-idempotent calls, the names of the
+        backend servers that hold idempotency keys.
+    :param former_homes: those that held them earlier.
+    """
+
+    name: Name
+    service: Name
+    hosts: Selector
+    homes: tuple[Name, ...] = ()
+    former_homes: tuple[FormerHome, ...] = ()
+
+
+class Limits(Part, frozen=True, kw_only=True):
+    """What a customer may use; an absent key sets no limit.
+
+    :param requests_per_second: admitted requests.
+    :param tokens_per_second: prompt and generated tokens.
+    :param concurrency: requests in flight at once.
+    :param burst: requests that may come at once above the rate.
+    :param weight: share of the capacity under overload.
+    """
+
+    requests_per_second: Rate | None = None
+    tokens_per_second: Rate | None = None
+    concurrency: Count | None = None
+    burst: Count | None = None
+    weight: Weight | None = None
+
+
+class CustomerLimit(
+    PublishedDocument, frozen=True, kw_only=True, tag='customer-limit'
+):
+    """Limits of each of the selected customers, not of their sum."""
+
+    customers: Selector
+    limits: Limits
+
+
+class DrainRequest(
+    PublishedDocument, frozen=True, kw_only=True, tag='drain-request'
+):
+    """Hosts that shall get no new work.
+
+    :param hosts: which hosts, by their labels.
+    :param reason: shown to operators.
+    :param zone: only hosts of this availability zone.
+    """
+
+    hosts: Selector
+    reason: Title
+    zone: Name | None = None
+
+
+class PlacementWeights(
+    PublishedDocument, frozen=True, kw_only=True, tag='placement-weights'
+):
+    """What expert placement of a service weighs.
+
+    :param service: the model service.
+    :param skew_weight: cost of step-time skew.
+    :param move_weight: cost of moving an expert.
+    :param weight_store_bytes_per_second: share of the weight store's rate.
+    :param hysteresis: relative gain below which nothing moves.
+    """
+
+    service: Name
+    skew_weight: Weight = 1
+    move_weight: Weight = 1
+    weight_store_bytes_per_second: Rate = 50_000_000
+    hysteresis: Ratio = 0.05
--- /dev/null
+++ b/src/ospreyford/documents/directories.py
@@ -0,0 +1,185 @@
+"""Labels of customers and hosts, put together from many documents."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Generic, TypeAlias
+from weakref import WeakValueDictionary
+
+from ospreyford.documents.claims import Body, BodyChange
+from ospreyford.documents.conflicts import (
+    Conflict,
+    ConflictKind,
+    Rule,
+    rank,
+    rule_between,
+)
+from ospreyford.documents.selectors import Labels
+
+LabelPairs: TypeAlias = tuple[tuple[str, str], ...]
+LabelTables: TypeAlias = dict[str, dict[str, str]]
+
+
+class LabelSet:
+    """Labels that many things share; compared by identity.
+
+    :param labels: the labels; never changed afterwards.
+    """
+
+    __slots__ = ('__weakref__', 'labels')
+
+    def __init__(self, labels: Labels) -> None:
+        self.labels = labels
+
+
+class LabelPool:
+    """Keeps one label set for all things with the same labels.
+
+    At 37,000 customers with a few hundred distinct combinations, a set of
+    its own for each would not fit a process's memory.
+    """
+
+    def __init__(self) -> None:
+        self._sets: WeakValueDictionary[LabelPairs, LabelSet] = (
+            WeakValueDictionary()
+        )
+
+    def share(self, labels: Labels) -> LabelSet:
+        """Find or make the label set.
+
+        :param labels: the labels.
+        :returns: the one set with these labels.
+        """
+        key = tuple(sorted(labels.items()))
+        shared = self._sets.get(key)
+        if shared is None:
+            shared = LabelSet(dict(key))
+            self._sets[key] = shared
+        return shared
+
+
+class LabelDirectory(Generic[Body]):
+    """The merged labels of each customer or host.
+
+    Each label is settled by itself: the document with the higher priority
+    wins, then the first name.
+
+    :param kind: what a conflict over such a label is called.
+    :param tables_of: labels by id, in a document.
+    """
+
+    def __init__(
+        self,
+        kind: ConflictKind,
+        tables_of: Callable[[Body], LabelTables],
+    ) -> None:
+        self._kind = kind
+        self._tables_of = tables_of
+        self._shared = LabelPool()
+        self._bodies: dict[str, Body] = {}
+        self._owners: dict[str, tuple[str, ...]] = {}
+        self._merged: dict[str, LabelSet] = {}
+
+    def replaced(
+        self, changes: tuple[BodyChange[Body], ...]
+    ) -> LabelDirectory[Body]:
+        """Take in changed documents.
+
+        :param changes: what came, changed or went.
+        :returns: a new directory; this one stays as it is.
+        """
+        directory = LabelDirectory(self._kind, self._tables_of)
+        directory._shared = self._shared
+        directory._bodies = self._bodies.copy()
+        directory._owners = self._owners.copy()
+        directory._merged = self._merged.copy()
+        affected: set[str] = set()
+        for change in changes:
+            affected.update(directory._take(change))
+        for key in affected:
+            directory._merge(key)
+        return directory
+
+    def find(self, key: str) -> LabelSet | None:
+        """Look up a customer or host.
+
+        :param key: its id or name.
+        :returns: its labels, or ``None`` when no document names it.
+        """
+        return self._merged.get(key)
+
+    def keys(self) -> Iterator[str]:
+        """List the customers or hosts.
+
+        :returns: their ids in no certain order.
+        """
+        return iter(self._merged)
+
+    def conflicts(self) -> Iterator[Conflict]:
+        """List the labels to which documents give different values.
+
+        :returns: one conflict for each value that lost.
+        """
+        for key, owners in self._owners.items():
+            if len(owners) > 1:
+                yield from self._label_conflicts(key, owners)
+
+    def _take(self, change: BodyChange[Body]) -> set[str]:
+        affected: set[str] = set()
+        if change.before is not None:
+            self._bodies.pop(change.name)
+            for key in self._tables_of(change.before):
+                self._disown(key, change.name)
+                affected.add(key)
+        if change.after is not None:
+            self._bodies[change.name] = change.after
+            alone = (change.name,)
+            for key in self._tables_of(change.after):
+                others = self._owners.get(key)
+                self._owners[key] = (*others, change.name) if others else alone
+                affected.add(key)
+        return affected
+
+    def _disown(self, key: str, name: str) -> None:
+        kept = tuple(owner for owner in self._owners[key] if owner != name)
+        if kept:
+            self._owners[key] = kept
+        else:
+            self._owners.pop(key)
+
+    def _merge(self, key: str) -> None:
+        owners = self._owners.get(key)
+        if owners is None:
+            self._merged.pop(key, None)
+            return
+        merged: dict[str, str] = {}
+        for owner in reversed(self._ranked(owners)):
+            merged.update(self._tables_of(self._bodies[owner])[key])
+        self._merged[key] = self._shared.share(merged)
+
+    def _ranked(self, owners: tuple[str, ...]) -> list[str]:
+        return sorted(owners, key=lambda name: rank(name, self._bodies[name]))
+
+    def _label_conflicts(
+        self, key: str, owners: tuple[str, ...]
+    ) -> Iterator[Conflict]:
+        winners: dict[str, str] = {}
+        for owner in self._ranked(owners):
+            for label, text in self._tables_of(self._bodies[owner])[
+                key
+            ].items():
+                winner = winners.setdefault(label, owner)
+                if self._tables_of(self._bodies[winner])[key][label] != text:
+                    yield Conflict(
+                        self._kind,
+                        f'{key}: {label}',
+                        winner,
+                        owner,
+                        self._rule(winner, owner),
+                    )
+
+    def _rule(self, winner: str, loser: str) -> Rule:
+        return rule_between(
+            rank(winner, self._bodies[winner]),
+            rank(loser, self._bodies[loser]),
+        )
--- /dev/null
+++ b/src/ospreyford/documents/fleet.py
@@ -0,0 +1,72 @@
+"""Hosts as the documents see them: labels and drain requests."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+from ospreyford.documents.capacity import CapacityPool, DrainRequest
+from ospreyford.documents.claims import Claim
+from ospreyford.documents.directories import LabelDirectory
+from ospreyford.documents.index import SelectorIndex
+from ospreyford.documents.selectors import Labels
+from ospreyford.documents.subjects import HostLabels
+from ospreyford.ports.fleet import Host
+
+#: The role of the hosts that pools may hold.
+BACKEND_ROLE = 'backend'
+
+HostBook: TypeAlias = LabelDirectory[HostLabels]
+
+
+def label_host(book: HostBook, host: Host) -> Labels:
+    """Put together the labels that selectors see of a host.
+
+    :param book: the published labels of hosts.
+    :param host: the host.
+    :returns: the platform's labels, over them the published ones, over
+        them what the host list itself says.
+    """
+    published = book.find(host.name)
+    return {
+        **host.labels,
+        **(published.labels if published else {}),
+        'host': host.name,
+        'role': host.role,
+        'zone': host.zone,
+        'region': host.region,
+        'service': host.service,
+    }
+
+
+def find_drain(
+    drains: SelectorIndex[DrainRequest], host: Host, labels: Labels
+) -> Claim[DrainRequest] | None:
+    """Find the drain request of a host.
+
+    :param drains: the drain requests in force.
+    :param host: the host.
+    :param labels: what selectors see of it.
+    :returns: of all requests that select it the first by name.
+    """
+    matching = (
+        claim
+        for claim in drains.matching(labels)
+        if claim.body.zone in {None, host.zone}
+    )
+    return min(matching, key=lambda claim: claim.name, default=None)
+
+
+def is_member(pool: CapacityPool, host: Host, labels: Labels) -> bool:
+    """Tell whether a host belongs to a pool.
+
+    :param pool: the pool.
+    :param host: the host.
+    :param labels: what selectors see of it.
+    :returns: whether it is a backend server of the pool's service that the
+        pool selects; draining and leaving ones belong to it too.
+    """
+    return (
+        host.role == BACKEND_ROLE
+        and host.service == pool.service
+        and pool.hosts.matches(labels)
+    )
--- /dev/null
+++ b/src/ospreyford/documents/history.py
@@ -0,0 +1,156 @@
+"""Which revision of each document counts, whatever order they arrive in."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from ospreyford.documents.parsing import (
+    Document,
+    RejectedDocument,
+    parse_document,
+)
+from ospreyford.documents.schema import DocumentBody
+
+
+class DocumentEntry(NamedTuple):
+    """One revision of one document, as the configuration service gave it.
+
+    ``name`` is the key in the service; ``deleted`` marks the revision at
+    which the key was removed, and then ``text`` is empty.
+    """
+
+    name: str
+    revision: int
+    text: bytes = b''
+    deleted: bool = False
+
+
+class LastGood(NamedTuple):
+    """What is known of one document's name.
+
+    ``newest`` is the newest revision seen, ``good`` the newest that is well
+    formed or deleted, ``body`` the content in force (``None``: nothing),
+    ``rejected`` says why ``newest`` is not ``good``.
+    """
+
+    newest: DocumentEntry
+    good: DocumentEntry | None
+    body: DocumentBody | None
+    rejected: RejectedDocument | None
+
+
+class Change(NamedTuple):
+    """A document that went into force, changed or went out of force."""
+
+    name: str
+    before: LastGood | None
+    after: LastGood
+
+
+class DocumentHistory:
+    """The newest and the last good revision of each document.
+
+    Each of the two is a maximum over the revisions seen, so that any order,
+    grouping or repetition of the same revisions leads to the same history.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, LastGood] = {}
+        self._rejected: dict[str, RejectedDocument] = {}
+
+    def record(self, entry: DocumentEntry) -> Change | None:
+        """Take in one revision.
+
+        :param entry: the revision; an older or known one changes nothing.
+        :returns: the change, or ``None`` when all stays as it was.
+        """
+        before = self._known.get(entry.name)
+        # A stale replica of the configuration service, or a peer that slept,
+        # hands out revisions that were replaced since. Taking one would undo
+        # a team's later document on this process only.
+        if before is not None and not _is_news(entry, before):
+            return None
+        after = _merge(entry, before)
+        if after == before:
+            return None
+        self._known[entry.name] = after
+        if after.rejected is None:
+            self._rejected.pop(entry.name, None)
+        else:
+            self._rejected[entry.name] = after.rejected
+        return Change(entry.name, before, after)
+
+    def find(self, name: str) -> LastGood | None:
+        """Look up one document.
+
+        :param name: its key in the configuration service.
+        :returns: what is known of it, or ``None``.
+        """
+        return self._known.get(name)
+
+    def entries(self) -> Iterator[DocumentEntry]:
+        """List what another process needs to reach the same picture.
+
+        :returns: for each name the newest revision and, where that one is
+            rejected, the last good one before it.
+        """
+        for known in self._known.values():
+            if known.good is not None:
+                yield known.good
+            if known.rejected is not None:
+                yield known.newest
+
+    def rejected(self) -> tuple[RejectedDocument, ...]:
+        """List the documents whose newest revision is not well formed.
+
+        :returns: the rejections, by name.
+        """
+        return tuple(sorted(self._rejected.values()))
+
+
+def _order(entry: DocumentEntry) -> tuple[int, bool, bytes]:
+    # Two texts under one revision cannot come from a correct service; every
+    # process still has to choose the same one of them.
+    return (entry.revision, entry.deleted, entry.text)
+
+
+def _is_news(entry: DocumentEntry, known: LastGood) -> bool:
+    return known.good is None or _order(entry) > _order(known.good)
+
+
+def _merge(entry: DocumentEntry, before: LastGood | None) -> LastGood:
+    is_newest = before is None or _order(entry) > _order(before.newest)
+    newest = entry if is_newest or before is None else before.newest
+    if entry.deleted:
+        return _accept(entry, None, newest, before)
+    match parse_document(entry.name, entry.text):
+        case Document(body=body):
+            return _accept(entry, body, newest, before)
+        case RejectedDocument() as rejected:
+            return _refuse(entry, rejected, before, is_newest=is_newest)
+
+
+def _accept(
+    entry: DocumentEntry,
+    body: DocumentBody | None,
+    newest: DocumentEntry,
+    before: LastGood | None,
+) -> LastGood:
+    if newest == entry or before is None:
+        return LastGood(entry, entry, body, None)
+    return LastGood(newest, entry, body, before.rejected)
+
+
+def _refuse(
+    entry: DocumentEntry,
+    rejected: RejectedDocument,
+    before: LastGood | None,
+    *,
+    is_newest: bool,
+) -> LastGood:
+    if before is None:
+        return LastGood(entry, None, None, rejected)
+    if is_newest:
+        return before._replace(newest=entry, rejected=rejected)
+    return before
--- /dev/null
+++ b/src/ospreyford/documents/overlaps.py
@@ -0,0 +1,73 @@
+"""Lists what the documents in force disagree about, for operators."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ospreyford.documents.conflicts import Conflict, ConflictKind, Rule
+from ospreyford.documents.limits import LimitBook
+from ospreyford.documents.routes import MatchedIntent, Router
+from ospreyford.documents.tables import Tables
+
+
+def find_conflicts(
+    tables: Tables, router: Router, limits: LimitBook
+) -> tuple[Conflict, ...]:
+    """List all conflicts among the documents in force.
+
+    Every group of customers is tried with every service, so this takes
+    time in proportion to both: for operators, not for the request path.
+
+    :param tables: the documents in force.
+    :param router: the routes that follow from them.
+    :param limits: the limits that follow from them.
+    :returns: the conflicts, sorted.
+    """
+    found: set[Conflict] = set()
+    found.update(tables.customers.conflicts())
+    found.update(tables.hosts.conflicts())
+    found.update(tables.services.conflicts())
+    found.update(tables.pools.conflicts())
+    found.update(tables.placements.conflicts())
+    found.update(_route_conflicts(tables, router))
+    found.update(_limit_conflicts(tables, limits))
+    return tuple(sorted(found))
+
+
+def _route_conflicts(tables: Tables, router: Router) -> Iterator[Conflict]:
+    groups = {router.classify(customer) for customer in tables.customers.keys()}
+    services = [claim.body.name for claim in tables.services.winners()]
+    for group in groups:
+        for service in services:
+            if group is not None:
+                yield from _intent_conflicts(router.matching(group, service))
+
+
+def _intent_conflicts(matched: list[MatchedIntent]) -> Iterator[Conflict]:
+    for loser in matched[1:]:
+        winner = matched[0]
+        rule = winner.rule_over(loser)
+        if rule != Rule.more_specific or _is_surprise(winner, loser):
+            yield Conflict(
+                ConflictKind.routing,
+                'routing-intent',
+                winner.name,
+                loser.name,
+                rule,
+            )
+
+
+def _is_surprise(winner: MatchedIntent, loser: MatchedIntent) -> bool:
+    # A narrower intent over one for everybody is how defaults are written,
+    # and a team may narrow its own; another team's may not know of it.
+    return (
+        winner.body.team != loser.body.team
+        and not loser.body.customers.everything
+    )
+
+
+def _limit_conflicts(tables: Tables, limits: LimitBook) -> Iterator[Conflict]:
+    groups = {limits.classify(customer) for customer in tables.customers.keys()}
+    for group in groups:
+        if group is not None:
+            yield from limits.conflicts(group)
--- /dev/null
+++ b/src/ospreyford/documents/parsing.py
@@ -0,0 +1,99 @@
+"""From the bytes of a published document to its checked content."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ospreyford.documents.faults import MAX_SHOWN, locate_fault
+from ospreyford.documents.messages import ROOT
+from ospreyford.documents.schema import DocumentBody, convert_body
+
+#: The configuration service holds values up to a megabyte.
+MAX_BYTES = 1_048_576
+
+#: The most parts a dotted key may have.
+MAX_KEY_PARTS = 16
+
+# tomllib copies the whole key for each of its parts, so that a key of
+# 100,000 parts would stop the process for minutes. No kind needs more
+# than a few.
+LONG_KEY = re.compile(
+    rb"""(?<![\w-])(?:(?:[\w-]++|"[^"\n]*+"|'[^'\n]*+')[ \t]*+\.[ \t]*+)"""
+    + b'{%d}' % MAX_KEY_PARTS
+)
+
+
+class Document(NamedTuple):
+    """A document that is well formed.
+
+    ``name`` is its key in the configuration service.
+    """
+
+    name: str
+    body: DocumentBody
+
+
+class RejectedDocument(NamedTuple):
+    """A document that is not in force, and why.
+
+    ``path`` is the place of the error, ``$`` the document as a whole;
+    ``found`` the value there, ``allowed`` what may stand there.
+    """
+
+    name: str
+    path: str
+    found: str
+    allowed: str
+
+
+def parse_document(name: str, text: bytes) -> Document | RejectedDocument:
+    """Read one document.
+
+    :param name: its key in the configuration service.
+    :param text: the published bytes, whatever they are.
+    :returns: the document, or where and why it is refused.
+    """
+    if len(text) > MAX_BYTES:
+        return RejectedDocument(
+            name, ROOT, f'{len(text)} bytes', f'at most {MAX_BYTES} bytes'
+        )
+    table = _read_table(name, text)
+    if isinstance(table, RejectedDocument):
+        return table
+    try:
+        return Document(name, convert_body(table))
+    except msgspec.ValidationError as error:
+        place = locate_fault(table, str(error))
+    except (ValueError, RecursionError):
+        found = 'nesting too deep or a number too long'
+        return RejectedDocument(name, ROOT, found, 'TOML')
+    return RejectedDocument(name, *place)
+
+
+def _read_table(name: str, text: bytes) -> dict[str, Any] | RejectedDocument:
+    try:
+        decoded = text.decode()
+    except UnicodeDecodeError as error:
+        found = _show_byte(text, error.start)
+        return RejectedDocument(name, ROOT, found, 'UTF-8')
+    long_key = LONG_KEY.search(text)
+    if long_key:
+        found = f'a longer dotted key at byte {long_key.start()}'
+        allowed = f'keys of at most {MAX_KEY_PARTS} parts'
+        return RejectedDocument(name, ROOT, found, allowed)
+    try:
+        return tomllib.loads(decoded)
+    except tomllib.TOMLDecodeError as error:
+        return RejectedDocument(name, ROOT, str(error)[-MAX_SHOWN:], 'TOML')
+    except (ValueError, RecursionError):
+        found = 'nesting too deep or a number too long'
+        return RejectedDocument(name, ROOT, found, 'TOML')
+
+
+def _show_byte(text: bytes, offset: int) -> str:
+    code = hex(text[offset])
+    return f'{code} at byte {offset}'
--- /dev/null
+++ b/src/ospreyford/documents/picture.py
@@ -0,0 +1,206 @@
+"""The one picture that all documents in force make together."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from functools import cached_property
+
+from ospreyford.documents.capacity import (
+    CapacityPool,
+    DrainRequest,
+    PlacementWeights,
+)
+from ospreyford.documents.claims import Claim
+from ospreyford.documents.conflicts import Conflict
+from ospreyford.documents.fleet import find_drain, is_member, label_host
+from ospreyford.documents.limits import (
+    EffectiveLimit,
+    LimitBook,
+    LimitTables,
+)
+from ospreyford.documents.overlaps import find_conflicts
+from ospreyford.documents.parsing import RejectedDocument
+from ospreyford.documents.pools import Homes, collect_homes
+from ospreyford.documents.routes import (
+    NoRoute,
+    Route,
+    Router,
+    RouteTables,
+)
+from ospreyford.documents.selectors import Labels
+from ospreyford.documents.subjects import AnyService
+from ospreyford.documents.tables import Tables
+from ospreyford.ports.fleet import Host
+
+
+class Picture:
+    """What the documents in force say; never changes once it is made.
+
+    :param tables: the documents in force.
+    :param rejected: documents whose newest revision is not in force.
+    :param digest: equal exactly when the same documents are in force.
+    """
+
+    def __init__(
+        self,
+        tables: Tables,
+        rejected: tuple[RejectedDocument, ...] = (),
+        digest: int = 0,
+    ) -> None:
+        self.tables = tables
+        self.rejected = rejected
+        self.digest = format(digest, '032x')
+        self.router = Router(_route_tables(tables))
+        self.limits = LimitBook(LimitTables(tables.customers, tables.limits))
+        self._homes: dict[str, Homes] = {}
+
+    def advance(
+        self,
+        tables: Tables,
+        rejected: tuple[RejectedDocument, ...],
+        digest: int,
+    ) -> Picture:
+        """Make the next picture.
+
+        :param tables: the documents in force next.
+        :param rejected: documents whose newest revision is not in force.
+        :param digest: says which documents are in force.
+        :returns: the next picture; it keeps the remembered answers that the
+            changed documents cannot have changed.
+        """
+        following = Picture(tables, rejected, digest)
+        if following.router.tables == self.router.tables:
+            following.router = self.router
+        if following.limits.tables == self.limits.tables:
+            following.limits = self.limits
+        return following
+
+    def route(self, customer: str, service: str) -> Route | NoRoute:
+        """Say how a customer's requests to a service are served.
+
+        :param customer: the customer's id.
+        :param service: the service's name.
+        :returns: the route, or why there is none.
+        """
+        return self.router.route(customer, service)
+
+    def limit_of(self, customer: str) -> EffectiveLimit | None:
+        """Say what a customer may use.
+
+        :param customer: the customer's id.
+        :returns: the limit, or ``None`` for a customer that no document
+            names and that is not to be served.
+        """
+        return self.limits.limit_of(customer)
+
+    def service(self, name: str) -> AnyService | None:
+        """Look up a service.
+
+        :param name: the service's name.
+        :returns: its document in force, or ``None``.
+        """
+        claim = self.tables.services.winner(name)
+        return claim.body if claim else None
+
+    def pool(self, name: str) -> CapacityPool | None:
+        """Look up a capacity pool.
+
+        :param name: the pool's name.
+        :returns: its document in force, or ``None``.
+        """
+        claim = self.tables.pools.winner(name)
+        return claim.body if claim else None
+
+    def placement(self, service: str) -> PlacementWeights | None:
+        """Look up what expert placement of a service weighs.
+
+        :param service: the service's name.
+        :returns: the document in force, or ``None``.
+        """
+        claim = self.tables.placements.winner(service)
+        return claim.body if claim else None
+
+    def labels_of(self, host: Host) -> Labels:
+        """Give the labels that selectors see of a host.
+
+        :param host: the host.
+        :returns: platform's and published labels together.
+        """
+        return label_host(self.tables.hosts, host)
+
+    def members(self, pool: str, hosts: Iterable[Host]) -> tuple[Host, ...]:
+        """Select the hosts of a pool.
+
+        :param pool: the pool's name.
+        :param hosts: the hosts to choose from.
+        :returns: its members in the given order, draining and leaving ones
+            among them.
+        """
+        found = self.pool(pool)
+        if found is None:
+            return ()
+        return tuple(
+            host
+            for host in hosts
+            if is_member(found, host, self.labels_of(host))
+        )
+
+    def drain_of(self, host: Host) -> DrainRequest | None:
+        """Look up a host's drain request.
+
+        :param host: the host.
+        :returns: the request in force, or ``None``.
+        """
+        claim = self.drain_document_of(host)
+        return claim.body if claim else None
+
+    def drain_document_of(self, host: Host) -> Claim[DrainRequest] | None:
+        """Look up a host's drain request with its document's name.
+
+        :param host: the host.
+        :returns: name and body of the request in force, or ``None``.
+        """
+        labels = self.labels_of(host)
+        return find_drain(self.tables.drains, host, labels)
+
+    def homes(self, service: str) -> Homes:
+        """Say who holds the idempotency keys of a service.
+
+        :param service: the service's name.
+        :returns: the backend servers' names; none when no pool of the
+            service declares any.
+        """
+        homes = self._homes.get(service)
+        if homes is None:
+            homes = collect_homes(
+                claim.body
+                for claim in self.tables.pools.claims()
+                if claim.body.service == service
+            )
+            if self.service(service) is not None:
+                self._homes[service] = homes
+        return homes
+
+    def services(self) -> Iterator[AnyService]:
+        """List the services.
+
+        :returns: their documents in force, in no certain order.
+        """
+        return (claim.body for claim in self.tables.services.winners())
+
+    @cached_property
+    def conflicts(self) -> tuple[Conflict, ...]:
+        """List what documents disagree about; computed when first asked.
+
+        :returns: the conflicts, sorted.
+        """
+        return find_conflicts(self.tables, self.router, self.limits)
+
+
+def _route_tables(tables: Tables) -> RouteTables:
+    return RouteTables(
+        tables.customers,
+        tables.services,
+        tables.pools,
+        tables.intents,
+    )
--- /dev/null
+++ b/src/ospreyford/documents/resolver.py
@@ -0,0 +1,65 @@
+"""Keeps the picture current, document by document."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ospreyford.documents.digest import replace_digest
+from ospreyford.documents.history import (
+    Change,
+    DocumentEntry,
+    DocumentHistory,
+)
+from ospreyford.documents.picture import Picture
+from ospreyford.documents.tables import empty_tables
+
+
+class Resolver:
+    """Takes in revisions and gives the picture that follows from them.
+
+    The picture depends on the set of revisions taken in and on nothing
+    else: not on their order, grouping or repetition.
+    """
+
+    def __init__(self) -> None:
+        self.history = DocumentHistory()
+        self.picture = Picture(empty_tables())
+        self._digest = 0
+
+    def record(self, entries: Iterable[DocumentEntry]) -> Picture:
+        """Take in revisions.
+
+        The cost grows with the documents that changed and, by one copy of a
+        table's index, with those of the same kinds.
+
+        :param entries: any revisions; older and known ones change nothing.
+        :returns: the picture now; the same object when nothing changed.
+        """
+        recorded = (self.history.record(entry) for entry in entries)
+        changes = [change for change in recorded if change is not None]
+        if changes:
+            self.picture = self._advance(changes)
+        return self.picture
+
+    def _advance(self, changes: list[Change]) -> Picture:
+        for change in changes:
+            self._digest = replace_digest(
+                self._digest, change.before, change.after
+            )
+        return self.picture.advance(
+            self.picture.tables.replaced(changes),
+            self.history.rejected(),
+            self._digest,
+        )
+
+
+def resolve_picture(entries: Iterable[DocumentEntry]) -> Picture:
+    """Resolve a set of revisions.
+
+    Of each name the newest well-formed revision is in force; a newer one
+    that is malformed is reported.
+
+    :param entries: the revisions, several of a name at will.
+    :returns: the picture, a pure function of the set.
+    """
+    return Resolver().record(entries)
--- /dev/null
+++ b/src/ospreyford/documents/routes.py
@@ -0,0 +1,226 @@
+"""Which pools serve a customer's requests to a service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import NamedTuple, TypeAlias
+
+from ospreyford.documents.capacity import CapacityPool
+from ospreyford.documents.claims import ClaimTable
+from ospreyford.documents.conflicts import Precedence, Rule, rank, rule_between
+from ospreyford.documents.customers import Customer, CustomerBook, classify
+from ospreyford.documents.index import SelectorIndex
+from ospreyford.documents.intents import (
+    Allowances,
+    RoutingIntent,
+    ZonePreference,
+)
+from ospreyford.documents.selectors import Selector
+from ospreyford.documents.subjects import AnyService
+
+#: Beyond this many remembered answers all are forgotten: a fleet in which
+#: each customer has labels of its own must not fill the memory.
+MAX_REMEMBERED = 16_384
+
+
+class Route(NamedTuple):
+    """How a customer's requests to a service are served.
+
+    ``pools`` are names of capacity pools, the preferred first; ``document``
+    is the routing intent that won.
+    """
+
+    service: str
+    pools: tuple[str, ...]
+    document: str
+    request_priority: int
+    model_version: str | None
+    adapter: str | None
+    allowances: Allowances
+    zone_preference: ZonePreference
+
+
+class UnknownCustomer(NamedTuple):
+    """No document in force names the customer."""
+
+    customer: str
+
+
+class UnknownService(NamedTuple):
+    """No document in force names the service."""
+
+    service: str
+
+
+class NoMatchingIntent(NamedTuple):
+    """No routing intent selects both the customer and the service."""
+
+    service: str
+
+
+class NoPool(NamedTuple):
+    """None of the winning intent's pools is in force for the service."""
+
+    document: str
+    pools: tuple[str, ...]
+
+
+Reason: TypeAlias = UnknownCustomer | UnknownService | NoMatchingIntent | NoPool
+
+
+class NoRoute(NamedTuple):
+    """A customer's requests to a service cannot be served."""
+
+    reason: Reason
+
+
+class MatchedIntent(NamedTuple):
+    """A routing intent that selects a customer and a service."""
+
+    precedence: Precedence
+    body: RoutingIntent
+
+    @property
+    def name(self) -> str:
+        """Name the document.
+
+        :returns: its name.
+        """
+        return self.precedence.name
+
+    def rule_over(self, other: MatchedIntent) -> Rule:
+        """Say why this intent wins over another.
+
+        :param other: an intent that comes later.
+        :returns: the first rule in which they differ.
+        """
+        return rule_between(self.precedence, other.precedence)
+
+
+class RouteTables(NamedTuple):
+    """The documents that routes follow from."""
+
+    customers: CustomerBook
+    services: ClaimTable[AnyService]
+    pools: ClaimTable[CapacityPool]
+    intents: SelectorIndex[RoutingIntent]
+
+
+class Router:
+    """Answers for routes, and remembers the answers.
+
+    Customers with the same labels share an answer.
+
+    :param tables: the documents that routes follow from.
+    """
+
+    def __init__(self, tables: RouteTables) -> None:
+        self.tables = tables
+        self._mentioned: frozenset[str] | None = None
+        self._routes: dict[tuple[Customer, str], Route | NoRoute] = {}
+
+    def route(self, customer: str, service: str) -> Route | NoRoute:
+        """Look up a route.
+
+        :param customer: the customer's id.
+        :param service: the service's name.
+        :returns: the route, or why there is none.
+        """
+        found = self.classify(customer)
+        if found is None:
+            return NoRoute(UnknownCustomer(customer))
+        route = self._routes.get((found, service))
+        if route is None:
+            route = self._resolve(found, service)
+        return route
+
+    def classify(self, customer: str) -> Customer | None:
+        """Find what all customers with the same routes have in common.
+
+        :param customer: the customer's id.
+        :returns: the class, or ``None`` when no document names it.
+        """
+        if self._mentioned is None:
+            self._mentioned = self.tables.intents.texts_of('customer')
+        return classify(self.tables.customers, customer, self._mentioned)
+
+    def matching(self, customer: Customer, service: str) -> list[MatchedIntent]:
+        """Find the intents about a customer and a service.
+
+        :param customer: the customer's class.
+        :param service: the service's name.
+        :returns: the intents, the winner first.
+        """
+        claim = self.tables.services.winner(service)
+        if claim is None:
+            return []
+        labels = {**claim.body.labels, 'service': service}
+        return sorted(
+            MatchedIntent(_precedence(name, body), body)
+            for name, body in self.tables.intents.matching(customer.labels())
+            if service_selector(body).matches(labels)
+        )
+
+    def usable_pools(
+        self, intent: RoutingIntent, service: str
+    ) -> Iterator[str]:
+        """List an intent's pools that are in force for the service.
+
+        :param intent: the routing intent.
+        :param service: the service's name.
+        :returns: the pools' names in the intent's order.
+        """
+        for name in dict.fromkeys(intent.pools):
+            pool = self.tables.pools.winner(name)
+            if pool is not None and pool.body.service == service:
+                yield name
+
+    def _resolve(self, found: Customer, service: str) -> Route | NoRoute:
+        if self.tables.services.winner(service) is None:
+            return NoRoute(UnknownService(service))
+        route = self._build(self.matching(found, service), service)
+        if len(self._routes) >= MAX_REMEMBERED:
+            self._routes.clear()
+        self._routes[found, service] = route
+        return route
+
+    def _build(
+        self, matched: list[MatchedIntent], service: str
+    ) -> Route | NoRoute:
+        if not matched:
+            return NoRoute(NoMatchingIntent(service))
+        winner = matched[0]
+        intent = winner.body
+        pools = tuple(self.usable_pools(intent, service))
+        if not pools:
+            return NoRoute(NoPool(winner.name, intent.pools))
+        return Route(
+            service,
+            pools,
+            winner.name,
+            intent.request_priority,
+            intent.model_version,
+            intent.adapter,
+            intent.allowances,
+            intent.zone_preference,
+        )
+
+
+def service_selector(intent: RoutingIntent) -> Selector:
+    """Give the selector over services of a routing intent.
+
+    :param intent: the routing intent.
+    :returns: its selector; a service's name counts as one ``equals`` term.
+    """
+    if intent.services is not None:
+        return intent.services
+    return Selector(labels={'service': intent.service or ''})
+
+
+def _precedence(name: str, body: RoutingIntent) -> Precedence:
+    specificity = body.customers.specificity()
+    return rank(
+        name,
+        body,
+        specificity.joined(service_selector(body).specificity()),
+    )
