--- a/src/ospreyford/documents/fleet.py
+++ b/src/ospreyford/documents/fleet.py
@@ -56,17 +56,11 @@
     return min(matching, key=lambda claim: claim.name, default=None)
 
 
-def is_member(pool: CapacityPool, host: Host, labels: Labels) -> bool:
-    """Tell whether a host belongs to a pool.
+def is_candidate(pool: CapacityPool, host: Host) -> bool:
+    """Tell whether a pool's selector decides over a host.
 
     :param pool: the pool.
     :param host: the host.
-    :param labels: what selectors see of it.
-    :returns: whether it is a backend server of the pool's service that the
-        pool selects; draining and leaving ones belong to it too.
+    :returns: whether it is a backend server host of the pool's service.
     """
-    return (
-        host.role == BACKEND_ROLE
-        and host.service == pool.service
-        and pool.hosts.matches(labels)
-    )
+    return host.role == BACKEND_ROLE and host.service == pool.service
--- a/src/ospreyford/documents/limits.py
+++ b/src/ospreyford/documents/limits.py
@@ -45,51 +45,48 @@
     documents: tuple[str, ...] = ()
 
 
-class LimitTables(NamedTuple):
-    """The documents that limits follow from."""
-
-    customers: CustomerBook
-    limits: SelectorIndex[CustomerLimit]
-
-
 class LimitBook:
     """Answers for limits, and remembers the answers.
 
-    :param tables: the documents that limits follow from.
+    :param limits: the limits by selector.
     """
 
-    def __init__(self, tables: LimitTables) -> None:
-        self.tables = tables
+    def __init__(self, limits: SelectorIndex[CustomerLimit]) -> None:
+        self.limits = limits
         self._mentioned: frozenset[str] | None = None
         self._effective: dict[Customer, EffectiveLimit] = {}
 
-    def limit_of(self, customer: str) -> EffectiveLimit | None:
+    def limit_of(
+        self, book: CustomerBook, customer: str
+    ) -> EffectiveLimit | None:
         """Combine the limits of a customer.
 
+        :param book: the customers' labels.
         :param customer: the customer's id.
         :returns: the strictest of each key, or ``None`` for a customer that
             no document names.
         """
-        found = self.classify(customer)
+        found = self.classify(book, customer)
         if found is None:
             return None
         effective = self._effective.get(found)
         if effective is None:
-            effective = _combine(self.tables.limits.matching(found.labels()))
+            effective = _combine(self.limits.matching(found.labels()))
             if len(self._effective) >= MAX_REMEMBERED:
                 self._effective.clear()
             self._effective[found] = effective
         return effective
 
-    def classify(self, customer: str) -> Customer | None:
+    def classify(self, book: CustomerBook, customer: str) -> Customer | None:
         """Find what all customers with the same limits have in common.
 
+        :param book: the customers' labels.
         :param customer: the customer's id.
         :returns: the class, or ``None`` when no document names it.
         """
         if self._mentioned is None:
-            self._mentioned = self.tables.limits.texts_of('customer')
-        return classify(self.tables.customers, customer, self._mentioned)
+            self._mentioned = self.limits.texts_of('customer')
+        return classify(book, customer, self._mentioned)
 
     def conflicts(self, customer: Customer) -> Iterator[Conflict]:
         """List the limits of a customer that differ.
@@ -97,7 +94,7 @@
         :param customer: the customer's class.
         :returns: one conflict for each value that lost.
         """
-        claims = list(self.tables.limits.matching(customer.labels()))
+        claims = list(self.limits.matching(customer.labels()))
         for key in STRICT_KEYS:
             yield from _key_conflicts(claims, key)
         yield from _weight_conflicts(claims)
--- a/src/ospreyford/documents/overlaps.py
+++ b/src/ospreyford/documents/overlaps.py
@@ -35,11 +35,12 @@
 
 
 def _route_conflicts(tables: Tables, router: Router) -> Iterator[Conflict]:
-    groups = {router.classify(customer) for customer in tables.customers.keys()}
+    book = tables.customers
+    groups = {router.classify(book, customer) for customer in book.keys()}
     services = [claim.body.name for claim in tables.services.winners()]
     for group in groups:
-        for service in services:
-            if group is not None:
+        if group is not None:
+            for service in services:
                 yield from _intent_conflicts(router.matching(group, service))
 
 
@@ -67,7 +68,8 @@
 
 
 def _limit_conflicts(tables: Tables, limits: LimitBook) -> Iterator[Conflict]:
-    groups = {limits.classify(customer) for customer in tables.customers.keys()}
+    book = tables.customers
+    groups = {limits.classify(book, customer) for customer in book.keys()}
     for group in groups:
         if group is not None:
             yield from limits.conflicts(group)
--- a/src/ospreyford/documents/picture.py
+++ b/src/ospreyford/documents/picture.py
@@ -12,11 +12,10 @@
 )
 from ospreyford.documents.claims import Claim
 from ospreyford.documents.conflicts import Conflict
-from ospreyford.documents.fleet import find_drain, is_member, label_host
+from ospreyford.documents.fleet import find_drain, is_candidate, label_host
 from ospreyford.documents.limits import (
     EffectiveLimit,
     LimitBook,
-    LimitTables,
 )
 from ospreyford.documents.overlaps import find_conflicts
 from ospreyford.documents.parsing import RejectedDocument
@@ -51,7 +50,7 @@
         self.rejected = rejected
         self.digest = format(digest, '032x')
         self.router = Router(_route_tables(tables))
-        self.limits = LimitBook(LimitTables(tables.customers, tables.limits))
+        self.limits = LimitBook(tables.limits)
         self._homes: dict[str, Homes] = {}
 
     def advance(
@@ -71,7 +70,7 @@
         following = Picture(tables, rejected, digest)
         if following.router.tables == self.router.tables:
             following.router = self.router
-        if following.limits.tables == self.limits.tables:
+        if tables.limits is self.tables.limits:
             following.limits = self.limits
         return following
 
@@ -82,7 +81,7 @@
         :param service: the service's name.
         :returns: the route, or why there is none.
         """
-        return self.router.route(customer, service)
+        return self.router.route(self.tables.customers, customer, service)
 
     def limit_of(self, customer: str) -> EffectiveLimit | None:
         """Say what a customer may use.
@@ -91,7 +90,7 @@
         :returns: the limit, or ``None`` for a customer that no document
             names and that is not to be served.
         """
-        return self.limits.limit_of(customer)
+        return self.limits.limit_of(self.tables.customers, customer)
 
     def service(self, name: str) -> AnyService | None:
         """Look up a service.
@@ -142,7 +141,8 @@
         return tuple(
             host
             for host in hosts
-            if is_member(found, host, self.labels_of(host))
+            if is_candidate(found, host)
+            and found.hosts.matches(self.labels_of(host))
         )
 
     def drain_of(self, host: Host) -> DrainRequest | None:
@@ -199,7 +199,6 @@
 
 def _route_tables(tables: Tables) -> RouteTables:
     return RouteTables(
-        tables.customers,
         tables.services,
         tables.pools,
         tables.intents,
--- a/src/ospreyford/documents/routes.py
+++ b/src/ospreyford/documents/routes.py
@@ -15,7 +15,7 @@
     RoutingIntent,
     ZonePreference,
 )
-from ospreyford.documents.selectors import Selector
+from ospreyford.documents.selectors import Labels, Selector
 from ospreyford.documents.subjects import AnyService
 
 #: Beyond this many remembered answers all are forgotten: a fleet in which
@@ -98,9 +98,8 @@
 
 
 class RouteTables(NamedTuple):
-    """The documents that routes follow from."""
+    """The documents that routes follow from, beside the customers' labels."""
 
-    customers: CustomerBook
     services: ClaimTable[AnyService]
     pools: ClaimTable[CapacityPool]
     intents: SelectorIndex[RoutingIntent]
@@ -109,7 +108,8 @@
 class Router:
     """Answers for routes, and remembers the answers.
 
-    Customers with the same labels share an answer.
+    Customers with the same labels share an answer, so a changed label moves
+    a customer to another answer and makes none of them wrong.
 
     :param tables: the documents that routes follow from.
     """
@@ -117,16 +117,20 @@
     def __init__(self, tables: RouteTables) -> None:
         self.tables = tables
         self._mentioned: frozenset[str] | None = None
+        self._selecting: dict[Customer, tuple[MatchedIntent, ...]] = {}
         self._routes: dict[tuple[Customer, str], Route | NoRoute] = {}
 
-    def route(self, customer: str, service: str) -> Route | NoRoute:
+    def route(
+        self, book: CustomerBook, customer: str, service: str
+    ) -> Route | NoRoute:
         """Look up a route.
 
+        :param book: the customers' labels.
         :param customer: the customer's id.
         :param service: the service's name.
         :returns: the route, or why there is none.
         """
-        found = self.classify(customer)
+        found = self.classify(book, customer)
         if found is None:
             return NoRoute(UnknownCustomer(customer))
         route = self._routes.get((found, service))
@@ -134,15 +138,34 @@
             route = self._resolve(found, service)
         return route
 
-    def classify(self, customer: str) -> Customer | None:
+    def classify(self, book: CustomerBook, customer: str) -> Customer | None:
         """Find what all customers with the same routes have in common.
 
+        :param book: the customers' labels.
         :param customer: the customer's id.
         :returns: the class, or ``None`` when no document names it.
         """
         if self._mentioned is None:
             self._mentioned = self.tables.intents.texts_of('customer')
-        return classify(self.tables.customers, customer, self._mentioned)
+        return classify(book, customer, self._mentioned)
+
+    def selecting(self, customer: Customer) -> tuple[MatchedIntent, ...]:
+        """Find the intents that select a customer, for whatever service.
+
+        :param customer: the customer's class.
+        :returns: the intents in the order of precedence.
+        """
+        selecting = self._selecting.get(customer)
+        if selecting is None:
+            claims = self.tables.intents.matching(customer.labels())
+            matched = [
+                MatchedIntent(_precedence(*one), one.body) for one in claims
+            ]
+            selecting = tuple(sorted(matched))
+            if len(self._selecting) >= MAX_REMEMBERED:
+                self._selecting.clear()
+            self._selecting[customer] = selecting
+        return selecting
 
     def matching(self, customer: Customer, service: str) -> list[MatchedIntent]:
         """Find the intents about a customer and a service.
@@ -154,12 +177,12 @@
         claim = self.tables.services.winner(service)
         if claim is None:
             return []
-        labels = {**claim.body.labels, 'service': service}
-        return sorted(
-            MatchedIntent(_precedence(name, body), body)
-            for name, body in self.tables.intents.matching(customer.labels())
-            if service_selector(body).matches(labels)
-        )
+        labels = label_service(claim.body)
+        return [
+            matched
+            for matched in self.selecting(customer)
+            if service_selector(matched.body).matches(labels)
+        ]
 
     def usable_pools(
         self, intent: RoutingIntent, service: str
@@ -206,6 +229,15 @@
         )
 
 
+def label_service(service: AnyService) -> Labels:
+    """Give the labels that selectors see of a service.
+
+    :param service: the service.
+    :returns: its labels, and its name under ``service``.
+    """
+    return {**service.labels, 'service': service.name}
+
+
 def service_selector(intent: RoutingIntent) -> Selector:
     """Give the selector over services of a routing intent.
 
--- a/src/ospreyford/documents/subjects.py
+++ b/src/ospreyford/documents/subjects.py
@@ -4,6 +4,7 @@
 
 import posixpath
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import Annotated, TypeAlias
 from urllib.parse import unquote
 
@@ -25,6 +26,9 @@
 
 BELOW = '/*'
 
+#: Distinct label tables of which equal ones are shared.
+MAX_SHARED = 8192
+
 #: Labels that the system sets itself: a customer's, a host's, a service's.
 CUSTOMER_LABELS = frozenset(('customer',))
 HOST_LABELS = frozenset(('host', 'role', 'zone', 'region', 'service'))
@@ -52,6 +56,8 @@
 
     def __post_init__(self) -> None:
         _refuse_reserved(self.customers.values(), CUSTOMER_LABELS)
+        shared = _share_tables(self.customers)
+        msgspec.structs.force_setattr(self, 'customers', shared)
 
 
 class HostLabels(
@@ -63,6 +69,8 @@
 
     def __post_init__(self) -> None:
         _refuse_reserved(self.hosts.values(), HOST_LABELS)
+        shared = _share_tables(self.hosts)
+        msgspec.structs.force_setattr(self, 'hosts', shared)
 
 
 class Model(PublishedDocument, frozen=True, kw_only=True, tag='model'):
@@ -121,6 +129,21 @@
         raise ReservedLabel(*reserved)
 
 
+def _share_tables(tables: dict[str, LabelTable]) -> dict[str, LabelTable]:
+    # Equal label tables become one: 37,000 customers have a few hundred
+    # combinations of labels, and a table with strings of its own for each
+    # took more memory than a process has for all of its state.
+    return {
+        key: _share_table(tuple(sorted(table.items())))
+        for key, table in tables.items()
+    }
+
+
+@lru_cache(maxsize=MAX_SHARED)
+def _share_table(pairs: tuple[tuple[str, str], ...]) -> LabelTable:
+    return dict(pairs)
+
+
 def _covers(call: str, method: str, path: str) -> bool:
     declared_method, declared_path = call.split(' ')
     if declared_method != method:
--- /dev/null
+++ b/src/ospreyford/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each module is a program that prints its tables."""
