--- a/tests/agent/test_record.py
+++ b/tests/agent/test_record.py
@@ -130,7 +130,7 @@
         record.memory.sweep()
         retry = make_start(
             'key',
-            f'a{number + 1}',
+            f'retry{number}',
             dated=start.dated,
             expires=_ms(clock, 30),
         )
