--- a/src/ospreyford/standins/hostlist.py
+++ b/src/ospreyford/standins/hostlist.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -102,7 +103,7 @@
             document = msgspec.json.decode(encoded, type=HostDocument)
             self._hosts = {host.name: host for host in document.hosts}
         # What was loaded at the start has been true for ever.
-        self._history.append(_Published(0, tuple(self._hosts.values())))
+        self._history.append(_Published(-math.inf, tuple(self._hosts.values())))
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request.
--- a/src/ospreyford/standins/launcher.py
+++ b/src/ospreyford/standins/launcher.py
@@ -138,7 +138,10 @@
                 raise NotStarted(self.module, self.exit_code, self.errors)
             time.sleep(POLL_SECONDS)
         line = self._output.stdout.read_bytes().partition(b'\n')[0]
-        self.ports = msgspec.json.decode(line, type=dict[str, int])
+        try:
+            self.ports = msgspec.json.decode(line, type=dict[str, int])
+        except msgspec.MsgspecError as error:
+            raise NotStarted(self.module, None, str(error)) from error
 
 
 class Launcher:
--- a/src/ospreyford/standins/process.py
+++ b/src/ospreyford/standins/process.py
@@ -33,6 +33,7 @@
 
 IDLE_SECONDS = 3_600
 MAX_BODY_BYTES = 16_777_216
+BODILESS_METHODS = frozenset(('GET', 'DELETE'))
 
 #: Idle connections of a pool stay open; bodies may be large documents.
 LIMITS = Limits(idle_seconds=IDLE_SECONDS, body_bytes=MAX_BODY_BYTES)
@@ -189,6 +190,10 @@
         await serve_connection(sock, LIMITS, self.serve)
 
     async def serve(self, exchange: Exchange) -> None:
+        # An unread body, even an empty one, ends the connection after the
+        # answer, and a caller that reuses it loses its next request.
+        if exchange.request.method in BODILESS_METHODS:
+            await exchange.read_body()
         try:
             await self._handler(exchange)
         except msgspec.MsgspecError:
