--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -7,10 +7,10 @@
 import pytest
 
 from ospreyford.http.errors import ConnectionLost
-from ospreyford.standins.batch import Completion, Load, make_token
+from ospreyford.standins.batch import Completion, make_token
 from ospreyford.standins.controls import Reply, ask, control, read_journal
 from ospreyford.standins.launcher import Launcher
-from ospreyford.standins.load import LoadHistory
+from ospreyford.standins.load import Load, LoadHistory
 from ospreyford.standins.prefixes import PrefixCache, hash_prefix
 
 ENDLESS = 1_000_000
