--- a/src/ospreyford/peers/answerer.py
+++ b/src/ospreyford/peers/answerer.py
@@ -74,7 +74,7 @@
             self._counters.dropped(Drop.overloaded)
         else:
             running = self._run(frames[0], question, handler)
-            await curio.spawn(running, daemon=True)
+            self._running.add(await curio.spawn(running, daemon=True))
 
     async def stop(self) -> None:
         """Cancel the handlers that still run."""
@@ -99,8 +99,6 @@
         question: Question,
         handler: Handler,
     ) -> None:
-        task = await curio.current_task()
-        self._running.add(task)
         try:
             body = await handler(question.body)
         except Exception:
@@ -108,7 +106,7 @@
             self._counters.dropped(Drop.handler_failed)
             return
         finally:
-            self._running.discard(task)
+            self._running.discard(await curio.current_task())
         if body is not None:
             await self._answer(identity, question, body)
 
--- a/src/ospreyford/peers/asker.py
+++ b/src/ospreyford/peers/asker.py
@@ -88,15 +88,18 @@
                 link, waiting, self._question(nonce, waiting, body)
             )
         finally:
-            link.pending -= 1
             self._waiting.pop(nonce)
-        if link.heard_at < asked_at:
+            await self._release(link, asked_at)
+        return waiting.body
+
+    async def _release(self, link: Link, asked_at: float) -> None:
+        link.pending -= 1
+        if link.heard_at < asked_at and not link.is_retired:
             # Something between the ends may have lost track of the
             # connection: nothing but a new one would ever get through.
             self._counters.replaced += 1
             await self._links.retire(link)
         await self._links.close_if_done(link)
-        return waiting.body
 
     def _question(self, nonce: int, waiting: _Waiting, body: bytes) -> bytes:
         receiver, sent_ms = stamp(self._links.echo(waiting.address))
--- /dev/null
+++ b/tests/peers/test_envelope.py
@@ -0,0 +1,158 @@
+from __future__ import annotations
+
+import time
+
+import curio
+import pytest
+import zmq
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyford.peers import freshness
+from ospreyford.peers.counters import Drop
+from ospreyford.peers.envelope import Answer, Question, decode
+from ospreyford.peers.errors import MalformedEnvelope
+from ospreyford.peers.freshness import Echo, PauseWatch, is_expired, stamp
+from ospreyford.peers.node import PeerNode
+from tests.peers.support import echo, envelope, run_pair
+
+ME = 7
+valid = envelope('echo')
+
+
+@st.composite
+def damaged(draw: st.DrawFn) -> bytes:
+    """Draw a valid envelope with some bytes changed or cut."""
+    payload = bytearray(valid)
+    for _ in range(draw(st.integers(1, 4))):
+        place = draw(st.integers(0, len(payload) - 1))
+        payload[place] = draw(st.integers(0, 255))
+    return bytes(payload[: draw(st.integers(0, len(payload)))])
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.one_of(st.binary(max_size=200), damaged()))
+def test_decode_reads_or_refuses(payload: bytes) -> None:
+    try:
+        envelope = decode(payload)
+    except MalformedEnvelope:
+        return
+    assert isinstance(envelope, Question | Answer)
+
+
+@settings(derandomize=True, max_examples=30, deadline=None)
+@given(
+    st.lists(
+        st.lists(
+            st.one_of(st.binary(max_size=50), damaged()),
+            min_size=1,
+            max_size=4,
+        ),
+        min_size=1,
+        max_size=5,
+    )
+)
+def test_garbage_leaves_the_node_working(messages: list[list[bytes]]) -> None:
+    """Symptom: one peer's garbage ends a process's service to all.
+
+    Sequence: a broken peer sends anything at all, then a good one asks.
+    Cause: an error of decoding that ends the reading task.
+    """
+
+    async def scenario(one: PeerNode, two: PeerNode) -> None:
+        two.serve('echo', echo)
+        context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        broken = context.socket(zmq.DEALER)
+        broken.connect(f'tcp://{two.address}')
+        for frames in messages:
+            broken.send_multipart(frames)
+        # A malformed last message tells that those before it were read.
+        broken.send_multipart([b'last', b'last'])
+        while not two.counters.drops.get(Drop.malformed):
+            await curio.sleep(0.001)
+        assert await one.ask(two.address, 'echo', b'x', 5) == b'x'
+        context.destroy(linger=0)
+
+    run_pair(scenario)
+
+
+def test_bytes_that_are_no_zeromq_leave_the_node_working() -> None:
+    async def scenario(one: PeerNode, two: PeerNode) -> None:
+        two.serve('echo', echo)
+        host, port = two.address.split(':')
+        stream = await curio.open_connection(host, int(port))
+        await stream.sendall(b'GET / HTTP/1.1\r\n\r\n' * 100)
+        assert await one.ask(two.address, 'echo', b'x', 5) == b'x'
+        await stream.close()
+
+    run_pair(scenario)
+
+
+def question(receiver: int, sent_ms: int) -> Question:
+    return Question(
+        nonce=1,
+        sender=2,
+        topic='t',
+        ttl_ms=1000,
+        receiver=receiver,
+        sent_ms=sent_ms,
+        body=b'',
+    )
+
+
+@pytest.mark.parametrize(
+    ('receiver', 'age_ms', 'paused', 'expected'),
+    [
+        pytest.param(ME, 900, 0, False, id='young'),
+        pytest.param(ME, 1100, 0, True, id='too old'),
+        pytest.param(ME, 900, 60, False, id='young, sent after the pause'),
+        pytest.param(ME + 1, 1100, 0, False, id='clock of an earlier life'),
+        pytest.param(0, 0, 0, False, id='first question'),
+        pytest.param(0, 0, 1, False, id='first, short pause'),
+        pytest.param(0, 0, 60, True, id='first, queued through a pause'),
+        pytest.param(ME + 1, 0, 60, True, id='earlier life, pause'),
+    ],
+)
+def test_expiry(
+    monkeypatch: pytest.MonkeyPatch,
+    receiver: int,
+    age_ms: int,
+    paused: float,
+    expected: bool,
+) -> None:
+    now = 5000.0
+    monkeypatch.setattr(time, 'monotonic', lambda: now)
+    watch = PauseWatch()
+    now += paused
+    sent_ms = freshness.clock_ms() - age_ms
+    assert is_expired(question(receiver, sent_ms), ME, watch) is expected
+
+
+def test_pause_is_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = 5000.0
+    monkeypatch.setattr(time, 'monotonic', lambda: now)
+    watch = PauseWatch()
+    now += 60
+    watch.tick()
+    while now < 5063:
+        now += freshness.WATCH_SECONDS
+        watch.tick()
+    assert not is_expired(question(0, 0), ME, watch)
+
+
+@pytest.mark.parametrize(
+    ('elapsed', 'expected'),
+    [
+        (0, (ME, 9000)),
+        (2.5, (ME, 11_500)),
+        (freshness.ECHO_SECONDS + 1, (0, 0)),
+    ],
+)
+def test_stamp(
+    monkeypatch: pytest.MonkeyPatch,
+    elapsed: float,
+    expected: tuple[int, int],
+) -> None:
+    monkeypatch.setattr(time, 'monotonic', lambda: 100 + elapsed)
+    assert stamp(Echo(ME, 9000, 100)) == expected
+    assert stamp(None) == (0, 0)
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -9,12 +9,7 @@
 from ospreyford.peers.errors import AddressUnavailable, TopicTaken
 from ospreyford.peers.node import PeerNode
 from ospreyford.peers.settings import PeerSettings
-
-LOOPBACK = '127.0.0.1:0'
-
-
-async def echo(body: bytes) -> bytes:
-    return body
+from tests.peers.support import LOOPBACK, echo, run_pair
 
 
 async def silent(body: bytes) -> None:
@@ -30,27 +25,6 @@
     return body
 
 
-def run_pair(
-    scenario: Callable[[PeerNode, PeerNode], Awaitable[None]],
-    **bounds: float,
-) -> None:
-    """Run a scenario with two started nodes."""
-
-    async def main() -> None:
-        settings = PeerSettings(address=LOOPBACK, **bounds)  # type: ignore[arg-type]
-        nodes = PeerNode(settings, 'a'), PeerNode(settings, 'b')
-        for node in nodes:
-            await node.start()
-        try:
-            async with curio.timeout_after(20):
-                await scenario(*nodes)
-        finally:
-            for node in nodes:
-                await node.stop()
-
-    curio.run(main)
-
-
 def test_questions_get_their_own_answers() -> None:
     async def scenario(one: PeerNode, two: PeerNode) -> None:
         two.serve('echo', echo)
