Cross every fault with every step of the request path

A network in the tests forwards whole frames between the real entry and the real agent and fails at one named frame. A retry's refusal lost after the agent's new life began: the question on the fresh connection voided a key that the earlier life had run, and the caller was told "not run". The question now judges the key's date as the start does. Test: test_new_life_does_not_void_what_an_earlier_one_ran. 2. The rig's incarnations are unique now, as the product's are. Left out: crossing a frame that an entry sends; nothing on the way renames it.

--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,8 @@
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
 
+faults: setup
+	$(BIN)/python -m tests.faults
+
 clean:
 	rm -rf $(VENV) build
--- a/src/ospreyford/agent/record.py
+++ b/src/ospreyford/agent/record.py
@@ -177,16 +177,15 @@
 
     def _judge_question(self, frame: Follow) -> Denied | None:
         dated = frame.dated / MILLISECONDS
-        stranger = frame.moved or not frame.sent
-        held = self._settings.tombstone_seconds
-        if stranger:
-            held = self._settings.retention_seconds
+        held = self._settings.retention_seconds
+        if frame.fresh:
+            held = self._settings.tombstone_seconds
         # After so long the record may have forgotten that it ran.
         if self._clock.wall() - dated > held:
             return Denied(Refusal.key_expired)
-        # An entry asks about a key that it never sent to this life of the
-        # agent, which knows nothing of what an earlier one ran.
-        if stranger and dated <= self._born + self._settings.skew_seconds:
+        # This life knows nothing of what an earlier one ran under a key.
+        born = self._born + self._settings.skew_seconds
+        if not frame.fresh and dated <= born:
             return Denied(Refusal.predates)
         return None
 
--- a/src/ospreyford/entry/attempt.py
+++ b/src/ospreyford/entry/attempt.py
@@ -175,6 +175,7 @@
             dated=self._start.dated,
             next_sequence=self.answer.sequence,
             incarnation=self._incarnation,
+            fresh=self._start.fresh,
             moved=moved,
             sent=sent,
         )
--- a/src/ospreyford/entry/call.py
+++ b/src/ospreyford/entry/call.py
@@ -40,13 +40,14 @@
     """What the published documents say of a customer's calls to a service.
 
     ``pools`` holds the hosts of each capacity pool, the preferred pool
-    first. ``homes`` are the backend servers that hold idempotency keys.
+    first. ``engine_priority`` is handed to the engine, 9 being the most
+    urgent. ``homes`` are the backend servers that hold idempotency keys.
     """
 
     pools: tuple[tuple[Host, ...], ...]
     limit: Limit
-    weight: float
     priority: Priority
+    engine_priority: int
     version: str | None
     adapter: str | None
     homes: tuple[Home, ...]
--- a/src/ospreyford/entry/dispatcher.py
+++ b/src/ospreyford/entry/dispatcher.py
@@ -38,6 +38,7 @@
     from ospreyford.entry.call import Call, Directory, Plan
     from ospreyford.entry.settings import AttemptSettings, RequestSettings
     from ospreyford.entry.sink import Sink
+    from ospreyford.http.message import Headers
     from ospreyford.ports.clock import Clock
     from ospreyford.ports.fleet import Host
     from ospreyford.routing.query import Reason
@@ -56,6 +57,7 @@
     kind: AttemptKind
     execution: str
     dated: int
+    headers: Headers
 
 
 class Dispatcher:
@@ -179,7 +181,7 @@
         for hosts in plan.pools:
             choice = self._router.choose(query, hosts, now)
             if isinstance(choice, Choice):
-                return _make_sending(call, choice.host, number)
+                return _make_sending(call, plan, choice.host, number)
             refusal = choice
         return NotRun(_name_cause(refusal.reason), refusal.retry_after)
 
@@ -194,7 +196,13 @@
             host = self._directory.find_host(home)
             if host is None:
                 break
-            sending = Sending(host, AttemptKind.first, identity, call.dated)
+            sending = Sending(
+                host,
+                AttemptKind.first,
+                identity,
+                call.dated,
+                _make_headers(plan),
+            )
             outcome = await self._send(call, sending, sink)
             if not _goes_to_next_home(outcome):
                 return self._settle_keyed(outcome)
@@ -219,6 +227,7 @@
             AttemptKind.retry,
             _name_key(call),
             call.dated,
+            headers=(),
         )
         attempt = self._make_attempt(call, sending, sink)
         return await attempt.ask(host, moved=moved)
@@ -262,7 +271,7 @@
             fingerprint=_fingerprint(call),
             method=call.method,
             target=call.target,
-            headers=call.headers,
+            headers=call.headers + sending.headers,
             body=call.body,
         )
         return Attempt(
@@ -307,12 +316,22 @@
             return False
 
 
-def _make_sending(call: Call, host: Host, number: int) -> Sending:
+def _make_sending(call: Call, plan: Plan, host: Host, number: int) -> Sending:
     kind = AttemptKind.retry if number else AttemptKind.first
     # An idempotent call may run twice, so each sending has an id of its own;
     # any other keeps one id wherever it goes.
     execution = make_id() if call.idempotent else call.request_id
-    return Sending(host, kind, execution, read_date(execution) or 0)
+    dated = read_date(execution) or 0
+    return Sending(host, kind, execution, dated, _make_headers(plan))
+
+
+def _make_headers(plan: Plan) -> Headers:
+    fields = [(b'x-priority', str(plan.engine_priority).encode())]
+    if plan.version:
+        fields.append((b'x-model-version', plan.version.encode()))
+    if plan.adapter:
+        fields.append((b'x-adapter', plan.adapter.encode()))
+    return tuple(fields)
 
 
 def _make_query(
--- /dev/null
+++ b/src/ospreyford/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform's host list."""
--- a/src/ospreyford/wire/frame.py
+++ b/src/ospreyford/wire/frame.py
@@ -108,6 +108,8 @@
     :param next_sequence: the first frame of the answer still missing.
     :param incarnation: the incarnation that the start was sent to. Another
         one knows nothing of it and must not void it.
+    :param fresh: the entry made the id itself, so that no earlier life of the
+        agent can have run it.
     :param moved: the id is to run on another backend server from now on.
     :param sent: a start may be under way, which is to be voided. Otherwise
         the question leaves no trace.
@@ -117,6 +119,7 @@
     dated: int
     next_sequence: int
     incarnation: str
+    fresh: bool
     moved: bool = False
     sent: bool = True
 
--- a/tests/agent/frames.py
+++ b/tests/agent/frames.py
@@ -31,5 +31,6 @@
         'dated': 0,
         'next_sequence': 0,
         'incarnation': INCARNATION,
+        'fresh': False,
     }
     return Follow(execution=execution, attempt=attempt, **defaults | changes)
--- a/tests/agent/test_record.py
+++ b/tests/agent/test_record.py
@@ -97,7 +97,12 @@
     """
     dated = _ms(clock)
     start = make_start(
-        'id', 'a1', dated=dated, expires=_ms(clock, 30), idempotent=True
+        'id',
+        'a1',
+        dated=dated,
+        expires=_ms(clock, 30),
+        idempotent=True,
+        fresh=True,
     )
     begun = record.start(start)
     assert isinstance(begun, Begun)
@@ -106,7 +111,8 @@
     for _ in range(30):
         clock.advance(10)
         record.memory.sweep()
-        verdict = record.follow(make_follow('id', 'a1', dated=dated))
+        asked = make_follow('id', 'a1', dated=dated, fresh=True)
+        verdict = record.follow(asked)
         assert verdict != Denied(Refusal.voided)
 
 
@@ -176,6 +182,25 @@
     assert record.follow(question) == Denied(reason)
 
 
+def test_new_life_does_not_void_what_an_earlier_one_ran(
+    clock: FakeClock,
+) -> None:
+    """A restarted agent must not say "not run" of an older key.
+
+    Symptom: "not run" for a key that the journal shows as run.
+    Sequence: the key runs; the agent is killed and starts anew; the caller
+    retries; the new life's refusal is lost on the way; the entry asks again
+    on a fresh connection.
+    Cause: the question, unlike the start, did not look at the key's date.
+    Found by the pairs of the fault matrix.
+    """
+    dated = _ms(clock)
+    clock.advance(1)
+    record = ExecutionRecord(SETTINGS, INCARNATION, clock)
+    verdict = record.follow(make_follow('key', 'a2', dated=dated))
+    assert verdict == Denied(Refusal.predates)
+
+
 def test_question_of_a_stranger_leaves_no_trace(
     record: ExecutionRecord, clock: FakeClock
 ) -> None:
--- a/tests/agent/test_record_machine.py
+++ b/tests/agent/test_record_machine.py
@@ -109,6 +109,7 @@
             start.attempt,
             dated=start.dated,
             incarnation=life,
+            fresh=start.idempotent,
         )
         if self.homes[0].record.follow(asked) == Denied(Refusal.voided):
             assert not self._ran(start)
@@ -174,7 +175,8 @@
         return None
 
     def _ran(self, start: Start) -> bool:
-        return start.idempotent and bool(self.runs[start.execution])
+        # A key's other sendings may have run here and been found not to.
+        return bool(self.runs[start.execution])
 
     def _make(self, key: Any) -> Start:
         identity, dated, idempotent = key
@@ -189,6 +191,7 @@
             dated=int(now * 1000) if idempotent else dated,
             expires=int((now + LIFETIME) * 1000),
             idempotent=idempotent,
+            fresh=idempotent,
         )
 
 
--- /dev/null
+++ b/tests/faults/__main__.py
@@ -0,0 +1,104 @@
+"""Prints the fault matrix: ``make faults``."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Sequence
+from multiprocessing import Pool
+
+import curio
+from tabulate import tabulate
+
+from tests.faults.cells import (
+    STEPS,
+    Cell,
+    Mode,
+    Verdict,
+    list_pair_cells,
+    list_single_cells,
+    run_cells,
+)
+from tests.faults.network import Kind
+
+WORKERS = 6
+AT_ONCE = 20
+SHARES = 60
+
+
+def run_share(cells: Sequence[Cell]) -> list[Verdict]:
+    """Run a share of the cells in this process."""
+    logging.disable(logging.WARNING)
+    verdicts: list[Verdict] = curio.run(run_cells, cells, AT_ONCE)
+    return verdicts
+
+
+def run_all(cells: list[Cell]) -> list[Verdict]:
+    """Run cells over a few processes."""
+    shares = [cells[number::SHARES] for number in range(SHARES)]
+    with Pool(WORKERS) as pool:
+        parts = pool.map(run_share, [share for share in shares if share], 1)
+    return [verdict for part in parts for verdict in part]
+
+
+def print_singles(verdicts: list[Verdict]) -> None:
+    """Print a table for each kind of request: step by fault."""
+    found = {
+        (verdict.cell.mode, verdict.cell.faults[0]): verdict
+        for verdict in verdicts
+    }
+    for mode in Mode:
+        rows = [
+            [step, *(_show(found.get((mode, (step, kind)))) for kind in Kind)]
+            for step in STEPS
+        ]
+        print(f'\n{mode} request, one fault at the named frame')
+        headers = ['step', *(kind.value for kind in Kind)]
+        print(tabulate(rows, headers=headers, tablefmt='github'))
+
+
+def print_pairs(verdicts: list[Verdict]) -> None:
+    """Print outcomes of pairs by the first fault's step and kind."""
+    counted: defaultdict[tuple[str, str], Counter[str]] = defaultdict(Counter)
+    for verdict in verdicts:
+        step, kind = verdict.cell.faults[0]
+        outcome = verdict.outcome.split(' (')[0]
+        label = 'BROKEN' if verdict.broken else outcome
+        counted[step.value, kind.value][label] += 1
+    labels = ('answered', 'not run', 'unknown', 'cut', 'BROKEN')
+    rows = [
+        [step, kind, *(outcomes[label] for label in labels)]
+        for (step, kind), outcomes in counted.items()
+    ]
+    print('\npairs of faults, by the first of the two')
+    headers = ['first step', 'first fault', *labels]
+    print(tabulate(rows, headers=headers, tablefmt='github'))
+
+
+def _show(verdict: Verdict | None) -> str:
+    if verdict is None:
+        return '-'
+    return (
+        '; '.join(['BROKEN', *verdict.broken])
+        if (verdict.broken)
+        else verdict.outcome
+    )
+
+
+def main() -> int:
+    """Run the matrix; exit 1 if any promise broke."""
+    singles = run_all(list_single_cells())
+    print_singles(singles)
+    pairs = run_all(list_pair_cells()) if '--singles' not in sys.argv else []
+    print_pairs(pairs)
+    verdicts = singles + pairs
+    broken = [verdict for verdict in verdicts if verdict.broken]
+    for verdict in broken:
+        print(verdict)
+    print(f'{len(verdicts) - len(broken)} passed, {len(broken)} failed')
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/faults/rig.py
@@ -0,0 +1,235 @@
+"""Entries and agents of the real code around a faulty network."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+
+from ospreyford.agent.load import LoadMeter
+from ospreyford.agent.record import ExecutionRecord
+from ospreyford.agent.runner import Runner
+from ospreyford.agent.service import AgentService
+from ospreyford.agent.settings import RecordSettings, ServiceSettings
+from ospreyford.entry.call import Call, Plan
+from ospreyford.entry.directory import FleetDirectory
+from ospreyford.entry.dispatcher import Dispatcher
+from ospreyford.entry.homes import Home
+from ospreyford.entry.outcome import Outcome
+from ospreyford.entry.settings import AttemptSettings, RequestSettings
+from ospreyford.entry.sink import CallerGone
+from ospreyford.http.message import Headers
+from ospreyford.http.server import listen, port_of
+from ospreyford.limits.limit import Limit
+from ospreyford.ports.clock import SystemClock
+from ospreyford.ports.fleet import Host
+from ospreyford.routing.query import Identity, Priority
+from ospreyford.routing.router import Router
+from ospreyford.routing.settings import RoutingSettings
+from ospreyford.wire.identity import make_id, read_date
+from ospreyford.wire.pool import ConnectionPool, PoolSettings
+from tests.faults.backend import FakeBackend
+from tests.faults.network import Fault, FaultyNetwork
+
+TIMES = AttemptSettings(
+    beat_seconds=0.05,
+    silence_seconds=0.2,
+    recovery_seconds=0.8,
+    switch_seconds=0.15,
+    reconnect_seconds=0.02,
+)
+AGENT_TIMES = ServiceSettings(
+    beat_seconds=0.05,
+    silence_seconds=0.3,
+    idle_seconds=5,
+    orphan_seconds=0.3,
+)
+RECORD = RecordSettings(skew_seconds=0.01)
+POOL = PoolSettings(connect_seconds=0.15)
+
+
+@dataclass
+class CollectingSink:
+    """A caller that notes what it was sent."""
+
+    status: int = 0
+    body: bytes = b''
+    whole: bool = False
+    gone: bool = False
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        assert not self.status, 'two heads for one caller'
+        self.status = status
+
+    async def relay(self, content: bytes) -> None:
+        if self.gone:
+            raise CallerGone
+        self.body += content
+
+    async def finish(self) -> None:
+        self.whole = True
+
+    def is_abandoned(self) -> bool:
+        return self.gone
+
+
+class RunningAgent:
+    """One agent in this kernel; ``restart`` gives it a new life."""
+
+    def __init__(self, name: str, faults: list[Fault]) -> None:
+        self.name = name
+        self.backend = FakeBackend()
+        self.clock = SystemClock()
+        self.sock: Any = None
+        self.port = 0
+        self.record: ExecutionRecord | None = None
+        self._tasks: list[Any] = []
+        self.network = FaultyNetwork(0, faults)
+        self.network.kill = self.die
+
+    async def die(self, replaced: bool) -> None:
+        """Be killed, perhaps with a new life after it."""
+        await self.kill()
+        if replaced:
+            await self.start()
+
+    async def start(self) -> None:
+        """Begin a life on a port of its own."""
+        # Unique over all rigs: a freed port may be another rig's next.
+        incarnation = make_id()
+        self.record = ExecutionRecord(RECORD, incarnation, self.clock)
+        meter = LoadMeter(self.record, self.backend, self.clock)
+        runner = Runner(
+            AGENT_TIMES, self.record, self.backend, meter, self.clock
+        )
+        service = AgentService(
+            self.name, AGENT_TIMES, self.record, runner, meter, self.clock
+        )
+        self.sock = listen('127.0.0.1', 0)
+        self.network.upstream = port_of(self.sock)
+        self._tasks.append(await curio.spawn(self._accept, service))
+        self._tasks.append(await curio.spawn(service.run_sweeps))
+
+    async def kill(self) -> None:
+        """End this life at once, with what it remembered."""
+        for task in self._tasks:
+            await task.cancel()
+        self._tasks.clear()
+        await self.sock.close()
+        if self.record is not None:
+            for execution in self.record.memory.list_running():
+                if execution.task:
+                    await execution.task.cancel()
+
+    async def _accept(self, service: AgentService) -> None:
+        tasks: list[Any] = []
+        try:
+            while True:
+                client, _ = await self.sock.accept()
+                tasks.append(await curio.spawn(service.serve, client))
+        finally:
+            for task in tasks:
+                await task.cancel()
+
+    @property
+    def host(self) -> Host:
+        """The host as the host list shows it."""
+        port = self.network.port
+        address = f'127.0.0.1:{port}'
+        return Host(
+            self.name, 'i', 'backend', 'z', 'r', 'svc', address, address
+        )
+
+
+class Rig:
+    """Agents behind faulty networks, and any number of entries.
+
+    :param faults: what goes wrong on the way to each agent.
+    """
+
+    def __init__(self, *faults: list[Fault]) -> None:
+        self.agents = [
+            RunningAgent(f'server-{number}', each)
+            for number, each in enumerate(faults)
+        ]
+        self.directory = FleetDirectory()
+        self._tasks: list[Any] = []
+
+    async def __aenter__(self) -> Rig:
+        for agent in self.agents:
+            await agent.start()
+            self._tasks.append(await curio.spawn(agent.network.run))
+            self.directory.hosts[agent.name] = agent.host
+        # Keys dated before an agent's life are refused.
+        await curio.sleep(2 * RECORD.skew_seconds)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for agent in self.agents:
+            await agent.kill()
+            await agent.network.stop()
+        for task in self._tasks:
+            await task.cancel()
+
+    @property
+    def plan(self) -> Plan:
+        """Every agent may serve, and every one is a home."""
+        return Plan(
+            pools=(tuple(self.directory.hosts.values()),),
+            limit=Limit(),
+            priority=Priority.normal,
+            engine_priority=5,
+            version=None,
+            adapter=None,
+            homes=tuple(Home(agent.name) for agent in self.agents),
+        )
+
+    def make_entry(self, seed: int = 1) -> Dispatcher:
+        """Make an entry that shares nothing with any other."""
+        clock = SystemClock()
+        return Dispatcher(
+            RequestSettings(),
+            TIMES,
+            Router(
+                RoutingSettings(), Identity('e', 'z', 'r'), random.Random(seed)
+            ),
+            ConnectionPool(POOL, clock),
+            self.directory,
+            clock,
+        )
+
+    def count_runs(self, tag: bytes) -> int:
+        """Count the runs of a request over all back ends."""
+        return sum(agent.backend.journal[tag] for agent in self.agents)
+
+
+def make_call(
+    tag: bytes, *, idempotent: bool, key: str = '', seconds: float = 3
+) -> Call:
+    """Make an admitted call whose body is its tag."""
+    request_id = make_id()
+    return Call(
+        request_id=request_id,
+        customer='c',
+        service='svc',
+        deadline=SystemClock().monotonic() + seconds,
+        idempotent=idempotent,
+        key=key,
+        dated=read_date(key or request_id) or 0,
+        method='POST',
+        target='/quotes',
+        headers=((b'x-request-id', request_id.encode()), (b'host', b'b')),
+        body=tag,
+        prefix=None,
+        tokens=1,
+    )
+
+
+async def send(
+    rig: Rig, entry: Dispatcher, call: Call
+) -> tuple[Outcome, CollectingSink]:
+    """Send a call through an entry."""
+    sink = CollectingSink()
+    return await entry.dispatch(call, rig.plan, sink), sink
