--- /dev/null
+++ b/src/ospreyford/documents/checking.py
@@ -0,0 +1,180 @@
+"""Checks documents before they are published."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from enum import StrEnum
+from typing import NamedTuple
+
+from ospreyford.documents.conflicts import Conflict
+from ospreyford.documents.customers import Customer
+from ospreyford.documents.history import DocumentEntry
+from ospreyford.documents.intents import RoutingIntent
+from ospreyford.documents.parsing import RejectedDocument
+from ospreyford.documents.picture import Picture
+from ospreyford.documents.resolver import resolve_picture
+from ospreyford.documents.routes import label_service, service_selector
+from ospreyford.documents.selectors import Labels, Selector
+from ospreyford.ports.fleet import Host
+
+
+class WarningKind(StrEnum):
+    """What may be wrong with a document that is well formed."""
+
+    selects_no_customer = 'selects-no-customer'
+    selects_no_service = 'selects-no-service'
+    selects_no_host = 'selects-no-host'
+    unknown_pool = 'unknown-pool'
+    unknown_service = 'unknown-service'
+    unknown_home = 'unknown-home'
+    pool_of_other_service = 'pool-of-other-service'
+    service_without_homes = 'service-without-homes'
+    same_name_twice = 'same-name-twice'
+
+
+class CheckWarning(NamedTuple):
+    """A document that will probably not do what it is for.
+
+    ``subject`` names the pool, service or host meant, where there is one.
+    """
+
+    document: str
+    kind: WarningKind
+    subject: str = ''
+
+
+class CheckReport(NamedTuple):
+    """What a set of documents would do if it were published alone.
+
+    ``picture`` is the one that they would make.
+    """
+
+    documents: int
+    rejected: tuple[RejectedDocument, ...]
+    warnings: tuple[CheckWarning, ...]
+    conflicts: tuple[Conflict, ...]
+    picture: Picture
+
+
+def check_documents(
+    files: Iterable[tuple[str, bytes]], hosts: Iterable[Host] = ()
+) -> CheckReport:
+    """Check a set of documents.
+
+    :param files: names and texts.
+    :param hosts: the platform's host list; selectors of hosts are tried on
+        it unless it is empty.
+    :returns: what is wrong with them, sorted by document.
+    """
+    entries = [DocumentEntry(name, 1, text) for name, text in files]
+    picture = resolve_picture(entries)
+    warnings = {
+        *_find_repeated(entries),
+        *_check_intents(picture),
+        *_check_pools(picture),
+        *_check_references(picture),
+        *_check_homes(picture),
+        *_check_hosts(picture, list(hosts)),
+    }
+    return CheckReport(
+        len(entries),
+        picture.rejected,
+        tuple(sorted(warnings)),
+        picture.conflicts,
+        picture,
+    )
+
+
+def _find_repeated(entries: list[DocumentEntry]) -> Iterator[CheckWarning]:
+    seen: set[str] = set()
+    for entry in entries:
+        if entry.name in seen:
+            yield CheckWarning(entry.name, WarningKind.same_name_twice)
+        seen.add(entry.name)
+
+
+def _check_intents(picture: Picture) -> Iterator[CheckWarning]:
+    customers = _customer_labels(picture)
+    services = [label_service(service) for service in picture.services()]
+    for name, intent in picture.tables.intents.claims():
+        if not _selects_any(intent.customers, customers):
+            yield CheckWarning(name, WarningKind.selects_no_customer)
+        if not _selects_any(service_selector(intent), services):
+            yield CheckWarning(
+                name, WarningKind.selects_no_service, intent.service or ''
+            )
+        for pool in intent.pools:
+            yield from _check_pool_name(picture, name, intent, pool)
+    for name, limit in picture.tables.limits.claims():
+        if not _selects_any(limit.customers, customers):
+            yield CheckWarning(name, WarningKind.selects_no_customer)
+
+
+def _check_pool_name(
+    picture: Picture, name: str, intent: RoutingIntent, pool: str
+) -> Iterator[CheckWarning]:
+    found = picture.pool(pool)
+    if found is None:
+        yield CheckWarning(name, WarningKind.unknown_pool, pool)
+        return
+    labels = _labels_of_service(picture, found.service)
+    if not service_selector(intent).matches(labels):
+        yield CheckWarning(name, WarningKind.pool_of_other_service, pool)
+
+
+def _check_pools(picture: Picture) -> Iterator[CheckWarning]:
+    for name, pool in picture.tables.pools.claims():
+        if picture.service(pool.service) is None:
+            yield CheckWarning(name, WarningKind.unknown_service, pool.service)
+
+
+def _check_references(picture: Picture) -> Iterator[CheckWarning]:
+    for name, weights in picture.tables.placements.claims():
+        if picture.service(weights.service) is None:
+            yield CheckWarning(
+                name, WarningKind.unknown_service, weights.service
+            )
+
+
+def _check_homes(picture: Picture) -> Iterator[CheckWarning]:
+    for name, service in picture.tables.services.winners():
+        if service.non_idempotent and not picture.homes(service.name).current:
+            yield CheckWarning(
+                name, WarningKind.service_without_homes, service.name
+            )
+
+
+def _check_hosts(picture: Picture, hosts: list[Host]) -> Iterator[CheckWarning]:
+    if not hosts:
+        return
+    for name, drain in picture.tables.drains.claims():
+        zoned = [host for host in hosts if drain.zone in {None, host.zone}]
+        labels = [picture.labels_of(host) for host in zoned]
+        if not _selects_any(drain.hosts, labels):
+            yield CheckWarning(name, WarningKind.selects_no_host)
+    names = {host.name for host in hosts}
+    for name, pool in picture.tables.pools.claims():
+        if not picture.members(pool.name, hosts):
+            yield CheckWarning(name, WarningKind.selects_no_host)
+        for home in pool.homes:
+            if home not in names:
+                yield CheckWarning(name, WarningKind.unknown_home, home)
+
+
+def _customer_labels(picture: Picture) -> list[Labels]:
+    book = picture.tables.customers
+    labels: list[Labels] = []
+    for customer in book.keys():
+        shared = book.find(customer)
+        if shared is not None:
+            labels.append(Customer(shared, customer).labels())
+    return labels
+
+
+def _labels_of_service(picture: Picture, name: str) -> Labels:
+    service = picture.service(name)
+    return label_service(service) if service else {'service': name}
+
+
+def _selects_any(selector: Selector, things: list[Labels]) -> bool:
+    return any(selector.matches(labels) for labels in things)
--- /dev/null
+++ b/src/ospreyford/documents/explanation.py
@@ -0,0 +1,122 @@
+"""Why a customer's requests reach the backend servers that they reach."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from ospreyford.documents.customers import Customer
+from ospreyford.documents.intents import RoutingIntent
+from ospreyford.documents.limits import EffectiveLimit
+from ospreyford.documents.mismatches import find_failed
+from ospreyford.documents.picture import Picture
+from ospreyford.documents.pools import Homes
+from ospreyford.documents.reach import explain_pools
+from ospreyford.documents.routes import (
+    MatchedIntent,
+    NoRoute,
+    Route,
+    label_service,
+    service_selector,
+)
+from ospreyford.documents.selectors import Labels
+from ospreyford.documents.verdicts import (
+    CustomerNotSelected,
+    IntentOutcome,
+    IntentVerdict,
+    LostTo,
+    PoolOutcome,
+    ServiceNotSelected,
+    Won,
+)
+from ospreyford.ports.fleet import Host
+
+
+class Explanation(NamedTuple):
+    """Everything that decides over a customer's requests to a service.
+
+    ``intents`` begins with those that match, the winner first;
+    ``customer_labels`` is empty for an unknown customer.
+    """
+
+    customer: str
+    service: str
+    customer_labels: Labels
+    route: Route | NoRoute
+    intents: tuple[IntentOutcome, ...]
+    pools: tuple[PoolOutcome, ...]
+    limit: EffectiveLimit | None
+    homes: Homes
+
+
+def explain(
+    picture: Picture,
+    hosts: Iterable[Host],
+    customer: str,
+    service: str,
+) -> Explanation:
+    """Explain what happens to a customer's requests to a service.
+
+    :param picture: the documents in force.
+    :param hosts: the platform's host list.
+    :param customer: the customer's id.
+    :param service: the service's name.
+    :returns: what decides, step by step.
+    """
+    shared = picture.tables.customers.find(customer)
+    matched: list[MatchedIntent] = []
+    labels: Labels = {}
+    if shared is not None:
+        found = Customer(shared, customer)
+        labels = found.labels()
+        matched = picture.router.matching(found, service)
+    return Explanation(
+        customer,
+        service,
+        labels,
+        picture.route(customer, service),
+        tuple(_explain_intents(picture, labels, service, matched)),
+        tuple(
+            outcome
+            for winner in matched[:1]
+            for outcome in explain_pools(
+                picture, list(hosts), service, winner.body
+            )
+        ),
+        picture.limit_of(customer),
+        picture.homes(service),
+    )
+
+
+def _explain_intents(
+    picture: Picture,
+    customer_labels: Labels,
+    service: str,
+    matched: list[MatchedIntent],
+) -> Iterator[IntentOutcome]:
+    for intent in matched:
+        verdict = _compare(matched[0], intent)
+        yield IntentOutcome(intent.name, intent.body.team, verdict)
+    found = picture.service(service)
+    service_labels = label_service(found) if found else {}
+    names = {one.name for one in matched}
+    for claim in sorted(picture.tables.intents.claims()):
+        refused = _refuse(claim.body, customer_labels, service_labels)
+        if claim.name not in names and refused is not None:
+            yield IntentOutcome(claim.name, claim.body.team, refused)
+
+
+def _compare(winner: MatchedIntent, intent: MatchedIntent) -> IntentVerdict:
+    if intent is winner:
+        return Won()
+    return LostTo(winner.name, winner.rule_over(intent))
+
+
+def _refuse(
+    intent: RoutingIntent, customer_labels: Labels, service_labels: Labels
+) -> CustomerNotSelected | ServiceNotSelected | None:
+    failed = find_failed(service_selector(intent), service_labels)
+    if failed is not None:
+        return ServiceNotSelected(failed)
+    failed = find_failed(intent.customers, customer_labels)
+    return CustomerNotSelected(failed) if failed else None
--- a/src/ospreyford/documents/limits.py
+++ b/src/ospreyford/documents/limits.py
@@ -135,13 +135,14 @@
     claims: list[Claim[CustomerLimit]], key: str
 ) -> Iterator[Conflict]:
     bounds = sorted(
-        (getattr(body.limits, key), name)
+        (getattr(body.limits, key), name, body.customers.everything)
         for name, body in claims
         if getattr(body.limits, key) is not None
     )
-    for bound, loser in bounds[1:]:
-        strictest, winner = bounds[0]
-        if bound != strictest:
+    for bound, loser, is_default in bounds[1:]:
+        strictest, winner, _ = bounds[0]
+        # A stricter limit over one for everybody is how defaults are used.
+        if bound != strictest and not is_default:
             yield Conflict(
                 ConflictKind.limit, key, winner, loser, Rule.strictest
             )
--- /dev/null
+++ b/src/ospreyford/documents/mismatches.py
@@ -0,0 +1,26 @@
+"""Why a selector does not match."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ospreyford.documents.selectors import AnyTerm, Labels, Selector
+
+
+@dataclass(frozen=True)
+class TermFailed:
+    """A selector does not match; ``found`` is the label's value, if any."""
+
+    term: AnyTerm
+    found: str | None
+
+
+def find_failed(selector: Selector, labels: Labels) -> TermFailed | None:
+    """Say why a selector does not match.
+
+    :param selector: the selector.
+    :param labels: the labels of the thing.
+    :returns: the first term that fails, or ``None`` when all match.
+    """
+    term = selector.failed_term(labels)
+    return TermFailed(term, labels.get(term.label)) if term else None
--- a/src/ospreyford/documents/routes.py
+++ b/src/ospreyford/documents/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import NamedTuple, TypeAlias
 
 from ospreyford.documents.capacity import CapacityPool
@@ -40,25 +41,29 @@
     zone_preference: ZonePreference
 
 
-class UnknownCustomer(NamedTuple):
+@dataclass(frozen=True)
+class UnknownCustomer:
     """No document in force names the customer."""
 
     customer: str
 
 
-class UnknownService(NamedTuple):
+@dataclass(frozen=True)
+class UnknownService:
     """No document in force names the service."""
 
     service: str
 
 
-class NoMatchingIntent(NamedTuple):
+@dataclass(frozen=True)
+class NoMatchingIntent:
     """No routing intent selects both the customer and the service."""
 
     service: str
 
 
-class NoPool(NamedTuple):
+@dataclass(frozen=True)
+class NoPool:
     """None of the winning intent's pools is in force for the service."""
 
     document: str
@@ -68,7 +73,8 @@
 Reason: TypeAlias = UnknownCustomer | UnknownService | NoMatchingIntent | NoPool
 
 
-class NoRoute(NamedTuple):
+@dataclass(frozen=True)
+class NoRoute:
     """A customer's requests to a service cannot be served."""
 
     reason: Reason
--- /dev/null
+++ b/tests/documents/test_rules.py
@@ -0,0 +1,308 @@
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ospreyford.documents.claims import BodyChange
+from ospreyford.documents.conflicts import ConflictKind, Rule
+from ospreyford.documents.history import DocumentEntry
+from ospreyford.documents.index import SelectorIndex
+from ospreyford.documents.intents import RoutingIntent
+from ospreyford.documents.limits import EffectiveLimit
+from ospreyford.documents.parsing import Document, parse_document
+from ospreyford.documents.picture import Picture
+from ospreyford.documents.pools import DatedHome, Homes
+from ospreyford.documents.resolver import resolve_picture
+from ospreyford.documents.routes import NoPool, NoRoute, Route
+from ospreyford.documents.selectors import Labels
+from ospreyford.documents.subjects import PlainService, is_non_idempotent
+from tests.documents import samples
+from tests.documents.strategies import LABELS, SEEDED, TEXTS, intents
+
+EVERYBODY = '{ everything = true }'
+LARGE = '{ labels.size = "large" }'
+LARGE_PUBLIC = '{ labels = { size = "large", sector = "public" } }'
+LARGE_IN = (
+    '{ terms = [{ label = "size", operator = "in", values = ["large"] }] }'
+)
+LARGE_TWICE = (
+    '{ labels.size = "large", '
+    'terms = [{ label = "size", operator = "equals", value = "large" }] }'
+)
+
+
+KEYS = st.sampled_from((*LABELS, 'customer'))
+VALUES = st.sampled_from((*TEXTS, 'ana'))
+
+
+def intent(customers: str, priority: int = 0, team: str = 'x') -> str:
+    return samples.INTENT.replace(EVERYBODY, customers).replace(
+        'team = "platform"', f'team = "{team}"\npriority = {priority}'
+    )
+
+
+def limit(customers: str, limits: str) -> str:
+    head, _, _ = samples.LIMIT.partition('[limits]')
+    return f'{head.replace(EVERYBODY, customers)}\n[limits]\n{limits}'
+
+
+def picture_of(*texts: str) -> Picture:
+    ground = (samples.MODEL, samples.POOL, samples.CUSTOMERS)
+    entries = [
+        *(
+            samples.entry(f'ground-{at}', text)
+            for at, text in enumerate(ground)
+        ),
+        *(samples.entry('abcdef'[at], text) for at, text in enumerate(texts)),
+    ]
+    return resolve_picture(entries)
+
+
+@pytest.mark.parametrize(
+    ('texts', 'winner', 'rule'),
+    [
+        ((intent(EVERYBODY, 9), intent(LARGE)), 'b', None),
+        ((intent(LARGE, 9), intent(LARGE_PUBLIC)), 'b', None),
+        ((intent(LARGE_IN, 9), intent(LARGE)), 'b', None),
+        (
+            (intent(LARGE, team='y'), intent(LARGE_PUBLIC)),
+            'b',
+            Rule.more_specific,
+        ),
+        ((intent(LARGE), intent(LARGE, 1)), 'b', Rule.higher_priority),
+        ((intent(LARGE, 1), intent(LARGE)), 'a', Rule.higher_priority),
+        ((intent(LARGE), intent(LARGE)), 'a', Rule.first_name),
+        ((intent(LARGE), intent(LARGE_TWICE)), 'a', Rule.first_name),
+    ],
+)
+def test_one_intent_wins_by_the_stated_rule(
+    texts: tuple[str, str], winner: str, rule: Rule | None
+) -> None:
+    picture = picture_of(*texts)
+    route = picture.route('soum-clerks', 'drafting')
+    assert isinstance(route, Route)
+    assert route.document == winner
+    expected = {rule} - {None}
+    assert {conflict.rule for conflict in picture.conflicts} == expected
+
+
+@pytest.mark.parametrize(
+    ('texts', 'expected', 'rules'),
+    [
+        ((), EffectiveLimit(), []),
+        (
+            (limit(EVERYBODY, 'concurrency = 5'), limit(LARGE, 'burst = 7')),
+            EffectiveLimit(concurrency=5, burst=7, documents=('a', 'b')),
+            [],
+        ),
+        (
+            (
+                limit(EVERYBODY, 'tokens_per_second = 5'),
+                limit(LARGE, 'tokens_per_second = 9'),
+            ),
+            EffectiveLimit(tokens_per_second=5, documents=('a', 'b')),
+            [Rule.strictest],
+        ),
+        (
+            (limit(EVERYBODY, 'weight = 1'), limit(LARGE, 'weight = 4')),
+            EffectiveLimit(weight=4, documents=('a', 'b')),
+            [],
+        ),
+        (
+            (limit(LARGE, 'weight = 3'), limit(LARGE, 'weight = 2')),
+            EffectiveLimit(weight=3, documents=('a', 'b')),
+            [Rule.first_name],
+        ),
+    ],
+)
+def test_strictest_limit_wins_key_by_key(
+    texts: tuple[str, ...], expected: EffectiveLimit, rules: list[Rule]
+) -> None:
+    picture = picture_of(*texts)
+    assert picture.limit_of('soum-clerks') == expected
+    assert [conflict.rule for conflict in picture.conflicts] == rules
+
+
+def test_unknown_customer_has_no_limit_to_spend() -> None:
+    assert picture_of().limit_of('nobody') is None
+
+
+def test_a_customer_can_be_selected_by_its_id() -> None:
+    picture = picture_of(
+        intent(EVERYBODY), intent('{ labels.customer = "pension-banks" }')
+    )
+    winners = []
+    for customer in ('soum-clerks', 'pension-banks'):
+        route = picture.route(customer, 'drafting')
+        winners.append(route.document if isinstance(route, Route) else None)
+    assert winners == ['a', 'b']
+
+
+def test_intent_whose_pools_are_missing_has_no_route() -> None:
+    text = intent(EVERYBODY).replace('drafting-main', 'elsewhere')
+    route = picture_of(text).route('soum-clerks', 'drafting')
+    assert route == NoRoute(NoPool('a', ('elsewhere',)))
+
+
+@pytest.mark.parametrize(
+    ('kind', 'body', 'subject'),
+    [
+        (ConflictKind.pool, samples.POOL, 'drafting-main'),
+        (ConflictKind.service, samples.MODEL, 'drafting'),
+        (
+            ConflictKind.customer_label,
+            samples.CUSTOMERS.replace('"private"', '"other"'),
+            'pension-banks: sector',
+        ),
+    ],
+)
+def test_second_description_of_one_thing_loses_by_priority(
+    kind: ConflictKind, body: str, subject: str
+) -> None:
+    picture = picture_of(body.replace('title', 'priority = -1\ntitle', 1))
+    assert len(picture.conflicts) == 1
+    conflict = picture.conflicts[0]
+    assert conflict.documents == (conflict.winner, 'a')
+    assert conflict.rule is Rule.higher_priority
+    assert (conflict.kind, conflict.subject) == (kind, subject)
+
+
+def homes(current: str, former: str, name: str = 'p') -> str:
+    return samples.POOL.replace('drafting-main', name) + (
+        f'homes = [{current}]\nformer_homes = [{former}]\n'
+    )
+
+
+def former(name: str, day: int) -> str:
+    return f'{{ name = "{name}", until = 2026-01-0{day}T00:00:00Z }}'
+
+
+@pytest.mark.parametrize(
+    ('texts', 'expected'),
+    [
+        ((homes('"h2", "h1"', ''),), Homes(('h1', 'h2'))),
+        (
+            (homes('"h1"', '', 'p'), homes('"h2"', '', 'q')),
+            Homes(('h1', 'h2')),
+        ),
+        ((homes('"h1"', '', 'p'), homes('"h2"', '')), Homes(('h1', 'h2'))),
+        (
+            (homes('"h1"', former('h2', 1)), homes('"h2"', former('h1', 1))),
+            Homes(('h1', 'h2')),
+        ),
+        (
+            (homes('', former('h1', 2)), homes('', former('h1', 1), 'q')),
+            Homes((), (DatedHome('h1', 1_767_312_000),)),
+        ),
+    ],
+)
+def test_no_document_takes_away_a_declared_home(
+    texts: tuple[str, ...], expected: Homes
+) -> None:
+    # Symptom: a quote is issued twice. Sequence: a second team publishes a
+    # pool that names other homes; the caller's retry goes to one of those.
+    # Cause: letting one document's list replace the other's.
+    assert picture_of(*texts).homes('drafting') == expected
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'expected'),
+    [
+        ('POST', '/quotes', True),
+        ('post', '/quotes?draft=1', True),
+        ('POST', '//quotes/', True),
+        ('POST', '/%71uotes', True),
+        ('POST', '/rates/../quotes', True),
+        ('GET', '/quotes', False),
+        ('POST', '/quotes/7', False),
+        ('POST', '/lines/7', True),
+        ('POST', '/lines//7/8', True),
+        ('POST', '/lines', False),
+        ('POST', '/', False),
+    ],
+)
+def test_calls_are_compared_as_servers_take_them(
+    method: str, path: str, expected: bool
+) -> None:
+    # Symptom: two quotes for one request. Sequence: the caller spells the
+    # path another way, the entry takes the call for idempotent and retries
+    # it. Cause: comparing the path as it is spelt.
+    service = PlainService(
+        team='x',
+        title='t',
+        name='s',
+        non_idempotent=('POST /quotes', 'POST /lines/*'),
+    )
+    assert is_non_idempotent(service, method, path) is expected
+
+
+def test_drain_can_be_kept_to_one_zone() -> None:
+    picture = picture_of(f'{samples.DRAIN}zone = "zone-b"')
+    here = samples.make_host('h', rack='r7')
+    assert picture.drain_of(here) is None
+    assert picture.drain_of(here._replace(zone='zone-b')) is not None
+
+
+def test_published_labels_lie_over_the_platform_s() -> None:
+    text = (
+        'kind = "host-labels"\nteam = "x"\ntitle = "t"\n'
+        'hosts.h = { rack = "r7", hall = "north" }'
+    )
+    labels = picture_of(text).labels_of(
+        samples.make_host('h', rack='r1', a='b')
+    )
+    assert labels['rack'] == 'r7'
+    assert labels['hall'] == 'north'
+    assert labels['a'] == 'b'
+    assert labels['zone'] == 'zone-a'
+
+
+Steps: TypeAlias = list[tuple[int, str | None]]
+
+
+def read_intent(text: str) -> RoutingIntent:
+    document = parse_document('doc', text.encode())
+    assert isinstance(document, Document)
+    assert isinstance(document.body, RoutingIntent)
+    return document.body
+
+
+def scan(known: dict[str, RoutingIntent], labels: Labels) -> list[str]:
+    return [
+        name for name, body in known.items() if body.customers.matches(labels)
+    ]
+
+
+@SEEDED
+@given(
+    steps=st.lists(st.tuples(st.integers(0, 5), st.none() | intents())),
+    labels=st.dictionaries(KEYS, VALUES),
+)
+def test_index_finds_what_a_scan_finds(
+    steps: Steps, labels: dict[str, str]
+) -> None:
+    index: SelectorIndex[RoutingIntent]
+    index = SelectorIndex(lambda body: body.customers)
+    known: dict[str, RoutingIntent] = {}
+    for number, text in steps:
+        name = str(number)
+        before = known.pop(name, None)
+        if text is not None:
+            known[name] = read_intent(text)
+        change = BodyChange(name, before, known.get(name))
+        index = index.replaced((change,))
+    found = sorted(claim.name for claim in index.matching(labels))
+    assert found == sorted(scan(known, labels))
+
+
+def test_deleted_document_goes_out_of_force() -> None:
+    entries = [
+        *samples.base_entries(),
+        DocumentEntry('doc-6', 2, deleted=True),
+    ]
+    drained = samples.make_host('b', rack='r7')
+    assert resolve_picture(samples.base_entries()).drain_of(drained)
+    assert resolve_picture(entries).drain_of(drained) is None
