Add membership: SWIM with incarnations, zone by zone

Cause: entries, agents and the relaying of configuration need to know who is live, with no store and no coordination service.

--- /dev/null
+++ b/src/ospreyford/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is live, suspected, leaving or dead: SWIM with incarnations."""
--- /dev/null
+++ b/src/ospreyford/membership/messages.py
@@ -0,0 +1,249 @@
+"""What members send each other, in MessagePack arrays."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+import msgspec
+
+from ospreyford.membership.member import Condition, Member, Version
+
+PING: Final = 'membership.ping'
+RELAY: Final = 'membership.relay'
+SYNC: Final = 'membership.sync'
+
+_LEAVING_BIT: Final = 4
+_CONDITION_BITS: Final = 3
+#: Encoded bytes of a change or description beside its strings, at most.
+_FIXED_BYTES: Final = 24
+
+_Message = TypeVar('_Message')
+
+
+@dataclass(frozen=True)
+class MalformedMessage(Exception):
+    """A body that is no message of membership."""
+
+    detail: str
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """A version of a member whose description the receiver has.
+
+    ``flags`` is the condition, plus 4 if the member is leaving.
+    """
+
+    name: str
+    incarnation: str
+    counter: int
+    flags: int
+
+    def version(self) -> Version:
+        """Read the version.
+
+        :returns: the version.
+        """
+        return read_version(self.incarnation, self.counter, self.flags)
+
+    def size(self) -> int:
+        """Bound the encoded size.
+
+        :returns: bytes.
+        """
+        return len(self.name) + len(self.incarnation) + _FIXED_BYTES
+
+
+class Description(msgspec.Struct, frozen=True, array_like=True):
+    """A whole member with its version.
+
+    ``dead_seconds`` tells for how long a dead member has been dead, so that
+    all forget it at about the same time.
+    """
+
+    name: str
+    instance: str
+    role: str
+    zone: str
+    region: str
+    service: str
+    data_address: str
+    peer_address: str
+    incarnation: str
+    counter: int
+    flags: int
+    dead_seconds: int
+
+    def member(self) -> Member:
+        """Read the member; strings shared by many members are kept once.
+
+        :returns: the member.
+        """
+        return Member(
+            name=self.name,
+            instance=self.instance,
+            role=sys.intern(self.role),
+            zone=sys.intern(self.zone),
+            region=sys.intern(self.region),
+            service=sys.intern(self.service),
+            data_address=self.data_address,
+            peer_address=self.peer_address,
+            incarnation=self.incarnation,
+        )
+
+    def version(self) -> Version:
+        """Read the version.
+
+        :returns: the version.
+        """
+        return read_version(self.incarnation, self.counter, self.flags)
+
+    def size(self) -> int:
+        """Bound the encoded size.
+
+        :returns: bytes.
+        """
+        return _FIXED_BYTES + sum(len(part) + 1 for part in self.member())
+
+
+class Exchange(msgspec.Struct, frozen=True, array_like=True):
+    """A probe, or the answer to one; both carry the same.
+
+    :param sender: the sender's own version.
+    :param about: the version that the sender has of the receiver, ``None``
+        if it knows none.
+    :param introduction: the sender's description, for a receiver that may
+        not know it.
+    :param changes: versions to pass on.
+    :param descriptions: members to pass on.
+    :param zone: zone of the bucket that ``digest`` is of.
+    :param bucket: number of that bucket.
+    :param digest: hash of all versions in that bucket.
+    :param attached: other parts' messages, by name.
+    """
+
+    sender: Change
+    about: Change | None
+    introduction: Description | None
+    changes: list[Change]
+    descriptions: list[Description]
+    zone: str
+    bucket: int
+    digest: int
+    attached: list[tuple[str, bytes]]
+
+
+class RelayQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a helper to probe a member.
+
+    :param name: the member's name.
+    :param incarnation: its incarnation, or an earlier one.
+    :param address: its peer address.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+
+
+class RelayAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Tells whether the helper was answered."""
+
+    is_reached: bool
+
+
+class SyncQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for what the asker lacks in a bucket.
+
+    :param zone: zone of the bucket.
+    :param bucket: its number.
+    :param known: by hash of name and incarnation, the hash of the version.
+    """
+
+    zone: str
+    bucket: int
+    known: dict[int, int]
+
+
+class SyncAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """What the asker lacks, as far as it fits."""
+
+    changes: list[Change]
+    descriptions: list[Description]
+
+
+def read_version(incarnation: str, counter: int, flags: int) -> Version:
+    """Read a version from the wire.
+
+    :param incarnation: the incarnation.
+    :param counter: the refutation counter.
+    :param flags: see :class:`Change`.
+    :returns: the version.
+    :raises MalformedMessage: no such condition, or a negative counter.
+    """
+    try:
+        condition = Condition(flags & _CONDITION_BITS)
+    except ValueError as error:
+        raise MalformedMessage(str(error)) from error
+    if counter < 0:
+        raise MalformedMessage('negative counter')
+    return Version(
+        incarnation,
+        bool(flags & _LEAVING_BIT),
+        counter,
+        condition,
+    )
+
+
+def write_change(name: str, version: Version) -> Change:
+    """Prepare a version for the wire.
+
+    :param name: the member's name.
+    :param version: its version.
+    :returns: the change.
+    """
+    return Change(
+        name,
+        version.incarnation,
+        version.counter,
+        _flags(version),
+    )
+
+
+def write_description(
+    member: Member,
+    version: Version,
+    dead_seconds: float,
+) -> Description:
+    """Prepare a member for the wire.
+
+    :param member: the member.
+    :param version: its version.
+    :param dead_seconds: for how long it has been dead.
+    :returns: the description.
+    """
+    return Description(
+        *member,
+        counter=version.counter,
+        flags=_flags(version),
+        dead_seconds=int(dead_seconds),
+    )
+
+
+def decode(body: bytes, kind: type[_Message]) -> _Message:
+    """Read a message.
+
+    :param body: the bytes received.
+    :param kind: the message expected.
+    :returns: the message.
+    :raises MalformedMessage: the body is none.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise MalformedMessage(str(error)) from error
+
+
+def _flags(version: Version) -> int:
+    return int(version.condition) + _LEAVING_BIT * version.leaving
--- /dev/null
+++ b/src/ospreyford/membership/rings.py
@@ -0,0 +1,115 @@
+"""Who watches whom.
+
+Each member watches the next member of its zone on several rings, each in
+the order of another hash. So every member is watched by exactly as many
+others as there are rings, the connections stay the same from round to round
+(a random target each time would cost a new connection for each probe), and
+the rings together are a random graph on which changes spread in a number of
+rounds that grows with the logarithm of the zone.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import xxhash
+
+from ospreyford.membership.digests import Record
+from ospreyford.membership.member import MemberState
+from ospreyford.membership.view import View
+
+_HASH_BITS: Final = 64
+_RING_SIZE: Final = 1 << _HASH_BITS
+
+
+class Rings:
+    """The rings as this process sees them, computed anew after a change.
+
+    :param view: the members.
+    :param count: rings in the own zone.
+    """
+
+    def __init__(self, view: View, count: int) -> None:
+        self._view = view
+        self._count = count
+        self._revision = -1
+        self._zones: dict[str, list[Record]] = {}
+        self._neighbours: list[Record] = []
+        self._links: dict[str, Record] = {}
+
+    def other_zones(self) -> list[str]:
+        """List the zones with members besides the own one.
+
+        :returns: their names, sorted.
+        """
+        self._refresh()
+        mine = self._view.own.member.zone
+        return sorted(zone for zone in self._zones if zone != mine)
+
+    def zone_size(self, zone: str) -> int:
+        """Count the members of a zone that are not dead.
+
+        :param zone: the zone.
+        :returns: how many, this process included.
+        """
+        self._refresh()
+        return len(self._zones.get(zone, ()))
+
+    def zone_members(self, zone: str) -> list[Record]:
+        """List the members of a zone that are not dead.
+
+        :param zone: the zone.
+        :returns: their records.
+        """
+        self._refresh()
+        return self._zones.get(zone, [])
+
+    def neighbours(self) -> list[Record]:
+        """List the members of the own zone that this process watches.
+
+        :returns: their records, each once.
+        """
+        self._refresh()
+        return self._neighbours
+
+    def link(self, zone: str) -> Record:
+        """Find the member of another zone that this process probes.
+
+        :param zone: a zone of ``other_zones``.
+        :returns: its record.
+        """
+        self._refresh()
+        if zone not in self._links:
+            self._links[zone] = self._successor(self._zones[zone], zone)
+        return self._links[zone]
+
+    def _refresh(self) -> None:
+        if self._revision == self._view.revision:
+            return
+        self._revision = self._view.revision
+        self._links = {}
+        self._zones = {}
+        for record in self._view:
+            if record.state is not MemberState.dead:
+                self._zones.setdefault(record.member.zone, []).append(record)
+        own = self._view.own
+        others = self._zones[own.member.zone].copy()
+        others.remove(own)
+        near: dict[str, Record] = {}
+        for ring in range(self._count if others else 0):
+            watched = self._successor(others, str(ring))
+            near[watched.member.name] = watched
+        self._neighbours = list(near.values())
+
+    def _successor(self, records: list[Record], ring: str) -> Record:
+        start = _place(self._view.me, ring)
+        return min(
+            records,
+            key=lambda record: (
+                (_place(record.member.name, ring) - start) % _RING_SIZE
+            ),
+        )
+
+
+def _place(name: str, ring: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{ring}/{name}'.encode())
--- /dev/null
+++ b/src/ospreyford/membership/service.py
@@ -0,0 +1,201 @@
+"""Membership as the other parts use it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from ospreyford.membership.answers import Answers
+from ospreyford.membership.attachments import Attachments, Consume, Provide
+from ospreyford.membership.counters import MembershipCounters
+from ospreyford.membership.exchanges import Exchanges
+from ospreyford.membership.gossip import Gossip
+from ospreyford.membership.listing import note_host
+from ospreyford.membership.member import Member, MemberState, Replaced
+from ospreyford.membership.prober import Prober
+from ospreyford.membership.pulse import Pulse
+from ospreyford.membership.repairs import Repairs
+from ospreyford.membership.rings import Rings
+from ospreyford.membership.rounds import Rounds
+from ospreyford.membership.settings import MembershipSettings
+from ospreyford.membership.suspicions import Suspicions
+from ospreyford.membership.tables import Tables
+from ospreyford.membership.targets import Targets
+from ospreyford.membership.view import Subscriber, View
+from ospreyford.membership.zones import ZoneSilence
+from ospreyford.ports.clock import Clock
+from ospreyford.ports.fleet import Host
+from ospreyford.ports.peers import PeerPort
+
+
+class Membership:
+    """Who is live, suspected, leaving or dead, as this process sees it.
+
+    :param settings: the settings.
+    :param me: this process; its incarnation comes from
+        :func:`ospreyford.membership.member.new_incarnation`.
+    :param peers: messages to other processes.
+    :param clock: source of time.
+    :param rng: random numbers.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        me: Member,
+        peers: PeerPort,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.counters = MembershipCounters()
+        gossip = Gossip(settings.retransmit)
+        self._view = View(me, clock, gossip, self.counters)
+        self._tables = Tables(
+            settings,
+            self._view,
+            gossip,
+            Attachments(settings.attached_bytes, self.counters),
+            self.counters,
+            clock,
+            rng,
+            Pulse(clock, settings.pause_seconds),
+            Rings(self._view, settings.rings),
+            ZoneSilence(),
+        )
+        exchanges = Exchanges(self._tables)
+        self._targets = Targets(self._tables)
+        suspicions = Suspicions(self._tables, self._targets)
+        self._prober = Prober(
+            self._tables,
+            exchanges,
+            self._targets,
+            suspicions,
+            peers,
+        )
+        repairs = Repairs(self._tables, exchanges, peers)
+        self._rounds = Rounds(
+            self._tables,
+            self._targets,
+            suspicions,
+            self._prober,
+            repairs,
+        )
+        repairs.serve(peers)
+        Answers(self._tables, exchanges, self._prober).serve(peers)
+
+    @property
+    def me(self) -> Member:
+        """The member that others know this process as."""
+        return self._view.own.member
+
+    @property
+    def replaced(self) -> Replaced | None:
+        """Tells whether a later process has this one's name."""
+        incarnation = self._view.replaced_by
+        return None if incarnation is None else Replaced(incarnation)
+
+    def members(
+        self,
+        role: str | None = None,
+        zone: str | None = None,
+    ) -> tuple[Member, ...]:
+        """List the members that are live or suspect.
+
+        Hosts that were only listed yet have an empty incarnation. The list
+        is made anew from all members: keep it until told of a change.
+
+        :param role: only those of this role.
+        :param zone: only those of this zone.
+        :returns: the members, this process included.
+        """
+        return tuple(
+            record.member
+            for record in self._view
+            if record.state in {MemberState.live, MemberState.suspect}
+            and role in {None, record.member.role}
+            and zone in {None, record.member.zone}
+        )
+
+    def state_of(self, name: str) -> MemberState | None:
+        """Look up a member's state.
+
+        :param name: the member.
+        :returns: its state, ``None`` if it is unknown.
+        """
+        record = self._view.find(name)
+        return None if record is None else record.state
+
+    def find(self, name: str) -> Member | None:
+        """Look up a member.
+
+        :param name: the member.
+        :returns: the member in whatever state, ``None`` if it is unknown.
+        """
+        record = self._view.find(name)
+        return None if record is None else record.member
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Tell a subscriber of each change of state, this process's too.
+
+        :param subscriber: called at once; must neither raise nor wait.
+        """
+        self._view.subscribe(subscriber)
+
+    def attach(self, name: str, provide: Provide, consume: Consume) -> None:
+        """Let another part's messages ride on probes, in both directions.
+
+        :param name: the part's name, the same in every process.
+        :param provide: called for each message sent; what does not fit
+            ``attached_bytes`` together with the others' waits its turn.
+        :param consume: called with the sender's peer address and what its
+            ``provide`` gave; must neither raise nor wait.
+        """
+        self._tables.attachments.attach(name, provide, consume)
+
+    def note_hosts(self, hosts: Iterable[Host]) -> None:
+        """Take in the platform's host list, however old.
+
+        A host missing from the list is not dead for that: the list may be
+        older than the host.
+
+        :param hosts: the hosts listed.
+        """
+        for host in hosts:
+            note_host(self._view, host)
+
+    def is_stale(self) -> bool:
+        """Tell whether what this process believes is from before a pause.
+
+        :returns: whether too few members have answered since it started or
+            woke; then nothing here should be relied on.
+        """
+        return self._prober.is_stale()
+
+    def silent_zones(self) -> frozenset[str]:
+        """List other zones that this process hears nothing from.
+
+        Their members keep the state that they had.
+
+        :returns: the zones.
+        """
+        return self._tables.zones.silent()
+
+    async def run(self) -> Replaced:
+        """Watch the other members until replaced.
+
+        :returns: by whom; this process must end then.
+        """
+        while self.replaced is None:
+            await self._rounds.run_one()
+        return self.replaced
+
+    async def leave(self) -> None:
+        """Announce a planned stop; call it before the process stops.
+
+        The process goes on to answer probes until it ends.
+        """
+        self._view.mark_leaving(self._view.me)
+        near = self._targets.watched()
+        while near:
+            record = near.pop()
+            await self._prober.ping(record.member.peer_address, record)
--- /dev/null
+++ b/src/ospreyford/membership/settings.py
@@ -0,0 +1,73 @@
+"""Settings of membership."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+
+@dataclass(frozen=True)
+class PauseTooShort(ValueError):
+    """An ordinary wait would be taken for a pause of the process."""
+
+    pause_seconds: float
+    longest_wait: float
+
+    def __str__(self) -> str:
+        return (
+            f'pause_seconds must be above {self.longest_wait}'
+            f', not {self.pause_seconds}'
+        )
+
+
+class MembershipSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How members watch each other.
+
+    :param seeds: peer addresses to join through, besides the host list.
+    :param period_seconds: one member is probed in each period.
+    :param probe_timeout: seconds to wait for a direct answer.
+    :param relay_timeout: seconds to wait for a helper's answer.
+    :param helpers: members asked to probe a silent one.
+    :param rings: neighbours probed in turn in the own zone.
+    :param suspicion_seconds: a suspect that is silent so long is dead.
+    :param pause_seconds: a gap in running so long means that this process
+        was paused.
+    :param wake_probes: members that must answer after a pause before the
+        view counts again.
+    :param forget_seconds: how long a dead member is remembered.
+    :param small_zone: a zone with fewer members is watched by all zones.
+    :param retransmit: a change is sent this many times the decimal logarithm
+        of the number of members.
+    :param change_bytes: changes carried by one message, at most.
+    :param attached_bytes: attachments carried by one message, at most.
+    :param sync_seconds: pause between two repairs of the view.
+    :param sync_bytes: records in one answer to a repair, at most.
+    """
+
+    seeds: tuple[str, ...] = ()
+    period_seconds: float = 1
+    probe_timeout: float = 0.5
+    relay_timeout: float = 1.2
+    helpers: int = 2
+    rings: int = 8
+    suspicion_seconds: float = 5
+    pause_seconds: float = 4
+    wake_probes: int = 3
+    forget_seconds: float = 86_400
+    small_zone: int = 4
+    retransmit: int = 3
+    change_bytes: int = 160
+    attached_bytes: int = 160
+    sync_seconds: float = 2
+    sync_bytes: int = 4000
+
+    def __post_init__(self) -> None:
+        """Refuse a pause that ordinary waits would reach."""
+        longest = max(
+            2 * self.period_seconds,
+            self.probe_timeout,
+            self.relay_timeout,
+        )
+        if self.pause_seconds <= longest:
+            raise PauseTooShort(self.pause_seconds, longest)
--- /dev/null
+++ b/src/ospreyford/membership/view.py
@@ -0,0 +1,199 @@
+"""What this process believes of every member."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from enum import Enum, auto
+
+from ospreyford.membership.counters import MembershipCounters
+from ospreyford.membership.digests import Digests, Record
+from ospreyford.membership.gossip import Gossip
+from ospreyford.membership.member import (
+    Member,
+    MemberState,
+    StateChange,
+    Version,
+)
+from ospreyford.ports.clock import Clock
+
+Subscriber = Callable[[StateChange], None]
+
+
+class Merged(Enum):
+    """What became of a version that was heard."""
+
+    applied = auto()
+    old = auto()
+    #: The version is of an incarnation that needs its description first.
+    undescribed = auto()
+
+
+class View:
+    """All members, merged from whatever is heard in whatever order.
+
+    Of two versions the greater stays, so every order of arrival leads to the
+    same view. Versions of this process itself are never taken over: it
+    refutes them, or finds that it is replaced.
+
+    :param me: this process.
+    :param clock: source of time.
+    :param gossip: where changes to pass on are noted.
+    :param counters: where refutations are counted.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        clock: Clock,
+        gossip: Gossip,
+        counters: MembershipCounters,
+    ) -> None:
+        self.replaced_by: str | None = None
+        #: Raised by every change; caches compare it.
+        self.revision = 0
+        self.digests = Digests()
+        self._clock = clock
+        self._gossip = gossip
+        self._counters = counters
+        self._subscribers: list[Subscriber] = []
+        self._records: dict[str, Record] = {}
+        self.me = me.name
+        self._put(me, Version(me.incarnation), whole=True)
+
+    @property
+    def own(self) -> Record:
+        """The record of this process itself."""
+        return self._records[self.me]
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[Record]:
+        """Iterate over all records, this process's own included."""
+        return iter(self._records.values())
+
+    def find(self, name: str) -> Record | None:
+        """Find a member's record.
+
+        :param name: the member.
+        :returns: its record, if known.
+        """
+        return self._records.get(name)
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Tell a subscriber of every change.
+
+        :param subscriber: called at once, in the task that made the change.
+        """
+        self._subscribers.append(subscriber)
+
+    def merge(
+        self,
+        name: str,
+        version: Version,
+        member: Member | None = None,
+    ) -> Merged:
+        """Take over a version if it is greater than the one known.
+
+        :param name: the member.
+        :param version: what was heard of it.
+        :param member: its description, if that was heard too.
+        :returns: what became of it.
+        """
+        if name == self.me:
+            return self._defend(version)
+        record = self._records.get(name)
+        if record is not None and version <= record.version:
+            return Merged.old
+        same = record is not None and (
+            record.version.incarnation == version.incarnation
+        )
+        if member is None and record is not None and same:
+            member = record.member
+        if member is None:
+            return Merged.undescribed
+        self._put(member, version, whole=not same)
+        return Merged.applied
+
+    def put_listed(self, member: Member, version: Version) -> None:
+        """Take over a host of which only the host list tells.
+
+        :param member: the host as a member.
+        :param version: its version; no process has told of one.
+        """
+        self._put(member, version, whole=False)
+
+    def mark_leaving(self, name: str) -> None:
+        """Note that a member will not take new work again.
+
+        :param name: the member, or this process.
+        """
+        record = self._records[name]
+        if not record.version.leaving:
+            self.merge(name, record.version._replace(leaving=True))
+
+    def age_death(self, name: str, dead_seconds: float) -> None:
+        """Date a member's death back to when others learned of it.
+
+        :param name: the member.
+        :param dead_seconds: how long it has been dead.
+        """
+        record = self._records[name]
+        if record.state is MemberState.dead:
+            record.since = self._clock.monotonic() - dead_seconds
+
+    def forget(self, record: Record) -> None:
+        """Forget a member.
+
+        :param record: its record.
+        """
+        self.digests.hide(record)
+        self._gossip.drop(record.member.name)
+        self._records.pop(record.member.name)
+        self.revision += 1
+
+    def _defend(self, version: Version) -> Merged:
+        own = self.own
+        if version.incarnation > own.version.incarnation:
+            # A later process has this name: this one was paused while the
+            # platform replaced it, and must not act any more.
+            self.replaced_by = version.incarnation
+            return Merged.applied
+        if version <= own.version:
+            return Merged.old
+        # Others take this process for suspect, dead or leaving. Only a
+        # higher counter lets them take it for live again.
+        counter = max(version.counter, own.version.counter) + 1
+        leaving = version.leaving or own.version.leaving
+        self._counters.refutations += 1
+        refuted = Version(own.version.incarnation, leaving, counter)
+        self._put(own.member, refuted, whole=False)
+        return Merged.applied
+
+    def _put(self, member: Member, version: Version, *, whole: bool) -> None:
+        before = self._records.get(member.name)
+        if before is not None:
+            self.digests.hide(before)
+        record = Record(member, version, self._clock.monotonic())
+        self._records[member.name] = record
+        # A listing says nothing that others couldn't read in the host list.
+        if not record.is_listed_only:
+            self.digests.share(record)
+            self._gossip.note(member.name, whole=whole)
+        self.revision += 1
+        self._tell(before, record)
+
+    def _tell(self, before: Record | None, after: Record) -> None:
+        if (
+            before is not None
+            and before.state is after.state
+            and before.member == after.member
+        ):
+            return
+        change = StateChange(
+            after.member,
+            None if before is None else before.state,
+            after.state,
+        )
+        for subscriber in self._subscribers:
+            subscriber(change)
--- a/src/ospreyford/peers/settings.py
+++ b/src/ospreyford/peers/settings.py
@@ -20,7 +20,7 @@
 
     address: str
     link_limit: int = 64
-    idle_seconds: float = 30
+    idle_seconds: float = 60
     queue_messages: int = 256
     message_bytes: int = 1_048_576
     handler_limit: int = 256
--- /dev/null
+++ b/tests/membership/world.py
@@ -0,0 +1,238 @@
+"""Processes, messages and time under the test's control."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from ospreyford.membership.member import Member, MemberState, new_incarnation
+from ospreyford.membership.service import Membership
+from ospreyford.membership.settings import MembershipSettings
+from ospreyford.ports.fleet import Host, HostState
+from ospreyford.ports.peers import Handler
+from tests.fakes.stepping import SteppedTask, Stepper, park
+
+SETTINGS = MembershipSettings(sync_seconds=1)
+
+
+class Question(NamedTuple):
+    """A question on its way; ``deadline`` is when its asker gives up."""
+
+    number: int
+    source: Process
+    address: str
+    topic: str
+    body: bytes
+    deadline: float
+
+
+@dataclass(eq=False)
+class Process:
+    """One process with its own membership, its ports' fakes included."""
+
+    world: World
+    host: Host
+    seed: int
+    is_paused: bool = False
+    is_dead: bool = False
+    handlers: dict[str, Handler] = field(default_factory=dict)
+    stepper: Stepper = field(default_factory=Stepper)
+    inbox: list[Question] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        rng = random.Random(self.seed)
+        self.incarnation = new_incarnation(self, rng)
+        listed = self.host[:8]
+        me = Member(*listed, incarnation=self.incarnation)
+        self.membership = Membership(SETTINGS, me, self, self, rng)
+
+    def __repr__(self) -> str:
+        return f'{self.host.name}@{self.host.instance}'
+
+    @property
+    def is_running(self) -> bool:
+        return not self.is_paused and not self.is_dead
+
+    def monotonic(self) -> float:
+        return self.world.now
+
+    def wall(self) -> float:
+        return 1_700_000_000 + self.world.now
+
+    async def sleep(self, seconds: float) -> None:
+        await park('sleep', self.world.now + seconds)
+
+    def serve(self, topic: str, handler: Handler) -> None:
+        self.handlers[topic] = handler
+
+    async def ask(
+        self, address: str, topic: str, body: bytes, timeout: float
+    ) -> bytes | None:
+        world = self.world
+        question = Question(
+            world.count(), self, address, topic, body, world.now + timeout
+        )
+        world.send(question)
+        answer: bytes | None = await park('ask', question)
+        return answer
+
+    def receive(self, question: Question) -> None:
+        if self.is_dead:
+            return
+        if self.is_paused:
+            self.inbox.append(question)
+            return
+        handler = self.handlers[question.topic]
+        self.stepper.spawn('handler', self._handle(handler, question))
+
+    async def _handle(self, handler: Handler, question: Question) -> None:
+        answer = await handler(question.body)
+        if answer is not None:
+            self.world.answer(self, question, answer)
+
+    def take_answer(self, question: Question, answer: bytes) -> None:
+        # As the port promises: only to the question, and only in time.
+        if not self.is_running or question.deadline < self.world.now:
+            return
+        for task in self.stepper.parked('ask'):
+            if task.waiting and task.waiting.note is question:
+                self.stepper.resume(task, answer)
+                return
+
+
+class World:
+    """All processes; time passes only in :meth:`run`."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.now = 1000.0
+        self.rng = random.Random(seed)
+        self.processes: list[Process] = []
+        self.loss: float = 0
+        self.duplicates: float = 0
+        self.delay: float = 0
+        self.cuts: set[tuple[str, str]] = set()
+        self.past: list[Question] = []
+        self._number = 0
+        self._arrivals: list[tuple[float, int, object]] = []
+
+    def count(self) -> int:
+        self._number += 1
+        return self._number
+
+    def start(self, host: Host, hosts: Iterable[Host]) -> Process:
+        process = Process(self, host, self.count())
+        self.processes.append(process)
+        process.membership.note_hosts(hosts)
+        process.stepper.spawn('run', process.membership.run())
+        return process
+
+    def kill(self, process: Process) -> None:
+        process.is_dead = True
+        for task in list(process.stepper.tasks):
+            process.stepper.kill(task)
+
+    def wake(self, process: Process) -> None:
+        process.is_paused = False
+        backlog = process.inbox
+        process.inbox = []
+        if self.rng.randrange(2):
+            self._run_due()
+        for question in backlog:
+            process.receive(question)
+
+    def running(self) -> list[Process]:
+        return [
+            process
+            for process in self.processes
+            if process.is_running and process.membership.replaced is None
+        ]
+
+    def send(self, question: Question) -> None:
+        if self.rng.randrange(10) == 0:
+            self.past = [*self.past[-20:], question]
+        self._post(question.source, question.address, question)
+
+    def answer(self, source: Process, question: Question, body: bytes) -> None:
+        target = question.source.host.peer_address
+        self._post(source, target, (question, body))
+
+    def deliver(self, message: object) -> None:
+        match message:
+            case Question():
+                for process in self.processes:
+                    if process.host.peer_address == message.address:
+                        process.receive(message)
+            case (Question() as question, bytes(body)):
+                question.source.take_answer(question, body)
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while True:
+            self._run_due()
+            times = [due for due, _, _ in self._arrivals]
+            times.extend(_due(task) for _, task in self._parked())
+            following = min(times, default=until)
+            if following > until:
+                break
+            self.now = max(self.now, following)
+        self.now = until
+
+    def _run_due(self) -> None:
+        while True:
+            due = [arr for arr in self._arrivals if arr[0] <= self.now]
+            if due:
+                earliest = min(due, key=lambda arr: arr[:2])
+                self._arrivals.remove(earliest)
+                self.deliver(earliest[2])
+                continue
+            ready = [
+                pair for pair in self._parked() if _due(pair[1]) <= self.now
+            ]
+            if not ready:
+                return
+            process, task = ready[0]
+            process.stepper.resume(task)
+
+    def _parked(self) -> list[tuple[Process, SteppedTask]]:
+        return [
+            (process, task)
+            for process in self.processes
+            if process.is_running
+            for task in process.stepper.parked()
+        ]
+
+    def _post(self, source: Process, address: str, message: object) -> None:
+        cut = (source.host.peer_address, address) in self.cuts
+        if cut or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.duplicates else 1
+        for _ in range(copies):
+            due = self.now + 0.001 + self.rng.uniform(0, self.delay)
+            self._arrivals.append((due, self.count(), message))
+
+
+def _due(task: SteppedTask) -> float:
+    assert task.waiting
+    note = task.waiting.note
+    return float(note.deadline if isinstance(note, Question) else note)
+
+
+def host(name: str, zone: str, life: int = 1, *, leaving: bool = False) -> Host:
+    return Host(
+        name=name,
+        instance=f'i-{name}-{life}',
+        role='backend',
+        zone=zone,
+        region='r',
+        service='s',
+        data_address=f'{name}.{life}:1',
+        peer_address=f'{name}.{life}:2',
+        state=HostState.leaving if leaving else HostState.live,
+    )
+
+
+def states(process: Process) -> dict[str, MemberState | None]:
+    names = {other.host.name for other in process.world.processes}
+    return {name: process.membership.state_of(name) for name in sorted(names)}
