Drive the distribution by a state machine; mend a wait of no length

Symptom: the machine stood still with one reader resumed again and again. Cause: CallBudget.take slept for (1 - level) / rate; rounding left the level a trifle below 1, and the next sleep was too short to move the clock. Now each wait is a millisecond longer.

--- a/src/ospreyford/distribution/budget.py
+++ b/src/ospreyford/distribution/budget.py
@@ -11,6 +11,7 @@
     from ospreyford.ports.clock import Clock
 
 BURST_SECONDS = 4.0
+LEAST_WAIT_SECONDS = 0.001
 BACKOFF_DOUBLINGS = 10
 
 
@@ -58,7 +59,10 @@
         """Wait until a call is allowed, and count it."""
         self._fill()
         while self._level < 1:
-            await self._clock.sleep((1 - self._level) / self.rate())
+            # A wait that rounding made a trifle too short would be followed
+            # by one of no length at all, in a loop that uses a whole core.
+            wait = (1 - self._level) / self.rate()
+            await self._clock.sleep(wait + LEAST_WAIT_SECONDS)
             self._fill()
         self._level -= 1
 
--- /dev/null
+++ b/tests/distribution/test_machine.py
@@ -0,0 +1,190 @@
+"""Every fault, in any order, on the code that runs."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.distribution.world import SETTINGS, Process, World
+
+NAMES = ('drain', 'limits', 'pool')
+PAUSE_SECONDS = 100
+PICK = strategies.integers(0, 9)
+SEED = strategies.integers(0, 1_000)
+
+
+class DistributionMachine(RuleBasedStateMachine):
+    """Five processes in two zones, and everything that can go wrong."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+        self.floor: dict[str, int] = {}
+
+    @initialize(seed=SEED)
+    def begin(self, seed: int) -> None:
+        self.world.rng = Random(seed)
+        self.world.store.publish('pool', b'first')
+        for number in range(5):
+            self.world.start(f'host-{number}')
+        assert self.world.run_until_same()
+
+    @rule(steps=strategies.integers(1, 60))
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self.world.move()
+            self.check()
+
+    @rule(name=strategies.sampled_from(NAMES), count=strategies.integers(1, 2))
+    def publish(self, name: str, count: int) -> None:
+        """Two operators may publish the same document at once."""
+        for operator in range(count):
+            text = f'{name} {self.world.store.revision} of {operator}'
+            self.world.store.publish(name, text.encode())
+
+    @rule(name=strategies.sampled_from(NAMES))
+    def delete(self, name: str) -> None:
+        if name in self.world.store.documents:
+            self.world.store.delete(name)
+
+    @rule(mode=strategies.sampled_from(('up', 'down', 'stale', 'flap')))
+    def change_service(self, mode: str) -> None:
+        self.world.mode = mode
+
+    @rule()
+    def leave_replica_behind(self) -> None:
+        self.world.replicas.append(self.world.store.copy())
+
+    @rule(name=strategies.sampled_from(NAMES))
+    def split_replica(self, name: str) -> None:
+        """A replica of the service gives another text for one revision."""
+        held = self.world.store.documents.get(name)
+        if held is not None and not held.deleted:
+            replica = self.world.store.copy()
+            replica.documents[name] = held._replace(text=held.text + b'!')
+            self.world.replicas.append(replica)
+
+    @rule(loss=strategies.sampled_from((0, 0.3, 0.8)))
+    def lose_messages(self, loss: float) -> None:
+        self.world.loss = loss
+
+    @rule()
+    def replay(self) -> None:
+        self.world.replay()
+
+    @rule(picks=strategies.sets(PICK, max_size=3))
+    def partition(self, picks: set[int]) -> None:
+        self.world.cut = frozenset(
+            self.pick(one).member.address for one in picks
+        )
+
+    @rule(which=PICK)
+    def pause(self, which: int) -> None:
+        self.world.pause(self.pick(which))
+
+    @rule(which=PICK)
+    def wake(self, which: int) -> None:
+        process = self.pick(which)
+        if process.paused:
+            self.world.wake(process, PAUSE_SECONDS)
+            assert process.distributor.is_stale()
+
+    @rule(which=PICK)
+    def replace(self, which: int) -> None:
+        """A host is replaced; the promise needs one that has a picture."""
+        process = self.pick(which)
+        others = [
+            one
+            for one in self.world.processes.values()
+            if one.ready and one is not process
+        ]
+        if others:
+            self.world.replace(process)
+
+    @rule()
+    def replace_everybody(self) -> None:
+        """Host by host, until nobody is left who saw the first document."""
+        self.world.loss = 0
+        self.world.cut = frozenset()
+        self.world.dead.clear()
+        for process in [*self.world.processes.values()]:
+            if process.paused:
+                self.world.wake(process, PAUSE_SECONDS)
+        for process in [*self.world.processes.values()]:
+            self.replace(process_number(self.world, process))
+            self.world.dead.clear()
+            fresh = [*self.world.processes.values()][-1]
+            assert self.world.run_until_ready(fresh)
+            self.check()
+
+    @precondition(lambda machine: machine.world.processes)
+    @rule()
+    def come_to_rest(self) -> None:
+        self.world.heal()
+        assert self.world.run_until_same()
+        self.check()
+
+    @rule()
+    def notice_the_dead(self) -> None:
+        self.world.dead.clear()
+
+    @invariant()
+    def check(self) -> None:
+        for process in self.world.processes.values():
+            check_marks(process)
+            check_calls(process)
+            assert process.checked or process.distributor.is_stale()
+        self.check_floor()
+
+    def check_floor(self) -> None:
+        """What every ready process has in force, no fresh one undercuts."""
+        ready = [one for one in self.world.processes.values() if one.ready]
+        floor = {
+            name: min(one.marks.get(name, (0,))[0] for one in ready)
+            for name in NAMES
+        }
+        for name in NAMES:
+            assert floor[name] >= self.floor.get(name, 0)
+        self.floor = floor
+
+    def pick(self, which: int) -> Process:
+        processes = [*self.world.processes.values()]
+        return processes[which % len(processes)]
+
+
+def process_number(world: World, process: Process) -> int:
+    return [*world.processes.values()].index(process)
+
+
+def check_marks(process: Process) -> None:
+    marks = process.read_marks()
+    for name, mark in process.marks.items():
+        assert marks[name] >= mark
+    process.marks = marks
+    # What the subscriber was told is what is in force.
+    assert process.told in ({}, marks)
+
+
+def check_calls(process: Process) -> None:
+    share = SETTINGS.service_calls_per_second / SETTINGS.fleet_size
+    rate = share * 5
+    awake = process.clock.now - process.slept
+    burst = max(1, rate * 4) * (1 + process.pauses)
+    assert process.calls <= awake * rate + burst
+
+
+TestDistribution = DistributionMachine.TestCase
+TestDistribution.settings = settings(
+    max_examples=int(__import__("os").environ.get("EX", 60)),
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+)
--- /dev/null
+++ b/tests/distribution/world.py
@@ -0,0 +1,406 @@
+"""A few processes on fake ports, moved one await at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, NamedTuple
+
+from ospreyford.distribution.bootstrap import Ready
+from ospreyford.distribution.distributor import Distributor
+from ospreyford.distribution.entries import order_of
+from ospreyford.distribution.service import (
+    Changes,
+    Listing,
+    ServiceUnavailable,
+    Text,
+)
+from ospreyford.distribution.settings import DistributionSettings
+from ospreyford.ports.peers import Handler
+from tests.fakes.documents import FakeStore
+from tests.fakes.stepping import SteppedTask, Stepper, Waiting, park
+
+SETTINGS = DistributionSettings(
+    fleet_size=10,
+    service_calls_per_second=10,
+    cold_start_rounds=3,
+    rumour_offers=6,
+)
+ZONES = ('zone-a', 'zone-b')
+EPOCH = 1_700_000_000
+DRIFT_SECONDS = 2
+MAX_STEPS = 6_000
+
+Marks = dict[str, tuple[int, bool, bytes]]
+
+
+class FakeMember(NamedTuple):
+    name: str
+    address: str
+    zone: str
+
+
+class FakeClock:
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return EPOCH + self.now
+
+    async def sleep(self, seconds: float) -> None:
+        await park('sleep', self.now + seconds)
+
+
+class Question(NamedTuple):
+    """What a task asks a peer, until when."""
+
+    address: str
+    topic: str
+    body: bytes
+    asked_at: float
+    due: float
+
+
+class Call(NamedTuple):
+    """What a task asks the service, until when."""
+
+    kind: str
+    note: Any
+    asked_at: float
+    due: float
+
+
+class FakePeers:
+    def __init__(self, clock: FakeClock) -> None:
+        self._clock = clock
+        self.handlers: dict[str, Handler] = {}
+
+    async def ask(
+        self, address: str, topic: str, body: bytes, timeout: float
+    ) -> bytes | None:
+        now = self._clock.now
+        question = Question(address, topic, body, now, now + timeout)
+        answer: bytes | None = await park('ask', question)
+        return answer
+
+    def serve(self, topic: str, handler: Handler) -> None:
+        self.handlers[topic] = handler
+
+    def answer(self, topic: str, body: bytes) -> bytes | None:
+        coro = self.handlers[topic](body)
+        try:
+            coro.send(None)  # type: ignore[attr-defined]
+        except StopIteration as stop:
+            answer: bytes | None = stop.value
+            return answer
+        raise AssertionError
+
+
+class FakeService:
+    def __init__(self, clock: FakeClock) -> None:
+        self._clock = clock
+
+    def _call(self, kind: str, note: Any, wait: float) -> Any:
+        now = self._clock.now
+        return park('service', Call(kind, note, now, now + wait))
+
+    async def list_documents(self) -> Listing:
+        listing: Listing = await self._call('list', None, 1)
+        return listing
+
+    async def read_document(self, name: str) -> Text:
+        text: Text = await self._call('read', name, 1)
+        return text
+
+    async def watch(self, after: int, wait: float) -> Changes:
+        changes: Changes = await self._call('watch', after, wait)
+        return changes
+
+
+@dataclass
+class Process:
+    """One process, and what the test observes of it."""
+
+    member: FakeMember
+    clock: FakeClock
+    peers: FakePeers
+    distributor: Distributor
+    ready: bool = False
+    paused: bool = False
+    calls: int = 0
+    pauses: int = 0
+    slept: float = 0
+    awake_since: float = 0
+    checked: bool = False
+    marks: Marks = field(default_factory=dict)
+    told: Marks = field(default_factory=dict)
+
+    def age(self) -> float:
+        """The clock without the pauses; no process runs far ahead."""
+        return self.clock.now - self.slept
+
+    def read_marks(self) -> Marks:
+        return {
+            one.name: order_of(one) for one in self.distributor.snapshot()
+        }
+
+
+@dataclass
+class World:
+    """All processes, the service, and the faults between them."""
+
+    rng: Random = field(default_factory=lambda: Random(1))
+    settings: DistributionSettings = SETTINGS
+    store: FakeStore = field(default_factory=FakeStore)
+    replicas: list[FakeStore] = field(default_factory=list)
+    mode: str = 'up'
+    loss: float = 0
+    cut: frozenset[str] = frozenset()
+    stepper: Stepper = field(default_factory=Stepper)
+    processes: dict[str, Process] = field(default_factory=dict)
+    dead: list[FakeMember] = field(default_factory=list)
+    messages: list[tuple[str, str, bytes]] = field(default_factory=list)
+    answers: dict[int, bytes | None] = field(default_factory=dict)
+    started: int = 0
+
+    def members(self) -> Sequence[FakeMember]:
+        """The view of everybody: the live, and the dead not yet noticed."""
+        return [
+            *self.dead,
+            *(process.member for process in self.processes.values()),
+        ]
+
+    def start(self, name: str) -> Process:
+        self.started += 1
+        zone = ZONES[int(name[-1]) % len(ZONES)]
+        member = FakeMember(name, f'{name}:{self.started}', zone)
+        clock = FakeClock()
+        clock.now = min(
+            (one.age() for one in self.processes.values()), default=0
+        )
+        peers = FakePeers(clock)
+        distributor = Distributor(
+            self.settings,
+            member,
+            FakeService(clock),
+            peers,
+            self,
+            clock,
+            Random(self.started),
+        )
+        process = Process(member, clock, peers, distributor)
+        self.processes[member.address] = process
+        distributor.subscribe(lambda changed: _note_told(process, changed))
+        for coro in (
+            distributor.run_gossip(),
+            distributor.run_reader(),
+            _become_ready(process),
+        ):
+            self.stepper.spawn(member.address, coro)
+        return process
+
+    def kill(self, process: Process) -> None:
+        address = process.member.address
+        for task in [*self.stepper.tasks]:
+            if task.name == address:
+                self.answers.pop(id(task), None)
+                self.stepper.kill(task)
+        del self.processes[address]
+        self.dead.append(process.member)
+
+    def replace(self, process: Process) -> Process:
+        self.kill(process)
+        return self.start(process.member.name)
+
+    def pause(self, process: Process) -> None:
+        process.paused = True
+
+    def wake(self, process: Process, seconds: float) -> None:
+        process.paused = False
+        process.pauses += 1
+        process.clock.now += seconds
+        process.slept += seconds
+        process.awake_since = process.clock.now
+        process.checked = False
+
+    def move(self) -> None:
+        """Resume one task of a random running process."""
+        running = [
+            process
+            for process in self.processes.values()
+            if not process.paused
+        ]
+        if running:
+            oldest = min(process.age() for process in running)
+            process = self.rng.choice(
+                [one for one in running if one.age() <= oldest + DRIFT_SECONDS]
+            )
+            self.resume(self._choose_task(process), process)
+
+    def _choose_task(self, process: Process) -> SteppedTask:
+        """Any message may come now; of the timers only the first one."""
+        parked = [
+            task
+            for task in self.stepper.parked()
+            if task.name == process.member.address
+        ]
+        first = min(parked, key=_due_of)
+        messages = [task for task in parked if self._may_come(task)]
+        return self.rng.choice([first, *messages])
+
+    def _may_come(self, task: SteppedTask) -> bool:
+        match task.waiting:
+            case Waiting('ask'):
+                return True
+            case Waiting('service', Call('watch', after)):
+                return self.mode != 'up' or self.store.revision > after
+            case Waiting('service'):
+                return True
+        return False
+
+    def resume(self, task: SteppedTask, process: Process) -> None:
+        assert task.waiting is not None
+        due = _due_of(task)
+        if not self._may_come(task):
+            process.clock.now = max(process.clock.now, due)
+        match task.waiting:
+            case Waiting('sleep'):
+                self.stepper.resume(task)
+            case Waiting('ask', question) if id(task) in self.answers:
+                self._end_ask(task, process, question)
+            case Waiting('ask', question):
+                # The first turn carries the question, a later one brings
+                # the answer: pauses and other messages fit in between.
+                self.answers[id(task)] = self._carry(task, question)
+            case Waiting('service', call):
+                self._end_call(task, process, call)
+
+    def _carry(self, task: SteppedTask, question: Question) -> bytes | None:
+        address = question.address
+        if not self._reaches(task.name, address):
+            return None
+        message = (address, question.topic, question.body)
+        self.messages = [*self.messages[-20:], message]
+        answer = self.processes[address].peers.answer(*message[1:])
+        return answer if self._reaches(address, task.name) else None
+
+    def _end_ask(
+        self, task: SteppedTask, process: Process, question: Question
+    ) -> None:
+        answer = self.answers.pop(id(task))
+        if answer is None:
+            process.clock.now = max(process.clock.now, question.due)
+        elif question.asked_at >= process.awake_since:
+            process.checked = True
+        self.stepper.resume(task, answer)
+
+    def _reaches(self, sender: str, address: str) -> bool:
+        target = self.processes.get(address)
+        if target is None or target.paused:
+            return False
+        if (sender in self.cut) != (address in self.cut):
+            return False
+        return self.rng.random() >= self.loss
+
+    def replay(self) -> None:
+        """Deliver an old message once more, late and out of order."""
+        if not self.messages:
+            return
+        address, topic, body = self.rng.choice(self.messages)
+        target = self.processes.get(address)
+        if target is not None and not target.paused:
+            target.peers.answer(topic, body)
+
+    def _end_call(
+        self, task: SteppedTask, process: Process, call: Call
+    ) -> None:
+        process.calls += 1
+        try:
+            answer = _serve(self._pick_store(), call)
+        except ServiceUnavailable as error:
+            self.stepper.throw(task, error)
+            return
+        if call.asked_at >= process.awake_since:
+            process.checked = True
+        self.stepper.resume(task, answer)
+
+    def _pick_store(self) -> FakeStore | None:
+        match self.mode:
+            case 'down':
+                return None
+            case 'stale' if self.replicas:
+                return self.replicas[0]
+            case 'flap' if self.replicas:
+                return self.rng.choice([*self.replicas, self.store])
+            case _:
+                return self.store
+
+    def heal(self) -> None:
+        self.mode = 'up'
+        self.loss = 0
+        self.cut = frozenset()
+        self.dead.clear()
+        for process in self.processes.values():
+            if process.paused:
+                self.wake(process, 100)
+
+    def run_until_same(self) -> bool:
+        """Run until all are ready and hold the newest documents."""
+        for _ in range(MAX_STEPS):
+            self.move()
+            if self.is_same():
+                return True
+        return False
+
+    def is_same(self) -> bool:
+        first, *others = [
+            process.read_marks() for process in self.processes.values()
+        ]
+        newest = {
+            name: one.revision for name, one in self.store.documents.items()
+        }
+        return (
+            all(process.ready for process in self.processes.values())
+            and all(marks == first for marks in others)
+            and {name: mark[0] for name, mark in first.items()} == newest
+        )
+
+    def run_until_ready(self, process: Process) -> bool:
+        for _ in range(MAX_STEPS):
+            self.move()
+            if process.ready:
+                return True
+        return False
+
+
+def _due_of(task: SteppedTask) -> float:
+    assert task.waiting is not None
+    note = task.waiting.note
+    due: float = note if task.waiting.kind == 'sleep' else note.due
+    return due
+
+
+def _serve(store: FakeStore | None, call: Call) -> Listing | Text | Changes:
+    if store is None:
+        raise ServiceUnavailable
+    match call.kind:
+        case 'list':
+            return store.listing()
+        case 'read':
+            return store.read(call.note)
+        case _:
+            return store.changes(call.note)
+
+
+def _note_told(process: Process, changed: Sequence[Any]) -> None:
+    process.told.update({one.name: order_of(one) for one in changed})
+
+
+async def _become_ready(process: Process) -> None:
+    while not isinstance(await process.distributor.bootstrap(), Ready):
+        continue
+    process.ready = True
