--- /dev/null
+++ b/src/ospreyford/placement/balance.py
@@ -0,0 +1,77 @@
+"""Placing a layer's experts from nothing, longest processing time first."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Sequence
+from itertools import repeat
+from operator import truediv
+from typing import NamedTuple
+
+from ospreyford.placement.map import LayerMap
+
+
+class _Slot(NamedTuple):
+    """The next free slot of a rank, ordered by the rank's load."""
+
+    load: float
+    used: int
+    rank: int
+
+
+def count_replicas(loads: Sequence[float], total: int, most: int) -> list[int]:
+    """Choose how many replicas each expert gets, one more at the hottest.
+
+    This minimises the largest share of one replica (the greedy rule is
+    Jefferson's apportionment, which is optimal for it).
+
+    :param loads: for each expert, its load.
+    :param total: replicas to hand out, at least one for each expert.
+    :param most: most replicas of one expert.
+    :returns: for each expert, its replicas.
+    """
+    counts = list(repeat(1, len(loads)))
+    heap = [(-load, expert) for expert, load in enumerate(loads) if most > 1]
+    heapq.heapify(heap)
+    for _ in range(total - len(loads)):
+        if not heap:
+            break
+        _, expert = heapq.heappop(heap)
+        counts[expert] += 1
+        if counts[expert] < most:
+            heapq.heappush(heap, (-loads[expert] / counts[expert], expert))
+    return counts
+
+
+def balance_layer(
+    loads: Sequence[float], ranks: int, slots: int, replicas: Sequence[int]
+) -> LayerMap:
+    """Place the largest shares first, each on the rank least loaded so far.
+
+    :param loads: for each expert, its load.
+    :param ranks: ranks in the group.
+    :param slots: experts of one layer that a rank's memory takes.
+    :param replicas: for each expert, how many ranks hold it.
+    :returns: for each expert, the ranks that hold it.
+    """
+    heap = [_Slot(0, 0, rank) for rank in range(ranks)]
+    shares = list(map(truediv, loads, replicas))
+    placed: dict[int, tuple[int, ...]] = {}
+    for expert in _order_by_share(shares):
+        count = min(replicas[expert], len(heap))
+        taken = [heapq.heappop(heap) for _ in range(count)]
+        placed[expert] = tuple(sorted(slot.rank for slot in taken))
+        _return_slots(heap, taken, shares[expert], slots)
+    return tuple(placed[each] for each in range(len(loads)))
+
+
+def _order_by_share(shares: Sequence[float]) -> list[int]:
+    return sorted(range(len(shares)), key=shares.__getitem__, reverse=True)
+
+
+def _return_slots(
+    heap: list[_Slot], taken: Sequence[_Slot], share: float, slots: int
+) -> None:
+    for load, used, rank in taken:
+        if used + 1 < slots:
+            heapq.heappush(heap, _Slot(load + share, used + 1, rank))
