--- /dev/null
+++ b/src/ospreyford/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Small models at the interfaces, and the tables and plots of their runs."""
--- /dev/null
+++ b/src/ospreyford/measure/placement_runs.py
@@ -0,0 +1,264 @@
+"""Runs of placement policies over the drift models."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from itertools import repeat
+from typing import NamedTuple
+
+from ospreyford.measure.drift import (
+    DepartureBanks,
+    Drift,
+    Moment,
+    PensionSeason,
+    Tokens,
+)
+from ospreyford.placement.balance import count_replicas
+from ospreyford.placement.budget import TokenBucket
+from ospreyford.placement.estimate import scale_loads
+from ospreyford.placement.layer import Expected, LayerState
+from ospreyford.placement.loads import ExpertLoads
+from ospreyford.placement.map import ExpertMap, GroupShape, spread_experts
+from ospreyford.placement.outcomes import Plan
+from ospreyford.placement.policy import Planner
+from ospreyford.placement.variants import BalanceAlways, Variant
+from ospreyford.placement.weights import PlacementWeights
+
+#: Seconds between load reports.
+INTERVAL = 60
+#: A step of a balanced group, in seconds (docs/given: five milliseconds).
+STEP_SECONDS = 0.005
+#: One expert of one layer: three 7168 x 2048 matrices of one byte.
+EXPERT_BYTES = 3 * 7168 * 2048
+#: A group's share of the weight store.
+STORE_RATE = 50_000_000
+#: More than any run asks for.
+NO_LIMIT = 1_000_000
+
+
+class Deployment(NamedTuple):
+    """One user's drift and weights."""
+
+    name: str
+    drift: Drift
+    shape: GroupShape
+    weights: PlacementWeights
+
+
+class Entrant(NamedTuple):
+    """One policy of a comparison.
+
+    :param name: what the tables call it.
+    :param variant: the policy.
+    :param limited: whether memory, bound and budget hold it.
+    """
+
+    name: str
+    variant: Variant
+    limited: bool = True
+
+
+@dataclass
+class Result:
+    """What one policy did in one run."""
+
+    name: str
+    skews: list[float] = field(default_factory=list)
+    moved: list[int] = field(default_factory=list)
+    plans: int = 0
+    disturbed_steps: float = 0
+
+    def find_lost_seconds(self) -> float:
+        """Add up the step time lost to skew.
+
+        :returns: seconds beyond those of a balanced group.
+        """
+        return sum(self.skews) * INTERVAL
+
+    def find_store_seconds(self) -> float:
+        """Add up the weight store's work.
+
+        :returns: seconds of the group's whole share.
+        """
+        return sum(self.moved) * EXPERT_BYTES / STORE_RATE
+
+
+OFFICE = Deployment(
+    'pension office',
+    PensionSeason(),
+    GroupShape(ranks=8, layers=4, experts=64, expert_bytes=EXPERT_BYTES),
+    PlacementWeights(
+        skew_weight=4,
+        move_weight=1,
+        store_bytes_per_second=STORE_RATE,
+        slots_per_rank=10,
+    ),
+)
+CATERER = Deployment(
+    'caterer',
+    DepartureBanks(),
+    OFFICE.shape,
+    PlacementWeights(
+        skew_weight=1,
+        move_weight=8,
+        store_bytes_per_second=STORE_RATE,
+        slots_per_rank=10,
+    ),
+)
+
+
+def weigh_result(result: Result, weights: PlacementWeights) -> float:
+    """Add both measures by a deployment's weights.
+
+    :param result: what a policy did.
+    :param weights: the deployment's weights.
+    :returns: weighted seconds.
+    """
+    return (
+        weights.skew_weight * result.find_lost_seconds()
+        + weights.move_weight * result.find_store_seconds()
+    )
+
+
+def run_policy(
+    deployment: Deployment, entrant: Entrant, moments: Iterable[Moment]
+) -> Result:
+    """Run one policy over a drift.
+
+    :param deployment: sizes and weights.
+    :param entrant: the policy.
+    :param moments: the popularity over time.
+    :returns: skew and moves.
+    """
+    run = _Run(deployment, entrant)
+    for moment in moments:
+        run.advance(moment)
+    return run.result
+
+
+class _Run:
+    """A rank group that follows its policy's plans."""
+
+    def __init__(self, deployment: Deployment, entrant: Entrant) -> None:
+        self.result = Result(entrant.name)
+        self._shape = deployment.shape
+        self._limited = entrant.limited
+        self._planner = _make_planner(deployment, entrant)
+        self._current = spread_experts(deployment.shape)
+        self._coming: ExpertMap | None = None
+        self._comes_at: float = 0
+
+    def advance(self, moment: Moment) -> None:
+        if self._coming and moment.at >= self._comes_at:
+            self._current = self._coming
+            self._coming = None
+        skew = measure_skew(self._current, moment.truth, self._shape.ranks)
+        self.result.skews.append(skew)
+        self.result.moved.append(0)
+        report = ExpertLoads(
+            received_at=moment.at,
+            age_seconds=0,
+            ranks=self._shape.ranks,
+            tokens=moment.report,
+        )
+        if self._coming:
+            self._planner.observe(report, moment.at)
+            return
+        match self._planner.plan(report, self._current, moment.at):
+            case Plan() as made:
+                self._follow(made, moment.at, skew)
+
+    def _follow(self, made: Plan, at: float, skew: float) -> None:
+        seconds = made.copy_bytes / STORE_RATE
+        self._coming = made.target
+        self._comes_at = at + seconds if self._limited else at
+        self.result.plans += 1
+        self.result.moved[-1] = len(made.copies)
+        self.result.disturbed_steps += seconds / STEP_SECONDS / (1 + skew)
+
+
+def _make_planner(deployment: Deployment, entrant: Entrant) -> Planner:
+    weights = deployment.weights
+    if not entrant.limited:
+        weights = PlacementWeights(
+            skew_weight=1,
+            move_weight=0,
+            store_bytes_per_second=NO_LIMIT * EXPERT_BYTES,
+            slots_per_rank=2 * deployment.shape.experts,
+            max_moves=NO_LIMIT,
+            plan_interval_seconds=0,
+        )
+    rate = weights.store_bytes_per_second
+    burst = min(weights.max_moves, NO_LIMIT) * EXPERT_BYTES
+    budget = TokenBucket(rate, burst, -INTERVAL)
+    return Planner(entrant.variant, deployment.shape, weights, budget)
+
+
+def measure_skew(current: ExpertMap, truth: Tokens, ranks: int) -> float:
+    """Measure the step-time skew: slowest rank over mean rank, less one.
+
+    All ranks wait for the slowest in each layer, so the layers' peaks add up.
+
+    :param current: the map in force.
+    :param truth: for each layer, for each expert, its tokens.
+    :param ranks: ranks in the group.
+    :returns: 0 for a balanced group.
+    """
+    peaks = [
+        LayerState(layer, [Expected(1, loads)], ranks).peak()
+        for layer, loads in zip(
+            current.layers, scale_loads(truth, ranks), strict=True
+        )
+    ]
+    return sum(peaks) / len(peaks) - 1
+
+
+def bound_skew(truth: Tokens, ranks: int, slots: int) -> float:
+    """Bound the skew of any map from below.
+
+    A rank has at least the mean load, and some rank at least the largest
+    share of one replica.
+
+    :param truth: for each layer, for each expert, its tokens.
+    :param ranks: ranks in the group.
+    :param slots: experts of one layer that a rank's memory takes.
+    :returns: the least skew that replicas evenly split could reach.
+    """
+    peaks = [
+        max(1, _find_largest_share(loads, ranks, slots))
+        for loads in scale_loads(truth, ranks)
+    ]
+    return sum(peaks) / len(peaks) - 1
+
+
+def _find_largest_share(
+    loads: Sequence[float], ranks: int, slots: int
+) -> float:
+    total = max(ranks * slots, len(loads))
+    counts = count_replicas(loads, total, ranks)
+    return max(load / count for load, count in zip(loads, counts, strict=True))
+
+
+def bound_run(
+    moments: Iterable[Moment], ranks: int, slots: int, name: str
+) -> Result:
+    """Bound a whole run from below, moment by moment.
+
+    :param moments: the popularity over time.
+    :param ranks: ranks in the group.
+    :param slots: experts of one layer that a rank's memory takes.
+    :param name: what the tables call it.
+    :returns: the bound's skews; nothing moves.
+    """
+    skews = [bound_skew(moment.truth, ranks, slots) for moment in moments]
+    return Result(name, skews, list(repeat(0, len(skews))))
+
+
+#: The size that the users' planning names: one expert to a rank, one replica.
+LARGE_SHAPE = GroupShape(
+    ranks=64, layers=4, experts=64, expert_bytes=EXPERT_BYTES
+)
+BALANCE_UNLIMITED = Entrant(
+    'balance-always, without limits', BalanceAlways(fill=9), limited=False
+)
--- a/src/ospreyford/placement/policy.py
+++ b/src/ospreyford/placement/policy.py
@@ -2,17 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Generator
 from typing import Protocol, assert_never
 
 from ospreyford.placement.balance import balance_layer, count_replicas
 from ospreyford.placement.budget import StoreBudget
-from ospreyford.placement.estimate import (
-    Estimator,
-    LatestReport,
-    MovingAverage,
-    scale_loads,
-)
+from ospreyford.placement.estimate import scale_loads
 from ospreyford.placement.loads import ExpertLoads, find_fault
 from ospreyford.placement.map import ExpertMap, GroupShape, is_valid_map
 from ospreyford.placement.outcomes import NoChange, Outcome
@@ -23,67 +18,30 @@
     PlacementStatic,
     Reason,
     ReportRepeated,
+    TooSoon,
     WarmingUp,
 )
-from ospreyford.placement.regimes import RecurringRegimes
 from ospreyford.placement.search import (
     Proposal,
     SearchLimits,
     improve_layer,
 )
 from ospreyford.placement.transition import Transition
+from ospreyford.placement.variants import (
+    BalanceAlways,
+    Static,
+    Variant,
+    WeighedMoves,
+    make_estimator,
+)
 from ospreyford.placement.weights import PlacementWeights
 
 #: Changes of one layer in one plan.
 MAX_LAYER_CHANGES = 16
 
 
-@dataclass(frozen=True)
-class Static:
-    """Never moves an expert."""
-
-
-@dataclass(frozen=True)
-class BalanceAlways:
-    """Places all experts anew at each report, by the report alone."""
-
-    replicas: bool = True
-
-
-@dataclass(frozen=True)
-class Latest:
-    """Estimate: the last report."""
-
-
-@dataclass(frozen=True)
-class Averaged:
-    """Estimate: moving average; it halves in ``half_life`` seconds."""
-
-    half_life: float = 300
-
-
-@dataclass(frozen=True)
-class Recurring:
-    """Estimate: recurring regimes, see :class:`RecurringRegimes`."""
-
-    most: int = 3
-    half_life: float = 14_400
-    inertia: float = 1800
-    smoothing: float = 120
-
-
-Estimate = Latest | Averaged | Recurring
-
-
-@dataclass(frozen=True)
-class WeighedMoves:
-    """Moves what saves more than it costs, by the deployment's weights."""
-
-    estimate: Estimate = Recurring()
-    replicas: bool = True
-
-
-Variant = Static | BalanceAlways | WeighedMoves
+#: A judgement under way; its return value is the outcome.
+Steps = Generator[None, None, Outcome]
 
 
 class PlacementPolicy(Protocol):
@@ -122,11 +80,12 @@
     ) -> None:
         self.shape = shape
         self.weights = weights
-        self.estimator = _make_estimator(variant)
+        self.estimator = make_estimator(variant)
         self._variant = variant
         self._budget = budget
         self._reports = 0
         self._measured_at: float | None = None
+        self._judged_at = float('-inf')
 
     def plan(
         self, report: ExpertLoads | None, current: ExpertMap, now: float
@@ -141,19 +100,58 @@
         :returns: a plan, its bytes already taken from the budget, or why
             nothing changes.
         """
+        steps = self.plan_in_steps(report, current, now)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as finished:
+                outcome: Outcome = finished.value
+                return outcome
+
+    def plan_in_steps(
+        self, report: ExpertLoads | None, current: ExpertMap, now: float
+    ) -> Steps:
+        """Judge a report a layer at a time.
+
+        A whole judgement of a large group takes hundreds of milliseconds.
+        On the agent's event loop that would show as late heartbeats and
+        stalled answers, so the agent sleeps between the steps.
+
+        :param report: the group's last load report, if any.
+        :param current: the map in force.
+        :param now: this process's monotonic clock, in seconds.
+        :yields: nothing, after each layer.
+        :returns: as :meth:`plan`.
+        """
+        reason = self.observe(report, now) or self._find_obstacle(current, now)
+        if reason:
+            return NoChange(reason)
+        self._judged_at = now
+        return (yield from self._decide(current, now))
+
+    def observe(self, report: ExpertLoads | None, now: float) -> Reason | None:
+        """Take a report into the estimate, without judging the map.
+
+        Call this while a change of the map is under way.
+
+        :param report: the group's last load report, if any.
+        :param now: this process's monotonic clock, in seconds.
+        :returns: why the report was not used, or ``None``.
+        """
         reason = find_fault(report, self.shape, self.weights, now)
         if reason or report is None:
-            return NoChange(reason or NotWorthwhile())
-        reason = self._observe(report) or self._find_obstacle(current, now)
-        return NoChange(reason) if reason else self._decide(current, now)
-
-    def _observe(self, report: ExpertLoads) -> Reason | None:
+            return reason
         last = self._measured_at
         if last is not None and report.measured_at <= last:
             # A duplicate or a late one: counted again, one swing would look
             # as if it lasted, and experts would move for it.
             return ReportRepeated()
         elapsed = 0 if last is None else report.measured_at - last
+        if elapsed > self.weights.max_report_age_seconds:
+            # Reports stopped, or this process slept. The first one after a
+            # gap weighs the most in any average, so noise in it alone would
+            # move experts.
+            self._reports = 0
         self._measured_at = report.measured_at
         self._reports += 1
         self.estimator.observe(
@@ -166,12 +164,15 @@
             return MapInvalid()
         if self._reports < self.weights.min_reports:
             return WarmingUp(self._reports, self.weights.min_reports)
+        wait = self.weights.plan_interval_seconds - (now - self._judged_at)
+        if wait > 0:
+            return TooSoon(wait)
         available = self._budget.available(now)
         if available < self.shape.expert_bytes:
             return BudgetSpent(available)
         return None
 
-    def _decide(self, current: ExpertMap, now: float) -> Outcome:
+    def _decide(self, current: ExpertMap, now: float) -> Steps:
         transition = Transition(
             current,
             self.shape,
@@ -182,10 +183,10 @@
         match self._variant:
             case Static():
                 return NoChange(PlacementStatic())
-            case BalanceAlways(replicas):
-                saved = self._balance(transition, replicas)
+            case BalanceAlways() as variant:
+                saved = yield from self._balance(transition, variant)
             case WeighedMoves(replicas=replicas):
-                saved = self._improve(transition, current, replicas)
+                saved = yield from self._improve(transition, current, replicas)
             case _:
                 assert_never(self._variant)
         made = transition.finish(saved)
@@ -195,23 +196,26 @@
             return NoChange(BudgetSpent(self._budget.available(now)))
         return made
 
-    def _balance(self, transition: Transition, replicas: bool) -> float:
+    def _balance(
+        self, transition: Transition, variant: BalanceAlways
+    ) -> Generator[None, None, float]:
         shape = self.shape
         # One slot of each rank stays free, or no copy could be made before
         # the old one is dropped.
-        slots = max(1, self.weights.slots_per_rank - 1)
-        total = shape.ranks * slots if replicas else shape.experts
+        slots = variant.fill or max(1, self.weights.slots_per_rank - 1)
+        total = shape.ranks * slots if variant.replicas else shape.experts
         for number in range(shape.layers):
             loads = self.estimator.expect(number)[0].loads
             counts = count_replicas(loads, total, shape.ranks)
             transition.approach(
                 number, balance_layer(loads, shape.ranks, slots, counts)
             )
+            yield
         return 0
 
     def _improve(
         self, transition: Transition, current: ExpertMap, replicas: bool
-    ) -> float:
+    ) -> Generator[None, None, float]:
         limits = SearchLimits(
             ranks=self.shape.ranks,
             slots=self.weights.slots_per_rank,
@@ -219,10 +223,11 @@
             max_changes=min(MAX_LAYER_CHANGES, transition.copies_left),
             replicas=replicas,
         )
-        proposals = [
-            improve_layer(number, layer, self.estimator.expect(number), limits)
-            for number, layer in enumerate(current.layers)
-        ]
+        proposals: list[Proposal | None] = []
+        for number, layer in enumerate(current.layers):
+            expected = self.estimator.expect(number)
+            proposals.append(improve_layer(number, layer, expected, limits))
+            yield
         best_first = sorted(filter(None, proposals), key=_rank_proposal)
         gain = sum(
             proposal.gain
@@ -251,18 +256,3 @@
 
 def _rank_proposal(proposal: Proposal) -> tuple[float, int]:
     return -proposal.net / proposal.changes, proposal.number
-
-
-def _make_estimator(variant: Variant) -> Estimator:
-    match variant:
-        case WeighedMoves(Averaged(half_life)):
-            return MovingAverage(half_life)
-        case WeighedMoves(Recurring() as recurring):
-            return RecurringRegimes(
-                most=recurring.most,
-                half_life=recurring.half_life,
-                inertia=recurring.inertia,
-                smoothing=recurring.smoothing,
-            )
-        case _:
-            return LatestReport()
--- a/src/ospreyford/placement/reasons.py
+++ b/src/ospreyford/placement/reasons.py
@@ -69,6 +69,13 @@
     needed: int
 
 
+@dataclass(frozen=True)
+class TooSoon:
+    """The last judgement is too recent; ``wait_seconds`` remain."""
+
+    wait_seconds: float
+
+
 @dataclass(frozen=True)
 class PlacementStatic:
     """The policy in force never moves anything."""
@@ -95,6 +102,7 @@
     | TrafficLow
     | MapInvalid
     | WarmingUp
+    | TooSoon
     | PlacementStatic
     | NotWorthwhile
     | BudgetSpent
--- a/src/ospreyford/placement/regimes.py
+++ b/src/ospreyford/placement/regimes.py
@@ -43,12 +43,16 @@
     :param half_life: seconds in which a regime's past time halves.
     :param inertia: seconds of a regime that weigh against a new report.
     :param smoothing: half-life of the reports' moving average, in seconds.
+    :param focus: share of the coming time that the present regime is given
+        before past time is looked at, 0 to 1.
     """
 
     most: int
     half_life: float
     inertia: float
     smoothing: float
+    focus: float
+    present: int = 0
     regimes: list[Regime] = field(default_factory=list)
     recent: MovingAverage = field(init=False)
 
@@ -70,6 +74,7 @@
         ]
         newest = Regime(self.recent.loads or loads, max(elapsed, 1))
         self.regimes.append(newest)
+        self.present = len(self.regimes) - 1
         if len(self.regimes) > self.most:
             self._merge_nearest()
 
@@ -80,9 +85,14 @@
         :returns: each regime's popularity and share of the time.
         """
         total = sum(regime.seconds for regime in self.regimes)
+        past = 1 - self.focus
         return [
-            Expected(regime.seconds / total, regime.loads[number])
-            for regime in self.regimes
+            Expected(
+                past * regime.seconds / total
+                + (self.focus if index == self.present else 0),
+                regime.loads[number],
+            )
+            for index, regime in enumerate(self.regimes)
         ]
 
     def _merge_nearest(self) -> None:
@@ -100,6 +110,10 @@
         one = self.regimes.pop(nearest.one)
         past = min(one.seconds, self.inertia)
         weight = other.seconds / (past + other.seconds)
+        # The newest is the last one; merged, it is at the place of the other.
+        self.present = (
+            nearest.one if nearest.other == self.present else len(self.regimes)
+        )
         self.regimes.insert(
             nearest.one,
             Regime(
--- a/src/ospreyford/placement/search.py
+++ b/src/ospreyford/placement/search.py
@@ -18,6 +18,9 @@
 
 #: Destinations tried for each expert: the coolest ranks with a free slot.
 DESTINATIONS = 3
+#: Changes tried beyond the best so far: two ranks may share the peak, so one
+#: change alone may lower nothing.
+PATIENCE = 4
 
 
 class SearchLimits(NamedTuple):
@@ -84,15 +87,17 @@
     first = state.peak()
     best: Proposal | None = None
     best_net: float = 0
+    best_count = 0
     for count in range(1, limits.max_changes + 1):
         change = _choose_change(state, limits)
-        if change is None:
+        if change is None or count > best_count + PATIENCE:
             break
         apply(state, change)
         gain = first - state.peak()
         net = gain - count * limits.change_cost
         if net > best_net:
             best_net = net
+            best_count = count
             best = Proposal(number, state.freeze(), count, gain, net)
     return best
 
--- a/src/ospreyford/placement/weights.py
+++ b/src/ospreyford/placement/weights.py
@@ -23,6 +23,7 @@
     :param slots_per_rank: experts of one layer that a rank's memory takes,
         replicas and copies under way included.
     :param horizon_seconds: how long a change is expected to serve.
+    :param plan_interval_seconds: least time between two judgements.
     :param max_moves: most copies and drops in one plan.
     :param max_report_age_seconds: an older report moves nothing.
     :param min_reports: reports needed before anything moves.
@@ -35,6 +36,7 @@
     slots_per_rank: Count
     hysteresis: NonNegative = 0.25
     horizon_seconds: Positive = 1800
+    plan_interval_seconds: NonNegative = 300
     max_moves: Count = 64
     max_report_age_seconds: Positive = 90
     min_reports: Count = 3
--- /dev/null
+++ b/tests/placement/groups.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ospreyford.placement.budget import TokenBucket
+from ospreyford.placement.loads import ExpertLoads
+from ospreyford.placement.map import ExpertMap, GroupShape
+from ospreyford.placement.outcomes import Plan
+from ospreyford.placement.policy import Planner
+from ospreyford.placement.variants import Variant, WeighedMoves
+from ospreyford.placement.weights import PlacementWeights
+
+SHAPE = GroupShape(ranks=4, layers=2, experts=8, expert_bytes=100)
+WEIGHTS = PlacementWeights(
+    skew_weight=4,
+    move_weight=1,
+    store_bytes_per_second=100,
+    slots_per_rank=4,
+    min_reports=1,
+    min_tokens=10,
+    plan_interval_seconds=0,
+)
+#: Rank 0 holds experts 0 and 1, so it has 14 of 20 tokens.
+SKEWED = (8.0, 6.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0)
+
+
+def make_report(
+    received_at: float,
+    layer: Sequence[float] = SKEWED,
+    shape: GroupShape = SHAPE,
+    **changes: object,
+) -> ExpertLoads:
+    fields: dict[str, object] = {
+        'received_at': received_at,
+        'age_seconds': 0,
+        'ranks': shape.ranks,
+        'tokens': (layer,) * shape.layers,
+        **changes,
+    }
+    return ExpertLoads(**fields)  # type: ignore[arg-type]  # table's fields
+
+
+def make_planner(
+    variant: Variant | None = None,
+    weights: PlacementWeights = WEIGHTS,
+    shape: GroupShape = SHAPE,
+    burst: float = 100_000,
+) -> Planner:
+    bucket = TokenBucket(weights.store_bytes_per_second, burst, 0)
+    return Planner(variant or WeighedMoves(), shape, weights, bucket)
+
+
+def check_plan(
+    made: Plan,
+    current: ExpertMap,
+    weights: PlacementWeights,
+    shape: GroupShape = SHAPE,
+) -> None:
+    """Check a plan by sets alone, sharing no code with the policy."""
+    assert made.target.revision == current.revision + 1
+    old, new = _list_places(current), _list_places(made.target)
+    assert {(*key,) for key in _keys(made.copies)} == new - old
+    assert {(*key,) for key in _keys(made.drops)} == old - new
+    assert made.copies or made.drops
+    assert len(made.copies) + len(made.drops) <= weights.max_moves
+    assert made.copy_bytes == len(made.copies) * shape.expert_bytes
+    both = old | new
+    for layer in range(shape.layers):
+        assert {key[1] for key in new if key[0] == layer} == set(
+            range(shape.experts)
+        )
+        for rank in range(shape.ranks):
+            held = [key for key in both if (key[0], key[2]) == (layer, rank)]
+            assert len(held) <= weights.slots_per_rank
+    assert all(0 <= rank < shape.ranks for *_, rank in new)
+
+
+def _keys(moves: Sequence[object]) -> list[tuple[int, int, int]]:
+    return [
+        (move.layer, move.expert, move.rank)  # type: ignore[attr-defined]
+        for move in moves
+    ]
+
+
+def _list_places(current: ExpertMap) -> set[tuple[int, int, int]]:
+    return {
+        (number, expert, rank)
+        for number, layer in enumerate(current.layers)
+        for expert, ranks in enumerate(layer)
+        for rank in ranks
+    }
--- /dev/null
+++ b/tests/placement/test_reports.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from ospreyford.placement.loads import ExpertLoads
+from ospreyford.placement.map import ExpertMap, spread_experts
+from ospreyford.placement.outcomes import NoChange, Plan
+from ospreyford.placement.reasons import (
+    MapInvalid,
+    Reason,
+    ReportBad,
+    ReportFault,
+    ReportMissing,
+    ReportOld,
+    ReportPartial,
+    ReportRepeated,
+    TooSoon,
+    TrafficLow,
+    WarmingUp,
+)
+from ospreyford.placement.variants import BalanceAlways, WeighedMoves
+from ospreyford.placement.weights import PlacementWeights
+from tests.placement.groups import (
+    SHAPE,
+    SKEWED,
+    make_planner,
+    make_report,
+)
+
+NOW = 1000.0
+BAD_FIRST = (math.nan, *SKEWED[1:])
+
+
+@pytest.mark.parametrize('variant', [WeighedMoves(), BalanceAlways()])
+@pytest.mark.parametrize(
+    ('report', 'reason'),
+    [
+        (None, ReportMissing()),
+        (make_report(NOW, BAD_FIRST), ReportBad(ReportFault.not_finite)),
+        (
+            make_report(NOW, (math.inf, *SKEWED[1:])),
+            ReportBad(ReportFault.not_finite),
+        ),
+        (
+            make_report(NOW, (-1.0, *SKEWED[1:])),
+            ReportBad(ReportFault.negative),
+        ),
+        (make_report(NOW, SKEWED[1:]), ReportBad(ReportFault.wrong_shape)),
+        (
+            make_report(NOW, tokens=(SKEWED,)),
+            ReportBad(ReportFault.wrong_shape),
+        ),
+        (make_report(NOW, tokens=()), ReportBad(ReportFault.wrong_shape)),
+        (
+            make_report(NOW + 1),
+            ReportBad(ReportFault.wrong_clock),
+        ),
+        (
+            make_report(NOW, age_seconds=-1),
+            ReportBad(ReportFault.wrong_clock),
+        ),
+        (
+            make_report(NOW, age_seconds=math.nan),
+            ReportBad(ReportFault.not_finite),
+        ),
+        (make_report(NOW, ranks=3), ReportPartial(3, 4)),
+        (make_report(NOW, age_seconds=91), ReportOld(91, 90)),
+        (make_report(NOW - 91), ReportOld(91, 90)),
+        (make_report(NOW, (0.0,) * 8), TrafficLow(0, 10)),
+    ],
+)
+def test_unusable_report_moves_nothing(
+    variant: WeighedMoves | BalanceAlways,
+    report: ExpertLoads | None,
+    reason: Reason,
+) -> None:
+    """Symptom: experts move although popularity is the same.
+
+    Sequence: a report is bad, partial, late or missing, and is planned by.
+    Cause: its figures look like drift.
+    """
+    planner = make_planner(variant)
+    outcome = planner.plan(report, spread_experts(SHAPE), NOW)
+    assert outcome == NoChange(reason)
+    # The same planner does move by a good report, so the check can fail.
+    good = planner.plan(make_report(NOW), spread_experts(SHAPE), NOW)
+    assert isinstance(good, Plan)
+
+
+def test_repeated_report_counts_once() -> None:
+    """Symptom: a short swing moves experts as drift would.
+
+    Sequence: one report arrives twice, the second time later.
+    Cause: the estimate took the copy for a second window.
+    """
+    planner = make_planner()
+    current = spread_experts(SHAPE)
+    planner.plan(make_report(NOW), current, NOW)
+    late = make_report(NOW + 30, age_seconds=30)
+    assert planner.plan(late, current, NOW + 30) == NoChange(ReportRepeated())
+
+
+def test_gap_in_reports_starts_warm_up_again() -> None:
+    """Symptom: after a pause, experts move by one noisy report.
+
+    Sequence: reports, none for ten minutes, one report.
+    Cause: after a gap, one report outweighs the whole average.
+    """
+    weights = PlacementWeights(
+        skew_weight=4,
+        move_weight=1,
+        store_bytes_per_second=100,
+        slots_per_rank=4,
+        min_reports=2,
+        min_tokens=10,
+        plan_interval_seconds=0,
+    )
+    planner = make_planner(weights=weights)
+    current = spread_experts(SHAPE)
+    even = (1.0,) * SHAPE.experts
+    first = planner.plan(make_report(0, even), current, 0)
+    assert first == NoChange(WarmingUp(1, 2))
+    planner.plan(make_report(60, even), current, 60)
+    woken = planner.plan(make_report(660), current, 660)
+    assert woken == NoChange(WarmingUp(1, 2))
+    assert isinstance(planner.plan(make_report(720), current, 720), Plan)
+
+
+@pytest.mark.parametrize(
+    'layer',
+    [
+        ((), *[(0,)] * 3, *[(1,)] * 4),
+        ((4,), *[(0,)] * 3, *[(1,)] * 4),
+        ((-1,), *[(0,)] * 3, *[(1,)] * 4),
+        ((0, 0), *[(1,)] * 3, *[(2,)] * 4),
+        ((0,),) * 8,
+        ((0,),) * 3,
+    ],
+)
+def test_invalid_map_is_left_alone(
+    layer: tuple[tuple[int, ...], ...],
+) -> None:
+    """Symptom: a plan for a map that no rank can run.
+
+    Sequence: the group forms anew with another size; the old map is passed.
+    Cause: the map does not fit the group or its memory.
+    """
+    current = ExpertMap(revision=3, layers=(layer, layer))
+    outcome = make_planner().plan(make_report(NOW), current, NOW)
+    assert outcome == NoChange(MapInvalid())
+
+
+def test_interval_between_judgements_is_kept() -> None:
+    weights = PlacementWeights(
+        skew_weight=4,
+        move_weight=1,
+        store_bytes_per_second=100,
+        slots_per_rank=4,
+        max_moves=2,
+        min_reports=1,
+        min_tokens=10,
+    )
+    planner = make_planner(weights=weights)
+    current = spread_experts(SHAPE)
+    first = planner.plan(make_report(NOW), current, NOW)
+    assert isinstance(first, Plan)
+    soon = planner.plan(make_report(NOW + 60), first.target, NOW + 60)
+    assert soon == NoChange(TooSoon(240))
