Free a slot on a cool rank whose memory is full

Change: where the coolest rank is full, an expert of it moves on, or a replica of it is dropped, if the slot pays for both steps.

--- a/src/ospreyford/placement/search.py
+++ b/src/ospreyford/placement/search.py
@@ -108,17 +108,17 @@
     expected: Sequence[Expected],
     limits: SearchLimits,
 ) -> Proposal | None:
-    """Drop the replica that helps least, if the freed slot pays for it.
+    """Free a slot on a cool rank whose memory is full, if that pays.
 
-    The slot is free only once the drop is in force, so the plan is the drop
-    alone; the next plan fills the slot.
+    The slot is free only once the change is in force, so the plan is this
+    change alone; the next plan fills the slot.
     """
     state = LayerState(layer, expected, limits.ranks)
     first = state.peak()
-    retire = _choose_retirement(state, limits.slots)
-    if retire is None:
+    change = _choose_eviction(state, limits.slots)
+    if change is None:
         return None
-    apply(state, retire)
+    apply(state, change)
     raised = state.peak() - first
     roomier = state.freeze()
     filled = _walk_down(
@@ -130,17 +130,28 @@
     return Proposal(number, roomier, 1, filled.gain - raised, net)
 
 
-def _choose_retirement(state: LayerState, slots: int) -> Retire | None:
-    coolest = _list_cool_ranks(state)[:DESTINATIONS]
-    if state.held[coolest[0]] < slots:
+def _choose_eviction(state: LayerState, slots: int) -> Change | None:
+    cool = _list_cool_ranks(state)
+    if state.held[cool[0]] < slots:
         return None
-    retirements = [
-        Retire(expert, rank)
-        for rank in coolest
-        for expert in sorted(state.residents[rank])
-        if len(state.holders[expert]) > 1
+    free = [rank for rank in cool if state.held[rank] < slots]
+    changes = [
+        change
+        for source in cool[:DESTINATIONS]
+        for expert in sorted(state.residents[source])
+        for change in _list_evictions(state, expert, source, free)
     ]
-    return min(retirements, key=lambda each: score(state, each), default=None)
+    return min(changes, key=lambda each: score(state, each), default=None)
+
+
+def _list_evictions(
+    state: LayerState, expert: int, source: int, free: Sequence[int]
+) -> Iterator[Change]:
+    if len(state.holders[expert]) > 1:
+        yield Retire(expert, source)
+    elsewhere = [rank for rank in free if rank not in state.holders[expert]]
+    for target in elsewhere[:1]:
+        yield Shift(expert, source, target)
 
 
 def _choose_change(state: LayerState, limits: SearchLimits) -> Change | None:
