--- a/src/ospreyford/measure/__init__.py
+++ b/src/ospreyford/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: each module is a program that prints its tables."""
+"""Small models at the interfaces, and the tables of their runs."""
--- /dev/null
+++ b/src/ospreyford/placement/policy.py
@@ -0,0 +1,258 @@
+"""The placement policies behind one interface."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from typing import Protocol, assert_never
+
+from ospreyford.placement.balance import balance_layer, count_replicas
+from ospreyford.placement.budget import StoreBudget
+from ospreyford.placement.estimate import scale_loads
+from ospreyford.placement.loads import ExpertLoads, find_fault
+from ospreyford.placement.map import ExpertMap, GroupShape, is_valid_map
+from ospreyford.placement.outcomes import NoChange, Outcome
+from ospreyford.placement.reasons import (
+    BudgetSpent,
+    MapInvalid,
+    NotWorthwhile,
+    PlacementStatic,
+    Reason,
+    ReportRepeated,
+    TooSoon,
+    WarmingUp,
+)
+from ospreyford.placement.search import (
+    Proposal,
+    SearchLimits,
+    improve_layer,
+)
+from ospreyford.placement.transition import Transition
+from ospreyford.placement.variants import (
+    BalanceAlways,
+    Static,
+    Variant,
+    WeighedMoves,
+    make_estimator,
+)
+from ospreyford.placement.weights import PlacementWeights
+
+#: Changes of one layer in one plan.
+MAX_LAYER_CHANGES = 16
+
+
+#: A judgement under way; its return value is the outcome.
+Steps = Generator[None, None, Outcome]
+
+
+class PlacementPolicy(Protocol):
+    """Decides which experts move."""
+
+    def plan(
+        self, report: ExpertLoads | None, current: ExpertMap, now: float
+    ) -> Outcome:
+        """Judge a report.
+
+        Ask only while no change of the map is under way.
+
+        :param report: the group's last load report, if any.
+        :param current: the map in force.
+        :param now: this process's monotonic clock, in seconds.
+        :returns: a plan, its bytes already taken from the budget, or why
+            nothing changes.
+        """
+
+
+class Planner:
+    """The placement policy of one rank group.
+
+    :param variant: which policy.
+    :param shape: the group's size.
+    :param weights: the deployment's published weights.
+    :param budget: the group's share of the weight store.
+    """
+
+    def __init__(
+        self,
+        variant: Variant,
+        shape: GroupShape,
+        weights: PlacementWeights,
+        budget: StoreBudget,
+    ) -> None:
+        self.shape = shape
+        self.weights = weights
+        self.estimator = make_estimator(variant)
+        self._variant = variant
+        self._budget = budget
+        self._reports = 0
+        self._measured_at: float | None = None
+        self._judged_at = float('-inf')
+
+    def plan(
+        self, report: ExpertLoads | None, current: ExpertMap, now: float
+    ) -> Outcome:
+        """Judge a report.
+
+        Ask only while no change of the map is under way.
+
+        :param report: the group's last load report, if any.
+        :param current: the map in force.
+        :param now: this process's monotonic clock, in seconds.
+        :returns: a plan, its bytes already taken from the budget, or why
+            nothing changes.
+        """
+        steps = self.plan_in_steps(report, current, now)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as finished:
+                outcome: Outcome = finished.value
+                return outcome
+
+    def plan_in_steps(
+        self, report: ExpertLoads | None, current: ExpertMap, now: float
+    ) -> Steps:
+        """Judge a report a layer at a time.
+
+        A whole judgement of a large group takes hundreds of milliseconds.
+        On the agent's event loop that would show as late heartbeats and
+        stalled answers, so the agent sleeps between the steps.
+
+        :param report: the group's last load report, if any.
+        :param current: the map in force.
+        :param now: this process's monotonic clock, in seconds.
+        :yields: nothing, after each layer.
+        :returns: as :meth:`plan`.
+        """
+        reason = self.observe(report, now) or self._find_obstacle(current, now)
+        if reason:
+            return NoChange(reason)
+        self._judged_at = now
+        return (yield from self._decide(current, now))
+
+    def observe(self, report: ExpertLoads | None, now: float) -> Reason | None:
+        """Take a report into the estimate, without judging the map.
+
+        Call this while a change of the map is under way.
+
+        :param report: the group's last load report, if any.
+        :param now: this process's monotonic clock, in seconds.
+        :returns: why the report was not used, or ``None``.
+        """
+        reason = find_fault(report, self.shape, self.weights, now)
+        if reason or report is None:
+            return reason
+        last = self._measured_at
+        if last is not None and report.measured_at <= last:
+            # A duplicate or a late one: counted again, one swing would look
+            # as if it lasted, and experts would move for it.
+            return ReportRepeated()
+        elapsed = 0 if last is None else report.measured_at - last
+        if elapsed > self.weights.max_report_age_seconds:
+            # Reports stopped, or this process slept. The first one after a
+            # gap weighs the most in any average, so noise in it alone would
+            # move experts.
+            self._reports = 0
+        self._measured_at = report.measured_at
+        self._reports += 1
+        self.estimator.observe(
+            scale_loads(report.tokens, self.shape.ranks), elapsed
+        )
+        return None
+
+    def _find_obstacle(self, current: ExpertMap, now: float) -> Reason | None:
+        if not is_valid_map(current, self.shape, self.weights.slots_per_rank):
+            return MapInvalid()
+        if self._reports < self.weights.min_reports:
+            return WarmingUp(self._reports, self.weights.min_reports)
+        wait = self.weights.plan_interval_seconds - (now - self._judged_at)
+        if wait > 0:
+            return TooSoon(wait)
+        available = self._budget.available(now)
+        if available < self.shape.expert_bytes:
+            return BudgetSpent(available)
+        return None
+
+    def _decide(self, current: ExpertMap, now: float) -> Steps:
+        transition = Transition(
+            current,
+            self.shape,
+            self.weights.slots_per_rank,
+            self.weights.max_moves,
+            self._budget.available(now),
+        )
+        match self._variant:
+            case Static():
+                return NoChange(PlacementStatic())
+            case BalanceAlways() as variant:
+                saved = yield from self._balance(transition, variant)
+            case WeighedMoves(replicas=replicas):
+                saved = yield from self._improve(transition, current, replicas)
+            case _:
+                assert_never(self._variant)
+        made = transition.finish(saved)
+        if made is None:
+            return NoChange(NotWorthwhile())
+        if not self._budget.take(made.copy_bytes, now):
+            return NoChange(BudgetSpent(self._budget.available(now)))
+        return made
+
+    def _balance(
+        self, transition: Transition, variant: BalanceAlways
+    ) -> Generator[None, None, float]:
+        shape = self.shape
+        # One slot of each rank stays free, or no copy could be made before
+        # the old one is dropped.
+        slots = variant.fill or max(1, self.weights.slots_per_rank - 1)
+        total = shape.ranks * slots if variant.replicas else shape.experts
+        for number in range(shape.layers):
+            loads = self.estimator.expect(number)[0].loads
+            counts = count_replicas(loads, total, shape.ranks)
+            transition.approach(
+                number, balance_layer(loads, shape.ranks, slots, counts)
+            )
+            yield
+        return 0
+
+    def _improve(
+        self, transition: Transition, current: ExpertMap, replicas: bool
+    ) -> Generator[None, None, float]:
+        limits = SearchLimits(
+            ranks=self.shape.ranks,
+            slots=self.weights.slots_per_rank,
+            change_cost=self._price_change(),
+            max_changes=min(MAX_LAYER_CHANGES, transition.copies_left),
+            replicas=replicas,
+        )
+        proposals: list[Proposal | None] = []
+        for number, layer in enumerate(current.layers):
+            expected = self.estimator.expect(number)
+            proposals.append(improve_layer(number, layer, expected, limits))
+            yield
+        best_first = sorted(filter(None, proposals), key=_rank_proposal)
+        gain = sum(
+            proposal.gain
+            for proposal in best_first
+            if transition.take_whole(proposal.number, proposal.wanted)
+        )
+        return gain * self.weights.horizon_seconds / self.shape.layers
+
+    def _price_change(self) -> float:
+        """Price one change in units of a layer's peak load.
+
+        One unit of peak load costs the step a share ``1 / layers`` of its
+        expert time, over the whole horizon.
+        """
+        weights = self.weights
+        if weights.skew_weight == 0:
+            return float('inf')
+        copy_seconds = self.shape.expert_bytes / weights.store_bytes_per_second
+        unit_seconds = weights.horizon_seconds / self.shape.layers
+        return (
+            (1 + weights.hysteresis)
+            * (weights.move_weight / weights.skew_weight)
+            * (copy_seconds / unit_seconds)
+        )
+
+
+def _rank_proposal(proposal: Proposal) -> tuple[float, int]:
+    return -proposal.net / proposal.changes, proposal.number
