Let the kernel choose a port without address reuse

Ruled out: exhausted ports (a few thousand sockets were in use). Change: SO_REUSEADDR only for a port that the settings name.

--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -288,7 +288,14 @@
     :returns: a curio socket.
     :raises OSError: the address is taken or not ours.
     """
-    return curio.tcp_server_socket(host, port, backlog=BACKLOG)
+    # With address reuse the kernel may choose a port that another socket
+    # has bound but does not listen on yet; listening then fails.
+    return curio.tcp_server_socket(
+        host,
+        port,
+        backlog=BACKLOG,
+        reuse_address=bool(port),
+    )
 
 
 def port_of(sock: Socket) -> int:
