--- /dev/null
+++ b/src/ospreyford/console/__init__.py
@@ -0,0 +1,1 @@
+"""The programs' main functions and the operators' command line."""
--- /dev/null
+++ b/src/ospreyford/console/stopping.py
@@ -0,0 +1,102 @@
+"""Signals that end a program: first gracefully, then at once."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from types import FrameType
+from typing import Final
+
+import curio
+from curio.io import Socket
+
+SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+READ_BYTES = 16
+
+
+@dataclass(frozen=True)
+class Cut:
+    """The program was ended with work in flight.
+
+    :param in_flight: requests that were cut.
+    :param cause: ``second signal`` or ``drain deadline``.
+    """
+
+    in_flight: int
+    cause: str
+
+
+class Stop:
+    """Tells a program when to stop.
+
+    The program waits for ``requested``, then takes no new work, finishes what
+    is in flight and returns. Until then it keeps ``count_in_flight`` set.
+
+    :param deadline: seconds from the first signal until the program is cut.
+    """
+
+    def __init__(self, deadline: float) -> None:
+        self.requested = curio.Event()
+        self.count_in_flight: Callable[[], int] = _count_nothing
+        self._deadline = deadline
+        self._pair = socket.socketpair()
+        for end in self._pair:
+            end.setblocking(False)
+
+    def install(self) -> None:
+        """Take over the signals; from the main thread only."""
+        # The handler itself does nothing: code run between two bytecodes of
+        # the event loop must not touch its locks. The C library's handler
+        # writes the signal's number to the socket, which wakes the loop.
+        signal.set_wakeup_fd(self._pair[0].fileno(), warn_on_full_buffer=False)
+        for number in SIGNALS:
+            signal.signal(number, _ignore)
+
+    def finish(self) -> None:
+        """Ignore the signals from now on; the process is about to end."""
+        # A supervisor may send its second signal while the process is
+        # already ending well. With the default action back in place, which
+        # the interpreter itself would restore, the exit code would tell of
+        # a kill although nothing was cut.
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+        signal.set_wakeup_fd(-1)
+
+    async def watch(self) -> Cut:
+        """Wait for the signals.
+
+        :returns: why the program's work is cut, and how much.
+        """
+        async with Socket(self._pair[1]) as wakeups:
+            await _wait_for_signal(wakeups)
+            await self.requested.set()
+            cause = 'drain deadline'
+            with suppress(curio.TaskTimeout):
+                await curio.timeout_after(
+                    self._deadline, _wait_for_signal, wakeups
+                )
+                cause = 'second signal'
+        # What is left to do is bounded only as far as the program's own code
+        # is; a third signal ends even a program that hangs in it.
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_DFL)
+        return Cut(self.count_in_flight(), cause)
+
+
+async def _wait_for_signal(wakeups: Socket) -> None:
+    while True:
+        received: bytes = await wakeups.recv(READ_BYTES)
+        # Other signals, such as SIGCHLD, come through the same socket.
+        if any(number in SIGNALS for number in received):
+            return
+
+
+def _ignore(number: int, frame: FrameType | None) -> None:
+    """Leave the signal to the task that watches the socket."""
+
+
+def _count_nothing() -> int:
+    return 0
--- a/src/ospreyford/observability/admin.py
+++ b/src/ospreyford/observability/admin.py
@@ -14,6 +14,7 @@
 from ospreyford.http.errors import HttpError
 from ospreyford.http.message import Limits
 from ospreyford.http.server import listen, port_of, serve_connection
+from ospreyford.observability.plain import make_plain
 from ospreyford.observability.readiness import Unready
 from ospreyford.settings.types import split_address
 
@@ -42,7 +43,7 @@
 
 #: Query parameters of a request; the first one of a name counts.
 Query = Mapping[str, str]
-#: Answers one path with anything that msgspec encodes.
+#: Answers one path with dataclasses, named tuples, Structs and containers.
 Provider = Callable[[Query], Any | Awaitable[Any]]
 #: Tells why the process takes no work now; empty when it does.
 Readiness = Callable[[], Sequence[Unready]]
@@ -93,7 +94,7 @@
     """The answer of ``/readyz``."""
 
     ready: bool
-    reasons: list[dict[str, Any]]
+    reasons: list[Any]
 
 
 class AdminPort:
@@ -188,10 +189,7 @@
                 return await self._ask(path, parse_query(target.query))
 
     def _tell_readiness(self) -> Answer:
-        reasons = [
-            {'reason': type(reason).__name__, **msgspec.to_builtins(reason)}
-            for reason in self._readiness()
-        ]
+        reasons = [make_plain(reason) for reason in self._readiness()]
         report = Unreadiness(ready=not reasons, reasons=reasons)
         status = UNAVAILABLE if reasons else OK
         return Answer(status, _encoder.encode(report))
@@ -204,7 +202,9 @@
                 NOT_FOUND, 'NoSuchPath', f'known paths: {known}'
             )
         try:
-            return Answer(OK, _encoder.encode(await _call(provider, query)))
+            return Answer(
+                OK, _encoder.encode(make_plain(await _call(provider, query)))
+            )
         except BadQuery as error:
             detail = f'{error.parameter}: allowed: {error.allowed}'
             return explain_problem(BAD_QUERY, 'BadQuery', detail)
--- a/src/ospreyford/settings/allowed.py
+++ b/src/ospreyford/settings/allowed.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from msgspec import inspect
 
@@ -59,6 +59,33 @@
     return f'only the keys {listed}'
 
 
+def find_unknown(
+    kind: inspect.Type, found: object
+) -> tuple[list[str], str] | None:
+    """Find a key that no section has.
+
+    A section may be declared without ``forbid_unknown_fields``; msgspec would
+    then ignore a key written wrongly, and the default would stay in force.
+
+    :param kind: the type of the settings or section.
+    :param found: what the file holds there.
+    :returns: the section's path and the key, or ``None``.
+    """
+    if not isinstance(kind, inspect.StructType):
+        return None
+    if not isinstance(found, Mapping):
+        return None
+    known = {field.encode_name: field.type for field in kind.fields}
+    for key, inner in found.items():
+        if key not in known:
+            return [], key
+        deeper = find_unknown(known[key], inner)
+        if deeper is not None:
+            path, unknown = deeper
+            return [key, *path], unknown
+    return None
+
+
 def _describe_compound(kind: inspect.Type) -> str:
     match kind:
         case inspect.StructType():
--- a/src/ospreyford/settings/loader.py
+++ b/src/ospreyford/settings/loader.py
@@ -14,6 +14,7 @@
     describe_fields,
     describe_type,
     find_type,
+    find_unknown,
 )
 from ospreyford.settings.errors import (
     MISSING,
@@ -29,8 +30,7 @@
 
 _PLACE = re.compile(r' - at `\$\.?([^`]*)`\Z')
 _STEP = re.compile(r'[^.\[\]]+')
-_UNKNOWN = re.compile('Object contains unknown field `(.*)`', re.DOTALL)
-_ABSENT = re.compile('Object missing required field `(.*)`', re.DOTALL)
+_ABSENT = re.compile('Object missing required field `([^`]*)`')
 
 
 class _Source(NamedTuple):
@@ -50,10 +50,14 @@
         missing or wrong, alone or beside another.
     """
     raw = _parse(str(path), _read(path))
+    source = _Source(str(path), kind, raw)
+    unknown = find_unknown(find_type(kind, []), raw)
+    if unknown is not None:
+        raise _explain_unknown(source, *unknown)
     try:
         return msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
-        raise _explain(error, _Source(str(path), kind, raw)) from None
+        raise _explain(error, source) from None
 
 
 def _read(path: str | Path) -> bytes:
@@ -93,13 +97,17 @@
     place = _PLACE.search(message)
     steps = _STEP.findall(place.group(1)) if place else []
     cause = error.__cause__
-    if isinstance(cause, KeyConflict):
-        return _explain_conflict(cause, source, steps)
-    problem = message[: place.start()] if place else message
-    unknown = _UNKNOWN.fullmatch(problem)
-    if unknown:
-        return _explain_unknown(unknown.group(1), source, steps)
-    absent = _ABSENT.fullmatch(problem)
+    match cause:
+        case KeyConflict():
+            return _explain_conflict(cause, source, steps)
+        case ValueError():
+            return SettingsError(
+                source.path,
+                _join(steps),
+                show_value(_look_up(source.raw, steps)),
+                str(cause),
+            )
+    absent = _ABSENT.match(message)
     if absent:
         steps = [*steps, absent.group(1)]
     return SettingsError(
@@ -111,14 +119,12 @@
 
 
 def _explain_unknown(
-    key: str, source: _Source, steps: list[str]
+    source: _Source, steps: list[str], key: str
 ) -> SettingsError:
-    section = _look_up(source.raw, steps)
-    found = section.get(key) if isinstance(section, Mapping) else section
     return SettingsError(
         source.path,
         _join([*steps, key]),
-        show_value(found),
+        show_value(_look_up(source.raw, [*steps, key])),
         describe_fields(find_type(source.kind, steps)),
     )
 
--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ospreyford.agent.settings import RecordSettings, ServiceSettings
+from ospreyford.entry.settings import AttemptSettings, RequestSettings
 from ospreyford.settings.errors import KeyConflict
 from ospreyford.settings.sections import (
     Backend,
@@ -17,8 +19,6 @@
     Logs,
     Peers,
     Platform,
-    Records,
-    Requests,
     Traces,
 )
 
@@ -33,7 +33,8 @@
     platform: Platform
     peers: Peers = Peers()
     http: HttpLimits = HttpLimits()
-    requests: Requests = Requests()
+    requests: RequestSettings = RequestSettings()
+    attempts: AttemptSettings = AttemptSettings()
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
@@ -43,22 +44,33 @@
 
         :raises KeyConflict: names the key.
         """
-        check_drain(self.drain, self.requests)
+        check_requests(self.requests)
+        # A request admitted just before the stop may run to its deadline; a
+        # shorter drain would cut it although the stop was planned.
+        check_at_least(
+            'drain.deadline_seconds',
+            self.drain.deadline_seconds,
+            ('requests.max_deadline_seconds', longest_of(self.requests)),
+        )
 
 
 class AgentSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Settings of ``ospreyford-agent``, one field a section."""
+    """Settings of ``ospreyford-agent``, one field a section.
+
+    ``requests`` must say the same as at the entries: the execution record
+    has to outlast every deadline that an entry admits.
+    """
 
     identity: Identity
     listen: Listen
     platform: Platform
     backend: Backend
     peers: Peers = Peers()
-    http: HttpLimits = HttpLimits()
-    requests: Requests = Requests()
-    records: Records = Records()
+    requests: RequestSettings = RequestSettings()
+    records: RecordSettings = RecordSettings()
+    service: ServiceSettings = ServiceSettings()
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
@@ -68,48 +80,85 @@
 
         :raises KeyConflict: names the key.
         """
-        check_drain(self.drain, self.requests)
-        check_retention(self.records, self.requests)
-        if self.backend.address in {
-            self.listen.data_address,
-            self.listen.admin_address,
-            self.listen.peer_address,
-        }:
-            raise KeyConflict(
-                'backend.address', 'an address that is not under [listen]'
-            )
-
-
-def check_drain(drain: Drain, requests: Requests) -> None:
-    """Refuse a drain that would cut an admitted request.
-
-    :param drain: the planned stop.
+        check_requests(self.requests)
+        check_records(self.records, self.requests)
+        check_at_least(
+            'drain.deadline_seconds',
+            self.drain.deadline_seconds,
+            ('requests.max_deadline_seconds', longest_of(self.requests)),
+        )
+        check_backend(self.backend, self.listen)
+
+
+def check_requests(requests: RequestSettings) -> None:
+    """Refuse a default deadline beyond the maximum.
+
     :param requests: deadlines of requests.
     :raises KeyConflict: names the key.
     """
-    # A request admitted just before the stop may run to its deadline; a
-    # shorter drain would cut it although the stop was planned.
     longest = requests.max_deadline_seconds
-    if drain.deadline_seconds < longest:
+    if requests.default_deadline_seconds > longest:
         raise KeyConflict(
-            'drain.deadline_seconds',
-            f'at least requests.max_deadline_seconds, {longest}',
+            'requests.default_deadline_seconds',
+            f'at most requests.max_deadline_seconds, {longest}',
         )
 
 
-def check_retention(records: Records, requests: Requests) -> None:
-    """Refuse records that are forgotten while a retry may still come.
+def check_records(records: RecordSettings, requests: RequestSettings) -> None:
+    """Refuse an execution record that forgets too early.
 
-    :param records: the execution record.
+    :param records: bounds of the record.
     :param requests: deadlines of requests.
     :raises KeyConflict: names the key.
     """
     # A retry may arrive at any time before the request's deadline. If the
-    # record of the first attempt is gone by then, a non-idempotent request
-    # would run a second time.
-    longest = requests.max_deadline_seconds
-    if records.retention_seconds < longest:
+    # first attempt is forgotten by then, a non-idempotent request runs a
+    # second time; if its tombstone is, one that a caller was told was not run
+    # runs after all. The hosts' clocks may differ by the skew, either way.
+    skew = 2 * records.skew_seconds
+    needed = (
+        'requests.max_deadline_seconds + 2 * records.skew_seconds',
+        longest_of(requests) + skew,
+    )
+    check_at_least(
+        'records.retention_seconds', records.retention_seconds, needed
+    )
+    check_at_least(
+        'records.tombstone_seconds', records.tombstone_seconds, needed
+    )
+
+
+def check_backend(backend: Backend, listen: Listen) -> None:
+    """Refuse a backend server at an address of the agent itself.
+
+    :param backend: the backend server.
+    :param listen: the agent's own addresses.
+    :raises KeyConflict: names the key.
+    """
+    own = {listen.data_address, listen.admin_address, listen.peer_address}
+    if backend.address in own:
         raise KeyConflict(
-            'records.retention_seconds',
-            f'at least requests.max_deadline_seconds, {longest}',
+            'backend.address', 'an address that is not under listen'
         )
+
+
+def check_at_least(key: str, found: float, needed: tuple[str, float]) -> None:
+    """Refuse a value below what other keys ask for.
+
+    :param key: the dotted key.
+    :param found: its value.
+    :param needed: what asks for more, and how much.
+    :raises KeyConflict: names the key.
+    """
+    reason, least = needed
+    if found < least:
+        raise KeyConflict(key, f'at least {reason}, {least}')
+
+
+def longest_of(requests: RequestSettings) -> float:
+    """Tell the longest time that a request may take.
+
+    :param requests: deadlines of requests.
+    :returns: seconds.
+    """
+    return requests.max_deadline_seconds
--- a/tests/observability/test_admin.py
+++ b/tests/observability/test_admin.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import socket
 from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
 
@@ -10,7 +9,6 @@
 
 from ospreyford.http.client import fetch
 from ospreyford.http.message import Request
-from ospreyford.http.server import port_of
 from ospreyford.observability.admin import (
     AdminPort,
     NothingFound,
@@ -49,17 +47,12 @@
 )
 
 
-def find_ports() -> Listen:
-    socks = [socket.create_server(('127.0.0.1', 0)) for _ in range(3)]
-    ports = [port_of(sock) for sock in socks]
-    addresses = [f'127.0.0.1:{port}' for port in ports]
-    for sock in socks:
-        sock.close()
-    return Listen(
-        data_address=addresses[0],
-        admin_address=addresses[1],
-        peer_address=addresses[2],
-    )
+# Built past the loader, so that the kernel may choose the port.
+LISTEN = Listen(
+    data_address='127.0.0.1:1',
+    admin_address='127.0.0.1:0',
+    peer_address='127.0.0.1:2',
+)
 
 
 def ask_port(
@@ -68,7 +61,7 @@
     unready: tuple[Unready, ...] = (),
 ) -> object:
     async def run() -> object:
-        port = AdminPort(find_ports(), metrics, PROVIDERS, lambda: unready)
+        port = AdminPort(LISTEN, metrics, PROVIDERS, lambda: unready)
         task = await curio.spawn(port.run)
         try:
             return await ask(port.port)
@@ -98,8 +91,7 @@
         '/readyz',
         (NoBackend('drafting'),),
         503,
-        '{"ready":false,"reasons":'
-        '[{"reason":"NoBackend","service":"drafting"}]}',
+        '{"ready":false,"reasons":[{"kind":"NoBackend","service":"drafting"}]}',
     ),
     ('/status', (), 200, '{"revision":7}'),
     ('/explain?customer=a%20b&customer=c', (), 200, '{"customer":"a b"}'),
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -2,13 +2,18 @@
 
 import pathlib
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ospreyford.settings.errors import SettingsError
 from ospreyford.settings.loader import load_settings
-from ospreyford.settings.programs import AgentSettings, EntrySettings
+from ospreyford.settings.programs import (
+    AgentSettings,
+    EntrySettings,
+    longest_of,
+)
 
 ENTRY = """
 [identity]
@@ -39,10 +44,13 @@
     'beginning and ending with a letter or a digit'
 )
 DAY = 'a number above 0 up to 86400'
-REQUESTS = 'only the keys default_deadline_seconds, max_deadline_seconds'
+REQUESTS = (
+    'only the keys default_deadline_seconds, max_deadline_seconds, '
+    'max_attempts, retry_after_seconds'
+)
 SECTIONS = (
-    'only the keys identity, listen, platform, peers, http, requests, drain, '
-    'logs, traces'
+    'only the keys identity, listen, platform, peers, http, requests, '
+    'attempts, drain, logs, traces'
 )
 
 # Text put in place of another in a file that is right, and the line after
@@ -139,7 +147,7 @@
     (
         '[drain]\ndeadline_seconds = 5',
         'drain.deadline_seconds = 5: '
-        'at least requests.max_deadline_seconds, 120.0',
+        'at least requests.max_deadline_seconds, 120',
     ),
     (
         "[peers]\nseeds = ['127.0.0.1:1', 'peer:2']",
@@ -179,16 +187,26 @@
 AGENT_ADDED = (
     (
         '[records]\nretention_seconds = 60',
-        'records.retention_seconds = 60: '
-        'at least requests.max_deadline_seconds, 120.0',
+        'records.retention_seconds = 60: at least '
+        'requests.max_deadline_seconds + 2 * records.skew_seconds, 124',
     ),
     (
-        '[records]\nmax_records = 0',
-        'records.max_records = 0: an integer from 1 up to 10000000',
+        '[records]\nskew_seconds = 20',
+        'records.tombstone_seconds = (default): at least '
+        'requests.max_deadline_seconds + 2 * records.skew_seconds, 160.0',
     ),
     (
-        '[records]\nmax_records = 1.5',
-        'records.max_records = 1.5: an integer from 1 up to 10000000',
+        '[requests]\ndefault_deadline_seconds = 121',
+        'requests.default_deadline_seconds = 121: '
+        'at most requests.max_deadline_seconds, 120',
+    ),
+    (
+        '[records]\nmax_entries = 0',
+        'records.max_entries = 0: an integer from 1 up to 10000000',
+    ),
+    (
+        '[records]\nmax_entries = 1.5',
+        'records.max_entries = 1.5: an integer from 1 up to 10000000',
     ),
 )
 
@@ -266,7 +284,7 @@
     path.write_text(AGENT)
     loaded = load_settings(path, AgentSettings)
     assert loaded.backend.kind == 'model'
-    assert loaded.http.to_limits().head_bytes == loaded.http.head_bytes
+    assert loaded.drain.deadline_seconds >= longest_of(loaded.requests)
 
 
 TOML_VALUES = st.recursive(
@@ -329,3 +347,34 @@
     with pytest.raises(SettingsError) as caught:
         load_settings(path, EntrySettings)
     assert len(str(caught.value).splitlines()) == 1
+
+
+class LooseSection(msgspec.Struct, frozen=True):
+    """A section of another package, declared without forbidding keys."""
+
+    seconds: float = 1
+
+    def __post_init__(self) -> None:
+        if self.seconds > 9:
+            raise ValueError('seconds up to 9')
+
+
+class Composed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    loose: LooseSection = LooseSection()
+
+
+LOOSE = (
+    ('second = 2', 'loose.second = 2: only the keys seconds'),
+    ("seconds = '2'", 'loose.seconds = "2": a number'),
+    ('seconds = 10', 'loose = {"seconds": 10}: seconds up to 9'),
+)
+
+
+@pytest.mark.parametrize(('added', 'line'), LOOSE)
+def test_loose_section(tmp_path: pathlib.Path, added: str, line: str) -> None:
+    # Symptom: a limit that an operator set has no effect.
+    # Sequence: the key is written wrongly in a section whose type does not
+    # forbid unknown keys; the default stays in force.
+    # Cause: msgspec ignores unknown keys unless told otherwise.
+    content = f'[loose]\n{added}'.encode()
+    assert load_line(tmp_path, content, Composed) == line
