Join the settings of all packages into the two programs

Cause: the programs' settings files must check every section of every package. Change: sections requests, attempts, routing, limits, membership and distribution at the entry; records, service, membership and distribution at the agent; the tombstone must outlast the longest deadline and twice the skew. Unknown keys are refused in all of them. Tests changed: the list of allowed sections and request keys in test_loader is longer (as strict as before); the agent serves no callers, so the http section is checked on the entry's settings. The fault rig no longer lets two kills of one agent overlap.

--- a/src/ospreyford/agent/memory.py
+++ b/src/ospreyford/agent/memory.py
@@ -58,7 +58,7 @@
 
         :returns: whether it fits.
         """
-        limit = self._settings.max_entries
+        limit = self._settings.max_records
         if len(self._entries) >= limit:
             self.sweep()
         return len(self._entries) < limit
--- a/src/ospreyford/distribution/settings.py
+++ b/src/ospreyford/distribution/settings.py
@@ -5,7 +5,12 @@
 import msgspec
 
 
-class DistributionSettings(msgspec.Struct, frozen=True, kw_only=True):
+class DistributionSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """How a process reads, relays and repairs documents.
 
     :param fleet_size: the most processes that the deployment may grow to; it
--- a/src/ospreyford/limits/settings.py
+++ b/src/ospreyford/limits/settings.py
@@ -11,7 +11,12 @@
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
-class GateSettings(msgspec.Struct, frozen=True, kw_only=True):
+class GateSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """Settings of the gate.
 
     :param burst_seconds: seconds of its limit that a customer may save up.
@@ -26,7 +31,12 @@
     longest_wait_seconds: Positive = 60
 
 
-class QueueSettings(msgspec.Struct, frozen=True, kw_only=True):
+class QueueSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """Settings of the fair queue.
 
     :param length: requests waiting in all.
@@ -39,7 +49,12 @@
     max_wait_seconds: Positive = 2
 
 
-class ShareSettings(msgspec.Struct, frozen=True, kw_only=True):
+class ShareSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """Settings of the sharing of limits between entries.
 
     :param reserved: part of each limit that is always split evenly over the
--- a/src/ospreyford/membership/settings.py
+++ b/src/ospreyford/membership/settings.py
@@ -21,7 +21,12 @@
         )
 
 
-class MembershipSettings(msgspec.Struct, frozen=True, kw_only=True):
+class MembershipSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """How members watch each other.
 
     :param seeds: peer addresses to join through, besides the host list.
--- a/src/ospreyford/peers/settings.py
+++ b/src/ospreyford/peers/settings.py
@@ -5,7 +5,12 @@
 import msgspec
 
 
-class PeerSettings(msgspec.Struct, frozen=True, kw_only=True):
+class PeerSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """How one process talks to its peers.
 
     :param address: where this process listens, ``ip:port``; port 0 takes a
--- a/src/ospreyford/routing/settings.py
+++ b/src/ospreyford/routing/settings.py
@@ -11,7 +11,12 @@
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
-class EjectionSettings(msgspec.Struct, frozen=True, kw_only=True):
+class EjectionSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """When a back end is taken out of the choice, and how it comes back.
 
     :param failures: consecutive failures that eject.
@@ -33,7 +38,12 @@
     panic_ratio: Ratio = 0.5
 
 
-class BudgetSettings(msgspec.Struct, frozen=True, kw_only=True):
+class BudgetSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """How many extra attempts are allowed for each first attempt.
 
     :param retry_ratio: retries earned by one first attempt.
@@ -46,7 +56,12 @@
     burst: Positive = 10
 
 
-class RoutingSettings(msgspec.Struct, frozen=True, kw_only=True):
+class RoutingSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """All settings of the router.
 
     :param local_size: back ends of the own zone that an entry follows.
--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -7,6 +7,12 @@
 
 import msgspec
 
+from ospreyford.agent.settings import RecordSettings, ServiceSettings
+from ospreyford.distribution.settings import DistributionSettings
+from ospreyford.entry.settings import AttemptSettings, RequestSettings
+from ospreyford.limits.settings import GateSettings
+from ospreyford.membership.settings import MembershipSettings
+from ospreyford.routing.settings import RoutingSettings
 from ospreyford.settings.errors import KeyConflict
 from ospreyford.settings.sections import (
     Backend,
@@ -17,8 +23,6 @@
     Logs,
     Peers,
     Platform,
-    Records,
-    Requests,
     Traces,
 )
 
@@ -32,8 +36,13 @@
     listen: Listen
     platform: Platform
     peers: Peers = Peers()
+    membership: MembershipSettings = MembershipSettings()
+    distribution: DistributionSettings = DistributionSettings()
     http: HttpLimits = HttpLimits()
-    requests: Requests = Requests()
+    requests: RequestSettings = RequestSettings()
+    attempts: AttemptSettings = AttemptSettings()
+    routing: RoutingSettings = RoutingSettings()
+    limits: GateSettings = GateSettings()
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
@@ -56,9 +65,11 @@
     platform: Platform
     backend: Backend
     peers: Peers = Peers()
-    http: HttpLimits = HttpLimits()
-    requests: Requests = Requests()
-    records: Records = Records()
+    membership: MembershipSettings = MembershipSettings()
+    distribution: DistributionSettings = DistributionSettings()
+    requests: RequestSettings = RequestSettings()
+    records: RecordSettings = RecordSettings()
+    service: ServiceSettings = ServiceSettings()
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
@@ -80,7 +91,7 @@
             )
 
 
-def check_drain(drain: Drain, requests: Requests) -> None:
+def check_drain(drain: Drain, requests: RequestSettings) -> None:
     """Refuse a drain that would cut an admitted request.
 
     :param drain: the planned stop.
@@ -97,7 +108,7 @@
         )
 
 
-def check_retention(records: Records, requests: Requests) -> None:
+def check_retention(records: RecordSettings, requests: RequestSettings) -> None:
     """Refuse records that are forgotten while a retry may still come.
 
     :param records: the execution record.
@@ -113,3 +124,12 @@
             'records.retention_seconds',
             f'at least requests.max_deadline_seconds, {longest}',
         )
+    # A late copy of a voided sending may arrive until its own deadline, as
+    # the clock of another host counts it.
+    least = longest + 2 * records.skew_seconds
+    if records.tombstone_seconds < least:
+        raise KeyConflict(
+            'records.tombstone_seconds',
+            f'at least {least}, requests.max_deadline_seconds '
+            'and twice records.skew_seconds',
+        )
--- a/src/ospreyford/settings/sections.py
+++ b/src/ospreyford/settings/sections.py
@@ -18,7 +18,6 @@
     BufferedLines,
     BufferedSpans,
     Bytes,
-    Count,
     FilePath,
     HeadBytes,
     Name,
@@ -147,46 +146,6 @@
         return Limits(**msgspec.structs.asdict(self))
 
 
-class Requests(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
-    """Deadlines of requests.
-
-    :param default_deadline_seconds: for a request that names none.
-    :param max_deadline_seconds: the longest that a request may name.
-    """
-
-    default_deadline_seconds: Seconds = 30.0
-    max_deadline_seconds: Seconds = 120.0
-
-    def __post_init__(self) -> None:
-        """Refuse a default beyond the maximum.
-
-        :raises KeyConflict: names the key.
-        """
-        longest = self.max_deadline_seconds
-        if self.default_deadline_seconds > longest:
-            raise KeyConflict(
-                'default_deadline_seconds',
-                f'at most requests.max_deadline_seconds, {longest}',
-            )
-
-
-class Records(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
-    """The agent's execution record.
-
-    :param retention_seconds: how long a finished request is remembered.
-    :param max_records: requests remembered at a time.
-    :param max_answer_bytes: longest answer kept for a caller's retry.
-    """
-
-    retention_seconds: Seconds = 900.0
-    max_records: Count = 20_000
-    max_answer_bytes: Bytes = 65_536
-
-
 class Drain(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -86,14 +86,16 @@
         self.port = 0
         self.record: ExecutionRecord | None = None
         self._tasks: list[Any] = []
+        self._lock = curio.Lock()
         self.network = FaultyNetwork(0, faults)
         self.network.kill = self.die
 
     async def die(self, replaced: bool) -> None:
         """Be killed, perhaps with a new life after it."""
-        await self.kill()
-        if replaced:
-            await self.start()
+        async with self._lock:
+            await self.kill()
+            if replaced:
+                await self.start()
 
     async def start(self) -> None:
         """Begin a life on a port of its own."""
@@ -109,7 +111,7 @@
         )
         self.sock = listen('127.0.0.1', 0)
         self.network.upstream = port_of(self.sock)
-        self._tasks.append(await curio.spawn(self._accept, service))
+        self._tasks.append(await curio.spawn(self._accept, self.sock, service))
         self._tasks.append(await curio.spawn(service.run_sweeps))
 
     async def kill(self) -> None:
@@ -123,11 +125,11 @@
                 if execution.task:
                     await execution.task.cancel()
 
-    async def _accept(self, service: AgentService) -> None:
+    async def _accept(self, sock: Any, service: AgentService) -> None:
         tasks: list[Any] = []
         try:
             while True:
-                client, _ = await self.sock.accept()
+                client, _ = await sock.accept()
                 tasks.append(await curio.spawn(service.serve, client))
         finally:
             for task in tasks:
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -39,9 +39,13 @@
     'beginning and ending with a letter or a digit'
 )
 DAY = 'a number above 0 up to 86400'
-REQUESTS = 'only the keys default_deadline_seconds, max_deadline_seconds'
+REQUESTS = (
+    'only the keys default_deadline_seconds, max_deadline_seconds, '
+    'max_attempts, retry_after_seconds'
+)
 SECTIONS = (
-    'only the keys identity, listen, platform, peers, http, requests, drain, '
+    'only the keys identity, listen, platform, peers, membership, '
+    'distribution, http, requests, attempts, routing, limits, drain, '
     'logs, traces'
 )
 
@@ -266,7 +270,9 @@
     path.write_text(AGENT)
     loaded = load_settings(path, AgentSettings)
     assert loaded.backend.kind == 'model'
-    assert loaded.http.to_limits().head_bytes == loaded.http.head_bytes
+    path.write_text(ENTRY)
+    entry = load_settings(path, EntrySettings)
+    assert entry.http.to_limits().head_bytes == entry.http.head_bytes
 
 
 TOML_VALUES = st.recursive(
