--- a/src/ospreyford/console/commandline.py
+++ b/src/ospreyford/console/commandline.py
@@ -5,7 +5,7 @@
 import sys
 from typing import TextIO
 
-from fire import core
+from fire import core, parser
 
 
 def run_fire(component: object, name: str | None = None) -> None:
@@ -17,6 +17,8 @@
     # fire shows help through a pager, which is another process; here no
     # process starts another.
     core.Display = _display
+    # fire would read a customer named 12 as a number and a,b as a tuple.
+    parser.DefaultParseValue = str
     core.Fire(component, name=name)
 
 
--- a/src/ospreyford/observability/plain.py
+++ b/src/ospreyford/observability/plain.py
@@ -31,7 +31,7 @@
         case Mapping():
             return {str(key): make_plain(held) for key, held in found.items()}
         case msgspec.Struct():
-            return _name_fields(found, found.__struct_fields__)
+            return _name_tagged(found)
         case tuple(_fields=names):  # type: ignore[misc]
             return _name_fields(found, names)
         case _:
@@ -52,6 +52,14 @@
     return str(found)
 
 
+def _name_tagged(found: msgspec.Struct) -> dict[str, Any]:
+    named = _name_fields(found, found.__struct_fields__)
+    config = found.__struct_config__
+    if config.tag_field is None:
+        return named
+    return {config.tag_field: config.tag, **named}
+
+
 def _name_fields(found: object, names: Iterable[str]) -> dict[str, Any]:
     read: Callable[[str], object] = found.__getattribute__
     return {name: make_plain(read(name)) for name in names}
--- a/src/ospreyford/settings/errors.py
+++ b/src/ospreyford/settings/errors.py
@@ -31,8 +31,7 @@
         """
         place = f'{self.path}: {self.key}'
         line = f'{place} = {self.value}: allowed: {self.allowed}'
-        # The file may hold line ends and terminal escapes in keys and values.
-        return ''.join(_escape(character) for character in line)
+        return make_printable(line)
 
 
 @dataclass(frozen=True)
@@ -61,6 +60,15 @@
     return shown
 
 
+def make_printable(text: str) -> str:
+    """Keep a text on its line and away from the terminal's controls.
+
+    :param text: may come from a file or from another host.
+    :returns: the text with line ends and control characters escaped.
+    """
+    return ''.join(map(_escape, text))
+
+
 def _escape(character: str) -> str:
     if character.isprintable():
         return character
--- a/tests/observability/test_plain.py
+++ b/tests/observability/test_plain.py
@@ -28,7 +28,12 @@
     row: object
 
 
+class Tagged(msgspec.Struct, tag_field='operator', tag='in'):
+    label: str
+
+
 CASES = (
+    (Tagged('a'), {'operator': 'in', 'label': 'a'}),
     (Pair(1, Lost('b')), {'left': 1, 'right': {'kind': 'Lost', 'to': 'b'}}),
     (Table((Colour.red, 2.5)), {'row': ['r', 2.5]}),
     ({Colour.red: None}, {'r': None}),
