--- a/src/ospreyford/entry/call.py
+++ b/src/ospreyford/entry/call.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 if TYPE_CHECKING:
+    from opentelemetry.trace import SpanContext
+
     from ospreyford.entry.homes import Home
     from ospreyford.entry.outcome import NotRun
     from ospreyford.http.message import Headers
@@ -34,6 +36,7 @@
     body: bytes
     prefix: bytes | None
     tokens: int
+    trace: SpanContext | None
 
 
 class Plan(NamedTuple):
--- a/src/ospreyford/entry/dispatcher.py
+++ b/src/ospreyford/entry/dispatcher.py
@@ -39,6 +39,7 @@
     from ospreyford.entry.settings import AttemptSettings, RequestSettings
     from ospreyford.entry.sink import Sink
     from ospreyford.http.message import Headers
+    from ospreyford.observability.metrics import RequestMetrics
     from ospreyford.ports.clock import Clock
     from ospreyford.ports.fleet import Host
     from ospreyford.routing.query import Reason
@@ -69,6 +70,7 @@
     :param pool: connections to agents.
     :param directory: hosts by name.
     :param clock: source of time.
+    :param metrics: counts retries and unknown outcomes.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         pool: ConnectionPool,
         directory: Directory,
         clock: Clock,
+        metrics: RequestMetrics,
     ) -> None:
+        self._metrics = metrics
         self._settings = settings
         self._times = times
         self._router = router
@@ -240,6 +244,8 @@
     ) -> AttemptOutcome:
         name = sending.host.name
         began = self._clock.monotonic()
+        if sending.kind is AttemptKind.retry:
+            self._metrics.retries.labels(call.service).inc()
         self._router.note_sent(name, began, sending.kind)
         attempt = self._make_attempt(call, sending, sink)
         routed = RoutingOutcome.cancelled
@@ -251,6 +257,8 @@
             self._router.note_finished(name, routed, now - began, now)
         if attempt.answer.load is not None:
             self._router.note_load(name, attempt.answer.load, now)
+        if isinstance(outcome, Unknown):
+            self._metrics.unknowns.labels(call.service).inc()
         return outcome
 
     def _make_attempt(
--- /dev/null
+++ b/src/ospreyford/node/announcer.py
@@ -0,0 +1,88 @@
+"""Logs and counts what this process learns of the fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.membership.member import MemberState
+from ospreyford.observability.events import (
+    ConfigurationInForce,
+    DocumentRejected,
+    MemberChanged,
+)
+
+if TYPE_CHECKING:
+    from ospreyford.documents.parsing import RejectedDocument
+    from ospreyford.documents.picture import Picture
+    from ospreyford.membership.member import StateChange
+    from ospreyford.membership.service import Membership
+    from ospreyford.observability.logs import ChangeLog
+    from ospreyford.observability.metrics import Metrics
+
+
+class Announcer:
+    """Turns changes into log lines and metrics.
+
+    :param changes: the log.
+    :param metrics: the metrics.
+    """
+
+    def __init__(self, changes: ChangeLog, metrics: Metrics) -> None:
+        self._changes = changes
+        self._metrics = metrics
+        self._rejected: frozenset[RejectedDocument] = frozenset()
+
+    def tell_picture(self, picture: Picture, revision: int) -> None:
+        """Tell of a new picture.
+
+        :param picture: what the documents in force say.
+        :param revision: the newest revision among them.
+        """
+        self._metrics.fleet.revision.set(revision)
+        self._changes.log_change(ConfigurationInForce(revision, picture.digest))
+        for rejected in picture.rejected:
+            if rejected not in self._rejected:
+                self._tell_rejected(rejected, revision)
+        self._rejected = frozenset(picture.rejected)
+
+    def tell_member(self, change: StateChange) -> None:
+        """Tell of a member's new state.
+
+        :param change: the change.
+        """
+        before = change.before.value if change.before else 'unknown'
+        self._changes.log_change(
+            MemberChanged(
+                change.member.name,
+                change.member.incarnation,
+                before,
+                change.after.value,
+            ),
+        )
+
+    def count_members(self, membership: Membership) -> None:
+        """Count the live and suspected members.
+
+        :param membership: who is live.
+        """
+        counts = dict.fromkeys(MemberState, 0)
+        for member in membership.members():
+            state = membership.state_of(member.name)
+            if state is not None:
+                counts[state] += 1
+        for state, count in counts.items():
+            self._metrics.fleet.members.labels(state.value).set(count)
+
+    def _tell_rejected(
+        self,
+        rejected: RejectedDocument,
+        revision: int,
+    ) -> None:
+        self._changes.log_change(
+            DocumentRejected(
+                rejected.name,
+                revision,
+                rejected.path,
+                f'allowed: {rejected.allowed}',
+            ),
+        )
--- a/src/ospreyford/settings/sections.py
+++ b/src/ospreyford/settings/sections.py
@@ -18,6 +18,7 @@
     BufferedLines,
     BufferedSpans,
     Bytes,
+    Count,
     FilePath,
     HeadBytes,
     Name,
@@ -130,6 +131,7 @@
     :param body_seconds: for a whole body.
     :param head_bytes: size of a head.
     :param body_bytes: size of a body.
+    :param connections: open at once; further ones are closed.
     """
 
     head_seconds: Seconds = 5.0
@@ -137,13 +139,16 @@
     body_seconds: Seconds = 15.0
     head_bytes: HeadBytes = 16_384
     body_bytes: Bytes = 1_048_576
+    connections: Count = 4096
 
     def to_limits(self) -> Limits:
         """Hand them to the HTTP server.
 
         :returns: the server's limits.
         """
-        return Limits(**msgspec.structs.asdict(self))
+        bounds = msgspec.structs.asdict(self)
+        bounds.pop('connections')
+        return Limits(**bounds)
 
 
 class Drain(
