--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -58,20 +58,6 @@
         last = self._frames[-1] if self._frames else None
         return last.fate if isinstance(last, Failed) else None
 
-    def is_lost(self) -> bool:
-        """Tell whether it ended and nobody knows what became of it.
-
-        :returns: whether its outcome is unknown.
-        """
-        return self.fate is Fate.unknown
-
-    def describe_end(self) -> str:
-        """Name its end for a span.
-
-        :returns: ``answered`` or its fate.
-        """
-        return self.fate.value if self.fate else 'answered'
-
     def read_frames(self, sequence: int) -> list[AnswerFrame]:
         """Read the answer so far.
 
--- a/src/ospreyford/agent/runner.py
+++ b/src/ospreyford/agent/runner.py
@@ -102,7 +102,7 @@
             with self._tracer.start('agent', request_id, parent) as span:
                 traced = _replace_trace(start, span)
                 await self._run_bounded(execution, traced)
-                span.end(execution.describe_end(), failed=execution.is_lost())
+                _end_span(span, execution.fate)
         finally:
             self._meter.in_flight -= 1
 
@@ -148,6 +148,11 @@
         await execution.finish(self._meter.report(), self._clock.monotonic())
 
 
+def _end_span(span: OpenSpan, fate: Fate | None) -> None:
+    outcome = 'answered' if fate is None else fate.value
+    span.end(outcome, failed=fate is Fate.unknown)
+
+
 def _read_request_id(start: Start) -> str:
     raw = find_header(start.headers, REQUEST_ID) or b''
     return raw.decode('latin-1')
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -6,13 +6,10 @@
 
 import curio
 
-from ospreyford.entry.admission import Admission
 from ospreyford.entry.directory import FleetDirectory
-from ospreyford.entry.dispatcher import Dispatcher
-from ospreyford.entry.service import Admitting, EntryService
+from ospreyford.entry.factory import make_parts
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.server import listen, serve_connection
-from ospreyford.limits.gate import LimitGate
 from ospreyford.membership.member import MemberState
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
@@ -21,10 +18,7 @@
 from ospreyford.observability.metrics import Metrics
 from ospreyford.observability.readiness import LeavingHost, NoConfiguration
 from ospreyford.observability.spans import Tracer
-from ospreyford.routing.query import Identity
-from ospreyford.routing.router import Router
 from ospreyford.settings.types import split_address
-from ospreyford.wire.pool import ConnectionPool, PoolSettings
 
 if TYPE_CHECKING:
     from curio.io import Socket
@@ -55,17 +49,14 @@
         self._announcer = Announcer(program.changes, self._metrics)
         self._node = FleetNode(settings, 'entry', '', self._announcer)
         self._directory = FleetDirectory()
-        self._router = Router(
-            settings.routing,
-            Identity(
-                settings.identity.name,
-                settings.identity.zone,
-                settings.identity.region,
-            ),
-            self._node.rng,
-        )
         self._tracer = Tracer(settings.traces, settings.identity)
-        self.service = self._make_service()
+        self._parts = make_parts(
+            settings,
+            self._node,
+            self._directory,
+            self._metrics,
+            self._tracer,
+        )
         self.stopping = False
         self._open = OpenConnections(settings.http.connections)
 
@@ -100,32 +91,6 @@
             reasons.append(NoConfiguration())
         return reasons
 
-    def _make_service(self) -> EntryService:
-        settings = self._settings
-        clock = self._node.clock
-        admitting = Admitting(
-            Admission(settings.requests, self._directory, clock),
-            self._directory,
-            LimitGate(settings.limits),
-            self._node.pauses,
-        )
-        dispatcher = Dispatcher(
-            settings.requests,
-            settings.attempts,
-            self._router,
-            ConnectionPool(PoolSettings(), clock),
-            self._directory,
-            clock,
-            self._metrics.requests,
-        )
-        return EntryService(
-            admitting,
-            dispatcher,
-            clock,
-            self._metrics,
-            self._tracer,
-        )
-
     def _listen_to_fleet(self) -> None:
         self._node.configuration.listen(self._directory.note_picture)
         self._node.listen_for_hosts(self._directory.note_hosts)
@@ -165,8 +130,8 @@
         await serve_connection(
             sock,
             self._settings.http.to_limits(),
-            self.service.serve,
-            self.service.refuse,
+            self._parts.service.serve,
+            self._parts.service.refuse,
             self._open,
         )
 
--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -8,15 +8,11 @@
 import msgspec
 
 from ospreyford.agent.settings import RecordSettings, ServiceSettings
-<<<<<<< HEAD
 from ospreyford.distribution.settings import DistributionSettings
 from ospreyford.entry.settings import AttemptSettings, RequestSettings
 from ospreyford.limits.settings import GateSettings
 from ospreyford.membership.settings import MembershipSettings
 from ospreyford.routing.settings import RoutingSettings
-=======
-from ospreyford.entry.settings import AttemptSettings, RequestSettings
->>>>>>> console
 from ospreyford.settings.errors import KeyConflict
 from ospreyford.settings.sections import (
     Backend,
@@ -45,11 +41,8 @@
     http: HttpLimits = HttpLimits()
     requests: RequestSettings = RequestSettings()
     attempts: AttemptSettings = AttemptSettings()
-<<<<<<< HEAD
     routing: RoutingSettings = RoutingSettings()
     limits: GateSettings = GateSettings()
-=======
->>>>>>> console
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
@@ -83,11 +76,8 @@
     platform: Platform
     backend: Backend
     peers: Peers = Peers()
-<<<<<<< HEAD
     membership: MembershipSettings = MembershipSettings()
     distribution: DistributionSettings = DistributionSettings()
-=======
->>>>>>> console
     requests: RequestSettings = RequestSettings()
     records: RecordSettings = RecordSettings()
     service: ServiceSettings = ServiceSettings()
@@ -110,13 +100,8 @@
         check_backend(self.backend, self.listen)
 
 
-<<<<<<< HEAD
-def check_drain(drain: Drain, requests: RequestSettings) -> None:
-    """Refuse a drain that would cut an admitted request.
-=======
 def check_requests(requests: RequestSettings) -> None:
     """Refuse a default deadline beyond the maximum.
->>>>>>> console
 
     :param requests: deadlines of requests.
     :raises KeyConflict: names the key.
@@ -129,13 +114,8 @@
         )
 
 
-<<<<<<< HEAD
-def check_retention(records: RecordSettings, requests: RequestSettings) -> None:
-    """Refuse records that are forgotten while a retry may still come.
-=======
 def check_records(records: RecordSettings, requests: RequestSettings) -> None:
     """Refuse an execution record that forgets too early.
->>>>>>> console
 
     :param records: bounds of the record.
     :param requests: deadlines of requests.
@@ -170,17 +150,6 @@
         raise KeyConflict(
             'backend.address', 'an address that is not under listen'
         )
-<<<<<<< HEAD
-    # A late copy of a voided sending may arrive until its own deadline, as
-    # the clock of another host counts it.
-    least = longest + 2 * records.skew_seconds
-    if records.tombstone_seconds < least:
-        raise KeyConflict(
-            'records.tombstone_seconds',
-            f'at least {least}, requests.max_deadline_seconds '
-            'and twice records.skew_seconds',
-        )
-=======
 
 
 def check_at_least(key: str, found: float, needed: tuple[str, float]) -> None:
@@ -203,4 +172,3 @@
     :returns: seconds.
     """
     return requests.max_deadline_seconds
->>>>>>> console
