--- a/src/ospreyford/entry/dispatcher.py
+++ b/src/ospreyford/entry/dispatcher.py
@@ -38,6 +38,8 @@
     from ospreyford.entry.call import Call, Directory, Plan
     from ospreyford.entry.settings import AttemptSettings, RequestSettings
     from ospreyford.entry.sink import Sink
+    from ospreyford.http.message import Headers
+    from ospreyford.observability.metrics import RequestMetrics
     from ospreyford.ports.clock import Clock
     from ospreyford.ports.fleet import Host
     from ospreyford.routing.query import Reason
@@ -56,6 +58,7 @@
     kind: AttemptKind
     execution: str
     dated: int
+    headers: Headers
 
 
 class Dispatcher:
@@ -67,6 +70,7 @@
     :param pool: connections to agents.
     :param directory: hosts by name.
     :param clock: source of time.
+    :param metrics: counts retries and unknown outcomes.
     """
 
     def __init__(
@@ -77,7 +81,9 @@
         pool: ConnectionPool,
         directory: Directory,
         clock: Clock,
+        metrics: RequestMetrics,
     ) -> None:
+        self._metrics = metrics
         self._settings = settings
         self._times = times
         self._router = router
@@ -179,7 +185,7 @@
         for hosts in plan.pools:
             choice = self._router.choose(query, hosts, now)
             if isinstance(choice, Choice):
-                return _make_sending(call, choice.host, number)
+                return _make_sending(call, plan, choice.host, number)
             refusal = choice
         return NotRun(_name_cause(refusal.reason), refusal.retry_after)
 
@@ -194,7 +200,13 @@
             host = self._directory.find_host(home)
             if host is None:
                 break
-            sending = Sending(host, AttemptKind.first, identity, call.dated)
+            sending = Sending(
+                host,
+                AttemptKind.first,
+                identity,
+                call.dated,
+                _make_headers(plan),
+            )
             outcome = await self._send(call, sending, sink)
             if not _goes_to_next_home(outcome):
                 return self._settle_keyed(outcome)
@@ -219,6 +231,7 @@
             AttemptKind.retry,
             _name_key(call),
             call.dated,
+            headers=(),
         )
         attempt = self._make_attempt(call, sending, sink)
         return await attempt.ask(host, moved=moved)
@@ -231,6 +244,8 @@
     ) -> AttemptOutcome:
         name = sending.host.name
         began = self._clock.monotonic()
+        if sending.kind is AttemptKind.retry:
+            self._metrics.retries.labels(call.service).inc()
         self._router.note_sent(name, began, sending.kind)
         attempt = self._make_attempt(call, sending, sink)
         routed = RoutingOutcome.cancelled
@@ -242,6 +257,8 @@
             self._router.note_finished(name, routed, now - began, now)
         if attempt.answer.load is not None:
             self._router.note_load(name, attempt.answer.load, now)
+        if isinstance(outcome, Unknown):
+            self._metrics.unknowns.labels(call.service).inc()
         return outcome
 
     def _make_attempt(
@@ -262,7 +279,7 @@
             fingerprint=_fingerprint(call),
             method=call.method,
             target=call.target,
-            headers=call.headers,
+            headers=call.headers + sending.headers,
             body=call.body,
         )
         return Attempt(
@@ -307,12 +324,22 @@
             return False
 
 
-def _make_sending(call: Call, host: Host, number: int) -> Sending:
+def _make_sending(call: Call, plan: Plan, host: Host, number: int) -> Sending:
     kind = AttemptKind.retry if number else AttemptKind.first
     # An idempotent call may run twice, so each sending has an id of its own;
     # any other keeps one id wherever it goes.
     execution = make_id() if call.idempotent else call.request_id
-    return Sending(host, kind, execution, read_date(execution) or 0)
+    dated = read_date(execution) or 0
+    return Sending(host, kind, execution, dated, _make_headers(plan))
+
+
+def _make_headers(plan: Plan) -> Headers:
+    fields = [(b'x-priority', str(plan.engine_priority).encode())]
+    if plan.version:
+        fields.append((b'x-model-version', plan.version.encode()))
+    if plan.adapter:
+        fields.append((b'x-adapter', plan.adapter.encode()))
+    return tuple(fields)
 
 
 def _make_query(
--- a/src/ospreyford/peers/settings.py
+++ b/src/ospreyford/peers/settings.py
@@ -5,7 +5,12 @@
 import msgspec
 
 
-class PeerSettings(msgspec.Struct, frozen=True, kw_only=True):
+class PeerSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """How one process talks to its peers.
 
     :param address: where this process listens, ``ip:port``; port 0 takes a
@@ -20,7 +25,7 @@
 
     address: str
     link_limit: int = 64
-    idle_seconds: float = 30
+    idle_seconds: float = 60
     queue_messages: int = 256
     message_bytes: int = 1_048_576
     handler_limit: int = 256
