--- /dev/null
+++ b/src/ospreyford/expertmap/calls.py
@@ -0,0 +1,130 @@
+"""Questions of a coordinator to the members of its group."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine, Iterable, Mapping
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from ospreyford.expertmap.errors import MemberLost, Outbid, Superseded
+from ospreyford.expertmap.messages import (
+    Answer,
+    Question,
+    Refused,
+    decode_answer,
+    encode,
+)
+
+if TYPE_CHECKING:
+    from ospreyford.expertmap.keeper import RankKeeper
+    from ospreyford.expertmap.ports import TaskPort
+    from ospreyford.expertmap.settings import RankSettings
+    from ospreyford.expertmap.windows import Ballot
+    from ospreyford.ports.clock import Clock
+    from ospreyford.ports.peers import PeerPort
+
+Answers = dict[int, Answer | None]
+
+
+class CoordinatorPorts(NamedTuple):
+    """The ports that a coordinator awaits on."""
+
+    peers: PeerPort
+    clock: Clock
+    tasks: TaskPort
+
+
+class MemberCalls:
+    """Asks members, among them the one of this process.
+
+    :param settings: the member's settings.
+    :param addresses: the members' present addresses, by slot.
+    :param keeper: this process's member.
+    :param ports: peers, clock and tasks.
+    :param ballot: the coordinator's ballot.
+    """
+
+    def __init__(
+        self,
+        settings: RankSettings,
+        addresses: Mapping[int, str],
+        keeper: RankKeeper,
+        ports: CoordinatorPorts,
+        ballot: Ballot,
+    ) -> None:
+        self.keeper = keeper
+        self.ballot = ballot
+        self._settings = settings
+        self._addresses = addresses
+        self._ports = ports
+
+    def slots(self) -> set[int]:
+        """List every slot of the group.
+
+        :returns: the slots.
+        """
+        return set(self._addresses)
+
+    async def ask(self, question: Question, slots: Iterable[int]) -> Answers:
+        """Ask members at the same time.
+
+        :param question: what is asked.
+        :param slots: who is asked.
+        :returns: the answers by slot; ``None`` for silence.
+        :raises Outbid: a member promised a higher ballot.
+        :raises MemberLost: a member isn't in the generation.
+        """
+        asked = sorted(slots)
+        body = encode(question)
+        calls: list[Coroutine[Any, Any, Any]] = [
+            self._ask(slot, body) for slot in asked
+        ]
+        encoded = await self._ports.tasks.gather(calls)
+        answers = {
+            slot: decode_answer(answer)
+            for slot, answer in zip(asked, encoded, strict=True)
+        }
+        self._check_refusals(answers)
+        return answers
+
+    async def pause(self, seconds: float) -> None:
+        """Wait, and stop where another coordinator came meanwhile.
+
+        :param seconds: how long.
+        :raises Outbid: this process's own member promised a higher ballot.
+        :raises Superseded: another process orders the engine.
+        """
+        await self._ports.clock.sleep(seconds)
+        if self.keeper.superseded:
+            raise Superseded
+        if self.keeper.promised > self.ballot:
+            raise Outbid(self.keeper.promised)
+
+    def read_wall(self) -> float:
+        """Read the wall clock.
+
+        :returns: seconds since the Unix epoch.
+        """
+        return self._ports.clock.wall()
+
+    def _check_refusals(self, answers: Answers) -> None:
+        refused = {
+            slot: answer.promised
+            for slot, answer in answers.items()
+            if isinstance(answer, Refused)
+        }
+        if not refused:
+            return
+        highest = max(refused.values())
+        if highest > self.ballot:
+            raise Outbid(highest)
+        raise MemberLost(min(refused))
+
+    async def _ask(self, slot: int, body: bytes) -> bytes | None:
+        if slot == self.keeper.slot:
+            return await self.keeper.answer(body)
+        return await self._ports.peers.ask(
+            self._addresses[slot],
+            self._settings.topic(),
+            body,
+            self._settings.ask_seconds,
+        )
--- /dev/null
+++ b/src/ospreyford/expertmap/installer.py
@@ -0,0 +1,97 @@
+"""Bringing an expert map to every member before it is proposed."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ospreyford.expertmap.calls import MemberCalls
+from ospreyford.expertmap.errors import MapMissing
+from ospreyford.expertmap.maps import MapName
+from ospreyford.expertmap.messages import (
+    Fetch,
+    Fetched,
+    Install,
+    Installed,
+    Promise,
+)
+
+
+class MapInstaller:
+    """Spreads maps and knows who holds which.
+
+    :param calls: questions to the members.
+    """
+
+    def __init__(self, calls: MemberCalls) -> None:
+        self._calls = calls
+        self._holders: dict[MapName, int] = {}
+
+    def learn(self, promises: Sequence[Promise]) -> None:
+        """Note who holds which map.
+
+        :param promises: the members' promises, by slot.
+        """
+        for slot, promise in enumerate(promises):
+            self.note(slot, promise.newest)
+            if promise.vote is not None:
+                self.note(slot, promise.vote.window.map_name)
+
+    def note(self, slot: int, name: MapName | None) -> None:
+        """Note that a member holds a map.
+
+        :param slot: the member.
+        :param name: the map, if any.
+        """
+        if name is not None:
+            self._holders[name] = slot
+
+    def newest_after(self, name: MapName) -> MapName | None:
+        """Tell which map is to follow.
+
+        :param name: the map in use.
+        :returns: the newest one known, if it is newer.
+        """
+        own = self._calls.keeper.maps.newest()
+        self.note(self._calls.keeper.slot, own)
+        newest = max(self._holders, default=name)
+        self._holders = {
+            known: slot for known, slot in self._holders.items() if known > name
+        }
+        return newest if newest > name else None
+
+    async def install(self, name: MapName) -> bool:
+        """Have every engine load a map.
+
+        :param name: the map.
+        :returns: whether all have; if not, ask again.
+        :raises MapMissing: no member holds it any more.
+        """
+        body = self._calls.keeper.maps.find(name)
+        if body is None:
+            await self._fetch(name)
+            return False
+        # A map is far larger than its name: only those who lack it get it.
+        answers = await self._calls.ask(Install(name), self._calls.slots())
+        lacking = [
+            slot
+            for slot, answer in answers.items()
+            if isinstance(answer, Installed) and not answer.held
+        ]
+        if lacking:
+            answers.update(await self._calls.ask(Install(name, body), lacking))
+        return all(
+            isinstance(answer, Installed) and answer.loaded
+            for answer in answers.values()
+        )
+
+    async def _fetch(self, name: MapName) -> None:
+        holder = self._holders.get(name)
+        if holder is None:
+            raise MapMissing
+        answers = await self._calls.ask(Fetch(name), [holder])
+        answer = answers[holder]
+        if not isinstance(answer, Fetched):
+            return
+        if answer.body is None or answer.body.name() != name:
+            raise MapMissing
+        self._calls.keeper.maps.put(answer.body)
--- /dev/null
+++ b/src/ospreyford/expertmap/recovery.py
@@ -0,0 +1,95 @@
+"""What a new coordinator learns from the members' promises."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from ospreyford.expertmap.maps import MapName
+from ospreyford.expertmap.messages import Promise
+from ospreyford.expertmap.windows import NO_BALLOT, Ballot, Vote, Window
+
+
+class Recovery(NamedTuple):
+    """Where a coordinator takes up.
+
+    ``generation`` goes on if it is older than the ballot, and is formed anew
+    if it equals it. ``forced`` is a window that may have been chosen and must
+    be proposed before any other; ``first_step`` is the first step that no
+    earlier grant can reach. ``map_name`` is the map to start with: the one
+    last in use, or the newest held where none was.
+    """
+
+    generation: Ballot
+    incarnations: tuple[int, ...]
+    released: Window | None
+    forced: Window | None
+    first_step: int
+    map_name: MapName | None
+
+
+def recover(ballot: Ballot, promises: Sequence[Promise]) -> Recovery:
+    """Work out how the group goes on.
+
+    :param ballot: the coordinator's ballot.
+    :param promises: the promises of *all* members, by slot.
+    :returns: the generation to go on with or to form.
+    """
+    released = _find_released(promises)
+    fresh = Recovery(
+        generation=ballot,
+        incarnations=tuple(promise.incarnation for promise in promises),
+        released=None,
+        forced=None,
+        first_step=max(promise.floor for promise in promises) + 1,
+        map_name=_find_map(promises),
+    )
+    generation = promises[0].generation
+    if generation == NO_BALLOT or _differ(generation, promises):
+        # Some member lost its memory or never joined: what it accepted is
+        # unknown, so the generation can't be continued.
+        return fresh
+    forced = _find_forced(released, promises)
+    return fresh._replace(
+        generation=generation, released=released, forced=forced
+    )
+
+
+def _differ(generation: Ballot, promises: Sequence[Promise]) -> bool:
+    return any(promise.generation != generation for promise in promises)
+
+
+def _find_released(promises: Sequence[Promise]) -> Window | None:
+    windows = [promise.released for promise in promises if promise.released]
+    return max(windows, key=_index_of, default=None)
+
+
+def _find_forced(
+    released: Window | None, promises: Sequence[Promise]
+) -> Window | None:
+    after = -1 if released is None else released.index
+    votes = [
+        promise.vote
+        for promise in promises
+        if promise.vote and promise.vote.window.index > after
+    ]
+    latest = max(votes, key=_ballot_of, default=None)
+    return None if latest is None else latest.window
+
+
+def _find_map(promises: Sequence[Promise]) -> MapName | None:
+    # A newer map that was only offered may be one that no engine can load:
+    # it must not keep a group from forming that has one in use.
+    used = [
+        promise.vote.window.map_name for promise in promises if promise.vote
+    ]
+    offered = [promise.newest for promise in promises if promise.newest]
+    return max(used or offered, default=None)
+
+
+def _index_of(window: Window) -> int:
+    return window.index
+
+
+def _ballot_of(vote: Vote) -> Ballot:
+    return vote.ballot
--- /dev/null
+++ b/tests/expertmap/test_machine.py
@@ -0,0 +1,228 @@
+"""Every fault at any step, on the very code that runs.
+
+The referee is the engines' own record of the map of each step; it raises as
+soon as two differ. Engines run any granted step at once.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from ospreyford.expertmap.maps import ExpertMap
+from tests.expertmap.group import Group, Process
+
+CHOICE = st.integers(0, 30)
+SIZE = 3
+MOST_PROCESSES = 9
+
+
+def pick(options: list[Any], choice: int) -> Any:
+    return options[choice % len(options)]
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """A group whose members may all lose their memory at once."""
+
+    wall = True
+
+    @initialize(ignoring=st.none() | st.integers(0, SIZE - 1))
+    def set_up(self, ignoring: int | None) -> None:
+        self.group = Group(SIZE, ignoring, self.wall)
+        self.revision = 0
+        self.offer(0, 0)
+        self.group.flow(150)
+
+    @rule(events=st.integers(1, 60))
+    def flow(self, events: int) -> None:
+        self.group.flow(events)
+
+    @rule(choice=CHOICE, layout=st.integers(0, 2), again=st.booleans())
+    def propose(self, choice: int, layout: int, again: bool) -> None:
+        # Two teams may give different maps the same revision.
+        if not again:
+            self.revision += 1
+        self.offer(choice, layout)
+
+    @precondition(lambda self: self.group.deliverable())
+    @rule(choice=CHOICE, keep=st.booleans())
+    def deliver(self, choice: int, keep: bool) -> None:
+        self.group.deliver(pick(self.group.deliverable(), choice), keep)
+
+    @precondition(lambda self: self.group.questions or self.group.replies)
+    @rule(choice=CHOICE)
+    def drop(self, choice: int) -> None:
+        message = pick([*self.group.questions, *self.group.replies], choice)
+        if message in self.group.questions:
+            self.group.questions.remove(message)
+        else:
+            self.group.replies.remove(message)
+
+    @precondition(lambda self: self.group.parked('ask'))
+    @rule(choice=CHOICE)
+    def time_out(self, choice: int) -> None:
+        self.group.time_out(pick(self.group.parked('ask'), choice))
+
+    @precondition(lambda self: self.group.parked('sleep'))
+    @rule(choice=CHOICE)
+    def wake(self, choice: int) -> None:
+        self.group.wake(pick(self.group.parked('sleep'), choice))
+
+    @precondition(lambda self: self.group.parked('order'))
+    @rule(
+        choice=CHOICE,
+        fate=st.sampled_from(['applied', 'lost', 'answer lost', 'late']),
+    )
+    def finish_order(self, choice: int, fate: str) -> None:
+        order = pick(self.group.parked('order'), choice)
+        self.group.finish_order(order, fate)
+
+    @precondition(lambda self: self.group.late_orders)
+    @rule(choice=CHOICE)
+    def apply_late_order(self, choice: int) -> None:
+        order = pick(self.group.late_orders, choice)
+        self.group.late_orders.remove(order)
+        order.apply()
+
+    @rule(choice=CHOICE, steps=st.integers(1, 8))
+    def run_engine(self, choice: int, steps: int) -> None:
+        engine = pick(self.group.engines, choice)
+        for _ in range(steps):
+            engine.run_step()
+
+    @rule(choice=CHOICE)
+    def pause_or_resume(self, choice: int) -> None:
+        process = pick(self.group.processes, choice)
+        process.paused = not process.paused
+
+    @rule(first=st.integers(0, SIZE - 1), second=st.integers(0, SIZE - 1))
+    def cut_or_mend(self, first: int, second: int) -> None:
+        if first != second:
+            self.group.cuts ^= {frozenset((first, second))}
+
+    @rule(choice=CHOICE, engine_too=st.booleans())
+    def kill_and_restart(self, choice: int, engine_too: bool) -> None:
+        old = self.choose_victim(choice, hidden=False)
+        if old is None:
+            return
+        self.group.kill(old)
+        engine = old.engine
+        if engine_too:
+            engine = self.group.new_engine(old.slot)
+            self.group.engines.remove(old.engine)
+        self.group.replace(old, engine, old.address)
+
+    @rule(choice=CHOICE, paused=st.booleans())
+    def replace_host(self, choice: int, paused: bool) -> None:
+        """The old process and its engine live on, out of sight."""
+        old = self.choose_victim(choice, hidden=True)
+        if old is None:
+            return
+        old.paused = paused
+        old.engine.survivor = False
+        address = f'h{len(self.group.processes)}'
+        self.group.replace(old, self.group.new_engine(old.slot), address)
+
+    @rule(choice=CHOICE, paused=st.booleans())
+    def start_twice(self, choice: int, paused: bool) -> None:
+        """A second process orders the engine of one that still lives."""
+        old = self.choose_victim(choice, hidden=True)
+        if old is None:
+            return
+        old.paused = paused
+        old.engine.survivor = False
+        address = f'h{len(self.group.processes)}'
+        self.group.replace(old, old.engine, address)
+
+    @rule(choice=CHOICE)
+    def restart_engine(self, choice: int) -> None:
+        process = pick(self.group.members(), choice)
+        self.group.engines.remove(process.engine)
+        process.engine = self.group.new_engine(process.slot)
+
+    def teardown(self) -> None:
+        """Once all is well again the group runs, with the newest map."""
+        if not hasattr(self, 'group'):
+            return
+        group = self.group
+        group.cuts.clear()
+        for process in group.processes:
+            process.paused = False
+        group.flow(1500)
+        for slot in range(SIZE):
+            if not any(member.slot == slot for member in group.members()):
+                self.restart_ended(slot)
+        self.revision += 1
+        self.offer(0, 1)
+        group.flow(3000)
+        steps = max(group.referee.maps)
+        assert group.referee.maps[steps].revision == self.revision
+        for member in group.members():
+            assert member.engine.step > steps - 20
+
+    def restart_ended(self, slot: int) -> None:
+        ended = [p for p in self.group.processes if p.slot == slot][-1]
+        self.group.replace(ended, ended.engine, ended.address)
+
+    def offer(self, choice: int, layout: int) -> None:
+        member = pick(self.group.members(), choice)
+        layers = (((layout,), (0, layout)),)
+        member.service.propose(
+            ExpertMap(revision=self.revision, layers=layers)
+        )
+
+    def choose_victim(self, choice: int, hidden: bool) -> Process | None:
+        if len(self.group.processes) >= MOST_PROCESSES:
+            return None
+        members = self.group.members()
+        if len(members) < SIZE:
+            return None
+        victim: Process = pick(members, choice)
+        return victim if self.may_lose(victim, hidden) else None
+
+    def may_lose(self, victim: Process, hidden: bool) -> bool:
+        return True
+
+
+class MemoryMachine(GroupMachine):
+    """Some member always remembers, and the wall clock says nothing."""
+
+    wall = False
+
+    def may_lose(self, victim: Process, hidden: bool) -> bool:
+        rest = [member for member in self.group.members() if member != victim]
+        known = [p.floor for p in self.group.processes if p.alive]
+        if not hidden:
+            known.remove(victim.floor)
+        granted = [engine.granted_step for engine in self.group.engines]
+        return max(m.floor for m in rest) >= max(known + granted)
+
+
+@pytest.mark.parametrize('machine', [GroupMachine, MemoryMachine])
+def test_one_map_in_each_step(machine: type[GroupMachine]) -> None:
+    """Symptom: ranks mix two expert maps in one step and answer rubbish.
+
+    Sequence: any mix of late, lost, doubled and reordered messages and
+    orders, pauses, partitions, replaced processes, engines and hosts.
+    Cause: a grant of a step that another map was or may be granted for.
+    """
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=60,
+            stateful_step_count=40,
+            database=None,
+        ),
+    )
