Share customer limits by leases, queue fairly under overload

FairQueue: start-time fair by customer, weight and priority, bounded in length, by customer and in wait; refuses at once what would be late; a full queue displaces the longest flow's last waiter.

Ruled out: a guard against mixed home incarnations within one question (unreachable: the old lease ends before a new home grants); a strict order of priorities (a customer that marks all as high would starve others).

Conclusion: parts sum to at most the limit while the entries' views agree within the convergence time; beyond that two homes may lend at once.

--- /dev/null
+++ b/src/ospreyford/limits/book.py
@@ -0,0 +1,90 @@
+"""Leases that a home entry has granted."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ospreyford.limits.messages import Lease, LeaseRequest
+
+
+class _Grant(NamedTuple):
+    number: int
+    fraction: float
+    expires_at: float
+
+
+class _Holder:
+    """What one entry may hold of one customer's limit."""
+
+    def __init__(self) -> None:
+        self.demand: float = 0
+        self.grants: list[_Grant] = []
+
+    def prune(self, held: int, now: float) -> None:
+        self.grants = [
+            grant
+            for grant in self.grants
+            if grant.number >= held and grant.expires_at > now
+        ]
+
+    def outstanding(self) -> float:
+        # The answer to the last asking may have been lost: until the entry
+        # says which lease it holds, the largest one still counts, or the
+        # difference would be granted to another entry as well.
+        return max((grant.fraction for grant in self.grants), default=0)
+
+
+class LeaseBook:
+    """Grants parts of limits so that they never sum to more than a bound.
+
+    :param lease_seconds: how long a lease counts from its granting.
+    """
+
+    def __init__(self, lease_seconds: float) -> None:
+        self._lease_seconds = lease_seconds
+        self._holders: dict[str, dict[str, _Holder]] = {}
+        self._number = 0
+
+    def grant(
+        self, entry: str, request: LeaseRequest, bound: float, now: float
+    ) -> Lease:
+        """Grant a lease by the entry's part of the demand.
+
+        :param entry: the asking entry.
+        :param request: what it asks for.
+        :param bound: what all leases of the customer may sum to.
+        :param now: seconds on the monotonic clock.
+        :returns: the lease; its fraction may be 0.
+        """
+        holders = self._holders.setdefault(request.customer, {})
+        holder = holders.setdefault(entry, _Holder())
+        holder.demand = request.demand
+        holder.prune(request.held, now)
+        demand: float = 0
+        others: float = 0
+        for other in holders.values():
+            other.prune(0, now)
+            if other is holder:
+                demand += other.demand
+            elif other.grants:
+                demand += other.demand
+                others += other.outstanding()
+        wanted = bound * request.demand / demand if demand else 0
+        fraction = max(0, min(wanted, bound - others))
+        self._number += 1
+        expires_at = now + self._lease_seconds
+        holder.grants.append(_Grant(self._number, fraction, expires_at))
+        return Lease(request.customer, fraction, self._number)
+
+    def prune(self, now: float) -> None:
+        """Forget leases that are over.
+
+        :param now: seconds on the monotonic clock.
+        """
+        for customer, holders in tuple(self._holders.items()):
+            for entry, holder in tuple(holders.items()):
+                holder.prune(0, now)
+                if not holder.grants:
+                    holders.pop(entry)
+            if not holders:
+                self._holders.pop(customer)
--- a/src/ospreyford/limits/gate.py
+++ b/src/ospreyford/limits/gate.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from math import inf, isfinite
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from ospreyford.limits.bucket import TokenBucket
 from ospreyford.limits.limit import (
@@ -19,18 +18,44 @@
 if TYPE_CHECKING:
     from ospreyford.limits.settings import GateSettings
 
-#: Fraction of a customer's limit that this entry may use now.
-Share = Callable[[str, float], float]
 
+class Share(Protocol):
+    """Source of this entry's part of the limits."""
 
-def take_whole(customer: str, now: float) -> float:
-    """Give a lone entry the whole of each limit.
+    def fraction(self, customer: str, now: float) -> float:
+        """Tell what part of a customer's limit this entry may use.
 
-    :param customer: name of the customer.
-    :param now: seconds on the monotonic clock.
-    :returns: always 1.
-    """
-    return 1
+        :param customer: name of the customer.
+        :param now: seconds on the monotonic clock.
+        :returns: fraction, 0 to 1.
+        """
+
+    def note_demand(self, customer: str, now: float) -> None:
+        """Count a request, admitted or not.
+
+        :param customer: name of the customer.
+        :param now: seconds on the monotonic clock.
+        """
+
+
+class WholeShare:
+    """A lone entry's share: the whole of each limit."""
+
+    def fraction(self, customer: str, now: float) -> float:
+        """Tell the part.
+
+        :param customer: name of the customer.
+        :param now: seconds on the monotonic clock.
+        :returns: always 1.
+        """
+        return 1
+
+    def note_demand(self, customer: str, now: float) -> None:
+        """Count nothing.
+
+        :param customer: name of the customer.
+        :param now: seconds on the monotonic clock.
+        """
 
 
 class _Usage:
@@ -79,10 +104,10 @@
     """
 
     def __init__(
-        self, settings: GateSettings, share: Share = take_whole
+        self, settings: GateSettings, share: Share | None = None
     ) -> None:
         self._settings = settings
-        self._share = share
+        self._share = share or WholeShare()
         self._usages: dict[str, _Usage] = {}
         self._swept_at = -inf
 
@@ -100,6 +125,7 @@
         :returns: the verdict.
         """
         self._sweep(now)
+        self._share.note_demand(customer, now)
         local = self._take_share(customer, limit, now)
         usage = self._usages.get(customer)
         if usage is None:
@@ -131,7 +157,7 @@
             usage.seen_at = now
 
     def _take_share(self, customer: str, limit: Limit, now: float) -> Limit:
-        share = self._share(customer, now)
+        share = self._share.fraction(customer, now)
         # A share below one request at once would lock a small customer out
         # of this entry for good; one at a time is the least that serves.
         return Limit(
--- /dev/null
+++ b/src/ospreyford/limits/queue.py
@@ -0,0 +1,272 @@
+"""Fair queue of the requests that wait for a back end."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from ospreyford.limits.settings import QueueSettings
+
+#: Factor of the weight for each step of priority. A strict order would let
+#: a customer that marks everything as high starve the others.
+PRIORITY_FACTOR = 2.0
+#: Weight of the newest interval in the mean service rate.
+RATE_WEIGHT = 0.1
+#: Idle customers remembered, in multiples of the queue's length.
+REMEMBERED = 2
+
+
+class Waiter(NamedTuple):
+    """A request that waits.
+
+    :param id: unique in this process.
+    :param customer: name of the customer.
+    :param cost: work of the request, in tokens; above 0.
+    :param deadline: seconds on the monotonic clock.
+    :param priority: 0 and up; higher goes first.
+    :param weight: the customer's weight; above 0.
+    """
+
+    id: int
+    customer: str
+    cost: float
+    deadline: float
+    priority: int = 1
+    weight: float = 1
+
+
+@dataclass(frozen=True)
+class QueueFull:
+    """The queue, or the customer's part of it, is full.
+
+    :param length: the bound that was met.
+    """
+
+    length: int
+
+
+@dataclass(frozen=True)
+class WaitTooLong:
+    """The request would not get its turn in time.
+
+    :param seconds: expected wait.
+    """
+
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Queued:
+    """The request waits.
+
+    :param displaced: a waiter that lost its place to this one, and must be
+        refused now.
+    """
+
+    displaced: Waiter | None = None
+
+
+@dataclass(frozen=True)
+class NotQueued:
+    """The request can't wait, so it was not run.
+
+    :param reason: why.
+    :param retry_after: seconds after which coming back may help.
+    """
+
+    reason: QueueFull | WaitTooLong
+    retry_after: float
+
+
+class _Flow:
+    """Waiters of one customer, and its place in virtual time."""
+
+    def __init__(self) -> None:
+        self.start: float = 0
+        self.finish: float = 0
+        self.cost: float = 0
+        self.waiting: dict[int, Waiter] = {}
+
+    def next(self) -> Waiter:
+        return max(
+            self.waiting.values(),
+            key=lambda waiter: (waiter.priority, -waiter.id),
+        )
+
+    def last(self) -> Waiter:
+        return min(
+            self.waiting.values(),
+            key=lambda waiter: (waiter.priority, -waiter.id),
+        )
+
+
+class FairQueue:
+    """Start-time fair queue by customer, bounded in length and in wait.
+
+    Between two customers that both have requests waiting, the work taken
+    for each, divided by its weight, differs by at most the largest single
+    request of either, divided by its weight. Each waiter leaves exactly
+    once: by :meth:`take`, :meth:`expire`, :meth:`cancel`, or displaced.
+
+    :param settings: the bounds.
+    """
+
+    def __init__(self, settings: QueueSettings) -> None:
+        self._settings = settings
+        self._flows: dict[str, _Flow] = {}
+        self._turns: list[tuple[float, str]] = []
+        self._customers: dict[int, str] = {}
+        self._late: list[Waiter] = []
+        self._virtual_time: float = 0
+        self._rate: float = 0
+        self._taken_at: float | None = None
+
+    def __len__(self) -> int:
+        """Count the waiters."""
+        return len(self._customers)
+
+    def offer(self, waiter: Waiter, now: float) -> Queued | NotQueued:
+        """Put a request into the queue, or refuse it at once.
+
+        :param waiter: the request.
+        :param now: seconds on the monotonic clock.
+        :returns: the verdict.
+        """
+        flow = self._flows.setdefault(waiter.customer, _Flow())
+        wait = self._expect_wait(flow, waiter)
+        if wait > self._patience(waiter, now):
+            return NotQueued(WaitTooLong(wait), wait)
+        if len(flow.waiting) >= self._settings.customer_length:
+            bound = self._settings.customer_length
+            return NotQueued(QueueFull(bound), max(wait, 1))
+        displaced = None
+        if len(self) >= self._settings.length:
+            displaced = self._displace(flow)
+            if displaced is None:
+                bound = self._settings.length
+                return NotQueued(QueueFull(bound), max(wait, 1))
+        self._add(flow, waiter, now)
+        return Queued(displaced)
+
+    def take(self, now: float) -> Waiter | None:
+        """Take the request whose turn it is.
+
+        :param now: seconds on the monotonic clock.
+        :returns: the waiter, or ``None`` if nobody waits in time.
+        """
+        while self._turns:
+            start, customer = heapq.heappop(self._turns)
+            flow = self._flows[customer]
+            if not flow.waiting or start != flow.start:
+                continue
+            waiter = self._remove(flow, flow.next())
+            if waiter.deadline <= now:
+                self._late.append(waiter)
+                self._give_turn(customer, flow)
+                continue
+            self._virtual_time = start
+            flow.finish = start + waiter.cost / _weigh(waiter)
+            flow.start = flow.finish
+            self._give_turn(customer, flow)
+            self._note_rate(waiter, now)
+            return waiter
+        return None
+
+    def expire(self, now: float) -> list[Waiter]:
+        """Take out every request whose time is over; refuse them now.
+
+        :param now: seconds on the monotonic clock.
+        :returns: the waiters.
+        """
+        late = self._late
+        self._late = []
+        for flow in self._flows.values():
+            over = [
+                waiter
+                for waiter in flow.waiting.values()
+                if waiter.deadline <= now
+            ]
+            late.extend(self._remove(flow, waiter) for waiter in over)
+        self._forget_idle()
+        return late
+
+    def cancel(self, waiter_id: int) -> bool:
+        """Take out a request whose caller went away.
+
+        :param waiter_id: the waiter's id.
+        :returns: whether it was waiting.
+        """
+        customer = self._customers.get(waiter_id)
+        if customer is None:
+            return False
+        flow = self._flows[customer]
+        self._remove(flow, flow.waiting[waiter_id])
+        return True
+
+    def _patience(self, waiter: Waiter, now: float) -> float:
+        return min(self._settings.max_wait_seconds, waiter.deadline - now)
+
+    def _expect_wait(self, flow: _Flow, waiter: Waiter) -> float:
+        """Bound the wait by the customer's fair share and by the whole."""
+        if not self._rate:
+            return 0
+        busy = [other for other in self._flows.values() if other.waiting]
+        ahead = sum(other.cost for other in busy)
+        competitors = len(busy)
+        if not flow.waiting:
+            competitors += 1
+        fair = (flow.cost + waiter.cost) * competitors
+        return min(ahead, fair) / self._rate
+
+    def _displace(self, flow: _Flow) -> Waiter | None:
+        longest = max(
+            self._flows.values(), key=lambda other: len(other.waiting)
+        )
+        if len(longest.waiting) <= len(flow.waiting) + 1:
+            return None
+        return self._remove(longest, longest.last())
+
+    def _add(self, flow: _Flow, waiter: Waiter, now: float) -> None:
+        latest = now + self._settings.max_wait_seconds
+        bounded = waiter._replace(deadline=min(waiter.deadline, latest))
+        idle = not flow.waiting
+        flow.waiting[waiter.id] = bounded
+        flow.cost += waiter.cost
+        self._customers[waiter.id] = waiter.customer
+        if idle:
+            # An idle customer starts at the present: it can't save up
+            # turns while it sends nothing, nor shed what it has used by
+            # letting its queue run empty for a moment.
+            flow.start = max(self._virtual_time, flow.finish)
+            self._give_turn(waiter.customer, flow)
+
+    def _remove(self, flow: _Flow, waiter: Waiter) -> Waiter:
+        flow.waiting.pop(waiter.id)
+        flow.cost -= waiter.cost
+        self._customers.pop(waiter.id)
+        return waiter
+
+    def _give_turn(self, customer: str, flow: _Flow) -> None:
+        if flow.waiting:
+            heapq.heappush(self._turns, (flow.start, customer))
+
+    def _note_rate(self, waiter: Waiter, now: float) -> None:
+        if self._taken_at is not None and now > self._taken_at:
+            rate = waiter.cost / (now - self._taken_at)
+            self._rate += RATE_WEIGHT * (rate - self._rate)
+        self._taken_at = now
+
+    def _forget_idle(self) -> None:
+        if len(self._flows) <= REMEMBERED * self._settings.length:
+            return
+        self._flows = {
+            customer: flow
+            for customer, flow in self._flows.items()
+            if flow.waiting or flow.finish > self._virtual_time
+        }
+
+
+def _weigh(waiter: Waiter) -> float:
+    return waiter.weight * PRIORITY_FACTOR**waiter.priority
--- a/src/ospreyford/limits/settings.py
+++ b/src/ospreyford/limits/settings.py
@@ -46,6 +46,9 @@
         known entries; the rest is leased by demand.
     :param period_seconds: time between two askings of leases.
     :param lease_seconds: how long a leased slice may be used.
+    :param convergence_seconds: time in which the entries' views of who is
+        live come to agree; while they disagree for longer, two homes may
+        lease out the same limit.
     :param ask_timeout_seconds: how long to wait for a home entry's answer.
     :param bytes_per_second: sending rate that askings keep to.
     """
@@ -53,5 +56,6 @@
     reserved: Ratio = 0.2
     period_seconds: Positive = 1
     lease_seconds: Positive = 3
+    convergence_seconds: Positive = 2
     ask_timeout_seconds: Positive = 0.5
     bytes_per_second: Positive = 1000
--- a/tests/limits/test_gate.py
+++ b/tests/limits/test_gate.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ospreyford.limits.gate import LimitGate
+from ospreyford.limits.gate import LimitGate, WholeShare
 from ospreyford.limits.limit import (
     Admitted,
     ConcurrencyExceeded,
@@ -14,8 +14,16 @@
 from ospreyford.limits.settings import GateSettings
 
 
+class FixedShare(WholeShare):
+    def __init__(self, part: float) -> None:
+        self.part = part
+
+    def fraction(self, customer: str, now: float) -> float:
+        return self.part
+
+
 def make_gate(share: float = 1) -> LimitGate:
-    return LimitGate(GateSettings(), lambda customer, now: share)
+    return LimitGate(GateSettings(), FixedShare(share))
 
 
 @pytest.mark.parametrize(
