--- a/tests/limits/test_queue.py
+++ b/tests/limits/test_queue.py
@@ -66,10 +66,10 @@
     work = {'heavy': 0.0, 'light': 0.0}
     waiting = {'heavy': len(heavy) - gap, 'light': len(light)}
     while all(waiting.values()):
-        waiter = queue.take(0)
-        assert waiter
-        work[waiter.customer] += waiter.cost / (2 * waiter.weight)
-        waiting[waiter.customer] -= 1
+        taken = queue.take(0)
+        assert taken
+        work[taken.customer] += taken.cost / (2 * taken.weight)
+        waiting[taken.customer] -= 1
         assert abs(work['heavy'] - work['light']) <= 10
 
 
@@ -100,7 +100,7 @@
     queue = FairQueue(ROOMY)
     for number in range(100, 200):
         queue.offer(make_waiter(number, 'steady', cost=1), 0)
-    turns = []
+    turns: list[str] = []
     for number in range(40):
         if not turns or turns[-1] == 'sneaky':
             queue.offer(make_waiter(number, 'sneaky', cost=10), 0)
--- a/tests/limits/test_share.py
+++ b/tests/limits/test_share.py
@@ -21,7 +21,7 @@
 from ospreyford.ports.peers import Handler
 from tests.fakes.stepping import SteppedTask, Stepper, park
 
-NAMES = ('x', 'y', 'z')
+NAMES: tuple[str, ...] = ('x', 'y', 'z')
 CUSTOMERS = ('c1', 'c2', 'c4')
 SETTINGS = ShareSettings()
 #: The whole limit, and room for rounding.
@@ -93,7 +93,7 @@
     def __init__(self) -> None:
         self.now = 0.0
         self.incarnation = 0
-        self.sides = dict.fromkeys(NAMES, NAMES)
+        self.sides: dict[str, tuple[str, ...]] = dict.fromkeys(NAMES, NAMES)
         self.stepper = Stepper()
         self.strays: list[Question] = []
         self.detected_at: float | None = None
@@ -103,7 +103,7 @@
         """Cut one entry off, or heal the network."""
         self.settle_views()
         rest = tuple(name for name in NAMES if name != alone)
-        self.sides = dict.fromkeys(NAMES, rest)
+        self.sides = {name: rest for name in NAMES}
         if alone:
             self.sides[alone] = (alone,)
 
