Let the router's state machine lose the whole network

Change: a rule that fails any number of back ends at once.

Seen failing with the panic condition removed, alone: RouterMachine.

--- a/tests/routing/test_promises.py
+++ b/tests/routing/test_promises.py
@@ -120,6 +120,11 @@
             for router in (self.router, self.twin):
                 router.note_finished(name, outcome, seconds, self.now)
 
+    @rule(count=st.integers(1, COUNT))
+    def lose_network(self, count: int) -> None:
+        for number in range(count):
+            self.finish(number, Outcome.failed, 1, 5)
+
     @rule(number=NUMBERS, draining=st.booleans())
     def report(self, number: int, draining: bool) -> None:
         name = f'backend-{number}'
