--- a/src/ospreyford/agent/runner.py
+++ b/src/ospreyford/agent/runner.py
@@ -5,13 +5,19 @@
 from typing import TYPE_CHECKING
 
 import curio
+import msgspec
 
 from ospreyford.http.errors import (
     ConnectionRefused,
     HttpError,
     Unsendable,
 )
-from ospreyford.http.message import Request
+from ospreyford.http.message import Request, find_header
+from ospreyford.observability.traceparent import (
+    TRACEPARENT,
+    TRACESTATE,
+    parse_traceparent,
+)
 from ospreyford.wire.frame import Fate
 
 if TYPE_CHECKING:
@@ -19,11 +25,14 @@
     from ospreyford.agent.load import LoadMeter
     from ospreyford.agent.record import ExecutionRecord
     from ospreyford.agent.settings import ServiceSettings
+    from ospreyford.observability.spans import OpenSpan, Tracer
     from ospreyford.ports.backend import BackendCall, BackendPort
     from ospreyford.ports.clock import Clock
     from ospreyford.wire.frame import Start
 
 MILLISECONDS = 1000
+REQUEST_ID = b'x-request-id'
+TRACE_FIELDS = frozenset((TRACEPARENT, TRACESTATE))
 
 
 class Runner:
@@ -34,6 +43,7 @@
     :param backend: the backend server.
     :param meter: counts what runs.
     :param clock: source of time.
+    :param tracer: keeps the spans.
     """
 
     def __init__(
@@ -43,7 +53,9 @@
         backend: BackendPort,
         meter: LoadMeter,
         clock: Clock,
+        tracer: Tracer,
     ) -> None:
+        self._tracer = tracer
         self._settings = settings
         self._record = record
         self._backend = backend
@@ -84,8 +96,13 @@
 
     async def _run(self, execution: Execution, start: Start) -> None:
         self._meter.in_flight += 1
+        request_id = _read_request_id(start)
+        parent = parse_traceparent(start.headers)
         try:
-            await self._run_bounded(execution, start)
+            with self._tracer.start('agent', request_id, parent) as span:
+                traced = _replace_trace(start, span)
+                await self._run_bounded(execution, traced)
+                _end_span(span, execution.fate)
         finally:
             self._meter.in_flight -= 1
 
@@ -108,8 +125,10 @@
     async def _call(self, execution: Execution, start: Start) -> None:
         call = await self._backend.open(reuse=start.idempotent)
         whole = False
+        parent = parse_traceparent(start.headers)
         try:
-            await self._relay(call, execution, start)
+            with self._tracer.start('backend', _read_request_id(start), parent):
+                await self._relay(call, execution, start)
             whole = True
         finally:
             await call.finish(whole=whole)
@@ -127,3 +146,18 @@
         async for piece in call.read_pieces():
             await execution.add_piece(piece)
         await execution.finish(self._meter.report(), self._clock.monotonic())
+
+
+def _end_span(span: OpenSpan, fate: Fate | None) -> None:
+    outcome = 'answered' if fate is None else fate.value
+    span.end(outcome, failed=fate is Fate.unknown)
+
+
+def _read_request_id(start: Start) -> str:
+    raw = find_header(start.headers, REQUEST_ID) or b''
+    return raw.decode('latin-1')
+
+
+def _replace_trace(start: Start, span: OpenSpan) -> Start:
+    kept = tuple(pair for pair in start.headers if pair[0] not in TRACE_FIELDS)
+    return msgspec.structs.replace(start, headers=kept + span.to_headers())
--- a/src/ospreyford/entry/directory.py
+++ b/src/ospreyford/entry/directory.py
@@ -43,6 +43,7 @@
 
     def __init__(self) -> None:
         self.picture: Picture | None = None
+        self.withdrawn: frozenset[str] = frozenset()
         self.hosts: dict[str, Host] = {}
         self._members: dict[str, tuple[Host, ...]] = {}
         self._plans: dict[tuple[str, str], Plan | NotRun] = {}
@@ -65,6 +66,15 @@
             self.hosts = table
             self._forget()
 
+    def note_withdrawn(self, names: frozenset[str]) -> None:
+        """Take over which backend servers take no new work.
+
+        :param names: those whose agents are leaving or dead.
+        """
+        if names != self.withdrawn:
+            self.withdrawn = names
+            self._forget()
+
     def find_plan(self, customer: str, service: str) -> Plan | NotRun:
         """Find out what a customer's call to a service may use.
 
@@ -136,6 +146,7 @@
                 host
                 for host in picture.members(pool, self.hosts.values())
                 if host.state is HostState.live
+                and host.name not in self.withdrawn
                 and picture.drain_of(host) is None
             )
             self._members[pool] = members
--- a/src/ospreyford/platform/hostlist.py
+++ b/src/ospreyford/platform/hostlist.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from ospreyford.ports.clock import Clock
     from ospreyford.ports.hosts import HostListener, HostListPort
@@ -80,7 +81,7 @@
     listener: HostListener,
     clock: Clock,
     rng: random.Random,
-    interval: float,
+    pace: Callable[[], float],
 ) -> None:
     """Read the list for ever and tell of each reading that succeeded.
 
@@ -88,7 +89,7 @@
     :param listener: told of the hosts.
     :param clock: source of time.
     :param rng: source of jitter.
-    :param interval: mean seconds between two readings.
+    :param pace: mean seconds until the next reading.
     """
     while True:
         hosts = await source.read()
@@ -97,7 +98,7 @@
         if hosts:
             listener(hosts)
         spread = 1 + JITTER * (2 * rng.random() - 1)
-        await clock.sleep(interval * spread)
+        await clock.sleep(pace() * spread)
 
 
 def _decode_hosts(body: bytes) -> tuple[Host, ...] | None:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -23,11 +23,15 @@
 from ospreyford.http.message import Headers
 from ospreyford.http.server import listen, port_of
 from ospreyford.limits.limit import Limit
+from ospreyford.observability.metrics import Metrics
+from ospreyford.observability.spans import Tracer
 from ospreyford.ports.clock import SystemClock
 from ospreyford.ports.fleet import Host
-from ospreyford.routing.query import Identity, Priority
+from ospreyford.routing.query import Identity as RouterIdentity
+from ospreyford.routing.query import Priority
 from ospreyford.routing.router import Router
 from ospreyford.routing.settings import RoutingSettings
+from ospreyford.settings.sections import Identity, Traces
 from ospreyford.wire.identity import make_id, read_date
 from ospreyford.wire.pool import ConnectionPool, PoolSettings
 from tests.faults.backend import FakeBackend
@@ -47,6 +51,10 @@
     orphan_seconds=0.3,
 )
 RECORD = RecordSettings(skew_seconds=0.01)
+TRACER = Tracer(
+    Traces(max_spans=1),
+    Identity(name='rig', instance='i', zone='z', region='r'),
+)
 POOL = PoolSettings(connect_seconds=0.15)
 
 
@@ -104,7 +112,7 @@
         self.record = ExecutionRecord(RECORD, incarnation, self.clock)
         meter = LoadMeter(self.record, self.backend, self.clock)
         runner = Runner(
-            AGENT_TIMES, self.record, self.backend, meter, self.clock
+            AGENT_TIMES, self.record, self.backend, meter, self.clock, TRACER
         )
         service = AgentService(
             self.name, AGENT_TIMES, self.record, runner, meter, self.clock
@@ -170,8 +178,9 @@
 
     async def __aexit__(self, *_: object) -> None:
         for agent in self.agents:
-            await agent.kill()
+            # The network first: a kill under way must not overlap this one.
             await agent.network.stop()
+            await agent.die(replaced=False)
         for task in self._tasks:
             await task.cancel()
 
@@ -195,11 +204,14 @@
             RequestSettings(),
             TIMES,
             Router(
-                RoutingSettings(), Identity('e', 'z', 'r'), random.Random(seed)
+                RoutingSettings(),
+                RouterIdentity('e', 'z', 'r'),
+                random.Random(seed),
             ),
             ConnectionPool(POOL, clock),
             self.directory,
             clock,
+            Metrics().requests,
         )
 
     def count_runs(self, tag: bytes) -> int:
@@ -226,6 +238,7 @@
         body=tag,
         prefix=None,
         tokens=1,
+        trace=None,
     )
 
 
