Open the exporter that the settings name; measure spans and lines

Cause: the exporter's file had no effect until a program opened it.

Change: Tracing joins tracer, exporter and the count of dropped spans.

--- a/src/ospreyford/observability/exporter.py
+++ b/src/ospreyford/observability/exporter.py
@@ -149,6 +149,13 @@
         """
         self.writer.put(span)
 
+    def count_dropped(self) -> int:
+        """Count the spans that were lost, since the file was slow.
+
+        :returns: the number since the start.
+        """
+        return self.writer.dropped
+
     def close(self) -> bool:
         """Write what is left, for two seconds at most.
 
--- a/src/ospreyford/observability/logs.py
+++ b/src/ospreyford/observability/logs.py
@@ -62,6 +62,13 @@
                 **asdict(event),
             )
 
+    def count_dropped(self) -> int:
+        """Count the lines that were lost, since the destination was slow.
+
+        :returns: the number since the start.
+        """
+        return self.writer.dropped
+
     def close(self) -> bool:
         """Write what is left, for two seconds at most.
 
--- a/tests/observability/test_spans.py
+++ b/tests/observability/test_spans.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import pathlib
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -8,11 +10,13 @@
 
 from ospreyford.http.message import Headers
 from ospreyford.observability.exporter import SpanWriter
+from ospreyford.observability.metrics import Metrics
 from ospreyford.observability.spans import Span, Tracer, merge_spans
 from ospreyford.observability.traceparent import (
     format_traceparent,
     parse_traceparent,
 )
+from ospreyford.observability.tracing import Tracing
 from ospreyford.settings.sections import Identity, Traces
 
 IDENTITY = Identity(name='entry-1', instance='i-1', zone='a', region='north')
@@ -189,3 +193,24 @@
     span = tracer.store.find_request('r1')[0]
     encoded = msgspec.msgpack.encode(span)
     assert msgspec.msgpack.decode(encoded, type=Span) == span
+
+
+def test_tracing_to_file(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / 'spans.jsonl'
+    metrics = Metrics()
+    chosen = Traces(sample_ratio=1, exporter='file', path=str(path))
+    tracing = Tracing(chosen, IDENTITY, metrics)
+    tracing.tracer.start('entry', 'r1').end('answered')
+    assert tracing.close()
+    lines = path.read_text().splitlines()
+    assert [msgspec.json.decode(line)['name'] for line in lines] == ['entry']
+    assert b'dropped_lines_total{buffer="spans"} 0.0' in metrics.render()
+
+
+def test_tracing_without_exporter() -> None:
+    metrics = Metrics()
+    tracing = Tracing(Traces(sample_ratio=1), IDENTITY, metrics)
+    tracing.tracer.start('entry', 'r1').end('answered')
+    assert tracing.close()
+    assert tracing.tracer.store.find_request('r1')
+    assert b'buffer="spans"' not in metrics.render()
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -123,6 +123,7 @@
 
 # Text added to a file that is right, and the line after the file's name.
 ADDED = (
+    (r'"a\u001b[2J\n" = 1', rf'a\x1b[2J\n = 1: {SECTIONS}'),
     ('[requests]\nmax = 1', f'requests.max = 1: {REQUESTS}'),
     (
         "[requests]\nmax_deadline_seconds = '9'",
@@ -264,6 +265,18 @@
     assert load_line(tmp_path, content) == line
 
 
+def test_backend_is_not_the_agent(tmp_path: pathlib.Path) -> None:
+    # Symptom: each request to an agent multiplies until nothing answers.
+    # Sequence: the backend server's address is copied from [listen].
+    # Cause: the agent takes itself for its backend server.
+    content = AGENT.replace('127.0.0.1:8200', '127.0.0.1:8100').encode()
+    line = load_line(tmp_path, content, AgentSettings)
+    assert line == (
+        'backend.address = "127.0.0.1:8100": '
+        'an address that is not under listen'
+    )
+
+
 def test_deep_nesting(tmp_path: pathlib.Path) -> None:
     # Symptom: the program ends with a stack trace instead of one line.
     # Sequence: a file holds some thousand opening brackets.
