--- a/tests/expertmap/test_machine.py
+++ b/tests/expertmap/test_machine.py
@@ -177,9 +177,7 @@
     def offer(self, choice: int, layout: int) -> None:
         member = pick(self.group.members(), choice)
         layers = (((layout,), (0, layout)),)
-        member.service.propose(
-            ExpertMap(revision=self.revision, layers=layers)
-        )
+        member.service.propose(ExpertMap(revision=self.revision, layers=layers))
 
     def choose_victim(self, choice: int, hidden: bool) -> Process | None:
         if len(self.group.processes) >= MOST_PROCESSES:
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -9,11 +9,7 @@
 
 from ospreyford.settings.errors import SettingsError
 from ospreyford.settings.loader import load_settings
-from ospreyford.settings.programs import (
-    AgentSettings,
-    EntrySettings,
-    longest_of,
-)
+from ospreyford.settings.programs import AgentSettings, EntrySettings
 
 ENTRY = """
 [identity]
@@ -148,7 +144,7 @@
     (
         '[drain]\ndeadline_seconds = 5',
         'drain.deadline_seconds = 5: '
-        'at least requests.max_deadline_seconds, 120',
+        'at least requests.max_deadline_seconds, 120.0',
     ),
     (
         "[peers]\nseeds = ['127.0.0.1:1', 'peer:2']",
@@ -189,25 +185,25 @@
     (
         '[records]\nretention_seconds = 60',
         'records.retention_seconds = 60: at least '
-        'requests.max_deadline_seconds + 2 * records.skew_seconds, 124',
+        'requests.max_deadline_seconds and twice records.skew_seconds, 124.0',
     ),
     (
         '[records]\nskew_seconds = 20',
         'records.tombstone_seconds = (default): at least '
-        'requests.max_deadline_seconds + 2 * records.skew_seconds, 160.0',
+        'requests.max_deadline_seconds and twice records.skew_seconds, 160.0',
     ),
     (
         '[requests]\ndefault_deadline_seconds = 121',
         'requests.default_deadline_seconds = 121: '
-        'at most requests.max_deadline_seconds, 120',
+        'at most requests.max_deadline_seconds, 120.0',
     ),
     (
-        '[records]\nmax_entries = 0',
-        'records.max_entries = 0: an integer from 1 up to 10000000',
+        '[records]\nmax_records = 0',
+        'records.max_records = 0: an integer from 1 up to 10000000',
     ),
     (
-        '[records]\nmax_entries = 1.5',
-        'records.max_entries = 1.5: an integer from 1 up to 10000000',
+        '[records]\nmax_records = 1.5',
+        'records.max_records = 1.5: an integer from 1 up to 10000000',
     ),
 )
 
@@ -285,7 +281,9 @@
     path.write_text(AGENT)
     loaded = load_settings(path, AgentSettings)
     assert loaded.backend.kind == 'model'
-    assert loaded.drain.deadline_seconds >= longest_of(loaded.requests)
+    path.write_text(ENTRY)
+    entry = load_settings(path, EntrySettings)
+    assert entry.http.to_limits().head_bytes == entry.http.head_bytes
 
 
 TOML_VALUES = st.recursive(
