Run a whole deployment as processes on loopback

Change: standins.fleet writes settings, starts platform, back ends, agents and entries, waits for readiness and reads the journals. Hosts carry the adapters their engines have loaded, and labels of documents count in routing.

--- a/src/ospreyford/entry/directory.py
+++ b/src/ospreyford/entry/directory.py
@@ -143,7 +143,7 @@
         members = self._members.get(pool)
         if members is None:
             members = tuple(
-                host
+                host._replace(labels=picture.labels_of(host))
                 for host in picture.members(pool, self.hosts.values())
                 if host.state is HostState.live
                 and host.name not in self.withdrawn
--- a/src/ospreyford/standins/deployment.py
+++ b/src/ospreyford/standins/deployment.py
@@ -26,13 +26,17 @@
 
 
 class Site(NamedTuple):
-    """A user's site: ``region`` names its zones, services its back ends."""
+    """A user's site: ``region`` names its zones, services its back ends.
+
+    ``adapters`` are loaded on every engine, divided by spaces.
+    """
 
     name: str
     region: str
     model: str
     model_service: str
     plain_service: str
+    adapters: str
 
 
 class Size(NamedTuple):
@@ -54,10 +58,20 @@
 
 
 PENSION_OFFICE = Site(
-    'pension-office', 'ulaanbaatar', 'drafting', 'drafting', 'quotation'
+    'pension-office',
+    'ulaanbaatar',
+    'drafting',
+    'drafting',
+    'quotation',
+    'quote-explanation',
 )
 CATERER = Site(
-    'caterer', 'addis', 'order-assistant', 'order-assistant', 'order-desk'
+    'caterer',
+    'addis',
+    'order-assistant',
+    'order-assistant',
+    'order-desk',
+    'special-meals',
 )
 
 
@@ -104,6 +118,7 @@
         'kind': kind.stem,
         'service': kind.service,
         'model': kind.model,
+        'adapters': site.adapters if kind.model else '',
     }
     return Host(
         name=name,
--- /dev/null
+++ b/src/ospreyford/standins/fleet.py
@@ -0,0 +1,270 @@
+"""A whole deployment as processes on loopback, for demo, tests and bench.
+
+The platform, the engines and the services are stand-ins; entries and agents
+are the product's own programs. Only this module starts processes.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import curio
+import msgspec
+
+from ospreyford.http.client import fetch
+from ospreyford.http.errors import HttpError
+from ospreyford.http.message import Request
+from ospreyford.settings.types import split_address
+from ospreyford.standins.deployment import Size, encode_hosts, lay_out
+from ospreyford.standins.process import LOOPBACK
+
+if TYPE_CHECKING:
+    from ospreyford.ports.fleet import Host
+    from ospreyford.standins.deployment import Site
+    from ospreyford.standins.launcher import Launched, Launcher
+
+READY_SECONDS = 40.0
+POLL_SECONDS = 0.1
+OK_STATUS = 200
+ASK_SECONDS = 3.0
+
+_SETTINGS = """
+[identity]
+name = "{name}"
+instance = "{instance}"
+zone = "{zone}"
+region = "{region}"
+
+[listen]
+data_address = "{data}"
+admin_address = "{admin}"
+peer_address = "{peer}"
+
+[platform]
+config_service = "{config}"
+host_list = "{hosts}"
+
+[membership]
+seeds = [{seeds}]
+
+[distribution]
+fleet_size = 100
+cold_start_rounds = 3
+bootstrap_seconds = 0.3
+
+[traces]
+sample_ratio = 1.0
+"""
+
+_BACKEND = """
+[backend]
+address = "{address}"
+service = "{service}"
+kind = "{kind}"
+"""
+
+
+class NotReady(Exception):
+    """The deployment was not ready in time; holds what was missing."""
+
+
+class Program(NamedTuple):
+    """One of the product's processes.
+
+    ``settings`` is its file, so that it can be started again.
+    """
+
+    host: Host
+    admin_address: str
+    settings: Path
+    process: Launched
+
+
+class Fleet:
+    """One site's processes.
+
+    :param launcher: starts and ends them.
+    :param site: which site.
+    :param size: how many hosts of each kind.
+    :param documents: the directory of the site's published documents.
+    :param directory: where settings files are written.
+    """
+
+    def __init__(
+        self,
+        launcher: Launcher,
+        site: Site,
+        size: Size,
+        documents: Path,
+        directory: Path,
+    ) -> None:
+        self.hosts = lay_out(site, size, _choose_ports())
+        self.programs: dict[str, Program] = {}
+        self.backends: dict[str, Launched] = {}
+        self._launcher = launcher
+        self._site = site
+        self._directory = directory
+        table = directory / 'hosts.json'
+        table.write_bytes(encode_hosts(self.hosts))
+        self.config = launcher.start(
+            'ospreyford.standins.configservice',
+            '--documents',
+            str(documents),
+        )
+        self.host_list = launcher.start(
+            'ospreyford.standins.hostlist',
+            '--hosts',
+            str(table),
+        )
+
+    def start(self) -> None:
+        """Start every back end, agent and entry, and wait for them.
+
+        :raises NotReady: an entry takes no work in time.
+        """
+        for host in self.hosts:
+            if host.role == 'backend':
+                self.backends[host.name] = self._start_backend(host)
+            self.start_program(host)
+        self.wait_until_ready()
+
+    def start_program(self, host: Host) -> Program:
+        """Start the product's process of a host.
+
+        :param host: the host.
+        :returns: the process.
+        """
+        admin = f'{LOOPBACK}:{next(_choose_ports())}'
+        path = self._directory / f'{host.name}.toml'
+        path.write_text(self._write_settings(host, admin))
+        module = 'agent' if host.role == 'backend' else 'entry'
+        process = self._launcher.spawn(
+            f'ospreyford.console.{module}',
+            '--settings',
+            str(path),
+        )
+        program = Program(host, admin, path, process)
+        self.programs[host.name] = program
+        return program
+
+    def list_entries(self) -> list[Program]:
+        """List the entries.
+
+        :returns: them, in the order of the host list.
+        """
+        return [
+            program
+            for program in self.programs.values()
+            if program.host.role == 'entry'
+        ]
+
+    def wait_until_ready(self) -> None:
+        """Wait until every entry and agent takes work.
+
+        :raises NotReady: one does not in time.
+        """
+        until = time.monotonic() + READY_SECONDS
+        waiting = list(self.programs.values())
+        while waiting:
+            waiting = [one for one in waiting if not is_ready(one)]
+            if waiting and time.monotonic() > until:
+                raise NotReady(_describe(waiting))
+            time.sleep(POLL_SECONDS)
+
+    def read_journals(self, service: str) -> list[dict[str, Any]]:
+        """Read what the back ends of a service really ran.
+
+        :param service: the service's name.
+        :returns: the journals' entries, one after the other.
+        """
+        return [
+            entry
+            for host in self.hosts
+            if host.service == service
+            for entry in ask(self.backends[host.name].port, '/journal')
+        ]
+
+    def _start_backend(self, host: Host) -> Launched:
+        kind = 'plain' if host.service == self._site.plain_service else 'engine'
+        return self._launcher.start(f'ospreyford.standins.{kind}')
+
+    def _write_settings(self, host: Host, admin: str) -> str:
+        seeds = ', '.join(f'"{each.peer_address}"' for each in self.hosts[:3])
+        text = _SETTINGS.format(
+            name=host.name,
+            instance=host.instance,
+            zone=host.zone,
+            region=host.region,
+            data=host.data_address,
+            admin=admin,
+            peer=host.peer_address,
+            config=_address(self.config),
+            hosts=_address(self.host_list),
+            seeds=seeds,
+        )
+        if host.role != 'backend':
+            return text
+        plain = host.service == self._site.plain_service
+        return text + _BACKEND.format(
+            address=_address(self.backends[host.name]),
+            service=host.service,
+            kind='plain' if plain else 'model',
+        )
+
+
+def ask(port: int, target: str, body: object = None) -> Any:
+    """Ask a stand-in or an admin port.
+
+    :param port: where it listens on loopback.
+    :param target: path and query.
+    :param body: sent as JSON with POST; without it the call is a GET.
+    :returns: the decoded answer.
+    :raises HttpError: no answer.
+    """
+    method = 'GET' if body is None else 'POST'
+    encoded = b'' if body is None else msgspec.json.encode(body)
+    _, answer = curio.run(
+        fetch,
+        (LOOPBACK, port),
+        Request(method, target, ()),
+        encoded,
+        ASK_SECONDS,
+    )
+    return msgspec.json.decode(answer)
+
+
+def is_ready(program: Program) -> bool:
+    """Ask a process whether it takes work.
+
+    :param program: the process.
+    :returns: whether its readiness page says so.
+    """
+    address = split_address(program.admin_address)
+    try:
+        head, _ = curio.run(fetch, address, Request('GET', '/readyz', ()))
+    except HttpError:
+        return False
+    return bool(head.status == OK_STATUS)
+
+
+def _describe(waiting: list[Program]) -> str:
+    return '\n'.join(
+        f'{one.host.name}: {one.process.errors}' for one in waiting
+    )
+
+
+def _address(process: Launched) -> str:
+    return f'{LOOPBACK}:{process.port}'
+
+
+def _choose_ports() -> Iterator[int]:
+    # The kernel hands out each of them once in a while; a port that another
+    # process takes in between shows as a program that does not start.
+    while True:
+        with socket.socket() as sock:
+            sock.bind((LOOPBACK, 0))
+            yield sock.getsockname()[1]
