Let the plain service run any POST, and check names against the documents

Cause: the caterer's documents declare POST /orders and /invoices/*, which the stand-in answered with 404; and the laid-out hosts must be those that the examples' homes and host labels name. Change: every POST but /control is a journalled run under its path; a test that the documents name only hosts of lay_out. Ruled out: a list of paths as an option (nothing would need it).

--- a/src/ospreyford/standins/plain.py
+++ b/src/ospreyford/standins/plain.py
@@ -1,7 +1,8 @@
 """A plain service: the quotation desk and the order desk.
 
-``POST /quotes`` and ``POST /invoice-lines`` are not idempotent: each run is
-journalled and gets its own serial number. ``GET /rates/{name}`` always
+Every ``POST``, such as ``/quotes``, ``/orders`` or ``/invoice-lines``, is not
+idempotent: each run is journalled under its path and gets its own serial
+number. ``GET /rates/{name}`` always
 answers the same. ``POST /control`` takes ``{"fault": {...}}`` or
 ``{"fault": null}`` (see :mod:`ospreyford.standins.faults`) and
 ``{"service_seconds": s}``.
@@ -51,7 +52,7 @@
     """The record that a call returns.
 
     :param serial: the run's number in the journal; each run has its own.
-    :param kind: ``quotes``, ``invoice-lines`` or ``rates``.
+    :param kind: the path without its first slash, such as ``quotes``.
     :param service: the name of the service that ran it.
     :param request_id: the caller's request id, echoed.
     :param key: the caller's idempotency key, echoed.
@@ -99,12 +100,12 @@
         """
         route = find_route(exchange.request)
         match (route.method, route.path):
-            case ('POST', ('quotes' | 'invoice-lines' as kind,)):
-                await self._run(exchange, kind)
-            case ('GET', ('rates', name)):
-                await self._read_rate(exchange, name)
             case ('POST', ('control',)):
                 await self._control(exchange)
+            case ('POST', (_, *_) as path):
+                await self._run(exchange, '/'.join(path))
+            case ('GET', ('rates', name)):
+                await self._read_rate(exchange, name)
             case ('GET', ('journal',)):
                 await respond_journal(exchange, self.journal)
             case _:
--- a/tests/standins/test_deployment.py
+++ b/tests/standins/test_deployment.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import tomllib
 from collections import Counter
 from itertools import count
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -16,6 +18,8 @@
 )
 from ospreyford.standins.hostlist import HostDocument
 
+EXAMPLES = Path(__file__).parents[2] / 'examples'
+
 
 @pytest.mark.parametrize(
     ('site', 'services', 'first_zone'),
@@ -37,6 +41,25 @@
     assert len(addresses) == 2 * len(hosts)
 
 
+@pytest.mark.parametrize('site', [PENSION_OFFICE, CATERER])
+def test_documents_name_hosts_that_exist(site: Site) -> None:
+    names = {host.name for host in lay_out(site, Size(), count(20_000))}
+    documents = [
+        tomllib.loads(path.read_text())
+        for path in EXAMPLES.joinpath(site.name, 'documents').glob('*.toml')
+    ]
+    mentioned = set().union(
+        *(document.get('homes', ()) for document in documents),
+        *(
+            document['hosts']
+            for document in documents
+            if document['kind'] == 'host-labels'
+        ),
+    )
+    assert mentioned
+    assert mentioned <= names
+
+
 def test_encoded_hosts_are_what_the_host_list_loads() -> None:
     hosts = lay_out(CATERER, Size(1, 1, 1), count(20_000))
     document = msgspec.json.decode(encode_hosts(hosts), type=HostDocument)
