Serve the engine's queue by the priority that the documents publish

Cause: routing intents publish 9 as the most urgent request_priority and the entry hands it on as x-priority; the stand-in served lower numbers first, so urgent requests would have waited behind all others. Ruled out: turning the numbers in the entry (engines honour priorities; which end is urgent is the stand-in's own choice).

--- a/src/ospreyford/standins/batch.py
+++ b/src/ospreyford/standins/batch.py
@@ -128,7 +128,7 @@
 
 
 class _Queued(NamedTuple):
-    priority: int
+    rank: int
     serial: int
     request: Running
 
@@ -160,10 +160,10 @@
         """Queue a request.
 
         :param request: the request.
-        :param priority: lower numbers are served first.
+        :param priority: higher numbers are served first.
         """
         self._serial += 1
-        heapq.heappush(self._queue, _Queued(priority, self._serial, request))
+        heapq.heappush(self._queue, _Queued(-priority, self._serial, request))
         self._record(request)
         self._sample()
         await self._work.set()
--- a/src/ospreyford/standins/engine.py
+++ b/src/ospreyford/standins/engine.py
@@ -4,7 +4,7 @@
 ``{"done": true, "tokens": n}``; a request that was cancelled ends with
 ``{"done": false, "tokens": n}``. The engine cancels a request when its
 connection closes or on ``DELETE /v1/requests/{id}``. ``x-priority`` orders
-the queue, lower first. ``GET /load`` and ``GET /cache-events?after=N`` tell
+the queue, higher first. ``GET /load`` and ``GET /cache-events?after=N`` tell
 of the past, ``POST /orders`` takes orders, ``POST /control`` changes any
 option of :class:`~ospreyford.standins.batch.EngineOptions` by name.
 """
