--- a/src/ospreyford/agent/memory.py
+++ b/src/ospreyford/agent/memory.py
@@ -58,7 +58,7 @@
 
         :returns: whether it fits.
         """
-        limit = self._settings.max_records
+        limit = self._settings.max_entries
         if len(self._entries) >= limit:
             self.sweep()
         return len(self._entries) < limit
--- a/src/ospreyford/agent/settings.py
+++ b/src/ospreyford/agent/settings.py
@@ -28,7 +28,7 @@
     :param tombstone_seconds: how long a voided id is refused; longer than any
         request's deadline plus twice the clock skew.
     :param skew_seconds: the largest difference between two hosts' clocks.
-    :param max_records: executions and tombstones held at once.
+    :param max_entries: executions and tombstones held at once.
     :param max_answer_bytes: bytes of one answer kept for a later retry.
     """
 
@@ -36,7 +36,7 @@
     linger_seconds: Seconds = 5
     tombstone_seconds: Seconds = 150
     skew_seconds: Seconds = 2
-    max_records: Count = 20_000
+    max_entries: Count = 20_000
     max_answer_bytes: Count = 65_536
 
 
--- a/src/ospreyford/entry/settings.py
+++ b/src/ospreyford/entry/settings.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from ospreyford.settings.errors import KeyConflict
-
 DAY_SECONDS = 86_400
 MAX_COUNT = 1_000
 
@@ -55,19 +53,7 @@
         known.
     """
 
-    default_deadline_seconds: Seconds = 30.0
-    max_deadline_seconds: Seconds = 120.0
+    default_deadline_seconds: Seconds = 30
+    max_deadline_seconds: Seconds = 120
     max_attempts: Count = 3
     retry_after_seconds: Seconds = 1
-
-    def __post_init__(self) -> None:
-        """Refuse a default beyond the maximum.
-
-        :raises KeyConflict: names the key.
-        """
-        longest = self.max_deadline_seconds
-        if self.default_deadline_seconds > longest:
-            raise KeyConflict(
-                'default_deadline_seconds',
-                f'at most requests.max_deadline_seconds, {longest}',
-            )
