--- a/src/ospreyford/expertmap/coordinator.py
+++ b/src/ospreyford/expertmap/coordinator.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ospreyford.expertmap.errors import MapMissing, MemberLost, MemberSilent
+from ospreyford.expertmap.errors import MapMissing, MemberSilent
 from ospreyford.expertmap.installer import MapInstaller
 from ospreyford.expertmap.messages import (
     Accepted,
@@ -126,22 +126,18 @@
         waiting = self._calls.slots()
         while True:
             answers = await self._calls.ask(question, waiting)
-            waiting -= self._count_accepted(state, proposed, answers)
+            waiting -= self._count_accepted(proposed, answers)
             if not waiting:
                 return
             await self._calls.pause(self._settings.poll_seconds)
             if _lacks_map(answers):
                 await self._installer.install(proposed.map_name)
 
-    def _count_accepted(
-        self, state: Recovery, proposed: Window, answers: Answers
-    ) -> set[int]:
+    def _count_accepted(self, proposed: Window, answers: Answers) -> set[int]:
         accepted: set[int] = set()
         for slot, answer in answers.items():
             if not isinstance(answer, Accepted):
                 continue
-            if answer.incarnation != state.incarnations[slot]:
-                raise MemberLost(slot)
             if answer.index == proposed.index:
                 accepted.add(slot)
                 self._installer.note(slot, answer.newest)
--- a/src/ospreyford/expertmap/keeper.py
+++ b/src/ospreyford/expertmap/keeper.py
@@ -161,8 +161,6 @@
         self._accept(question)
         await self.gate.drive()
         return Accepted(
-            ballot=question.ballot,
-            incarnation=self.incarnation,
             index=question.proposed.index,
             newest=self.maps.newest(),
         )
--- a/src/ospreyford/expertmap/messages.py
+++ b/src/ospreyford/expertmap/messages.py
@@ -60,14 +60,10 @@
 ):
     """A member accepted the proposed window.
 
-    :param ballot: the ballot under which it did.
-    :param incarnation: the member's incarnation.
     :param index: the window's position.
     :param newest: the newest map that it holds.
     """
 
-    ballot: Ballot
-    incarnation: int
     index: int
     newest: MapName | None
 
