--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import socket as plain_socket
+import select
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
@@ -21,9 +21,11 @@
 if TYPE_CHECKING:
     from curio.io import Socket
 
+    from ospreyford.http.connections import OpenConnections
+
 READ_BYTES = 65_536
 BACKLOG = 512
-BAD_REQUEST = 400
+HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Exchange:
@@ -72,7 +74,10 @@
         :param headers: header fields; without a length the body is chunked.
         """
         self.started = True
-        head = h11.Response(status_code=status, headers=list(headers))
+        fields = list(headers)
+        if self._connection.is_closing():
+            fields.append((b'connection', b'close'))
+        head = h11.Response(status_code=status, headers=fields)
         await self._connection.send(head)
 
     async def write(self, piece: bytes) -> None:
@@ -87,9 +92,12 @@
         """Send the mark that the answer is whole."""
         await self._connection.send(h11.EndOfMessage())
 
-    async def wait_for_hangup(self) -> None:
-        """Wait until the caller closes its side of the connection."""
-        await self._connection.wait_for_hangup()
+    def is_abandoned(self) -> bool:
+        """Tell whether the caller has closed its side of the connection.
+
+        :returns: whether nobody waits for the answer any more.
+        """
+        return self._connection.is_hung_up()
 
 
 class ServerConnection:
@@ -97,9 +105,17 @@
 
     :param sock: the accepted curio socket.
     :param limits: what the connection may cost.
+    :param siblings: the server's open connections, if it keeps count.
     """
 
-    def __init__(self, sock: Socket, limits: Limits) -> None:
+    def __init__(
+        self,
+        sock: Socket,
+        limits: Limits,
+        siblings: OpenConnections | None = None,
+    ) -> None:
+        self.busy = False
+        self._siblings = siblings
         self._sock = sock
         self._limits = limits
         self._parser = h11.Connection(
@@ -141,6 +157,27 @@
             raise TooSlow('body', limit) from None
         return body
 
+    async def refuse(self, status: int, body: bytes, headers: Headers) -> None:
+        """Answer what is no request, where the protocol still allows it.
+
+        :param status: HTTP status.
+        :param body: the body's bytes.
+        :param headers: header fields.
+        """
+        if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        fields = [
+            *headers,
+            (b'content-length', str(len(body)).encode()),
+            (b'connection', b'close'),
+        ]
+        try:
+            await self.send(h11.Response(status_code=status, headers=fields))
+            await self.send(h11.Data(data=body))
+            await self.send(h11.EndOfMessage())
+        except ConnectionLost:
+            return
+
     async def send(self, event: Any) -> None:
         """Send one h11 event.
 
@@ -155,18 +192,21 @@
         except OSError:
             raise ConnectionLost from None
 
-    async def wait_for_hangup(self) -> None:
-        """Wait until the caller closes its side of the connection."""
-        # A pipelined request stays in the socket's buffer: peeking shows
-        # an empty read only when the caller has really gone.
-        while True:
-            try:
-                seen = await self._sock.recv(1, plain_socket.MSG_PEEK)
-            except OSError:
-                return
-            if not seen:
-                return
-            await curio.sleep(1)
+    def is_closing(self) -> bool:
+        """Tell whether the next answer is the connection's last.
+
+        :returns: whether the server is closing.
+        """
+        return self._siblings is not None and self._siblings.closing
+
+    def is_hung_up(self) -> bool:
+        """Tell whether the caller has closed its side of the connection.
+
+        :returns: whether a hang-up is known to the kernel.
+        """
+        poller = select.poll()
+        poller.register(self._sock.fileno(), HANGUP)
+        return bool(poller.poll(0))
 
     def start_next_cycle(self) -> bool:
         """Make ready for another request.
@@ -179,6 +219,7 @@
         )
         if reusable:
             self._parser.start_next_cycle()
+            self.busy = bool(self._parser.trailing_data[0])
         return reusable
 
     async def _wait_for_start(self) -> bool:
@@ -222,6 +263,7 @@
         except OSError:
             received = b''
         self._parser.receive_data(received)
+        self.busy = self.busy or bool(received)
         return bool(received)
 
     async def _collect_body(self) -> bytes:
@@ -251,6 +293,7 @@
     limits: Limits,
     handler: RequestHandler,
     on_error: ErrorHandler | None = None,
+    siblings: OpenConnections | None = None,
 ) -> None:
     """Serve the requests of one connection, one after the other.
 
@@ -258,14 +301,20 @@
     :param limits: what the connection may cost.
     :param handler: called once for each request.
     :param on_error: called with a broken message, to count and answer it.
+    :param siblings: the server's open connections, if it keeps count.
     """
-    connection = ServerConnection(sock, limits)
+    connection = ServerConnection(sock, limits, siblings)
+    if siblings is not None:
+        siblings.add(connection)
     async with sock:
         try:
             await _serve_exchanges(connection, handler)
         except HttpError as error:
             if on_error is not None:
                 await on_error(error, connection)
+        finally:
+            if siblings is not None:
+                siblings.discard(connection)
 
 
 async def _serve_exchanges(
@@ -289,7 +338,14 @@
     :returns: a curio socket.
     :raises OSError: the address is taken or not ours.
     """
-    return curio.tcp_server_socket(host, port, backlog=BACKLOG)
+    # With address reuse the kernel may choose a port that another socket
+    # has bound but does not listen on yet; listening then fails.
+    return curio.tcp_server_socket(
+        host,
+        port,
+        backlog=BACKLOG,
+        reuse_address=bool(port),
+    )
 
 
 def port_of(sock: Socket) -> int:
