--- a/tests/distribution/test_machine.py
+++ b/tests/distribution/test_machine.py
@@ -183,7 +183,7 @@
 
 TestDistribution = DistributionMachine.TestCase
 TestDistribution.settings = settings(
-    max_examples=int(__import__("os").environ.get("EX", 60)),
+    max_examples=int(__import__('os').environ.get('EX', 60)),
     stateful_step_count=30,
     derandomize=True,
     deadline=None,
