Let old reports fade for the whole pool; look at the queue's head

And a waiter taken from the fair queue but not sent was charged for its turn.

Change: with less than one fresh report's worth the mean fades too; FairQueue.head shows the next waiter, take charges it.

Seen failing with the old mean: test_stopped_reports_do_not_refuse_for_ever.

--- a/src/ospreyford/limits/queue.py
+++ b/src/ospreyford/limits/queue.py
@@ -136,7 +136,7 @@
         """
         flow = self._flows.setdefault(waiter.customer, _Flow())
         wait = self._expect_wait(flow, waiter)
-        if wait > self._patience(waiter, now):
+        if wait > min(self._settings.max_wait_seconds, waiter.deadline - now):
             return NotQueued(WaitTooLong(wait), wait)
         if len(flow.waiting) >= self._settings.customer_length:
             bound = self._settings.customer_length
@@ -150,30 +150,43 @@
         self._add(flow, waiter, now)
         return Queued(displaced)
 
-    def take(self, now: float) -> Waiter | None:
-        """Take the request whose turn it is.
+    def head(self, now: float) -> Waiter | None:
+        """Look at the request whose turn it is, without taking it.
 
         :param now: seconds on the monotonic clock.
         :returns: the waiter, or ``None`` if nobody waits in time.
         """
         while self._turns:
-            start, customer = heapq.heappop(self._turns)
+            start, customer = self._turns[0]
             flow = self._flows[customer]
-            if not flow.waiting or start != flow.start:
-                continue
-            waiter = self._remove(flow, flow.next())
-            if waiter.deadline <= now:
-                self._late.append(waiter)
-                self._give_turn(customer, flow)
-                continue
-            self._virtual_time = start
-            flow.finish = start + waiter.cost / _weigh(waiter)
-            flow.start = flow.finish
-            self._give_turn(customer, flow)
-            self._note_rate(waiter, now)
-            return waiter
+            if flow.waiting and start == flow.start:
+                waiter = flow.next()
+                if waiter.deadline > now:
+                    return waiter
+                self._late.append(self._remove(flow, waiter))
+            else:
+                heapq.heappop(self._turns)
         return None
 
+    def take(self, now: float) -> Waiter | None:
+        """Take the request whose turn it is.
+
+        :param now: seconds on the monotonic clock.
+        :returns: the waiter that :meth:`head` shows.
+        """
+        waiter = self.head(now)
+        if waiter is None:
+            return None
+        start, customer = heapq.heappop(self._turns)
+        flow = self._flows[customer]
+        self._remove(flow, waiter)
+        self._virtual_time = start
+        flow.finish = start + waiter.cost / _weigh(waiter)
+        flow.start = flow.finish
+        self._give_turn(customer, flow)
+        self._note_rate(waiter, now)
+        return waiter
+
     def expire(self, now: float) -> list[Waiter]:
         """Take out every request whose time is over; refuse them now.
 
@@ -205,9 +218,6 @@
         self._remove(flow, flow.waiting[waiter_id])
         return True
 
-    def _patience(self, waiter: Waiter, now: float) -> float:
-        return min(self._settings.max_wait_seconds, waiter.deadline - now)
-
     def _expect_wait(self, flow: _Flow, waiter: Waiter) -> float:
         """Bound the wait by the customer's fair share and by the whole."""
         if not self._rate:
--- a/src/ospreyford/measure/routing_runs.py
+++ b/src/ospreyford/measure/routing_runs.py
@@ -301,11 +301,11 @@
         queue = self._queues[entry]
         for late in queue.expire(self._agenda.now):
             self._jobs.pop(late.id)
-        while waiter := queue.take(self._agenda.now):
-            job = self._jobs.pop(waiter.id)
-            if not self._send(job, entry):
-                self._wait(job, queue)
+        while waiter := queue.head(self._agenda.now):
+            if not self._send(self._jobs[waiter.id], entry):
                 return
+            queue.take(self._agenda.now)
+            self._jobs.pop(waiter.id)
 
     def _report(self) -> None:
         if self._agenda.now > SECONDS:
--- a/src/ospreyford/routing/scores.py
+++ b/src/ospreyford/routing/scores.py
@@ -40,7 +40,10 @@
     weight = sum(report.weight for report in reported)
     others = sum(report.weight * report.requests for report in reported)
     steps = [backend.step_seconds for backend in backends]
-    return _Means(others / weight if weight else 0, median(steps))
+    # With less than one fresh report's worth the mean fades, too: after the
+    # reports of all back ends stop, their last ones would otherwise count
+    # for ever, and a busy moment would become an overload without end.
+    return _Means(others / max(1, weight), median(steps))
 
 
 def _weigh(backend: Backend, means: _Means, now: float) -> float:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -166,6 +166,22 @@
     assert set(count_choices(router, hosts, 30)) == {'backend-0'}
 
 
+def test_stopped_reports_do_not_refuse_for_ever() -> None:
+    """Every request is refused although the back ends are idle.
+
+    Sequence: all back ends report a full load; then no report comes.
+    Cause: the mean of old reports never fades, however old they are.
+    """
+    hosts = make_hosts(4, 'a')
+    router = make_router(max_load=64)
+    router.choose(make_query(), hosts, 0)
+    for host in hosts:
+        full = LoadReport(incarnation='1', in_flight=64)
+        router.note_load(host.name, full, 0)
+    assert isinstance(router.choose(make_query(), hosts, 0.1), NoBackend)
+    assert isinstance(router.choose(make_query(), hosts, 30), Choice)
+
+
 def test_prefix_goes_home_until_the_home_is_loaded() -> None:
     hosts = make_hosts(9)
     router = make_router()
