Compare late reports with the own count of their time

Cause: a report was compared with this entry's count at its arrival; what was sent meanwhile was taken off the others' load, so the most loaded back ends looked idle and drew everything, worse with each tenth of lag.

Change: the own count is remembered over time and looked up at the moment that the report was measured.

Seen failing with the count of arrival in its place: test_late_report_hides_no_load_of_others.

--- a/src/ospreyford/routing/backend.py
+++ b/src/ospreyford/routing/backend.py
@@ -15,10 +15,19 @@
 
 #: Earlier incarnations remembered, so that their late reports are refused.
 INCARNATIONS_KEPT = 4
+#: Changes of this entry's own count that are remembered.
+HISTORY_KEPT = 128
 #: Share that a fresh back end starts with.
 FIRST_SHARE = 0.1
 
 
+class _Count(NamedTuple):
+    """Requests of this entry from a moment on."""
+
+    at: float
+    in_flight: int
+
+
 class Others(NamedTuple):
     """Requests of other entries, and the report's weight, 0 to 1."""
 
@@ -39,6 +48,7 @@
     def __init__(self, host: Host, settings: RoutingSettings) -> None:
         self.host = host
         self.in_flight = 0
+        self._history: deque[_Count] = deque(maxlen=HISTORY_KEPT)
         self.draining = False
         self.step_seconds: float = 0
         self.health = Health(settings.ejection)
@@ -52,6 +62,22 @@
         self._others: float = 0
         self._fresh_since = float('-inf')
 
+    def note_sent(self, now: float) -> None:
+        """Count a request of this entry.
+
+        :param now: seconds on the monotonic clock.
+        """
+        self.in_flight += 1
+        self._history.append(_Count(now, self.in_flight))
+
+    def note_ended(self, now: float) -> None:
+        """Count the end of a request of this entry.
+
+        :param now: seconds on the monotonic clock.
+        """
+        self.in_flight = max(0, self.in_flight - 1)
+        self._history.append(_Count(now, self.in_flight))
+
     def note_load(self, report: LoadReport, now: float) -> None:
         """Take in a load report unless a newer one is known.
 
@@ -72,7 +98,9 @@
         self.step_seconds = report.step_seconds
         waiting = report.queued_tokens / self._settings.tokens_per_request
         total = report.in_flight + max(report.queued, waiting)
-        self._others = max(0, total - self.in_flight)
+        # What was sent since the measuring is not in the report: taking it
+        # off would hide as much of the others' load.
+        self._others = max(0, total - self._count_at(measured_at))
 
     def load(self, now: float, mean_others: float) -> float:
         """Estimate the requests on this back end.
@@ -114,6 +142,12 @@
         """
         self._fresh_since = now
 
+    def _count_at(self, moment: float) -> int:
+        for count in reversed(self._history):
+            if count.at <= moment:
+                return count.in_flight
+        return 0
+
     def _report_weight(self, now: float) -> float:
         age = max(0, now - self._reported_at)
         return exp(-age / self._settings.load_decay_seconds)
--- a/src/ospreyford/routing/router.py
+++ b/src/ospreyford/routing/router.py
@@ -98,7 +98,7 @@
         """
         backend = self._registry.get(name)
         if backend:
-            backend.in_flight += 1
+            backend.note_sent(now)
         if attempt is Attempt.first:
             self._retries.earn()
             self._hedges.earn()
@@ -119,7 +119,7 @@
         backend = self._registry.get(name)
         if backend is None:
             return
-        backend.in_flight = max(0, backend.in_flight - 1)
+        backend.note_ended(now)
         backend.health.note(outcome, seconds, now)
         peers = self._registry.peers(backend)
         backend.health.judge_latency((peer.health for peer in peers), now)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -166,6 +166,26 @@
     assert set(count_choices(router, hosts, 30)) == {'backend-0'}
 
 
+def test_late_report_hides_no_load_of_others() -> None:
+    """Everybody sends to the most loaded back end.
+
+    Sequence: a back end runs 4 requests of other entries; this entry sends
+    it 4; then a report from before arrives, which counts 4.
+    Cause: the 4 would be taken for this entry's own.
+    """
+    hosts = make_hosts(2, 'a')
+    router = make_router()
+    router.choose(make_query(), hosts, 0)
+    for number, name in enumerate(('backend-0', 'backend-1')):
+        for _ in range(4 + number):
+            router.note_sent(name, 9)
+    late = LoadReport(incarnation='1', in_flight=4, age_seconds=2)
+    router.note_load('backend-0', late, 10)
+    idle = LoadReport(incarnation='1', in_flight=0, age_seconds=2)
+    router.note_load('backend-1', idle, 10)
+    assert set(count_choices(router, hosts, 10)) == {'backend-1'}
+
+
 def test_stopped_reports_do_not_refuse_for_ever() -> None:
     """Every request is refused although the back ends are idle.
 
