Let exceptions be changed, requests end, and tokens leave at once

Cause, all three found by the stand-ins' author: an exception declared as a frozen dataclass raises FrozenInstanceError under contextlib; a handler that reads no body cost its caller the connection; small writes waited for acknowledgements. Ruled out: reading bodies in every handler (one line in the server does it).

--- a/src/ospreyford/console/failures.py
+++ b/src/ospreyford/console/failures.py
@@ -13,7 +13,7 @@
     code = ExitCode.usage
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class NoEntryNamed(CommandError):
     """Nothing says where the entries are."""
 
@@ -28,7 +28,7 @@
         )
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class BadArgument(CommandError):
     """An argument that cannot be used.
 
@@ -49,7 +49,7 @@
         return f'{self.name} = {self.found}: allowed: {self.allowed}'
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class NoEntryAnswered(CommandError):
     """All entries were asked in vain.
 
@@ -68,7 +68,7 @@
         return f'no entry answered: {listed}'
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class Refused(CommandError):
     """An entry answered that it has nothing to show.
 
--- a/src/ospreyford/entry/admission.py
+++ b/src/ospreyford/entry/admission.py
@@ -53,7 +53,7 @@
 )
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class BadCall(Exception):
     """The request breaks the rules of admission; nothing was sent."""
 
--- a/src/ospreyford/expertmap/errors.py
+++ b/src/ospreyford/expertmap/errors.py
@@ -11,21 +11,21 @@
     """Base of the failures of the agreement."""
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class Outbid(ExpertMapError):
     """A member promised a higher ballot to another coordinator."""
 
     promised: Ballot
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class MemberLost(ExpertMapError):
     """The member of a slot left the generation or lost its memory."""
 
     slot: int
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class MemberSilent(ExpertMapError):
     """Members did not answer; ``slots`` names them."""
 
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any
 
@@ -30,6 +31,7 @@
 
     def __init__(self, sock: Socket) -> None:
         self._sock = sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._parser = h11.Connection(h11.CLIENT)
 
     @classmethod
--- a/src/ospreyford/http/errors.py
+++ b/src/ospreyford/http/errors.py
@@ -9,7 +9,7 @@
     """Base of the failures of an HTTP connection."""
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class BadMessage(HttpError):
     """The peer broke the protocol; ``status`` is what a caller is told."""
 
@@ -17,14 +17,14 @@
     detail: str
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class BodyTooLarge(HttpError):
     """The body is longer than the limit, in bytes."""
 
     limit: int
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class TooSlow(HttpError):
     """The peer took longer than ``seconds`` over one part of a message."""
 
@@ -40,7 +40,7 @@
     """No connection could be opened, so nothing was sent."""
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class Unsendable(HttpError):
     """A message that the protocol does not allow; nothing was sent."""
 
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import select
+import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -117,6 +119,9 @@
         self.busy = False
         self._siblings = siblings
         self._sock = sock
+        # A token that waits for the acknowledgement of the one before it
+        # comes up to 40 ms late.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._limits = limits
         self._parser = h11.Connection(
             h11.SERVER,
@@ -213,6 +218,10 @@
 
         :returns: whether the connection can carry one.
         """
+        # A request without a body still has its end mark to be read; left
+        # there it would cost the caller its connection.
+        if self._parser.their_state is h11.SEND_BODY:
+            self._read_end()
         reusable = (
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
@@ -222,6 +231,10 @@
             self.busy = bool(self._parser.trailing_data[0])
         return reusable
 
+    def _read_end(self) -> None:
+        with suppress(h11.RemoteProtocolError):
+            self._parser.next_event()
+
     async def _wait_for_start(self) -> bool:
         if self._parser.trailing_data[0]:
             return True
--- a/src/ospreyford/membership/messages.py
+++ b/src/ospreyford/membership/messages.py
@@ -22,7 +22,7 @@
 _Message = TypeVar('_Message')
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class MalformedMessage(Exception):
     """A body that is no message of membership."""
 
--- a/src/ospreyford/membership/settings.py
+++ b/src/ospreyford/membership/settings.py
@@ -7,7 +7,7 @@
 import msgspec
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class PauseTooShort(ValueError):
     """An ordinary wait would be taken for a pause of the process."""
 
--- a/src/ospreyford/observability/admin.py
+++ b/src/ospreyford/observability/admin.py
@@ -51,7 +51,7 @@
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class BadQuery(Exception):
     """A provider's answer to a query that it cannot use.
 
@@ -63,7 +63,7 @@
     allowed: str
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class NothingFound(Exception):
     """A provider's answer to a query that matches nothing.
 
--- a/src/ospreyford/peers/errors.py
+++ b/src/ospreyford/peers/errors.py
@@ -9,14 +9,14 @@
     """Base of the failures of the peer adapter."""
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class MalformedEnvelope(PeerError):
     """A message that is no envelope of this protocol."""
 
     detail: str
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class AddressUnavailable(PeerError):
     """The peer address could not be bound, often because it is in use."""
 
@@ -24,7 +24,7 @@
     detail: str
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class TopicTaken(PeerError):
     """Two handlers were registered for one topic."""
 
--- a/src/ospreyford/settings/errors.py
+++ b/src/ospreyford/settings/errors.py
@@ -9,7 +9,7 @@
 MISSING = '(missing)'
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class SettingsError(Exception):
     """A settings file that cannot be used.
 
@@ -34,7 +34,7 @@
         return make_printable(line)
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class KeyConflict(ValueError):
     """A value that is fine alone but not beside another key's.
 
--- a/src/ospreyford/standins/demo.py
+++ b/src/ospreyford/standins/demo.py
@@ -69,7 +69,7 @@
     problems: list[str] = []
     for site, customers, call in (
         (PENSION_OFFICE, ('soum-insurance-clerks',), '/quotes'),
-        (CATERER, ('station-managers',), '/invoice-lines'),
+        (CATERER, ('home-carrier-stations',), '/invoice-lines'),
     ):
         with tempfile.TemporaryDirectory() as directory, Launcher() as launcher:
             fleet = Fleet(
@@ -165,7 +165,18 @@
     entry = entries[number % len(entries)]
     told = _ask_entry(entry, request)
     _say(
-        f'{request.method} {request.service} {request.target} as {request.customer}: {told.status} {told.outcome}',
+        ' '.join(
+            (
+                request.method,
+                request.service,
+                request.target,
+                'as',
+                request.customer,
+                '->',
+                str(told.status),
+                told.outcome,
+            ),
+        ),
     )
     _show_hops(entry, told)
     return told
--- a/src/ospreyford/standins/launcher.py
+++ b/src/ospreyford/standins/launcher.py
@@ -27,7 +27,7 @@
 END_SECONDS = 5.0
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class NotStarted(Exception):
     """A process ended, or stayed silent, before it told its ports.
 
--- a/src/ospreyford/wire/errors.py
+++ b/src/ospreyford/wire/errors.py
@@ -17,7 +17,7 @@
     """The connection ended; what was sent may or may not have arrived."""
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class Malformed(WireError):
     """The peer sent what is not a frame of this protocol."""
 
