Use the group's own expert map and the published placement weights

Cause: the map and the placement-weights document now have their owners. Change: the policy reads expertmap.maps.ExpertMap; its settings carry the limits that the document does not, and apply_weights puts the document's figures in force.

--- a/src/ospreyford/measure/placement.py
+++ b/src/ospreyford/measure/placement.py
@@ -122,7 +122,7 @@
 
 
 def _compare(deployment: Deployment, hours: float) -> str:
-    shape, weights = deployment.shape, deployment.weights
+    shape, settings = deployment.shape, deployment.settings
     moments = _generate(deployment, hours)
     rows = [
         run_policy(deployment, entrant, moments) for entrant in list_entrants()
@@ -131,14 +131,14 @@
     least = shape.experts // shape.ranks
     for name, slots in (
         ('lower bound, no replicas', least),
-        ('lower bound, with replicas', weights.slots_per_rank),
+        ('lower bound, with replicas', settings.slots_per_rank),
     ):
         rows.append(bound_run(moments, shape.ranks, slots, name))
     return '\n\n'.join(
         (
             f'## {deployment.name}',
             _describe(deployment, hours),
-            format_runs(rows, weights),
+            format_runs(rows, settings),
             f'![{deployment.name}](plots/{plot.name})\n',
         )
     )
@@ -153,20 +153,21 @@
 
 
 def _describe(deployment: Deployment, hours: float) -> str:
-    shape, weights = deployment.shape, deployment.weights
-    horizon = f'{weights.horizon_seconds:.0f} s'
+    shape, settings = deployment.shape, deployment.settings
+    horizon = f'{settings.horizon_seconds:.0f} s'
     chosen = _name_chosen(deployment)
     counts = f'{shape.ranks} ranks, {shape.layers} layers'
-    memory = f'{shape.experts} experts, {weights.slots_per_rank} slots a rank'
-    prices = f'weights: skew {weights.skew_weight}, move {weights.move_weight}'
+    memory = f'{shape.experts} experts, {settings.slots_per_rank} slots a rank'
+    prices = f'skew {settings.skew_weight}, move {settings.move_weight}'
     return (
-        f'{counts}, {memory}, {hours} h; {prices}, horizon {horizon}; '
+        f'{counts}, {memory}, {hours} h; weights: {prices}, '
+        f'horizon {horizon}; '
         f'chosen: {chosen}.'
     )
 
 
 def _name_chosen(deployment: Deployment) -> str:
-    chosen = choose_variant(deployment.weights)
+    chosen = choose_variant(deployment.settings)
     return next(
         entrant.name for entrant in list_entrants() if entrant.variant == chosen
     )
@@ -187,7 +188,7 @@
 
 def _run_finalists(deployment: Deployment, seed: int) -> Iterator[list[str]]:
     moments = _generate(deployment, HOURS, seed)
-    for entrant in list(list_entrants())[-2:]:
+    for entrant in list(list_entrants())[-3:]:
         totals = run_policy(deployment, entrant, moments)
         yield [
             deployment.name,
@@ -195,7 +196,7 @@
             entrant.name,
             f'{statistics.fmean(totals.skews):.3f}',
             str(sum(totals.moved)),
-            f'{weigh_totals(totals, deployment.weights):.0f}',
+            f'{weigh_totals(totals, deployment.settings):.0f}',
         ]
 
 
@@ -213,7 +214,7 @@
 
 
 def _average_splits(deployment: Deployment) -> tuple[str, str]:
-    entrant = Entrant('chosen', choose_variant(deployment.weights))
+    entrant = Entrant('chosen', choose_variant(deployment.settings))
     run = Run(deployment, entrant)
     even, best = [], []
     for index, moment in enumerate(_generate(deployment, HOURS)):
--- a/src/ospreyford/measure/placement_runs.py
+++ b/src/ospreyford/measure/placement_runs.py
@@ -7,6 +7,7 @@
 from itertools import repeat
 from typing import NamedTuple
 
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.measure.drift import (
     HOUR,
     INTERVAL,
@@ -21,11 +22,11 @@
 from ospreyford.placement.estimate import scale_loads
 from ospreyford.placement.layer import Expected, LayerState
 from ospreyford.placement.loads import ExpertLoads
-from ospreyford.placement.map import ExpertMap, GroupShape, spread_experts
+from ospreyford.placement.map import GroupShape, spread_experts
 from ospreyford.placement.outcomes import Plan
 from ospreyford.placement.policy import Planner
+from ospreyford.placement.settings import PlacementSettings
 from ospreyford.placement.variants import BalanceAlways, Variant
-from ospreyford.placement.weights import PlacementWeights
 
 #: A step of a balanced group, in seconds; the users say five milliseconds.
 STEP_SECONDS = 0.005
@@ -40,12 +41,12 @@
 
 
 class Deployment(NamedTuple):
-    """One user's drift and weights."""
+    """One user's drift and settings."""
 
     name: str
     drift: Drift
     shape: GroupShape
-    weights: PlacementWeights
+    settings: PlacementSettings
 
 
 class Entrant(NamedTuple):
@@ -97,7 +98,7 @@
     'pension office',
     PensionSeason(),
     GroupShape(ranks=8, layers=4, experts=EXPERTS, expert_bytes=EXPERT_BYTES),
-    PlacementWeights(
+    PlacementSettings(
         skew_weight=4,
         move_weight=1,
         store_bytes_per_second=STORE_RATE,
@@ -108,7 +109,7 @@
     'caterer',
     DepartureBanks(),
     OFFICE.shape,
-    PlacementWeights(
+    PlacementSettings(
         skew_weight=1,
         move_weight=8,
         horizon_seconds=HOUR,
@@ -126,7 +127,7 @@
     GroupShape(
         ranks=EXPERTS, layers=4, experts=EXPERTS, expert_bytes=EXPERT_BYTES
     ),
-    PlacementWeights(
+    PlacementSettings(
         skew_weight=4,
         move_weight=1,
         store_bytes_per_second=STORE_RATE,
@@ -138,16 +139,16 @@
 )
 
 
-def weigh_totals(totals: Totals, weights: PlacementWeights) -> float:
+def weigh_totals(totals: Totals, settings: PlacementSettings) -> float:
     """Add both measures by a deployment's weights.
 
     :param totals: what a policy did.
-    :param weights: the deployment's weights.
+    :param settings: the deployment's settings.
     :returns: weighted seconds.
     """
     return (
-        weights.skew_weight * totals.find_lost_seconds()
-        + weights.move_weight * totals.find_store_seconds()
+        settings.skew_weight * totals.find_lost_seconds()
+        + settings.move_weight * totals.find_store_seconds()
     )
 
 
@@ -156,7 +157,7 @@
 ) -> Totals:
     """Run one policy over a drift.
 
-    :param deployment: sizes and weights.
+    :param deployment: sizes and settings.
     :param entrant: the policy.
     :param moments: the popularity over time.
     :returns: skew and moves.
@@ -170,7 +171,7 @@
 class Run:
     """A rank group that follows its policy's plans.
 
-    :param deployment: sizes and weights.
+    :param deployment: sizes and settings.
     :param entrant: the policy.
     """
 
@@ -217,11 +218,11 @@
 
 
 def _make_planner(deployment: Deployment, entrant: Entrant) -> Planner:
-    weights = deployment.weights
+    settings = deployment.settings
     variant = entrant.variant
     if not entrant.limited:
-        variant = BalanceAlways(fill=weights.slots_per_rank - 1)
-        weights = PlacementWeights(
+        variant = BalanceAlways(fill=settings.slots_per_rank - 1)
+        settings = PlacementSettings(
             skew_weight=1,
             move_weight=0,
             store_bytes_per_second=NO_LIMIT * EXPERT_BYTES,
@@ -229,10 +230,10 @@
             max_moves=NO_LIMIT,
             plan_interval_seconds=0,
         )
-    rate = weights.store_bytes_per_second
-    burst = min(weights.max_moves, NO_LIMIT) * EXPERT_BYTES
+    rate = settings.store_bytes_per_second
+    burst = min(settings.max_moves, NO_LIMIT) * EXPERT_BYTES
     budget = TokenBucket(rate, burst, -INTERVAL)
-    return Planner(variant, deployment.shape, weights, budget)
+    return Planner(variant, deployment.shape, settings, budget)
 
 
 def measure_skew(current: ExpertMap, truth: Tokens, ranks: int) -> float:
--- a/src/ospreyford/measure/placement_split.py
+++ b/src/ospreyford/measure/placement_split.py
@@ -9,9 +9,10 @@
 import numpy as np
 from scipy.optimize import linprog
 
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.measure.drift import Tokens
 from ospreyford.placement.estimate import scale_loads
-from ospreyford.placement.map import ExpertMap, LayerMap
+from ospreyford.placement.map import LayerMap
 
 
 class _Replica(NamedTuple):
--- a/src/ospreyford/measure/placement_tables.py
+++ b/src/ospreyford/measure/placement_tables.py
@@ -15,7 +15,7 @@
 from ospreyford.measure.drift import HOUR, INTERVAL
 from ospreyford.measure.placement_runs import Totals, weigh_totals
 from ospreyford.measure.placement_timing import Timing
-from ospreyford.placement.weights import PlacementWeights
+from ospreyford.placement.settings import PlacementSettings
 
 #: Moments in one point of a plot.
 WINDOW = 10
@@ -37,14 +37,14 @@
 )
 
 
-def format_runs(rows: Iterable[Totals], weights: PlacementWeights) -> str:
+def format_runs(rows: Iterable[Totals], settings: PlacementSettings) -> str:
     """Lay out one deployment's comparison.
 
     :param rows: what each policy did.
-    :param weights: the deployment's weights.
+    :param settings: the deployment's settings.
     :returns: a Markdown table.
     """
-    return _format([_list_cells(row, weights) for row in rows], RUN_HEADERS)
+    return _format([_list_cells(row, settings) for row in rows], RUN_HEADERS)
 
 
 def format_timings(rows: Iterable[Timing]) -> str:
@@ -91,8 +91,10 @@
     )
     for row in rows:
         _draw_run(upper, lower, row)
-    upper.set(title=title, ylabel='step-time skew', ylim=(0, 1))
-    lower.set(xlabel='hours', ylabel='experts moved so far', yscale='symlog')
+    upper.set(title=title, ylabel='step-time skew', ylim=(0, None))
+    lower.set(xlabel='hours', ylabel='experts moved so far')
+    lower.set_yscale('symlog')
+    lower.set_ylim(0)
     lower.legend(fontsize='small')
     figure.savefig(path, dpi=DOTS_PER_INCH, metadata={'Software': ''})
     plt.close(figure)
@@ -116,7 +118,7 @@
     return sorted(skews)[int(len(skews) * TOP_PERCENTILE)]
 
 
-def _list_cells(row: Totals, weights: PlacementWeights) -> list[str]:
+def _list_cells(row: Totals, settings: PlacementSettings) -> list[str]:
     return [
         row.name,
         f'{statistics.fmean(row.skews):.3f}',
@@ -127,7 +129,7 @@
         f'{row.find_store_seconds():.0f}',
         str(row.plans),
         f'{row.disturbed_steps:.0f}',
-        f'{weigh_totals(row, weights):.0f}',
+        f'{weigh_totals(row, settings):.0f}',
     ]
 
 
--- a/src/ospreyford/measure/placement_timing.py
+++ b/src/ospreyford/measure/placement_timing.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.measure.drift import (
     HOUR,
     INTERVAL,
@@ -21,11 +22,11 @@
 )
 from ospreyford.placement.budget import TokenBucket
 from ospreyford.placement.loads import ExpertLoads
-from ospreyford.placement.map import ExpertMap, GroupShape, spread_experts
+from ospreyford.placement.map import GroupShape, spread_experts
 from ospreyford.placement.outcomes import Outcome, Plan
 from ospreyford.placement.policy import Planner
+from ospreyford.placement.settings import PlacementSettings
 from ospreyford.placement.variants import choose_variant
-from ospreyford.placement.weights import PlacementWeights
 
 MILLISECONDS = 1000
 KIBIBYTE = 1024
@@ -133,7 +134,7 @@
 
 
 def _make_planner(shape: GroupShape, recurring: bool) -> Planner:
-    weights = PlacementWeights(
+    settings = PlacementSettings(
         skew_weight=4,
         move_weight=1,
         store_bytes_per_second=STORE_RATE,
@@ -141,5 +142,5 @@
         plan_interval_seconds=0,
         recurring=recurring,
     )
-    bucket = TokenBucket(STORE_RATE, weights.max_moves * EXPERT_BYTES, 0)
-    return Planner(choose_variant(weights), shape, weights, bucket)
+    bucket = TokenBucket(STORE_RATE, settings.max_moves * EXPERT_BYTES, 0)
+    return Planner(choose_variant(settings), shape, settings, bucket)
--- a/src/ospreyford/placement/explanation.py
+++ b/src/ospreyford/placement/explanation.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.placement.layer import LayerState
-from ospreyford.placement.map import ExpertMap, LayerMap
+from ospreyford.placement.map import LayerMap
 from ospreyford.placement.outcomes import Copy, Drop, NoChange, Outcome, Plan
 from ospreyford.placement.policy import Planner
 
@@ -88,22 +89,22 @@
 def _explain_change(
     planner: Planner, made: Plan, current: ExpertMap
 ) -> PlanExplanation:
-    weights = planner.weights
+    settings = planner.settings
     layers = tuple(
         _explain_layer(planner, made, number, current.layers[number])
         for number in sorted({move.layer for move in made.copies + made.drops})
     )
     fall = sum(layer.peak_before - layer.peak_after for layer in layers)
-    saved = fall * weights.horizon_seconds / planner.shape.layers
-    seconds = made.copy_bytes / weights.store_bytes_per_second
+    saved = fall * settings.horizon_seconds / planner.shape.layers
+    seconds = made.copy_bytes / settings.store_bytes_per_second
     return PlanExplanation(
         revision=made.target.revision,
         layers=layers,
         copy_bytes=made.copy_bytes,
         copy_seconds=seconds,
         saved_seconds=saved,
-        weighted_cost=seconds * weights.move_weight,
-        weighted_saving=saved * weights.skew_weight,
+        weighted_cost=seconds * settings.move_weight,
+        weighted_saving=saved * settings.skew_weight,
     )
 
 
--- a/src/ospreyford/placement/loads.py
+++ b/src/ospreyford/placement/loads.py
@@ -18,7 +18,7 @@
     ReportPartial,
     TrafficLow,
 )
-from ospreyford.placement.weights import PlacementWeights
+from ospreyford.placement.settings import PlacementSettings
 
 
 class ExpertLoads(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,7 +44,7 @@
 def find_fault(
     report: ExpertLoads | None,
     shape: GroupShape,
-    weights: PlacementWeights,
+    settings: PlacementSettings,
     now: float,
 ) -> Reason | None:
     """Judge whether a report may move anything.
@@ -54,29 +54,29 @@
 
     :param report: the last report, if any.
     :param shape: the group's size.
-    :param weights: the deployment's limits.
+    :param settings: the deployment's limits.
     :param now: this process's monotonic clock.
     :returns: why the report is unusable, or ``None``.
     """
     if report is None:
         return ReportMissing()
     return (
-        _find_time_fault(report, weights, now)
+        _find_time_fault(report, settings, now)
         or _find_shape_fault(report, shape)
-        or _find_figure_fault(report, weights)
+        or _find_figure_fault(report, settings)
     )
 
 
 def _find_time_fault(
-    report: ExpertLoads, weights: PlacementWeights, now: float
+    report: ExpertLoads, settings: PlacementSettings, now: float
 ) -> Reason | None:
     age = now - report.measured_at
     if not math.isfinite(age):
         return ReportBad(ReportFault.not_finite)
     if report.age_seconds < 0 or report.received_at > now:
         return ReportBad(ReportFault.wrong_clock)
-    if age > weights.max_report_age_seconds:
-        return ReportOld(age, weights.max_report_age_seconds)
+    if age > settings.max_report_age_seconds:
+        return ReportOld(age, settings.max_report_age_seconds)
     return None
 
 
@@ -93,7 +93,7 @@
 
 
 def _find_figure_fault(
-    report: ExpertLoads, weights: PlacementWeights
+    report: ExpertLoads, settings: PlacementSettings
 ) -> Reason | None:
     if not all(map(math.isfinite, chain.from_iterable(report.tokens))):
         return ReportBad(ReportFault.not_finite)
@@ -102,6 +102,6 @@
     # A few tokens at night say nothing of popularity: one request's tokens
     # would count as drift.
     fewest = min(map(sum, report.tokens))
-    if fewest < weights.min_tokens:
-        return TrafficLow(fewest, weights.min_tokens)
+    if fewest < settings.min_tokens:
+        return TrafficLow(fewest, settings.min_tokens)
     return None
--- a/src/ospreyford/placement/map.py
+++ b/src/ospreyford/placement/map.py
@@ -1,4 +1,4 @@
-"""The expert map as the placement policy reads and writes it."""
+"""The group's size, and what the placement policy asks of a map."""
 
 from __future__ import annotations
 
@@ -7,23 +7,14 @@
 
 import msgspec
 
+from ospreyford.expertmap.maps import ExpertMap
+
 #: The ranks that hold one expert, ascending.
 Ranks = tuple[int, ...]
 #: One layer: for each expert, the ranks that hold it.
 LayerMap = tuple[Ranks, ...]
 
 
-class ExpertMap(msgspec.Struct, frozen=True, kw_only=True):
-    """Which ranks hold each expert; the same at every rank in each step.
-
-    :param revision: grows by one with each change.
-    :param layers: for each layer, for each expert, the ranks that hold it.
-    """
-
-    revision: int
-    layers: tuple[LayerMap, ...]
-
-
 class GroupShape(msgspec.Struct, frozen=True, kw_only=True):
     """Size of a rank group and of the model that it runs.
 
--- a/src/ospreyford/placement/outcomes.py
+++ b/src/ospreyford/placement/outcomes.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from ospreyford.placement.map import ExpertMap
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.placement.reasons import Reason
 
 
--- a/src/ospreyford/placement/policy.py
+++ b/src/ospreyford/placement/policy.py
@@ -5,11 +5,12 @@
 from collections.abc import Generator
 from typing import Protocol, assert_never
 
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.placement.balance import balance_layer, count_replicas
 from ospreyford.placement.budget import StoreBudget
 from ospreyford.placement.estimate import scale_loads
 from ospreyford.placement.loads import ExpertLoads, find_fault
-from ospreyford.placement.map import ExpertMap, GroupShape, is_valid_map
+from ospreyford.placement.map import GroupShape, is_valid_map
 from ospreyford.placement.outcomes import NoChange, Outcome
 from ospreyford.placement.reasons import (
     BudgetSpent,
@@ -26,6 +27,7 @@
     SearchLimits,
     improve_layer,
 )
+from ospreyford.placement.settings import PlacementSettings
 from ospreyford.placement.transition import Transition
 from ospreyford.placement.variants import (
     BalanceAlways,
@@ -34,7 +36,6 @@
     WeighedMoves,
     make_estimator,
 )
-from ospreyford.placement.weights import PlacementWeights
 
 #: Changes of one layer in one plan.
 MAX_LAYER_CHANGES = 16
@@ -67,7 +68,7 @@
 
     :param variant: which policy.
     :param shape: the group's size.
-    :param weights: the deployment's published weights.
+    :param settings: the deployment's settings.
     :param budget: the group's share of the weight store.
     """
 
@@ -75,11 +76,11 @@
         self,
         variant: Variant,
         shape: GroupShape,
-        weights: PlacementWeights,
+        settings: PlacementSettings,
         budget: StoreBudget,
     ) -> None:
         self.shape = shape
-        self.weights = weights
+        self.settings = settings
         self.estimator = make_estimator(variant)
         self._variant = variant
         self._budget = budget
@@ -138,7 +139,7 @@
         :param now: this process's monotonic clock, in seconds.
         :returns: why the report was not used, or ``None``.
         """
-        reason = find_fault(report, self.shape, self.weights, now)
+        reason = find_fault(report, self.shape, self.settings, now)
         if reason or report is None:
             return reason
         last = self._measured_at
@@ -147,7 +148,7 @@
             # as if it lasted, and experts would move for it.
             return ReportRepeated()
         elapsed = 0 if last is None else report.measured_at - last
-        if elapsed > self.weights.max_report_age_seconds:
+        if elapsed > self.settings.max_report_age_seconds:
             # Reports stopped, or this process slept. The first one after a
             # gap weighs the most in any average, so noise in it alone would
             # move experts.
@@ -160,11 +161,11 @@
         return None
 
     def _find_obstacle(self, current: ExpertMap, now: float) -> Reason | None:
-        if not is_valid_map(current, self.shape, self.weights.slots_per_rank):
+        if not is_valid_map(current, self.shape, self.settings.slots_per_rank):
             return MapInvalid()
-        if self._reports < self.weights.min_reports:
-            return WarmingUp(self._reports, self.weights.min_reports)
-        wait = self.weights.plan_interval_seconds - (now - self._judged_at)
+        if self._reports < self.settings.min_reports:
+            return WarmingUp(self._reports, self.settings.min_reports)
+        wait = self.settings.plan_interval_seconds - (now - self._judged_at)
         if wait > 0:
             return TooSoon(wait)
         available = self._budget.available(now)
@@ -176,8 +177,8 @@
         transition = Transition(
             current,
             self.shape,
-            self.weights.slots_per_rank,
-            self.weights.max_moves,
+            self.settings.slots_per_rank,
+            self.settings.max_moves,
             self._budget.available(now),
         )
         match self._variant:
@@ -202,7 +203,7 @@
         shape = self.shape
         # One slot of each rank stays free, or no copy could be made before
         # the old one is dropped.
-        slots = variant.fill or max(1, self.weights.slots_per_rank - 1)
+        slots = variant.fill or max(1, self.settings.slots_per_rank - 1)
         total = shape.ranks * slots if variant.replicas else shape.experts
         for number in range(shape.layers):
             loads = self.estimator.expect(number)[0].loads
@@ -218,7 +219,7 @@
     ) -> Generator[None, None, float]:
         limits = SearchLimits(
             ranks=self.shape.ranks,
-            slots=self.weights.slots_per_rank,
+            slots=self.settings.slots_per_rank,
             change_cost=self._price_change(),
             max_changes=min(MAX_LAYER_CHANGES, transition.copies_left),
             replicas=replicas,
@@ -234,7 +235,7 @@
             for proposal in best_first
             if transition.take_whole(proposal.number, proposal.wanted)
         )
-        return gain * self.weights.horizon_seconds / self.shape.layers
+        return gain * self.settings.horizon_seconds / self.shape.layers
 
     def _price_change(self) -> float:
         """Price one change in units of a layer's peak load.
@@ -242,14 +243,14 @@
         One unit of peak load costs the step a share ``1 / layers`` of its
         expert time, over the whole horizon.
         """
-        weights = self.weights
-        if weights.skew_weight == 0:
+        settings = self.settings
+        if settings.skew_weight == 0:
             return float('inf')
-        copy_seconds = self.shape.expert_bytes / weights.store_bytes_per_second
-        unit_seconds = weights.horizon_seconds / self.shape.layers
+        copy_seconds = self.shape.expert_bytes / settings.store_bytes_per_second
+        unit_seconds = settings.horizon_seconds / self.shape.layers
         return (
-            (1 + weights.hysteresis)
-            * (weights.move_weight / weights.skew_weight)
+            (1 + settings.hysteresis)
+            * (settings.move_weight / settings.skew_weight)
             * (copy_seconds / unit_seconds)
         )
 
--- a/src/ospreyford/placement/weights.py
+++ b/src/ospreyford/placement/settings.py
@@ -1,4 +1,4 @@
-"""The published ``placement-weights`` document, one for each deployment."""
+"""What the placement policy is told: published weights and its own limits."""
 
 from __future__ import annotations
 
@@ -6,15 +6,17 @@
 
 import msgspec
 
+from ospreyford.documents.capacity import PlacementWeights
+
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
-class PlacementWeights(
+class PlacementSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """What a deployment pays for skew and for moves.
+    """What a deployment pays for skew and for moves, and the limits.
 
     :param skew_weight: cost of one second lost to step-time skew.
     :param move_weight: cost of one second of weight-store transfer.
@@ -32,10 +34,10 @@
     :param min_tokens: a layer with fewer tokens in a report says nothing.
     """
 
-    skew_weight: NonNegative
-    move_weight: NonNegative
-    store_bytes_per_second: Positive
     slots_per_rank: Count
+    skew_weight: NonNegative = 1
+    move_weight: NonNegative = 1
+    store_bytes_per_second: Positive = 50_000_000
     hysteresis: NonNegative = 0.25
     horizon_seconds: Positive = 1800
     plan_interval_seconds: NonNegative = 300
@@ -44,3 +46,24 @@
     max_report_age_seconds: Positive = 90
     min_reports: Count = 3
     min_tokens: Positive = 1000
+
+
+def apply_weights(
+    settings: PlacementSettings, published: PlacementWeights
+) -> PlacementSettings:
+    """Put the published ``placement-weights`` document in force.
+
+    A document that changes needs a new :class:`Planner` and a new bucket;
+    its estimate starts anew, and nothing moves until ``min_reports``.
+
+    :param settings: the settings of the agent's file.
+    :param published: the document of the model service.
+    :returns: the settings with the document's figures in their place.
+    """
+    return msgspec.structs.replace(
+        settings,
+        skew_weight=published.skew_weight,
+        move_weight=published.move_weight,
+        store_bytes_per_second=published.weight_store_bytes_per_second,
+        hysteresis=published.hysteresis,
+    )
--- a/src/ospreyford/placement/transition.py
+++ b/src/ospreyford/placement/transition.py
@@ -4,12 +4,8 @@
 
 from collections.abc import Iterator
 
-from ospreyford.placement.map import (
-    ExpertMap,
-    GroupShape,
-    LayerMap,
-    count_residents,
-)
+from ospreyford.expertmap.maps import ExpertMap
+from ospreyford.placement.map import GroupShape, LayerMap, count_residents
 from ospreyford.placement.outcomes import Copy, Drop, Plan
 
 
--- a/src/ospreyford/placement/variants.py
+++ b/src/ospreyford/placement/variants.py
@@ -10,7 +10,7 @@
     MovingAverage,
 )
 from ospreyford.placement.regimes import RecurringRegimes
-from ospreyford.placement.weights import PlacementWeights
+from ospreyford.placement.settings import PlacementSettings
 
 
 @dataclass(frozen=True)
@@ -67,13 +67,13 @@
 Variant = Static | BalanceAlways | WeighedMoves
 
 
-def choose_variant(weights: PlacementWeights) -> WeighedMoves:
+def choose_variant(settings: PlacementSettings) -> WeighedMoves:
     """Choose the policy of a deployment.
 
-    :param weights: its published weights.
+    :param settings: its settings.
     :returns: the policy, with the estimate that fits its demand.
     """
-    if weights.recurring:
+    if settings.recurring:
         return WeighedMoves(Recurring())
     return WeighedMoves(Averaged())
 
--- a/tests/placement/groups.py
+++ b/tests/placement/groups.py
@@ -4,16 +4,17 @@
 from collections.abc import Iterator, Sequence
 from itertools import product
 
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.placement.budget import TokenBucket
 from ospreyford.placement.loads import ExpertLoads
-from ospreyford.placement.map import ExpertMap, GroupShape, LayerMap
+from ospreyford.placement.map import GroupShape, LayerMap
 from ospreyford.placement.outcomes import Plan
 from ospreyford.placement.policy import Planner
+from ospreyford.placement.settings import PlacementSettings
 from ospreyford.placement.variants import Variant, WeighedMoves
-from ospreyford.placement.weights import PlacementWeights
 
 SHAPE = GroupShape(ranks=4, layers=2, experts=8, expert_bytes=100)
-WEIGHTS = PlacementWeights(
+WEIGHTS = PlacementSettings(
     skew_weight=4,
     move_weight=1,
     store_bytes_per_second=100,
@@ -44,7 +45,7 @@
 
 def make_planner(
     variant: Variant | None = None,
-    weights: PlacementWeights = WEIGHTS,
+    weights: PlacementSettings = WEIGHTS,
     shape: GroupShape = SHAPE,
     burst: float = 100_000,
 ) -> Planner:
@@ -55,7 +56,7 @@
 def check_plan(
     made: Plan,
     current: ExpertMap,
-    weights: PlacementWeights,
+    weights: PlacementSettings,
     shape: GroupShape = SHAPE,
 ) -> None:
     """Check a plan by sets alone, sharing no code with the policy."""
--- a/tests/placement/test_plans.py
+++ b/tests/placement/test_plans.py
@@ -12,16 +12,13 @@
     rule,
 )
 
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.placement.budget import TokenBucket
-from ospreyford.placement.map import (
-    ExpertMap,
-    GroupShape,
-    is_valid_map,
-    spread_experts,
-)
+from ospreyford.placement.map import GroupShape, is_valid_map, spread_experts
 from ospreyford.placement.outcomes import NoChange, Plan
 from ospreyford.placement.policy import Planner
 from ospreyford.placement.reasons import BudgetSpent, PlacementStatic
+from ospreyford.placement.settings import PlacementSettings
 from ospreyford.placement.variants import (
     Averaged,
     BalanceAlways,
@@ -31,7 +28,6 @@
     Variant,
     WeighedMoves,
 )
-from ospreyford.placement.weights import PlacementWeights
 from tests.placement.groups import (
     SHAPE,
     SKEWED,
@@ -66,7 +62,7 @@
     def start(
         self, variant: Variant, slots: int, max_moves: int, rate: int
     ) -> None:
-        self.weights = PlacementWeights(
+        self.weights = PlacementSettings(
             skew_weight=4,
             move_weight=0.1,
             store_bytes_per_second=rate,
@@ -139,7 +135,7 @@
     Sequence: the same report over and over.
     Cause: a change's gain is smaller than its cost, or is counted twice.
     """
-    weights = PlacementWeights(
+    weights = PlacementSettings(
         skew_weight=4,
         move_weight=move_weight,
         store_bytes_per_second=100,
@@ -181,8 +177,8 @@
     assert copies <= 4
 
 
-def _weigh_moves(weight: float) -> PlacementWeights:
-    return PlacementWeights(
+def _weigh_moves(weight: float) -> PlacementSettings:
+    return PlacementSettings(
         skew_weight=1,
         move_weight=weight,
         store_bytes_per_second=10,
@@ -286,7 +282,7 @@
     shape = GroupShape(
         ranks=ranks, layers=layers, experts=experts, expert_bytes=1
     )
-    weights = PlacementWeights(
+    weights = PlacementSettings(
         skew_weight=1,
         move_weight=0.01,
         store_bytes_per_second=1,
--- a/tests/placement/test_reports.py
+++ b/tests/placement/test_reports.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.placement.loads import ExpertLoads
-from ospreyford.placement.map import ExpertMap, spread_experts
+from ospreyford.placement.map import spread_experts
 from ospreyford.placement.outcomes import NoChange, Plan
 from ospreyford.placement.reasons import (
     MapInvalid,
@@ -20,8 +21,8 @@
     TrafficLow,
     WarmingUp,
 )
+from ospreyford.placement.settings import PlacementSettings
 from ospreyford.placement.variants import BalanceAlways, WeighedMoves
-from ospreyford.placement.weights import PlacementWeights
 from tests.placement.groups import (
     SHAPE,
     SKEWED,
@@ -108,7 +109,7 @@
     Sequence: reports, none for ten minutes, one report.
     Cause: after a gap, one report outweighs the whole average.
     """
-    weights = PlacementWeights(
+    weights = PlacementSettings(
         skew_weight=4,
         move_weight=1,
         store_bytes_per_second=100,
@@ -153,7 +154,7 @@
 
 
 def test_interval_between_judgements_is_kept() -> None:
-    weights = PlacementWeights(
+    weights = PlacementSettings(
         skew_weight=4,
         move_weight=1,
         store_bytes_per_second=100,
