Run membership under every fault in a state machine

Cause: membership was shown on healthy fleets only. Found by the machine: a process cut off while everybody else was replaced knew only addresses where nobody is left, and stayed in a fleet of its own for ever though the host list named the new instances.

--- a/src/ospreyford/membership/service.py
+++ b/src/ospreyford/membership/service.py
@@ -6,23 +6,19 @@
 from collections.abc import Iterable
 
 from ospreyford.membership.answers import Answers
-from ospreyford.membership.attachments import Attachments, Consume, Provide
-from ospreyford.membership.counters import MembershipCounters
+from ospreyford.membership.attachments import Consume, Provide
+from ospreyford.membership.digests import Record
 from ospreyford.membership.exchanges import Exchanges
-from ospreyford.membership.gossip import Gossip
 from ospreyford.membership.listing import note_host
 from ospreyford.membership.member import Member, MemberState, Replaced
 from ospreyford.membership.prober import Prober
-from ospreyford.membership.pulse import Pulse
 from ospreyford.membership.repairs import Repairs
-from ospreyford.membership.rings import Rings
 from ospreyford.membership.rounds import Rounds
 from ospreyford.membership.settings import MembershipSettings
 from ospreyford.membership.suspicions import Suspicions
-from ospreyford.membership.tables import Tables
+from ospreyford.membership.tables import build_tables
 from ospreyford.membership.targets import Targets
-from ospreyford.membership.view import Subscriber, View
-from ospreyford.membership.zones import ZoneSilence
+from ospreyford.membership.view import Subscriber
 from ospreyford.ports.clock import Clock
 from ospreyford.ports.fleet import Host
 from ospreyford.ports.peers import PeerPort
@@ -47,21 +43,9 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self.counters = MembershipCounters()
-        gossip = Gossip(settings.retransmit)
-        self._view = View(me, clock, gossip, self.counters)
-        self._tables = Tables(
-            settings,
-            self._view,
-            gossip,
-            Attachments(settings.attached_bytes, self.counters),
-            self.counters,
-            clock,
-            rng,
-            Pulse(clock, settings.pause_seconds),
-            Rings(self._view, settings.rings),
-            ZoneSilence(),
-        )
+        self._tables = build_tables(settings, me, clock, rng)
+        self._view = self._tables.view
+        self.counters = self._tables.counters
         exchanges = Exchanges(self._tables)
         self._targets = Targets(self._tables)
         suspicions = Suspicions(self._tables, self._targets)
@@ -134,6 +118,14 @@
         record = self._view.find(name)
         return None if record is None else record.member
 
+    def inspect(self, name: str) -> Record | None:
+        """Look up all that is known of a member, for status pages.
+
+        :param name: the member.
+        :returns: its record; not to be changed.
+        """
+        return self._view.find(name)
+
     def subscribe(self, subscriber: Subscriber) -> None:
         """Tell a subscriber of each change of state, this process's too.
 
@@ -161,7 +153,7 @@
         :param hosts: the hosts listed.
         """
         for host in hosts:
-            note_host(self._view, host)
+            note_host(self._tables, host)
 
     def is_stale(self) -> bool:
         """Tell whether what this process believes is from before a pause.
--- a/src/ospreyford/membership/tables.py
+++ b/src/ospreyford/membership/tables.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ospreyford.membership.attachments import Attachments
 from ospreyford.membership.counters import MembershipCounters
 from ospreyford.membership.digests import Record
 from ospreyford.membership.gossip import Gossip
-from ospreyford.membership.member import MemberState
+from ospreyford.membership.member import Member, MemberState
 from ospreyford.membership.messages import Description, write_description
 from ospreyford.membership.pulse import Pulse
 from ospreyford.membership.rings import Rings
@@ -33,6 +33,8 @@
     :param pulse: notices pauses of this process.
     :param rings: who watches whom.
     :param zones: tells which zones are not heard from.
+    :param other_instances: by name, the peer address of a listed instance
+        that is not the one known here.
     """
 
     settings: MembershipSettings
@@ -45,6 +47,7 @@
     pulse: Pulse
     rings: Rings
     zones: ZoneSilence
+    other_instances: dict[str, str] = field(default_factory=dict)
 
     @property
     def zone(self) -> str:
@@ -77,3 +80,34 @@
         )
         if merged is Merged.applied and description.name != self.view.me:
             self.view.age_death(description.name, description.dead_seconds)
+
+
+def build_tables(
+    settings: MembershipSettings,
+    me: Member,
+    clock: Clock,
+    rng: random.Random,
+) -> Tables:
+    """Make the tables of a process that knows only itself.
+
+    :param settings: the settings.
+    :param me: this process.
+    :param clock: source of time.
+    :param rng: random numbers.
+    :returns: the tables.
+    """
+    counters = MembershipCounters()
+    gossip = Gossip(settings.retransmit)
+    view = View(me, clock, gossip, counters)
+    return Tables(
+        settings=settings,
+        view=view,
+        gossip=gossip,
+        attachments=Attachments(settings.attached_bytes, counters),
+        counters=counters,
+        clock=clock,
+        rng=rng,
+        pulse=Pulse(clock, settings.pause_seconds),
+        rings=Rings(view, settings.rings),
+        zones=ZoneSilence(),
+    )
--- a/src/ospreyford/membership/targets.py
+++ b/src/ospreyford/membership/targets.py
@@ -103,13 +103,32 @@
             for record in self._view
             if record.state is not MemberState.dead
         }
-        seeds = [
-            address
-            for address in self._tables.settings.seeds
-            if address not in known
+        addresses = [
+            *self._tables.settings.seeds,
+            *self._unheard_instances(),
         ]
+        seeds = [address for address in addresses if address not in known]
         return ProbeSeed(self._tables.rng.choice(seeds)) if seeds else None
 
+    def _unheard_instances(self) -> list[str]:
+        # A process that slept or was cut off while the fleet was replaced
+        # knows only addresses where nobody is left, or others like itself;
+        # it would go on for ever in a fleet of its own.
+        return [
+            address
+            for name, address in self._tables.other_instances.items()
+            if self._is_unheard(name)
+        ]
+
+    def _is_unheard(self, name: str) -> bool:
+        record = self._view.find(name)
+        return (
+            record is None
+            or name == self._view.me
+            or record.state in {MemberState.dead, MemberState.suspect}
+            or self._tables.zones.is_doubtful(record.member.zone)
+        )
+
     def _pick_special(self) -> Record | None:
         if self._turn % DEAD_TURNS == 0:
             return self._pick_dead()
--- /dev/null
+++ b/tests/membership/test_faults.py
@@ -0,0 +1,255 @@
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from ospreyford.membership.member import MemberState, Version
+from ospreyford.ports.fleet import Host, HostState
+from tests.membership.world import Process, World, host
+
+NAMES = ('a1', 'a2', 'a3', 'b1', 'b2')
+UP = frozenset((MemberState.live, MemberState.suspect))
+#: Longest quiet time until everything must have converged, in seconds.
+QUIET_SECONDS = 400
+names = st.sampled_from(NAMES)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Every fault of the brief as a rule, on the code that runs."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def start_all(self, seed: int) -> None:
+        self.world = World(seed)
+        self.hosts = {name: host(name, name[0]) for name in NAMES}
+        self.lives = dict.fromkeys(NAMES, 1)
+        #: The process that has each name by right.
+        self.current: dict[str, Process] = {}
+        self.left: set[str] = set()
+        self.newest: dict[tuple[int, str], Version] = {}
+        self.old_lists: list[list[Host]] = [list(self.hosts.values())]
+        for name in NAMES:
+            self._start(name)
+        self.world.run(20)
+
+    def _start(self, name: str) -> None:
+        self.world.run(0.01)  # wall clocks of two lives differ
+        listed = self.hosts.values()
+        self.current[name] = self.world.start(self.hosts[name], listed)
+
+    @rule(seconds=st.sampled_from((0.3, 1, 5, 12)))
+    def run(self, seconds: float) -> None:
+        self.world.run(seconds)
+
+    @rule(share=st.sampled_from((0, 0.1, 0.5)))
+    def lose(self, share: float) -> None:
+        self.world.loss = share
+
+    @rule(share=st.sampled_from((0, 0.5)))
+    def duplicate(self, share: float) -> None:
+        self.world.duplicates = share
+
+    @rule(seconds=st.sampled_from((0, 0.4, 20)))
+    def delay(self, seconds: float) -> None:
+        self.world.delay = seconds
+
+    @rule(name=names)
+    def pause(self, name: str) -> None:
+        self.current[name].is_paused = True
+
+    @rule()
+    def wake_all(self) -> None:
+        for process in self.world.processes:
+            if process.is_paused:
+                self.world.wake(process)
+
+    @rule(name=names)
+    def kill(self, name: str) -> None:
+        self.world.kill(self.current[name])
+
+    @rule(name=names)
+    def restart(self, name: str) -> None:
+        """Start a new process on the same host; the old one is dead."""
+        self.world.kill(self.current[name])
+        self._start(name)
+
+    @rule(name=names, paused=st.booleans())
+    def replace_host(self, name: str, *, paused: bool) -> None:
+        """Give a name to a new host; the old one may still run or wake."""
+        self.current[name].is_paused |= paused
+        self.lives[name] += 1
+        self.hosts[name] = host(name, name[0], self.lives[name])
+        self.old_lists.append(list(self.hosts.values()))
+        self._start(name)
+
+    @rule(one=st.sets(names, min_size=1, max_size=3), both=st.booleans())
+    def partition(self, one: set[str], *, both: bool) -> None:
+        """Cut a part off, or only what it sends."""
+        sent = itertools.product(
+            self._addresses(one), self._addresses(set(NAMES) - one)
+        )
+        for source, target in sent:
+            self.world.cuts.add((source, target))
+            if both:
+                self.world.cuts.add((target, source))
+
+    def _addresses(self, chosen: set[str]) -> list[str]:
+        return [
+            process.host.peer_address
+            for process in self.world.processes
+            if process.host.name in chosen
+        ]
+
+    @rule()
+    def heal(self) -> None:
+        self.world.cuts.clear()
+
+    @rule(name=names)
+    def leave(self, name: str) -> None:
+        process = self.current[name]
+        if process.is_running:
+            process.stepper.spawn('leave', process.membership.leave())
+            self.left.add(process.incarnation)
+
+    @rule(name=names, number=st.integers(0, 10))
+    def tell_old_list(self, name: str, number: int) -> None:
+        """Give a process a host list that may be long out of date."""
+        process = self.current[name]
+        if process.is_running:
+            listed = self.old_lists[number % len(self.old_lists)]
+            process.membership.note_hosts(listed)
+
+    @rule(name=names)
+    def list_as_leaving(self, name: str) -> None:
+        """The platform marks a host; only one process reads it so far."""
+        life = self.lives[name]
+        self.hosts[name] = host(name, name[0], life, leaving=True)
+        for reader in self.world.running()[:1]:
+            reader.membership.note_hosts(self.hosts.values())
+
+    @rule(number=st.integers(0, 20))
+    def repeat_old_message(self, number: int) -> None:
+        for question in self.world.past[number : number + 1]:
+            self.world.deliver(question)
+
+    @invariant()
+    def versions_only_grow(self) -> None:
+        """Nothing older replaces what a process believes."""
+        if not hasattr(self, 'world'):
+            return
+        for process in self.world.processes:
+            for name in NAMES:
+                record = process.membership.inspect(name)
+                key = id(process), name
+                before = self.newest.get(key)
+                if record is None:
+                    assert before is None
+                elif before is not None and before.incarnation:
+                    assert record.version >= before
+                if record is not None:
+                    self.newest[key] = record.version
+
+    @invariant()
+    def leaving_is_never_live(self) -> None:
+        """Who was seen leaving is not taken for live again."""
+        for (_, name), version in getattr(self, 'newest', {}).items():
+            if version.leaving:
+                assert version.state not in UP, name
+
+    def teardown(self) -> None:
+        """After all faults end, all agree on what is true."""
+        if not hasattr(self, 'world'):
+            return
+        world = self.world
+        world.calm_down()
+        self.wake_all()
+        for _ in range(QUIET_SECONDS // 20):
+            for process in world.running():
+                process.membership.note_hosts(self.hosts.values())
+            world.run(20)
+            self.versions_only_grow()
+            self.leaving_is_never_live()
+            if self._is_settled():
+                return
+        assert self._is_settled(), self._report()
+
+    def _is_settled(self) -> bool:
+        truth = {name: self._true_state(name) for name in NAMES}
+        running = self.world.running()
+        return all(
+            process.membership.state_of(name) in truth[name]
+            for process in running
+            for name in NAMES
+        ) and all(self._is_in_order(process) for process in running)
+
+    def _is_in_order(self, process: Process) -> bool:
+        """No replaced process runs on, and the current ones are fresh."""
+        if process is not self.current[process.host.name]:
+            return len(self.world.running()) == 1
+        others = [
+            process.membership.find(name)
+            for name, other in self.current.items()
+            if not other.is_dead
+        ]
+        incarnations = {other.incarnation for other in others if other}
+        return not process.membership.is_stale() and incarnations == {
+            other.incarnation
+            for other in self.current.values()
+            if not other.is_dead
+        }
+
+    def _true_state(self, name: str) -> set[MemberState]:
+        process = self.current[name]
+        if process.is_dead:
+            # Without a witness a silent member is not declared dead.
+            enough = len(self.world.running()) > 2
+            return {MemberState.dead} if enough else set(MemberState)
+        is_listed = self.hosts[name].state is HostState.leaving
+        if is_listed or process.incarnation in self.left:
+            return {MemberState.leaving}
+        return {MemberState.live}
+
+    def _report(self) -> str:
+        lines = [str(self.current)]
+        for process in self.world.running():
+            stale = process.membership.is_stale()
+            lines.append(f'{process} {stale=}')
+            for name in NAMES:
+                record = process.membership.inspect(name)
+                lines.append(f'  {name}: {record}')
+        return '\n'.join(lines)
+
+
+TestFleet = FleetMachine.TestCase
+TestFleet.settings = settings(
+    derandomize=True,
+    max_examples=30,
+    stateful_step_count=15,
+    deadline=None,
+)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_replacement_of_everybody(seed: int) -> None:
+    """Symptom: after a rolling replacement the fleet knows only ghosts.
+
+    Sequence: host after host is replaced, each old one paused, until nobody
+    is left who was there at first; then all old ones wake.
+    Cause: old incarnations taken for live, or new ones for old.
+    """
+    machine = FleetMachine()
+    machine.start_all(seed)
+    for name in NAMES:
+        machine.replace_host(name, paused=True)
+        machine.run(30)
+    machine.teardown()
+    for old in machine.world.processes[: len(NAMES)]:
+        assert old.membership.replaced
--- a/tests/membership/world.py
+++ b/tests/membership/world.py
@@ -49,7 +49,7 @@
         self.membership = Membership(SETTINGS, me, self, self, rng)
 
     def __repr__(self) -> str:
-        return f'{self.host.name}@{self.host.instance}'
+        return self.host.instance
 
     @property
     def is_running(self) -> bool:
@@ -142,6 +142,13 @@
         for question in backlog:
             process.receive(question)
 
+    def calm_down(self) -> None:
+        """End all faults of the network."""
+        self.loss = 0
+        self.duplicates = 0
+        self.delay = 0
+        self.cuts.clear()
+
     def running(self) -> list[Process]:
         return [
             process
@@ -160,10 +167,9 @@
 
     def deliver(self, message: object) -> None:
         match message:
-            case Question():
-                for process in self.processes:
-                    if process.host.peer_address == message.address:
-                        process.receive(message)
+            case Question(address=address):
+                for process in self._listening(address):
+                    process.receive(message)
             case (Question() as question, bytes(body)):
                 question.source.take_answer(question, body)
 
@@ -173,7 +179,7 @@
             self._run_due()
             times = [due for due, _, _ in self._arrivals]
             times.extend(_due(task) for _, task in self._parked())
-            following = min(times, default=until)
+            following = min(times, default=float('inf'))
             if following > until:
                 break
             self.now = max(self.now, following)
@@ -195,6 +201,13 @@
             process, task = ready[0]
             process.stepper.resume(task)
 
+    def _listening(self, address: str) -> list[Process]:
+        return [
+            process
+            for process in self.processes
+            if process.host.peer_address == address
+        ]
+
     def _parked(self) -> list[tuple[Process, SteppedTask]]:
         return [
             (process, task)
