--- a/src/ospreyford/console/program.py
+++ b/src/ospreyford/console/program.py
@@ -14,6 +14,7 @@
 from ospreyford.console.stopping import Cut, Stop
 from ospreyford.observability.events import Stopped
 from ospreyford.observability.logs import ChangeLog
+from ospreyford.peers.errors import PeerError
 from ospreyford.settings.errors import SettingsError
 from ospreyford.settings.loader import load_settings
 from ospreyford.settings.sections import Drain, Identity, Logs
@@ -162,7 +163,7 @@
 ) -> Failed | None:
     try:
         await start(program)
-    except OSError as error:
+    except (OSError, PeerError) as error:
         return Failed(str(error))
     return None
 
--- a/src/ospreyford/settings/loader.py
+++ b/src/ospreyford/settings/loader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import tomllib
 from collections.abc import Mapping, Sequence
@@ -54,6 +55,7 @@
     unknown = find_unknown(find_type(kind, []), raw)
     if unknown is not None:
         raise _explain_unknown(source, *unknown)
+    _check_numbers(source, raw, [])
     try:
         return msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
@@ -92,6 +94,27 @@
         ) from None
 
 
+def _check_numbers(source: _Source, found: object, steps: list[str]) -> None:
+    """Refuse what no setting can mean, whether its type has bounds or not.
+
+    :raises SettingsError: a number that is negative or not finite.
+    """
+    # A negative or endless interval in a section whose type has no bounds
+    # would start a task that spins or never runs.
+    match found:
+        case float() | int() if not 0 <= found < math.inf:
+            known = describe_type(find_type(source.kind, steps))
+            raise SettingsError(
+                source.path,
+                _join(steps),
+                show_value(found),
+                f'{known}, finite and not negative',
+            )
+        case dict():
+            for key, inner in found.items():
+                _check_numbers(source, inner, [*steps, key])
+
+
 def _explain(error: msgspec.ValidationError, source: _Source) -> SettingsError:
     message = str(error)
     place = _PLACE.search(message)
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -48,6 +48,7 @@
     'only the keys default_deadline_seconds, max_deadline_seconds, '
     'max_attempts, retry_after_seconds'
 )
+FINITE = ', finite and not negative'
 SECTIONS = (
     'only the keys identity, listen, platform, peers, membership, '
     'distribution, http, requests, attempts, routing, limits, drain, '
@@ -131,11 +132,11 @@
     ),
     (
         '[requests]\nmax_deadline_seconds = nan',
-        f'requests.max_deadline_seconds = NaN: {DAY}',
+        f'requests.max_deadline_seconds = NaN: {DAY}{FINITE}',
     ),
     (
         '[requests]\nmax_deadline_seconds = inf',
-        f'requests.max_deadline_seconds = Infinity: {DAY}',
+        f'requests.max_deadline_seconds = Infinity: {DAY}{FINITE}',
     ),
     (
         '[requests]\ndefault_deadline_seconds = 0',
@@ -380,6 +381,8 @@
 LOOSE = (
     ('second = 2', 'loose.second = 2: only the keys seconds'),
     ("seconds = '2'", 'loose.seconds = "2": a number'),
+    ('seconds = -1', f'loose.seconds = -1: a number{FINITE}'),
+    ('seconds = inf', f'loose.seconds = Infinity: a number{FINITE}'),
     ('seconds = 10', 'loose = {"seconds": 10}: seconds up to 9'),
 )
 
