--- a/tests/console/test_ctl.py
+++ b/tests/console/test_ctl.py
@@ -25,7 +25,8 @@
 from tests.settings.test_loader import AGENT, ENTRY
 
 ROOT = pathlib.Path(__file__).parents[2]
-DOCUMENTS = ROOT / 'examples' / 'pension-office' / 'documents'
+EXAMPLES = ROOT / 'examples'
+DOCUMENTS = EXAMPLES / 'pension-office' / 'documents'
 NOBODY = '127.0.0.1:1'
 Providers = Mapping[str, Provider]
 
@@ -178,7 +179,16 @@
     ('trace --help', 0, 'ospreyfordctl trace 0198f2c4'),
     ('check', 2, 'PATH = (missing)'),
     ('check /nonexistent', 2, 'No such file or directory'),
-    (f'check {DOCUMENTS}', 0, '0 rejected, 0 wrong, 0 warnings'),
+    (
+        f'check {EXAMPLES}/pension-office',
+        0,
+        '4 settings files: 0 rejected, 0 wrong, 0 warnings',
+    ),
+    (
+        f'check {EXAMPLES}/caterer',
+        0,
+        '4 settings files: 0 rejected, 0 wrong, 0 warnings',
+    ),
     (
         f'explain c1 drafting --documents {DOCUMENTS}',
         0,
