--- a/src/ospreyford/console/ctl.py
+++ b/src/ospreyford/console/ctl.py
@@ -153,7 +153,7 @@
         Examples:
           ospreyfordctl trace 0198f2c4-7d7e-7c3a-9f5e-2b8f6a1d4c10
 
-        :param request_id: the ``request-id`` of the answer.
+        :param request_id: the answer's ``ospreyford-request-id``.
 
         """
         query = {'request': request_id}
--- a/tests/observability/test_admin.py
+++ b/tests/observability/test_admin.py
@@ -6,6 +6,8 @@
 import curio
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from ospreyford.http.client import fetch
 from ospreyford.http.message import Request
@@ -47,6 +49,8 @@
 )
 
 
+ASCII = st.characters(min_codepoint=33, max_codepoint=126)
+
 # Built past the loader, so that the kernel may choose the port.
 LISTEN = Listen(
     data_address='127.0.0.1:1',
@@ -178,3 +182,29 @@
         b'ospreyford_bad_input_total{kind="admin BadMessage"} 1.0'
         in metrics.render()
     )
+
+
+TARGETS = st.lists(
+    st.from_regex(r'\A/[!-~]{0,40}\Z') | st.text(ASCII, min_size=1),
+    min_size=1,
+    max_size=8,
+)
+
+
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(targets=TARGETS)
+def test_any_target(targets: list[str]) -> None:
+    # Symptom: the admin port stops answering after one odd request.
+    # Cause: an exception that leaves the connection's task or the port.
+    async def ask(port: int) -> object:
+        statuses = []
+        for target in (*targets, '/healthz'):
+            request = Request('GET', target, ())
+            head, _ = await fetch(('127.0.0.1', port), request)
+            statuses.append(head.status)
+        return statuses
+
+    statuses = ask_port(ask, Metrics())
+    assert isinstance(statuses, list)
+    assert set(statuses) <= {200, 400, 404, 500, 503}
+    assert statuses[-1] == 200
