--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -48,8 +48,9 @@
     'only the keys default_deadline_seconds, max_deadline_seconds, '
     'max_attempts, retry_after_seconds'
 )
+FINITE = ', finite and not negative'
 SECTIONS = (
-    'only the keys identity, listen, platform, peers, membership, '
+    'only the keys identity, listen, platform, membership, '
     'distribution, http, requests, attempts, routing, limits, drain, '
     'logs, traces'
 )
@@ -131,11 +132,11 @@
     ),
     (
         '[requests]\nmax_deadline_seconds = nan',
-        f'requests.max_deadline_seconds = NaN: {DAY}',
+        f'requests.max_deadline_seconds = NaN: {DAY}{FINITE}',
     ),
     (
         '[requests]\nmax_deadline_seconds = inf',
-        f'requests.max_deadline_seconds = Infinity: {DAY}',
+        f'requests.max_deadline_seconds = Infinity: {DAY}{FINITE}',
     ),
     (
         '[requests]\ndefault_deadline_seconds = 0',
@@ -152,8 +153,8 @@
         'at least requests.max_deadline_seconds, 120',
     ),
     (
-        "[peers]\nseeds = ['127.0.0.1:1', 'peer:2']",
-        f'peers.seeds.1 = "peer:2": {ADDRESS}',
+        "[membership]\nseeds = ['127.0.0.1:1', 'peer:2']",
+        f'membership.seeds.1 = "peer:2": {ADDRESS}',
     ),
     (
         "logs = 'no'",
@@ -329,7 +330,9 @@
 
 @settings(max_examples=150, derandomize=True)
 @given(
-    section=st.sampled_from(['http', 'requests', 'peers', 'logs', 'x`$.y']),
+    section=st.sampled_from(
+        ['http', 'requests', 'membership', 'logs', 'x`$.y']
+    ),
     key=st.sampled_from(['head_bytes', 'max_deadline_seconds', 'seeds', '`']),
     found=TOML_VALUES,
 )
@@ -380,6 +383,8 @@
 LOOSE = (
     ('second = 2', 'loose.second = 2: only the keys seconds'),
     ("seconds = '2'", 'loose.seconds = "2": a number'),
+    ('seconds = -1', f'loose.seconds = -1: a number{FINITE}'),
+    ('seconds = inf', f'loose.seconds = Infinity: a number{FINITE}'),
     ('seconds = 10', 'loose = {"seconds": 10}: seconds up to 9'),
 )
 
