--- /dev/null
+++ b/src/ospreyford/agent/program.py
@@ -0,0 +1,167 @@
+"""``ospreyford-agent``: its parts, put together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.agent.backend import BackendAddress, HttpBackend
+from ospreyford.agent.drains import DrainState
+from ospreyford.agent.load import LoadMeter
+from ospreyford.agent.record import ExecutionRecord
+from ospreyford.agent.runner import Runner
+from ospreyford.agent.service import AgentService
+from ospreyford.http.server import listen
+from ospreyford.node.announcer import Announcer
+from ospreyford.node.fleetnode import FleetNode
+from ospreyford.observability.admin import AdminPort
+from ospreyford.observability.events import Draining, Ready, Started
+from ospreyford.observability.metrics import Metrics
+from ospreyford.observability.readiness import LeavingHost
+from ospreyford.observability.spans import Tracer
+from ospreyford.settings.types import split_address
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+    from ospreyford.agent.drains import DrainCause
+    from ospreyford.console.program import Program
+    from ospreyford.observability.readiness import Unready
+    from ospreyford.settings.programs import AgentSettings
+
+DRAIN_POLL_SECONDS = 0.05
+WATCH_SECONDS = 0.1
+#: How long a stopping agent still answers questions about what it ran.
+ANSWER_SECONDS = 1.0
+
+
+class AgentProgram:
+    """One agent, from its settings to its last answer.
+
+    :param program: settings, stop signal and log.
+    """
+
+    def __init__(self, program: Program[AgentSettings]) -> None:
+        settings = program.settings
+        self._program = program
+        self._settings = settings
+        self._metrics = Metrics()
+        self._node = FleetNode(
+            settings,
+            'backend',
+            settings.backend.service,
+            Announcer(program.changes, self._metrics),
+        )
+        clock = self._node.clock
+        backend = HttpBackend(
+            BackendAddress(*split_address(settings.backend.address)),
+            settings.service.connect_seconds,
+        )
+        self._record = ExecutionRecord(
+            settings.records,
+            self._node.incarnation,
+            clock,
+        )
+        self._meter = LoadMeter(self._record, backend, clock)
+        self._drains = DrainState(settings.identity.name)
+        self._tracer = Tracer(settings.traces, settings.identity)
+        runner = Runner(
+            settings.service,
+            self._record,
+            backend,
+            self._meter,
+            clock,
+            self._tracer,
+        )
+        self._service = AgentService(
+            settings.identity.name,
+            settings.service,
+            self._record,
+            runner,
+            self._meter,
+            clock,
+        )
+
+    async def run(self) -> None:
+        """Run until asked to stop, then finish what is in flight."""
+        self._program.stop.count_in_flight = self._count_running
+        self._node.configuration.listen(self._drains.note_picture)
+        self._node.listen_for_hosts(self._drains.note_hosts)
+        # Binding the slot's one address holds a second agent off for as long
+        # as this one lives, paused or not.
+        sock = listen(*split_address(self._settings.listen.data_address))
+        await self._node.start()
+        await self._start_tasks()
+        accepting = await curio.spawn(self._accept, sock, daemon=True)
+        self._program.changes.log_change(
+            Started(
+                'ospreyford-agent',
+                self._settings.identity.instance,
+                self._node.incarnation,
+            ),
+        )
+        self._program.changes.log_change(Ready())
+        await self._program.stop.requested.wait()
+        await self._drain(accepting)
+
+    def tell_unready(self) -> list[Unready]:
+        """Tell why this agent takes no work now.
+
+        :returns: the reasons; none when it takes work.
+        """
+        return [LeavingHost(one.source) for one in self._drains.find_causes()]
+
+    async def _start_tasks(self) -> None:
+        admin = AdminPort(
+            self._settings.listen,
+            self._metrics,
+            {},
+            self.tell_unready,
+        )
+        load_seconds = self._settings.service.load_seconds
+        for task in (
+            admin.run(),
+            self._meter.run(load_seconds),
+            self._service.run_sweeps(),
+            self._watch_drains(),
+        ):
+            await curio.spawn(task, daemon=True)
+
+    async def _watch_drains(self) -> None:
+        causes: tuple[DrainCause, ...] = ()
+        while True:
+            found = self._drains.find_causes()
+            self._record.draining = bool(found)
+            self._metrics.fleet.records.set(len(self._record.memory))
+            if found and found != causes:
+                self._tell_draining(found)
+            causes = found
+            await curio.sleep(WATCH_SECONDS)
+
+    def _tell_draining(self, causes: tuple[DrainCause, ...]) -> None:
+        named = ', '.join(one.source for one in causes)
+        self._program.changes.log_change(
+            Draining(named, self._count_running()),
+        )
+
+    async def _accept(self, listening: Socket) -> None:
+        async with listening:
+            while True:
+                sock, _ = await listening.accept()
+                await curio.spawn(self._service.serve, sock, daemon=True)
+
+    def _count_running(self) -> int:
+        return len(self._record.memory.list_running())
+
+    async def _drain(self, accepting: curio.Task) -> None:
+        self._drains.stopping = True
+        self._record.draining = True
+        await self._node.membership.leave()
+        while self._count_running():
+            await curio.sleep(DRAIN_POLL_SECONDS)
+        # The last answers are still on their way, and an entry whose
+        # connection broke may ask for the rest of one.
+        await curio.sleep(ANSWER_SECONDS)
+        await accepting.cancel()
+        await self._node.stop()
--- a/src/ospreyford/entry/call.py
+++ b/src/ospreyford/entry/call.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 if TYPE_CHECKING:
+    from opentelemetry.trace import SpanContext
+
     from ospreyford.entry.homes import Home
     from ospreyford.entry.outcome import NotRun
     from ospreyford.http.message import Headers
@@ -34,19 +36,21 @@
     body: bytes
     prefix: bytes | None
     tokens: int
+    trace: SpanContext | None
 
 
 class Plan(NamedTuple):
     """What the published documents say of a customer's calls to a service.
 
     ``pools`` holds the hosts of each capacity pool, the preferred pool
-    first. ``homes`` are the backend servers that hold idempotency keys.
+    first. ``engine_priority`` is handed to the engine, 9 being the most
+    urgent. ``homes`` are the backend servers that hold idempotency keys.
     """
 
     pools: tuple[tuple[Host, ...], ...]
     limit: Limit
-    weight: float
     priority: Priority
+    engine_priority: int
     version: str | None
     adapter: str | None
     homes: tuple[Home, ...]
--- /dev/null
+++ b/src/ospreyford/settings/programs.py
@@ -0,0 +1,174 @@
+"""The settings of each program, composed of sections.
+
+A section of another package is one more field whose type is a Struct.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ospreyford.agent.settings import RecordSettings, ServiceSettings
+from ospreyford.distribution.settings import DistributionSettings
+from ospreyford.entry.settings import AttemptSettings, RequestSettings
+from ospreyford.limits.settings import GateSettings
+from ospreyford.membership.settings import MembershipSettings
+from ospreyford.routing.settings import RoutingSettings
+from ospreyford.settings.errors import KeyConflict
+from ospreyford.settings.sections import (
+    Backend,
+    Drain,
+    HttpLimits,
+    Identity,
+    Listen,
+    Logs,
+    Peers,
+    Platform,
+    Traces,
+)
+
+
+class EntrySettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of ``ospreyford-entry``, one field a section."""
+
+    identity: Identity
+    listen: Listen
+    platform: Platform
+    peers: Peers = Peers()
+    membership: MembershipSettings = MembershipSettings()
+    distribution: DistributionSettings = DistributionSettings()
+    http: HttpLimits = HttpLimits()
+    requests: RequestSettings = RequestSettings()
+    attempts: AttemptSettings = AttemptSettings()
+    routing: RoutingSettings = RoutingSettings()
+    limits: GateSettings = GateSettings()
+    drain: Drain = Drain()
+    logs: Logs = Logs()
+    traces: Traces = Traces()
+
+    def __post_init__(self) -> None:
+        """Check keys of different sections against each other.
+
+        :raises KeyConflict: names the key.
+        """
+        check_requests(self.requests)
+        # A request admitted just before the stop may run to its deadline; a
+        # shorter drain would cut it although the stop was planned.
+        check_at_least(
+            'drain.deadline_seconds',
+            self.drain.deadline_seconds,
+            ('requests.max_deadline_seconds', longest_of(self.requests)),
+        )
+
+
+class AgentSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of ``ospreyford-agent``, one field a section.
+
+    ``requests`` must say the same as at the entries: the execution record
+    has to outlast every deadline that an entry admits.
+    """
+
+    identity: Identity
+    listen: Listen
+    platform: Platform
+    backend: Backend
+    peers: Peers = Peers()
+    membership: MembershipSettings = MembershipSettings()
+    distribution: DistributionSettings = DistributionSettings()
+    requests: RequestSettings = RequestSettings()
+    records: RecordSettings = RecordSettings()
+    service: ServiceSettings = ServiceSettings()
+    drain: Drain = Drain()
+    logs: Logs = Logs()
+    traces: Traces = Traces()
+
+    def __post_init__(self) -> None:
+        """Check keys of different sections against each other.
+
+        :raises KeyConflict: names the key.
+        """
+        check_requests(self.requests)
+        check_records(self.records, self.requests)
+        check_at_least(
+            'drain.deadline_seconds',
+            self.drain.deadline_seconds,
+            ('requests.max_deadline_seconds', longest_of(self.requests)),
+        )
+        check_backend(self.backend, self.listen)
+
+
+def check_requests(requests: RequestSettings) -> None:
+    """Refuse a default deadline beyond the maximum.
+
+    :param requests: deadlines of requests.
+    :raises KeyConflict: names the key.
+    """
+    longest = requests.max_deadline_seconds
+    if requests.default_deadline_seconds > longest:
+        raise KeyConflict(
+            'requests.default_deadline_seconds',
+            f'at most requests.max_deadline_seconds, {longest}',
+        )
+
+
+def check_records(records: RecordSettings, requests: RequestSettings) -> None:
+    """Refuse an execution record that forgets too early.
+
+    :param records: bounds of the record.
+    :param requests: deadlines of requests.
+    :raises KeyConflict: names the key.
+    """
+    # A retry may arrive at any time before the request's deadline. If the
+    # first attempt is forgotten by then, a non-idempotent request runs a
+    # second time; if its tombstone is, one that a caller was told was not run
+    # runs after all. The hosts' clocks may differ by the skew, either way.
+    skew = 2 * records.skew_seconds
+    needed = (
+        'requests.max_deadline_seconds + 2 * records.skew_seconds',
+        longest_of(requests) + skew,
+    )
+    check_at_least(
+        'records.retention_seconds', records.retention_seconds, needed
+    )
+    check_at_least(
+        'records.tombstone_seconds', records.tombstone_seconds, needed
+    )
+
+
+def check_backend(backend: Backend, listen: Listen) -> None:
+    """Refuse a backend server at an address of the agent itself.
+
+    :param backend: the backend server.
+    :param listen: the agent's own addresses.
+    :raises KeyConflict: names the key.
+    """
+    own = {listen.data_address, listen.admin_address, listen.peer_address}
+    if backend.address in own:
+        raise KeyConflict(
+            'backend.address', 'an address that is not under listen'
+        )
+
+
+def check_at_least(key: str, found: float, needed: tuple[str, float]) -> None:
+    """Refuse a value below what other keys ask for.
+
+    :param key: the dotted key.
+    :param found: its value.
+    :param needed: what asks for more, and how much.
+    :raises KeyConflict: names the key.
+    """
+    reason, least = needed
+    if found < least:
+        raise KeyConflict(key, f'at least {reason}, {least}')
+
+
+def longest_of(requests: RequestSettings) -> float:
+    """Tell the longest time that a request may take.
+
+    :param requests: deadlines of requests.
+    :returns: seconds.
+    """
+    return requests.max_deadline_seconds
--- a/src/ospreyford/standins/launcher.py
+++ b/src/ospreyford/standins/launcher.py
@@ -27,7 +27,7 @@
 END_SECONDS = 5.0
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class NotStarted(Exception):
     """A process ended, or stayed silent, before it told its ports.
 
@@ -91,6 +91,19 @@
         """
         self._popen.send_signal(number)
 
+    def pause(self) -> None:
+        """Stop the process with SIGSTOP, and wait until it stands still.
+
+        Signals that wait together are delivered by number: a SIGTERM right
+        after an undelivered SIGSTOP would end a process meant to be paused.
+        """
+        self.signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.signal(signal.SIGCONT)
+
     def wait(self, seconds: float = END_SECONDS) -> int:
         """Wait for the process to end.
 
@@ -115,7 +128,7 @@
     def ask_to_end(self) -> None:
         """Send SIGTERM, and SIGCONT in case the process is paused."""
         self.signal(signal.SIGTERM)
-        self.signal(signal.SIGCONT)
+        self.resume()
 
     def kill(self) -> int:
         """End the process at once.
@@ -138,7 +151,10 @@
                 raise NotStarted(self.module, self.exit_code, self.errors)
             time.sleep(POLL_SECONDS)
         line = self._output.stdout.read_bytes().partition(b'\n')[0]
-        self.ports = msgspec.json.decode(line, type=dict[str, int])
+        try:
+            self.ports = msgspec.json.decode(line, type=dict[str, int])
+        except msgspec.MsgspecError as error:
+            raise NotStarted(self.module, None, str(error)) from error
 
 
 class Launcher:
