Declare since when a backend server holds idempotency keys

Cause: entries look for a key at the homes that were valid at its date (entry/homes.py), and a home that joins without a date would take keys that ran elsewhere. Ruled out: dates in the homes list itself (every list would need tables). Change: new_homes with since; Homes.joined; a name in two of a document's lists is refused; between documents the bound that excludes less counts. Guards removed one at a time in a scratch copy: since by max, until by min, a joined name that lasts or was former elsewhere, a former one that is current, winners only -> test_no_document_takes_away_a_declared_home; repeated names -> test_rejection_names_place...; new homes unchecked -> test_check_warns_of_documents_that_miss_their_aim.

--- a/src/ospreyford/documents/capacity.py
+++ b/src/ospreyford/documents/capacity.py
@@ -19,6 +19,28 @@
 )
 
 
+class RepeatedHome(ValueError):
+    """A pool names one backend server as a home in two ways."""
+
+    def __str__(self) -> str:
+        """Say what is allowed.
+
+        :returns: one sentence.
+        """
+        return 'Expected each home once in homes, new_homes and former_homes'
+
+
+class NewHome(Part, frozen=True, kw_only=True):
+    """A backend server that holds idempotency keys from some moment on.
+
+    :param name: the backend server's lasting name.
+    :param since: keys dated before this are not taken there.
+    """
+
+    name: Name
+    since: Annotated[datetime, msgspec.Meta(tz=True)]
+
+
 class FormerHome(Part, frozen=True, kw_only=True):
     """A backend server that held idempotency keys earlier.
 
@@ -29,13 +51,6 @@
     name: Name
     until: Annotated[datetime, msgspec.Meta(tz=True)]
 
-    def until_seconds(self) -> float:
-        """Give ``until`` as the clocks of the system count.
-
-        :returns: seconds since the Unix epoch, UTC.
-        """
-        return self.until.timestamp()
-
 
 class CapacityPool(
     PublishedDocument, frozen=True, kw_only=True, tag='capacity-pool'
@@ -47,6 +62,7 @@
     :param hosts: which hosts belong to it, by their labels.
     :param homes: for services with non-idempotent calls, the names of the
         backend servers that hold idempotency keys.
+    :param new_homes: those that hold them from a stated moment on.
     :param former_homes: those that held them earlier.
     """
 
@@ -54,8 +70,18 @@
     service: Name
     hosts: Selector
     homes: tuple[Name, ...] = ()
+    new_homes: tuple[NewHome, ...] = ()
     former_homes: tuple[FormerHome, ...] = ()
 
+    def __post_init__(self) -> None:
+        names = [
+            *self.homes,
+            *(home.name for home in self.new_homes),
+            *(home.name for home in self.former_homes),
+        ]
+        if len(names) != len(set(names)):
+            raise RepeatedHome
+
 
 class Limits(Part, frozen=True, kw_only=True):
     """What a customer may use; an absent key sets no limit.
--- a/src/ospreyford/documents/checking.py
+++ b/src/ospreyford/documents/checking.py
@@ -156,7 +156,8 @@
     for name, pool in picture.tables.pools.claims():
         if not picture.members(pool.name, hosts):
             yield CheckWarning(name, WarningKind.selects_no_host)
-        for home in pool.homes:
+        new = (home.name for home in pool.new_homes)
+        for home in (*pool.homes, *new):
             if home not in names:
                 yield CheckWarning(name, WarningKind.unknown_home, home)
 
--- a/src/ospreyford/documents/pools.py
+++ b/src/ospreyford/documents/pools.py
@@ -1,32 +1,36 @@
-"""Backend servers of a pool, and who holds a service's idempotency keys."""
+"""Who holds the idempotency keys of a service, and since and until when."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from datetime import datetime
 from typing import NamedTuple
 
 from ospreyford.documents.capacity import CapacityPool
 
 
 class DatedHome(NamedTuple):
-    """A backend server that held idempotency keys earlier.
+    """A backend server and the moment that bounds its time as a home.
 
-    ``until`` is in seconds since the Unix epoch, UTC: keys dated after it
-    cannot have been taken there.
+    ``moment`` is in seconds since the Unix epoch, UTC.
     """
 
     name: str
-    until: float
+    moment: float
 
 
 class Homes(NamedTuple):
     """The backend servers that hold a service's idempotency keys.
 
-    Both are sorted by name; ``former`` names none that is current.
+    ``current`` are all that hold them now or soon; ``joined`` those of them
+    that take only keys dated from a moment on; ``former`` those that took
+    only keys dated up to a moment. Each is sorted by name, and no name is
+    both current and former.
     """
 
     current: tuple[str, ...] = ()
     former: tuple[DatedHome, ...] = ()
+    joined: tuple[DatedHome, ...] = ()
 
 
 def collect_homes(pools: Iterable[CapacityPool]) -> Homes:
@@ -39,17 +43,40 @@
     # Were only one document's list used, a second team's pool could take the
     # first one's homes out of the list, and a repeated call would run again
     # on another backend server. So every declared home counts, and of two
-    # dates of a former one the later.
-    current: set[str] = set()
+    # moments the one that bounds its time less.
+    lasting: set[str] = set()
+    joined: dict[str, float] = {}
     former: dict[str, float] = {}
     for pool in pools:
-        current.update(pool.homes)
-        for home in pool.former_homes:
-            until = home.until_seconds()
-            former[home.name] = max(until, former.get(home.name, until))
+        lasting.update(pool.homes)
+        for new in pool.new_homes:
+            _note(joined, new.name, new.since, min)
+        for old in pool.former_homes:
+            _note(former, old.name, old.until, max)
+    current = lasting.union(joined)
+    return Homes(
+        tuple(sorted(current)),
+        _sort_without(former, current),
+        _sort_without(joined, lasting.union(former)),
+    )
+
+
+def _note(
+    moments: dict[str, float],
+    name: str,
+    date: datetime,
+    choose: Callable[[float, float], float],
+) -> None:
+    moment = date.timestamp()
+    moments[name] = choose(moment, moments.get(name, moment))
+
+
+def _sort_without(
+    moments: dict[str, float], names: set[str]
+) -> tuple[DatedHome, ...]:
     dated = (
-        DatedHome(name, until)
-        for name, until in former.items()
-        if name not in current
+        DatedHome(name, moment)
+        for name, moment in moments.items()
+        if name not in names
     )
-    return Homes(tuple(sorted(current)), tuple(sorted(dated)))
+    return tuple(sorted(dated))
--- a/tests/documents/strategies.py
+++ b/tests/documents/strategies.py
@@ -107,7 +107,7 @@
         + f'name = "{draw(st.sampled_from(POOLS))}"\n'
         + f'service = "{draw(st.sampled_from(SERVICES))}"\n'
         + f'hosts = {draw(selectors())}\nhomes = {homes}\n'
-        + f'former_homes = [{{ name = "h1", until = 2026-01-0{day}T00:00Z }}]'
+        + f'former_homes = [{{ name = "h4", until = 2026-01-0{day}T00:00Z }}]'
     ).replace('T00:00Z', 'T00:00:00Z')
 
 
--- a/tests/documents/test_explanation.py
+++ b/tests/documents/test_explanation.py
@@ -118,6 +118,7 @@
 NOBODY = samples.LIMIT.replace(
     '{ everything = true }', '{ labels.size = "tiny" }'
 )
+DATE = '2026-01-01T00:00:00Z'
 WEIGHTS = (
     'kind = "placement-weights"\nteam = "x"\ntitle = "t"\nservice = "weather"'
 )
@@ -145,6 +146,10 @@
             f'{samples.POOL}homes = ["h9"]',
             CheckWarning('new', WarningKind.unknown_home, 'h9'),
         ),
+        (
+            f'{samples.POOL}new_homes = [{{ name = "h8", since = {DATE} }}]',
+            CheckWarning('new', WarningKind.unknown_home, 'h8'),
+        ),
         (
             samples.DRAIN.replace('r7', 'r8'),
             CheckWarning('new', WarningKind.selects_no_host),
--- a/tests/documents/test_parsing.py
+++ b/tests/documents/test_parsing.py
@@ -19,6 +19,10 @@
 HEX = 'f' * 5000
 DIGITS = '1' * 5000
 BRACKETS = '[' * 5000
+TWICE = (
+    f'{samples.POOL}homes = ["h1"]\n'
+    'former_homes = [{ name = "h1", until = 2026-01-01T00:00:00Z }]'
+)
 POOL = f'{samples.POOL}former_homes = [{{ name = "h1", until = 2026-01-01 }}]'
 
 
@@ -69,6 +73,7 @@
             "'is'",
             'one of equals, in, not-in, exists, absent',
         ),
+        (TWICE, '$', 'a table', 'each home once'),
         (POOL, '$.former_homes[0].until', 'date', 'datetime'),
         (f'{DRAIN}priority = 0x{HEX}', '$.priority', 'bits', '1000'),
         (
--- a/tests/documents/test_rules.py
+++ b/tests/documents/test_rules.py
@@ -184,6 +184,13 @@
     )
 
 
+def joining(name: str, day: int) -> str:
+    moment = f'2026-01-0{day}T00:00:00Z'
+    return homes('', '', 'q') + (
+        f'new_homes = [{{ name = "{name}", since = {moment} }}]\n'
+    )
+
+
 def former(name: str, day: int) -> str:
     return f'{{ name = "{name}", until = 2026-01-0{day}T00:00:00Z }}'
 
@@ -205,6 +212,15 @@
             (homes('', former('h1', 2)), homes('', former('h1', 1), 'q')),
             Homes((), (DatedHome('h1', 1_767_312_000),)),
         ),
+        (
+            (homes('"h1"', ''), joining('h2', 3), joining('h2', 2)),
+            Homes(('h1', 'h2'), (), (DatedHome('h2', 1_767_312_000),)),
+        ),
+        ((homes('"h1"', ''), joining('h1', 2)), Homes(('h1',))),
+        (
+            (homes('', former('h1', 1)), joining('h1', 2)),
+            Homes(('h1',)),
+        ),
     ],
 )
 def test_no_document_takes_away_a_declared_home(
