Test that plans are cut to the budget and layers changed whole

Cause: two guards could be removed with every test green (the budget's bound on copies in Transition._spend_copy, and take_whole): found by removing each guard in a scratch copy. Change: a test for each; timings move to a program of their own, without numpy and matplotlib in the process, whose garbage collection showed as a 65 ms step.

--- a/src/ospreyford/measure/placement.py
+++ b/src/ospreyford/measure/placement.py
@@ -1,7 +1,7 @@
 """Measure the placement policies: ``python -m ospreyford.measure.placement``.
 
 Writes ``docs/MEASUREMENTS-placement.md`` and its plots; the same at every
-run. With ``timing``, prints the processor time and memory instead.
+run. Times are apart: ``python -m ospreyford.measure.placement_timing``.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
     Run,
     Totals,
     bound_run,
+    level_run,
     run_policy,
     weigh_totals,
 )
@@ -30,10 +31,8 @@
 from ospreyford.measure.placement_tables import (
     format_pairs,
     format_runs,
-    format_timings,
     plot_runs,
 )
-from ospreyford.measure.placement_timing import time_sizes
 from ospreyford.placement.variants import (
     Averaged,
     BalanceAlways,
@@ -54,6 +53,7 @@
 UNPLOTTED = frozenset(
     (BALANCE_UNLIMITED.name, 'weighed, last report, no replicas')
 )
+LEVEL_NAME = 'truth known, moves free'
 PAGE = Path('docs/MEASUREMENTS-placement.md')
 PLOTS = Path('docs/plots')
 INTRODUCTION = """# Expert placement, measured
@@ -72,6 +72,9 @@
   seconds. The weights are our choice; the users gave their order only.
 - "balance-always, without limits" has no memory, bound or budget to keep to
   and its maps are in force at once: no group could run it.
+- "truth known, moves free" places by the popularity of each moment itself; its
+  moves are not counted. The lower bounds are mean load and the largest share
+  of one replica.
 """
 
 
@@ -93,10 +96,7 @@
 
 
 def main() -> None:
-    """Write the page, or print the timings."""
-    if sys.argv[1:] == ['timing']:
-        sys.stdout.write(f'{format_timings(time_sizes())}\n')
-        return
+    """Write the page."""
     PLOTS.mkdir(parents=True, exist_ok=True)
     sections = [
         INTRODUCTION,
@@ -128,6 +128,8 @@
         run_policy(deployment, entrant, moments) for entrant in list_entrants()
     ]
     plot = _plot(deployment.name, rows)
+    slots = settings.slots_per_rank
+    rows.append(level_run(moments, shape, slots - 1, LEVEL_NAME))
     least = shape.experts // shape.ranks
     for name, slots in (
         ('lower bound, no replicas', least),
--- a/src/ospreyford/measure/placement_runs.py
+++ b/src/ospreyford/measure/placement_runs.py
@@ -17,7 +17,7 @@
     PensionSeason,
     Tokens,
 )
-from ospreyford.placement.balance import count_replicas
+from ospreyford.placement.balance import balance_layer, count_replicas
 from ospreyford.placement.budget import TokenBucket
 from ospreyford.placement.estimate import scale_loads
 from ospreyford.placement.layer import Expected, LayerState
@@ -281,6 +281,38 @@
     return max(load / count for load, count in zip(loads, counts, strict=True))
 
 
+def level_run(
+    moments: Iterable[Moment], shape: GroupShape, slots: int, name: str
+) -> Totals:
+    """Place by the true popularity at each moment, at no cost.
+
+    This is what a group could reach that knew everything and moved freely.
+
+    :param moments: the popularity over time.
+    :param shape: the group's size.
+    :param slots: experts of one layer that a rank's memory takes.
+    :param name: what the tables call it.
+    :returns: the skews; the moves are not counted.
+    """
+    skews = [
+        measure_skew(
+            _level(moment.truth, shape.ranks, slots),
+            moment.truth,
+            shape.ranks,
+        )
+        for moment in moments
+    ]
+    return Totals(name, skews, list(repeat(0, len(skews))))
+
+
+def _level(truth: Tokens, ranks: int, slots: int) -> ExpertMap:
+    layers = []
+    for loads in scale_loads(truth, ranks):
+        counts = count_replicas(loads, ranks * slots, ranks)
+        layers.append(balance_layer(loads, ranks, slots, counts))
+    return ExpertMap(revision=0, layers=tuple(layers))
+
+
 def bound_run(
     moments: Iterable[Moment], ranks: int, slots: int, name: str
 ) -> Totals:
--- a/src/ospreyford/measure/placement_tables.py
+++ b/src/ospreyford/measure/placement_tables.py
@@ -14,7 +14,6 @@
 
 from ospreyford.measure.drift import HOUR, INTERVAL
 from ospreyford.measure.placement_runs import Totals, weigh_totals
-from ospreyford.measure.placement_timing import Timing
 from ospreyford.placement.settings import PlacementSettings
 
 #: Moments in one point of a plot.
@@ -47,25 +46,6 @@
     return _format([_list_cells(row, settings) for row in rows], RUN_HEADERS)
 
 
-def format_timings(rows: Iterable[Timing]) -> str:
-    """Lay out the times.
-
-    :param rows: one for each size.
-    :returns: a Markdown table.
-    """
-    headers = (
-        'ranks',
-        'layers',
-        'recurring',
-        'slowest judgement (ms)',
-        'longest step (ms)',
-        'share of a core',
-        'memory (KiB)',
-    )
-    formats = ('', '', '', '.1f', '.1f', '.3%', '.0f')
-    return tabulate(rows, headers, 'pipe', floatfmt=formats)
-
-
 def format_pairs(
     rows: Iterable[Sequence[str | float]], headers: Sequence[str]
 ) -> str:
--- a/src/ospreyford/measure/placement_timing.py
+++ b/src/ospreyford/measure/placement_timing.py
@@ -1,13 +1,19 @@
-"""Processor time and memory of one judgement, against the group's size."""
+"""Processor time and memory of one judgement, against the group's size.
+
+``python -m ospreyford.measure.placement_timing`` prints the table.
+"""
 
 from __future__ import annotations
 
+import sys
 import time
 import tracemalloc
 from collections import deque
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from tabulate import tabulate
+
 from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.measure.drift import (
     HOUR,
@@ -42,6 +48,18 @@
 )
 
 
+HEADERS = (
+    'ranks',
+    'layers',
+    'recurring',
+    'slowest judgement (ms)',
+    'longest step (ms)',
+    'share of a core',
+    'memory (KiB)',
+)
+FORMATS = ('', '', '', '.1f', '.1f', '.3%', '.0f')
+
+
 class Timing(NamedTuple):
     """One row: processor time in milliseconds, memory in KiB.
 
@@ -144,3 +162,13 @@
     )
     bucket = TokenBucket(STORE_RATE, settings.max_moves * EXPERT_BYTES, 0)
     return Planner(choose_variant(settings), shape, settings, bucket)
+
+
+def main() -> None:
+    """Print the table."""
+    table = tabulate(list(time_sizes()), HEADERS, 'pipe', floatfmt=FORMATS)
+    sys.stdout.write(f'{table}\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/placement/test_plans.py
+++ b/tests/placement/test_plans.py
@@ -19,6 +19,7 @@
 from ospreyford.placement.policy import Planner
 from ospreyford.placement.reasons import BudgetSpent, PlacementStatic
 from ospreyford.placement.settings import PlacementSettings
+from ospreyford.placement.transition import Transition
 from ospreyford.placement.variants import (
     Averaged,
     BalanceAlways,
@@ -262,6 +263,39 @@
     assert outcome == NoChange(BudgetSpent(10_000))
 
 
+def test_plan_is_cut_to_the_budget() -> None:
+    """Symptom: nothing moves for minutes although there is budget for some.
+
+    Sequence: the budget covers two copies, the balanced map needs more.
+    Cause: a plan that asks for more than there is gets nothing at all.
+    """
+    planner = make_planner(BalanceAlways())
+    outcome = planner.plan(make_report(2.5), spread_experts(SHAPE), 2.5)
+    assert isinstance(outcome, Plan)
+    assert len(outcome.copies) == 2
+
+
+@pytest.mark.parametrize(
+    ('max_moves', 'max_bytes'), [(2, 1000), (5, 1000), (9, 200)]
+)
+def test_layer_is_changed_whole_or_not(
+    max_moves: int, max_bytes: float
+) -> None:
+    """Symptom: experts move and the skew stays.
+
+    Sequence: three experts are to move; bound or budget covers two.
+    Cause: a change cut short costs without lowering the peak.
+    """
+    current = spread_experts(SHAPE)
+    moved = ((2,), (3,), (2,))
+    wanted = moved + current.layers[0][3:]
+    small = Transition(current, SHAPE, 6, max_moves, max_bytes)
+    assert not small.take_whole(0, wanted)
+    assert small.finish() is None
+    enough = Transition(current, SHAPE, 6, 6, 300)
+    assert enough.take_whole(0, wanted)
+
+
 @settings(max_examples=15, deadline=None, derandomize=True)
 @given(
     ranks=st.integers(1, 9),
