--- a/src/ospreyford/membership/prober.py
+++ b/src/ospreyford/membership/prober.py
@@ -121,7 +121,6 @@
     async def _probe_member(self, record: Record) -> None:
         member = record.member
         version = record.version
-        wakes = self._tables.pulse.wakes
         self._tables.counters.probes += 1
         if await self.reaches(
             member.peer_address,
@@ -134,13 +133,7 @@
             self._tables.zones.note_failure(member.zone)
         if not self._targets.is_judged_here(record):
             return
-        is_witnessed = await self._is_unreachable(record)
-        # After a pause in between, the silence may have been this process's.
-        if (
-            is_witnessed
-            and wakes == self._tables.pulse.wakes
-            and not self.is_stale()
-        ):
+        if await self._is_unreachable(record):
             self._suspicions.suspect(record, version)
 
     async def _is_unreachable(self, record: Record) -> bool:
--- a/src/ospreyford/membership/rounds.py
+++ b/src/ospreyford/membership/rounds.py
@@ -62,6 +62,5 @@
             self._wakes = self._tables.pulse.wakes
             self._tables.counters.wakes += 1
             self._suspicions.restart()
-        if not self._prober.is_stale():
-            self._suspicions.expire(self._prober.heard_at)
+        self._suspicions.expire(self._prober.heard_at)
         self._suspicions.sweep()
