--- /dev/null
+++ b/src/ospreyford/entry/program.py
@@ -0,0 +1,153 @@
+"""``ospreyford-entry``: its parts, put together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.entry.directory import FleetDirectory
+from ospreyford.entry.factory import make_parts
+from ospreyford.http.connections import OpenConnections
+from ospreyford.http.server import listen, serve_connection
+from ospreyford.membership.member import MemberState
+from ospreyford.node.announcer import Announcer
+from ospreyford.node.fleetnode import FleetNode
+from ospreyford.observability.admin import AdminPort
+from ospreyford.observability.events import Draining, Ready, Started
+from ospreyford.observability.metrics import Metrics
+from ospreyford.observability.readiness import LeavingHost, NoConfiguration
+from ospreyford.observability.spans import Tracer
+from ospreyford.settings.types import split_address
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+    from ospreyford.console.program import Program
+    from ospreyford.membership.member import StateChange
+    from ospreyford.observability.readiness import Unready
+    from ospreyford.settings.programs import EntrySettings
+
+WITHDRAWN = frozenset((MemberState.leaving, MemberState.dead))
+DRAIN_POLL_SECONDS = 0.05
+READY_POLL_SECONDS = 0.1
+#: A balancer in front may send for so long after it is told to stop.
+LINGER_SECONDS = 0.5
+
+
+class EntryProgram:
+    """One entry, from its settings to its last answer.
+
+    :param program: settings, stop signal and log.
+    """
+
+    def __init__(self, program: Program[EntrySettings]) -> None:
+        settings = program.settings
+        self._program = program
+        self._settings = settings
+        self._metrics = Metrics()
+        self._announcer = Announcer(program.changes, self._metrics)
+        self._node = FleetNode(settings, 'entry', '', self._announcer)
+        self._directory = FleetDirectory()
+        self._tracer = Tracer(settings.traces, settings.identity)
+        self._parts = make_parts(
+            settings,
+            self._node,
+            self._directory,
+            self._metrics,
+            self._tracer,
+        )
+        self.stopping = False
+        self._open = OpenConnections(settings.http.connections)
+
+    async def run(self) -> None:
+        """Run until asked to stop, then finish what is in flight."""
+        self._program.stop.count_in_flight = self._open.count_busy
+        self._listen_to_fleet()
+        sock = listen(*split_address(self._settings.listen.data_address))
+        await self._node.start()
+        await self._start_admin()
+        accepting = await curio.spawn(self._accept, sock, daemon=True)
+        self._program.changes.log_change(
+            Started(
+                'ospreyford-entry',
+                self._settings.identity.instance,
+                self._node.incarnation,
+            ),
+        )
+        await curio.spawn(self._tell_ready, daemon=True)
+        await self._program.stop.requested.wait()
+        await self._drain(accepting)
+
+    def tell_unready(self) -> list[Unready]:
+        """Tell why this entry takes no work now.
+
+        :returns: the reasons; none when it takes work.
+        """
+        reasons: list[Unready] = []
+        if self.stopping:
+            reasons.append(LeavingHost('signal'))
+        if not self._node.configuration.ready or not self._directory.hosts:
+            reasons.append(NoConfiguration())
+        return reasons
+
+    def _listen_to_fleet(self) -> None:
+        self._node.configuration.listen(self._directory.note_picture)
+        self._node.listen_for_hosts(self._directory.note_hosts)
+        self._node.membership.subscribe(self._note_member)
+
+    def _note_member(self, change: StateChange) -> None:
+        name = change.member.name
+        if change.after in WITHDRAWN:
+            self._directory.note_withdrawn(self._directory.withdrawn | {name})
+        else:
+            self._directory.note_withdrawn(self._directory.withdrawn - {name})
+
+    async def _start_admin(self) -> None:
+        admin = AdminPort(
+            self._settings.listen,
+            self._metrics,
+            {},
+            self.tell_unready,
+        )
+        await curio.spawn(admin.run, daemon=True)
+
+    async def _tell_ready(self) -> None:
+        while self.tell_unready():
+            await curio.sleep(READY_POLL_SECONDS)
+        self._program.changes.log_change(Ready())
+
+    async def _accept(self, listening: Socket) -> None:
+        async with listening:
+            while True:
+                sock, _ = await listening.accept()
+                if self._open.is_full():
+                    await sock.close()
+                    continue
+                await curio.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, sock: Socket) -> None:
+        await serve_connection(
+            sock,
+            self._settings.http.to_limits(),
+            self._parts.service.serve,
+            self._parts.service.refuse,
+            self._open,
+        )
+
+    async def _drain(self, accepting: curio.Task) -> None:
+        self.stopping = True
+        self._open.closing = True
+        self._program.changes.log_change(
+            Draining('signal', self._open.count_busy()),
+        )
+        # The balancer learns of the stop with a lag: what it still sends on
+        # new connections and old ones is served, until nothing comes any more.
+        await curio.sleep(LINGER_SECONDS)
+        await accepting.cancel()
+        quiet_since = self._node.clock.monotonic()
+        while self._node.clock.monotonic() - quiet_since < LINGER_SECONDS:
+            await curio.sleep(DRAIN_POLL_SECONDS)
+            if self._open.count_busy():
+                quiet_since = self._node.clock.monotonic()
+        await self._node.stop()
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any
 
@@ -12,6 +13,7 @@
     BadMessage,
     ConnectionLost,
     ConnectionRefused,
+    Unsendable,
 )
 from ospreyford.http.message import Request, Response
 
@@ -29,6 +31,7 @@
 
     def __init__(self, sock: Socket) -> None:
         self._sock = sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._parser = h11.Connection(h11.CLIENT)
 
     @classmethod
@@ -56,19 +59,10 @@
 
         :param request: the head; ``host`` must be among its fields.
         :param body: the body's bytes; its length is announced.
+        :raises Unsendable: not a valid request; nothing was sent.
         :raises ConnectionLost: the request may or may not have arrived.
         """
-        length = (b'content-length', str(len(body)).encode())
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=[*request.headers, length],
-        )
-        encoded = [self._parser.send(head) or b'']
-        if body:
-            encoded.append(self._parser.send(h11.Data(data=body)) or b'')
-        encoded.append(self._parser.send(h11.EndOfMessage()) or b'')
-        await self._send_all(b''.join(encoded))
+        await self._send_all(self._encode(request, body))
 
     async def read_head(self) -> Response:
         """Wait for the answer's head.
@@ -125,6 +119,21 @@
         """Close the connection."""
         await self._sock.close()
 
+    def _encode(self, request: Request, body: bytes) -> bytes:
+        length = (b'content-length', str(len(body)).encode())
+        fields = [*request.headers, length]
+        try:
+            head = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=fields,
+            )
+            encoded = self._parser.send(head) or b''
+        except h11.LocalProtocolError as error:
+            raise Unsendable(str(error)) from None
+        encoded += self._parser.send(h11.Data(data=body)) or b''
+        return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
+
     async def _send_all(self, encoded: bytes) -> None:
         try:
             await self._sock.sendall(encoded)
--- a/src/ospreyford/membership/settings.py
+++ b/src/ospreyford/membership/settings.py
@@ -7,7 +7,7 @@
 import msgspec
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class PauseTooShort(ValueError):
     """An ordinary wait would be taken for a pause of the process."""
 
@@ -21,7 +21,12 @@
         )
 
 
-class MembershipSettings(msgspec.Struct, frozen=True, kw_only=True):
+class MembershipSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
     """How members watch each other.
 
     :param seeds: peer addresses to join through, besides the host list.
--- /dev/null
+++ b/src/ospreyford/node/__init__.py
@@ -0,0 +1,1 @@
+"""What entries and agents share: peers, membership, documents, hosts."""
