--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -216,7 +216,10 @@
 
 
 def ask_handler(process: Process, topic: str, body: bytes) -> SteppedTask:
-    return process.stepper.spawn('test', process.handlers[topic](body))
+    async def call() -> bytes | None:
+        return await process.handlers[topic](body)
+
+    return process.stepper.spawn('test', call())
 
 
 numbers = st.integers(-9, 9)
