Share customer limits between entries and queue fairly in the entry

Cause: the limits package was not wired in; a full fleet refused at once. Change: LimitShare behind the gate, a waiting room that turns the fair queue's waiters into tasks (whoever waits goes before newcomers), homes of keys dated by since and until; the dispatcher is split into sender, spread and keyed.

--- a/src/ospreyford/entry/directory.py
+++ b/src/ospreyford/entry/directory.py
@@ -179,12 +179,20 @@
 
 def _find_homes(picture: Picture, service: str) -> tuple[Home, ...]:
     declared = picture.homes(service)
-    current = tuple(Home(name) for name in declared.current)
-    former = tuple(
-        Home(home.name, until=int(home.until * MILLISECONDS))
-        for home in declared.former
-    )
-    return current + former
+    joined = dict(declared.joined)
+    homes = [
+        Home(name, since=_to_date(joined.get(name)))
+        for name in declared.current
+    ]
+    homes += [
+        Home(former.name, until=_to_date(former.moment))
+        for former in declared.former
+    ]
+    return tuple(homes)
+
+
+def _to_date(moment: float | None) -> int | None:
+    return None if moment is None else int(moment * MILLISECONDS)
 
 
 def _name_cause(reason: Reason) -> Cause:
--- a/src/ospreyford/entry/factory.py
+++ b/src/ospreyford/entry/factory.py
@@ -6,8 +6,12 @@
 
 from ospreyford.entry.admission import Admission
 from ospreyford.entry.dispatcher import Dispatcher
+from ospreyford.entry.sending import Wiring
 from ospreyford.entry.service import Admitting, EntryService
+from ospreyford.entry.waiting import WaitingRoom
 from ospreyford.limits.gate import LimitGate
+from ospreyford.limits.share import EntryIdentity, LimitShare
+from ospreyford.node.entries import LiveEntries
 from ospreyford.routing.query import Identity
 from ospreyford.routing.router import Router
 from ospreyford.wire.pool import ConnectionPool, PoolSettings
@@ -24,8 +28,8 @@
     """What serves callers, and the parts of it that the program looks at."""
 
     service: EntryService
-    router: Router
-    gate: LimitGate
+    share: LimitShare
+    room: WaitingRoom
 
 
 def make_parts(
@@ -44,25 +48,45 @@
     :param tracer: keeps the spans.
     :returns: the parts, ready to serve.
     """
-    identity = settings.identity
-    me = Identity(identity.name, identity.zone, identity.region)
-    router = Router(settings.routing, me, node.rng)
-    gate = LimitGate(settings.limits)
-    admission = Admission(settings.requests, directory, node.clock)
-    dispatcher = Dispatcher(
-        settings.requests,
+    share = _make_share(settings, node)
+    room = WaitingRoom(settings.queue, node.clock)
+    admitting = Admitting(
+        Admission(settings.requests, directory, node.clock),
+        directory,
+        LimitGate(settings.limits, share),
+        node.pauses,
+    )
+    wiring = Wiring(
         settings.attempts,
-        router,
+        _make_router(settings, node),
         ConnectionPool(PoolSettings(), node.clock),
-        directory,
         node.clock,
         metrics.requests,
+        room,
     )
     service = EntryService(
-        Admitting(admission, directory, gate, node.pauses),
-        dispatcher,
+        admitting,
+        Dispatcher(settings.requests, wiring, directory),
         node.clock,
         metrics,
         tracer,
     )
-    return EntryParts(service, router, gate)
+    return EntryParts(service, share, room)
+
+
+def _make_router(settings: EntrySettings, node: FleetNode) -> Router:
+    identity = settings.identity
+    me = Identity(identity.name, identity.zone, identity.region)
+    return Router(settings.routing, me, node.rng)
+
+
+def _make_share(settings: EntrySettings, node: FleetNode) -> LimitShare:
+    entries = LiveEntries(node.membership)
+    node.listen_for_hosts(entries.note_hosts)
+    return LimitShare(
+        settings.sharing,
+        EntryIdentity(settings.identity.name, node.incarnation),
+        node.peers,
+        entries,
+        node.clock,
+    )
--- /dev/null
+++ b/src/ospreyford/entry/keyed.py
@@ -0,0 +1,152 @@
+"""Sends calls that carry an idempotency key to the key's home."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.entry.homes import order_homes
+from ospreyford.entry.outcome import (
+    AttemptOutcome,
+    Cause,
+    Moved,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from ospreyford.entry.sending import Sending, make_headers, settle_outcome
+from ospreyford.routing.query import Attempt as AttemptKind
+
+if TYPE_CHECKING:
+    from ospreyford.entry.call import Call, Directory, Plan
+    from ospreyford.entry.sending import Sender
+    from ospreyford.entry.settings import RequestSettings
+    from ospreyford.entry.sink import Sink
+
+
+class KeyedDispatcher:
+    """Finds the one place where a key may run, and what became of it there.
+
+    :param settings: bounds of a request.
+    :param sender: makes attempts.
+    :param directory: hosts by name.
+    """
+
+    def __init__(
+        self,
+        settings: RequestSettings,
+        sender: Sender,
+        directory: Directory,
+    ) -> None:
+        self._settings = settings
+        self._sender = sender
+        self._directory = directory
+
+    async def send_home(self, call: Call, plan: Plan, sink: Sink) -> Outcome:
+        """See a call with a key through to its outcome.
+
+        :param call: the admitted call.
+        :param plan: the homes of its key.
+        :param sink: where the answer goes.
+        :returns: how it ended.
+        """
+        identity = _name_key(call)
+        order = order_homes(plan.homes, identity, call.dated)
+        for name in order.asked:
+            outcome = await self._ask(call, name, sink, moved=True)
+            if not isinstance(outcome, Moved):
+                return self._settle(outcome)
+        for home in order.chain:
+            host = self._directory.find_host(home)
+            if host is None:
+                break
+            sending = Sending(
+                host,
+                AttemptKind.first,
+                identity,
+                call.dated,
+                make_headers(plan),
+            )
+            outcome = await self._sender.send(call, sending, sink)
+            if not _goes_to_next_home(outcome):
+                return self._settle_keyed(outcome)
+        return Unknown(
+            Cause.home_unreachable,
+            self._settings.retry_after_seconds,
+        )
+
+    async def look_up(
+        self,
+        call: Call,
+        plan: Plan,
+        sink: Sink,
+        refusal: NotRun,
+    ) -> Outcome:
+        """Answer a call that is refused at the door.
+
+        A key may have run by an earlier sending through another entry. Only
+        its home can say that it did not; if it did, its answer costs nothing
+        more.
+
+        :param call: the refused call.
+        :param plan: what it might have used.
+        :param sink: where an answer goes.
+        :param refusal: what to say if it did not run.
+        :returns: how it ended.
+        """
+        if call.idempotent or not call.key:
+            return refusal
+        order = order_homes(plan.homes, _name_key(call), call.dated)
+        for name in (*order.asked, *order.chain[:1]):
+            outcome = await self._ask(call, name, sink, moved=False)
+            if not isinstance(outcome, NotRun):
+                return self._settle(outcome)
+        return refusal
+
+    async def _ask(
+        self,
+        call: Call,
+        name: str,
+        sink: Sink,
+        *,
+        moved: bool,
+    ) -> AttemptOutcome:
+        host = self._directory.find_host(name)
+        if host is None:
+            return Unknown(Cause.home_unreachable, 0)
+        sending = Sending(
+            host,
+            AttemptKind.retry,
+            _name_key(call),
+            call.dated,
+            headers=(),
+        )
+        attempt = self._sender.make_attempt(call, sending, sink)
+        return await attempt.ask(host, moved=moved)
+
+    def _settle_keyed(self, outcome: AttemptOutcome) -> Outcome:
+        # This entry sent nothing, but an earlier sending of the key through
+        # another entry may have reached the home before it was lost.
+        if isinstance(outcome, NotRun) and outcome.cause is Cause.unreachable:
+            return Unknown(
+                Cause.home_unreachable,
+                self._settings.retry_after_seconds,
+            )
+        return self._settle(outcome)
+
+    def _settle(self, outcome: AttemptOutcome) -> Outcome:
+        return settle_outcome(outcome, self._settings.retry_after_seconds)
+
+
+def _goes_to_next_home(outcome: AttemptOutcome) -> bool:
+    match outcome:
+        case Moved():
+            return True
+        case NotRun(cause=Cause.draining):
+            return True
+        case _:
+            return False
+
+
+def _name_key(call: Call) -> str:
+    # Keys of two customers never meet: one would read the other's answer.
+    return '/'.join((call.customer, call.service, call.key))
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -70,6 +70,8 @@
         self._node.peers.serve(Topic.spans, answer_spans(self._tracer.store))
         await self._node.start()
         await self._start_admin()
+        await curio.spawn(self._parts.share.run, daemon=True)
+        await curio.spawn(self._parts.room.run, daemon=True)
         accepting = await curio.spawn(self._accept, sock, daemon=True)
         self._program.changes.log_change(
             Started(
--- a/src/ospreyford/entry/service.py
+++ b/src/ospreyford/entry/service.py
@@ -153,15 +153,17 @@
         plan = self._find_plan(call)
         if isinstance(plan, NotRun):
             return _judge_planless(call, plan)
+        now = self._clock.monotonic()
         verdict = self._admitting.gate.admit(
             call.customer,
             plan.limit,
             call.tokens,
-            self._clock.monotonic(),
+            now,
         )
         if isinstance(verdict, Refused):
             refusal = NotRun(Cause.limited, verdict.retry_after)
-            return await self._dispatcher.look_up(call, plan, sink, refusal)
+            keyed = self._dispatcher.keyed
+            return await keyed.look_up(call, plan, sink, refusal)
         return await self._dispatch(call, plan, sink)
 
     def _find_plan(self, call: Call) -> Plan | NotRun:
--- /dev/null
+++ b/src/ospreyford/node/entries.py
@@ -0,0 +1,62 @@
+"""The entries of the fleet, for the sharing of customer limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.limits.homes import EntryView
+from ospreyford.membership.member import MemberState
+
+if TYPE_CHECKING:
+    from ospreyford.membership.member import StateChange
+    from ospreyford.membership.service import Membership
+    from ospreyford.ports.fleet import Host
+
+ENTRY_ROLE = 'entry'
+
+
+class LiveEntries:
+    """Live and known entries, looked up anew only after a change.
+
+    :param membership: who is live.
+    """
+
+    def __init__(self, membership: Membership) -> None:
+        self._membership = membership
+        self._listed: frozenset[str] = frozenset()
+        self._view: EntryView | None = None
+        membership.subscribe(self._forget)
+
+    def note_hosts(self, hosts: tuple[Host, ...]) -> None:
+        """Take over a newly read host list.
+
+        :param hosts: all hosts of the fleet.
+        """
+        listed = frozenset(
+            host.name for host in hosts if host.role == ENTRY_ROLE
+        )
+        if listed != self._listed:
+            self._listed = listed
+            self._view = None
+
+    def view(self) -> EntryView:
+        """Tell the present view.
+
+        :returns: the view; the same object while nothing changes.
+        """
+        if self._view is None:
+            self._view = self._look()
+        return self._view
+
+    def _look(self) -> EntryView:
+        live = {
+            member.name: member.peer_address
+            for member in self._membership.members(role=ENTRY_ROLE)
+            if self._membership.state_of(member.name) is MemberState.live
+        }
+        known = len(self._listed.union(live))
+        return EntryView(live, known)
+
+    def _forget(self, change: StateChange) -> None:
+        if change.member.role == ENTRY_ROLE:
+            self._view = None
--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -10,7 +10,11 @@
 from ospreyford.agent.settings import RecordSettings, ServiceSettings
 from ospreyford.distribution.settings import DistributionSettings
 from ospreyford.entry.settings import AttemptSettings, RequestSettings
-from ospreyford.limits.settings import GateSettings
+from ospreyford.limits.settings import (
+    GateSettings,
+    QueueSettings,
+    ShareSettings,
+)
 from ospreyford.membership.settings import MembershipSettings
 from ospreyford.routing.settings import RoutingSettings
 from ospreyford.settings.errors import KeyConflict
@@ -41,6 +45,8 @@
     attempts: AttemptSettings = AttemptSettings()
     routing: RoutingSettings = RoutingSettings()
     limits: GateSettings = GateSettings()
+    sharing: ShareSettings = ShareSettings()
+    queue: QueueSettings = QueueSettings()
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
--- a/src/ospreyford/standins/demo.py
+++ b/src/ospreyford/standins/demo.py
@@ -162,6 +162,9 @@
         spans = ask(port, f'/traces?request={told.request_id}')
     except HttpError:
         return
+    # A request that was refused at once has no hops to show.
+    if isinstance(spans, dict):
+        return
     for span in spans:
         _say(
             '    {hop:8} {host:28} {outcome:10} {took:.1f} ms'.format(
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -18,11 +18,14 @@
 from ospreyford.entry.dispatcher import Dispatcher
 from ospreyford.entry.homes import Home
 from ospreyford.entry.outcome import Outcome
+from ospreyford.entry.sending import Wiring
 from ospreyford.entry.settings import AttemptSettings, RequestSettings
 from ospreyford.entry.sink import CallerGone
+from ospreyford.entry.waiting import WaitingRoom
 from ospreyford.http.message import Headers
 from ospreyford.http.server import listen, port_of
 from ospreyford.limits.limit import Limit
+from ospreyford.limits.settings import QueueSettings
 from ospreyford.observability.metrics import Metrics
 from ospreyford.observability.spans import Tracer
 from ospreyford.ports.clock import SystemClock
@@ -200,8 +203,7 @@
     def make_entry(self, seed: int = 1) -> Dispatcher:
         """Make an entry that shares nothing with any other."""
         clock = SystemClock()
-        return Dispatcher(
-            RequestSettings(),
+        wiring = Wiring(
             TIMES,
             Router(
                 RoutingSettings(),
@@ -209,10 +211,11 @@
                 random.Random(seed),
             ),
             ConnectionPool(POOL, clock),
-            self.directory,
             clock,
             Metrics().requests,
+            WaitingRoom(QueueSettings(), clock),
         )
+        return Dispatcher(RequestSettings(), wiring, self.directory)
 
     def count_runs(self, tag: bytes) -> int:
         """Count the runs of a request over all back ends."""
