Measure the picture against the number of customers

Cause: docs/CAPACITY.md needs slopes, and a large document's cost was not known. Change: two arguments for the measurement, a row for the largest document.

--- a/src/ospreyford/documents/resolver.py
+++ b/src/ospreyford/documents/resolver.py
@@ -18,7 +18,10 @@
     """Takes in revisions and gives the picture that follows from them.
 
     The picture depends on the set of revisions taken in and on nothing
-    else: not on their order, grouping or repetition.
+    else: not on their order, grouping or repetition. Reading a document of a
+    megabyte can take a second, so :meth:`record` is to be called in a
+    thread, by one caller at a time; ``picture`` is exchanged whole at its
+    end and may be read meanwhile.
     """
 
     def __init__(self) -> None:
--- a/src/ospreyford/measure/documents.py
+++ b/src/ospreyford/measure/documents.py
@@ -1,7 +1,8 @@
 """Time and memory of the resolved picture at the size to design for.
 
-Run ``python -m ospreyford.measure.documents [customers-per-document]``; it
-prints one table as Markdown. The documents are the same in every run.
+Run ``python -m ospreyford.measure.documents [customers-per-document
+[customers]]``; it prints one table as Markdown. The documents are the same
+in every run.
 """
 
 from __future__ import annotations
@@ -17,11 +18,13 @@
 from tabulate import tabulate
 
 from ospreyford.documents.history import DocumentEntry
+from ospreyford.documents.parsing import parse_document
 from ospreyford.documents.picture import Picture
 from ospreyford.documents.resolver import Resolver
 from ospreyford.measure.samples import (
     CUSTOMERS,
     CUSTOMERS_A_DOCUMENT,
+    CUSTOMERS_A_MEGABYTE,
     HOSTS,
     OTHERS,
     SEED,
@@ -50,16 +53,19 @@
     unit: str
 
 
-def measure(a_document: int) -> Iterator[Row]:
+def measure(
+    a_document: int = CUSTOMERS_A_DOCUMENT, customers: int = CUSTOMERS
+) -> Iterator[Row]:
     """Measure all quantities.
 
     :param a_document: customers in one document.
+    :param customers: customers in all.
     :returns: the rows, as they are known.
     """
     entries = [
         DocumentEntry(f'doc-{number}', 1, text.encode())
         for number, text in enumerate(
-            [*write_customers(a_document), *write_others()]
+            [*write_customers(a_document, customers), *write_others()]
         )
     ]
     hosts = make_hosts()
@@ -117,15 +123,18 @@
         customers.replace('size-0', f'size-{number}') for number in CHANGES
     ]
     yield _measure_change(resolver, 'customer', versions)
+    largest = next(write_customers(CUSTOMERS_A_MEGABYTE)).encode()
+    yield Row('size of the largest document', len(largest) / KILOBYTE, 'kB')
+    seconds = _timed(lambda: parse_document('largest', largest))
+    yield Row('parsing of it', seconds, 's')
 
 
 def main(arguments: Iterable[str] = ()) -> None:
     """Print the table.
 
-    :param arguments: customers in one document, if given.
+    :param arguments: customers in one document and in all, if given.
     """
-    given = [int(text) for text in arguments]
-    rows = measure(given[0] if given else CUSTOMERS_A_DOCUMENT)
+    rows = measure(*(int(text) for text in arguments))
     headers = ('quantity', 'figure', 'unit')
     table = tabulate(rows, headers, tablefmt='github', floatfmt='.3g')
     sys.stdout.write(f'{table}\n')
--- a/src/ospreyford/measure/samples.py
+++ b/src/ospreyford/measure/samples.py
@@ -22,6 +22,9 @@
 PRIORITIES = 9
 CUSTOMERS_A_DOCUMENT = 100
 
+#: So many customers make a document of nearly a megabyte.
+CUSTOMERS_A_MEGABYTE = 12_500
+
 HEAD = """
 kind = "{kind}"
 team = "team-{team}"
@@ -81,15 +84,18 @@
     )
 
 
-def write_customers(a_document: int) -> Iterator[str]:
+def write_customers(
+    a_document: int, customers: int = CUSTOMERS
+) -> Iterator[str]:
     """Write the customers' documents.
 
     :param a_document: customers in one document.
+    :param customers: customers in all.
     :returns: the texts.
     """
     rng = Random(SEED)
-    for start in range(0, CUSTOMERS, a_document):
-        ids = range(start, min(start + a_document, CUSTOMERS))
+    for start in range(0, customers, a_document):
+        ids = range(start, min(start + a_document, customers))
         tables = ''.join(_customer_table(number, rng) for number in ids)
         yield write_document('customer', '', start) + tables
 
