--- a/src/ospreyford/console/program.py
+++ b/src/ospreyford/console/program.py
@@ -163,8 +163,10 @@
 ) -> Failed | None:
     try:
         await start(program)
-    except (OSError, PeerError) as error:
+    except OSError as error:
         return Failed(str(error))
+    except PeerError as error:
+        return Failed(': '.join(map(str, error.args)))
     return None
 
 
--- a/tests/console/test_program.py
+++ b/tests/console/test_program.py
@@ -86,6 +86,7 @@
 # Settings, exit code and the start of the only line.
 FAILURES = (
     ('taken', 60, 1, 'cannot run: [Errno 98] Address already in use'),
+    ('peer-taken', 60, 1, 'cannot run: 127.0.0.1:8102: in use'),
     ('Z', 60, 2, ': identity.zone = "Z": allowed: 1 to 63 of'),
     ('a', 0.1, 2, ': drain.deadline_seconds = 0.1: allowed: at least'),
 )
