--- a/src/ospreyford/console/render.py
+++ b/src/ospreyford/console/render.py
@@ -92,14 +92,20 @@
 
 
 def _is_table(rows: list[Any]) -> bool:
-    return len(rows) > 1 and all(
+    return all(
         isinstance(row, dict)
         and row.keys() == rows[0].keys()
-        and all(isinstance(cell, _SCALARS) for cell in row.values())
+        and all(_is_cell(cell) for cell in row.values())
         for row in rows
     )
 
 
+def _is_cell(found: object) -> bool:
+    if isinstance(found, list):
+        return all(isinstance(inner, _SCALARS) for inner in found)
+    return isinstance(found, _SCALARS)
+
+
 def _printable_rows(rows: list[Any]) -> list[dict[str, str]]:
     return [
         {make_printable(key): _show(cell) for key, cell in row.items()}
@@ -108,4 +114,10 @@
 
 
 def _show(found: object) -> str:
-    return make_printable('none' if found is None else str(found))
+    match found:
+        case None:
+            return 'none'
+        case list():
+            return ', '.join(map(_show, found))
+        case _:
+            return make_printable(str(found))
--- a/src/ospreyford/observability/admin.py
+++ b/src/ospreyford/observability/admin.py
@@ -209,7 +209,8 @@
             detail = f'{error.parameter}: allowed: {error.allowed}'
             return explain_problem(BAD_QUERY, 'BadQuery', detail)
         except NothingFound as error:
-            return explain_problem(NOT_FOUND, 'NothingFound', error.subject)
+            detail = f'nothing found: {error.subject}'
+            return explain_problem(NOT_FOUND, 'NothingFound', detail)
         # One broken view must leave the others, and /metrics, working.
         except Exception as error:
             return explain_problem(FAILED, type(error).__name__, str(error))
