--- a/src/ospreyford/distribution/pull.py
+++ b/src/ospreyford/distribution/pull.py
@@ -35,6 +35,7 @@
     def __init__(self, state: State, exchange: Exchange) -> None:
         self._state = state
         self._exchange = exchange
+        self._place = PageQuestion(0, '')
 
     def holds(self, theirs: Digest) -> bool:
         """Tell by a digest that everything of a peer is held.
@@ -63,27 +64,28 @@
         if self.holds(theirs):
             return True
         self._state.counters.repairs += 1
-        revision = self._state.replica.revision
-        place = PageQuestion(revision, LAST_NAME)
-        if not self._state.settled:
-            # Rumours reach a fresh process too, so its highest revision
-            # says nothing about those below.
-            place = PageQuestion(0, '')
-        if theirs.revision > place.revision:
-            if not await self._pull_pages(address, place):
+        if self._state.settled:
+            revision = self._state.replica.revision
+            self._place = PageQuestion(revision, LAST_NAME)
+        # A fresh process goes on where a cut snapshot ended, with whatever
+        # peer; its highest revision says nothing, as rumours reach it too.
+        if theirs.revision > self._place.revision:
+            if not await self._pull_pages(address):
                 return False
         return self.holds(theirs) or await self._walk(address)
 
-    async def _pull_pages(self, address: str, place: PageQuestion) -> bool:
+    async def _pull_pages(self, address: str) -> bool:
         while True:
-            page = await self._exchange.ask(address, Topic.page, place, Page)
+            page = await self._exchange.ask(
+                address, Topic.page, self._place, Page
+            )
             if page is None:
                 return False
             self._take(page)
             if not (page.more and page.entries):
                 return True
             last = page.entries[-1]
-            place = PageQuestion(last.revision, last.name)
+            self._place = PageQuestion(last.revision, last.name)
 
     async def _walk(self, address: str) -> bool:
         branches = await self._find_differing(address, None)
--- /dev/null
+++ b/tests/distribution/test_failures.py
@@ -0,0 +1,187 @@
+"""Failures one by one, each as short as it can be told."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from ospreyford.distribution.entries import Entry
+from tests.distribution.world import MAX_STEPS, World
+
+POOL = 'pool'
+
+
+def build_fleet(seed: int, size: int = 4) -> World:
+    world = World(rng=Random(seed))
+    world.replicas.append(world.store.copy())
+    world.store.publish(POOL, b'first')
+    for number in range(size):
+        world.start(f'host-{number}')
+    assert world.run_until_same()
+    return world
+
+
+def revision_of(world: World, number: int) -> int:
+    process = [*world.processes.values()][number]
+    return process.read_marks().get(POOL, (0,))[0]
+
+
+@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize('mode', ['stale', 'flap', 'down'])
+def test_fresh_process_beside_a_stale_service(seed: int, mode: str) -> None:
+    """Symptom: a replaced host takes work under a withdrawn document.
+
+    The service serves an old replica; a host is replaced; its new process
+    has no mark, and reads the service before it asks a peer.
+    """
+    world = build_fleet(seed)
+    world.mode = mode
+    fresh = world.replace([*world.processes.values()][0])
+    assert world.run_until_ready(fresh)
+    assert fresh.read_marks()[POOL][0] == world.store.revision
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_fresh_process_cut_off_from_all_who_know(seed: int) -> None:
+    """Symptom: a partition ends with two pictures, one of them older.
+
+    Two hosts are replaced and cut off together, the service is stale; each
+    fresh process meets only the other fresh one and trusts the service.
+    """
+    world = build_fleet(seed, size=6)
+    world.mode = 'stale'
+    fresh = [world.replace(one) for one in [*world.processes.values()][:2]]
+    world.dead.clear()
+    world.cut = frozenset(one.member.address for one in fresh)
+    for _ in range(MAX_STEPS):
+        world.move()
+    assert not any(one.ready for one in fresh)
+    world.heal()
+    assert world.run_until_same()
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_fresh_process_paused_while_others_learned(seed: int) -> None:
+    """Symptom: a process wakes and serves the documents of yesterday.
+
+    Everybody is fresh; one is paused with its permit to trust the service
+    in hand. The others start, documents change, and its next call meets a
+    replica of the service that is as old as the permit.
+    """
+    world = World(rng=Random(seed))
+    world.store.publish(POOL, b'first')
+    world.replicas.append(world.store.copy())
+    world.mode = 'down'
+    sleeper = world.start('host-0')
+    for number in (2, 4):
+        world.start(f'host-{number}')
+    for _ in range(600):
+        world.move()
+    world.pause(sleeper)
+    world.mode = 'up'
+    world.store.publish(POOL, b'second')
+    others = [*world.processes.values()][1:]
+    # Membership holds the sleeper for dead meanwhile.
+    del world.processes[sleeper.member.address]
+    parked = [*world.stepper.tasks]
+    world.stepper.tasks = [
+        one for one in parked if one.name != sleeper.member.address
+    ]
+    assert world.run_until_same()
+    world.processes[sleeper.member.address] = sleeper
+    world.stepper.tasks = [one for one in parked if not one.done]
+    world.wake(sleeper, 100)
+    world.mode = 'stale'
+    assert world.run_until_ready(sleeper)
+    assert sleeper.read_marks() == others[0].read_marks()
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_watch_that_a_rumour_overtook(seed: int) -> None:
+    """Symptom: one document stays old on all processes, without an error.
+
+    A reader learns revision 3 by a rumour before it has read revision 2.
+    If it watched behind the highest revision it holds, the service would
+    never tell it of revision 2 again; the one who had read it is gone.
+    """
+    world = build_fleet(seed)
+    world.mode = 'down'
+    world.store.publish('limits', b'second')
+    newer = world.store.copy()
+    newer.publish('drain', b'third')
+    world.store.revision = newer.revision
+    world.store.documents = newer.documents
+    first = [*world.processes.values()][0]
+    state = first.distributor._state
+    state.apply((entry_of(world, 'drain'),))
+    for _ in range(1_000):
+        world.move()
+    world.heal()
+    assert world.run_until_same()
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_text_from_an_older_replica(seed: int) -> None:
+    """Symptom: a change is missed for good after the service flapped.
+
+    The watch meets a new replica and tells of a change, the read of the
+    text meets an old one. If the watch's revision were noted as read, the
+    next watch would not tell of the change again.
+    """
+    world = build_fleet(seed)
+    world.replicas[:] = [world.store.copy()]
+    world.store.publish(POOL, b'second')
+    world.mode = 'flap'
+    for _ in range(300):
+        world.move()
+    world.heal()
+    assert world.run_until_same()
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_two_texts_of_one_revision(seed: int) -> None:
+    """Symptom: two processes disagree for ever, each sure of itself.
+
+    Two replicas of the service give different texts with one revision; some
+    processes learn the one first, some the other.
+    """
+    world = build_fleet(seed)
+    held = world.store.documents[POOL]
+    texts = [b'left', b'right', b'centre', b'outer']
+    for text, process in zip(texts, world.processes.values(), strict=True):
+        published = held._replace(revision=held.revision + 1, text=text)
+        world.store.documents[POOL] = published
+        process.distributor._state.apply((entry_of(world, POOL),))
+    world.store.revision += 1
+    assert world.run_until_same()
+    for process in world.processes.values():
+        assert process.read_marks()[POOL][2] == b'right'
+    counts = [one.distributor.counters for one in world.processes.values()]
+    assert any(one.conflicts for one in counts)
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_snapshot_cut_in_the_middle(seed: int) -> None:
+    """Symptom: a fresh process serves half of the documents.
+
+    The peer that gives the first picture dies between two pages.
+    """
+    world = World(rng=Random(seed))
+    for number in range(40):
+        world.store.publish(f'limits-{number}', bytes(30_000))
+    for number in range(3):
+        world.start(f'host-{number}')
+    assert world.run_until_same()
+    world.mode = 'down'
+    fresh = world.start('host-3')
+    sizes = []
+    fresh.distributor.subscribe(lambda changed: sizes.append(len(changed)))
+    world.loss = 0.3
+    assert world.run_until_ready(fresh)
+    assert len(fresh.read_marks()) == len(world.store.documents)
+    assert sizes[0] == len(world.store.documents)
+
+
+def entry_of(world: World, name: str) -> Entry:
+    return Entry(name, *world.store.documents[name])
