--- a/src/ospreyford/measure/membership.py
+++ b/src/ospreyford/measure/membership.py
@@ -14,27 +14,36 @@
 import sys
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
+from multiprocessing.connection import Connection
 from typing import Final
 
+import msgspec
 from tabulate import tabulate
 
 from ospreyford.measure.membership_nodes import (
-    MEASURED_SECONDS,
     ZONES,
     Usage,
     run_worker,
 )
 from ospreyford.membership.exchanges import Exchanges
 from ospreyford.membership.member import Member, Version
+from ospreyford.membership.messages import Exchange
 from ospreyford.membership.settings import MembershipSettings
+from ospreyford.membership.suspicions import Suspicions
 from ospreyford.membership.tables import Tables, build_tables
+from ospreyford.membership.targets import Targets
 from ospreyford.ports.clock import SystemClock
+from ospreyford.ports.fleet import Host
 
 FLEETS: Final = (20, 50, 100, 200)
 #: Members known, up to 1,200 nodes and 4,300 replicas.
 KNOWN: Final = (500, 1500, 2750, 5500)
 LARGE_ZONES: Final = 6
 WORKERS: Final = 4
+OTHER: Final = 'host-00001'
+NETWORK: Final = 250
+MEBIBYTE: Final = 1_048_576
 REPEATS: Final = 50
 MICROSECONDS: Final = 1e6
 
@@ -53,20 +62,22 @@
         arguments = theirs, worker * share, share
         context.Process(target=run_worker, args=arguments).start()
         pipes.append(mine)
-    hosts = [host for pipe in pipes for host in pipe.recv()]
-    for pipe in pipes:
-        pipe.send(hosts)
-    used = Usage(*map(sum, zip(*(pipe.recv() for pipe in pipes), strict=True)))
-    each = members * MEASURED_SECONDS
-    return [
-        members,
-        used.envelope_bytes / each,
-        used.messages / each,
-        used.processor_seconds / each * 1000,
-        used.connections / members,
-        used.connections_opened / each,
-        used.wrong_states,
-    ]
+    used = _add_up(_run_together(pipes))
+    return [members, *used.each(members)]
+
+
+def _run_together(pipes: list[Connection]) -> list[Usage]:
+    hosts: list[Host] = []
+    for started in pipes:
+        hosts.extend(started.recv())
+    for listening in pipes:
+        listening.send(hosts)
+    return [measured.recv() for measured in pipes]
+
+
+def _add_up(usages: list[Usage]) -> Usage:
+    columns = zip(*usages, strict=True)
+    return Usage(*(sum(column) for column in columns))
 
 
 def measure_memory(known: int) -> list[float]:
@@ -79,7 +90,7 @@
     tables = _fill(known)
     gc.collect()
     grown = _resident_bytes() - before
-    return [len(tables.view), grown / 2**20, grown / known]
+    return [len(tables.view), grown / MEBIBYTE, grown / known]
 
 
 def measure_time(known: int) -> list[float]:
@@ -90,16 +101,32 @@
     """
     tables = _fill(known)
     exchanges = Exchanges(tables)
-    other = tables.view.find('host-00001')
+    targets = Targets(tables)
+    suspicions = Suspicions(tables, targets)
+    storm = _time(partial(_exchange, tables, exchanges))
+    while len(tables.gossip):
+        exchanges.compose(None, introduce=False)
+    return [
+        known,
+        _time(partial(_refresh, tables)),
+        storm,
+        _time(partial(_exchange, tables, exchanges)),
+        _time(partial(suspicions.expire, 0)),
+        _time(targets.choose),
+    ]
 
-    def refresh() -> None:
-        tables.view.revision += 1
-        tables.rings.neighbours()
 
-    def exchange() -> None:
-        exchanges.absorb(exchanges.compose(other, introduce=False))
+def _refresh(tables: Tables) -> None:
+    tables.view.revision += 1
+    tables.rings.neighbours()
 
-    return [known, _time(refresh), _time(exchange)]
+
+def _exchange(tables: Tables, exchanges: Exchanges) -> None:
+    receiver = tables.view.find(OTHER)
+    sent = exchanges.compose(receiver, introduce=False)
+    exchanges.absorb(
+        msgspec.msgpack.decode(msgspec.msgpack.encode(sent), type=Exchange)
+    )
 
 
 def _fill(known: int) -> Tables:
@@ -113,25 +140,33 @@
 
 
 def _member(number: int) -> Member:
+    zone = number % LARGE_ZONES
+    high, low = divmod(number, NETWORK)
+    data_address = f'10.1.{high}.{low}:7000'
     return Member(
-        name=f'host-{number:05}',
-        instance=f'i-{number:017}',
+        name=OTHER if number == 1 else _name('host', number),
+        instance=_name('instance', number),
         role=sys.intern('backend'),
-        zone=sys.intern(f'zone-{number % LARGE_ZONES}'),
-        region=sys.intern(f'region-{number % 3}'),
+        zone=sys.intern(f'zone-{zone}'),
+        region=sys.intern('region-1'),
         service=sys.intern('drafting'),
-        data_address=f'10.1.{number // 250}.{number % 250}:7000',
-        peer_address=f'10.1.{number // 250}.{number % 250}:7001',
-        incarnation=f'{number:016x}',
+        data_address=data_address,
+        peer_address=data_address.replace('7000', '7001'),
+        incarnation=format(number, '016x'),
     )
 
 
+def _name(kind: str, number: int) -> str:
+    padded = str(number).zfill(5)
+    return f'{kind}-{padded}'
+
+
 def _resident_bytes() -> int:
     with open('/proc/self/statm', encoding='ascii') as statm:
         return int(statm.read().split()[1]) * os.sysconf('SC_PAGESIZE')
 
 
-def _time(call: Callable[[], None]) -> float:
+def _time(call: Callable[[], object]) -> float:
     started = time.perf_counter()
     for _ in range(REPEATS):
         call()
@@ -158,7 +193,14 @@
     )
     _print(
         f'Time of the parts that grow ({LARGE_ZONES} zones)',
-        ['members', 'rings anew, us', 'one exchange, us'],
+        [
+            'members',
+            'rings anew, us',
+            'exchange while all are told, us',
+            'quiet exchange, us',
+            'suspects, us',
+            'next target, us',
+        ],
         map(measure_time, KNOWN),
     )
     _print(
--- a/src/ospreyford/measure/membership_nodes.py
+++ b/src/ospreyford/measure/membership_nodes.py
@@ -22,6 +22,7 @@
 MEASURED_SECONDS: Final = 30
 #: Like a digest of the configuration and a load report.
 ATTACHED_BYTES: Final = 100
+MILLISECONDS: Final = 1000
 
 
 class Usage(NamedTuple):
@@ -49,6 +50,23 @@
             self.wrong_states,
         )
 
+    def each(self, members: int) -> list[float]:
+        """Divide by members and seconds.
+
+        :param members: how many used this together.
+        :returns: bytes, messages, processor milliseconds a second, then
+            connections, connections opened a second, wrong states in all.
+        """
+        divisor = members * MEASURED_SECONDS
+        return [
+            self.envelope_bytes / divisor,
+            self.messages / divisor,
+            self.processor_seconds / divisor * MILLISECONDS,
+            self.connections / members,
+            self.connections_opened / divisor,
+            self.wrong_states,
+        ]
+
 
 class NodeRunner:
     """Some members of the fleet, in this process.
@@ -147,20 +165,25 @@
     :param first: number of the first member.
     :param count: how many.
     """
+    curio.run(_work, pipe, NodeRunner(first, count))
 
-    async def main() -> None:
-        runner = NodeRunner(first, count)
-        pipe.send(await runner.start())
-        pipe.send(await runner.run(pipe.recv()))
 
-    curio.run(main)
+async def _work(pipe: Connection, runner: NodeRunner) -> None:
+    pipe.send(await runner.start())
+    pipe.send(await runner.run(pipe.recv()))
 
 
 def _host(number: int, address: str) -> Host:
-    zone = f'zone-{number % ZONES}'
-    name = f'host-{number:05}'
+    zone = number % ZONES
     return Host(
-        name, f'i-{number}', 'backend', zone, 'region', 's', address, address
+        name=f'host-{number}',
+        instance=f'i-{number}',
+        role='backend',
+        zone=f'zone-{zone}',
+        region='region',
+        service='drafting',
+        data_address=address,
+        peer_address=address,
     )
 
 
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -141,7 +141,7 @@
     exchanges = Exchanges(tables)
     for _ in range(200):
         exchange = exchanges.compose(record_of(tables, 'h1'), introduce=True)
-        assert len(msgspec.msgpack.encode(exchange)) < 700
+        assert len(msgspec.msgpack.encode(exchange)) < 500
     assert len(tables.gossip) > 100
 
 
