--- a/src/ospreyford/measure/membership.py
+++ b/src/ospreyford/measure/membership.py
@@ -62,20 +62,16 @@
         arguments = theirs, worker * share, share
         context.Process(target=run_worker, args=arguments).start()
         pipes.append(mine)
-    used = _add_up(_run_together(pipes))
-    return [members, *used.each(members)]
+    return [members, *_run_together(pipes).each(members)]
 
 
-def _run_together(pipes: list[Connection]) -> list[Usage]:
+def _run_together(pipes: list[Connection]) -> Usage:
     hosts: list[Host] = []
     for started in pipes:
         hosts.extend(started.recv())
     for listening in pipes:
         listening.send(hosts)
-    return [measured.recv() for measured in pipes]
-
-
-def _add_up(usages: list[Usage]) -> Usage:
+    usages = [measured.recv() for measured in pipes]
     columns = zip(*usages, strict=True)
     return Usage(*(sum(column) for column in columns))
 
