--- /dev/null
+++ b/tests/membership/member_process.py
@@ -0,0 +1,26 @@
+"""A member in a process of its own, for tests that stop it."""
+
+from __future__ import annotations
+
+import sys
+
+import curio
+
+from tests.membership.real_members import start_member
+
+LIFE_SECONDS = 60
+
+
+async def main(name: str, seed: str) -> None:
+    """Run until replaced, telling the address first and the end last."""
+    node, membership = await start_member(name, (seed,))
+    sys.stdout.write(f'{node.address}\n')
+    sys.stdout.flush()
+    async with curio.timeout_after(LIFE_SECONDS):
+        replaced = await membership.run()
+    sys.stdout.write(f'{replaced.incarnation}\n')
+    await node.stop()
+
+
+if __name__ == '__main__':
+    curio.run(main, *sys.argv[1:])
--- a/tests/membership/test_nodes.py
+++ b/tests/membership/test_nodes.py
@@ -1,74 +1,108 @@
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
 
 import curio
 
-from ospreyford.membership.member import Member, MemberState, new_incarnation
+from ospreyford.membership.member import MemberState
 from ospreyford.membership.service import Membership
-from ospreyford.membership.settings import MembershipSettings
 from ospreyford.peers.node import PeerNode
-from ospreyford.peers.settings import PeerSettings
-from ospreyford.ports.clock import SystemClock
-
-CLOCK = SystemClock()
-RNG = random.Random(1)
-
-
-async def started(
-    name: str, seeds: tuple[str, ...]
-) -> tuple[PeerNode, Membership]:
-    """Start a node and its membership on a free port."""
-    incarnation = new_incarnation(CLOCK, RNG)
-    node = PeerNode(PeerSettings(address='127.0.0.1:0'), incarnation)
-    await node.start()
-    me = Member(
-        name,
-        'i',
-        'entry',
-        'a',
-        'r',
-        's',
-        node.address,
-        node.address,
-        incarnation,
-    )
-    settings = MembershipSettings(
-        seeds=seeds,
-        period_seconds=0.1,
-        probe_timeout=0.3,
-        relay_timeout=0.7,
-        suspicion_seconds=0.5,
-        pause_seconds=2,
-    )
-    membership = Membership(settings, me, node, CLOCK, RNG)
-    await curio.spawn(membership.run, daemon=True)
-    return node, membership
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    async with curio.timeout_after(20):
-        while not condition():
-            await curio.sleep(0.05)
+from tests.membership.real_members import start_member, until
+
+DEAD = frozenset((MemberState.dead,))
+LIVE = frozenset((MemberState.live,))
+
+Fleet = list[tuple[PeerNode, Membership]]
+
+
+def states_of(fleet: Fleet, name: str) -> set[MemberState | None]:
+    return {membership.state_of(name) for _, membership in fleet}
+
+
+def is_live(fleet: Fleet, name: str) -> bool:
+    return states_of(fleet, name) == LIVE
+
+
+@asynccontextmanager
+async def running(*names: str) -> AsyncIterator[Fleet]:
+    """Run members in this process until they know each other."""
+    fleet: Fleet = []
+    for name in names:
+        seeds = (fleet[0][0].address,) if fleet else ()
+        node, membership = await start_member(name, seeds)
+        fleet.append((node, membership))
+        await curio.spawn(membership.run, daemon=True)
+    for name in names:
+        await until(partial(is_live, fleet, name))
+    yield fleet
+    for stopped, _ in fleet:
+        await stopped.stop()
 
 
 def test_real_nodes_agree_on_the_living_and_the_dead() -> None:
     async def main() -> None:
-        first = await started('h0', ())
-        seeds = (first[0].address,)
-        fleet = [first]
-        for name in ('h1', 'h2', 'h3'):
-            fleet.append(await started(name, seeds))
-        views = [membership for _, membership in fleet]
-        await until(lambda: {len(view.members()) for view in views} == {4})
-        await until(lambda: not any(view.is_stale() for view in views))
-        await fleet[3][0].stop()
-        dead = {MemberState.dead}
-        others = views[:3]
-        await until(lambda: {view.state_of('h3') for view in others} == dead)
-        assert len(views[0].members()) == 3
-        for node, _ in fleet[:3]:
-            await node.stop()
+        async with running('h0', 'h1', 'h2', 'h3') as fleet:
+            await until(lambda: not any(view.is_stale() for _, view in fleet))
+            await fleet[3][0].stop()
+            others = fleet[:3]
+            await until(lambda: states_of(others, 'h3') == DEAD)
 
     curio.run(main)
+
+
+def test_paused_process_comes_back_or_finds_itself_replaced() -> None:
+    """Symptom: a process that slept serves beside the one in its place.
+
+    Sequence: a process is stopped (SIGSTOP) until all take it for dead, and
+    continued: it is live again. It is stopped again, and another takes its
+    name; it is continued: it ends, and the other one stays.
+    Cause: a process that wakes believes what was true before.
+    """
+
+    async def main(process: subprocess.Popen[str], fleet: Fleet) -> None:
+        await until(lambda: states_of(fleet, 'h9') == LIVE)
+        process.send_signal(signal.SIGSTOP)
+        await until(lambda: states_of(fleet, 'h9') == DEAD)
+        process.send_signal(signal.SIGCONT)
+        await until(lambda: states_of(fleet, 'h9') == LIVE)
+        process.send_signal(signal.SIGSTOP)
+        seeds = (fleet[0][0].address,)
+        node, membership = await start_member('h9', seeds)
+        await curio.spawn(membership.run, daemon=True)
+        fleet.append((node, membership))
+        await until(lambda: is_current(fleet, membership.me.incarnation))
+        process.send_signal(signal.SIGCONT)
+        await until(lambda: process.poll() is not None)
+        assert process.stdout
+        told = process.stdout.read().split()
+        assert told[-1] == membership.me.incarnation
+        assert is_current(fleet, membership.me.incarnation)
+
+    async def with_fleet() -> None:
+        async with running('h0', 'h1', 'h2') as fleet:
+            arguments = 'h9', fleet[0][0].address
+            process = subprocess.Popen(
+                [sys.executable, '-m', 'tests.membership.member_process']
+                + list(arguments),
+                stdout=subprocess.PIPE,
+                text=True,
+                env={**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)},
+            )
+            try:
+                await main(process, fleet)
+            finally:
+                process.kill()
+                process.communicate()
+
+    curio.run(with_fleet)
+
+
+def is_current(fleet: Fleet, incarnation: str) -> bool:
+    found = {membership.find('h9') for _, membership in fleet}
+    return {each and each.incarnation for each in found} == {incarnation}
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -8,7 +8,7 @@
 
 from ospreyford.membership.attachments import Attachments
 from ospreyford.membership.counters import MembershipCounters
-from ospreyford.membership.digests import Record
+from ospreyford.membership.digests import Record, bucket_of
 from ospreyford.membership.exchanges import Exchanges
 from ospreyford.membership.member import (
     Condition,
@@ -17,6 +17,12 @@
     Version,
     new_incarnation,
 )
+from ospreyford.membership.messages import (
+    Change,
+    Exchange,
+    MalformedMessage,
+    read_version,
+)
 from ospreyford.membership.pulse import Pulse
 from ospreyford.membership.rings import Rings
 from ospreyford.membership.settings import MembershipSettings
@@ -193,6 +199,36 @@
     assert watched == set(names)
 
 
+@pytest.mark.parametrize(('counter', 'flags'), [(-1, 0), (0, 3), (0, -1)])
+def test_impossible_versions_are_refused(counter: int, flags: int) -> None:
+    with pytest.raises(MalformedMessage):
+        read_version('1', counter, flags)
+
+
+def test_news_of_an_unknown_incarnation_leads_to_a_repair() -> None:
+    """Symptom: a restarted member stays unknown for long.
+
+    Sequence: its first change is heard before its description.
+    Cause: a change that can't be applied is dropped without a trace.
+    """
+    tables = tables_of(HandClock(), 3)
+    exchanges = Exchanges(tables)
+    news = Exchange(
+        sender=Change('h1', '1', 0, 0),
+        about=None,
+        introduction=None,
+        changes=[Change('h2', '2', 0, 0)],
+        descriptions=[],
+        zone='nowhere',
+        bucket=0,
+        digest=0,
+        attached=[],
+    )
+    exchanges.absorb(news)
+    bucket = bucket_of(member('h2'))
+    assert exchanges.differing == {bucket: member('h1')}
+
+
 def test_incarnations_grow_with_time() -> None:
     clock = HandClock()
     rng = random.Random(1)
