--- a/src/ospreyford/membership/prober.py
+++ b/src/ospreyford/membership/prober.py
@@ -46,7 +46,7 @@
         suspicions: Suspicions,
         peers: PeerPort,
     ) -> None:
-        #: When any member last answered.
+        #: When any member last answered, also as a helper.
         self.heard_at = float('-inf')
         self._tables = tables
         self._exchanges = exchanges
@@ -172,8 +172,11 @@
             self._tables.settings.relay_timeout,
         )
         self._tables.pulse.touch()
+        if answer is None:
+            return None
+        self.heard_at = self._tables.clock.monotonic()
         try:
-            return None if answer is None else decode(answer, RelayAnswer)
+            return decode(answer, RelayAnswer)
         except MalformedMessage:
             self._tables.counters.malformed += 1
             return None
--- a/src/ospreyford/membership/relays.py
+++ b/src/ospreyford/membership/relays.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from ospreyford.membership.digests import Record
-from ospreyford.membership.member import MemberState
+from ospreyford.membership.member import Condition
 from ospreyford.membership.tables import Tables
 
 
@@ -15,19 +15,19 @@
 ) -> list[Record]:
     """Choose members to ask about a silent one.
 
+    One is a neighbour, because the connection to it is open. The others are
+    anyone: where all neighbours died at once, none of them could tell.
+
     :param tables: the shared tables.
     :param silent: the silent member.
-    :returns: some members that are taken for live; neighbours come first,
-        because the connections to them are open.
+    :returns: some members that are not suspected.
     """
-    wanted = tables.settings.helpers
     near = _able(tables, tables.rings.neighbours(), silent)
-    chosen = tables.rng.sample(near, min(wanted, len(near)))
-    if len(chosen) < wanted:
-        far = _able(tables, tables.view, silent)
-        far = [record for record in far if record not in chosen]
-        missing = min(wanted - len(chosen), len(far))
-        chosen.extend(tables.rng.sample(far, missing))
+    chosen = tables.rng.sample(near, min(1, len(near)))
+    far = _able(tables, tables.view, silent)
+    far = [record for record in far if record not in chosen]
+    missing = tables.settings.helpers - len(chosen)
+    chosen.extend(tables.rng.sample(far, min(missing, len(far))))
     return chosen
 
 
@@ -41,5 +41,5 @@
         record
         for record in records
         if record.member.name not in excluded
-        and record.state in {MemberState.live, MemberState.leaving}
+        and record.version.condition is Condition.live
     ]
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -68,6 +68,24 @@
         assert states(process) == expected
 
 
+def test_last_of_a_zone_finds_witnesses_elsewhere() -> None:
+    """Symptom: the last process of a lost zone believes in its dead.
+
+    Sequence: all others of a zone die at once; the last one asks only its
+    neighbours, the dead, about each of them.
+    Cause: helpers chosen among neighbours only; without a witness no member
+    is suspected.
+    """
+    world, processes = fleet('aaaaaabbb')
+    for lost in processes[1:6]:
+        world.kill(lost)
+    world.run(120)
+    expected = dict.fromkeys(states(processes[0]), DEAD)
+    expected.update(h0=LIVE, h6=LIVE, h7=LIVE, h8=LIVE)
+    for process in (processes[0], *processes[6:]):
+        assert states(process) == expected
+
+
 def test_halves_of_a_zone_find_each_other_again() -> None:
     """Symptom: after a split of a zone heals, half of it stays dead.
 
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -199,7 +199,10 @@
     assert watched == set(names)
 
 
-@pytest.mark.parametrize(('counter', 'flags'), [(-1, 0), (0, 3), (0, -1)])
+IMPOSSIBLE = ((-1, 0), (0, 3), (0, -1))
+
+
+@pytest.mark.parametrize(('counter', 'flags'), IMPOSSIBLE)
 def test_impossible_versions_are_refused(counter: int, flags: int) -> None:
     with pytest.raises(MalformedMessage):
         read_version('1', counter, flags)
