--- a/src/ospreyford/node/configuration.py
+++ b/src/ospreyford/node/configuration.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import curio
+
 from ospreyford.distribution.bootstrap import Ready
 from ospreyford.documents.history import DocumentEntry
 from ospreyford.documents.resolver import Resolver
@@ -15,6 +18,8 @@
     from ospreyford.documents.picture import Picture
     from ospreyford.node.announcer import Announcer
 
+POLL_SECONDS = 0.02
+
 #: Told of each new picture.
 PictureListener = Callable[['Picture'], None]
 
@@ -33,6 +38,7 @@
         self._distributor = distributor
         self._announcer = announcer
         self._listeners: list[PictureListener] = []
+        self._changed: deque[tuple[Entry, ...]] = deque()
 
     @property
     def picture(self) -> Picture:
@@ -46,14 +52,22 @@
         """
         self._listeners.append(listener)
 
-    async def run(self) -> None:
-        """Get the first picture; later ones come by themselves."""
-        self._distributor.subscribe(self._take_entries)
-        while not self.ready:
+    async def run_bootstrap(self) -> None:
+        """Get the first documents; later ones come by themselves."""
+        self._distributor.subscribe(self._changed.append)
+        answer = await self._distributor.bootstrap()
+        while not isinstance(answer, Ready):
             answer = await self._distributor.bootstrap()
-            self.ready = isinstance(answer, Ready)
 
-    def _take_entries(self, entries: tuple[Entry, ...]) -> None:
+    async def run(self) -> None:
+        """Resolve what changed, for ever."""
+        while True:
+            if self._changed:
+                await self._take_entries(self._changed.popleft())
+                self.ready = True
+            await curio.sleep(POLL_SECONDS)
+
+    async def _take_entries(self, entries: tuple[Entry, ...]) -> None:
         revisions = (entry.revision for entry in entries)
         self.revision = max(self.revision, *revisions)
         before = self.picture.digest
--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -124,6 +124,7 @@
             self.membership.run(),
             self.distributor.run_gossip(),
             self.distributor.run_reader(),
+            self.configuration.run_bootstrap(),
             self.configuration.run(),
             self.pauses.run(),
             self._count(),
--- a/src/ospreyford/standins/demo.py
+++ b/src/ospreyford/standins/demo.py
@@ -149,6 +149,7 @@
                 '->',
                 str(told.status),
                 told.outcome,
+                _find_cause(told),
             ),
         ),
     )
@@ -156,6 +157,13 @@
     return told
 
 
+def _find_cause(told: Told) -> str:
+    if told.outcome == 'answered' or not told.body:
+        return ''
+    problem = msgspec.json.decode(told.body)
+    return '({0})'.format(problem['cause'])
+
+
 def _show_hops(entry: Program, told: Told) -> None:
     port = split_address(entry.admin_address)[1]
     try:
