Add make bench, its relay baseline and a counter of peer bytes

Cause: nothing measured the request path, and ospreyford_peer_bytes_total was registered and documented but never counted, so that the control budget of 6 KB/s could not be read from a process.

The metric is now read from the node's own counters at a scrape; the Counter that nothing increased is gone. Fleet takes further sections for the agents' settings: with 20,000 records the default agent refuses work after seconds of the bench. The decoders of wire/connection lose their underscore so that the guards can be timed by themselves.

Ruled out: bytes from /proc/net, which knows no process; the relay with the product's own http package, which would hide what that costs.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
 
+bench: setup
+	$(BIN)/python -m ospreyford.measure.bench
+
 faults: setup
 	$(BIN)/python -m tests.faults
 
--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -51,6 +51,7 @@
             settings.backend.service,
             Announcer(program.changes, self._metrics),
         )
+        self._metrics.watch_peers(self._node.peers.counters)
         self._drains = DrainState(settings.identity.name)
         self._tracer = Tracer(settings.traces, settings.identity)
         self._parts = make_parts(settings, self._node, self._tracer)
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -50,6 +50,7 @@
         self._metrics = Metrics()
         self._announcer = Announcer(program.changes, self._metrics)
         self._node = FleetNode(settings, 'entry', '', self._announcer)
+        self._metrics.watch_peers(self._node.peers.counters)
         self._directory = FleetDirectory()
         self._tracer = Tracer(settings.traces, settings.identity)
         self._parts = make_parts(
--- a/src/ospreyford/observability/metrics.py
+++ b/src/ospreyford/observability/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 from prometheus_client import (
     CollectorRegistry,
@@ -13,6 +14,9 @@
 )
 from prometheus_client.core import CounterMetricFamily
 
+if TYPE_CHECKING:
+    from ospreyford.peers.counters import PeerCounters
+
 #: Bucket bounds in seconds; 1.3 s is the promise for a first token.
 FIRST_TOKEN_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.9, 1.3, 2.5, 5, 10)
 TOTAL_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 15, 60)
@@ -165,13 +169,6 @@
             namespace=PREFIX,
             registry=registry,
         )
-        self.peer_bytes = Counter(
-            'peer_bytes',
-            'Bytes of control messages',
-            ('topic', 'direction'),
-            namespace=PREFIX,
-            registry=registry,
-        )
         self.ejected = Gauge(
             'ejected_backends',
             'Back ends that get no work for a while',
@@ -210,6 +207,13 @@
         """
         self._drops.counts[buffer] = count
 
+    def watch_peers(self, counters: PeerCounters) -> None:
+        """Expose the control messages of this process.
+
+        :param counters: the node's counters, read when metrics are scraped.
+        """
+        self.registry.register(PeerCollector(counters))
+
     def render(self) -> bytes:
         """Write all metrics.
 
@@ -218,6 +222,31 @@
         return generate_latest(self.registry)
 
 
+class PeerCollector:
+    """Reads the bytes of control messages at a scrape.
+
+    :param counters: the node's counters.
+    """
+
+    def __init__(self, counters: PeerCounters) -> None:
+        self._counters = counters
+
+    def collect(self) -> Iterable[CounterMetricFamily]:
+        """Read the counters.
+
+        :returns: one metric family.
+        """
+        family = CounterMetricFamily(
+            f'{PREFIX}_peer_bytes',
+            'Bytes of control messages',
+            labels=['topic', 'direction'],
+        )
+        for topic, traffic in self._counters.topics.items():
+            family.add_metric([topic, 'sent'], traffic.sent_bytes)
+            family.add_metric([topic, 'received'], traffic.received_bytes)
+        return [family]
+
+
 class DropCollector:
     """Reads the dropped lines of each bounded buffer at a scrape."""
 
--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -100,6 +100,7 @@
     :param size: how many hosts of each kind.
     :param documents: the directory of the site's published documents.
     :param directory: where settings files are written.
+    :param sections: further sections of the agents' settings, in TOML.
     """
 
     def __init__(
@@ -109,10 +110,12 @@
         size: Size,
         documents: Path,
         directory: Path,
+        sections: str = '',
     ) -> None:
         self.hosts = lay_out(site, size, _choose_ports())
         self.programs: dict[str, Program] = {}
         self.backends: dict[str, Launched] = {}
+        self._sections = sections
         self._launcher = launcher
         self._directory = directory
         self._kinds = {
@@ -218,11 +221,12 @@
         )
         if host.role != 'backend':
             return text
-        return text + _BACKEND.format(
+        backend = _BACKEND.format(
             address=_address(self.backends[host.name]),
             service=host.service,
             kind=self._kinds[host.service],
         )
+        return text + backend + self._sections
 
 
 def ask(port: int, target: str, body: object = None) -> Any:
--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -21,8 +21,8 @@
 Received = TypeVar('Received')
 
 _encoder = msgspec.msgpack.Encoder()
-_entry_decoder = msgspec.msgpack.Decoder(EntryFrame)
-_agent_decoder = msgspec.msgpack.Decoder(AgentFrame)
+entry_decoder = msgspec.msgpack.Decoder(EntryFrame)
+agent_decoder = msgspec.msgpack.Decoder(AgentFrame)
 
 
 def encode_frames(*frames: Frame) -> bytes:
@@ -135,7 +135,7 @@
     :param sock: the accepted curio socket.
     :returns: a connection that receives an entry's frames.
     """
-    return FrameConnection(sock, _entry_decoder)
+    return FrameConnection(sock, entry_decoder)
 
 
 async def open_to_agent(
@@ -157,4 +157,4 @@
         )
     except (OSError, curio.TaskTimeout):
         raise Unreachable from None
-    return FrameConnection(sock, _agent_decoder)
+    return FrameConnection(sock, agent_decoder)
--- a/tests/observability/test_admin.py
+++ b/tests/observability/test_admin.py
@@ -20,6 +20,7 @@
 )
 from ospreyford.observability.metrics import Metrics
 from ospreyford.observability.readiness import NoBackend, Unready
+from ospreyford.peers.counters import PeerCounters
 from ospreyford.settings.sections import Listen
 
 
@@ -128,12 +129,16 @@
     metrics.requests.requests.labels('drafting', 'answered').inc(3)
     metrics.flow.first_token.labels('drafting').observe(0.2)
     metrics.watch_drops('logs', lambda: 5)
+    peers = PeerCounters()
+    metrics.watch_peers(peers)
+    peers.sent('swim', 7)
     text = metrics.render().decode()
     expected = (
         'ospreyford_requests_total{outcome="answered",service="drafting"} 3.0',
         'ospreyford_first_token_seconds_bucket{le="0.25",service="drafting"} 1',
         'ospreyford_dropped_lines_total{buffer="logs"} 5.0',
         'ospreyford_records 0.0',
+        'ospreyford_peer_bytes_total{direction="sent",topic="swim"} 7.0',
     )
     for line in expected:
         assert line in text
