--- a/src/ospreyford/measure/timing.py
+++ b/src/ospreyford/measure/timing.py
@@ -34,9 +34,7 @@
     :param job: the function.
     :returns: microseconds a call.
     """
-    taken: list[float] = [
-        curio.run(_time_rounds, job) for _ in range(REPEATS)
-    ]
+    taken: list[float] = [curio.run(_time_rounds, job) for _ in range(REPEATS)]
     return min(taken)
 
 
