Take the stand-in fleet's ports from below the kernel's range

Change: ports from 10,000 up to 32,767 on which nobody listens. Ruled out: holding the sockets open until the program starts, which needs address reuse in the product's own listeners.

--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 import time
 from collections.abc import Iterator
@@ -30,6 +31,9 @@
 
 READY_SECONDS = 40.0
 MAX_PORTS = 1000
+FIRST_PORT = 10_000
+#: Linux gives ports from here on to outgoing connections by default.
+KERNEL_PORTS = 32_768
 STANDINS = MappingProxyType(
     {
         'model': 'ospreyford.standins.engine',
@@ -275,9 +279,16 @@
 
 
 def _choose_ports() -> Iterator[int]:
-    # The kernel hands out each of them once in a while; a port that another
-    # process takes in between shows as a program that does not start.
+    # Ports that the kernel chooses it also gives to outgoing connections; one
+    # that is taken before its program binds it shows as a program that does
+    # not start. Below them only another fleet can take it.
+    rng = random.Random()
     for _ in range(MAX_PORTS):
-        with socket.socket() as sock:
-            sock.bind((LOOPBACK, 0))
-            yield sock.getsockname()[1]
+        port = rng.randrange(FIRST_PORT, KERNEL_PORTS)
+        if _is_free(port):
+            yield port
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        return bool(sock.connect_ex((LOOPBACK, port)))
