Send a caller what came together in one write

Cause: head, piece and end of a fixed answer came in one read from the agent and left in two writes; so did each of several tokens read together.

Ruled out: holding parts for a time, which makes tokens late; writing from the frame reader, which knows no caller.

Change: the caller's sink holds parts; the conversation flushes it before each wait and at its end, however it ends (whole, crossed, malformed, cut). Exchange.respond and refuse send head, body and end in one write too.

The rig's sink got flush(), which raises for a caller that has gone, as its relay() does.

--- a/src/ospreyford/entry/answer.py
+++ b/src/ospreyford/entry/answer.py
@@ -59,6 +59,13 @@
         """
         return self._sink.is_abandoned()
 
+    async def flush(self) -> None:
+        """Send the caller what was taken.
+
+        :raises CallerGone: the caller's connection broke.
+        """
+        await self._sink.flush()
+
     async def take(self, frame: AgentFrame) -> Step:
         """Take the next frame of a connection.
 
--- a/src/ospreyford/entry/caller.py
+++ b/src/ospreyford/entry/caller.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+import h11
 
 from ospreyford.entry.admission import NOT_FORWARDED
 from ospreyford.entry.sink import CallerGone
@@ -29,6 +31,7 @@
         self.first_at: float | None = None
         self._exchange = exchange
         self._extra = extra
+        self._held: list[Any] = []
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Relay the answer's head.
@@ -42,10 +45,8 @@
             for pair in headers
             if pair[0] == LENGTH or pair[0] not in NOT_FORWARDED
         )
-        try:
-            await self._exchange.start(status, (*kept, *self._extra))
-        except ConnectionLost:
-            raise CallerGone from None
+        head = self._exchange.make_head(status, (*kept, *self._extra))
+        self._held.append(head)
 
     async def relay(self, content: bytes) -> None:
         """Relay a piece of the answer's body.
@@ -55,18 +56,26 @@
         """
         if self.first_at is None:
             self.first_at = time.monotonic()
-        try:
-            await self._exchange.write(content)
-        except ConnectionLost:
-            raise CallerGone from None
+        self._held.append(h11.Data(data=content))
 
     async def finish(self) -> None:
         """Relay that the answer is whole.
 
         :raises CallerGone: nobody waits for it.
         """
+        self._held.append(h11.EndOfMessage())
+
+    async def flush(self) -> None:
+        """Send what was relayed, in one write.
+
+        :raises CallerGone: nobody waits for it.
+        """
+        if not self._held:
+            return
+        held = self._held
+        self._held = []
         try:
-            await self._exchange.finish()
+            await self._exchange.send(held)
         except ConnectionLost:
             raise CallerGone from None
 
--- a/src/ospreyford/entry/conversation.py
+++ b/src/ospreyford/entry/conversation.py
@@ -53,14 +53,26 @@
         :param first: the frame that opens it.
         :returns: how it ended.
         """
+        try:
+            step = await self._converse(first)
+            # What was taken must reach the caller even if nothing more
+            # comes, or a cut answer would show as none; and only what was
+            # sent is answered.
+            await self._answer.flush()
+        except CallerGone:
+            await self._cancel(first.execution)
+            return Abandoned()
+        return step
+
+    async def _converse(
+        self,
+        first: Start | Follow,
+    ) -> AttemptOutcome | Interrupted:
         try:
             await self._connection.send(first)
             return await self._listen(first.execution)
         except WireError:
             return Interrupted()
-        except CallerGone:
-            await self._cancel(first.execution)
-            return Abandoned()
 
     async def _listen(self, execution: str) -> AttemptOutcome | Interrupted:
         while True:
@@ -74,7 +86,12 @@
 
     async def _receive(self) -> AgentFrame | None:
         arrived = self._connection.take_arrived()
-        return arrived or await self._wait_for_frame()
+        if arrived is not None:
+            return arrived
+        # Frames that came together go out together. Before a wait the caller
+        # must have them, or a token would be late by the one after it.
+        await self._answer.flush()
+        return await self._wait_for_frame()
 
     async def _wait_for_frame(self) -> AgentFrame | None:
         left = self._deadline - self._clock.monotonic()
--- a/src/ospreyford/entry/sink.py
+++ b/src/ospreyford/entry/sink.py
@@ -36,6 +36,12 @@
         :raises CallerGone: nobody waits for it.
         """
 
+    async def flush(self) -> None:
+        """Send what was relayed; until then it may be held back.
+
+        :raises CallerGone: nobody waits for it.
+        """
+
     def is_abandoned(self) -> bool:
         """Tell whether the caller has gone.
 
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -4,7 +4,7 @@
 
 import select
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -65,9 +65,8 @@
         :param headers: further header fields.
         """
         length = (b'content-length', str(len(body)).encode())
-        await self.start(status, (*headers, length))
-        await self.write(body)
-        await self.finish()
+        head = self.make_head(status, (*headers, length))
+        await self.send((head, h11.Data(data=body), h11.EndOfMessage()))
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send the head of an answer; its body follows in pieces.
@@ -75,12 +74,27 @@
         :param status: the HTTP status.
         :param headers: header fields; without a length the body is chunked.
         """
+        await self._connection.send(self.make_head(status, headers))
+
+    def make_head(self, status: int, headers: Headers) -> h11.Response:
+        """Make the head of an answer; from now on it counts as started.
+
+        :param status: the HTTP status.
+        :param headers: header fields; without a length the body is chunked.
+        :returns: the head, to be handed to :meth:`send`.
+        """
         self.started = True
         fields = list(headers)
         if self._connection.is_closing():
             fields.append((b'connection', b'close'))
-        head = h11.Response(status_code=status, headers=fields)
-        await self._connection.send(head)
+        return h11.Response(status_code=status, headers=fields)
+
+    async def send(self, events: Sequence[Any]) -> None:
+        """Send parts of an answer in one write.
+
+        :param events: h11 events, in order.
+        """
+        await self._connection.send(*events)
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body.
@@ -185,19 +199,23 @@
             (b'connection', b'close'),
         ]
         try:
-            await self.send(h11.Response(status_code=status, headers=fields))
-            await self.send(h11.Data(data=body))
-            await self.send(h11.EndOfMessage())
+            await self.send(
+                h11.Response(status_code=status, headers=fields),
+                h11.Data(data=body),
+                h11.EndOfMessage(),
+            )
         except ConnectionLost:
             return
 
-    async def send(self, event: Any) -> None:
-        """Send one h11 event.
+    async def send(self, *events: Any) -> None:
+        """Send h11 events in one write.
 
-        :param event: a response, a piece of data or the end mark.
+        :param events: responses, pieces of data or the end mark.
         :raises ConnectionLost: the caller went away.
         """
-        encoded = self._parser.send(event)
+        encoded = b''.join(
+            [self._parser.send(event) or b'' for event in events],
+        )
         if not encoded:
             return
         try:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -82,6 +82,10 @@
     async def finish(self) -> None:
         self.whole = True
 
+    async def flush(self) -> None:
+        if self.gone:
+            raise CallerGone
+
     def is_abandoned(self) -> bool:
         return self.gone
 
