--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+SOURCE := PYTHONPATH=src
 
 .PHONY: setup test lint format demo bench faults measure clean
 
@@ -24,8 +25,11 @@
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
 
+demo: setup
+	$(SOURCE) $(BIN)/python -m ospreyford.standins.demo
+
 faults: setup
-	$(BIN)/python -m tests.faults
+	$(SOURCE) $(BIN)/python -m tests.faults
 
 clean:
 	rm -rf $(VENV) build
