--- a/src/ospreyford/measure/placement.py
+++ b/src/ospreyford/measure/placement.py
@@ -183,8 +183,8 @@
     )
     headers = ('deployment', 'seed', 'policy', 'skew mean', 'moved', 'total')
     return (
-        '## Other seeds\n\nThe policy was tuned on seed 0; these runs were'
-        f' not looked at for that.\n\n{format_pairs(rows, headers)}\n'
+        '## Other seeds\n\nThe constants were chosen in trials on other'
+        f' popularities of the same models.\n\n{format_pairs(rows, headers)}\n'
     )
 
 
