--- a/src/ospreyford/entry/admission.py
+++ b/src/ospreyford/entry/admission.py
@@ -53,7 +53,7 @@
 )
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class BadCall(Exception):
     """The request breaks the rules of admission; nothing was sent."""
 
@@ -119,6 +119,7 @@
             prefix=xxhash.xxh3_64_digest(prefix) if prefix else None,
             tokens=len(body) // BYTES_PER_TOKEN + prompt.max_tokens,
             trace=parse_traceparent(request.headers),
+            servers=[],
         )
 
     def _read_deadline(self, request: Request) -> float:
