--- a/src/ospreyford/distribution/distributor.py
+++ b/src/ospreyford/distribution/distributor.py
@@ -59,7 +59,9 @@
         exchange = Exchange(self._state, peers)
         neighbours = Neighbours(me, members, rng)
         self._permit = ColdPermit(self._state)
-        self._repair = Repair(self._state, exchange, neighbours, me.address)
+        self._repair = Repair(
+            self._state, exchange, neighbours, me.peer_address
+        )
         self._answers = Answers(self._state, exchange)
         self._bootstrap = Bootstrap(
             self._state, self._repair, neighbours, self._permit
--- a/src/ospreyford/distribution/members.py
+++ b/src/ospreyford/distribution/members.py
@@ -17,7 +17,7 @@
         """The process's lasting name."""
 
     @property
-    def address(self) -> str:
+    def peer_address(self) -> str:
         """Where it takes messages of peers, as ``ip:port``."""
 
     @property
@@ -65,7 +65,9 @@
         """
         members = self._members.members()
         chosen = self._rng.sample(members, min(size + 1, len(members)))
-        others = [one.address for one in chosen if one.name != self._me.name]
+        others = [
+            one.peer_address for one in chosen if one.name != self._me.name
+        ]
         return others[:size]
 
     def count_zone(self) -> int:
--- a/src/ospreyford/measure/distribution.py
+++ b/src/ospreyford/measure/distribution.py
@@ -95,7 +95,7 @@
         :param zone: its name.
         """
         self.network.silent = {
-            one.address for one in self._views if one.zone == zone
+            one.peer_address for one in self._views if one.zone == zone
         }
 
     def _start(self, member: FleetMember) -> None:
@@ -103,7 +103,7 @@
             DistributionSettings(cold_start_rounds=3),
             member,
             self.service,
-            Port(self.network, member.address),
+            Port(self.network, member.peer_address),
             self,
             self.kernel,
             Random(self.rng.random()),
--- a/src/ospreyford/measure/fleet.py
+++ b/src/ospreyford/measure/fleet.py
@@ -43,7 +43,7 @@
     """A process of the model."""
 
     name: str
-    address: str
+    peer_address: str
     zone: str
 
 
--- a/tests/distribution/node.py
+++ b/tests/distribution/node.py
@@ -49,7 +49,9 @@
 
     def find(self, port: str) -> FakeMember:
         return next(
-            one for one in self._members if one.address.endswith(f':{port}')
+            one
+            for one in self._members
+            if one.peer_address.endswith(f':{port}')
         )
 
 
@@ -61,7 +63,7 @@
 async def main(seed: str, port: str, ports: str, service: str) -> None:
     fleet = Fleet(ports.split(','))
     me = fleet.find(port)
-    node = PeerNode(PeerSettings(address=me.address), f'{seed}-{port}')
+    node = PeerNode(PeerSettings(address=me.peer_address), f'{seed}-{port}')
     distributor = Distributor(
         SETTINGS,
         me,
--- a/tests/distribution/test_failures.py
+++ b/tests/distribution/test_failures.py
@@ -49,7 +49,7 @@
     first, second, *_ = world.everybody()
     fresh = [world.replace(first), world.replace(second)]
     world.dead.clear()
-    world.cut = frozenset(one.member.address for one in fresh)
+    world.cut = frozenset(one.member.peer_address for one in fresh)
     for _ in range(MAX_STEPS):
         world.move()
     assert not any(one.ready for one in fresh)
--- a/tests/distribution/test_machine.py
+++ b/tests/distribution/test_machine.py
@@ -85,7 +85,7 @@
     @rule(picks=strategies.sets(PICK, max_size=3))
     def partition(self, picks: set[int]) -> None:
         self.world.cut = frozenset(
-            self.pick(one).member.address for one in picks
+            self.pick(one).member.peer_address for one in picks
         )
 
     @rule(which=PICK)
@@ -115,7 +115,7 @@
         ]
         if others:
             fresh = self.world.replace(process)
-            self.floors[fresh.member.address] = self.floor()
+            self.floors[fresh.member.peer_address] = self.floor()
 
     @rule()
     def replace_everybody(self) -> None:
--- a/tests/distribution/world.py
+++ b/tests/distribution/world.py
@@ -37,7 +37,7 @@
 
 class FakeMember(NamedTuple):
     name: str
-    address: str
+    peer_address: str
     zone: str
 
 
@@ -191,18 +191,18 @@
             Random(self.started),
         )
         process = Process(member, clock, peers, distributor)
-        self.processes[member.address] = process
+        self.processes[member.peer_address] = process
         distributor.subscribe(lambda changed: _note_told(process, changed))
         for coro in (
             distributor.run_gossip(),
             distributor.run_reader(),
             _become_ready(process),
         ):
-            self.stepper.spawn(member.address, coro)
+            self.stepper.spawn(member.peer_address, coro)
         return process
 
     def kill(self, process: Process) -> None:
-        address = process.member.address
+        address = process.member.peer_address
         for task in tuple(self.stepper.tasks):
             if task.name == address:
                 self.answers.pop(id(task), None)
@@ -222,7 +222,7 @@
 
     def hide(self, process: Process) -> list[SteppedTask]:
         """Pause a process until membership holds it for dead."""
-        address = process.member.address
+        address = process.member.peer_address
         self.processes.pop(address)
         hidden = [one for one in self.stepper.tasks if one.name == address]
         for task in hidden:
@@ -231,7 +231,7 @@
 
     def show(self, process: Process, hidden: list[SteppedTask]) -> None:
         """Wake it up again."""
-        self.processes[process.member.address] = process
+        self.processes[process.member.peer_address] = process
         self.stepper.tasks.extend(hidden)
         self.wake(process, 100)
 
@@ -260,7 +260,7 @@
         parked = [
             task
             for task in self.stepper.parked()
-            if task.name == process.member.address
+            if task.name == process.member.peer_address
         ]
         first = min(parked, key=_due_of)
         messages = [task for task in parked if self._may_come(task)]
