Spill a prefix beyond its homes only for what a hit is worth

Cause: under load every home was at its bound and requests spilled to any back end with room; each missed, which made the missing capacity worse.

Change: a prefix has four homes; a further home must be better by one request, any other back end by `affinity_gain` (6) requests, also against the load bound, so under overload requests wait in the fair queue for a home.

--- a/src/ospreyford/routing/pool.py
+++ b/src/ospreyford/routing/pool.py
@@ -15,7 +15,7 @@
     from ospreyford.routing.settings import RoutingSettings
 
 #: Homes kept for each prefix bucket, best first.
-HOMES = 2
+HOMES = 4
 
 
 class Match:
--- a/src/ospreyford/routing/selection.py
+++ b/src/ospreyford/routing/selection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from statistics import fmean
 from typing import TYPE_CHECKING, NamedTuple
 
 from ospreyford.routing.health import HealthState
@@ -28,6 +27,9 @@
 #: Share of the load bound that lower priorities may fill.
 LOW_SHARE = 0.7
 NORMAL_SHARE = 0.9
+#: Requests by which the next home must be better than the one before, so
+#: that a prefix is copied to further back ends only for load.
+RANK_COST = 1
 
 
 class _Eligible(NamedTuple):
@@ -36,6 +38,12 @@
     panic: bool
 
 
+class _Ranked(NamedTuple):
+    backend: Backend
+    cost: float
+    basis: Basis
+
+
 class Selection:
     """Selects one of the usable back ends.
 
@@ -70,15 +78,14 @@
         eligible = self._admit(usable, now)
         if eligible.probe and query.idempotent:
             return Choice(eligible.probe.host, Basis.probe)
-        scores = self._find_open(eligible.backends, query.priority, now)
-        if not scores:
+        scores = score_backends(eligible.backends, now)
+        ranked = self._rank(query, pool, scores)
+        if not ranked:
             wait = self._settings.retry_after_seconds
             return NoBackend(Overloaded(query.priority), wait)
-        home = self._find_home(query, pool, scores)
-        if home:
-            return Choice(home.host, Basis.affinity)
-        best = self._compare(scores)
-        return Choice(best.host, Basis.panic if eligible.panic else Basis.load)
+        best = min(ranked, key=_find_cost)
+        basis = Basis.panic if eligible.panic else best.basis
+        return Choice(best.backend.host, basis)
 
     def _admit(self, usable: Sequence[Backend], now: float) -> _Eligible:
         states = [backend.health.state(now) for backend in usable]
@@ -103,44 +110,59 @@
         )
         return _Eligible(admitted, probe, panic=False)
 
-    def _find_open(
-        self, backends: Sequence[Backend], priority: Priority, now: float
-    ) -> Scores:
-        bound = self._settings.max_load
-        match priority:
-            case Priority.low:
-                bound *= LOW_SHARE
-            case Priority.normal:
-                bound *= NORMAL_SHARE
-            case Priority.high:
-                """May fill the whole."""
-        scores = score_backends(backends, now)
-        return {
+    def _rank(
+        self, query: RoutingQuery, pool: Pool, scores: Scores
+    ) -> list[_Ranked]:
+        bound = self._find_bound(query.priority)
+        homes = self._rank_homes(query, pool, scores)
+        # Away from its homes a prefix must be computed again, which costs
+        # the back end as much as some requests; under overload, spilling
+        # would turn the missing capacity into yet more work.
+        gain = min(self._settings.affinity_gain, bound / 2) if homes else 0
+        names = {home.backend.host.name for home in homes}
+        others = {
             backend: score
             for backend, score in scores.items()
-            if score <= bound
+            if score + gain <= bound and backend.host.name not in names
         }
+        opened = [home for home in homes if scores[home.backend] <= bound]
+        return opened + self._draw_ranked(others, gain)
 
-    def _find_home(
+    def _rank_homes(
         self, query: RoutingQuery, pool: Pool, scores: Scores
-    ) -> Backend | None:
+    ) -> list[_Ranked]:
         if query.prefix is None:
-            return None
-        bound = fmean(scores.values()) * self._settings.affinity_ratio
-        bound += self._settings.affinity_slack
-        for home in pool.homes(query.prefix):
-            if scores.get(home, bound + 1) <= bound:
-                return home
-        return None
-
-    def _compare(self, scores: Scores) -> Backend:
+            return []
+        homes = pool.homes(query.prefix)
+        return [
+            _Ranked(home, scores[home] + rank * RANK_COST, Basis.affinity)
+            for rank, home in enumerate(homes)
+            if home in scores
+        ]
+
+    def _find_bound(self, priority: Priority) -> float:
+        bound = self._settings.max_load
+        match priority:
+            case Priority.low:
+                return bound * LOW_SHARE
+            case Priority.normal:
+                return bound * NORMAL_SHARE
+            case Priority.high:
+                return bound
+
+    def _draw_ranked(self, scores: Scores, gain: float) -> list[_Ranked]:
         zone = self._me.zone
         local = [one for one in scores if one.host.zone == zone]
         remote = [one for one in scores if one.host.zone != zone]
         wanted = self._settings.choices
         drawn = self._draw(local, wanted)
         drawn += self._draw(remote, 1 if local else wanted)
-        return min(drawn, key=lambda one: scores[one] + self._penalty(one.host))
+        return [
+            _Ranked(
+                one, scores[one] + gain + self._penalty(one.host), Basis.load
+            )
+            for one in drawn
+        ]
 
     def _draw(self, backends: list[Backend], wanted: int) -> list[Backend]:
         return self._rng.sample(backends, min(wanted, len(backends)))
@@ -151,3 +173,7 @@
         if host.zone != self._me.zone:
             return self._settings.zone_penalty
         return 0
+
+
+def _find_cost(ranked: _Ranked) -> float:
+    return ranked.cost
--- a/src/ospreyford/routing/settings.py
+++ b/src/ospreyford/routing/settings.py
@@ -59,9 +59,7 @@
     :param region_penalty: the same for a back end of another region.
     :param load_decay_seconds: age at which a load report has lost 63 % of
         its weight.
-    :param affinity_slack: a prefix's home is taken while its load is below
-        ``affinity_ratio`` times the mean plus this many requests.
-    :param affinity_ratio: see ``affinity_slack``; 1 or more.
+    :param affinity_gain: requests of load that a cached prefix is worth.
     :param prefix_buckets: distinct homes that prefixes are hashed to.
     :param slow_start_seconds: time over which a fresh back end comes to its
         full share.
@@ -81,8 +79,7 @@
     zone_penalty: float = 1
     region_penalty: float = 8
     load_decay_seconds: Positive = 2
-    affinity_slack: float = 2
-    affinity_ratio: Annotated[float, msgspec.Meta(ge=1)] = 1.25
+    affinity_gain: float = 6
     prefix_buckets: Count = 512
     slow_start_seconds: Positive = 20
     version_label: str = 'model-version'
