Run rank groups and expert placement in the agents

Change: an optional [ranks] section; the agent serves the agreement, the lowest live slot judges load reports with the published weights and proposes maps; a process that finds itself superseded ends; /plan shows the last judgement.

--- /dev/null
+++ b/src/ospreyford/agent/placing.py
@@ -0,0 +1,124 @@
+"""Has the placement policy judge load reports and proposes its maps."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.placement.budget import TokenBucket
+from ospreyford.placement.explanation import PlanExplanation, explain_plan
+from ospreyford.placement.map import spread_experts
+from ospreyford.placement.outcomes import Plan
+from ospreyford.placement.policy import Planner
+from ospreyford.placement.settings import apply_weights
+from ospreyford.placement.variants import choose_variant
+
+if TYPE_CHECKING:
+    from ospreyford.agent.expertloads import LoadSource
+    from ospreyford.agent.rankssettings import RankSection
+    from ospreyford.documents.capacity import PlacementWeights
+    from ospreyford.expertmap.maps import ExpertMap
+    from ospreyford.expertmap.service import RankService
+    from ospreyford.placement.loads import ExpertLoads
+    from ospreyford.placement.outcomes import Outcome
+    from ospreyford.ports.clock import Clock
+
+#: Seconds of the weight store's share that may be saved up.
+BURST_SECONDS = 60
+
+
+class PlacementLoop:
+    """Has the policy judge each report and proposes the maps it plans.
+
+    Only the member that leads plans: the lowest slot whose agent is live.
+    Two that both think so propose maps of one revision, and the agreement
+    takes the same one of the two everywhere.
+
+    :param section: the group's settings.
+    :param service: the agreement.
+    :param source: the experts' loads.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        section: RankSection,
+        service: RankService,
+        source: LoadSource,
+        clock: Clock,
+    ) -> None:
+        self.leads = False
+        self.last: PlanExplanation | None = None
+        self._section = section
+        self._service = service
+        self._source = source
+        self._clock = clock
+        self._settings = section.placement
+        self._planner = self._make_planner()
+
+    def note_weights(self, published: PlacementWeights | None) -> None:
+        """Put the published weights in force.
+
+        :param published: the model's document, or ``None`` for none.
+        """
+        settings = self._section.placement
+        if published is not None:
+            settings = apply_weights(settings, published)
+        if settings != self._settings:
+            self._settings = settings
+            self._planner = self._make_planner()
+
+    async def run(self) -> None:
+        """Judge reports for ever."""
+        while True:
+            await self._clock.sleep(self._section.report_seconds)
+            if self.leads:
+                await self.judge_once()
+
+    async def judge_once(self) -> None:
+        """Read one report and propose what follows from it."""
+        current = self._find_current()
+        if current is None:
+            self._service.propose(spread_experts(self._section.shape))
+            return
+        report = await self._source.read()
+        now = self._clock.monotonic()
+        planner = self._planner
+        outcome = await self._plan(planner, report, current, now)
+        self.last = explain_plan(planner, outcome, current)
+        if isinstance(outcome, Plan):
+            self._service.propose(outcome.target)
+
+    async def _plan(
+        self,
+        planner: Planner,
+        report: ExpertLoads | None,
+        current: ExpertMap,
+        now: float,
+    ) -> Outcome:
+        steps = planner.plan_in_steps(report, current, now)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as finished:
+                outcome: Outcome = finished.value
+                return outcome
+            # Between two layers the agent's heartbeats and answers go on.
+            await self._clock.sleep(0)
+
+    def _find_current(self) -> ExpertMap | None:
+        name = self._service.current
+        return None if name is None else self._service.keeper.maps.find(name)
+
+    def _make_planner(self) -> Planner:
+        rate = self._settings.store_bytes_per_second
+        budget = TokenBucket(
+            rate,
+            rate * BURST_SECONDS,
+            self._clock.monotonic(),
+        )
+        return Planner(
+            choose_variant(self._settings),
+            self._section.shape,
+            self._settings,
+            budget,
+        )
--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -9,6 +9,7 @@
 
 from ospreyford.agent.drains import DrainState
 from ospreyford.agent.factory import make_parts
+from ospreyford.agent.ranks import RankPart
 from ospreyford.http.server import listen
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
@@ -21,6 +22,9 @@
 from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
     from curio.io import Socket
 
     from ospreyford.agent.drains import DrainCause
@@ -30,6 +34,7 @@
 
 DRAIN_POLL_SECONDS = 0.05
 WATCH_SECONDS = 0.1
+GROUP_SECONDS = 1.0
 #: How long a stopping agent still answers questions about what it ran.
 ANSWER_SECONDS = 1.0
 
@@ -54,6 +59,13 @@
         self._drains = DrainState(settings.identity.name)
         self._tracer = Tracer(settings.traces, settings.identity)
         self._parts = make_parts(settings, self._node, self._tracer)
+        self._ranks: RankPart | None = None
+        if settings.ranks is not None:
+            self._ranks = RankPart(
+                settings.ranks,
+                self._node.peers,
+                self._node.clock,
+            )
 
     async def run(self) -> None:
         """Run until asked to stop, then finish what is in flight."""
@@ -65,6 +77,7 @@
         sock = listen(*split_address(self._settings.listen.data_address))
         self._node.peers.serve(Topic.spans, answer_spans(self._tracer.store))
         self._node.peers.serve(Topic.agent_status, self._answer_status)
+        self._node.peers.serve(Topic.plan, self._answer_plan)
         await self._node.start()
         await self._start_tasks()
         accepting = await curio.spawn(self._accept, sock, daemon=True)
@@ -113,9 +126,37 @@
             self._parts.meter.run(load_seconds),
             self._parts.service.run_sweeps(),
             self._watch_drains(),
+            *self._list_rank_tasks(),
         ):
             await curio.spawn(task, daemon=True)
 
+    def _list_rank_tasks(self) -> list[Coroutine[Any, Any, object]]:
+        if self._ranks is None:
+            return []
+        return [
+            self._run_agreement(self._ranks),
+            self._ranks.placement.run(),
+            self._watch_group(self._ranks),
+        ]
+
+    async def _run_agreement(self, ranks: RankPart) -> None:
+        self._program.changes.log_change(await ranks.run_agreement())
+        await self._program.stop.requested.set()
+
+    async def _watch_group(self, ranks: RankPart) -> None:
+        service = self._settings.backend.service
+        while True:
+            members = self._node.membership.members()
+            ranks.note_live(frozenset(one.peer_address for one in members))
+            picture = self._node.configuration.picture
+            ranks.placement.note_weights(picture.placement(service))
+            await curio.sleep(GROUP_SECONDS)
+
+    async def _answer_plan(self, body: bytes) -> bytes | None:
+        if self._ranks is None or self._ranks.placement.last is None:
+            return None
+        return msgspec.msgpack.encode(self._ranks.placement.last)
+
     async def _watch_drains(self) -> None:
         causes: tuple[DrainCause, ...] = ()
         while True:
--- /dev/null
+++ b/src/ospreyford/agent/ranks.py
@@ -0,0 +1,71 @@
+"""The agent's part in a rank group: agreement and placement."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.agent.expertloads import HttpLoadSource
+from ospreyford.agent.placing import PlacementLoop
+from ospreyford.expertmap.engine import HttpEngine
+from ospreyford.expertmap.errors import Superseded
+from ospreyford.expertmap.service import RankService
+from ospreyford.observability.events import GroupHalted
+from ospreyford.settings.types import split_address
+
+if TYPE_CHECKING:
+    from ospreyford.agent.rankssettings import RankSection
+    from ospreyford.ports.clock import Clock
+    from ospreyford.ports.peers import PeerPort
+
+
+class RankPart:
+    """What an agent runs for its rank group.
+
+    :param section: the group's settings.
+    :param peers: messages to other processes.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        section: RankSection,
+        peers: PeerPort,
+        clock: Clock,
+    ) -> None:
+        address = split_address(section.engine)
+        self.service = RankService(
+            section.agreement,
+            peers,
+            clock,
+            HttpEngine(address, section.agreement.slot),
+        )
+        self.placement = PlacementLoop(
+            section,
+            self.service,
+            HttpLoadSource(address, clock),
+            clock,
+        )
+        self.group = section.agreement.group
+        self._slot = section.agreement.slot
+        self._addresses = section.agreement.addresses
+
+    def note_live(self, addresses: frozenset[str]) -> None:
+        """Take over which peers are live.
+
+        :param addresses: peer addresses of the live processes.
+        """
+        lower = self._addresses[: self._slot]
+        self.placement.leads = not addresses.intersection(lower)
+
+    async def run_agreement(self) -> GroupHalted:
+        """Serve the group until another process takes this one's place.
+
+        :returns: why this process must end.
+        """
+        try:
+            await self.service.run()
+        except Superseded:
+            # Two gates to one engine would let it run steps that neither of
+            # them knows of.
+            reason = 'another process orders this engine'
+        return GroupHalted(self.group, 0, reason)
--- /dev/null
+++ b/src/ospreyford/agent/rankssettings.py
@@ -0,0 +1,36 @@
+"""Settings of the rank group that an agent's host belongs to."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from ospreyford.expertmap.settings import RankSettings
+from ospreyford.placement.map import GroupShape
+from ospreyford.placement.settings import PlacementSettings
+from ospreyford.settings.types import Address
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class RankSection(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Settings of the rank group that this host's ranks belong to.
+
+    :param agreement: the group, this member's slot, everyone's addresses.
+    :param engine: where the engine takes orders.
+    :param shape: size of the group and of its model.
+    :param placement: limits of the placement policy.
+    :param report_seconds: interval of the engine's load readings.
+    """
+
+    agreement: RankSettings
+    engine: Address
+    shape: GroupShape
+    placement: PlacementSettings
+    report_seconds: Positive = 10
--- a/src/ospreyford/entry/views.py
+++ b/src/ospreyford/entry/views.py
@@ -9,7 +9,12 @@
 
 from ospreyford.documents.explanation import explain
 from ospreyford.membership.member import MemberState
-from ospreyford.node.questions import AgentStatus, ask_status, gather_spans
+from ospreyford.node.questions import (
+    AgentStatus,
+    ask_plan,
+    ask_status,
+    gather_spans,
+)
 from ospreyford.observability.admin import NothingFound, require_parameter
 from ospreyford.observability.plain import make_plain
 from ospreyford.observability.spans import merge_spans
@@ -22,10 +27,13 @@
     from ospreyford.node.fleetnode import FleetNode
     from ospreyford.observability.admin import Provider, Query
     from ospreyford.observability.spans import Span, Tracer
+    from ospreyford.placement.explanation import PlanExplanation
     from ospreyford.ports.fleet import Host
 
 #: Agents asked at the same time for one page.
 ASKED_AT_ONCE = 32
+#: Agents asked for their plans by one call.
+MOST_ASKED = 200
 
 
 class DrainProgress(NamedTuple):
@@ -69,6 +77,7 @@
             '/explain': self.explain_route,
             '/traces': self.find_trace,
             '/drains': self.show_drains,
+            '/plan': self.show_plans,
         }
 
     def show_status(self, query: Query) -> Any:
@@ -158,6 +167,25 @@
             rows += await self._ask_drains(share)
         return make_plain(rows)
 
+    async def show_plans(self, query: Query) -> Any:
+        """Show what the placement policy would move, for each rank group.
+
+        :param query: ``service`` limits it to one service.
+        :returns: the last judgement of each group, by the agent that made it.
+        """
+        service = query.get('service')
+        asked = [
+            host
+            for host in self._directory.hosts.values()
+            if service in {None, host.service}
+        ]
+        plans: dict[str, PlanExplanation] = {}
+        for host in asked[:MOST_ASKED]:
+            plan = await ask_plan(self._node.peers, host.peer_address)
+            if plan is not None:
+                plans[host.name] = plan
+        return make_plain(plans)
+
     async def _ask_drains(self, hosts: list[Host]) -> list[DrainProgress]:
         group = curio.TaskGroup()
         async with group:
--- a/src/ospreyford/expertmap/settings.py
+++ b/src/ospreyford/expertmap/settings.py
@@ -5,7 +5,9 @@
 import msgspec
 
 
-class RankSettings(msgspec.Struct, frozen=True, kw_only=True):
+class RankSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """What a member knows from the start.
 
     :param group: the rank group's name.
--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -12,7 +12,7 @@
 from ospreyford.membership.member import Member, new_incarnation
 from ospreyford.membership.service import Membership
 from ospreyford.node.configuration import Configuration
-from ospreyford.node.members import DistributionMember, LiveMembers
+from ospreyford.node.members import LiveMembers
 from ospreyford.node.pauses import PauseGuard
 from ospreyford.peers.node import PeerNode
 from ospreyford.peers.settings import PeerSettings
@@ -69,7 +69,7 @@
         )
         self.distributor = Distributor(
             settings.distribution,
-            DistributionMember(me.name, me.peer_address, me.zone),
+            me,
             ServiceClient(*split_address(settings.platform.config_service)),
             self.peers,
             LiveMembers(self.membership),
--- a/src/ospreyford/node/questions.py
+++ b/src/ospreyford/node/questions.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ospreyford.observability.spans import Span
+from ospreyford.placement.explanation import PlanExplanation
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,6 +26,7 @@
 
     spans = 'spans'
     agent_status = 'agent-status'
+    plan = 'plan'
 
 
 class AgentStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,6 +48,7 @@
     revision: int
 
 
+_plan = msgspec.msgpack.Decoder(PlanExplanation)
 _status = msgspec.msgpack.Decoder(AgentStatus)
 
 
@@ -103,6 +106,22 @@
         return None
 
 
+async def ask_plan(peers: PeerPort, address: str) -> PlanExplanation | None:
+    """Ask an agent what the placement policy would move.
+
+    :param peers: messages to other processes.
+    :param address: the agent's peer address.
+    :returns: the last judgement, or ``None`` where this agent makes none.
+    """
+    body = await peers.ask(address, Topic.plan, b'', ASK_SECONDS)
+    if body is None:
+        return None
+    try:
+        return _plan.decode(body)
+    except msgspec.MsgspecError:
+        return None
+
+
 def _decode_spans(body: bytes | None) -> list[Span]:
     if body is None:
         return []
--- a/src/ospreyford/placement/map.py
+++ b/src/ospreyford/placement/map.py
@@ -15,7 +15,9 @@
 LayerMap = tuple[Ranks, ...]
 
 
-class GroupShape(msgspec.Struct, frozen=True, kw_only=True):
+class GroupShape(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Size of a rank group and of the model that it runs.
 
     :param ranks: ranks in the group.
--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ospreyford.agent.rankssettings import RankSection
 from ospreyford.agent.settings import RecordSettings, ServiceSettings
 from ospreyford.distribution.settings import DistributionSettings
 from ospreyford.entry.settings import AttemptSettings, RequestSettings
@@ -84,6 +85,7 @@
     requests: RequestSettings = RequestSettings()
     records: RecordSettings = RecordSettings()
     service: ServiceSettings = ServiceSettings()
+    ranks: RankSection | None = None
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -30,9 +30,10 @@
 
 READY_SECONDS = 40.0
 MAX_PORTS = 1000
+MODEL = 'model'
 STANDINS = MappingProxyType(
     {
-        'model': 'ospreyford.standins.engine',
+        MODEL: 'ospreyford.standins.engine',
         'plain': 'ospreyford.standins.plain',
     },
 )
@@ -68,6 +69,28 @@
 sample_ratio = 1.0
 """
 
+_RANKS = """
+[ranks]
+engine = "{engine}"
+report_seconds = 0.5
+
+[ranks.agreement]
+group = "{group}"
+slot = {slot}
+addresses = [{addresses}]
+
+[ranks.shape]
+ranks = {ranks}
+layers = 2
+experts = 6
+expert_bytes = 1000
+
+[ranks.placement]
+slots_per_rank = 4
+plan_interval_seconds = 1
+min_tokens = 1
+"""
+
 _BACKEND = """
 [backend]
 address = "{address}"
@@ -116,7 +139,7 @@
         self._launcher = launcher
         self._directory = directory
         self._kinds = {
-            site.model_service: 'model',
+            site.model_service: MODEL,
             site.plain_service: 'plain',
         }
         table = directory / 'hosts.json'
@@ -126,12 +149,24 @@
             '--documents',
             str(documents),
         )
+        self.ranks: Launched | None = None
         self.host_list = launcher.start(
             'ospreyford.standins.hostlist',
             '--hosts',
             str(table),
         )
 
+    def start_ranks(self) -> None:
+        """Have the model replicas' ranks form one lock-step group."""
+        size = sum(
+            self._kinds.get(host.service) == MODEL for host in self.hosts
+        )
+        self.ranks = self._launcher.start(
+            'ospreyford.standins.rankgroup',
+            '--ranks',
+            size,
+        )
+
     def start(self) -> None:
         """Start every back end, agent and entry, and wait for them.
 
@@ -218,11 +253,31 @@
         )
         if host.role != 'backend':
             return text
-        return text + _BACKEND.format(
+        text += _BACKEND.format(
             address=_address(self.backends[host.name]),
             service=host.service,
             kind=self._kinds[host.service],
         )
+        return text + self._write_ranks(host)
+
+    def _write_ranks(self, host: Host) -> str:
+        group = [
+            each
+            for each in self.hosts
+            if self._kinds.get(each.service) == MODEL
+        ]
+        if self.ranks is None or host not in group:
+            return ''
+        addresses = ', '.join(
+            '"{0}"'.format(each.peer_address) for each in group
+        )
+        return _RANKS.format(
+            engine=_address(self.ranks),
+            group=host.service,
+            slot=group.index(host),
+            addresses=addresses,
+            ranks=len(group),
+        )
 
 
 def ask(port: int, target: str, body: object = None) -> Any:
--- a/src/ospreyford/standins/rankgroup.py
+++ b/src/ospreyford/standins/rankgroup.py
@@ -3,7 +3,8 @@
 ``POST /orders`` takes the orders of :mod:`ospreyford.expertmap.orders`,
 ``GET /ranks/{rank}`` tells a rank's progress, ``GET /journal`` has an entry
 ``step`` for each rank and step, and ``POST /control`` with
-``{"restart": rank}`` puts a fresh engine in a rank's place.
+``{"restart": rank}`` puts a fresh engine in a rank's place; with
+``{"loads": [[tokens, ...], ...]}`` it sets what ``GET /expert-loads`` tells.
 """
 
 from __future__ import annotations
@@ -47,9 +48,10 @@
 
 
 class Control(msgspec.Struct, frozen=True):
-    """Body of ``POST /control``."""
+    """Body of ``POST /control``: a rank to restart, or new expert loads."""
 
-    restart: int
+    restart: int | None = None
+    loads: list[list[float]] | None = None
 
 
 class RankGroup:
@@ -62,6 +64,7 @@
         self.journal = Journal()
         self._options = options
         self._starts = 0
+        self._loads: list[list[float]] = []
         self._engines = [
             self._make_engine(rank) for rank in range(options.ranks)
         ]
@@ -78,6 +81,8 @@
             case ('GET', ('ranks', rank)):
                 status = self._engines[int(rank)].read_status()
                 await respond_json(exchange, StatusReply(**status._asdict()))
+            case ('GET', ('expert-loads',)):
+                await self._tell_loads(exchange)
             case ('POST', ('control',)):
                 await self._control(exchange)
             case ('GET', ('journal',)):
@@ -145,9 +150,23 @@
     async def _control(self, exchange: Exchange) -> None:
         body = await exchange.read_body()
         control = msgspec.json.decode(body, type=Control)
-        self._engines[control.restart] = self._make_engine(control.restart)
+        if control.restart is not None:
+            self._engines[control.restart] = self._make_engine(control.restart)
+        if control.loads is not None:
+            self._loads = control.loads
         await respond_json(exchange, {})
 
+    async def _tell_loads(self, exchange: Exchange) -> None:
+        if not self._loads:
+            await refuse(exchange, HTTPStatus.NOT_FOUND)
+            return
+        report = {
+            'age_seconds': 0,
+            'ranks': len(self._engines),
+            'tokens': self._loads,
+        }
+        await respond_json(exchange, report)
+
     def _make_engine(self, rank: int) -> RankEngine:
         self._starts += 1
         honours = rank != self._options.ignoring
