Let a fresh member lead at once and windows hold 768 steps

Slots now follow one another over one more takeover time whatever the group's size. The steps that did not run are counted directly.

--- a/src/ospreyford/expertmap/keeper.py
+++ b/src/ospreyford/expertmap/keeper.py
@@ -58,7 +58,7 @@
         self.released: Window | None = None
         self.heard_at = clock.monotonic()
         self.superseded = False
-        self._generation = NO_BALLOT
+        self.generation = NO_BALLOT
         self._vote: Vote | None = None
         self._floor = 0
         self._clock = clock
@@ -136,7 +136,7 @@
         return Promise(
             ballot=ballot,
             incarnation=self.incarnation,
-            generation=self._generation,
+            generation=self.generation,
             released=self.released,
             vote=self._vote,
             floor=self._floor,
@@ -145,7 +145,7 @@
 
     async def _extend(self, question: Extend) -> Answer | None:
         refusal = self._refuse(question)
-        if refusal is None and question.generation != self._generation:
+        if refusal is None and question.generation != self.generation:
             # Each survivor gives up the old generation before the new one
             # can be complete: no step of the old one runs after the new one
             # has begun anywhere.
@@ -168,7 +168,7 @@
     def _refuse(self, question: Extend) -> Answer | None:
         if question.ballot < self.promised:
             return Refused(self.promised)
-        if question.generation != self._generation:
+        if question.generation != self.generation:
             if not self._may_join(question):
                 return Refused(self.promised)
         name = question.proposed.map_name
@@ -191,19 +191,19 @@
     def _is_past(self, question: Extend) -> bool:
         # A duplicate that arrives late must not replace a later vote.
         return (
-            question.generation == self._generation
+            question.generation == self.generation
             and self._vote is not None
             and question.proposed.index < self._vote.window.index
         )
 
     def _accept(self, question: Extend) -> None:
-        if question.generation != self._generation:
-            self._generation = question.generation
+        if question.generation != self.generation:
+            self.generation = question.generation
             self.released = None
         chosen = question.released
         if chosen is not None and chosen != self.released:
             self.released = chosen
-            self.gate.enqueue(self._generation.number, chosen)
+            self.gate.enqueue(self.generation.number, chosen)
             self.maps.drop_before(chosen.map_name)
         self.promised = question.ballot
         self._vote = Vote(ballot=question.ballot, window=question.proposed)
@@ -222,7 +222,7 @@
 
     def _forget(self, status: EngineStatus) -> None:
         self.incarnation = self._draw_incarnation()
-        self._generation = NO_BALLOT
+        self.generation = NO_BALLOT
         self.released = None
         self._vote = None
         self._floor = max(self._floor, status.granted_step)
--- a/src/ospreyford/expertmap/service.py
+++ b/src/ospreyford/expertmap/service.py
@@ -18,7 +18,7 @@
 from ospreyford.expertmap.gate import EngineGate
 from ospreyford.expertmap.keeper import RankKeeper
 from ospreyford.expertmap.tasks import CurioTasks
-from ospreyford.expertmap.windows import Ballot
+from ospreyford.expertmap.windows import NO_BALLOT, Ballot
 
 if TYPE_CHECKING:
     from ospreyford.expertmap.maps import ExpertMap, MapName
@@ -134,12 +134,13 @@
     def _patience(self) -> float:
         # A member that could not reach everyone lets the others try: one of
         # them may have whole links where this one's are cut.
-        takeover_seconds = self._settings.takeover_seconds * (
-            1 << self._failures
-        )
-        return takeover_seconds + (
-            self._settings.stagger_seconds * self._settings.slot
-        )
+        settings = self._settings
+        share = settings.slot / len(settings.addresses)
+        # A fresh member's engine stands, and with it the whole group.
+        base = settings.takeover_seconds
+        if self.keeper.generation == NO_BALLOT:
+            base = settings.poll_seconds
+        return base * (1 << self._failures) + share * settings.takeover_seconds
 
     def _holds_slot(self) -> bool:
         # A member whose slot moved to another host while it was cut off
--- a/src/ospreyford/expertmap/settings.py
+++ b/src/ospreyford/expertmap/settings.py
@@ -19,21 +19,19 @@
     :param ask_seconds: timeout of one question.
     :param poll_seconds: how often the engine's progress is read.
     :param install_seconds: how often an engine that loads a map is asked.
-    :param takeover_seconds: silence after which a member may coordinate.
-    :param stagger_seconds: further wait for each slot, so that the lowest
-        slot that is alive comes first.
+    :param takeover_seconds: silence after which a member may coordinate;
+        slots follow one another over as long again, the lowest first.
     """
 
     group: str
     slot: int
     addresses: tuple[str, ...]
-    window_steps: int = 512
+    window_steps: int = 768
     lead_steps: int = 256
     ask_seconds: float = 0.25
     poll_seconds: float = 0.2
     install_seconds: float = 0.5
     takeover_seconds: float = 0.6
-    stagger_seconds: float = 0.05
 
     def topic(self) -> str:
         """Name the topic of the group's messages.
--- a/src/ospreyford/measure/expertmap_group.py
+++ b/src/ospreyford/measure/expertmap_group.py
@@ -134,6 +134,7 @@
         self.ranks = ranks
         self.network = Network()
         self.steps = 0
+        self.stalls = 0
         self.revision = 0
         self.engine_seconds: float = 0
         self.services: dict[int, RankService] = {}
@@ -174,7 +175,9 @@
         while True:
             await curio.sleep(STEP_SECONDS)
             started = time.thread_time()
-            self.steps += self._run_step()
+            stepped = self._run_step()
+            self.steps += stepped
+            self.stalls += not stepped
             self.engine_seconds += time.thread_time() - started
 
     def offer(self, revision: int, layers: int) -> int:
