Tell others of listed hosts that nobody answers at

Change: a listed host's death takes part in changes, digests and repairs; a listed host is reset by the list only when its description changes. Seen red first: test_a_host_never_heard_of_is_dead_everywhere.

--- a/src/ospreyford/membership/listing.py
+++ b/src/ospreyford/membership/listing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ospreyford.membership.digests import Record
-from ospreyford.membership.member import Member, Version, listed_member
+from ospreyford.membership.member import Version, listed_member
 from ospreyford.membership.tables import Tables
 from ospreyford.ports.fleet import Host, HostState
 
@@ -23,7 +23,7 @@
     view = tables.view
     is_leaving = host.state is HostState.leaving
     record = view.find(host.name)
-    if record is None or _is_outdated(record, host):
+    if record is None or _is_changed(record, host):
         listed = listed_member(host)
         view.put_listed(listed, Version(listed.incarnation, is_leaving))
     elif record.member.instance == host.instance:
@@ -34,10 +34,5 @@
         tables.other_instances[host.name] = host.peer_address
 
 
-def _is_outdated(record: Record, host: Host) -> bool:
-    if not record.is_listed_only:
-        return False
-    known: Member = record.member
-    return known != listed_member(host) or record.version.leaving is not (
-        host.state is HostState.leaving
-    )
+def _is_changed(record: Record, host: Host) -> bool:
+    return record.is_listed_only and record.member != listed_member(host)
--- a/src/ospreyford/membership/view.py
+++ b/src/ospreyford/membership/view.py
@@ -176,8 +176,9 @@
             self.digests.hide(before)
         record = Record(member, version, self._clock.monotonic())
         self._records[member.name] = record
-        # A listing says nothing that others couldn't read in the host list.
-        if not record.is_listed_only:
+        # A listing says nothing that others couldn't read in the host list;
+        # that nobody answers there is news.
+        if not record.is_listed_only or record.state is MemberState.dead:
             self.digests.share(record)
             self._gossip.note(member.name, whole=whole)
         self.revision += 1
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -256,3 +256,21 @@
     assert task.done
     assert task.answer is None
     assert process.membership.counters.malformed == 1
+
+
+def test_a_host_never_heard_of_is_dead_everywhere() -> None:
+    """Symptom: a listed host that is gone stays live in other zones.
+
+    Sequence: a host dies, all others are restarted, so that nobody has ever
+    heard its process; only its own zone probes it.
+    Cause: what is known of a host that is merely listed told to nobody.
+    """
+    world = World(1)
+    hosts = [host(f'h{number}', zone) for number, zone in enumerate('aaab')]
+    hosts.append(host('h4', 'b'))
+    processes = [world.start(listed, hosts) for listed in hosts[:4]]
+    world.run(120)
+    for process in processes:
+        assert process.membership.state_of('h4') is DEAD
+        process.membership.note_hosts(hosts)
+        assert process.membership.state_of('h4') is DEAD
