--- a/src/ospreyford/distribution/members.py
+++ b/src/ospreyford/distribution/members.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Protocol
 
@@ -35,6 +35,36 @@
         """
 
 
+class CachedMembers:
+    """Keeps a list of members until it changes.
+
+    Every round of rumours asks for the members; making a list of thousands
+    anew each time would cost a process more than the rounds themselves.
+
+    :param fetch: makes the list.
+    """
+
+    def __init__(self, fetch: Callable[[], Sequence[Member]]) -> None:
+        self._fetch = fetch
+        self._cached: Sequence[Member] | None = None
+
+    def members(self) -> Sequence[Member]:
+        """List the live processes.
+
+        :returns: the list as it was fetched since the last change.
+        """
+        if self._cached is None:
+            self._cached = self._fetch()
+        return self._cached
+
+    def forget(self, *_change: object) -> None:
+        """Fetch the list again next time; subscribe this to membership.
+
+        :param _change: whatever the membership tells.
+        """
+        self._cached = None
+
+
 class Neighbours:
     """The peers of one process.
 
--- a/src/ospreyford/measure/distribution.py
+++ b/src/ospreyford/measure/distribution.py
@@ -218,6 +218,7 @@
     rows = [
         ('memory of a document beyond its text, B', held - DOCUMENT_BYTES),
         ('encode, decode and accept a delta, us', spent * MICROSECONDS),
+        ('all but sockets, us of cpu a second', _time_fleet() * MICROSECONDS),
     ]
     return tabulate(
         rows, ('cost', str(count)), tablefmt='github', floatfmt='.0f'
@@ -255,6 +256,14 @@
     return (time.process_time() - started) / count
 
 
+def _time_fleet() -> float:
+    size = SIZES[1]
+    started = time.process_time()
+    run_fleet(size, 1)
+    span = WARM_SECONDS + CHANGES * CHANGE_EVERY_SECONDS
+    return (time.process_time() - started) / size / span
+
+
 def _make_member(number: int) -> FleetMember:
     zone = number % ZONES
     return FleetMember(f'host-{number}', str(number), f'zone-{zone}')
--- a/tests/distribution/test_parts.py
+++ b/tests/distribution/test_parts.py
@@ -19,7 +19,7 @@
 from ospreyford.distribution.entries import Entry
 from ospreyford.distribution.exchange import Exchange
 from ospreyford.distribution.freshness import Freshness, Moment
-from ospreyford.distribution.members import Neighbours
+from ospreyford.distribution.members import CachedMembers, Neighbours
 from ospreyford.distribution.messages import Digest, Offer
 from ospreyford.distribution.pull import Pull
 from ospreyford.distribution.reader import Reader, Reading
@@ -184,6 +184,17 @@
         assert sum(reading) == min(2, size)
 
 
+def test_cached_members_follow_changes() -> None:
+    """Symptom: a dead process is asked for ever, a new one never."""
+    fleet = make_fleet(2)
+    cached = CachedMembers(lambda: tuple(fleet))
+    assert len(cached.members()) == 2
+    fleet.pop()
+    assert len(cached.members()) == 2
+    cached.forget('a change')
+    assert len(cached.members()) == 1
+
+
 def test_readers_rotate() -> None:
     fleet = make_fleet(30)
     neighbours = Neighbours(fleet[0], View(fleet), Random(1))
