--- a/tests/distribution/test_processes.py
+++ b/tests/distribution/test_processes.py
@@ -111,8 +111,10 @@
 def test_replacement_of_all_and_a_pause(service: int, nodes: Nodes) -> None:
     """Symptom: a fleet goes back to a withdrawn document, host by host.
 
-    The service serves an old replica while every process is killed and
-    replaced; then one is stopped while the others learn of a change.
+    The service serves an old replica. All processes but one are killed and
+    replaced while that one is stopped, so that the fresh ones meet nobody
+    who knows better; it goes on, hands its picture over, and is replaced as
+    well. Then it is stopped while the others learn of a change.
     """
     publish(service, 'first')
     for port in nodes.ports:
@@ -126,11 +128,20 @@
     for port in nodes.ports:
         nodes.wait_for(port, 'pool 2 second')
     order(service, mode='stale')
-    for port in nodes.ports:
+    first, *others = nodes.ports
+    nodes.signal(first, signal.SIGSTOP)
+    for port in others:
         nodes.kill(port)
         nodes.start(port)
+    time.sleep(PAUSE_SECONDS)
+    for port in others:
+        assert set(nodes.lines(port)) == {'waiting'}
+    nodes.signal(first, signal.SIGCONT)
+    for port in others:
         nodes.wait_for(port, 'ready')
-    first, *others = nodes.ports
+    nodes.kill(first)
+    nodes.start(first)
+    nodes.wait_for(first, 'ready')
     nodes.signal(first, signal.SIGSTOP)
     order(service, mode='up')
     publish(service, 'third')
