Weigh a report by how long requests stay

Cause: a report half a second old tells of a plain service's requests that ended ten turnovers ago; all entries rushed to where it was quiet then.

Change: a report loses 63 % of its weight after the mean stay of a request (Little's law on the own requests), at most `load_decay_seconds`. Plain services carry no prefix in the measurement, as in the real requests.

Seen failing with the weight by stay removed: test_report_older_than_the_stay_of_requests_counts_little.

--- a/src/ospreyford/measure/policies.py
+++ b/src/ospreyford/measure/policies.py
@@ -121,20 +121,27 @@
     :param me: the entry.
     :param settings: the router's settings.
     :param rng: source of random numbers.
+    :param cached: whether the service has prefixes to cache.
     """
 
     def __init__(
-        self, me: Identity, settings: RoutingSettings, rng: Random
+        self,
+        me: Identity,
+        settings: RoutingSettings,
+        rng: Random,
+        cached: bool,
     ) -> None:
+        self._cached = cached
         self._router = Router(settings, me, rng)
 
     def choose(self, job: Job, hosts: Sequence[Host], now: float) -> str | None:
         """Ask the router."""
+        prefix = str(job.prefix).encode() if self._cached else None
         query = RoutingQuery(
             service=hosts[0].service,
             customer=str(job.customer),
             deadline=now + 1,
-            prefix=str(job.prefix).encode(),
+            prefix=prefix,
         )
         match self._router.choose(query, hosts, now):
             case Choice(host, _):
--- a/src/ospreyford/measure/routing.py
+++ b/src/ospreyford/measure/routing.py
@@ -71,7 +71,9 @@
             return LinearProgram(rng, subsets)
         case _:
             settings = RoutingSettings(max_load=deployment.slots * BOUND)
-            return Chosen(Identity(f'entry-{zone}', zone, 'r'), settings, rng)
+            me = Identity(f'entry-{zone}', zone, 'r')
+            cached = deployment.prefix_seconds > 0
+            return Chosen(me, settings, rng, cached)
 
 
 def learn_rates(deployment: Deployment) -> dict[int, float]:
--- a/src/ospreyford/routing/backend.py
+++ b/src/ospreyford/routing/backend.py
@@ -8,6 +8,7 @@
 
 from ospreyford.routing.budget import AttemptBudget
 from ospreyford.routing.health import Health
+from ospreyford.routing.residence import Residence
 
 if TYPE_CHECKING:
     from ospreyford.ports.fleet import Host, LoadReport
@@ -17,6 +18,8 @@
 INCARNATIONS_KEPT = 4
 #: Changes of this entry's own count that are remembered.
 HISTORY_KEPT = 128
+#: Mean stays of a request after which a report has lost 63 % of its weight.
+TURNOVERS = 1
 #: Share that a fresh back end starts with.
 FIRST_SHARE = 0.1
 
@@ -48,6 +51,7 @@
     def __init__(self, host: Host, settings: RoutingSettings) -> None:
         self.host = host
         self.in_flight = 0
+        self._residence = Residence()
         self._history: deque[_Count] = deque(maxlen=HISTORY_KEPT)
         self.draining = False
         self.step_seconds: float = 0
@@ -67,6 +71,7 @@
 
         :param now: seconds on the monotonic clock.
         """
+        self._residence.note(self.in_flight, now)
         self.in_flight += 1
         self._history.append(_Count(now, self.in_flight))
 
@@ -75,6 +80,8 @@
 
         :param now: seconds on the monotonic clock.
         """
+        self._residence.note(self.in_flight, now)
+        self._residence.note_end()
         self.in_flight = max(0, self.in_flight - 1)
         self._history.append(_Count(now, self.in_flight))
 
@@ -150,7 +157,14 @@
 
     def _report_weight(self, now: float) -> float:
         age = max(0, now - self._reported_at)
-        return exp(-age / self._settings.load_decay_seconds)
+        fading = self._settings.load_decay_seconds
+        stay = self._residence.mean()
+        if stay:
+            # A report tells of requests that are gone by now if they stay
+            # for less than its age: following it, all entries rush to
+            # where it was quiet then, and the load swings to and fro.
+            fading = min(fading, TURNOVERS * stay)
+        return exp(-age / fading)
 
     def _note_incarnation(self, incarnation: str, now: float) -> None:
         if self._incarnation:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -186,6 +186,27 @@
     assert set(count_choices(router, hosts, 10)) == {'backend-1'}
 
 
+def test_report_older_than_the_stay_of_requests_counts_little() -> None:
+    """The load of short calls swings from one back end to the next.
+
+    Sequence: calls take 10 ms; a report half a second old tells of a full
+    back end; all entries turn away from it, and then back.
+    Cause: the requests that it tells of ended long ago.
+    """
+    hosts = make_hosts(2, 'a')
+    router = make_router()
+    router.choose(make_query(), hosts, 0)
+    for number in range(40):
+        name = f'backend-{number % 2}'
+        router.note_sent(name, number)
+        router.note_finished(name, Outcome.answered, 0.01, number + 0.01)
+    for name, load in (('backend-0', 20), ('backend-1', 0)):
+        old = LoadReport(incarnation='1', in_flight=load, age_seconds=0.5)
+        router.note_load(name, old, 41)
+    router.note_sent('backend-1', 41)
+    assert set(count_choices(router, hosts, 41)) == {'backend-0'}
+
+
 def test_stopped_reports_do_not_refuse_for_ever() -> None:
     """Every request is refused although the back ends are idle.
 
