Measure shared limits when the home entry dies and in a partition

Askings keep to 700 bytes/s (was 1,000), so that with the answers an entry stays near 1.4 KB/s.

Conclusion: leases with a reserve of 0.2; a customer whose connections stick to one entry is the common case, the home's death the rare one.

--- a/src/ospreyford/limits/settings.py
+++ b/src/ospreyford/limits/settings.py
@@ -50,7 +50,8 @@
         live come to agree; while they disagree for longer, two homes may
         lease out the same limit.
     :param ask_timeout_seconds: how long to wait for a home entry's answer.
-    :param bytes_per_second: sending rate that askings keep to.
+    :param bytes_per_second: sending rate that askings keep to; a home's
+        answers cost about as much again.
     """
 
     reserved: Ratio = 0.2
@@ -58,4 +59,4 @@
     lease_seconds: Positive = 3
     convergence_seconds: Positive = 2
     ask_timeout_seconds: Positive = 0.5
-    bytes_per_second: Positive = 1000
+    bytes_per_second: Positive = 700
--- /dev/null
+++ b/src/ospreyford/measure/limits.py
@@ -0,0 +1,214 @@
+"""Shared limits under faults: ``python -m ospreyford.measure.limits``."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Coroutine, Iterator
+from itertools import product
+from statistics import fmean
+from typing import NamedTuple
+
+from tabulate import tabulate
+
+from ospreyford.limits.homes import EntryView, Homes
+from ospreyford.limits.settings import ShareSettings
+from ospreyford.limits.share import MESSAGE_BYTES, EntryIdentity, LimitShare
+from ospreyford.ports.peers import Handler
+
+CUSTOMER = 'customer'
+#: Requests a second that the customer sends in all, in multiples of its
+#: limit, so that whatever is admitted is the limit's doing.
+DEMAND = 2.0
+#: Requests counted a second; only their proportion matters.
+REQUESTS = 60
+WARM_UP = 12
+SECONDS = 32
+RESERVES = (0, 0.2, 0.5, 1)
+EVENTS = ('none', 'home dies', 'partition')
+
+
+class Network:
+    """Entries that reach each other, or not, and model time."""
+
+    def __init__(self) -> None:
+        self.now: float = 0
+        self.entries: dict[str, Entry] = {}
+        self.sent = 0
+
+
+class Entry:
+    """One entry on the fake ports.
+
+    :param name: its name.
+    :param network: what it is on.
+    :param names: all entries.
+    :param reserved: part of the limit split evenly.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        network: Network,
+        names: tuple[str, ...],
+        reserved: float,
+    ) -> None:
+        self.side = 0
+        self.dead = False
+        self.live = names
+        self.known = len(names)
+        self._network = network
+        self._handlers: dict[str, Handler] = {}
+        self.share = LimitShare(
+            ShareSettings(reserved=reserved),
+            EntryIdentity(name, name),
+            self,
+            self,
+            self,
+        )
+
+    def monotonic(self) -> float:
+        """Read model time."""
+        return self._network.now
+
+    def wall(self) -> float:
+        """Read model time."""
+        return self._network.now
+
+    async def sleep(self, seconds: float) -> None:
+        """Return at once; the model moves time."""
+
+    def view(self) -> EntryView:
+        """Tell the present view."""
+        return EntryView({name: name for name in self.live}, self.known)
+
+    def serve(self, topic: str, handler: Handler) -> None:
+        """Keep the handler."""
+        self._handlers[topic] = handler
+
+    async def ask(
+        self, address: str, topic: str, body: bytes, timeout: float
+    ) -> bytes | None:
+        """Pass on to whoever is reached."""
+        self._network.sent += len(body) + MESSAGE_BYTES
+        other = self._network.entries[address]
+        if other.dead or other.side != self.side:
+            return None
+        return await other.answer(topic, body)
+
+    async def answer(self, topic: str, body: bytes) -> bytes | None:
+        """Answer as this entry."""
+        answer = await self._handlers[topic](body)
+        self._network.sent += len(answer or b'') + MESSAGE_BYTES
+        return answer
+
+
+class Trial(NamedTuple):
+    """One row: entries, who gets the requests, reserve, and the fault."""
+
+    entries: int
+    spread: str
+    reserved: float
+    event: str
+
+
+def run_whole(coroutine: Coroutine[object, object, None]) -> None:
+    """Run code whose ports answer at once.
+
+    :param coroutine: what to run.
+    """
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+
+
+def list_trials() -> Iterator[Trial]:
+    """List the rows.
+
+    :yields: all combinations.
+    """
+    for row in product((3, 12), ('one entry', 'all'), RESERVES, EVENTS):
+        yield Trial(*row)
+
+
+def play(trial: Trial) -> tuple[float, ...]:
+    """Play one row.
+
+    :param trial: the row.
+    :returns: mean, least and most of what was admitted in the seconds after
+        the fault, in parts of the limit, and bytes a second of one entry.
+    """
+    names = tuple(f'entry-{number}' for number in range(trial.entries))
+    network = Network()
+    network.entries = {
+        name: Entry(name, network, names, trial.reserved) for name in names
+    }
+    home = _find_home(network)
+    receivers = [other for other in names if other != home]
+    if trial.spread == 'one entry':
+        receivers = receivers[:1]
+    admitted = [
+        _step(network, second, trial.event, home, receivers)
+        for second in range(SECONDS)
+    ]
+    after = admitted[WARM_UP:]
+    rate = network.sent / SECONDS / trial.entries
+    return fmean(after), min(after), max(after), rate
+
+
+def _find_home(network: Network) -> str:
+    name = min(network.entries)
+    return Homes(name, network.entries[name], 1, 0).find(CUSTOMER)
+
+
+def _step(
+    network: Network, second: int, event: str, home: str, receivers: list[str]
+) -> float:
+    if event != 'none':
+        _apply(network, second - WARM_UP, event, home)
+    shares = [network.entries[name].share for name in receivers]
+    for share in shares:
+        for _ in range(REQUESTS // len(shares)):
+            share.note_demand(CUSTOMER, network.now)
+    for entry in network.entries.values():
+        if not entry.dead:
+            run_whole(entry.share.renew())
+    network.now += 1
+    part = DEMAND / len(shares)
+    return sum(min(part, one.fraction(CUSTOMER, network.now)) for one in shares)
+
+
+def _apply(network: Network, since: int, event: str, home: str) -> None:
+    """Cut at 0 s, seen by all at 2 s, gone from the host list at 8 s."""
+    names = sorted(network.entries)
+    # The home is alone, or leads the smaller part.
+    cut = [home] if event == 'home dies' else names[: len(names) // 3]
+    match since:
+        case 0:
+            for name in cut:
+                network.entries[name].side = 1
+                network.entries[name].dead = event == 'home dies'
+        case 2:
+            _show(network, cut)
+        case 8:
+            for entry in network.entries.values():
+                entry.known = len(names) - (event == 'home dies')
+
+
+def _show(network: Network, cut: list[str]) -> None:
+    """Let the views tell who is reached."""
+    rest = [name for name in network.entries if name not in cut]
+    for name, entry in network.entries.items():
+        entry.live = tuple(cut if name in cut else rest)
+
+
+def main() -> None:
+    """Print the table."""
+    headers = (*Trial._fields, 'mean', 'least', 'most', 'bytes/s')
+    rows = [(*trial, *play(trial)) for trial in list_trials()]
+    table = tabulate(rows, headers, tablefmt='github', floatfmt='.3f')
+    sys.stdout.write(f'{table}\n')
+
+
+if __name__ == '__main__':
+    main()
