--- a/src/ospreyford/placement/settings.py
+++ b/src/ospreyford/placement/settings.py
@@ -29,7 +29,8 @@
     :param max_moves: most copies and drops in one plan.
     :param max_report_age_seconds: an older report moves nothing.
     :param recurring: whether demand swings away and comes back, so that one
-        map should serve both; else the last ten minutes' mean is served.
+        map should serve both; else a moving average is served.
+    :param averaging_seconds: in which a report's weight in it halves.
     :param min_reports: reports needed before anything moves.
     :param min_tokens: a layer with fewer tokens in a report says nothing.
     """
@@ -43,6 +44,7 @@
     plan_interval_seconds: NonNegative = 300
     max_moves: Count = 64
     recurring: bool = False
+    averaging_seconds: Positive = 600
     max_report_age_seconds: Positive = 90
     min_reports: Count = 3
     min_tokens: Positive = 1000
--- a/src/ospreyford/placement/variants.py
+++ b/src/ospreyford/placement/variants.py
@@ -75,7 +75,7 @@
     """
     if settings.recurring:
         return WeighedMoves(Recurring())
-    return WeighedMoves(Averaged())
+    return WeighedMoves(Averaged(settings.averaging_seconds))
 
 
 def make_estimator(variant: Variant) -> Estimator:
--- a/tests/placement/test_settings.py
+++ b/tests/placement/test_settings.py
@@ -5,6 +5,12 @@
 
 from ospreyford.documents.capacity import PlacementWeights
 from ospreyford.placement.settings import PlacementSettings, apply_weights
+from ospreyford.placement.variants import (
+    Averaged,
+    Recurring,
+    WeighedMoves,
+    choose_variant,
+)
 
 
 def test_published_document_goes_before_the_settings_file() -> None:
@@ -42,3 +48,20 @@
 def test_wrong_setting_is_refused(wrong: dict[str, float]) -> None:
     with pytest.raises(msgspec.ValidationError):
         msgspec.convert(wrong, PlacementSettings)
+
+
+@pytest.mark.parametrize(
+    ('settings', 'estimate'),
+    [
+        (PlacementSettings(slots_per_rank=2), Averaged(600)),
+        (
+            PlacementSettings(slots_per_rank=2, averaging_seconds=60),
+            Averaged(60),
+        ),
+        (PlacementSettings(slots_per_rank=2, recurring=True), Recurring()),
+    ],
+)
+def test_settings_choose_the_estimate(
+    settings: PlacementSettings, estimate: Averaged | Recurring
+) -> None:
+    assert choose_variant(settings) == WeighedMoves(estimate)
