Export spans and count dropped lines in both programs

Cause: traces.exporter did nothing, dropped log lines were not shown (found by the console's author).

--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -18,7 +18,7 @@
 from ospreyford.observability.events import Draining, Ready, Started
 from ospreyford.observability.metrics import Metrics
 from ospreyford.observability.readiness import LeavingHost
-from ospreyford.observability.spans import Tracer
+from ospreyford.observability.tracing import Tracing
 from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
@@ -57,8 +57,17 @@
             Announcer(program.changes, self._metrics),
         )
         self._drains = DrainState(settings.identity.name)
-        self._tracer = Tracer(settings.traces, settings.identity)
-        self._parts = make_parts(settings, self._node, self._tracer)
+        self._tracing = Tracing(
+            settings.traces,
+            settings.identity,
+            self._metrics,
+        )
+        self._metrics.watch_drops('logs', program.changes.count_dropped)
+        self._parts = make_parts(
+            settings,
+            self._node,
+            self._tracing.tracer,
+        )
         self._ranks: RankPart | None = None
         if settings.ranks is not None:
             self._ranks = RankPart(
@@ -75,7 +84,9 @@
         # Binding the slot's one address holds a second agent off for as long
         # as this one lives, paused or not.
         sock = listen(*split_address(self._settings.listen.data_address))
-        self._node.peers.serve(Topic.spans, answer_spans(self._tracer.store))
+        self._node.peers.serve(
+            Topic.spans, answer_spans(self._tracing.tracer.store)
+        )
         self._node.peers.serve(Topic.agent_status, self._answer_status)
         self._node.peers.serve(Topic.plan, self._answer_plan)
         await self._node.start()
@@ -194,3 +205,4 @@
         await curio.sleep(ANSWER_SECONDS)
         await accepting.cancel()
         await self._node.stop()
+        self._tracing.close()
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -19,7 +19,7 @@
 from ospreyford.observability.events import Draining, Ready, Started
 from ospreyford.observability.metrics import Metrics
 from ospreyford.observability.readiness import LeavingHost, NoConfiguration
-from ospreyford.observability.spans import Tracer
+from ospreyford.observability.tracing import Tracing
 from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
@@ -51,13 +51,18 @@
         self._announcer = Announcer(program.changes, self._metrics)
         self._node = FleetNode(settings, 'entry', '', self._announcer)
         self._directory = FleetDirectory()
-        self._tracer = Tracer(settings.traces, settings.identity)
+        self._tracing = Tracing(
+            settings.traces,
+            settings.identity,
+            self._metrics,
+        )
+        self._metrics.watch_drops('logs', program.changes.count_dropped)
         self._parts = make_parts(
             settings,
             self._node,
             self._directory,
             self._metrics,
-            self._tracer,
+            self._tracing.tracer,
         )
         self.stopping = False
         self._open = OpenConnections(settings.http.connections)
@@ -67,7 +72,9 @@
         self._program.stop.count_in_flight = self._open.count_busy
         self._listen_to_fleet()
         sock = listen(*split_address(self._settings.listen.data_address))
-        self._node.peers.serve(Topic.spans, answer_spans(self._tracer.store))
+        self._node.peers.serve(
+            Topic.spans, answer_spans(self._tracing.tracer.store)
+        )
         await self._node.start()
         await self._start_admin()
         await curio.spawn(self._parts.share.run, daemon=True)
@@ -115,7 +122,7 @@
             Views(
                 self._node,
                 self._directory,
-                self._tracer,
+                self._tracing.tracer,
             ).list_providers(),
             self.tell_unready,
         )
@@ -160,3 +167,4 @@
             if self._open.count_busy():
                 quiet_since = self._node.clock.monotonic()
         await self._node.stop()
+        self._tracing.close()
