--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -7,10 +7,15 @@
 
 import msgspec
 
+from ospreyford.agent.rankssettings import RankSection
 from ospreyford.agent.settings import RecordSettings, ServiceSettings
 from ospreyford.distribution.settings import DistributionSettings
 from ospreyford.entry.settings import AttemptSettings, RequestSettings
-from ospreyford.limits.settings import GateSettings
+from ospreyford.limits.settings import (
+    GateSettings,
+    QueueSettings,
+    ShareSettings,
+)
 from ospreyford.membership.settings import MembershipSettings
 from ospreyford.routing.settings import RoutingSettings
 from ospreyford.settings.errors import KeyConflict
@@ -41,6 +46,8 @@
     attempts: AttemptSettings = AttemptSettings()
     routing: RoutingSettings = RoutingSettings()
     limits: GateSettings = GateSettings()
+    sharing: ShareSettings = ShareSettings()
+    queue: QueueSettings = QueueSettings()
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
@@ -78,6 +85,7 @@
     requests: RequestSettings = RequestSettings()
     records: RecordSettings = RecordSettings()
     service: ServiceSettings = ServiceSettings()
+    ranks: RankSection | None = None
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
