Have one engine lag when all agents die

With the engine's memory of its last granted step ignored (the line that sets the floor in RankKeeper.start removed) the test had passed, because all engines stood at the same step. Now one is two steps behind: TwoMapsInOneStep without the line, green with it.

--- a/tests/expertmap/test_guards.py
+++ b/tests/expertmap/test_guards.py
@@ -289,10 +289,12 @@
 def test_engines_remember_for_agents_that_all_died() -> None:
     """Symptom: steps run twice, with two maps.
 
-    Sequence: all agents die at once, engines live on; a new map comes.
-    Cause: the new agents number steps as if nothing had run.
+    Sequence: all agents die at once, engines live on, one of them some
+    granted steps behind; a new map comes. Cause: the new agents number
+    steps as if nothing had run.
     """
     group = start_group()
+    group.engines[2].step -= 2
     for old in list(group.processes):
         group.kill(old)
         group.replace(old, old.engine, old.address)
