--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -9,10 +9,10 @@
 
 from ospreyford.distribution.client import ServiceClient
 from ospreyford.distribution.distributor import Distributor
+from ospreyford.distribution.members import CachedMembers
 from ospreyford.membership.member import Member, new_incarnation
 from ospreyford.membership.service import Membership
 from ospreyford.node.configuration import Configuration
-from ospreyford.node.members import LiveMembers
 from ospreyford.node.pauses import PauseGuard
 from ospreyford.peers.node import PeerNode
 from ospreyford.peers.settings import PeerSettings
@@ -67,12 +67,14 @@
             self.clock,
             self.rng,
         )
+        members = CachedMembers(self.membership.members)
+        self.membership.subscribe(members.forget)
         self.distributor = Distributor(
             settings.distribution,
             me,
             ServiceClient(*split_address(settings.platform.config_service)),
             self.peers,
-            LiveMembers(self.membership),
+            members,
             self.clock,
             self.rng,
         )
