Keep a waiter's place until a back end is found for it

Cause: a waiter was taken out of the queue at each tick, found every back end still full and was refused although its wait was not over (by reading; the queue's author says head, choose, then take). Change: the room tries to find a back end for the head and takes it only then; latency told to the router is time to the first part; cancelled and cut attempts are told as such; a host that left the list is forgotten; prefixes count only for services whose engines cache them.

--- a/src/ospreyford/entry/answer.py
+++ b/src/ospreyford/entry/answer.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from ospreyford.entry.sink import Sink
+    from ospreyford.ports.clock import Clock
     from ospreyford.ports.fleet import LoadReport
     from ospreyford.wire.frame import AgentFrame
 
@@ -37,9 +38,12 @@
 
     :param execution: the id whose frames are expected.
     :param sink: where the answer goes.
+    :param clock: source of time.
     """
 
-    def __init__(self, execution: str, sink: Sink) -> None:
+    def __init__(self, execution: str, sink: Sink, clock: Clock) -> None:
+        self.first_at: float | None = None
+        self._clock = clock
         self.load: LoadReport | None = None
         self.sequence = 0
         self._execution = execution
@@ -99,6 +103,7 @@
         match frame:
             case Head(status=status, headers=headers):
                 self._began = True
+                self.first_at = self._clock.monotonic()
                 await self._sink.begin(status, headers)
                 return None
             case Piece(content=content):
--- a/src/ospreyford/entry/attempt.py
+++ b/src/ospreyford/entry/attempt.py
@@ -60,7 +60,7 @@
         sink: Sink,
         deadline: float,
     ) -> None:
-        self.answer = IncomingAnswer(start.execution, sink)
+        self.answer = IncomingAnswer(start.execution, sink, clock)
         self._settings = settings
         self._pool = pool
         self._clock = clock
--- a/src/ospreyford/entry/call.py
+++ b/src/ospreyford/entry/call.py
@@ -47,7 +47,8 @@
 
     ``pools`` holds the hosts of each capacity pool, the preferred pool
     first. ``engine_priority`` is handed to the engine, 9 being the most
-    urgent. ``homes`` are the backend servers that hold idempotency keys.
+    urgent. ``caches_prefixes`` tells whether the service's engines keep
+    prompt prefixes. ``homes`` are the backend servers that hold idempotency keys.
     """
 
     pools: tuple[tuple[Host, ...], ...]
@@ -57,6 +58,7 @@
     version: str | None
     adapter: str | None
     homes: tuple[Home, ...]
+    caches_prefixes: bool
 
 
 class Directory(Protocol):
--- a/src/ospreyford/entry/directory.py
+++ b/src/ospreyford/entry/directory.py
@@ -12,7 +12,7 @@
     UnknownCustomer,
     UnknownService,
 )
-from ospreyford.documents.subjects import is_non_idempotent
+from ospreyford.documents.subjects import Model, is_non_idempotent
 from ospreyford.entry.call import Plan
 from ospreyford.entry.homes import Home
 from ospreyford.entry.outcome import Cause, NotRun
@@ -137,6 +137,7 @@
             version=route.model_version,
             adapter=route.adapter,
             homes=_find_homes(picture, service),
+            caches_prefixes=_caches_prefixes(picture, service),
         )
 
     def _find_members(self, picture: Picture, pool: str) -> tuple[Host, ...]:
@@ -165,6 +166,11 @@
     )
 
 
+def _caches_prefixes(picture: Picture, service: str) -> bool:
+    found = picture.service(service)
+    return isinstance(found, Model) and found.prefix_caching
+
+
 def _bound(limit: float | None) -> float:
     return UNLIMITED if limit is None else limit
 
--- a/src/ospreyford/entry/dispatcher.py
+++ b/src/ospreyford/entry/dispatcher.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ospreyford.entry.keyed import KeyedDispatcher
 from ospreyford.entry.outcome import Cause, NotRun, Outcome, Unknown
-from ospreyford.entry.sending import (
-    Sender,
-    Sending,
-    make_headers,
-    settle_outcome,
-)
+from ospreyford.entry.sending import Sender, make_headers, settle_outcome
+from ospreyford.entry.target import Sending
+from ospreyford.entry.waiting import is_overload
 from ospreyford.routing.query import (
     AllLeaving,
     Choice,
@@ -122,12 +120,12 @@
     ) -> Sending | NotRun:
         # Whoever waits goes first: a newcomer that found capacity would
         # otherwise overtake the whole queue.
+        find = partial(self._choose, call, plan, excluded, number)
         if not self._room:
-            sending = self._choose(call, plan, excluded, number)
-            if not _is_overload(sending):
+            sending = find()
+            if not is_overload(sending):
                 return sending
-        refusal = await self._room.wait(call, plan)
-        return refusal or self._choose(call, plan, excluded, number)
+        return await self._room.wait(call, plan, find)
 
     def _choose(
         self,
@@ -147,10 +145,6 @@
         return NotRun(_name_cause(refusal.reason), refusal.retry_after)
 
 
-def _is_overload(sending: Sending | NotRun) -> bool:
-    return isinstance(sending, NotRun) and sending.cause is Cause.overloaded
-
-
 def _make_sending(call: Call, plan: Plan, host: Host, number: int) -> Sending:
     kind = AttemptKind.retry if number else AttemptKind.first
     # An idempotent call may run twice, so each sending has an id of its own;
@@ -169,7 +163,7 @@
         service=call.service,
         customer=call.customer,
         deadline=call.deadline,
-        prefix=call.prefix,
+        prefix=call.prefix if plan.caches_prefixes else None,
         adapter=plan.adapter,
         version=plan.version,
         priority=plan.priority,
--- a/src/ospreyford/entry/factory.py
+++ b/src/ospreyford/entry/factory.py
@@ -28,6 +28,7 @@
     """What serves callers, and the parts of it that the program looks at."""
 
     service: EntryService
+    router: Router
     share: LimitShare
     room: WaitingRoom
 
@@ -56,9 +57,10 @@
         LimitGate(settings.limits, share),
         node.pauses,
     )
+    router = _make_router(settings, node)
     wiring = Wiring(
         settings.attempts,
-        _make_router(settings, node),
+        router,
         ConnectionPool(PoolSettings(), node.clock),
         node.clock,
         metrics.requests,
@@ -71,7 +73,7 @@
         metrics,
         tracer,
     )
-    return EntryParts(service, share, room)
+    return EntryParts(service, router, share, room)
 
 
 def _make_router(settings: EntrySettings, node: FleetNode) -> Router:
--- a/src/ospreyford/entry/keyed.py
+++ b/src/ospreyford/entry/keyed.py
@@ -13,7 +13,8 @@
     Outcome,
     Unknown,
 )
-from ospreyford.entry.sending import Sending, make_headers, settle_outcome
+from ospreyford.entry.sending import make_headers, settle_outcome
+from ospreyford.entry.target import Sending
 from ospreyford.routing.query import Attempt as AttemptKind
 
 if TYPE_CHECKING:
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -28,6 +28,7 @@
     from ospreyford.console.program import Program
     from ospreyford.membership.member import StateChange
     from ospreyford.observability.readiness import Unready
+    from ospreyford.ports.fleet import Host
     from ospreyford.settings.programs import EntrySettings
 
 WITHDRAWN = frozenset((MemberState.leaving, MemberState.dead))
@@ -105,9 +106,15 @@
 
     def _listen_to_fleet(self) -> None:
         self._node.configuration.listen(self._directory.note_picture)
-        self._node.listen_for_hosts(self._directory.note_hosts)
+        self._node.listen_for_hosts(self._note_hosts)
         self._node.membership.subscribe(self._note_member)
 
+    def _note_hosts(self, hosts: tuple[Host, ...]) -> None:
+        before = self._directory.hosts.keys()
+        self._directory.note_hosts(hosts)
+        for name in before - self._directory.hosts.keys():
+            self._parts.router.note_gone(name)
+
     def _note_member(self, change: StateChange) -> None:
         name = change.member.name
         if change.after in WITHDRAWN:
--- a/src/ospreyford/entry/sending.py
+++ b/src/ospreyford/entry/sending.py
@@ -8,13 +8,17 @@
 
 from ospreyford.entry.attempt import Attempt
 from ospreyford.entry.outcome import (
+    Abandoned,
+    Answered,
     AttemptOutcome,
     Cause,
+    Cut,
     Moved,
     NotRun,
     Outcome,
     Unknown,
 )
+from ospreyford.entry.target import Sending
 from ospreyford.routing.query import Attempt as AttemptKind
 from ospreyford.routing.query import Outcome as RoutingOutcome
 from ospreyford.wire.frame import Start
@@ -28,23 +32,12 @@
     from ospreyford.http.message import Headers
     from ospreyford.observability.metrics import RequestMetrics
     from ospreyford.ports.clock import Clock
-    from ospreyford.ports.fleet import Host
     from ospreyford.routing.router import Router
     from ospreyford.wire.pool import ConnectionPool
 
 MILLISECONDS = 1000
 
 
-class Sending(NamedTuple):
-    """One sending of a call: which host, and why."""
-
-    host: Host
-    kind: AttemptKind
-    execution: str
-    dated: int
-    headers: Headers
-
-
 class Wiring(NamedTuple):
     """What every attempt needs."""
 
@@ -92,7 +85,8 @@
             outcome = await attempt.run(sending.host)
             routed = _rate(outcome)
         finally:
-            self._note_finished(name, routed, began)
+            first_at = attempt.answer.first_at
+            self._note_finished(name, routed, began, first_at)
         await self._wiring.room.call_next()
         if attempt.answer.load is not None:
             now = self._clock.monotonic()
@@ -143,9 +137,12 @@
         name: str,
         routed: RoutingOutcome,
         began: float,
+        first_at: float | None,
     ) -> None:
         now = self._clock.monotonic()
-        self._router.note_finished(name, routed, now - began, now)
+        # A long answer is not a slow back end: time to its first part counts.
+        latency = (first_at or now) - began
+        self._router.note_finished(name, routed, latency, now)
 
 
 def make_headers(plan: Plan) -> Headers:
@@ -189,11 +186,9 @@
     match outcome:
         case NotRun(cause=Cause.unreachable | Cause.backend_refused):
             return RoutingOutcome.failed
-        case NotRun() | Moved():
+        case NotRun() | Moved() | Abandoned():
             return RoutingOutcome.cancelled
-        case Unknown(cause=Cause.deadline):
+        case Unknown() | Cut():
             return RoutingOutcome.failed
-        case Unknown():
-            return RoutingOutcome.failed
-        case _:
+        case Answered():
             return RoutingOutcome.answered
--- a/src/ospreyford/entry/waiting.py
+++ b/src/ospreyford/entry/waiting.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from itertools import count
 from typing import TYPE_CHECKING
 
 import curio
 
 from ospreyford.entry.outcome import Cause, NotRun
+from ospreyford.entry.target import Sending
 from ospreyford.limits.queue import FairQueue, NotQueued, Waiter
 
 if TYPE_CHECKING:
@@ -19,15 +21,23 @@
 TICK_SECONDS = 0.05
 
 
+#: Tries to find a back end for a waiter, without sending anything yet.
+Finder = Callable[[], Sending | NotRun]
+
+
 class Place:
     """One request's place in the queue.
 
-    ``turn`` tells, once ``decided`` is set, whether its turn has come.
+    ``verdict`` is set before ``decided``: where to send the request, or why
+    it is refused.
+
+    :param find: tries to find a back end for it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, find: Finder) -> None:
+        self.find = find
         self.decided = curio.Event()
-        self.turn = False
+        self.verdict: Sending | NotRun = NotRun(Cause.overloaded, 0)
 
 
 class WaitingRoom:
@@ -47,13 +57,19 @@
     def __len__(self) -> int:
         return len(self._queue)
 
-    async def wait(self, call: Call, plan: Plan) -> NotRun | None:
+    async def wait(
+        self,
+        call: Call,
+        plan: Plan,
+        find: Finder,
+    ) -> Sending | NotRun:
         """Wait for a turn.
 
         :param call: the request.
         :param plan: its customer's weight and priority.
-        :returns: ``None`` when its turn has come; otherwise why it is refused,
-            at once, with when to come back.
+        :param find: tries to find a back end for it.
+        :returns: where to send it when its turn has come; otherwise why it is
+            refused, at once, with when to come back.
         """
         waiter = Waiter(
             id=next(self._ids),
@@ -66,38 +82,61 @@
         verdict = self._queue.offer(waiter, self._clock.monotonic())
         if isinstance(verdict, NotQueued):
             return NotRun(Cause.overloaded, verdict.retry_after)
+        place = Place(find)
+        self._places[waiter.id] = place
         if verdict.displaced is not None:
-            await self._decide(verdict.displaced, turn=False)
-        return await self._await_turn(waiter)
+            await self._decide(verdict.displaced, self._refuse())
+        return await self._await_verdict(waiter, place)
 
     async def call_next(self) -> None:
-        """Give the next in turn its chance: some capacity may be free."""
-        waiter = self._queue.take(self._clock.monotonic())
-        if waiter is not None:
-            await self._decide(waiter, turn=True)
+        """Give the next in turn its chance: some capacity may be free.
+
+        It keeps its place while there is none; taken out and refused, it
+        would have waited for nothing.
+        """
+        now = self._clock.monotonic()
+        waiter = self._queue.head(now)
+        if waiter is None:
+            return
+        found = self._places[waiter.id].find()
+        if not is_overload(found):
+            self._queue.take(now)
+            await self._decide(waiter, found)
 
     async def run(self) -> None:
         """Refuse whoever waited too long, and try the next, for ever."""
         while True:
             await self._clock.sleep(TICK_SECONDS)
             for waiter in self._queue.expire(self._clock.monotonic()):
-                await self._decide(waiter, turn=False)
+                await self._decide(waiter, self._refuse())
             await self.call_next()
 
-    async def _await_turn(self, waiter: Waiter) -> NotRun | None:
-        place = Place()
-        self._places[waiter.id] = place
+    async def _await_verdict(
+        self,
+        waiter: Waiter,
+        place: Place,
+    ) -> Sending | NotRun:
         try:
             await place.decided.wait()
         finally:
             self._places.pop(waiter.id, None)
             self._queue.cancel(waiter.id)
-        if place.turn:
-            return None
-        return NotRun(Cause.overloaded, self._retry_after)
+        return place.verdict
 
-    async def _decide(self, waiter: Waiter, *, turn: bool) -> None:
+    async def _decide(self, waiter: Waiter, verdict: Sending | NotRun) -> None:
         place = self._places.get(waiter.id)
         if place is not None:
-            place.turn = turn
+            place.verdict = verdict
             await place.decided.set()
+
+    def _refuse(self) -> NotRun:
+        return NotRun(Cause.overloaded, self._retry_after)
+
+
+def is_overload(found: Sending | NotRun) -> bool:
+    """Tell whether waiting may help.
+
+    :param found: the answer to a try to find a back end.
+    :returns: whether every back end is at its load bound.
+    """
+    return isinstance(found, NotRun) and found.cause is Cause.overloaded
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -198,6 +198,7 @@
             version=None,
             adapter=None,
             homes=tuple(Home(agent.name) for agent in self.agents),
+            caches_prefixes=False,
         )
 
     def make_entry(self, seed: int = 1) -> Dispatcher:
