--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCE := PYTHONPATH=src
 
-.PHONY: setup test lint format demo bench faults measure clean
+.PHONY: setup test lint format demo bench faults measure measure-times clean
 
 setup: $(STAMP)
 
@@ -31,5 +31,19 @@
 faults: setup
 	$(SOURCE) $(BIN)/python -m tests.faults
 
+# The same tables at every run; times apart in measure-times.
+measure: setup
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.placement
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.routing
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.limits
+
+measure-times: setup
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.placement_timing
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.routing_timing
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.documents
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.distribution
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.membership
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.expertmap
+
 clean:
 	rm -rf $(VENV) build
