End a replaced process; tell pauses and ejections

Cause: membership tells a process that a later one has its name, and nobody listened; pauses and ejections were counted but not logged. Change: a replaced process drains and ends; PauseNoticed, BackendEjected and BackendReturned are logged; the gauge of ejected back ends is set.

--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -55,6 +55,7 @@
             'backend',
             settings.backend.service,
             Announcer(program.changes, self._metrics),
+            program.stop.requested,
         )
         self._drains = DrainState(settings.identity.name)
         self._tracing = Tracing(
--- /dev/null
+++ b/src/ospreyford/entry/ejections.py
@@ -0,0 +1,63 @@
+"""Tells operators which back ends are ejected."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from ospreyford.observability.events import BackendEjected, BackendReturned
+
+if TYPE_CHECKING:
+    from ospreyford.observability.logs import ChangeLog
+    from ospreyford.observability.metrics import Metrics
+    from ospreyford.ports.clock import Clock
+    from ospreyford.routing.router import Router
+
+WATCH_SECONDS = 1.0
+
+
+class EjectionWatch:
+    """Compares the ejected back ends with those of the last look.
+
+    :param router: ejects and re-admits.
+    :param changes: the log.
+    :param metrics: the metrics.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        changes: ChangeLog,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._router = router
+        self._changes = changes
+        self._metrics = metrics
+        self._clock = clock
+        self._ejected: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Look for ever."""
+        while True:
+            await self._clock.sleep(WATCH_SECONDS)
+            self.look()
+
+    def look(self) -> None:
+        """Log what changed since the last look, and count."""
+        now = self._clock.monotonic()
+        ejected = {
+            host.name: host.service for host in self._router.list_ejected(now)
+        }
+        for name in ejected.keys() - self._ejected.keys():
+            self._changes.log_change(
+                BackendEjected(name, 'failures or latency')
+            )
+        for returned in self._ejected.keys() - ejected.keys():
+            self._changes.log_change(BackendReturned(returned))
+        counts = Counter(ejected.values())
+        services = {*self._ejected.values(), *counts}
+        for service in sorted(services):
+            self._metrics.fleet.ejected.labels(service).set(counts[service])
+        self._ejected = ejected
--- a/src/ospreyford/entry/factory.py
+++ b/src/ospreyford/entry/factory.py
@@ -6,6 +6,7 @@
 
 from ospreyford.entry.admission import Admission
 from ospreyford.entry.dispatcher import Dispatcher
+from ospreyford.entry.ejections import EjectionWatch
 from ospreyford.entry.sending import Wiring
 from ospreyford.entry.service import Admitting, EntryService
 from ospreyford.entry.waiting import WaitingRoom
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from ospreyford.entry.directory import FleetDirectory
     from ospreyford.node.fleetnode import FleetNode
+    from ospreyford.observability.logs import ChangeLog
     from ospreyford.observability.metrics import Metrics
     from ospreyford.observability.spans import Tracer
     from ospreyford.settings.programs import EntrySettings
@@ -31,6 +33,7 @@
     router: Router
     share: LimitShare
     room: WaitingRoom
+    watch: EjectionWatch
 
 
 def make_parts(
@@ -39,6 +42,7 @@
     directory: FleetDirectory,
     metrics: Metrics,
     tracer: Tracer,
+    changes: ChangeLog,
 ) -> EntryParts:
     """Build an entry's parts.
 
@@ -47,6 +51,7 @@
     :param directory: the published documents and the hosts.
     :param metrics: counts what becomes of requests.
     :param tracer: keeps the spans.
+    :param changes: the log.
     :returns: the parts, ready to serve.
     """
     share = _make_share(settings, node)
@@ -73,7 +78,8 @@
         metrics,
         tracer,
     )
-    return EntryParts(service, router, share, room)
+    watch = EjectionWatch(router, changes, metrics, node.clock)
+    return EntryParts(service, router, share, room, watch)
 
 
 def _make_router(settings: EntrySettings, node: FleetNode) -> Router:
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -50,7 +50,13 @@
         self._settings = settings
         self._metrics = Metrics()
         self._announcer = Announcer(program.changes, self._metrics)
-        self._node = FleetNode(settings, 'entry', '', self._announcer)
+        self._node = FleetNode(
+            settings,
+            'entry',
+            '',
+            self._announcer,
+            program.stop.requested,
+        )
         self._directory = FleetDirectory()
         self._tracing = Tracing(
             settings.traces,
@@ -64,6 +70,7 @@
             self._directory,
             self._metrics,
             self._tracing.tracer,
+            program.changes,
         )
         self.stopping = False
         self._open = OpenConnections(settings.http.connections)
@@ -80,6 +87,7 @@
         await self._start_admin()
         await curio.spawn(self._parts.share.run, daemon=True)
         await curio.spawn(self._parts.room.run, daemon=True)
+        await curio.spawn(self._parts.watch.run, daemon=True)
         accepting = await curio.spawn(self._accept, sock, daemon=True)
         self._program.changes.log_change(
             Started(
--- a/src/ospreyford/node/announcer.py
+++ b/src/ospreyford/node/announcer.py
@@ -9,13 +9,16 @@
     ConfigurationInForce,
     DocumentRejected,
     MemberChanged,
+    NotReady,
+    PauseNoticed,
 )
 
 if TYPE_CHECKING:
     from ospreyford.documents.parsing import RejectedDocument
     from ospreyford.documents.picture import Picture
-    from ospreyford.membership.member import StateChange
+    from ospreyford.membership.member import Replaced, StateChange
     from ospreyford.membership.service import Membership
+    from ospreyford.node.pauses import PauseGuard
     from ospreyford.observability.logs import ChangeLog
     from ospreyford.observability.metrics import Metrics
 
@@ -31,6 +34,7 @@
         self._changes = changes
         self._metrics = metrics
         self._rejected: frozenset[RejectedDocument] = frozenset()
+        self._pauses = 0
 
     def tell_picture(self, picture: Picture, revision: int) -> None:
         """Tell of a new picture.
@@ -60,6 +64,24 @@
             ),
         )
 
+    def tell_pause(self, pauses: PauseGuard) -> None:
+        """Tell of a pause once.
+
+        :param pauses: counts them.
+        """
+        if pauses.pauses > self._pauses:
+            self._pauses = pauses.pauses
+            self._changes.log_change(PauseNoticed(pauses.last_seconds))
+
+    def tell_replaced(self, replaced: Replaced) -> None:
+        """Tell that a later process has this one's name.
+
+        :param replaced: which.
+        """
+        self._changes.log_change(
+            NotReady('replaced by {0}'.format(replaced.incarnation))
+        )
+
     def count_members(self, membership: Membership) -> None:
         """Count the live and suspected members.
 
--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -43,6 +43,8 @@
     :param role: ``entry`` or ``backend``.
     :param service: the backend server's service, or empty.
     :param announcer: told of changes.
+    :param stop: set when a later process has this one's name, so that this
+        one must end.
     """
 
     def __init__(
@@ -51,7 +53,9 @@
         role: str,
         service: str,
         announcer: Announcer,
+        stop: curio.Event,
     ) -> None:
+        self._stop = stop
         self.clock = SystemClock()
         self.rng = random.Random()
         self.incarnation = new_incarnation(self.clock, self.rng)
@@ -123,7 +127,7 @@
             self._pace_hosts,
         )
         return [
-            self.membership.run(),
+            self._run_membership(),
             self.distributor.run_gossip(),
             self.distributor.run_reader(),
             self.configuration.run_bootstrap(),
@@ -133,9 +137,16 @@
             hosts,
         ]
 
+    async def _run_membership(self) -> None:
+        # A process that slept through its own replacement would go on
+        # beside its successor; it finishes what it has and ends.
+        self._announcer.tell_replaced(await self.membership.run())
+        await self._stop.set()
+
     async def _count(self) -> None:
         while True:
             self._announcer.count_members(self.membership)
+            self._announcer.tell_pause(self.pauses)
             await self.clock.sleep(COUNT_SECONDS)
 
     def _pace_hosts(self) -> float:
--- a/src/ospreyford/node/pauses.py
+++ b/src/ospreyford/node/pauses.py
@@ -38,6 +38,7 @@
 
     def __init__(self, clock: Clock, state: Freshness) -> None:
         self.pauses = 0
+        self.last_seconds: float = 0
         self._clock = clock
         self._state = state
         self._ticked = clock.monotonic()
@@ -63,5 +64,6 @@
     def _note(self, now: float) -> None:
         if now - self._ticked > PAUSE_SECONDS:
             self.pauses += 1
+            self.last_seconds = now - self._ticked
             self._until = now + PATIENCE_SECONDS
         self._ticked = now
--- a/src/ospreyford/observability/events.py
+++ b/src/ospreyford/observability/events.py
@@ -80,7 +80,6 @@
 
     backend: str
     reason: str
-    seconds: float
 
 
 @dataclass(frozen=True)
--- a/src/ospreyford/routing/registry.py
+++ b/src/ospreyford/routing/registry.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ospreyford.routing.backend import Backend
+from ospreyford.routing.health import HealthState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -64,6 +65,18 @@
         if known:
             self._services[known.host.service].pop(name, None)
 
+    def list_ejected(self, now: float) -> list[Backend]:
+        """List the back ends that are out of the choice for their health.
+
+        :param now: seconds on the monotonic clock.
+        :returns: their records.
+        """
+        return [
+            backend
+            for backend in self._backends.values()
+            if backend.health.state(now) is HealthState.ejected
+        ]
+
     def peers(self, backend: Backend) -> Iterator[Backend]:
         """List the other back ends of the same service.
 
--- a/src/ospreyford/routing/router.py
+++ b/src/ospreyford/routing/router.py
@@ -143,6 +143,14 @@
         self._registry.drop(name)
         self._pools.clear()
 
+    def list_ejected(self, now: float) -> list[Host]:
+        """List the back ends that are out of the choice for their health.
+
+        :param now: seconds on the monotonic clock.
+        :returns: their hosts.
+        """
+        return [each.host for each in self._registry.list_ejected(now)]
+
     def spend_retry(self, name: str) -> bool:
         """Take a retry out of the budgets, if both allow it.
 
