--- a/src/ospreyford/peers/sockets.py
+++ b/src/ospreyford/peers/sockets.py
@@ -68,6 +68,8 @@
     :param frames: the message's frames.
     :returns: whether the queue took the message.
     """
+    if socket.closed:
+        return False
     try:
         socket.send_multipart(frames, zmq.NOBLOCK)
     except zmq.Again:
--- a/tests/peers/test_envelope.py
+++ b/tests/peers/test_envelope.py
@@ -14,6 +14,7 @@
 from ospreyford.peers.errors import MalformedEnvelope
 from ospreyford.peers.freshness import Echo, PauseWatch, is_expired, stamp
 from ospreyford.peers.node import PeerNode
+from ospreyford.peers.sockets import send_frames
 from tests.peers.support import echo, envelope, run_pair
 
 ME = 7
@@ -156,3 +157,16 @@
     monkeypatch.setattr(time, 'monotonic', lambda: 100 + elapsed)
     assert stamp(Echo(ME, 9000, 100)) == expected
     assert stamp(None) == (0, 0)
+
+
+def test_sending_on_a_closed_socket_is_a_failed_send() -> None:
+    """Symptom: a crash report at every stop.
+
+    Sequence: a node stops and closes its sockets while a handler answers.
+    Cause: an error of the closed socket raised through the handler.
+    """
+    context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+    closed = context.socket(zmq.DEALER)
+    closed.close()
+    assert not send_frames(closed, [b'x'])
+    context.destroy()
