--- a/src/ospreyford/entry/call.py
+++ b/src/ospreyford/entry/call.py
@@ -18,6 +18,8 @@
 class Call(NamedTuple):
     """What a caller asked for.
 
+    ``servers`` collects the names of the backend servers that it was sent to.
+
     ``deadline`` is in monotonic seconds, ``dated`` the Unix time in
     milliseconds that ``key`` carries. ``key`` is the caller's idempotency
     key, or empty. ``tokens`` estimates prompt and answer together.
@@ -37,6 +39,7 @@
     prefix: bytes | None
     tokens: int
     trace: SpanContext | None
+    servers: list[str]
 
 
 class Plan(NamedTuple):
@@ -44,7 +47,8 @@
 
     ``pools`` holds the hosts of each capacity pool, the preferred pool
     first. ``engine_priority`` is handed to the engine, 9 being the most
-    urgent. ``homes`` are the backend servers that hold idempotency keys.
+    urgent. ``caches_prefixes`` tells whether the service's engines keep
+    prompt prefixes. ``homes`` are the backend servers that hold idempotency keys.
     """
 
     pools: tuple[tuple[Host, ...], ...]
@@ -54,6 +58,7 @@
     version: str | None
     adapter: str | None
     homes: tuple[Home, ...]
+    caches_prefixes: bool
 
 
 class Directory(Protocol):
--- a/src/ospreyford/limits/settings.py
+++ b/src/ospreyford/limits/settings.py
@@ -65,7 +65,8 @@
         live come to agree; while they disagree for longer, two homes may
         lease out the same limit.
     :param ask_timeout_seconds: how long to wait for a home entry's answer.
-    :param bytes_per_second: sending rate that askings keep to.
+    :param bytes_per_second: sending rate that askings keep to; a home's
+        answers cost about as much again.
     """
 
     reserved: Ratio = 0.2
@@ -73,4 +74,4 @@
     lease_seconds: Positive = 3
     convergence_seconds: Positive = 2
     ask_timeout_seconds: Positive = 0.5
-    bytes_per_second: Positive = 1000
+    bytes_per_second: Positive = 700
--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -7,10 +7,15 @@
 
 import msgspec
 
+from ospreyford.agent.rankssettings import RankSection
 from ospreyford.agent.settings import RecordSettings, ServiceSettings
 from ospreyford.distribution.settings import DistributionSettings
 from ospreyford.entry.settings import AttemptSettings, RequestSettings
-from ospreyford.limits.settings import GateSettings
+from ospreyford.limits.settings import (
+    GateSettings,
+    QueueSettings,
+    ShareSettings,
+)
 from ospreyford.membership.settings import MembershipSettings
 from ospreyford.routing.settings import RoutingSettings
 from ospreyford.settings.errors import KeyConflict
@@ -21,7 +26,6 @@
     Identity,
     Listen,
     Logs,
-    Peers,
     Platform,
     Traces,
 )
@@ -35,7 +39,6 @@
     identity: Identity
     listen: Listen
     platform: Platform
-    peers: Peers = Peers()
     membership: MembershipSettings = MembershipSettings()
     distribution: DistributionSettings = DistributionSettings()
     http: HttpLimits = HttpLimits()
@@ -43,6 +46,8 @@
     attempts: AttemptSettings = AttemptSettings()
     routing: RoutingSettings = RoutingSettings()
     limits: GateSettings = GateSettings()
+    sharing: ShareSettings = ShareSettings()
+    queue: QueueSettings = QueueSettings()
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
@@ -75,12 +80,12 @@
     listen: Listen
     platform: Platform
     backend: Backend
-    peers: Peers = Peers()
     membership: MembershipSettings = MembershipSettings()
     distribution: DistributionSettings = DistributionSettings()
     requests: RequestSettings = RequestSettings()
     records: RecordSettings = RecordSettings()
     service: ServiceSettings = ServiceSettings()
+    ranks: RankSection | None = None
     drain: Drain = Drain()
     logs: Logs = Logs()
     traces: Traces = Traces()
