--- a/src/ospreyford/expertmap/installer.py
+++ b/src/ospreyford/expertmap/installer.py
@@ -6,7 +6,7 @@
 
 from ospreyford.expertmap.calls import MemberCalls
 from ospreyford.expertmap.errors import MapMissing
-from ospreyford.expertmap.maps import MapName
+from ospreyford.expertmap.maps import ExpertMap, MapName
 from ospreyford.expertmap.messages import (
     Fetch,
     Fetched,
@@ -66,9 +66,8 @@
         :returns: whether all have; if not, ask again.
         :raises MapMissing: no member holds it any more.
         """
-        body = self._calls.keeper.maps.find(name)
+        body = self._calls.keeper.maps.find(name) or await self._fetch(name)
         if body is None:
-            await self._fetch(name)
             return False
         # A map is far larger than its name: only those who lack it get it.
         answers = await self._calls.ask(Install(name), self._calls.slots())
@@ -84,14 +83,15 @@
             for answer in answers.values()
         )
 
-    async def _fetch(self, name: MapName) -> None:
+    async def _fetch(self, name: MapName) -> ExpertMap | None:
         holder = self._holders.get(name)
         if holder is None:
             raise MapMissing
         answers = await self._calls.ask(Fetch(name), [holder])
         answer = answers[holder]
         if not isinstance(answer, Fetched):
-            return
+            return None
         if answer.body is None or answer.body.name() != name:
             raise MapMissing
         self._calls.keeper.maps.put(answer.body)
+        return answer.body
