--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -5,24 +5,26 @@
 from typing import TYPE_CHECKING
 
 import curio
+import msgspec
 
-from ospreyford.agent.backend import BackendAddress, HttpBackend
 from ospreyford.agent.drains import DrainState
-from ospreyford.agent.load import LoadMeter
-from ospreyford.agent.record import ExecutionRecord
-from ospreyford.agent.runner import Runner
-from ospreyford.agent.service import AgentService
+from ospreyford.agent.factory import make_parts
+from ospreyford.agent.ranks import RankPart
 from ospreyford.http.server import listen
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
+from ospreyford.node.questions import AgentStatus, Topic, answer_spans
 from ospreyford.observability.admin import AdminPort
 from ospreyford.observability.events import Draining, Ready, Started
 from ospreyford.observability.metrics import Metrics
 from ospreyford.observability.readiness import LeavingHost
-from ospreyford.observability.spans import Tracer
+from ospreyford.observability.tracing import Tracing
 from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
     from curio.io import Socket
 
     from ospreyford.agent.drains import DrainCause
@@ -32,6 +34,7 @@
 
 DRAIN_POLL_SECONDS = 0.05
 WATCH_SECONDS = 0.1
+GROUP_SECONDS = 1.0
 #: How long a stopping agent still answers questions about what it ran.
 ANSWER_SECONDS = 1.0
 
@@ -53,35 +56,25 @@
             settings.backend.service,
             Announcer(program.changes, self._metrics),
         )
-        clock = self._node.clock
-        backend = HttpBackend(
-            BackendAddress(*split_address(settings.backend.address)),
-            settings.service.connect_seconds,
-        )
-        self._record = ExecutionRecord(
-            settings.records,
-            self._node.incarnation,
-            clock,
-        )
-        self._meter = LoadMeter(self._record, backend, clock)
         self._drains = DrainState(settings.identity.name)
-        self._tracer = Tracer(settings.traces, settings.identity)
-        runner = Runner(
-            settings.service,
-            self._record,
-            backend,
-            self._meter,
-            clock,
-            self._tracer,
+        self._tracing = Tracing(
+            settings.traces,
+            settings.identity,
+            self._metrics,
         )
-        self._service = AgentService(
-            settings.identity.name,
-            settings.service,
-            self._record,
-            runner,
-            self._meter,
-            clock,
+        self._metrics.watch_drops('logs', program.changes.count_dropped)
+        self._parts = make_parts(
+            settings,
+            self._node,
+            self._tracing.tracer,
         )
+        self._ranks: RankPart | None = None
+        if settings.ranks is not None:
+            self._ranks = RankPart(
+                settings.ranks,
+                self._node.peers,
+                self._node.clock,
+            )
 
     async def run(self) -> None:
         """Run until asked to stop, then finish what is in flight."""
@@ -91,6 +84,11 @@
         # Binding the slot's one address holds a second agent off for as long
         # as this one lives, paused or not.
         sock = listen(*split_address(self._settings.listen.data_address))
+        self._node.peers.serve(
+            Topic.spans, answer_spans(self._tracing.tracer.store)
+        )
+        self._node.peers.serve(Topic.agent_status, self._answer_status)
+        self._node.peers.serve(Topic.plan, self._answer_plan)
         await self._node.start()
         await self._start_tasks()
         accepting = await curio.spawn(self._accept, sock, daemon=True)
@@ -112,6 +110,20 @@
         """
         return [LeavingHost(one.source) for one in self._drains.find_causes()]
 
+    async def _answer_status(self, body: bytes) -> bytes:
+        return msgspec.msgpack.encode(
+            AgentStatus(
+                name=self._settings.identity.name,
+                incarnation=self._node.incarnation,
+                running=self._count_running(),
+                records=len(self._parts.record.memory),
+                draining=tuple(
+                    one.source for one in self._drains.find_causes()
+                ),
+                revision=self._node.configuration.revision,
+            ),
+        )
+
     async def _start_tasks(self) -> None:
         admin = AdminPort(
             self._settings.listen,
@@ -122,18 +134,46 @@
         load_seconds = self._settings.service.load_seconds
         for task in (
             admin.run(),
-            self._meter.run(load_seconds),
-            self._service.run_sweeps(),
+            self._parts.meter.run(load_seconds),
+            self._parts.service.run_sweeps(),
             self._watch_drains(),
+            *self._list_rank_tasks(),
         ):
             await curio.spawn(task, daemon=True)
 
+    def _list_rank_tasks(self) -> list[Coroutine[Any, Any, object]]:
+        if self._ranks is None:
+            return []
+        return [
+            self._run_agreement(self._ranks),
+            self._ranks.placement.run(),
+            self._watch_group(self._ranks),
+        ]
+
+    async def _run_agreement(self, ranks: RankPart) -> None:
+        self._program.changes.log_change(await ranks.run_agreement())
+        await self._program.stop.requested.set()
+
+    async def _watch_group(self, ranks: RankPart) -> None:
+        service = self._settings.backend.service
+        while True:
+            members = self._node.membership.members()
+            ranks.note_live(frozenset(one.peer_address for one in members))
+            picture = self._node.configuration.picture
+            ranks.placement.note_weights(picture.placement(service))
+            await curio.sleep(GROUP_SECONDS)
+
+    async def _answer_plan(self, body: bytes) -> bytes | None:
+        if self._ranks is None or self._ranks.placement.last is None:
+            return None
+        return msgspec.msgpack.encode(self._ranks.placement.last)
+
     async def _watch_drains(self) -> None:
         causes: tuple[DrainCause, ...] = ()
         while True:
             found = self._drains.find_causes()
-            self._record.draining = bool(found)
-            self._metrics.fleet.records.set(len(self._record.memory))
+            self._parts.record.draining = bool(found)
+            self._metrics.fleet.records.set(len(self._parts.record.memory))
             if found and found != causes:
                 self._tell_draining(found)
             causes = found
@@ -149,14 +189,14 @@
         async with listening:
             while True:
                 sock, _ = await listening.accept()
-                await curio.spawn(self._service.serve, sock, daemon=True)
+                await curio.spawn(self._parts.service.serve, sock, daemon=True)
 
     def _count_running(self) -> int:
-        return len(self._record.memory.list_running())
+        return len(self._parts.record.memory.list_running())
 
     async def _drain(self, accepting: curio.Task) -> None:
         self._drains.stopping = True
-        self._record.draining = True
+        self._parts.record.draining = True
         await self._node.membership.leave()
         while self._count_running():
             await curio.sleep(DRAIN_POLL_SECONDS)
@@ -165,3 +205,4 @@
         await curio.sleep(ANSWER_SECONDS)
         await accepting.cancel()
         await self._node.stop()
+        self._tracing.close()
--- a/src/ospreyford/entry/directory.py
+++ b/src/ospreyford/entry/directory.py
@@ -12,7 +12,7 @@
     UnknownCustomer,
     UnknownService,
 )
-from ospreyford.documents.subjects import is_non_idempotent
+from ospreyford.documents.subjects import Model, is_non_idempotent
 from ospreyford.entry.call import Plan
 from ospreyford.entry.homes import Home
 from ospreyford.entry.outcome import Cause, NotRun
@@ -137,13 +137,14 @@
             version=route.model_version,
             adapter=route.adapter,
             homes=_find_homes(picture, service),
+            caches_prefixes=_caches_prefixes(picture, service),
         )
 
     def _find_members(self, picture: Picture, pool: str) -> tuple[Host, ...]:
         members = self._members.get(pool)
         if members is None:
             members = tuple(
-                host
+                host._replace(labels=picture.labels_of(host))
                 for host in picture.members(pool, self.hosts.values())
                 if host.state is HostState.live
                 and host.name not in self.withdrawn
@@ -165,6 +166,11 @@
     )
 
 
+def _caches_prefixes(picture: Picture, service: str) -> bool:
+    found = picture.service(service)
+    return isinstance(found, Model) and found.prefix_caching
+
+
 def _bound(limit: float | None) -> float:
     return UNLIMITED if limit is None else limit
 
@@ -179,12 +185,20 @@
 
 def _find_homes(picture: Picture, service: str) -> tuple[Home, ...]:
     declared = picture.homes(service)
-    current = tuple(Home(name) for name in declared.current)
-    former = tuple(
-        Home(home.name, until=int(home.until * MILLISECONDS))
-        for home in declared.former
-    )
-    return current + former
+    joined = dict(declared.joined)
+    homes = [
+        Home(name, since=_to_date(joined.get(name)))
+        for name in declared.current
+    ]
+    homes += [
+        Home(former.name, until=_to_date(former.moment))
+        for former in declared.former
+    ]
+    return tuple(homes)
+
+
+def _to_date(moment: float | None) -> int | None:
+    return None if moment is None else int(moment * MILLISECONDS)
 
 
 def _name_cause(reason: Reason) -> Cause:
--- a/src/ospreyford/measure/placement.py
+++ b/src/ospreyford/measure/placement.py
@@ -1,7 +1,7 @@
 """Measure the placement policies: ``python -m ospreyford.measure.placement``.
 
 Writes ``docs/MEASUREMENTS-placement.md`` and its plots; the same at every
-run. With ``timing``, prints the processor time and memory instead.
+run. Times are apart: ``python -m ospreyford.measure.placement_timing``.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
     Run,
     Totals,
     bound_run,
+    level_run,
     run_policy,
     weigh_totals,
 )
@@ -30,10 +31,8 @@
 from ospreyford.measure.placement_tables import (
     format_pairs,
     format_runs,
-    format_timings,
     plot_runs,
 )
-from ospreyford.measure.placement_timing import time_sizes
 from ospreyford.placement.variants import (
     Averaged,
     BalanceAlways,
@@ -54,6 +53,7 @@
 UNPLOTTED = frozenset(
     (BALANCE_UNLIMITED.name, 'weighed, last report, no replicas')
 )
+LEVEL_NAME = 'truth known, moves free'
 PAGE = Path('docs/MEASUREMENTS-placement.md')
 PLOTS = Path('docs/plots')
 INTRODUCTION = """# Expert placement, measured
@@ -72,6 +72,9 @@
   seconds. The weights are our choice; the users gave their order only.
 - "balance-always, without limits" has no memory, bound or budget to keep to
   and its maps are in force at once: no group could run it.
+- "truth known, moves free" places by the popularity of each moment itself; its
+  moves are not counted. The lower bounds are mean load and the largest share
+  of one replica.
 """
 
 
@@ -93,10 +96,7 @@
 
 
 def main() -> None:
-    """Write the page, or print the timings."""
-    if sys.argv[1:] == ['timing']:
-        sys.stdout.write(f'{format_timings(time_sizes())}\n')
-        return
+    """Write the page."""
     PLOTS.mkdir(parents=True, exist_ok=True)
     sections = [
         INTRODUCTION,
@@ -122,23 +122,25 @@
 
 
 def _compare(deployment: Deployment, hours: float) -> str:
-    shape, weights = deployment.shape, deployment.weights
+    shape, settings = deployment.shape, deployment.settings
     moments = _generate(deployment, hours)
     rows = [
         run_policy(deployment, entrant, moments) for entrant in list_entrants()
     ]
     plot = _plot(deployment.name, rows)
+    slots = settings.slots_per_rank
+    rows.append(level_run(moments, shape, slots - 1, LEVEL_NAME))
     least = shape.experts // shape.ranks
     for name, slots in (
         ('lower bound, no replicas', least),
-        ('lower bound, with replicas', weights.slots_per_rank),
+        ('lower bound, with replicas', settings.slots_per_rank),
     ):
         rows.append(bound_run(moments, shape.ranks, slots, name))
     return '\n\n'.join(
         (
             f'## {deployment.name}',
             _describe(deployment, hours),
-            format_runs(rows, weights),
+            format_runs(rows, settings),
             f'![{deployment.name}](plots/{plot.name})\n',
         )
     )
@@ -153,20 +155,21 @@
 
 
 def _describe(deployment: Deployment, hours: float) -> str:
-    shape, weights = deployment.shape, deployment.weights
-    horizon = f'{weights.horizon_seconds:.0f} s'
+    shape, settings = deployment.shape, deployment.settings
+    horizon = f'{settings.horizon_seconds:.0f} s'
     chosen = _name_chosen(deployment)
     counts = f'{shape.ranks} ranks, {shape.layers} layers'
-    memory = f'{shape.experts} experts, {weights.slots_per_rank} slots a rank'
-    prices = f'weights: skew {weights.skew_weight}, move {weights.move_weight}'
+    memory = f'{shape.experts} experts, {settings.slots_per_rank} slots a rank'
+    prices = f'skew {settings.skew_weight}, move {settings.move_weight}'
     return (
-        f'{counts}, {memory}, {hours} h; {prices}, horizon {horizon}; '
+        f'{counts}, {memory}, {hours} h; weights: {prices}, '
+        f'horizon {horizon}; '
         f'chosen: {chosen}.'
     )
 
 
 def _name_chosen(deployment: Deployment) -> str:
-    chosen = choose_variant(deployment.weights)
+    chosen = choose_variant(deployment.settings)
     return next(
         entrant.name for entrant in list_entrants() if entrant.variant == chosen
     )
@@ -180,14 +183,14 @@
     )
     headers = ('deployment', 'seed', 'policy', 'skew mean', 'moved', 'total')
     return (
-        '## Other seeds\n\nThe policy was tuned on seed 0; these runs were'
-        f' not looked at for that.\n\n{format_pairs(rows, headers)}\n'
+        '## Other seeds\n\nThe constants were chosen in trials on other'
+        f' popularities of the same models.\n\n{format_pairs(rows, headers)}\n'
     )
 
 
 def _run_finalists(deployment: Deployment, seed: int) -> Iterator[list[str]]:
     moments = _generate(deployment, HOURS, seed)
-    for entrant in list(list_entrants())[-2:]:
+    for entrant in list(list_entrants())[-3:]:
         totals = run_policy(deployment, entrant, moments)
         yield [
             deployment.name,
@@ -195,7 +198,7 @@
             entrant.name,
             f'{statistics.fmean(totals.skews):.3f}',
             str(sum(totals.moved)),
-            f'{weigh_totals(totals, deployment.weights):.0f}',
+            f'{weigh_totals(totals, deployment.settings):.0f}',
         ]
 
 
@@ -213,7 +216,7 @@
 
 
 def _average_splits(deployment: Deployment) -> tuple[str, str]:
-    entrant = Entrant('chosen', choose_variant(deployment.weights))
+    entrant = Entrant('chosen', choose_variant(deployment.settings))
     run = Run(deployment, entrant)
     even, best = [], []
     for index, moment in enumerate(_generate(deployment, HOURS)):
--- a/src/ospreyford/routing/backend.py
+++ b/src/ospreyford/routing/backend.py
@@ -8,6 +8,7 @@
 
 from ospreyford.routing.budget import AttemptBudget
 from ospreyford.routing.health import Health
+from ospreyford.routing.residence import Residence
 
 if TYPE_CHECKING:
     from ospreyford.ports.fleet import Host, LoadReport
@@ -15,10 +16,21 @@
 
 #: Earlier incarnations remembered, so that their late reports are refused.
 INCARNATIONS_KEPT = 4
+#: Changes of this entry's own count that are remembered.
+HISTORY_KEPT = 128
+#: Mean stays of a request after which a report has lost 63 % of its weight.
+TURNOVERS = 1
 #: Share that a fresh back end starts with.
 FIRST_SHARE = 0.1
 
 
+class _Count(NamedTuple):
+    """Requests of this entry from a moment on."""
+
+    at: float
+    in_flight: int
+
+
 class Others(NamedTuple):
     """Requests of other entries, and the report's weight, 0 to 1."""
 
@@ -39,6 +51,8 @@
     def __init__(self, host: Host, settings: RoutingSettings) -> None:
         self.host = host
         self.in_flight = 0
+        self._residence = Residence()
+        self._history: deque[_Count] = deque(maxlen=HISTORY_KEPT)
         self.draining = False
         self.step_seconds: float = 0
         self.health = Health(settings.ejection)
@@ -52,6 +66,25 @@
         self._others: float = 0
         self._fresh_since = float('-inf')
 
+    def note_sent(self, now: float) -> None:
+        """Count a request of this entry.
+
+        :param now: seconds on the monotonic clock.
+        """
+        self._residence.note(self.in_flight, now)
+        self.in_flight += 1
+        self._history.append(_Count(now, self.in_flight))
+
+    def note_ended(self, now: float) -> None:
+        """Count the end of a request of this entry.
+
+        :param now: seconds on the monotonic clock.
+        """
+        self._residence.note(self.in_flight, now)
+        self._residence.note_end()
+        self.in_flight = max(0, self.in_flight - 1)
+        self._history.append(_Count(now, self.in_flight))
+
     def note_load(self, report: LoadReport, now: float) -> None:
         """Take in a load report unless a newer one is known.
 
@@ -72,22 +105,23 @@
         self.step_seconds = report.step_seconds
         waiting = report.queued_tokens / self._settings.tokens_per_request
         total = report.in_flight + max(report.queued, waiting)
-        self._others = max(0, total - self.in_flight)
+        # What was sent since the measuring is not in the report: taking it
+        # off would hide as much of the others' load.
+        self._others = max(0, total - self._count_at(measured_at))
 
-    def load(self, now: float, mean_others: float) -> float:
+    def load(self, reported: Others, mean_others: float) -> float:
         """Estimate the requests on this back end.
 
         The report's part fades to the mean of the pool: an old report says
         no more than that the back end is one of the pool, and fading to
         zero would send everybody to whoever stopped reporting.
 
-        :param now: seconds on the monotonic clock.
-        :param mean_others: mean of :meth:`others` over the pool.
+        :param reported: what :meth:`others` tells now.
+        :param mean_others: mean of it over the pool.
         :returns: requests, this entry's own included.
         """
-        weight = self._report_weight(now)
-        others = weight * self._others + (1 - weight) * mean_others
-        return self.in_flight + others
+        fresh = reported.weight * (reported.requests - mean_others)
+        return self.in_flight + mean_others + fresh
 
     def others(self, now: float) -> Others:
         """Tell the last reported load of other entries.
@@ -104,8 +138,10 @@
         :returns: 1, or less while it is fresh.
         """
         age = now - self._fresh_since
+        if age >= self._settings.slow_start_seconds:
+            return 1
         ramp = age / self._settings.slow_start_seconds
-        return max(FIRST_SHARE, min(1, ramp))
+        return max(FIRST_SHARE, ramp)
 
     def start_slowly(self, now: float) -> None:
         """Begin the slow start of a fresh back end.
@@ -114,9 +150,22 @@
         """
         self._fresh_since = now
 
+    def _count_at(self, moment: float) -> int:
+        for count in reversed(self._history):
+            if count.at <= moment:
+                return count.in_flight
+        return 0
+
     def _report_weight(self, now: float) -> float:
         age = max(0, now - self._reported_at)
-        return exp(-age / self._settings.load_decay_seconds)
+        fading = self._settings.load_decay_seconds
+        stay = self._residence.mean()
+        if stay:
+            # A report tells of requests that are gone by now if they stay
+            # for less than its age: following it, all entries rush to
+            # where it was quiet then, and the load swings to and fro.
+            fading = min(fading, TURNOVERS * stay)
+        return exp(-age / fading)
 
     def _note_incarnation(self, incarnation: str, now: float) -> None:
         if self._incarnation:
--- a/src/ospreyford/settings/errors.py
+++ b/src/ospreyford/settings/errors.py
@@ -9,7 +9,7 @@
 MISSING = '(missing)'
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class SettingsError(Exception):
     """A settings file that cannot be used.
 
@@ -31,11 +31,10 @@
         """
         place = f'{self.path}: {self.key}'
         line = f'{place} = {self.value}: allowed: {self.allowed}'
-        # The file may hold line ends and terminal escapes in keys and values.
-        return ''.join(_escape(character) for character in line)
+        return make_printable(line)
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class KeyConflict(ValueError):
     """A value that is fine alone but not beside another key's.
 
@@ -61,6 +60,15 @@
     return shown
 
 
+def make_printable(text: str) -> str:
+    """Keep a text on its line and away from the terminal's controls.
+
+    :param text: may come from a file or from another host.
+    :returns: the text with line ends and control characters escaped.
+    """
+    return ''.join(map(_escape, text))
+
+
 def _escape(character: str) -> str:
     if character.isprintable():
         return character
--- a/tests/documents/test_rules.py
+++ b/tests/documents/test_rules.py
@@ -1,10 +1,8 @@
 from __future__ import annotations
 
-from typing import TypeAlias
-
 import pytest
-from hypothesis import given
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from ospreyford.documents.claims import BodyChange
 from ospreyford.documents.conflicts import ConflictKind, Rule
@@ -20,7 +18,7 @@
 from ospreyford.documents.selectors import Labels
 from ospreyford.documents.subjects import PlainService, is_non_idempotent
 from tests.documents import samples
-from tests.documents.strategies import LABELS, SEEDED, TEXTS, intents
+from tests.documents.strategies import LABELS, MACHINE, TEXTS, intents
 
 EVERYBODY = '{ everything = true }'
 LARGE = '{ labels.size = "large" }'
@@ -126,6 +124,16 @@
     assert [conflict.rule for conflict in picture.conflicts] == rules
 
 
+def test_a_limit_can_select_a_customer_by_its_id() -> None:
+    picture = picture_of(
+        limit('{ labels.customer = "pension-banks" }', 'concurrency = 5')
+    )
+    for customer, expected in (('soum-clerks', None), ('pension-banks', 5)):
+        effective = picture.limit_of(customer)
+        assert effective is not None
+        assert effective.concurrency == expected
+
+
 def test_unknown_customer_has_no_limit_to_spend() -> None:
     assert picture_of().limit_of('nobody') is None
 
@@ -176,6 +184,13 @@
     )
 
 
+def joining(name: str, day: int) -> str:
+    moment = f'2026-01-0{day}T00:00:00Z'
+    return homes('', '', 'q') + (
+        f'new_homes = [{{ name = "{name}", since = {moment} }}]\n'
+    )
+
+
 def former(name: str, day: int) -> str:
     return f'{{ name = "{name}", until = 2026-01-0{day}T00:00:00Z }}'
 
@@ -197,6 +212,15 @@
             (homes('', former('h1', 2)), homes('', former('h1', 1), 'q')),
             Homes((), (DatedHome('h1', 1_767_312_000),)),
         ),
+        (
+            (homes('"h1"', ''), joining('h2', 3), joining('h2', 2)),
+            Homes(('h1', 'h2'), (), (DatedHome('h2', 1_767_312_000),)),
+        ),
+        ((homes('"h1"', ''), joining('h1', 2)), Homes(('h1',))),
+        (
+            (homes('', former('h1', 1)), joining('h1', 2)),
+            Homes(('h1',)),
+        ),
     ],
 )
 def test_no_document_takes_away_a_declared_home(
@@ -239,6 +263,33 @@
     assert is_non_idempotent(service, method, path) is expected
 
 
+@pytest.mark.parametrize('names', ['ab', 'ba'])
+def test_first_of_several_drain_requests_is_shown(names: str) -> None:
+    entries = [samples.entry(name, samples.DRAIN) for name in names]
+    picture = resolve_picture(entries)
+    drain = picture.drain_document_of(samples.make_host('h', rack='r7'))
+    assert drain is not None
+    assert drain.name == 'a'
+
+
+@pytest.mark.parametrize(
+    ('entry', 'same'),
+    [
+        (DocumentEntry('a', 1, samples.MODEL.encode()), True),
+        (DocumentEntry('a', 1, f'{samples.MODEL}# note'.encode()), True),
+        (DocumentEntry('a', 2, samples.MODEL.encode()), False),
+        (DocumentEntry('b', 1, samples.MODEL.encode()), False),
+        (DocumentEntry('a', 1, samples.QUOTATION.encode()), False),
+    ],
+)
+def test_digest_covers_name_revision_and_content(
+    entry: DocumentEntry, same: bool
+) -> None:
+    known = DocumentEntry('a', 1, samples.MODEL.encode())
+    digests = {resolve_picture([one]).digest for one in (known, entry)}
+    assert (len(digests) == 1) is same
+
+
 def test_drain_can_be_kept_to_one_zone() -> None:
     picture = picture_of(f'{samples.DRAIN}zone = "zone-b"')
     here = samples.make_host('h', rack='r7')
@@ -260,7 +311,10 @@
     assert labels['zone'] == 'zone-a'
 
 
-Steps: TypeAlias = list[tuple[int, str | None]]
+def scan(known: dict[str, RoutingIntent], labels: Labels) -> list[str]:
+    return [
+        name for name, body in known.items() if body.customers.matches(labels)
+    ]
 
 
 def read_intent(text: str) -> RoutingIntent:
@@ -270,32 +324,45 @@
     return document.body
 
 
-def scan(known: dict[str, RoutingIntent], labels: Labels) -> list[str]:
-    return [
-        name for name, body in known.items() if body.customers.matches(labels)
-    ]
+class IndexMachine(RuleBasedStateMachine):
+    """Files and withdraws intents; a scan over all is the reference."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.index = SelectorIndex[RoutingIntent](lambda body: body.customers)
+        self.known: dict[str, RoutingIntent] = {}
 
-@SEEDED
-@given(
-    steps=st.lists(st.tuples(st.integers(0, 5), st.none() | intents())),
-    labels=st.dictionaries(KEYS, VALUES),
-)
-def test_index_finds_what_a_scan_finds(
-    steps: Steps, labels: dict[str, str]
-) -> None:
-    index: SelectorIndex[RoutingIntent]
-    index = SelectorIndex(lambda body: body.customers)
-    known: dict[str, RoutingIntent] = {}
-    for number, text in steps:
-        name = str(number)
-        before = known.pop(name, None)
+    @rule(name=st.sampled_from('abcdef'), text=st.none() | intents())
+    def change(self, name: str, text: str | None) -> None:
+        before = self.known.pop(name, None)
         if text is not None:
-            known[name] = read_intent(text)
-        change = BodyChange(name, before, known.get(name))
-        index = index.replaced((change,))
-    found = sorted(claim.name for claim in index.matching(labels))
-    assert found == sorted(scan(known, labels))
+            self.known[name] = read_intent(text)
+        changed = BodyChange(name, before, self.known.get(name))
+        self.index = self.index.replaced((changed,))
+
+    @rule(labels=st.dictionaries(KEYS, VALUES))
+    def find_what_a_scan_finds(self, labels: dict[str, str]) -> None:
+        found = sorted(claim.name for claim in self.index.matching(labels))
+        assert found == sorted(scan(self.known, labels))
+
+
+TestIndexMachine = IndexMachine.TestCase
+TestIndexMachine.settings = MACHINE
+
+
+@pytest.mark.parametrize('names', ['abc', 'cab', 'bca'])
+def test_labels_of_one_host_follow_precedence_not_arrival(names: str) -> None:
+    priorities = {'a': 1, 'b': 1, 'c': 0}
+    entries = [
+        samples.entry(
+            name,
+            f'kind = "host-labels"\nteam = "x"\ntitle = "t"\n'
+            f'priority = {priorities[name]}\n[hosts.h]\nhall = "{name}"\n',
+        )
+        for name in names
+    ]
+    picture = resolve_picture(entries)
+    assert picture.labels_of(samples.make_host('h'))['hall'] == 'a'
 
 
 def test_deleted_document_goes_out_of_force() -> None:
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -48,10 +48,11 @@
     'only the keys default_deadline_seconds, max_deadline_seconds, '
     'max_attempts, retry_after_seconds'
 )
+FINITE = ', finite and not negative'
 SECTIONS = (
-    'only the keys identity, listen, platform, peers, membership, '
-    'distribution, http, requests, attempts, routing, limits, drain, '
-    'logs, traces'
+    'only the keys identity, listen, platform, membership, '
+    'distribution, http, requests, attempts, routing, limits, sharing, '
+    'queue, drain, logs, traces'
 )
 
 # Text put in place of another in a file that is right, and the line after
@@ -123,6 +124,7 @@
 
 # Text added to a file that is right, and the line after the file's name.
 ADDED = (
+    (r'"a\u001b[2J\n" = 1', rf'a\x1b[2J\n = 1: {SECTIONS}'),
     ('[requests]\nmax = 1', f'requests.max = 1: {REQUESTS}'),
     (
         "[requests]\nmax_deadline_seconds = '9'",
@@ -130,11 +132,11 @@
     ),
     (
         '[requests]\nmax_deadline_seconds = nan',
-        f'requests.max_deadline_seconds = NaN: {DAY}',
+        f'requests.max_deadline_seconds = NaN: {DAY}{FINITE}',
     ),
     (
         '[requests]\nmax_deadline_seconds = inf',
-        f'requests.max_deadline_seconds = Infinity: {DAY}',
+        f'requests.max_deadline_seconds = Infinity: {DAY}{FINITE}',
     ),
     (
         '[requests]\ndefault_deadline_seconds = 0',
@@ -151,8 +153,8 @@
         'at least requests.max_deadline_seconds, 120',
     ),
     (
-        "[peers]\nseeds = ['127.0.0.1:1', 'peer:2']",
-        f'peers.seeds.1 = "peer:2": {ADDRESS}',
+        "[membership]\nseeds = ['127.0.0.1:1', 'peer:2']",
+        f'membership.seeds.1 = "peer:2": {ADDRESS}',
     ),
     (
         "logs = 'no'",
@@ -264,6 +266,18 @@
     assert load_line(tmp_path, content) == line
 
 
+def test_backend_is_not_the_agent(tmp_path: pathlib.Path) -> None:
+    # Symptom: each request to an agent multiplies until nothing answers.
+    # Sequence: the backend server's address is copied from [listen].
+    # Cause: the agent takes itself for its backend server.
+    content = AGENT.replace('127.0.0.1:8200', '127.0.0.1:8100').encode()
+    line = load_line(tmp_path, content, AgentSettings)
+    assert line == (
+        'backend.address = "127.0.0.1:8100": '
+        'an address that is not under listen'
+    )
+
+
 def test_deep_nesting(tmp_path: pathlib.Path) -> None:
     # Symptom: the program ends with a stack trace instead of one line.
     # Sequence: a file holds some thousand opening brackets.
@@ -316,7 +330,9 @@
 
 @settings(max_examples=150, derandomize=True)
 @given(
-    section=st.sampled_from(['http', 'requests', 'peers', 'logs', 'x`$.y']),
+    section=st.sampled_from(
+        ['http', 'requests', 'membership', 'logs', 'x`$.y']
+    ),
     key=st.sampled_from(['head_bytes', 'max_deadline_seconds', 'seeds', '`']),
     found=TOML_VALUES,
 )
@@ -367,6 +383,8 @@
 LOOSE = (
     ('second = 2', 'loose.second = 2: only the keys seconds'),
     ("seconds = '2'", 'loose.seconds = "2": a number'),
+    ('seconds = -1', f'loose.seconds = -1: a number{FINITE}'),
+    ('seconds = inf', f'loose.seconds = Infinity: a number{FINITE}'),
     ('seconds = 10', 'loose = {"seconds": 10}: seconds up to 9'),
 )
 
