--- a/src/ospreyford/entry/call.py
+++ b/src/ospreyford/entry/call.py
@@ -48,7 +48,8 @@
     ``pools`` holds the hosts of each capacity pool, the preferred pool
     first. ``engine_priority`` is handed to the engine, 9 being the most
     urgent. ``caches_prefixes`` tells whether the service's engines keep
-    prompt prefixes. ``homes`` are the backend servers that hold idempotency keys.
+    prompt prefixes. ``homes`` are the backend servers that hold idempotency
+    keys.
     """
 
     pools: tuple[tuple[Host, ...], ...]
