Follow a rank group's members to their new hosts

Cause: a replaced process that is still alive keeps outbidding the group until the others know the slot's new address (the agreement's author). Change: [ranks] names the members by slot; the host list readdresses them.

--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -82,6 +82,8 @@
         self._program.stop.count_in_flight = self._count_running
         self._node.configuration.listen(self._drains.note_picture)
         self._node.listen_for_hosts(self._drains.note_hosts)
+        if self._ranks is not None:
+            self._node.listen_for_hosts(self._ranks.note_hosts)
         # Binding the slot's one address holds a second agent off for as long
         # as this one lives, paused or not.
         sock = listen(*split_address(self._settings.listen.data_address))
--- a/src/ospreyford/agent/ranks.py
+++ b/src/ospreyford/agent/ranks.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from ospreyford.agent.rankssettings import RankSection
     from ospreyford.ports.clock import Clock
+    from ospreyford.ports.fleet import Host
     from ospreyford.ports.peers import PeerPort
 
 
@@ -46,9 +47,20 @@
             clock,
         )
         self.group = section.agreement.group
+        self._slots = {name: slot for slot, name in enumerate(section.members)}
         self._slot = section.agreement.slot
         self._addresses = section.agreement.addresses
 
+    def note_hosts(self, hosts: tuple[Host, ...]) -> None:
+        """Follow members whose hosts were replaced.
+
+        :param hosts: all hosts of the fleet.
+        """
+        for host in hosts:
+            slot = self._slots.get(host.name)
+            if slot is not None:
+                self.service.readdress(slot, host.peer_address)
+
     def note_live(self, addresses: frozenset[str]) -> None:
         """Take over which peers are live.
 
--- a/src/ospreyford/agent/rankssettings.py
+++ b/src/ospreyford/agent/rankssettings.py
@@ -9,7 +9,8 @@
 from ospreyford.expertmap.settings import RankSettings
 from ospreyford.placement.map import GroupShape
 from ospreyford.placement.settings import PlacementSettings
-from ospreyford.settings.types import Address
+from ospreyford.settings.errors import KeyConflict
+from ospreyford.settings.types import Address, Name
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 
@@ -23,6 +24,8 @@
     """Settings of the rank group that this host's ranks belong to.
 
     :param agreement: the group, this member's slot, everyone's addresses.
+    :param members: the backend servers' names by slot; a member whose host
+        is replaced is followed to its new address by its name.
     :param engine: where the engine takes orders.
     :param shape: size of the group and of its model.
     :param placement: limits of the placement policy.
@@ -30,7 +33,19 @@
     """
 
     agreement: RankSettings
+    members: tuple[Name, ...]
     engine: Address
     shape: GroupShape
     placement: PlacementSettings
     report_seconds: Positive = 10
+
+    def __post_init__(self) -> None:
+        """Refuse members that do not match the addresses.
+
+        :raises KeyConflict: names the key.
+        """
+        if len(self.members) != len(self.agreement.addresses):
+            raise KeyConflict(
+                'members',
+                'as many names as ranks.agreement.addresses',
+            )
--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -71,6 +71,7 @@
 
 _RANKS = """
 [ranks]
+members = [{members}]
 engine = "{engine}"
 report_seconds = 0.5
 
@@ -276,6 +277,7 @@
             group=host.service,
             slot=group.index(host),
             addresses=addresses,
+            members=', '.join('"{0}"'.format(each.name) for each in group),
             ranks=len(group),
         )
 
