--- /dev/null
+++ b/src/ospreyford/agent/group.py
@@ -0,0 +1,76 @@
+"""The rank group's tasks in an agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from ospreyford.agent.ranks import RankPart
+from ospreyford.node.questions import Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from ospreyford.agent.rankssettings import RankSection
+    from ospreyford.console.program import Program
+    from ospreyford.node.fleetnode import FleetNode
+    from ospreyford.settings.programs import AgentSettings
+
+GROUP_SECONDS = 1.0
+
+
+class GroupTasks:
+    """Runs the rank group's part beside everything else of the agent.
+
+    :param section: the group's settings.
+    :param node: this process's part in the fleet.
+    :param program: settings, stop signal and log.
+    """
+
+    def __init__(
+        self,
+        section: RankSection,
+        node: FleetNode,
+        program: Program[AgentSettings],
+    ) -> None:
+        self._part = RankPart(section, node.peers, node.clock)
+        self._node = node
+        self._program = program
+
+    def listen(self) -> None:
+        """Follow the host list and answer operators."""
+        self._node.listen_for_hosts(self._part.note_hosts)
+        self._node.peers.serve(Topic.plan, self._answer_plan)
+
+    def list_tasks(self) -> list[Coroutine[Any, Any, object]]:
+        """List what runs for ever.
+
+        :returns: coroutines, not started yet.
+        """
+        return [
+            self._run_agreement(),
+            self._part.placement.run(),
+            self._watch(),
+        ]
+
+    async def _run_agreement(self) -> None:
+        self._program.changes.log_change(await self._part.run_agreement())
+        await self._program.stop.requested.set()
+
+    async def _watch(self) -> None:
+        service = self._program.settings.backend.service
+        while True:
+            members = self._node.membership.members()
+            live = frozenset(one.peer_address for one in members)
+            self._part.note_live(live)
+            picture = self._node.configuration.picture
+            self._part.placement.note_weights(picture.placement(service))
+            await curio.sleep(GROUP_SECONDS)
+
+    async def _answer_plan(self, body: bytes) -> bytes | None:
+        if self._part.placement.last is None:
+            return None
+        return msgspec.msgpack.encode(self._part.placement.last)
--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -9,7 +9,7 @@
 
 from ospreyford.agent.drains import DrainState
 from ospreyford.agent.factory import make_parts
-from ospreyford.agent.ranks import RankPart
+from ospreyford.agent.group import GroupTasks
 from ospreyford.http.server import listen
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
@@ -34,7 +34,6 @@
 
 DRAIN_POLL_SECONDS = 0.05
 WATCH_SECONDS = 0.1
-GROUP_SECONDS = 1.0
 #: How long a stopping agent still answers questions about what it ran.
 ANSWER_SECONDS = 1.0
 
@@ -69,29 +68,17 @@
             self._node,
             self._tracing.tracer,
         )
-        self._ranks: RankPart | None = None
+        self._group: GroupTasks | None = None
         if settings.ranks is not None:
-            self._ranks = RankPart(
-                settings.ranks,
-                self._node.peers,
-                self._node.clock,
-            )
+            self._group = GroupTasks(settings.ranks, self._node, program)
 
     async def run(self) -> None:
         """Run until asked to stop, then finish what is in flight."""
         self._program.stop.count_in_flight = self._count_running
-        self._node.configuration.listen(self._drains.note_picture)
-        self._node.listen_for_hosts(self._drains.note_hosts)
-        if self._ranks is not None:
-            self._node.listen_for_hosts(self._ranks.note_hosts)
+        self._listen_to_fleet()
         # Binding the slot's one address holds a second agent off for as long
         # as this one lives, paused or not.
         sock = listen(*split_address(self._settings.listen.data_address))
-        self._node.peers.serve(
-            Topic.spans, answer_spans(self._tracing.tracer.store)
-        )
-        self._node.peers.serve(Topic.agent_status, self._answer_status)
-        self._node.peers.serve(Topic.plan, self._answer_plan)
         await self._node.start()
         await self._start_tasks()
         accepting = await curio.spawn(self._accept, sock, daemon=True)
@@ -113,6 +100,16 @@
         """
         return [LeavingHost(one.source) for one in self._drains.find_causes()]
 
+    def _listen_to_fleet(self) -> None:
+        node = self._node
+        node.configuration.listen(self._drains.note_picture)
+        node.listen_for_hosts(self._drains.note_hosts)
+        if self._group is not None:
+            self._group.listen()
+        store = self._tracing.tracer.store
+        node.peers.serve(Topic.spans, answer_spans(store))
+        node.peers.serve(Topic.agent_status, self._answer_status)
+
     async def _answer_status(self, body: bytes) -> bytes:
         return msgspec.msgpack.encode(
             AgentStatus(
@@ -140,36 +137,12 @@
             self._parts.meter.run(load_seconds),
             self._parts.service.run_sweeps(),
             self._watch_drains(),
-            *self._list_rank_tasks(),
+            *self._list_group_tasks(),
         ):
             await curio.spawn(task, daemon=True)
 
-    def _list_rank_tasks(self) -> list[Coroutine[Any, Any, object]]:
-        if self._ranks is None:
-            return []
-        return [
-            self._run_agreement(self._ranks),
-            self._ranks.placement.run(),
-            self._watch_group(self._ranks),
-        ]
-
-    async def _run_agreement(self, ranks: RankPart) -> None:
-        self._program.changes.log_change(await ranks.run_agreement())
-        await self._program.stop.requested.set()
-
-    async def _watch_group(self, ranks: RankPart) -> None:
-        service = self._settings.backend.service
-        while True:
-            members = self._node.membership.members()
-            ranks.note_live(frozenset(one.peer_address for one in members))
-            picture = self._node.configuration.picture
-            ranks.placement.note_weights(picture.placement(service))
-            await curio.sleep(GROUP_SECONDS)
-
-    async def _answer_plan(self, body: bytes) -> bytes | None:
-        if self._ranks is None or self._ranks.placement.last is None:
-            return None
-        return msgspec.msgpack.encode(self._ranks.placement.last)
+    def _list_group_tasks(self) -> list[Coroutine[Any, Any, object]]:
+        return [] if self._group is None else self._group.list_tasks()
 
     async def _watch_drains(self) -> None:
         causes: tuple[DrainCause, ...] = ()
