--- a/tests/faults/cells.py
+++ b/tests/faults/cells.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from ospreyford.entry.dispatcher import Dispatcher
 from ospreyford.entry.outcome import Answered, Cut, NotRun, Outcome, Unknown
 from ospreyford.wire.identity import make_id
 from tests.faults.backend import expected_body
@@ -18,6 +19,7 @@
 
 SETTLE_SECONDS = 0.5
 RETRIES = 2
+BYSTANDERS = 2
 STEPS = (
     Step.greeting,
     Step.start,
@@ -90,9 +92,12 @@
         key = make_id() if cell.mode is Mode.keyed else ''
         idempotent = cell.mode is Mode.idempotent
         call = make_call(tag, idempotent=idempotent, key=key)
-        outcome, sink = await send(rig, rig.make_entry(1), call)
+        entry = rig.make_entry(1)
+        outcome, sink = await send(rig, entry, call)
+        # The next caller of the same entry must not meet what is left of it.
+        broken = await send_bystander(rig, entry)
         await curio.sleep(SETTLE_SECONDS)
-        broken = judge_first(rig, tag, outcome, sink)
+        broken += judge_first(rig, tag, outcome, sink)
         if cell.mode is Mode.keyed:
             broken += await retry(rig, tag, key)
         runs = rig.count_runs(tag)
@@ -101,6 +106,20 @@
     return Verdict(cell, describe(outcome), broken)
 
 
+async def send_bystander(rig: Rig, entry: Dispatcher) -> list[str]:
+    """Send another request through the same entry."""
+    broken = []
+    for _ in range(BYSTANDERS):
+        tag = make_id().encode()
+        call = make_call(tag, idempotent=True)
+        outcome, sink = await send(rig, entry, call)
+        broken += [
+            f'bystander: {each}'
+            for each in judge_first(rig, tag, outcome, sink)
+        ]
+    return broken
+
+
 def judge_first(
     rig: Rig, tag: bytes, outcome: Outcome, sink: CollectingSink
 ) -> list[str]:
--- a/tests/faults/network.py
+++ b/tests/faults/network.py
@@ -95,6 +95,7 @@
         self.port = port_of(self._sock)
         self._tasks: list[Any] = []
         self._sockets: list[Socket] = []
+        self.accepted = 0
 
     async def run(self) -> None:
         """Accept and forward until cancelled."""
@@ -103,6 +104,7 @@
             while True:
                 client, _ = await self._sock.accept()
                 self._sockets.append(client)
+                self.accepted += 1
                 if self.unreachable:
                     await _shut(client)
                     continue
@@ -232,5 +234,7 @@
 def _misname(frame: bytes) -> bytes:
     parts = msgspec.msgpack.decode(frame[LENGTH_BYTES:])
     parts[1] = 'somebody-elses'
+    if parts[0] == Step.piece:
+        parts[-1] = b"somebody else's answer"
     body = msgspec.msgpack.encode(parts)
     return len(body).to_bytes(LENGTH_BYTES, 'big') + body
--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -31,9 +31,12 @@
     assert verdicts[cell].broken == []
 
 
-@pytest.mark.parametrize('mode', list(Mode))
+@pytest.mark.parametrize(
+    ('mode', 'least'),
+    [(Mode.idempotent, 0.9), (Mode.keyed, 0.6), (Mode.unkeyed, 0.7)],
+)
 def test_most_faults_are_survived(
-    mode: Mode, verdicts: dict[Cell, Verdict]
+    mode: Mode, least: float, verdicts: dict[Cell, Verdict]
 ) -> None:
     # A system that answers nothing would break no promise either.
     outcomes = [
@@ -41,4 +44,4 @@
         for verdict in verdicts.values()
         if verdict.cell.mode is mode
     ]
-    assert outcomes.count('answered') > len(outcomes) / 2
+    assert outcomes.count('answered') > least * len(outcomes)
