--- a/src/ospreyford/agent/service.py
+++ b/src/ospreyford/agent/service.py
@@ -98,11 +98,30 @@
             ),
         )
         while True:
-            frame: EntryFrame = await curio.timeout_after(
-                session.patience(),
-                connection.receive(),
+            await self._answer(
+                await self._receive(connection, session),
+                session,
             )
-            await self._answer(frame, session)
+
+    async def _receive(
+        self,
+        connection: FrameConnection[EntryFrame],
+        session: Session,
+    ) -> EntryFrame:
+        # Without an entry's heartbeat the connection is closed soon while an
+        # answer is on its way. But the answer may end while this waits, and
+        # the entry keeps the connection for its next request: closed under
+        # it, that request would be lost with the connection.
+        since = self._clock.monotonic()
+        patience = session.patience()
+        while True:
+            left = since + patience - self._clock.monotonic()
+            try:
+                return await _receive_within(connection, max(left, 0))
+            except curio.TaskTimeout:
+                if session.patience() <= patience:
+                    raise
+                patience = session.patience()
 
     async def _answer(self, frame: EntryFrame, session: Session) -> None:
         match frame:
@@ -158,6 +177,14 @@
         )
 
 
+async def _receive_within(
+    connection: FrameConnection[EntryFrame],
+    seconds: float,
+) -> EntryFrame:
+    frame: EntryFrame = await curio.timeout_after(seconds, connection.receive())
+    return frame
+
+
 class Session:
     """What one connection follows; one execution at a time.
 
--- a/src/ospreyford/entry/attempt.py
+++ b/src/ospreyford/entry/attempt.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+import msgspec
 
 from ospreyford.entry.answer import IncomingAnswer, Interrupted
 from ospreyford.entry.conversation import Conversation
@@ -16,6 +19,7 @@
 from ospreyford.entry.verdict import give_up
 from ospreyford.wire.errors import Unreachable
 from ospreyford.wire.frame import Follow, Start
+from ospreyford.wire.identity import make_id
 
 if TYPE_CHECKING:
     from ospreyford.entry.settings import AttemptSettings
@@ -24,6 +28,10 @@
     from ospreyford.wire.pool import AgentConnection, ConnectionPool
 
 
+#: Gives a greeted connection to an address.
+Connect: TypeAlias = Callable[[str], Awaitable['AgentConnection']]
+
+
 class Target(Protocol):
     """What an attempt needs to know of a backend server's host."""
 
@@ -74,20 +82,15 @@
         :param target: the backend server's host.
         :returns: how it ended.
         """
-        try:
-            connection = await self._pool.take(target.data_address)
-        except Unreachable:
-            return NotRun(Cause.unreachable, 0)
-        # A host list that lags may name an address that another backend
-        # server has by now.
-        if connection.greeting.server != target.name:
-            await connection.frames.close()
-            return NotRun(Cause.unreachable, 0)
-        self._incarnation = connection.greeting.incarnation
-        step = await self._converse(target, connection, self._start)
-        if isinstance(step, Interrupted):
-            return await self._recover(target)
-        return step
+        outcome = await self._run_on(target, self._pool.take)
+        if not self._may_send_again(outcome):
+            return outcome
+        # The connection at rest was dead, and the agent, which lives, says
+        # that the request never arrived. It is sent once more, or the first
+        # caller after each lost connection would be turned away. The voided
+        # sending must stay voided, so this one has an id of its own.
+        self._start = msgspec.structs.replace(self._start, attempt=make_id())
+        return await self._run_on(target, self._pool.open)
 
     async def ask(self, target: Target, *, moved: bool) -> AttemptOutcome:
         """Ask for a key without sending the request.
@@ -111,6 +114,26 @@
             return give_up(Cause.home_unreachable, self.answer.progress)
         return step
 
+    async def _run_on(self, target: Target, connect: Connect) -> AttemptOutcome:
+        try:
+            connection = await connect(target.data_address)
+        except Unreachable:
+            return NotRun(Cause.unreachable, 0)
+        # A host list that lags may name an address that another backend
+        # server has by now.
+        if connection.greeting.server != target.name:
+            await connection.frames.close()
+            return NotRun(Cause.unreachable, 0)
+        self._incarnation = connection.greeting.incarnation
+        step = await self._converse(target, connection, self._start)
+        if isinstance(step, Interrupted):
+            return await self._recover(target)
+        return step
+
+    def _may_send_again(self, outcome: AttemptOutcome) -> bool:
+        voided = isinstance(outcome, NotRun) and outcome.cause is Cause.voided
+        return voided and self._clock.monotonic() < self._deadline
+
     async def _recover(self, target: Target) -> AttemptOutcome:
         patience = self._settings.recovery_seconds
         if self._start.idempotent and not self.answer.progress.began:
--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from itertools import count
 from pathlib import Path
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -30,6 +32,11 @@
 
 READY_SECONDS = 40.0
 MAX_PORTS = 1000
+#: Ports handed out: a block for each process that starts fleets.
+FIRST_PORT = 10_000
+BLOCK_PORTS = 128
+PORT_BLOCKS = 170
+ALL_PORTS = PORT_BLOCKS * BLOCK_PORTS
 STANDINS = MappingProxyType(
     {
         'model': 'ospreyford.standins.engine',
@@ -75,6 +82,8 @@
 kind = "{kind}"
 """
 
+_numbers = count()
+
 
 class NotReady(Exception):
     """The deployment was not ready in time; holds what was missing."""
@@ -100,6 +109,7 @@
     :param size: how many hosts of each kind.
     :param documents: the directory of the site's published documents.
     :param directory: where settings files are written.
+    :param sections: more TOML sections for the settings of a role's hosts.
     """
 
     def __init__(
@@ -109,7 +119,9 @@
         size: Size,
         documents: Path,
         directory: Path,
+        sections: Mapping[str, str] | None = None,
     ) -> None:
+        self._sections = sections or {}
         self.hosts = lay_out(site, size, _choose_ports())
         self.programs: dict[str, Program] = {}
         self.backends: dict[str, Launched] = {}
@@ -200,7 +212,10 @@
         ]
 
     def _start_backend(self, host: Host) -> Launched:
-        return self._launcher.start(STANDINS[self._kinds[host.service]])
+        # A port that is named can be bound again by the next process in the
+        # place of a killed one, though old connections linger on it.
+        module = STANDINS[self._kinds[host.service]]
+        return self._launcher.start(module, '--port', next(_choose_ports()))
 
     def _write_settings(self, host: Host, admin: str) -> str:
         seeds = ', '.join(f'"{each.peer_address}"' for each in self.hosts[:3])
@@ -216,6 +231,7 @@
             hosts=_address(self.host_list),
             seeds=seeds,
         )
+        text += self._sections.get(host.role, '')
         if host.role != 'backend':
             return text
         return text + _BACKEND.format(
@@ -271,9 +287,13 @@
 
 
 def _choose_ports() -> Iterator[int]:
-    # The kernel hands out each of them once in a while; a port that another
-    # process takes in between shows as a program that does not start.
+    # Below the ports that the kernel gives to outgoing connections, of which
+    # any may take a port in the moment in which nobody listens on it: while
+    # an agent is replaced, say. That would show as "address already in use".
+    first = os.getpid() % PORT_BLOCKS * BLOCK_PORTS
     for _ in range(MAX_PORTS):
+        port = FIRST_PORT + (first + next(_numbers)) % ALL_PORTS
         with socket.socket() as sock:
-            sock.bind((LOOPBACK, 0))
-            yield sock.getsockname()[1]
+            if not sock.connect_ex((LOOPBACK, port)):
+                continue
+        yield port
--- /dev/null
+++ b/tests/processes/callers.py
@@ -0,0 +1,191 @@
+"""Callers over real connections, by the standard library's own client.
+
+None of the product's HTTP code judges an answer here: whether it is whole is
+seen as any caller sees it.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass, field
+from enum import StrEnum
+from http.client import HTTPConnection, HTTPException, IncompleteRead
+from itertools import count
+from threading import Event
+from typing import NamedTuple
+
+from ospreyford.entry.homes import Home, order_homes
+from ospreyford.settings.types import split_address
+from ospreyford.wire.identity import make_id
+
+CUSTOMER = 'retiree-portal'
+PLAIN = 'quotation'
+MODEL = 'drafting'
+DEADLINE_MS = 6_000
+CALLER_SECONDS = 12.0
+STREAM_TOKENS = 200
+THREADS = 64
+
+
+class Kind(StrEnum):
+    """What kind of request it is."""
+
+    keyed = 'keyed quote'
+    unkeyed = 'unkeyed quote'
+    rate = 'rate'
+    stream = 'stream'
+
+
+class Ask(NamedTuple):
+    """One request. ``tag`` is its own, so that a journal shows its runs."""
+
+    kind: Kind
+    tag: str
+    key: str = ''
+    tokens: int = STREAM_TOKENS
+
+
+@dataclass
+class Told:
+    """What a caller saw.
+
+    ``outcome`` is the entry's word; ``cut`` for an answer that broke off,
+    ``lost`` for a connection that ended or fell silent before any head, and
+    ``refused`` for one that was never opened.
+    """
+
+    ask: Ask
+    entry: str
+    outcome: str
+    began: float
+    ended: float
+    cause: str = ''
+    request_id: str = ''
+    body: bytes = b''
+
+
+#: What one steady caller was told.
+Pressing = Future[list[Told]]
+
+
+@dataclass
+class Crowd:
+    """Callers in threads.
+
+    :param entries: the data addresses of the entries, by name.
+    """
+
+    entries: dict[str, str]
+    pool: ThreadPoolExecutor = field(
+        default_factory=lambda: ThreadPoolExecutor(THREADS)
+    )
+
+    def send(self, ask: Ask, entry: str) -> Future[Told]:
+        """Send a request in a thread of its own."""
+        return self.pool.submit(send, ask, entry, self.entries[entry])
+
+    def press(
+        self, stop: Event, entries: list[str]
+    ) -> list[Future[list[Told]]]:
+        """Have one steady caller of each kind at each entry."""
+        return [
+            self.pool.submit(_send_steadily, stop, kind, name, self.entries)
+            for name in entries
+            for kind in Kind
+        ]
+
+
+def make_ask(kind: Kind, tokens: int = STREAM_TOKENS) -> Ask:
+    """Make a request that nobody made before."""
+    return Ask(kind, make_id(), make_id() if kind is Kind.keyed else '', tokens)
+
+
+def make_ask_for(home: str, homes: tuple[str, ...]) -> Ask:
+    """Make a keyed request whose home is the named backend server."""
+    declared = tuple(Home(name) for name in homes)
+    while True:
+        ask = make_ask(Kind.keyed)
+        name = f'{CUSTOMER}/{PLAIN}/{ask.key}'
+        if order_homes(declared, name, 0).chain[0] == home:
+            return ask
+
+
+def send(ask: Ask, entry: str, address: str) -> Told:
+    """Send one request on a connection of its own and see what comes."""
+    began = time.monotonic()
+    told = Told(ask, entry, 'refused', began, began)
+    host, port = split_address(address)
+    caller = HTTPConnection(host, port, timeout=CALLER_SECONDS)
+    try:
+        caller.connect()
+        told.outcome = 'lost'
+        _exchange(caller, ask, told)
+    except (OSError, HTTPException):
+        if told.outcome not in {'refused', 'lost'}:
+            told.outcome = 'cut'
+    finally:
+        caller.close()
+        told.ended = time.monotonic()
+    return told
+
+
+def _exchange(caller: HTTPConnection, ask: Ask, told: Told) -> None:
+    caller.request(*_address(ask), headers=_make_headers(ask))
+    answer = caller.getresponse()
+    told.request_id = answer.getheader('ospreyford-request-id', '')
+    told.outcome = answer.getheader('ospreyford-outcome', '?')
+    try:
+        told.body = answer.read()
+    except IncompleteRead as error:
+        told.body = error.partial
+        raise
+    if told.outcome != 'answered':
+        told.cause = json.loads(told.body)['cause']
+
+
+def _address(ask: Ask) -> tuple[str, str, bytes]:
+    match ask.kind:
+        case Kind.keyed | Kind.unkeyed:
+            return 'POST', f'/quotes/{ask.tag}', ask.tag.encode()
+        case Kind.rate:
+            return 'GET', f'/rates/{ask.tag}', b''
+        case Kind.stream:
+            prompt = {'prompt': ask.tag, 'max_tokens': ask.tokens}
+            return 'POST', '/v1/completions', json.dumps(prompt).encode()
+
+
+def _make_headers(ask: Ask) -> dict[str, str]:
+    headers = {
+        'ospreyford-customer': CUSTOMER,
+        'ospreyford-service': MODEL if ask.kind is Kind.stream else PLAIN,
+        'ospreyford-deadline-ms': str(DEADLINE_MS),
+    }
+    if ask.kind in {Kind.keyed, Kind.unkeyed}:
+        headers['ospreyford-idempotent'] = 'false'
+    if ask.key:
+        headers['idempotency-key'] = ask.key
+    return headers
+
+
+def _send_steadily(
+    stop: Event, kind: Kind, entry: str, entries: dict[str, str]
+) -> list[Told]:
+    told: list[Told] = []
+    others: Callable[[], str] = _take_turns(entry, list(entries))
+    while not stop.wait(0.05):
+        ask = make_ask(kind, tokens=20)
+        told.append(send(ask, entry, entries[entry]))
+        # The balancer in front goes elsewhere when an entry is gone, and a
+        # caller with a key may come again anywhere.
+        if ask.key and told[-1].outcome != 'answered':
+            other = others()
+            told.append(send(ask, other, entries[other]))
+    return told
+
+
+def _take_turns(first: str, names: list[str]) -> Callable[[], str]:
+    numbers = count(names.index(first) + 1)
+    return lambda: names[next(numbers) % len(names)]
