--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -8,10 +8,10 @@
 
 from ospreyford.entry.directory import FleetDirectory
 from ospreyford.entry.factory import make_parts
+from ospreyford.entry.returns import ReturnWatch
 from ospreyford.entry.views import Views
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.server import listen, serve_connection
-from ospreyford.membership.member import MemberState
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
 from ospreyford.node.questions import Topic, answer_spans
@@ -19,18 +19,17 @@
 from ospreyford.observability.events import Draining, Ready, Started
 from ospreyford.observability.metrics import Metrics
 from ospreyford.observability.readiness import LeavingHost, NoConfiguration
-from ospreyford.observability.spans import Tracer
+from ospreyford.observability.tracing import Tracing
 from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
     from curio.io import Socket
 
     from ospreyford.console.program import Program
-    from ospreyford.membership.member import StateChange
     from ospreyford.observability.readiness import Unready
+    from ospreyford.ports.fleet import Host
     from ospreyford.settings.programs import EntrySettings
 
-WITHDRAWN = frozenset((MemberState.leaving, MemberState.dead))
 DRAIN_POLL_SECONDS = 0.05
 READY_POLL_SECONDS = 0.1
 #: A balancer in front may send for so long after it is told to stop.
@@ -51,14 +50,20 @@
         self._announcer = Announcer(program.changes, self._metrics)
         self._node = FleetNode(settings, 'entry', '', self._announcer)
         self._directory = FleetDirectory()
-        self._tracer = Tracer(settings.traces, settings.identity)
+        self._tracing = Tracing(
+            settings.traces,
+            settings.identity,
+            self._metrics,
+        )
+        self._metrics.watch_drops('logs', program.changes.count_dropped)
         self._parts = make_parts(
             settings,
             self._node,
             self._directory,
             self._metrics,
-            self._tracer,
+            self._tracing.tracer,
         )
+        self._returns = ReturnWatch(self._directory, self._parts.router)
         self.stopping = False
         self._open = OpenConnections(settings.http.connections)
 
@@ -67,9 +72,13 @@
         self._program.stop.count_in_flight = self._open.count_busy
         self._listen_to_fleet()
         sock = listen(*split_address(self._settings.listen.data_address))
-        self._node.peers.serve(Topic.spans, answer_spans(self._tracer.store))
+        self._node.peers.serve(
+            Topic.spans, answer_spans(self._tracing.tracer.store)
+        )
         await self._node.start()
         await self._start_admin()
+        await curio.spawn(self._parts.share.run, daemon=True)
+        await curio.spawn(self._parts.room.run, daemon=True)
         accepting = await curio.spawn(self._accept, sock, daemon=True)
         self._program.changes.log_change(
             Started(
@@ -95,16 +104,15 @@
         return reasons
 
     def _listen_to_fleet(self) -> None:
-        self._node.configuration.listen(self._directory.note_picture)
-        self._node.listen_for_hosts(self._directory.note_hosts)
-        self._node.membership.subscribe(self._note_member)
+        self._node.configuration.listen(self._returns.note_picture)
+        self._node.listen_for_hosts(self._note_hosts)
+        self._node.membership.subscribe(self._returns.note_member)
 
-    def _note_member(self, change: StateChange) -> None:
-        name = change.member.name
-        if change.after in WITHDRAWN:
-            self._directory.note_withdrawn(self._directory.withdrawn | {name})
-        else:
-            self._directory.note_withdrawn(self._directory.withdrawn - {name})
+    def _note_hosts(self, hosts: tuple[Host, ...]) -> None:
+        before = self._directory.hosts.keys()
+        self._directory.note_hosts(hosts)
+        for name in before - self._directory.hosts.keys():
+            self._parts.router.note_gone(name)
 
     async def _start_admin(self) -> None:
         admin = AdminPort(
@@ -113,7 +121,7 @@
             Views(
                 self._node,
                 self._directory,
-                self._tracer,
+                self._tracing.tracer,
             ).list_providers(),
             self.tell_unready,
         )
@@ -158,3 +166,4 @@
             if self._open.count_busy():
                 quiet_since = self._node.clock.monotonic()
         await self._node.stop()
+        self._tracing.close()
--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket as plain_socket
 from typing import TYPE_CHECKING, Generic, TypeVar
 
@@ -17,6 +18,7 @@
 READ_BYTES = 65_536
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 4_194_304
+READABLE = select.POLLIN | select.POLLRDHUP
 
 Received = TypeVar('Received')
 
@@ -124,6 +126,15 @@
                 raise Severed
             self._reader.feed(received)
 
+    def is_quiet(self) -> bool:
+        """Tell whether the peer has neither sent nor closed.
+
+        :returns: whether nothing waits to be read, not even an end.
+        """
+        poller = select.poll()
+        poller.register(self._sock.fileno(), READABLE)
+        return not poller.poll(0)
+
     async def close(self) -> None:
         """Close the socket."""
         await self._sock.close()
--- a/src/ospreyford/wire/pool.py
+++ b/src/ospreyford/wire/pool.py
@@ -68,7 +68,11 @@
         youngest = self._clock.monotonic() - self._settings.idle_seconds
         while idle:
             rested = idle.pop()
-            if rested.since >= youngest:
+            # A request sent to a process that has ended meanwhile would be
+            # of unknown outcome, although no one can have run it. And what
+            # can be read on a connection at rest is nobody's answer.
+            quiet = rested.connection.frames.is_quiet()
+            if quiet and rested.since >= youngest:
                 return rested.connection
             await rested.connection.frames.close()
         return await self.open(address)
--- a/tests/agent/test_idle_connection.py
+++ b/tests/agent/test_idle_connection.py
@@ -16,7 +16,7 @@
 from ospreyford.entry.outcome import Answered, Outcome
 from ospreyford.wire.identity import make_id
 from tests.faults.network import Fault, Kind, Step
-from tests.faults.rig import AGENT_TIMES, Rig, make_call, send
+from tests.faults.rig import AGENT_TIMES, RECORD, Rig, make_call, send
 
 REST_SECONDS = 2 * AGENT_TIMES.silence_seconds
 
@@ -57,3 +57,24 @@
     lost = Fault(Step.start, kind)
     assert curio.run(send_twice, 0, [lost]) == (Answered(), 1)
     assert lost.done
+
+
+async def send_to_next_life() -> tuple[Outcome, int]:
+    async with Rig([]) as rig:
+        entry = rig.make_entry()
+        await send(rig, entry, make_keyed_call())
+        await rig.agents[0].die(replaced=True)
+        # Keys dated before the new life are refused.
+        await curio.sleep(2 * RECORD.skew_seconds)
+        call = make_keyed_call()
+        outcome, _ = await send(rig, entry, call)
+        return outcome, rig.count_runs(call.body)
+
+
+def test_connection_to_an_earlier_life_is_not_used() -> None:
+    # Symptom: after an agent was replaced, each entry's next requests to it
+    # are of unknown outcome, one for each connection at rest. Sequence: the
+    # agent ends, and with it its connections; a request is sent on one of
+    # them; the fresh connection is greeted by another incarnation. Cause:
+    # that the connection had ended could be seen before anything was sent.
+    assert curio.run(send_to_next_life) == (Answered(), 1)
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -17,6 +17,8 @@
 PAUSE_SECONDS = 4.0
 KILL_SECONDS = 0.8
 END_SECONDS = 20.0
+#: Beyond the deadline of the callers' requests.
+DEADLINE_SECONDS = 6.5
 LABELS = """
 kind = "host-labels"
 team = "test"
@@ -222,6 +224,7 @@
         'back end hangs',
         _spoil({'fault': {'type': 'hang'}}, {'stalled': True}),
         _replace_backends,
+        DEADLINE_SECONDS,
         early=True,
     ),
     Fault(
@@ -230,6 +233,7 @@
             {'fault': {'type': 'hang', 'before_run': True}}, {'stalled': True}
         ),
         _replace_backends,
+        DEADLINE_SECONDS,
         early=True,
     ),
     Fault(
