Hand out idle connections only while nothing is unread on them

Cause: the pool handed out connections to agents without looking whether a late frame or the connection's end had arrived meanwhile. The next request on it was cut off, or of unknown fate although nobody ever received it. Connections to addresses that nobody asks for again were never closed, and a frame of deeply nested arrays raised RecursionError through the task that serves the connection.

Ruled out: relying on the execution id of each frame alone. It keeps answers apart, but costs a recovery or an unknown outcome for each stale connection.

Change: the pool asks the kernel and the reader before it hands a connection out, closes overdue ones of all addresses, and RecursionError is Malformed.

--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -8,6 +8,7 @@
 import curio
 import msgspec
 
+from ospreyford.http.polling import has_news
 from ospreyford.wire.errors import Malformed, Severed, Unreachable
 from ospreyford.wire.frame import AgentFrame, EntryFrame, Frame
 
@@ -56,6 +57,13 @@
         """
         self._buffer += received
 
+    def is_empty(self) -> bool:
+        """Tell whether every received byte was cut off as a frame.
+
+        :returns: whether nothing is left.
+        """
+        return not self._buffer
+
     def next_frame(self) -> Received | None:
         """Cut off one frame.
 
@@ -74,7 +82,8 @@
         del self._buffer[:end]  # noqa: WPS420 -- cut in place, not copied
         try:
             return self._decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
+            # Nested deeply enough, bytes exhaust the decoder's stack.
             raise Malformed(str(error)) from None
 
 
@@ -124,6 +133,13 @@
                 raise Severed
             self._reader.feed(received)
 
+    def is_quiet(self) -> bool:
+        """Tell whether the connection is open with nothing unread on it.
+
+        :returns: whether a request may be sent on it.
+        """
+        return self._reader.is_empty() and not has_news(self._sock)
+
     async def close(self) -> None:
         """Close the socket."""
         await self._sock.close()
--- a/src/ospreyford/wire/pool.py
+++ b/src/ospreyford/wire/pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
 import curio
@@ -55,7 +54,8 @@
     def __init__(self, settings: PoolSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._idle: dict[str, list[IdleConnection]] = defaultdict(list)
+        self._idle: dict[str, list[IdleConnection]] = {}
+        self._swept = clock.monotonic()
 
     async def take(self, address: str) -> AgentConnection:
         """Take an idle connection, or open one.
@@ -64,13 +64,16 @@
         :returns: a connection with nothing unread on it.
         :raises Unreachable: none could be opened; nothing was sent.
         """
-        idle = self._idle[address]
-        youngest = self._clock.monotonic() - self._settings.idle_seconds
+        idle = self._idle.get(address, [])
+        oldest = self._find_oldest()
         while idle:
             rested = idle.pop()
-            if rested.since >= youngest:
+            frames = rested.connection.frames
+            # What came after the last answer was read, or an agent that has
+            # gone, must not meet the next request.
+            if rested.since >= oldest and frames.is_quiet():
                 return rested.connection
-            await rested.connection.frames.close()
+            await frames.close()
         return await self.open(address)
 
     async def open(self, address: str) -> AgentConnection:
@@ -104,7 +107,8 @@
         :param address: the agent's data address.
         :param connection: the connection.
         """
-        idle = self._idle[address]
+        await self._sweep()
+        idle = self._idle.setdefault(address, [])
         if len(idle) >= self._settings.idle_each:
             await connection.frames.close()
             return
@@ -115,3 +119,25 @@
         for idle in self._idle.values():
             while idle:
                 await idle.pop().connection.frames.close()
+
+    async def _sweep(self) -> None:
+        # Hosts are replaced all the time: what went idle to an address that
+        # nobody asks for again would stay open for good.
+        now = self._clock.monotonic()
+        if now - self._swept < self._settings.idle_seconds:
+            return
+        self._swept = now
+        oldest = self._find_oldest()
+        overdue: list[IdleConnection] = []
+        for resting in self._idle.values():
+            # In place: a taker under way must see what is left.
+            while resting and resting[0].since < oldest:
+                overdue.append(resting.pop(0))
+        self._idle = {
+            address: idle for address, idle in self._idle.items() if idle
+        }
+        for rested in overdue:
+            await rested.connection.frames.close()
+
+    def _find_oldest(self) -> float:
+        return self._clock.monotonic() - self._settings.idle_seconds
--- /dev/null
+++ b/tests/wire/test_connection.py
@@ -0,0 +1,309 @@
+"""Frames from bytes that anybody may have sent, and idle connections."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyford.http.server import listen, port_of
+from ospreyford.ports.clock import SystemClock
+from ospreyford.ports.fleet import LoadReport
+from ospreyford.wire.connection import (
+    MAX_FRAME_BYTES,
+    FrameConnection,
+    FrameReader,
+    encode_frames,
+)
+from ospreyford.wire.errors import Malformed, Unreachable
+from ospreyford.wire.frame import (
+    AgentFrame,
+    Beat,
+    Cancel,
+    End,
+    EntryFrame,
+    Failed,
+    Fate,
+    Frame,
+    Greeting,
+    Head,
+    Opened,
+    Piece,
+    Refusal,
+    Refused,
+)
+from ospreyford.wire.identity import make_id, read_date
+from ospreyford.wire.pool import ConnectionPool, PoolSettings
+from tests.agent.frames import make_follow, make_start
+
+SETTINGS = settings(max_examples=150, derandomize=True, deadline=None)
+LOAD = LoadReport(incarnation='i', in_flight=3, free_cache_ratio=0.5)
+NESTED_BEAT = b'\x93\xa4Beat\xa1e%b' % (b'\x91' * 100_000)
+GREETING = Greeting(execution='', server='s', incarnation='i')
+FRAMES: tuple[Frame, ...] = (
+    make_start('e', 'a', headers=((b'x', b'\xff'),), body=b'\0'),
+    make_follow('e', 'a', moved=True, sent=False),
+    Cancel(execution='e'),
+    Beat(execution='e'),
+    GREETING,
+    Opened(execution='e', incarnation='i', load=LOAD),
+    Refused(
+        execution='e',
+        incarnation='i',
+        reason=Refusal.moved,
+        retry_after=1.5,
+        load=LOAD,
+    ),
+    Head(execution='e', sequence=0, status=200, headers=((b'a', b'b'),)),
+    Piece(execution='e', sequence=1, content=b'\xff'),
+    End(execution='e', sequence=2, load=LOAD),
+    Failed(execution='e', sequence=1, fate=Fate.unknown),
+)
+ENTRY_FRAMES = st.lists(st.sampled_from(FRAMES[:4]), max_size=5)
+DECODERS = (
+    msgspec.msgpack.Decoder(EntryFrame),
+    msgspec.msgpack.Decoder(AgentFrame),
+)
+
+
+def read_all(reader: FrameReader[Any], received: bytes) -> list[Any]:
+    reader.feed(received)
+    return list(iter(reader.next_frame, None))
+
+
+def frame_of(body: bytes) -> bytes:
+    return len(body).to_bytes(4, 'big') + body
+
+
+@pytest.mark.parametrize('frame', FRAMES, ids=lambda one: type(one).__name__)
+def test_frame_survives_the_wire_only_in_its_direction(frame: Frame) -> None:
+    results = []
+    for decoder in DECODERS:
+        try:
+            results.append(read_all(FrameReader(decoder), encode_frames(frame)))
+        except Malformed:
+            results.append([])
+    assert [frame] in results
+    assert isinstance(frame, Beat) or [] in results
+
+
+@SETTINGS
+@given(ENTRY_FRAMES, st.randoms())
+def test_frames_cut_anywhere_arrive_whole(
+    frames: list[Frame], rng: Any
+) -> None:
+    encoded = encode_frames(*frames)
+    reader = FrameReader(DECODERS[0])
+    found = []
+    while encoded:
+        size = rng.randint(1, len(encoded))
+        found += read_all(reader, encoded[:size])
+        encoded = encoded[size:]
+    assert found == frames
+
+
+@SETTINGS
+@given(
+    st.one_of(
+        st.binary(max_size=200),
+        st.binary(max_size=60).map(frame_of),
+        st.tuples(
+            st.sampled_from(FRAMES), st.integers(0, 80), st.binary(min_size=1)
+        ).map(lambda each: spoil(*each)),
+    )
+)
+def test_any_bytes_are_frames_or_malformed(received: bytes) -> None:
+    for decoder in DECODERS:
+        with suppress(Malformed):
+            read_all(FrameReader(decoder), received)
+
+
+def spoil(frame: Frame, place: int, noise: bytes) -> bytes:
+    encoded = encode_frames(frame)
+    return encoded[:place] + noise + encoded[place + len(noise) :]
+
+
+@pytest.mark.parametrize(
+    'received',
+    [
+        (MAX_FRAME_BYTES + 1).to_bytes(4, 'big'),
+        b'\xff\xff\xff\xff',
+        bytes(4),
+        frame_of(b'\x92\xa4Beat\xa1\xff'),
+        frame_of(NESTED_BEAT),
+        frame_of(b'\x92\xa4Nope\xa1e'),
+    ],
+)
+def test_hopeless_bytes_are_malformed_at_once(received: bytes) -> None:
+    """A peer's bytes may break its own connection, nothing else.
+
+    Symptom: the task that serves a connection dies with an error that
+    nobody handles, and nothing closes the execution that it followed.
+    Sequence: a frame nests arrays deeper than the decoder's stack.
+    Cause: the decoder's ``RecursionError`` is none of its own errors.
+    """
+    with pytest.raises(Malformed):
+        read_all(FrameReader(DECODERS[0]), received)
+
+
+@pytest.mark.parametrize(
+    ('key', 'dated'),
+    [
+        ('', False),
+        ('x', False),
+        ('{}', False),
+        ('0190', False),
+        ('6ba7b810-9dad-11d1-80b4-00c04fd430c8', False),
+        (make_id(), True),
+        (make_id().replace('-', ''), True),
+    ],
+)
+def test_only_dated_ids_have_a_date(key: str, dated: bool) -> None:
+    assert (read_date(key) is not None) is dated
+
+
+class Agent:
+    """A listener that greets with what the test gives."""
+
+    def __init__(self, *greeting: Frame) -> None:
+        self.sockets: list[Any] = []
+        self._greeting = encode_frames(*greeting)
+
+    async def __aenter__(self) -> Agent:
+        self._sock = listen('127.0.0.1', 0)
+        self.address = f'127.0.0.1:{port_of(self._sock)}'
+        self._task = await curio.spawn(self._accept)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._task.cancel()
+        for sock in (self._sock, *self.sockets):
+            await sock.close()
+
+    async def _accept(self) -> None:
+        while True:
+            client, _ = await self._sock.accept()
+            await client.sendall(self._greeting)
+            self.sockets.append(client)
+
+
+async def settle() -> None:
+    await curio.sleep(0.02)
+
+
+def make_pool(**times: Any) -> ConnectionPool:
+    return ConnectionPool(
+        PoolSettings(connect_seconds=0.1, **times), SystemClock()
+    )
+
+
+async def say_more(agent: Agent) -> None:
+    await agent.sockets[0].sendall(encode_frames(FRAMES[-1]))
+
+
+async def hang_up(agent: Agent) -> None:
+    await agent.sockets[0].close()
+
+
+async def stay_quiet(agent: Agent) -> None:
+    """Nothing happens to the connection."""
+
+
+@pytest.mark.parametrize(
+    ('event', 'opened'), [(say_more, 2), (hang_up, 2), (stay_quiet, 1)]
+)
+def test_connection_with_news_is_not_handed_out(
+    event: Any, opened: int
+) -> None:
+    """An idle connection must have nothing unread on it.
+
+    Symptom: the first request after an agent's restart is of unknown fate,
+    or it is cut off by a frame that was meant for another.
+    Sequence: a connection goes back to the pool; then a late frame or the
+    end of the stream arrives on it; then it is taken.
+    Cause: nobody looks whether an idle connection has become readable.
+    """
+
+    async def main() -> int:
+        async with Agent(GREETING) as agent:
+            pool = make_pool()
+            first = await pool.take(agent.address)
+            await pool.give_back(agent.address, first)
+            await event(agent)
+            await settle()
+            await pool.take(agent.address)
+            await settle()
+            return len(agent.sockets)
+
+    assert curio.run(main) == opened
+
+
+def test_connection_with_a_buffered_frame_is_not_handed_out() -> None:
+    """Symptom, sequence and cause as above, but the frame was read already."""
+
+    async def main() -> int:
+        async with Agent(GREETING, FRAMES[-1]) as agent:
+            pool = make_pool()
+            await pool.give_back(agent.address, await pool.take(agent.address))
+            await pool.take(agent.address)
+            await settle()
+            return len(agent.sockets)
+
+    assert curio.run(main) == 2
+
+
+def test_idle_connections_to_addresses_without_use_are_closed() -> None:
+    """The pool must not hold sockets to hosts that nobody asks for.
+
+    Symptom: an entry runs out of descriptors after weeks of replaced hosts.
+    Sequence: connections to a host go idle; no request goes there again.
+    Cause: their age is looked at only when the same address is taken.
+    """
+
+    async def main() -> bytes:
+        async with Agent(GREETING) as old, Agent(GREETING) as new:
+            pool = make_pool(idle_seconds=0.05)
+            await pool.give_back(old.address, await pool.take(old.address))
+            await curio.sleep(0.1)
+            await pool.give_back(new.address, await pool.take(new.address))
+            received: bytes = await curio.timeout_after(
+                1, old.sockets[0].recv(1)
+            )
+            return received
+
+    assert curio.run(main) == b''
+
+
+@pytest.mark.parametrize('greeting', [(), (FRAMES[7],), (FRAMES[0],)])
+def test_whoever_does_not_greet_is_unreachable(greeting: Any) -> None:
+    async def main() -> None:
+        async with Agent(*greeting) as agent:
+            await make_pool().take(agent.address)
+
+    with pytest.raises(Unreachable):
+        curio.run(main)
+
+
+def test_pool_keeps_no_more_than_it_may() -> None:
+    async def main() -> list[bool]:
+        async with Agent(GREETING) as agent:
+            pool = make_pool(idle_each=1)
+            taken = [await pool.take(agent.address) for _ in range(2)]
+            for each in taken:
+                await pool.give_back(agent.address, each)
+            return [await is_open(each.frames) for each in taken]
+
+    assert curio.run(main) == [True, False]
+
+
+async def is_open(frames: FrameConnection[Any]) -> bool:
+    try:
+        await frames.send(FRAMES[3])
+    except Exception:
+        return False
+    return True
