End every run, and one answer before the next on a connection

Change: the runner fails what has not ended, in its finally; a failure after the end changes nothing; a refusal needs a connection at rest, as a start does; a follower clears only its own execution.

--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -142,11 +142,15 @@
         )
 
     async def fail(self, fate: Fate, now: float) -> None:
-        """Mark that the answer will never be whole.
+        """Mark that the answer will never be whole, unless it is already.
 
         :param fate: what became of the run.
         :param now: monotonic seconds.
         """
+        # A cancel or a timeout may strike just as the answer ended: what is
+        # whole stays whole.
+        if self.ended is not None:
+            return
         self.ended = now
         await self._append(
             Failed(
--- a/src/ospreyford/agent/runner.py
+++ b/src/ospreyford/agent/runner.py
@@ -105,6 +105,9 @@
                 _end_span(span, execution.fate)
         finally:
             self._meter.in_flight -= 1
+            # After an error of no known kind too the run is over: a planned
+            # stop, and whoever follows, would wait for it for ever.
+            await execution.fail(Fate.unknown, self._clock.monotonic())
 
     async def _run_bounded(self, execution: Execution, start: Start) -> None:
         limit = self._settings.run_seconds
--- a/src/ospreyford/agent/service.py
+++ b/src/ospreyford/agent/service.py
@@ -200,8 +200,7 @@
         :param opened: the frame that goes first.
         :raises Malformed: the entry asked before the last answer ended.
         """
-        if self._execution is not None:
-            raise Malformed('a second request before the first answer ended')
+        self._require_rest()
         self._execution = execution
         self._task = await curio.spawn(
             self._stream,
@@ -216,7 +215,10 @@
 
         :param refused: the frame.
         :raises Severed: the connection is gone.
+        :raises Malformed: the entry asked before the last answer ended; the
+            refusal would be written into the middle of that answer.
         """
+        self._require_rest()
         await self._connection.send(refused)
 
     async def leave(self, identity: str) -> Execution | None:
@@ -238,6 +240,10 @@
         if task:
             await task.cancel()
 
+    def _require_rest(self) -> None:
+        if self._execution is not None:
+            raise Malformed('a second request before the first answer ended')
+
     async def _stream(
         self,
         execution: Execution,
@@ -252,7 +258,10 @@
             return
         finally:
             execution.unfollow(self._clock.monotonic())
-            self._execution = None
+            # The entry may have read the end and asked for the next answer
+            # before this task ran again.
+            if self._execution is execution:
+                self._execution = None
 
     async def _stream_frames(
         self,
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -137,7 +137,7 @@
                 headers=fields,
             )
             encoded = self._parser.send(head) or b''
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeError) as error:
             raise Unsendable(str(error)) from None
         encoded += self._parser.send(h11.Data(data=body)) or b''
         return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
--- /dev/null
+++ b/tests/agent/test_connections.py
@@ -0,0 +1,350 @@
+"""Entries that send anything, and runs that end in any way."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyford.agent.backend import BackendAddress, HttpBackend
+from ospreyford.agent.execution import Execution
+from ospreyford.agent.service import Session
+from ospreyford.http.message import Request
+from ospreyford.http.server import listen, port_of
+from ospreyford.ports.clock import SystemClock
+from ospreyford.ports.fleet import LoadReport
+from ospreyford.wire.connection import encode_frames, open_to_agent
+from ospreyford.wire.frame import (
+    Beat,
+    Cancel,
+    End,
+    Failed,
+    Fate,
+    Frame,
+    Greeting,
+    Opened,
+    Piece,
+    Refused,
+)
+from tests.agent.frames import make_follow, make_start
+from tests.faults.backend import FakeCall
+from tests.faults.rig import AGENT_TIMES, Rig, RunningAgent, make_call, send
+
+HEADERS = ((b'x-request-id', b'r'), (b'host', b'b'))
+LOAD = LoadReport(incarnation='i')
+BEAT = encode_frames(Beat(execution=''))
+
+
+def start_of(tag: str, **changes: Any) -> Any:
+    now = int(SystemClock().wall() * 1000)
+    times = {'dated': now, 'expires': now + 3000}
+    named = {'body': tag.encode(), 'headers': HEADERS}
+    return make_start(tag, f'attempt-{tag}', **times | named | changes)
+
+
+def follow_of(tag: str, incarnation: str, **changes: Any) -> Any:
+    now = int(SystemClock().wall() * 1000)
+    times = {'dated': now, 'incarnation': incarnation}
+    return make_follow(tag, f'attempt-{tag}', **times | changes)
+
+
+async def send_raw(agent: RunningAgent, raw: bytes) -> bool:
+    """Send bytes, and tell whether the agent closed the connection."""
+    address = ('127.0.0.1', agent.network.upstream)
+    async with await curio.open_connection(*address) as sock:
+        await sock.sendall(raw)
+        received: bytes | None = b'-'
+        while received:
+            received = await curio.ignore_after(0.15, sock.recv(65_536))
+        return received == b''
+
+
+async def ask(agent: RunningAgent, frame: Frame) -> list[Any]:
+    """Send a frame on a new connection and collect what follows."""
+    address = f'127.0.0.1:{agent.network.upstream}'
+    connection = await open_to_agent(address, 1)
+    frames: list[Any] = []
+    await connection.send(frame)
+    while not isinstance(frames and frames[-1], End | Failed | Refused):
+        receiving = connection.receive()
+        frames.append(await curio.timeout_after(1, receiving))
+    await connection.close()
+    return frames
+
+
+def two(first: Any, second: Any) -> bytes:
+    return encode_frames(first, second)
+
+
+@pytest.mark.parametrize(
+    ('make', 'runs'),
+    [
+        (lambda: two(start_of('a'), start_of('b')), 1),
+        (lambda: two(start_of('a'), start_of('a')), 1),
+        (lambda: two(start_of('a'), follow_of('a', 'old')), 1),
+        (
+            lambda: encode_frames(
+                Piece(execution='a', sequence=0, content=b'')
+            ),
+            0,
+        ),
+        (lambda: encode_frames(start_of('a'))[:-1] + b'\xff' * 9, 0),
+        (lambda: BEAT + b'\xff' * 4, 0),
+        (lambda: b'GET / HTTP/1.1\r\n\r\n', 0),
+    ],
+)
+def test_wrong_frames_end_their_connection_only(make: Any, runs: int) -> None:
+    """An entry that breaks the protocol loses its connection, no more.
+
+    Symptom: two answers mixed on one connection, a second run, or other
+    entries cut off.
+    Sequence: frames that are none, that only agents send, or that ask for
+    something before the last answer ended.
+    Cause: a connection's reader or its follower left unguarded.
+    """
+
+    async def main() -> tuple[bool, list[Any], int]:
+        async with Rig([]) as rig:
+            agent = rig.agents[0]
+            good = await curio.spawn(ask, agent, start_of('good'))
+            closed = await send_raw(agent, make())
+            frames = await good.join()
+            return closed, frames, agent.backend.journal[b'a']
+
+    closed, frames, ran = curio.run(main)
+    assert closed
+    assert isinstance(frames[0], Greeting)
+    assert isinstance(frames[-1], End)
+    assert ran == runs
+
+
+frame_makers = st.sampled_from(
+    [
+        lambda _: start_of('a'),
+        lambda _: start_of('b', idempotent=True, fresh=True),
+        lambda life: follow_of('a', life),
+        lambda life: follow_of('a', life, next_sequence=99),
+        lambda _: follow_of('a', 'earlier'),
+        lambda _: Cancel(execution='a'),
+        lambda _: Cancel(execution='b'),
+        lambda _: Beat(execution='c'),
+    ]
+)
+
+
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(st.lists(st.lists(frame_makers, max_size=4), max_size=3))
+def test_no_order_of_frames_runs_a_key_twice(conversations: Any) -> None:
+    async def main() -> tuple[int, Any]:
+        async with Rig([]) as rig:
+            agent = rig.agents[0]
+            assert agent.record is not None
+            life = agent.record.incarnation
+            for makers in conversations:
+                raw = encode_frames(*(make(life) for make in makers))
+                task = await curio.spawn(send_raw, agent, raw, daemon=True)
+                await curio.sleep(0.002)
+                if len(makers) % 2:
+                    await task.cancel()
+            frames = await ask(agent, follow_of('a', life, next_sequence=0))
+            return agent.backend.journal[b'a'], frames[-1]
+
+    runs, last = curio.run(main)
+    assert runs <= 1
+    assert isinstance(last, End if runs else Refused)
+
+
+class Broken(FakeCall):
+    """Fails in a way that nobody expects."""
+
+    async def read_head(self) -> Any:
+        raise RuntimeError
+
+
+class Hanging(FakeCall):
+    """Never answers; notes how the call was ended."""
+
+    async def read_head(self) -> Any:
+        await curio.sleep(60)
+
+    async def finish(self, *, whole: bool) -> None:
+        self.backend.journal[b'finished whole' if whole else b'closed'] += 1
+
+
+def test_run_always_ends() -> None:
+    """A run must end, whatever goes wrong in it.
+
+    Symptom: an agent's planned stop waits for a request for ever, and the
+    caller waits until its deadline.
+    Sequence: a call to the back end fails with an error of no known kind.
+    Cause: only the expected kinds ended the execution.
+    """
+
+    async def main() -> Any:
+        async with Rig([]) as rig:
+            backend = rig.agents[0].backend
+
+            async def open_broken(*, reuse: bool) -> Broken:
+                return Broken(backend)
+
+            backend.open = open_broken  # type: ignore[method-assign]
+            frames = await ask(rig.agents[0], start_of('a'))
+            return frames[-1]
+
+    assert curio.run(main).fate is Fate.unknown
+
+
+@pytest.mark.parametrize(
+    'changes', [{'method': 'B D'}, {'method': '\xe9'}, {'headers': ()}]
+)
+def test_what_cannot_be_sent_did_not_run(changes: Any) -> None:
+    """A request that HTTP does not allow is proved not to have run."""
+
+    async def main() -> Any:
+        async with Rig([]) as rig:
+            sock = listen('127.0.0.1', 0)
+            address = BackendAddress('127.0.0.1', port_of(sock))
+            agent = rig.agents[0]
+            await agent.kill()
+            agent.backend = HttpBackend(address, 1)  # type: ignore[assignment]
+            await agent.start()
+            await curio.sleep(0.02)
+            frames = await ask(agent, start_of('a', **changes))
+            await sock.close()
+            return frames[-1]
+
+    assert curio.run(main).fate is Fate.not_run
+
+
+@pytest.mark.parametrize(('idempotent', 'closed'), [(True, 1), (False, 0)])
+def test_cancel_closes_the_call_of_what_may_run_again(
+    idempotent: bool, closed: int
+) -> None:
+    asked: list[bool] = []
+
+    async def main() -> int:
+        async with Rig([]) as rig:
+            agent = rig.agents[0]
+
+            async def open_hanging(*, reuse: bool) -> Hanging:
+                asked.append(reuse)
+                return Hanging(agent.backend)
+
+            agent.backend.open = open_hanging  # type: ignore[method-assign]
+            start = start_of('a', idempotent=idempotent, fresh=True)
+            address = f'127.0.0.1:{agent.network.upstream}'
+            connection = await open_to_agent(address, 1)
+            await connection.send(start)
+            await curio.sleep(0.05)
+            await connection.send(Cancel(execution='a'))
+            await curio.sleep(0.05)
+            await connection.close()
+            return agent.backend.journal[b'closed']
+
+    assert curio.run(main) == closed
+    # A server may close a used connection just as a request is sent on it.
+    assert asked == [idempotent]
+
+
+@pytest.mark.parametrize('whole', [False, True])
+def test_cut_call_closes_its_connection(whole: bool) -> None:
+    """Closing tells the server to stop; reuse would read its rest."""
+
+    async def main() -> Any:
+        sock = listen('127.0.0.1', 0)
+        async with sock:
+            backend = HttpBackend(BackendAddress('127.0.0.1', port_of(sock)), 1)
+            call = await backend.open(reuse=False)
+            client, _ = await sock.accept()
+            await call.send(Request('GET', '/', HEADERS), b'')
+            await client.recv(65_536)
+            await client.sendall(
+                b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n'
+            )
+            await call.read_head()
+            await call.finish(whole=whole)
+            return await curio.ignore_after(0.1, client.recv(1))
+
+    assert curio.run(main) == b''
+
+
+def test_answer_has_one_end() -> None:
+    """What ended whole stays whole.
+
+    Symptom: a connection is given back with an unread frame on it.
+    Sequence: a run is cancelled or its time is over just as it ends.
+    Cause: the failure was added behind the end mark.
+    """
+
+    async def main() -> list[Any]:
+        execution = Execution(start_of('a'), 0, frozenset())
+        await execution.finish(LOAD, 1)
+        await execution.fail(Fate.unknown, 2)
+        return execution.read_frames(0)
+
+    assert [type(frame) for frame in curio.run(main)] == [End]
+
+
+class SlowConnection:
+    """A connection whose second send waits for the test."""
+
+    def __init__(self) -> None:
+        self.sent: list[Frame] = []
+        self.release = curio.Event()
+
+    async def send(self, *frames: Frame) -> None:
+        self.sent += frames
+        if isinstance(frames[-1], End):
+            await self.release.wait()
+
+
+def test_next_answer_is_followed_when_the_last_one_was_slow() -> None:
+    """A finished answer must not end the next one's following.
+
+    Symptom: a silent entry is noticed after a minute, and its cancel is
+    passed over.
+    Sequence: the end mark waits for a full socket; the entry reads it and
+    asks for the next answer; only then does the first follower end.
+    Cause: it cleared what the session followed by then.
+    """
+
+    async def main() -> float:
+        connection = SlowConnection()
+        session = Session(connection, AGENT_TIMES, SystemClock())  # type: ignore[arg-type]
+        opened = Opened(execution='', incarnation='', load=LOAD)
+        first = Execution(start_of('a'), 0, frozenset())
+        await first.finish(LOAD, 1)
+        await session.follow(first, 0, opened)
+        await curio.sleep(0.01)
+        second = Execution(start_of('b'), 0, frozenset())
+        await session.follow(second, 0, opened)
+        await connection.release.set()
+        await curio.sleep(0.01)
+        patience = session.patience()
+        await session.stop()
+        return patience
+
+    assert curio.run(main) == AGENT_TIMES.silence_seconds
+
+
+@pytest.mark.parametrize('keyed', [False, True])
+def test_counts_are_even_when_a_request_is_cancelled(keyed: bool) -> None:
+    """Symptom looked for: a back end that seems busy for ever."""
+
+    async def main() -> tuple[int, int]:
+        async with Rig([]) as rig:
+            entry = rig.make_entry()
+            rig.agents[0].backend.gap = 1
+            router = entry._router
+            call = make_call(b'a', idempotent=not keyed)
+            task = await curio.spawn(send, rig, entry, call)
+            await curio.sleep(0.05)
+            found: Any = router._registry.get('server-0')
+            during = found.in_flight
+            await task.cancel()
+            return during, found.in_flight
+
+    assert curio.run(main) == (1, 0)
