Test homes of keys, verdicts, problems and the order of answers

Cause: nothing tested entry/homes, verdict, problem and answer by themselves. Change: it compares slices.

--- a/src/ospreyford/entry/homes.py
+++ b/src/ospreyford/entry/homes.py
@@ -54,7 +54,7 @@
     asked = {
         earlier[0]
         for earlier in _list_earlier(ranked, dated)
-        if earlier and earlier[0] != chain[0]
+        if earlier and earlier[:1] != chain[:1]
     }
     return HomeOrder(tuple(sorted(asked)), chain)
 
--- /dev/null
+++ b/tests/entry/test_answers.py
@@ -0,0 +1,155 @@
+"""What frames, refusals and causes prove, and how callers are told."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from ospreyford.entry.answer import IncomingAnswer, Interrupted
+from ospreyford.entry.outcome import (
+    Answered,
+    Cause,
+    Cut,
+    Moved,
+    NotRun,
+    Unknown,
+)
+from ospreyford.entry.problem import CALLER_FAULTS, make_problem
+from ospreyford.entry.verdict import (
+    Progress,
+    judge_failure,
+    judge_refusal,
+)
+from ospreyford.ports.fleet import LoadReport
+from ospreyford.wire.frame import (
+    Beat,
+    Cancel,
+    End,
+    Failed,
+    Fate,
+    Frame,
+    Head,
+    Opened,
+    Piece,
+    Refusal,
+    Refused,
+)
+from tests.faults.rig import CollectingSink
+
+NOTHING = Progress(opened=False, began=False)
+OPENED = Progress(opened=True, began=False)
+BEGAN = Progress(opened=True, began=True)
+LOAD = LoadReport(incarnation='i')
+UNRUN = frozenset(
+    'draining record-full expired key-from-future key-reused voided'.split()
+)
+
+
+def refused(reason: Refusal) -> Refused:
+    return Refused(
+        execution='e', incarnation='i', reason=reason, retry_after=3, load=LOAD
+    )
+
+
+@pytest.mark.parametrize('reason', Refusal)
+@pytest.mark.parametrize('progress', [NOTHING, OPENED, BEGAN])
+def test_refusal_proves_no_more_than_it_says(
+    reason: Refusal, progress: Progress
+) -> None:
+    """Symptom looked for: "not run" of what the agent had opened before."""
+    outcome = judge_refusal(refused(reason), progress)
+    if reason is Refusal.moved:
+        assert outcome == Moved()
+    elif progress.began:
+        assert isinstance(outcome, Cut)
+    elif reason in UNRUN and not progress.opened:
+        assert isinstance(outcome, NotRun)
+    else:
+        assert isinstance(outcome, Unknown)
+
+
+@pytest.mark.parametrize(
+    ('fate', 'progress', 'kind'),
+    [
+        (Fate.not_run, NOTHING, NotRun),
+        (Fate.not_run, OPENED, NotRun),
+        (Fate.unknown, OPENED, Unknown),
+        (Fate.unknown, BEGAN, Cut),
+        (Fate.answer_dropped, OPENED, Unknown),
+        (Fate.answer_dropped, BEGAN, Cut),
+    ],
+)
+def test_failure_proves_no_more_than_it_says(
+    fate: Fate, progress: Progress, kind: type[Any]
+) -> None:
+    failed = Failed(execution='e', sequence=0, fate=fate)
+    assert isinstance(judge_failure(failed, progress), kind)
+
+
+@pytest.mark.parametrize('cause', Cause)
+@pytest.mark.parametrize('wait', [0, 0.2, 7])
+def test_each_cause_has_a_problem(cause: Cause, wait: float) -> None:
+    for outcome in (NotRun(cause, wait), Unknown(cause, wait)):
+        problem = make_problem(outcome, 'id')
+        members = msgspec.json.decode(problem.body)
+        headers = dict(problem.headers)
+        assert members['status'] == problem.status
+        assert 400 <= problem.status <= 504
+        assert (problem.status < 429) is (cause in CALLER_FAULTS)
+        told = headers.get(b'retry-after')
+        if cause in CALLER_FAULTS:
+            assert (told, members['retry_after']) == (None, None)
+        else:
+            assert members['retry_after'] == max(1, int(wait))
+            assert told == str(members['retry_after']).encode()
+
+
+def head(sequence: int = 0, execution: str = 'e') -> Frame:
+    return Head(execution=execution, sequence=sequence, status=200, headers=())
+
+
+def piece(sequence: int, content: bytes = b'p', execution: str = 'e') -> Frame:
+    return Piece(execution=execution, sequence=sequence, content=content)
+
+
+def end(sequence: int) -> Frame:
+    return End(execution='e', sequence=sequence, load=LOAD)
+
+
+OPEN = Opened(execution='e', incarnation='i', load=LOAD)
+WHOLE = (OPEN, head(), piece(1), end(2))
+TWICE = (*WHOLE[:3], piece(1, b'q'), end(2))
+
+
+@pytest.mark.parametrize(
+    ('frames', 'last', 'body'),
+    [
+        (WHOLE, Answered(), b'p'),
+        (TWICE, Answered(), b'p'),
+        ([head(), head(), Beat(execution='x'), piece(1)], None, b'p'),
+        ([head(), piece(2)], Interrupted(), b''),
+        ([head(), end(2)], Interrupted(), b''),
+        ([head(), piece(1, b'q', 'other')], Interrupted(), b''),
+        ([head(0, 'other')], Interrupted(), b''),
+        ([OPEN, Cancel(execution='e')], Interrupted(), b''),
+    ],
+)
+def test_answer_is_taken_in_order(
+    frames: Any, last: object, body: bytes
+) -> None:
+    """Symptom looked for: parts twice, missing, or out of another answer."""
+    sink = CollectingSink()
+
+    async def main() -> object:
+        answer = IncomingAnswer('e', sink)
+        step = None
+        for frame in frames:
+            step = await answer.take(frame)
+        return step
+
+    assert curio.run(main) == last
+    assert sink.body == body
+    assert sink.whole is (last == Answered())
--- /dev/null
+++ b/tests/entry/test_homes.py
@@ -0,0 +1,96 @@
+"""Where a key is looked for, by every entry and at any time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyford.entry.homes import HORIZON_MS, Home, HomeOrder, order_homes
+
+SETTINGS = settings(max_examples=150, derandomize=True, deadline=None)
+NAMES = tuple(f'server-{number}' for number in range(5))
+moments = st.integers(0, 12).map(lambda part: part * HORIZON_MS // 4)
+keys = st.text(max_size=8)
+bounds = st.one_of(st.none(), moments)
+declared = st.lists(
+    st.builds(Home, st.sampled_from(NAMES), bounds, bounds),
+    unique_by=lambda home: home.name,
+).map(tuple)
+lasting = st.sets(st.sampled_from(NAMES), min_size=1).map(
+    lambda names: tuple(Home(name) for name in sorted(names))
+)
+
+
+@SETTINGS
+@given(declared, keys, moments, st.randoms())
+def test_same_homes_give_the_same_order(
+    homes: Any, key: str, dated: int, rng: Any
+) -> None:
+    """Any document may be asked about any key; all entries agree."""
+    shuffled = list(homes)
+    rng.shuffle(shuffled)
+    order = order_homes(homes, key, dated)
+    assert order_homes(tuple(shuffled), key, dated) == order
+    valid = {
+        home.name
+        for home in homes
+        if (home.since is None or home.since <= dated)
+        and (home.until is None or home.until >= dated)
+    }
+    assert set(order.chain) == valid
+    assert order.chain[:1] not in [(name,) for name in order.asked]
+
+
+@SETTINGS
+@given(lasting, keys, moments, moments)
+def test_a_home_that_joins_takes_newer_keys_only(
+    homes: Any, key: str, joined: int, dated: int
+) -> None:
+    """A key's home never changes, however late one asks.
+
+    Symptom: a repeated call runs on a second backend server.
+    Sequence: a home joins between a key's first call and its retry; or an
+    entry knows the older document yet.
+    Cause: the moment of asking, not the key's date, picked the homes.
+    """
+    before = order_homes(homes, key, dated)
+    new = Home('server-new', since=joined)
+    after = order_homes((*homes, new), key, dated)
+    if dated < joined:
+        assert after == before
+        return
+    moved = after.chain[0] == 'server-new'
+    assert moved or after.chain[0] == before.chain[0]
+    if moved and dated - joined < HORIZON_MS:
+        assert after.asked == before.chain[:1]
+    else:
+        assert not after.asked
+
+
+@SETTINGS
+@given(lasting, keys, moments, moments)
+def test_a_home_that_leaves_keeps_its_older_keys(
+    homes: Any, key: str, left: int, dated: int
+) -> None:
+    before = order_homes(homes, key, dated)
+    former = homes[0]._replace(until=left)
+    after = order_homes((former, *homes[1:]), key, dated)
+    if dated <= left:
+        assert after == before
+    else:
+        assert after.chain == tuple(
+            name for name in before.chain if name != former.name
+        )
+
+
+def test_key_without_a_home_has_no_place() -> None:
+    """Symptom: a caller's connection ends without an answer.
+
+    Sequence: every home that a document declares is over by the key's date.
+    Cause: the first of no homes was compared with.
+    """
+    over = (Home('a', since=10, until=15), Home('b', until=12))
+    assert order_homes(over, 'key', 20) == HomeOrder(('b',), ())
+    assert order_homes((), 'key', 20) == HomeOrder((), ())
