--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -28,6 +28,7 @@
     from ospreyford.console.program import Program
     from ospreyford.membership.member import StateChange
     from ospreyford.observability.readiness import Unready
+    from ospreyford.ports.fleet import Host
     from ospreyford.settings.programs import EntrySettings
 
 WITHDRAWN = frozenset((MemberState.leaving, MemberState.dead))
@@ -49,7 +50,13 @@
         self._settings = settings
         self._metrics = Metrics()
         self._announcer = Announcer(program.changes, self._metrics)
-        self._node = FleetNode(settings, 'entry', '', self._announcer)
+        self._node = FleetNode(
+            settings,
+            'entry',
+            '',
+            self._announcer,
+            program.stop.requested,
+        )
         self._directory = FleetDirectory()
         self._tracing = Tracing(
             settings.traces,
@@ -63,6 +70,7 @@
             self._directory,
             self._metrics,
             self._tracing.tracer,
+            program.changes,
         )
         self.stopping = False
         self._open = OpenConnections(settings.http.connections)
@@ -79,6 +87,7 @@
         await self._start_admin()
         await curio.spawn(self._parts.share.run, daemon=True)
         await curio.spawn(self._parts.room.run, daemon=True)
+        await curio.spawn(self._parts.watch.run, daemon=True)
         accepting = await curio.spawn(self._accept, sock, daemon=True)
         self._program.changes.log_change(
             Started(
@@ -105,9 +114,15 @@
 
     def _listen_to_fleet(self) -> None:
         self._node.configuration.listen(self._directory.note_picture)
-        self._node.listen_for_hosts(self._directory.note_hosts)
+        self._node.listen_for_hosts(self._note_hosts)
         self._node.membership.subscribe(self._note_member)
 
+    def _note_hosts(self, hosts: tuple[Host, ...]) -> None:
+        before = self._directory.hosts.keys()
+        self._directory.note_hosts(hosts)
+        for name in before - self._directory.hosts.keys():
+            self._parts.router.note_gone(name)
+
     def _note_member(self, change: StateChange) -> None:
         name = change.member.name
         if change.after in WITHDRAWN:
