Queue each service's waiters by themselves

Cause: one fair queue held the waiters of all services and only its head was tried. One request that waited for an overloaded model service held up every request to every other service, for up to max_wait_seconds each; newcomers to an idle service had to queue too.

Ruled out: trying every waiter at each tick (work grows with the queue).

Change: one queue for each service; the dispatcher asks for its own service's waiters only. The bounds of the queue hold for each service. Requests of one service that different pools may serve still share a queue.

Seen red first: test_waiters_of_one_service_do_not_hold_up_another.

--- a/src/ospreyford/entry/dispatcher.py
+++ b/src/ospreyford/entry/dispatcher.py
@@ -121,7 +121,7 @@
         # Whoever waits goes first: a newcomer that found capacity would
         # otherwise overtake the whole queue.
         find = partial(self._choose, call, plan, excluded, number)
-        if not self._room:
+        if not self._room.has_waiters(call.service):
             sending = find()
             if not is_overload(sending):
                 return sending
--- a/src/ospreyford/entry/waiting.py
+++ b/src/ospreyford/entry/waiting.py
@@ -48,14 +48,24 @@
     """
 
     def __init__(self, settings: QueueSettings, clock: Clock) -> None:
-        self._queue = FairQueue(settings)
+        # One queue for each service: only the head of a queue is tried, and
+        # a service at its bound would hold up the waiters of all others.
+        self._queues: dict[str, FairQueue] = {}
+        self._settings = settings
         self._clock = clock
         self._ids = count()
         self._places: dict[int, Place] = {}
-        self._retry_after = settings.max_wait_seconds
 
     def __len__(self) -> int:
-        return len(self._queue)
+        return sum(len(queue) for queue in self._queues.values())
+
+    def has_waiters(self, service: str) -> bool:
+        """Tell whether requests of a service wait.
+
+        :param service: the service's name.
+        :returns: whether a newcomer must wait behind them.
+        """
+        return bool(self._queues.get(service))
 
     async def wait(
         self,
@@ -79,40 +89,53 @@
             priority=int(plan.priority),
             weight=plan.limit.weight,
         )
-        verdict = self._queue.offer(waiter, self._clock.monotonic())
+        queue = self._queues.get(call.service)
+        if queue is None:
+            queue = FairQueue(self._settings)
+            self._queues[call.service] = queue
+        verdict = queue.offer(waiter, self._clock.monotonic())
         if isinstance(verdict, NotQueued):
             return NotRun(Cause.overloaded, verdict.retry_after)
         place = Place(find)
         self._places[waiter.id] = place
         if verdict.displaced is not None:
             await self._decide(verdict.displaced, self._refuse())
-        return await self._await_verdict(waiter, place)
+        return await self._await_verdict(queue, waiter, place)
 
     async def call_next(self) -> None:
-        """Give the next in turn its chance: some capacity may be free.
+        """Give the next of each service its chance: some may be free.
 
         It keeps its place while there is none; taken out and refused, it
         would have waited for nothing.
         """
+        for queue in tuple(self._queues.values()):
+            await self._try_head(queue)
+
+    async def run(self) -> None:
+        """Refuse whoever waited too long, and try the next, for ever."""
+        while True:
+            await self._clock.sleep(TICK_SECONDS)
+            for queue in tuple(self._queues.values()):
+                await self._expire(queue)
+            await self.call_next()
+
+    async def _try_head(self, queue: FairQueue) -> None:
         now = self._clock.monotonic()
-        waiter = self._queue.head(now)
+        waiter = queue.head(now)
         if waiter is None:
             return
         found = self._places[waiter.id].find()
         if not is_overload(found):
-            self._queue.take(now)
+            queue.take(now)
             await self._decide(waiter, found)
 
-    async def run(self) -> None:
-        """Refuse whoever waited too long, and try the next, for ever."""
-        while True:
-            await self._clock.sleep(TICK_SECONDS)
-            for waiter in self._queue.expire(self._clock.monotonic()):
-                await self._decide(waiter, self._refuse())
-            await self.call_next()
+    async def _expire(self, queue: FairQueue) -> None:
+        for waiter in queue.expire(self._clock.monotonic()):
+            await self._decide(waiter, self._refuse())
 
     async def _await_verdict(
         self,
+        queue: FairQueue,
         waiter: Waiter,
         place: Place,
     ) -> Sending | NotRun:
@@ -120,7 +143,7 @@
             await place.decided.wait()
         finally:
             self._places.pop(waiter.id, None)
-            self._queue.cancel(waiter.id)
+            queue.cancel(waiter.id)
         return place.verdict
 
     async def _decide(self, waiter: Waiter, verdict: Sending | NotRun) -> None:
@@ -130,7 +153,7 @@
             await place.decided.set()
 
     def _refuse(self) -> NotRun:
-        return NotRun(Cause.overloaded, self._retry_after)
+        return NotRun(Cause.overloaded, self._settings.max_wait_seconds)
 
 
 def is_overload(found: Sending | NotRun) -> bool:
--- a/tests/entry/test_answers.py
+++ b/tests/entry/test_answers.py
@@ -23,6 +23,7 @@
     judge_failure,
     judge_refusal,
 )
+from ospreyford.ports.clock import SystemClock
 from ospreyford.ports.fleet import LoadReport
 from ospreyford.wire.frame import (
     Beat,
@@ -144,7 +145,7 @@
     sink = CollectingSink()
 
     async def main() -> object:
-        answer = IncomingAnswer('e', sink)
+        answer = IncomingAnswer('e', sink, SystemClock())
         step = None
         for frame in frames:
             step = await answer.take(frame)
--- /dev/null
+++ b/tests/entry/test_waiting.py
@@ -0,0 +1,159 @@
+"""Requests that wait for capacity."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import curio
+import pytest
+
+from ospreyford.entry.dispatcher import Dispatcher
+from ospreyford.entry.outcome import Answered, Cause, NotRun
+from ospreyford.entry.sending import Wiring
+from ospreyford.entry.settings import RequestSettings
+from ospreyford.entry.target import Sending
+from ospreyford.entry.waiting import WaitingRoom
+from ospreyford.limits.settings import QueueSettings
+from ospreyford.observability.metrics import Metrics
+from ospreyford.ports.clock import SystemClock
+from ospreyford.ports.fleet import Host
+from ospreyford.routing.query import Attempt, Identity
+from ospreyford.routing.router import Router
+from ospreyford.routing.settings import RoutingSettings
+from ospreyford.wire.pool import ConnectionPool
+from tests.faults.rig import POOL, TIMES, Rig, make_call, send
+
+CLOCK = SystemClock()
+SETTINGS = QueueSettings(length=3, customer_length=2, max_wait_seconds=0.2)
+PLAN = Rig().plan
+
+
+def make_busy_entry(rig: Rig, room: WaitingRoom) -> Dispatcher:
+    """Make an entry that sends one request at a time to a back end."""
+    router = Router(
+        RoutingSettings(max_load=1.2, slow_start_seconds=0.001),
+        Identity('e', 'z', 'r'),
+        random.Random(1),
+    )
+    pool = ConnectionPool(POOL, CLOCK)
+    metrics = Metrics().requests
+    wiring = Wiring(TIMES, router, pool, CLOCK, metrics, room)
+    return Dispatcher(RequestSettings(), wiring, rig.directory)
+
+
+class Capacity:
+    """Back ends that take so many more requests."""
+
+    def __init__(self, left: int) -> None:
+        self.left = left
+
+    def find(self) -> Sending | NotRun:
+        if not self.left:
+            return NotRun(Cause.overloaded, 1)
+        self.left -= 1
+        host = Host('s', 'i', 'backend', 'z', 'r', 'svc', '', '')
+        return Sending(host, Attempt.first, 'e', 0, ())
+
+
+def call_of(customer: str) -> Any:
+    return make_call(b'a', idempotent=True)._replace(customer=customer)
+
+
+@pytest.mark.parametrize('turns', [0, 1, 9])
+@pytest.mark.parametrize('leaving', [0, 2])
+def test_nobody_is_left_waiting(turns: int, leaving: int) -> None:
+    """Every waiter gets a turn or a refusal, and what left takes none.
+
+    Symptom looked for: a request that is answered at its deadline only.
+    Sequence: the queue is full, a customer's longest queue is displaced,
+    callers hang up, turns come or do not.
+    """
+
+    async def main() -> tuple[list[Any], int]:
+        room = WaitingRoom(SETTINGS, CLOCK)
+        capacity = Capacity(0)
+        tasks = [
+            await curio.spawn(room.wait, call_of(name), PLAN, capacity.find)
+            for name in ('a', 'a', 'a', 'b', 'c', 'c')
+        ]
+        await curio.sleep(0)
+        for task in tasks[:leaving]:
+            await task.cancel()
+        capacity.left = turns
+        ticking = await curio.spawn(room.run)
+        async with curio.timeout_after(2):
+            results = [await task.join() for task in tasks[leaving:]]
+        await ticking.cancel()
+        return results, len(room)
+
+    results, left = curio.run(main)
+    assert left == 0
+    refusals = [each for each in results if isinstance(each, NotRun)]
+    served = len(results) - len(refusals)
+    assert served == min(turns, 3 - leaving // 2)
+    told = [(each.cause, each.retry_after > 0) for each in refusals]
+    assert told == [(Cause.overloaded, True)] * len(refusals)
+
+
+def test_refusal_comes_at_once() -> None:
+    async def main() -> Any:
+        room = WaitingRoom(SETTINGS, CLOCK)
+        asked = (call_of('a'), PLAN, Capacity(0).find)
+        for _ in range(2):
+            await curio.spawn(room.wait, *asked, daemon=True)
+        await curio.sleep(0)
+        async with curio.timeout_after(0.05):
+            return await room.wait(*asked)
+
+    assert curio.run(main) == NotRun(Cause.overloaded, 1)
+
+
+def test_waiters_of_one_service_do_not_hold_up_another() -> None:
+    """An overloaded service must not slow the others down.
+
+    Symptom: quotes wait while the drafting model is overloaded, although
+    the quotation servers are idle.
+    Sequence: a request for one service waits at the head of the queue; one
+    for another service comes.
+    Cause: one queue for all services, of which only the head is tried.
+    """
+
+    async def main() -> Any:
+        room = WaitingRoom(QueueSettings(), CLOCK)
+        busy = (call_of('a'), PLAN, Capacity(0).find)
+        await curio.spawn(room.wait, *busy, daemon=True)
+        await curio.spawn(room.run, daemon=True)
+        await curio.sleep(0)
+        other = call_of('b')._replace(service='other')
+        async with curio.timeout_after(0.5):
+            return await room.wait(other, PLAN, Capacity(1).find)
+
+    assert isinstance(curio.run(main), Sending)
+
+
+def test_waiter_is_served_when_capacity_comes_in_time() -> None:
+    """A queue is of use only if its waiters outlast the load.
+
+    Symptom: requests are refused after one tick of the queue although
+    capacity came free well within the longest wait.
+    Sequence: every back end is at its load bound; a request waits; the tick
+    tries it; the bound still holds.
+    Cause: whoever was tried too early was refused, not put back.
+    """
+
+    async def main() -> list[Any]:
+        async with Rig([]) as rig:
+            rig.agents[0].backend.gap = 0.06
+            room = WaitingRoom(QueueSettings(), CLOCK)
+            entry = make_busy_entry(rig, room)
+            ticking = await curio.spawn(room.run)
+            tasks = []
+            for _ in range(3):
+                call = make_call(b'a', idempotent=True)
+                tasks.append(await curio.spawn(send, rig, entry, call))
+            outcomes = [(await task.join())[0] for task in tasks]
+            await ticking.cancel()
+            return outcomes
+
+    assert curio.run(main) == [Answered()] * 3
