Judge a request's target in the form that names its path

Cause: HTTP servers must take the absolute form of a target ("POST http://desk/orders"). No document names such a path, so the call was taken for one that may be repeated, and a retry could run it twice. Seen red first: 4 failed, 55 passed.

Ruled out: mending the documents' comparison; the back end would still see a form that it might read otherwise.

Change: admission turns the absolute form into the path and refuses the authority form. tests/entry/test_directory.py is new: plans, drains, bounds and spellings of non-idempotent calls with the example documents.

Guards removed alone on a scratch copy, each with failing tests: leaving mark, withdrawn agents, drain request, forgetting of plans, MAX_PLANS, no hosts. 232 passed in tests/entry.

--- a/src/ospreyford/entry/admission.py
+++ b/src/ospreyford/entry/admission.py
@@ -84,6 +84,7 @@
         service = _read_name(request.headers, SERVICE, Cause.unknown_service)
         deadline = self._clock.monotonic() + self._read_deadline(request)
         key = read_key(request.headers)
+        target = _read_target(request.target)
         request_id = make_id()
         prompt = _read_prompt(body)
         prefix = prompt.prefix.encode()
@@ -92,11 +93,11 @@
             customer=customer,
             service=service,
             deadline=deadline,
-            idempotent=self._read_idempotent(request, service),
+            idempotent=self._read_idempotent(request, service, target),
             key=key,
             dated=read_date(key or request_id) or 0,
             method=request.method,
-            target=request.target,
+            target=target,
             headers=_make_headers(request.headers, request_id),
             body=body,
             prefix=xxhash.xxh3_64_digest(prefix) if prefix else None,
@@ -117,7 +118,12 @@
             raise BadCall(Cause.bad_deadline)
         return min(seconds, self._settings.max_deadline_seconds)
 
-    def _read_idempotent(self, request: Request, service: str) -> bool:
+    def _read_idempotent(
+        self,
+        request: Request,
+        service: str,
+        target: str,
+    ) -> bool:
         marked = _find_once(request.headers, IDEMPOTENT)
         if marked not in {None, b'true', b'false'}:
             raise BadCall(Cause.bad_request)
@@ -126,7 +132,7 @@
         return marked != b'false' and self._directory.is_repeatable(
             service,
             request.method,
-            request.target,
+            target,
         )
 
 
@@ -163,6 +169,17 @@
     return name
 
 
+def _read_target(target: str) -> str:
+    # A server must take the absolute form too (RFC 9112). Judged as it came,
+    # no document would name its path, and what may run once could run twice.
+    if target == '*' or target.startswith('/'):
+        return target
+    _, separator, rest = target.partition('://')
+    if not separator:
+        raise BadCall(Cause.bad_request)
+    return '/{0}'.format(rest.partition('/')[-1])
+
+
 def _find_once(headers: Headers, name: bytes) -> bytes | None:
     # Of two fields the back end may heed the other one: what was judged here
     # would not be what runs there.
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -23,9 +23,11 @@
 Fields = tuple[tuple[bytes, bytes], ...]
 
 
-def read(*fields: tuple[bytes, bytes], body: bytes = b'') -> Call:
+def read(
+    *fields: tuple[bytes, bytes], body: bytes = b'', target: str = '/'
+) -> Call:
     admission = Admission(RequestSettings(), FleetDirectory(), FakeClock())
-    return admission.read_call(Request('POST', '/', fields), body)
+    return admission.read_call(Request('POST', target, fields), body)
 
 
 def replaced(name: str, content: bytes) -> Fields:
@@ -90,6 +92,35 @@
     assert call.key == KEY
 
 
+@pytest.mark.parametrize(
+    ('target', 'read_as'),
+    [
+        ('/quotes?of=http://x/', '/quotes?of=http://x/'),
+        ('http://desk:80/quotes?a=1', '/quotes?a=1'),
+        ('http://desk', '/'),
+        ('*', '*'),
+        ('desk:80', None),
+        ('', None),
+    ],
+)
+def test_target_is_judged_as_the_back_end_reads_it(
+    target: str, read_as: str | None
+) -> None:
+    """Each form of a target must name the path that the documents name.
+
+    Symptom: a quote is issued twice.
+    Sequence: a caller sends the absolute form, which servers must accept; the
+    first try's answer is lost.
+    Cause: no document names a path that begins with a scheme, so that the
+    call was taken for one that may be repeated.
+    """
+    if read_as:
+        assert read(*GOOD, target=target).target == read_as
+    else:
+        with pytest.raises(BadCall):
+            read(*GOOD, target=target)
+
+
 @pytest.mark.parametrize(
     ('body', 'tokens'),
     [
--- /dev/null
+++ b/tests/entry/test_directory.py
@@ -0,0 +1,156 @@
+"""What the published documents and the host list let a call use."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import Any
+
+import pytest
+
+from ospreyford.documents.history import DocumentEntry
+from ospreyford.documents.resolver import resolve_picture
+from ospreyford.entry.directory import MAX_PLANS, FleetDirectory
+from ospreyford.entry.homes import Home
+from ospreyford.entry.outcome import Cause, NotRun
+from ospreyford.ports.fleet import Host, HostState
+from tests.documents.test_examples import EXAMPLES, make_hosts
+
+SITE = 'caterer'
+ASKED = ('bakery', 'order-assistant')
+
+
+def make_directory(**changed: str) -> FleetDirectory:
+    """Read the caterer's documents, some of them changed."""
+    texts = {
+        path.stem: path.read_text()
+        for path in (EXAMPLES / SITE / 'documents').glob('*.toml')
+    }
+    named = {name.replace('_', '-'): text for name, text in changed.items()}
+    directory = FleetDirectory()
+    directory.note_picture(
+        resolve_picture(
+            DocumentEntry(name, 1, text.encode())
+            for name, text in (texts | named).items()
+        )
+    )
+    directory.note_hosts(tuple(make_hosts(SITE)))
+    return directory
+
+
+def list_hosts(directory: FleetDirectory, *asked: str) -> list[str]:
+    plan = directory.find_plan(*(asked or ASKED))
+    assert not isinstance(plan, NotRun)
+    return [host.name for pool in plan.pools for host in pool]
+
+
+def leave(host: Host, **changes: Any) -> tuple[Host, ...]:
+    others = (each for each in make_hosts(SITE) if each.name != host.name)
+    return (host._replace(**changes), *others)
+
+
+FIRST = make_hosts(SITE)[0]
+CHANGES: MappingProxyType[str, Any] = MappingProxyType(
+    {
+        'host list': lambda directory: directory.note_hosts(
+            leave(FIRST, state=HostState.leaving)
+        ),
+        'gone': lambda directory: directory.note_hosts(
+            tuple(make_hosts(SITE)[1:])
+        ),
+        'drain request': lambda directory: directory.note_hosts(
+            leave(FIRST, labels={**FIRST.labels, 'maintenance': 'disk'})
+        ),
+        'agent': lambda directory: directory.note_withdrawn(
+            frozenset((FIRST.name,))
+        ),
+    }
+)
+
+
+@pytest.mark.parametrize('change', CHANGES.values(), ids=CHANGES)
+def test_leaving_host_gets_no_new_work(change: Any) -> None:
+    """Symptom looked for: a plan made before goes on naming the host."""
+    directory = make_directory()
+    assert FIRST.name in list_hosts(directory)
+    change(directory)
+    assert FIRST.name not in list_hosts(directory)
+    assert len(list_hosts(directory)) == 11
+    directory.note_withdrawn(frozenset())
+    directory.note_hosts(tuple(make_hosts(SITE)))
+    assert FIRST.name in list_hosts(directory)
+
+
+def test_new_picture_replaces_what_was_remembered() -> None:
+    directory = make_directory()
+    assert len(list_hosts(directory)) == 12
+    directory.note_picture(make_directory(pool_order_assistant='x').picture)
+    plan = directory.find_plan(*ASKED)
+    assert isinstance(plan, NotRun)
+    assert plan.cause is Cause.no_route
+
+
+@pytest.mark.parametrize(
+    ('asked', 'cause'),
+    [
+        (('nobody', 'order-desk'), Cause.unknown_customer),
+        (('bakery', 'nothing'), Cause.unknown_service),
+    ],
+)
+def test_unknown_names_are_told(asked: Any, cause: Cause) -> None:
+    plan = make_directory().find_plan(*asked)
+    assert isinstance(plan, NotRun)
+    assert plan.cause is cause
+
+
+def test_nothing_is_admitted_before_documents_and_hosts() -> None:
+    directory = make_directory()
+    for fresh in (FleetDirectory(), FleetDirectory()):
+        assert fresh.find_plan(*ASKED) == NotRun(Cause.not_ready, 1)
+        fresh.picture = directory.picture
+    directory.hosts = {}
+    assert directory.find_plan(*ASKED) == NotRun(Cause.not_ready, 1)
+
+
+def test_remembered_plans_are_bounded() -> None:
+    directory = make_directory()
+    for number in range(MAX_PLANS + 10):
+        directory.find_plan(str(number), 'order-desk')
+    assert len(directory._plans) <= MAX_PLANS
+
+
+def test_plan_carries_limit_and_homes() -> None:
+    plan: Any = make_directory().find_plan('bakery', 'order-desk')
+    assert plan.limit.requests == 150
+    assert plan.homes == tuple(
+        Home(f'caterer-plain-{number}') for number in (1, 2, 3)
+    )
+
+
+@pytest.mark.parametrize(
+    ('service', 'method', 'target', 'repeatable'),
+    [
+        ('order-desk', 'GET', '/orders', True),
+        ('order-desk', 'POST', '/orders', False),
+        ('order-desk', 'POST', '/orders?again=1', False),
+        ('order-desk', 'POST', '/orders/', False),
+        ('order-desk', 'POST', '//orders', False),
+        ('order-desk', 'POST', '/x/../orders', False),
+        ('order-desk', 'POST', '/%6frders', False),
+        ('order-desk', 'post', '/orders', False),
+        ('order-desk', 'POST', '/invoices/7', False),
+        ('nothing', 'GET', '/', False),
+    ],
+)
+def test_no_spelling_makes_a_call_repeatable(
+    service: str, method: str, target: str, repeatable: bool
+) -> None:
+    """A call that may not be repeated is known however it is spelled.
+
+    Symptom: an invoice line is issued twice.
+    Sequence: a caller adds a query or a slash, or escapes a letter; the back
+    end takes it for the same path; the first try's answer is lost.
+    Cause: the target was compared as it came.
+    """
+    directory = make_directory()
+    found = directory.is_repeatable(service, method, target)
+    assert found is repeatable
