Survive nested readings, and lead a rank group by present addresses

Cause, each seen red first (tests/platform, tests/agent/test_parts.py): - a host list, load or expert-load reading nested 100,000 deep raised RecursionError and ended the task that reads it, for good; - after the host of a lower slot was replaced at a new address, a member took that slot for dead and planned moves beside it.

Change: RecursionError counts as a bad reading; note_live compares with the addresses that note_hosts follows.

New tests without a fault found: pauses (late wake, confirmed, cut off), empty and missing host lists, causes of a drain, the lead, bad load reports.

--- a/src/ospreyford/agent/backend.py
+++ b/src/ospreyford/agent/backend.py
@@ -161,6 +161,6 @@
 def _decode_load(body: bytes) -> LoadReport | None:
     try:
         load = msgspec.json.decode(body, type=EngineLoad)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
     return LoadReport(incarnation='', **msgspec.structs.asdict(load))
--- a/src/ospreyford/agent/expertloads.py
+++ b/src/ospreyford/agent/expertloads.py
@@ -68,7 +68,7 @@
     def _decode(self, body: bytes) -> ExpertLoads | None:
         try:
             report = msgspec.json.decode(body, type=EngineLoads)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return None
         return ExpertLoads(
             received_at=self._clock.monotonic(),
--- a/src/ospreyford/agent/ranks.py
+++ b/src/ospreyford/agent/ranks.py
@@ -49,7 +49,7 @@
         self.group = section.agreement.group
         self._slots = {name: slot for slot, name in enumerate(section.members)}
         self._slot = section.agreement.slot
-        self._addresses = section.agreement.addresses
+        self._addresses = dict(enumerate(section.agreement.addresses))
 
     def note_hosts(self, hosts: tuple[Host, ...]) -> None:
         """Follow members whose hosts were replaced.
@@ -59,6 +59,7 @@
         for host in hosts:
             slot = self._slots.get(host.name)
             if slot is not None:
+                self._addresses[slot] = host.peer_address
                 self.service.readdress(slot, host.peer_address)
 
     def note_live(self, addresses: frozenset[str]) -> None:
@@ -66,7 +67,7 @@
 
         :param addresses: peer addresses of the live processes.
         """
-        lower = self._addresses[: self._slot]
+        lower = [self._addresses[slot] for slot in range(self._slot)]
         self.placement.leads = not addresses.intersection(lower)
 
     async def run_agreement(self) -> GroupHalted:
--- a/src/ospreyford/platform/hostlist.py
+++ b/src/ospreyford/platform/hostlist.py
@@ -104,6 +104,6 @@
 def _decode_hosts(body: bytes) -> tuple[Host, ...] | None:
     try:
         table = msgspec.json.decode(body, type=HostTable)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
     return tuple(Host(**msgspec.structs.asdict(row)) for row in table.hosts)
--- /dev/null
+++ b/tests/agent/test_parts.py
@@ -0,0 +1,158 @@
+"""Drains, the lead of a rank group and load readings."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from ospreyford.agent.backend import _decode_load
+from ospreyford.agent.drains import DrainState
+from ospreyford.agent.expertloads import HttpLoadSource
+from ospreyford.agent.placing import PlacementLoop
+from ospreyford.agent.ranks import RankPart
+from ospreyford.agent.rankssettings import RankSection
+from ospreyford.expertmap.settings import RankSettings
+from ospreyford.placement.map import spread_experts
+from ospreyford.ports.fleet import Host, HostState
+from tests.entry.test_directory import FIRST, make_directory
+from tests.fakes.clock import FakeClock
+from tests.fakes.stepping import Stepper
+from tests.placement.groups import SHAPE, WEIGHTS, make_report
+
+ADDRESSES = ('127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3')
+LEAVING = FIRST._replace(state=HostState.leaving)
+MARKED = FIRST._replace(labels={**FIRST.labels, 'maintenance': 'disk'})
+
+
+@pytest.mark.parametrize(
+    ('lists', 'stopping', 'documents', 'causes'),
+    [
+        ([(FIRST,)], False, True, []),
+        ([(LEAVING,)], False, True, ['host list']),
+        ([(LEAVING,), ()], False, True, ['host list']),
+        ([(LEAVING,), (FIRST,)], False, True, []),
+        ([(LEAVING._replace(name='other'),)], False, True, []),
+        ([(MARKED,)], False, True, ['drain request']),
+        ([(MARKED,)], False, False, []),
+        ([], True, False, ['signal']),
+        ([(MARKED,), (LEAVING,)], True, True, ['signal', 'host list']),
+    ],
+)
+def test_any_cause_drains(
+    lists: Any, stopping: bool, documents: bool, causes: list[str]
+) -> None:
+    state = DrainState(FIRST.name)
+    state.stopping = stopping
+    if documents:
+        state.note_picture(make_directory().picture)  # type: ignore[arg-type]
+    for hosts in lists:
+        state.note_hosts(hosts)
+    assert [one.source for one in state.find_causes()] == causes
+
+
+def make_section(slot: int) -> RankSection:
+    return RankSection(
+        agreement=RankSettings(group='g', slot=slot, addresses=ADDRESSES),
+        members=('a', 'b', 'c'),
+        engine='127.0.0.1:9',
+        shape=SHAPE,
+        placement=WEIGHTS,
+    )
+
+
+def make_host(name: str, address: str) -> Host:
+    return Host(name, 'i', 'backend', 'z', 'r', 's', '', address)
+
+
+@pytest.mark.parametrize(
+    ('slot', 'live', 'moved', 'leads'),
+    [
+        (0, ADDRESSES, (), True),
+        (1, ADDRESSES, (), False),
+        (1, ADDRESSES[1:], (), True),
+        (2, ADDRESSES[1:], (), False),
+        (2, (), (), True),
+        (1, ('127.0.0.1:7',), (make_host('a', '127.0.0.1:7'),), False),
+        (1, ADDRESSES, (make_host('a', '127.0.0.1:7'),), True),
+    ],
+)
+def test_lowest_live_slot_leads(
+    slot: int, live: Any, moved: Any, leads: bool
+) -> None:
+    """One member plans, also after hosts were replaced.
+
+    Symptom: two members plan moves at once, and pay for both.
+    Sequence: the host of the lowest slot is replaced at a new address.
+    Cause: who is live was compared with the first addresses.
+    """
+    peers: Any = None
+    part = RankPart(make_section(slot), peers, FakeClock())
+    part.note_hosts(moved)
+    part.note_live(frozenset(live))
+    assert part.placement.leads is leads
+
+
+class Group:
+    """An agreement whose members all use the first map."""
+
+    def __init__(self) -> None:
+        first = spread_experts(SHAPE)
+        self.current = first.revision
+        self.proposed: list[Any] = []
+        self.keeper = self
+        self.maps = self
+        self.find = {first.revision: first}.get
+
+    def propose(self, target: Any) -> None:
+        self.proposed.append(target)
+
+
+class Loads:
+    def __init__(self, report: Any) -> None:
+        self.report = report
+
+    async def read(self) -> Any:
+        return self.report
+
+
+#: Moment of a report; by then the loop may have saved up for moves.
+REPORTED = 1060
+GOOD = make_report(REPORTED)
+
+
+@pytest.mark.parametrize(
+    ('report', 'leads', 'proposals'),
+    [
+        (GOOD, True, 1),
+        (GOOD, False, 0),
+        (None, True, 0),
+        (make_report(0, age_seconds=1e6), True, 0),
+        (make_report(REPORTED, age_seconds=float('nan')), True, 0),
+        (make_report(REPORTED, ranks=SHAPE.ranks - 1), True, 0),
+        (make_report(REPORTED, tokens=((1.0,),)), True, 0),
+        (make_report(REPORTED, layer=(float('nan'),) * 8), True, 0),
+    ],
+)
+def test_bad_reports_propose_nothing(
+    report: Any, leads: bool, proposals: int
+) -> None:
+    group: Any = Group()
+    clock = FakeClock()
+    loop = PlacementLoop(make_section(0), group, Loads(report), clock)
+    loop.leads = leads
+    clock.advance(60)
+    stepper = Stepper()
+    task = stepper.spawn('loop', loop.run())
+    for _ in range(30):
+        stepper.resume(task)
+    assert min(len(group.proposed), 1) == proposals
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{"queued":"\xff"}', b'{"x":%b' % (b'[' * 100_000)]
+)
+def test_bad_load_reading_is_none(body: bytes) -> None:
+    """Symptom looked for: the task that reads loads ends in an error."""
+    assert _decode_load(body) is None
+    assert HttpLoadSource(('', 0), FakeClock())._decode(body) is None
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -83,7 +83,9 @@
 def test_new_picture_replaces_what_was_remembered() -> None:
     directory = make_directory()
     assert len(list_hosts(directory)) == 12
-    directory.note_picture(make_directory(pool_order_assistant='x').picture)
+    changed = make_directory(pool_order_assistant='x').picture
+    assert changed is not None
+    directory.note_picture(changed)
     plan = directory.find_plan(*ASKED)
     assert isinstance(plan, NotRun)
     assert plan.cause is Cause.no_route
--- /dev/null
+++ b/tests/node/test_pauses.py
@@ -0,0 +1,67 @@
+"""A process that was paused, and one that is cut off."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import pytest
+
+from ospreyford.node.pauses import (
+    PATIENCE_SECONDS,
+    PAUSE_SECONDS,
+    PauseGuard,
+)
+from tests.fakes.clock import FakeClock
+from tests.fakes.stepping import Stepper
+
+
+@dataclass
+class State:
+    stale: bool = True
+
+    def is_stale(self) -> bool:
+        return self.stale
+
+
+@pytest.mark.parametrize('ticks_first', [False, True])
+@pytest.mark.parametrize(
+    ('slept', 'confirmed', 'later', 'unsettled'),
+    [
+        (PAUSE_SECONDS + 0.1, False, 0, True),
+        (3600, False, PATIENCE_SECONDS - 1, True),
+        (3600, True, 0, False),
+        (3600, False, PATIENCE_SECONDS, False),
+        (PAUSE_SECONDS - 0.1, False, 0, False),
+    ],
+)
+def test_late_wake_holds_work_off_until_confirmed(
+    ticks_first: bool,
+    slept: float,
+    confirmed: bool,
+    later: float,
+    unsettled: bool,
+) -> None:
+    """Symptom looked for: work admitted under what the fleet gave up.
+
+    Sequence: the process sleeps; the first thing that runs is a request, or
+    the tick; news come or, in a partition, do not.
+    """
+    clock = FakeClock()
+    state = State()
+    guard = PauseGuard(clock, state)
+    stepper = Stepper()
+    ticking = stepper.spawn('tick', guard.run())
+    clock.advance(slept)
+    if ticks_first:
+        stepper.resume(ticking)
+    assert guard.is_unsettled() is (slept > PAUSE_SECONDS)
+    state.stale = not confirmed
+    for _ in range(int(later)):
+        clock.advance(1)
+        stepper.resume(ticking)
+    assert guard.is_unsettled() is unsettled
+    assert guard.pauses == (slept > PAUSE_SECONDS)
+
+
+def test_fresh_process_is_not_held_off_by_this_guard() -> None:
+    assert not PauseGuard(FakeClock(), State()).is_unsettled()
--- /dev/null
+++ b/tests/platform/test_hostlist.py
@@ -0,0 +1,91 @@
+"""The platform's host list, as bad as it may come."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import curio
+import pytest
+
+from ospreyford.http.server import listen, port_of
+from ospreyford.platform.hostlist import HostListClient, watch_hosts
+from ospreyford.ports.fleet import Host, HostState
+from tests.fakes.clock import FakeClock
+from tests.fakes.stepping import Stepper, park
+
+ROW = (
+    b'{"name":"a","instance":"i","role":"backend","zone":"z","region":"r",'
+    b'"service":"s","data_address":"d","peer_address":"p","state":"%b"}'
+)
+NESTED = b'{"x":%b' % (b'[' * 100_000)
+
+
+def answer(body: bytes, status: bytes = b'200 OK') -> bytes:
+    length = b'content-length: %d' % len(body)
+    return b'HTTP/1.1 %b\r\n%b\r\n\r\n%b' % (status, length, body)
+
+
+LIVE = answer(b'{"hosts":[%b],"more":1}' % (ROW % b'live'))
+
+
+@pytest.mark.parametrize(
+    ('raw', 'names'),
+    [
+        (LIVE, ['a']),
+        (answer(b'{"hosts":[]}'), []),
+        (LIVE[:-9], None),
+        (answer(b'{"hosts":[%b]}' % (ROW % b'odd')), None),
+        (answer(b'{"hosts":[{}]}'), None),
+        (answer(b'{"hosts":"\xff"}'), None),
+        (answer(NESTED), None),
+        (answer(b'', b'503 Down'), None),
+        (b'nonsense\r\n\r\n', None),
+        (b'', None),
+    ],
+)
+def test_what_is_no_list_is_not_read(
+    raw: bytes, names: list[str] | None
+) -> None:
+    """Symptom looked for: the task that reads the list ends in an error."""
+
+    async def serve(sock: Any) -> None:
+        client, _ = await sock.accept()
+        async with client:
+            await client.recv(65_536)
+            await client.sendall(raw)
+
+    async def main() -> Any:
+        sock = listen('127.0.0.1', 0)
+        async with sock:
+            await curio.spawn(serve, sock, daemon=True)
+            return await HostListClient('127.0.0.1', port_of(sock)).read()
+
+    hosts = curio.run(main)
+    assert (hosts is None) is (names is None)
+    assert [one.name for one in hosts or ()] == (names or [])
+
+
+class Source:
+    async def read(self) -> Any:
+        return await park('read')
+
+
+def test_empty_and_missing_lists_change_nothing() -> None:
+    """An empty list is the platform's fault, not a fleet that is gone.
+
+    Symptom: every request is refused for want of hosts.
+    Sequence: the platform answers with an empty list, or not at all.
+    Cause: the last good list was dropped for it.
+    """
+    host = Host('a', 'i', 'backend', 'z', 'r', 's', 'd', 'p')
+    late = (host._replace(state=HostState.leaving),)
+    told: list[Any] = []
+    stepper = Stepper()
+    rng = random.Random(1)
+    watch = watch_hosts(Source(), told.append, FakeClock(), rng, lambda: 1)
+    task = stepper.spawn('watch', watch)
+    for reading in ((host,), (), None, late):
+        stepper.resume(task, reading)
+        stepper.resume(task)
+    assert told == [(host,), late]
