--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -16,6 +16,7 @@
     Unsendable,
 )
 from ospreyford.http.message import Request, Response
+from ospreyford.http.polling import has_news
 
 if TYPE_CHECKING:
     from curio.io import Socket
@@ -115,6 +116,13 @@
             self._parser.start_next_cycle()
         return reusable
 
+    def is_quiet(self) -> bool:
+        """Tell whether the connection is open with nothing unread on it.
+
+        :returns: whether a request may be sent on it.
+        """
+        return not (self._parser.trailing_data[0] or has_news(self._sock))
+
     async def close(self) -> None:
         """Close the connection."""
         await self._sock.close()
@@ -129,7 +137,7 @@
                 headers=fields,
             )
             encoded = self._parser.send(head) or b''
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeError) as error:
             raise Unsendable(str(error)) from None
         encoded += self._parser.send(h11.Data(data=body)) or b''
         return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
