Keep the last good version of a document beside a malformed one

Cause: the replica kept and relayed only the newest revision of a document, whatever its text. A process that started after a malformed publish was told of that one alone, had nothing of the document in force, and its digest differed from the others'.

Ruled out: a separate name for refused revisions (the mark of the name would lag and a reader would fetch the refused revision again and again), reading the older revision from the service (it holds the newest only).

Change: per name the newest version, and the newest well-formed one where that differs; both in checksums, offers, pages and leaves. A DocumentSource carries the service and the judge of texts; the composition passes documents.is_well_formed. A text is judged only at a name's second version.

Seen failing first: test_fresh_process_after_a_malformed_document[up-0] and the state machine (KeyError of a good mark) with the judge unused. Test changes: world and machine compare good marks too and floors are of good marks, which is stricter; Replica and State take the judge; find() gives a tuple.

--- a/src/ospreyford/distribution/distributor.py
+++ b/src/ospreyford/distribution/distributor.py
@@ -23,7 +23,7 @@
 from ospreyford.distribution.state import Counters, State, Subscriber
 
 if TYPE_CHECKING:
-    from ospreyford.distribution.service import DocumentService
+    from ospreyford.distribution.service import DocumentSource
     from ospreyford.distribution.settings import DistributionSettings
     from ospreyford.ports.clock import Clock
     from ospreyford.ports.peers import PeerPort
@@ -38,7 +38,7 @@
 
     :param settings: of the distribution.
     :param me: this process.
-    :param service: the configuration service.
+    :param source: the configuration service, and the judge of its texts.
     :param peers: questions and answers between processes.
     :param members: the live processes.
     :param clock: the process's clock.
@@ -49,13 +49,13 @@
         self,
         settings: DistributionSettings,
         me: Member,
-        service: DocumentService,
+        source: DocumentSource,
         peers: PeerPort,
         members: Members,
         clock: Clock,
         rng: Random,
     ) -> None:
-        self._state = State(settings, clock)
+        self._state = State(settings, clock, source.is_well_formed)
         exchange = Exchange(self._state, peers)
         neighbours = Neighbours(me, members, rng)
         self._permit = ColdPermit(self._state)
@@ -70,7 +70,7 @@
             self._state, exchange, neighbours, self._repair, rng
         )
         self._reader = Reader(
-            self._state, service, neighbours, self._permit, rng
+            self._state, source.service, neighbours, self._permit, rng
         )
 
     @property
@@ -101,7 +101,8 @@
     def snapshot(self) -> tuple[Entry, ...]:
         """Give all documents, tombstones included, by revision.
 
-        :returns: what is held, also while there is no whole picture.
+        :returns: what is held, also while there is no whole picture; of a
+            document whose newest version is malformed also the last good one.
         """
         return tuple(self._state.replica)
 
--- a/src/ospreyford/distribution/gossip.py
+++ b/src/ospreyford/distribution/gossip.py
@@ -91,11 +91,12 @@
         names = self._state.rumours.select()
         if not names:
             return
-        entries = {name: self._state.replica.find(name) for name in names}
-        held = {name: entry for name, entry in entries.items() if entry}
+        held = [
+            entry for name in names for entry in self._state.replica.find(name)
+        ]
         self._state.counters.offers += 1
         self._state.rumours.note_offer(names)
-        offer = Offer(tuple(map(head_of, held.values())))
+        offer = Offer(tuple(map(head_of, held)))
         answer = await self._exchange.ask(address, Topic.offer, offer, Wanted)
         if answer is None:
             return
@@ -103,7 +104,7 @@
         self._state.rumours.note_known(
             [name for name in names if name not in wanted]
         )
-        await self._push(address, [held[one] for one in wanted & held.keys()])
+        await self._push(address, [one for one in held if one.name in wanted])
 
     async def _push(self, address: str, entries: list[Entry]) -> None:
         while entries:
--- a/src/ospreyford/distribution/replica.py
+++ b/src/ospreyford/distribution/replica.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import enum
-from bisect import bisect_right, insort
+from bisect import bisect_left, bisect_right, insort
 from collections.abc import Collection, Iterator
 
 from ospreyford.distribution.checksums import ChecksumTree, leaf_of
@@ -11,23 +10,14 @@
     Entry,
     Head,
     fingerprint_of,
-    order_of,
 )
+from ospreyford.distribution.service import WellFormed
+from ospreyford.distribution.versions import Verdict, Versions
 
 #: Sorts after every name, for a cursor behind all names of a revision.
 LAST_NAME = '\U0010ffff'
 
 
-class Verdict(enum.Enum):
-    """What became of an entry that was offered to the replica."""
-
-    accepted = 'accepted'
-    known = 'known'
-    older = 'older'
-    conflict_accepted = 'conflict accepted'
-    conflict_refused = 'conflict refused'
-
-
 def place_of(entry: Entry) -> tuple[int, str]:
     """Give the place of an entry in the order of revisions.
 
@@ -40,19 +30,23 @@
 class Replica:
     """Every document's highest accepted revision, tombstones included.
 
+    Where that one is malformed, the last good one is kept beside it.
     ``tree`` holds the checksums by which two processes find the few documents
     in which they differ without sending the list of all.
+
+    :param is_well_formed: judges texts.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_well_formed: WellFormed) -> None:
+        self._is_well_formed = is_well_formed
         self.tree = ChecksumTree()
-        self._entries: dict[str, Entry] = {}
+        self._versions: dict[str, Versions] = {}
         self._ordered: list[Entry] = []
         self._names: dict[int, list[str]] = {}
 
     def __len__(self) -> int:
         """Count the documents, tombstones included."""
-        return len(self._entries)
+        return len(self._versions)
 
     def __iter__(self) -> Iterator[Entry]:
         """Iterate over the entries by revision."""
@@ -68,13 +62,15 @@
         """The checksum over all entries."""
         return self.tree.root
 
-    def find(self, name: str) -> Entry | None:
-        """Find a document's entry.
+    def find(self, name: str) -> tuple[Entry, ...]:
+        """Find what is held of a document.
 
         :param name: the document's name.
-        :returns: the entry, perhaps a tombstone; ``None`` if never seen.
+        :returns: the newest version, perhaps a tombstone, and the last good
+            one if that differs; empty if never seen.
         """
-        return self._entries.get(name)
+        held = self._versions.get(name)
+        return () if held is None else held.list_entries()
 
     def accept(self, entry: Entry) -> Verdict:
         """Take in a version of a document unless it is not newer.
@@ -82,43 +78,46 @@
         :param entry: the version, from the service or a peer.
         :returns: whether it is now held, and why not.
         """
-        held = self._entries.get(entry.name)
-        if held is not None:
-            # A service that serves stale data, a flapping one and a late
-            # message all bring back older versions. The operators would see
-            # a withdrawn document in force again; the mark refuses it.
-            verdict = _judge(held, entry)
-            if verdict not in _CHANGING:
-                return verdict
-            self._remove(held)
+        held = self._versions.get(entry.name)
+        if held is None:
+            self._versions[entry.name] = Versions(entry, self._is_well_formed)
+            self._names.setdefault(leaf_of(entry.name), []).append(entry.name)
             self._insert(entry)
-            return verdict
-        self._names.setdefault(leaf_of(entry.name), []).append(entry.name)
-        self._insert(entry)
-        return Verdict.accepted
+            return Verdict.accepted
+        # A service that serves stale data, a flapping one and a late message
+        # all bring back older versions. The operators would see a withdrawn
+        # document in force again; the mark refuses it.
+        before = held.list_entries()
+        verdict = held.merge(entry)
+        after = held.list_entries()
+        for one in before:
+            if one not in after:
+                self._remove(one)
+        if entry in after and entry not in before:
+            self._insert(entry)
+        return verdict
 
     def lacks(self, head: Head) -> bool:
-        """Tell whether a version may be newer than the one held.
+        """Tell whether a version may be worth keeping.
 
         :param head: what somebody else holds.
         :returns: whether the version is worth fetching.
         """
-        held = self._entries.get(head.name)
-        if held is None or held.revision < head.revision:
-            return True
-        if held.revision > head.revision:
-            return False
-        return fingerprint_of(held) != head.fingerprint
+        held = self._versions.get(head.name)
+        return held is None or held.lacks(head)
 
     def covers(self, name: str, revision: int) -> bool:
         """Tell whether a document is held at a revision or a later one.
 
+        A malformed version covers as well, or it would be read from the
+        service again and again.
+
         :param name: the document's name.
         :param revision: the least revision.
         :returns: whether the mark has reached it.
         """
-        held = self._entries.get(name)
-        return held is not None and held.revision >= revision
+        held = self._versions.get(name)
+        return held is not None and held.newest.revision >= revision
 
     def entries_after(self, revision: int, name: str) -> Iterator[Entry]:
         """Iterate by revision, from behind a place.
@@ -139,7 +138,11 @@
         :returns: its entries.
         """
         names = self._names.get(leaf, ())
-        return tuple(self._entries[name] for name in names)
+        return tuple(
+            entry
+            for name in names
+            for entry in self._versions[name].list_entries()
+        )
 
     def checksum_without(self, newer: Collection[Entry]) -> int:
         """Give the checksum as if some entries were not held.
@@ -153,25 +156,16 @@
         return checksum
 
     def _insert(self, entry: Entry) -> None:
-        self._entries[entry.name] = entry
-        insort(self._ordered, entry, key=place_of)
+        insort(self._ordered, entry, key=_sort_key)
         self.tree.toggle(entry.name, fingerprint_of(entry))
 
     def _remove(self, entry: Entry) -> None:
-        index = bisect_right(self._ordered, place_of(entry), key=place_of)
-        self._ordered.pop(index - 1)
+        key = _sort_key(entry)
+        self._ordered.pop(bisect_left(self._ordered, key, key=_sort_key))
         self.tree.toggle(entry.name, fingerprint_of(entry))
 
 
-_CHANGING = frozenset((Verdict.accepted, Verdict.conflict_accepted))
-
-
-def _judge(held: Entry, offered: Entry) -> Verdict:
-    if offered == held:
-        return Verdict.known
-    if offered.revision != held.revision:
-        newer = offered.revision > held.revision
-        return Verdict.accepted if newer else Verdict.older
-    if order_of(offered) > order_of(held):
-        return Verdict.conflict_accepted
-    return Verdict.conflict_refused
+def _sort_key(entry: Entry) -> tuple[int, str, bool, bytes]:
+    # Two versions of one document share a place where the service gave two
+    # texts with one revision.
+    return entry.revision, entry.name, entry.deleted, entry.text
--- a/src/ospreyford/distribution/service.py
+++ b/src/ospreyford/distribution/service.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Protocol
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
 
 import msgspec
 
+#: Tells by a document's name and text whether it could be put in force. The
+#: same answer on every process; texts are opaque to the distribution.
+WellFormed = Callable[[str, bytes], bool]
+
 
 class ServiceUnavailable(Exception):
     """The service did not answer, or not with what was asked for."""
@@ -74,3 +78,10 @@
         :returns: the changes, one for each document that changed.
         :raises ServiceUnavailable: no usable answer.
         """
+
+
+class DocumentSource(NamedTuple):
+    """Where documents come from, and which of them are well formed."""
+
+    service: DocumentService
+    is_well_formed: WellFormed
--- a/src/ospreyford/distribution/state.py
+++ b/src/ospreyford/distribution/state.py
@@ -9,10 +9,12 @@
 from ospreyford.distribution.entries import Entry
 from ospreyford.distribution.freshness import Freshness
 from ospreyford.distribution.messages import Digest
-from ospreyford.distribution.replica import Replica, Verdict
+from ospreyford.distribution.replica import Replica
 from ospreyford.distribution.rumours import Rumours
+from ospreyford.distribution.versions import Verdict
 
 if TYPE_CHECKING:
+    from ospreyford.distribution.service import WellFormed
     from ospreyford.distribution.settings import DistributionSettings
     from ospreyford.ports.clock import Clock
 
@@ -52,12 +54,18 @@
 
     :param settings: of the distribution.
     :param clock: the process's clock.
+    :param is_well_formed: judges texts.
     """
 
-    def __init__(self, settings: DistributionSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: DistributionSettings,
+        clock: Clock,
+        is_well_formed: WellFormed,
+    ) -> None:
         self.settings = settings
         self.clock = clock
-        self.replica = Replica()
+        self.replica = Replica(is_well_formed)
         self.rumours = Rumours(settings)
         self.freshness = Freshness(settings, clock)
         self.counters = Counters()
--- /dev/null
+++ b/src/ospreyford/distribution/versions.py
@@ -0,0 +1,117 @@
+"""The versions of one document that are worth keeping."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from ospreyford.distribution.entries import fingerprint_of, order_of
+
+if TYPE_CHECKING:
+    from ospreyford.distribution.entries import Entry, Head
+    from ospreyford.distribution.service import WellFormed
+
+
+class Verdict(enum.Enum):
+    """What became of an entry that was offered to the replica."""
+
+    accepted = 'accepted'
+    known = 'known'
+    older = 'older'
+    conflict_accepted = 'conflict accepted'
+    conflict_refused = 'conflict refused'
+
+
+class Versions:
+    """The newest version, and the last good one beside a malformed newest.
+
+    Symptom if only the newest one were kept: a team publishes a typing error,
+    and every process stays with the good version before it, except those
+    that are replaced afterwards; these have no version of the document at
+    all, and route differently. Each of the two is a maximum over what was
+    seen, so the order of arrival does not matter.
+
+    A text is judged only once there is a second version to choose from, so
+    that a fresh process need not parse every document twice.
+
+    :param entry: the first version seen.
+    :param is_well_formed: judges texts.
+    """
+
+    def __init__(self, entry: Entry, is_well_formed: WellFormed) -> None:
+        self.newest = entry
+        self.last_good: Entry | None = None
+        self._is_well_formed = is_well_formed
+        self._is_newest_good: bool | None = None
+
+    def list_entries(self) -> tuple[Entry, ...]:
+        """List what is kept.
+
+        :returns: the newest version, then the last good one if that differs.
+        """
+        if self.last_good is None:
+            return (self.newest,)
+        return (self.newest, self.last_good)
+
+    def merge(self, entry: Entry) -> Verdict:
+        """Take in a version.
+
+        :param entry: the version.
+        :returns: whether it is kept now, and why not.
+        """
+        if entry in self.list_entries():
+            return Verdict.known
+        if order_of(entry) > order_of(self.newest):
+            taken = True
+            is_newer = entry.revision > self.newest.revision
+            self._replace_newest(entry)
+        else:
+            taken = self._replace_last_good(entry)
+            is_newer = entry.revision != self.newest.revision
+        if is_newer:
+            return Verdict.accepted if taken else Verdict.older
+        return Verdict.conflict_accepted if taken else Verdict.conflict_refused
+
+    def lacks(self, head: Head) -> bool:
+        """Tell whether a version may be worth keeping.
+
+        :param head: what somebody else holds.
+        :returns: whether the version is worth fetching.
+        """
+        if head.fingerprint in map(fingerprint_of, self.list_entries()):
+            return False
+        if head.revision >= self.newest.revision:
+            return True
+        return not self._has_good() and self._exceeds_last_good(head)
+
+    def _replace_newest(self, entry: Entry) -> None:
+        is_good = self._judge(entry)
+        if is_good:
+            self.last_good = None
+        elif self._has_good():
+            self.last_good = self.newest
+        self.newest = entry
+        self._is_newest_good = is_good
+
+    def _replace_last_good(self, entry: Entry) -> bool:
+        if self._has_good():
+            return False
+        held = self.last_good
+        if held is not None and order_of(entry) < order_of(held):
+            return False
+        if self._judge(entry):
+            self.last_good = entry
+            return True
+        return False
+
+    def _has_good(self) -> bool:
+        if self._is_newest_good is None:
+            self._is_newest_good = self._judge(self.newest)
+        return self._is_newest_good
+
+    def _judge(self, entry: Entry) -> bool:
+        return entry.deleted or self._is_well_formed(entry.name, entry.text)
+
+    def _exceeds_last_good(self, head: Head) -> bool:
+        held = self.last_good
+        return held is None or head.revision >= held.revision
--- a/src/ospreyford/documents/parsing.py
+++ b/src/ospreyford/documents/parsing.py
@@ -50,6 +50,16 @@
     allowed: str
 
 
+def is_well_formed(name: str, text: bytes) -> bool:
+    """Tell whether a document would be put in force.
+
+    :param name: its key in the configuration service.
+    :param text: the published bytes.
+    :returns: ``False`` where :func:`parse_document` refuses it.
+    """
+    return isinstance(parse_document(name, text), Document)
+
+
 def parse_document(name: str, text: bytes) -> Document | RejectedDocument:
     """Read one document.
 
--- a/src/ospreyford/measure/distribution.py
+++ b/src/ospreyford/measure/distribution.py
@@ -22,6 +22,7 @@
 from ospreyford.distribution.entries import Entry
 from ospreyford.distribution.messages import Delta
 from ospreyford.distribution.replica import Replica
+from ospreyford.distribution.service import DocumentSource
 from ospreyford.distribution.settings import DistributionSettings
 from ospreyford.measure.fleet import (
     FleetMember,
@@ -102,7 +103,7 @@
         distributor = Distributor(
             DistributionSettings(cold_start_rounds=3),
             member,
-            self.service,
+            DocumentSource(self.service, _accept_text),
             Port(self.network, member.peer_address),
             self,
             self.kernel,
@@ -118,6 +119,10 @@
             self.arrivals.append(self.kernel.now)
 
 
+def _accept_text(name: str, text: bytes) -> bool:
+    return True
+
+
 def run_fleet(size: int, seed: int, fault: str = NO_FAULT) -> Outcome:
     """Run a fleet through a few changes.
 
@@ -208,7 +213,7 @@
     :returns: a Markdown table.
     """
     tracemalloc.start()
-    replica = Replica()
+    replica = Replica(_accept_text)
     for number in range(count):
         entry = Entry(f'limits-{number}', number + 1, bytes(DOCUMENT_BYTES))
         replica.accept(entry)
--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -9,6 +9,8 @@
 
 from ospreyford.distribution.client import ServiceClient
 from ospreyford.distribution.distributor import Distributor
+from ospreyford.distribution.service import DocumentSource
+from ospreyford.documents.parsing import is_well_formed
 from ospreyford.membership.member import Member, new_incarnation
 from ospreyford.membership.service import Membership
 from ospreyford.node.configuration import Configuration
@@ -70,7 +72,10 @@
         self.distributor = Distributor(
             settings.distribution,
             me,
-            ServiceClient(*split_address(settings.platform.config_service)),
+            DocumentSource(
+                ServiceClient(*split_address(settings.platform.config_service)),
+                is_well_formed,
+            ),
             self.peers,
             LiveMembers(self.membership),
             self.clock,
--- a/tests/distribution/node.py
+++ b/tests/distribution/node.py
@@ -17,11 +17,12 @@
 from ospreyford.distribution.client import ServiceClient
 from ospreyford.distribution.distributor import Distributor
 from ospreyford.distribution.entries import Entry
+from ospreyford.distribution.service import DocumentSource
 from ospreyford.distribution.settings import DistributionSettings
 from ospreyford.peers.node import PeerNode
 from ospreyford.peers.settings import PeerSettings
 from ospreyford.ports.clock import SystemClock
-from tests.distribution.world import FakeMember
+from tests.distribution.world import FakeMember, is_well_formed
 
 LOOPBACK = '127.0.0.1'
 SETTINGS = DistributionSettings(
@@ -67,7 +68,7 @@
     distributor = Distributor(
         SETTINGS,
         me,
-        ServiceClient(LOOPBACK, int(service)),
+        DocumentSource(ServiceClient(LOOPBACK, int(service)), is_well_formed),
         node,
         fleet,
         SystemClock(),
--- a/tests/distribution/test_failures.py
+++ b/tests/distribution/test_failures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ospreyford.distribution.entries import Entry
-from tests.distribution.world import MAX_STEPS, World
+from tests.distribution.world import MALFORMED, MAX_STEPS, World
 
 POOL = 'pool'
 
@@ -37,6 +37,26 @@
     assert fresh.read_marks()[POOL][0] == world.store.revision
 
 
+@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize('mode', ['up', 'stale', 'down'])
+def test_fresh_process_after_a_malformed_document(seed: int, mode: str) -> None:
+    """Symptom: after a typing error a replaced host routes unlike the others.
+
+    A team publishes a malformed revision; every process keeps the good one
+    before it. A host is replaced, and peers and service hand its new process
+    the newest revision alone: nothing of that document is in force there.
+    """
+    world = build_fleet(seed)
+    world.store.publish(POOL, MALFORMED)
+    assert world.run_until_same()
+    world.mode = mode
+    fresh = world.replace(world.everybody()[0])
+    assert world.run_until_ready(fresh)
+    assert fresh.read_goods()[POOL][2] == b'first'
+    assert fresh.read_marks()[POOL][2] == MALFORMED
+    assert world.run_until_same()
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_fresh_process_cut_off_from_all_who_know(seed: int) -> None:
     """Symptom: a partition ends with two pictures, one of them older.
--- a/tests/distribution/test_machine.py
+++ b/tests/distribution/test_machine.py
@@ -13,7 +13,7 @@
     rule,
 )
 
-from tests.distribution.world import SETTINGS, Process, World
+from tests.distribution.world import MALFORMED, SETTINGS, Process, World
 
 NAMES = ('drain', 'limits', 'pool')
 PAUSE_SECONDS = 100
@@ -52,6 +52,11 @@
             text = f'{name} of {operator}'
             self.world.store.publish(name, text.encode())
 
+    @rule(name=strategies.sampled_from(NAMES))
+    def publish_malformed(self, name: str) -> None:
+        """The last good version must stay, on fresh processes too."""
+        self.world.store.publish(name, b'%s%s' % (MALFORMED, name.encode()))
+
     @rule(name=strategies.sampled_from(NAMES))
     def delete(self, name: str) -> None:
         if name in self.world.store.documents:
@@ -162,14 +167,14 @@
         for address, process in self.world.processes.items():
             if process.ready:
                 for name, revision in self.floors.get(address, {}).items():
-                    assert process.marks[name][0] >= revision
+                    assert process.goods[name][0] >= revision
 
     def floor(self) -> dict[str, int]:
         ready = [one for one in self.world.processes.values() if one.ready]
         return {
-            name: min(one.marks[name][0] for one in ready)
+            name: min(one.goods[name][0] for one in ready)
             for name in NAMES
-            if all(name in one.marks for one in ready)
+            if all(name in one.goods for one in ready)
         }
 
     def pick(self, which: int) -> Process:
@@ -183,11 +188,16 @@
 
 def check_marks(process: Process) -> None:
     marks = process.read_marks()
+    goods = process.read_goods()
     for name, mark in process.marks.items():
         assert marks[name] >= mark
+    for name, mark in process.goods.items():
+        assert goods[name] >= mark
     process.marks = marks
+    process.goods = goods
     # What the subscriber was told is what is in force.
     assert process.told in ({}, marks)
+    assert process.told_goods in ({}, goods)
 
 
 def check_calls(process: Process) -> None:
--- a/tests/distribution/test_parts.py
+++ b/tests/distribution/test_parts.py
@@ -16,22 +16,25 @@
     pack,
     unpack,
 )
-from ospreyford.distribution.entries import Entry
+from ospreyford.distribution.entries import Entry, head_of
 from ospreyford.distribution.exchange import Exchange
 from ospreyford.distribution.freshness import Freshness, Moment
 from ospreyford.distribution.members import CachedMembers, Neighbours
 from ospreyford.distribution.messages import Digest, Offer
 from ospreyford.distribution.pull import Pull
 from ospreyford.distribution.reader import Reader, Reading
-from ospreyford.distribution.replica import Replica, Verdict
+from ospreyford.distribution.replica import Replica
 from ospreyford.distribution.rumours import Rumours
 from ospreyford.distribution.settings import DistributionSettings
 from ospreyford.distribution.state import State
+from ospreyford.distribution.versions import Verdict
 from tests.distribution.world import (
+    MALFORMED,
     FakeClock,
     FakeMember,
     FakePeers,
     FakeService,
+    is_well_formed,
 )
 from tests.fakes.documents import FakeStore
 from tests.fakes.stepping import Stepper
@@ -67,13 +70,67 @@
     ],
 )
 def test_marks_only_rise(offered: Entry, verdict: Verdict, kept: int) -> None:
-    replica = Replica()
+    replica = Replica(is_well_formed)
     replica.accept(HELD)
     assert replica.accept(offered) is verdict
     found = replica.find('pool')
-    assert found is not None
-    assert found.revision == kept
-    assert len(list(replica)) == 1
+    assert [one.revision for one in found] == [kept]
+    assert list(replica) == list(found)
+
+
+BAD = Entry('pool', 7, MALFORMED)
+LOW = Entry('pool', 7, b' less than the malformed one')
+
+
+@pytest.mark.parametrize(
+    ('offered', 'kept'),
+    [
+        ([HELD, BAD], [BAD, HELD]),
+        ([BAD, HELD], [BAD, HELD]),
+        ([BAD, HELD._replace(revision=4), HELD], [BAD, HELD]),
+        ([HELD, BAD, HELD._replace(revision=4)], [BAD, HELD]),
+        ([HELD, BAD._replace(revision=6), BAD], [BAD, HELD]),
+        ([BAD, BAD._replace(revision=6)], [BAD]),
+        ([HELD, BAD, HELD._replace(revision=8)], [HELD._replace(revision=8)]),
+        (
+            [Entry('pool', 6, b'', deleted=True), HELD, BAD],
+            [BAD, Entry('pool', 6, b'', deleted=True)],
+        ),
+        ([HELD, BAD._replace(revision=5)], [HELD]),
+        ([BAD, LOW], [BAD, LOW]),
+        ([LOW, BAD], [BAD, LOW]),
+    ],
+)
+def test_last_good_beside_a_malformed_version(
+    offered: list[Entry], kept: list[Entry]
+) -> None:
+    """Symptom: one typing error takes a document out of force."""
+    replica = Replica(is_well_formed)
+    for entry in offered:
+        replica.accept(entry)
+    assert list(replica.find('pool')) == kept
+    assert replica.covers('pool', max(one.revision for one in offered))
+    heads = map(head_of, replica.find('pool'))
+    assert not any(map(replica.lacks, heads))
+
+
+@pytest.mark.parametrize(
+    ('held', 'offered', 'lacks'),
+    [
+        ([BAD], HELD, True),
+        ([BAD, HELD], HELD, False),
+        ([BAD, HELD], HELD._replace(revision=4), False),
+        ([BAD, HELD], HELD._replace(revision=6), True),
+        ([HELD._replace(revision=8)], HELD, False),
+    ],
+)
+def test_offer_of_a_last_good_version(
+    held: list[Entry], offered: Entry, lacks: bool
+) -> None:
+    replica = Replica(is_well_formed)
+    for entry in held:
+        replica.accept(entry)
+    assert replica.lacks(head_of(offered)) is lacks
 
 
 def test_deleted_document_stays_deleted() -> None:
@@ -82,7 +139,7 @@
     The document is deleted, the tombstone forgotten, and a stale service or
     a late message brings the old text.
     """
-    replica = Replica()
+    replica = Replica(is_well_formed)
     replica.accept(HELD)
     replica.accept(Entry('pool', 6, b'', deleted=True))
     assert replica.accept(HELD) is Verdict.older
@@ -90,9 +147,13 @@
 
 @pytest.mark.parametrize('seed', range(5))
 def test_checksums_do_not_depend_on_order(seed: int) -> None:
-    entries = [Entry(f'name-{one % 9}', one, b'x') for one in range(1, 40)]
+    texts = (b'x', MALFORMED, b'yy', MALFORMED)
+    entries = [
+        Entry(f'name-{one % 9}', one // 2, texts[one % 4])
+        for one in range(1, 80)
+    ]
     shuffled = Random(seed).sample(entries, len(entries))
-    replicas = [Replica(), Replica()]
+    replicas = [Replica(is_well_formed), Replica(is_well_formed)]
     for replica, order in zip(replicas, (entries, shuffled), strict=True):
         for entry in order:
             replica.accept(entry)
@@ -100,6 +161,7 @@
     assert first.checksum == second.checksum
     assert first.tree.children() == second.tree.children()
     assert list(first) == list(second)
+    assert len(list(first)) > len(first)
 
 
 def test_checksum_tree_finds_the_leaf() -> None:
@@ -272,7 +334,7 @@
 ) -> None:
     """Symptom: a process that slept calls a stale service its check."""
     clock, stepper = FakeClock(), Stepper()
-    state = State(SETTINGS, clock)
+    state = State(SETTINGS, clock, is_well_formed)
     state.apply((HELD._replace(revision=held_revision),))
     state.adopt_complete(0)
     state.settle()
@@ -301,18 +363,20 @@
 
 def note_rounds(permit: ColdPermit, clock: FakeClock) -> None:
     for _ in range(SETTINGS.cold_start_rounds):
-        permit.note_round(State(SETTINGS, clock).freshness.moment())
+        permit.note_round(
+            State(SETTINGS, clock, is_well_formed).freshness.moment()
+        )
 
 
 def test_permit_ends_with_a_pause() -> None:
     """Symptom: a process wakes and trusts a service that became stale."""
     clock = FakeClock()
-    permit = ColdPermit(State(SETTINGS, clock))
+    permit = ColdPermit(State(SETTINGS, clock, is_well_formed))
     note_rounds(permit, clock)
     assert permit.is_valid()
     clock.now += 100
     assert not permit.is_valid()
-    permit.note_round(State(SETTINGS, clock).freshness.moment())
+    permit.note_round(State(SETTINGS, clock, is_well_formed).freshness.moment())
     assert not permit.is_valid()
 
 
@@ -324,7 +388,7 @@
     meanwhile, and documents change.
     """
     clock, stepper = FakeClock(), Stepper()
-    state = State(SETTINGS, clock)
+    state = State(SETTINGS, clock, is_well_formed)
     permit = ColdPermit(state)
     note_rounds(permit, clock)
     fleet = make_fleet(1)
@@ -343,7 +407,7 @@
     The peer goes silent after its digest, before the differences are found.
     """
     clock, stepper = FakeClock(), Stepper()
-    state = State(SETTINGS, clock)
+    state = State(SETTINGS, clock, is_well_formed)
     state.apply((HELD,))
     state.settle()
     pull = Pull(state, Exchange(state, FakePeers(clock)))
--- a/tests/distribution/world.py
+++ b/tests/distribution/world.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, NamedTuple
 
 from ospreyford.distribution.bootstrap import Ready
 from ospreyford.distribution.distributor import Distributor
-from ospreyford.distribution.entries import order_of
+from ospreyford.distribution.entries import Entry, order_of
 from ospreyford.distribution.service import (
     Changes,
+    DocumentSource,
     Listing,
     ServiceUnavailable,
     Text,
@@ -32,9 +33,16 @@
 DRIFT_SECONDS = 2
 MAX_STEPS = 6_000
 
+MALFORMED = b'!'
+NO_MARK = (0, False, b'')
+
 Marks = dict[str, tuple[int, bool, bytes]]
 
 
+def is_well_formed(name: str, text: bytes) -> bool:
+    return not text.startswith(MALFORMED)
+
+
 class FakeMember(NamedTuple):
     name: str
     peer_address: str
@@ -137,14 +145,19 @@
     awake_since: float = 0
     checked: bool = False
     marks: Marks = field(default_factory=dict)
+    goods: Marks = field(default_factory=dict)
     told: Marks = field(default_factory=dict)
+    told_goods: Marks = field(default_factory=dict)
 
     def age(self) -> float:
         """The clock without the pauses; no process runs far ahead."""
         return self.clock.now - self.slept
 
     def read_marks(self) -> Marks:
-        return {one.name: order_of(one) for one in self.distributor.snapshot()}
+        return find_newest(self.distributor.snapshot())
+
+    def read_goods(self) -> Marks:
+        return find_newest(filter(is_good, self.distributor.snapshot()))
 
 
 @dataclass
@@ -184,7 +197,7 @@
         distributor = Distributor(
             self.settings,
             member,
-            FakeService(clock),
+            DocumentSource(FakeService(clock), is_well_formed),
             peers,
             self,
             clock,
@@ -374,12 +387,16 @@
         first, *others = [
             process.read_marks() for process in self.processes.values()
         ]
+        good, *other_goods = [
+            process.read_goods() for process in self.processes.values()
+        ]
         newest = {
             name: one.revision for name, one in self.store.documents.items()
         }
         return (
             all(process.ready for process in self.processes.values())
             and all(marks == first for marks in others)
+            and all(goods == good for goods in other_goods)
             and {name: mark[0] for name, mark in first.items()} == newest
         )
 
@@ -391,6 +408,21 @@
         return False
 
 
+def is_good(entry: Entry) -> bool:
+    return entry.deleted or is_well_formed(entry.name, entry.text)
+
+
+def find_newest(entries: Iterable[Entry]) -> Marks:
+    marks: Marks = {}
+    _raise_marks(marks, entries)
+    return marks
+
+
+def _raise_marks(marks: Marks, entries: Iterable[Entry]) -> None:
+    for one in entries:
+        marks[one.name] = max(order_of(one), marks.get(one.name, NO_MARK))
+
+
 def _due_of(task: SteppedTask) -> float:
     assert task.waiting is not None
     note = task.waiting.note
@@ -411,7 +443,8 @@
 
 
 def _note_told(process: Process, changed: Sequence[Any]) -> None:
-    process.told.update({one.name: order_of(one) for one in changed})
+    _raise_marks(process.told, changed)
+    _raise_marks(process.told_goods, filter(is_good, changed))
 
 
 async def _become_ready(process: Process) -> None:
