Keep the versions of a document in slots

Ruled out: an entry alone where there is one version only, which needs two kinds of lookup for 64 B.

--- a/src/ospreyford/distribution/versions.py
+++ b/src/ospreyford/distribution/versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ospreyford.distribution.entries import fingerprint_of, order_of
@@ -22,6 +23,7 @@
     conflict_refused = 'conflict refused'
 
 
+@dataclass(slots=True)
 class Versions:
     """The newest version, and the last good one beside a malformed newest.
 
@@ -34,15 +36,16 @@
     A text is judged only once there is a second version to choose from, so
     that a fresh process need not parse every document twice.
 
-    :param entry: the first version seen.
+    :param newest: the newest version seen.
     :param is_well_formed: judges texts.
+    :param last_good: the last well-formed one, if that is not the newest.
+    :param is_newest_good: ``None`` until it was judged.
     """
 
-    def __init__(self, entry: Entry, is_well_formed: WellFormed) -> None:
-        self.newest = entry
-        self.last_good: Entry | None = None
-        self._is_well_formed = is_well_formed
-        self._is_newest_good: bool | None = None
+    newest: Entry
+    is_well_formed: WellFormed
+    last_good: Entry | None = None
+    is_newest_good: bool | None = None
 
     def list_entries(self) -> tuple[Entry, ...]:
         """List what is kept.
@@ -91,7 +94,7 @@
         elif self._has_good():
             self.last_good = self.newest
         self.newest = entry
-        self._is_newest_good = is_good
+        self.is_newest_good = is_good
 
     def _replace_last_good(self, entry: Entry) -> bool:
         if self._has_good():
@@ -105,12 +108,12 @@
         return False
 
     def _has_good(self) -> bool:
-        if self._is_newest_good is None:
-            self._is_newest_good = self._judge(self.newest)
-        return self._is_newest_good
+        if self.is_newest_good is None:
+            self.is_newest_good = self._judge(self.newest)
+        return self.is_newest_good
 
     def _judge(self, entry: Entry) -> bool:
-        return entry.deleted or self._is_well_formed(entry.name, entry.text)
+        return entry.deleted or self.is_well_formed(entry.name, entry.text)
 
     def _exceeds_last_good(self, head: Head) -> bool:
         held = self.last_good
