Refuse zero intervals and rates of membership and distribution

Cause: gossip_seconds = 0 and the like were taken from a settings file; the task then sleeps for no time between rounds. Seen failing with the bounds of gossip_seconds and period_seconds removed: test_zero (2 rows each).

--- a/src/ospreyford/distribution/settings.py
+++ b/src/ospreyford/distribution/settings.py
@@ -4,6 +4,14 @@
 
 import msgspec
 
+from ospreyford.settings.types import (
+    Bytes,
+    Count,
+    CountOrNone,
+    Rate,
+    Seconds,
+)
+
 
 class DistributionSettings(
     msgspec.Struct,
@@ -45,28 +53,28 @@
     :param cold_start_peers: live peers that must be in view for that.
     """
 
-    fleet_size: int = 5_500
-    service_calls_per_second: float = 1_000
-    reader_calls_per_second: float = 80
-    readers_per_zone: int = 2
-    rotation_seconds: float = 120
-    watch_seconds: float = 20
-    role_seconds: float = 2
-    backoff_seconds: float = 0.5
-    backoff_limit_seconds: float = 16
-    gossip_seconds: float = 0.25
-    fanout: int = 2
-    rumour_interest: int = 3
-    rumour_offers: int = 24
-    rumour_heads: int = 64
-    digest_seconds: float = 1
-    ask_seconds: float = 0.4
-    page_bytes: int = 65_536
-    push_bytes_per_second: float = 1_536
-    push_burst_bytes: int = 2_097_152
-    stale_seconds: float = 6
-    stale_peers: int = 3
-    bootstrap_peers: int = 5
-    bootstrap_seconds: float = 1
-    cold_start_rounds: int = 10
-    cold_start_peers: int = 1
+    fleet_size: Count = 5_500
+    service_calls_per_second: Rate = 1_000
+    reader_calls_per_second: Rate = 80
+    readers_per_zone: Count = 2
+    rotation_seconds: Seconds = 120
+    watch_seconds: Seconds = 20
+    role_seconds: Seconds = 2
+    backoff_seconds: Seconds = 0.5
+    backoff_limit_seconds: Seconds = 16
+    gossip_seconds: Seconds = 0.25
+    fanout: Count = 2
+    rumour_interest: Count = 3
+    rumour_offers: Count = 24
+    rumour_heads: Count = 64
+    digest_seconds: Seconds = 1
+    ask_seconds: Seconds = 0.4
+    page_bytes: Bytes = 65_536
+    push_bytes_per_second: Rate = 1_536
+    push_burst_bytes: Bytes = 2_097_152
+    stale_seconds: Seconds = 6
+    stale_peers: Count = 3
+    bootstrap_peers: Count = 5
+    bootstrap_seconds: Seconds = 1
+    cold_start_rounds: Count = 10
+    cold_start_peers: CountOrNone = 1
--- a/src/ospreyford/membership/settings.py
+++ b/src/ospreyford/membership/settings.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
-from ospreyford.settings.types import Address
+from ospreyford.settings.types import (
+    Address,
+    Bytes,
+    Count,
+    CountOrNone,
+    Seconds,
+)
 
 
 @dataclass(unsafe_hash=True)
@@ -53,21 +59,21 @@
     """
 
     seeds: tuple[Address, ...] = ()
-    period_seconds: float = 1
-    probe_timeout: float = 0.5
-    relay_timeout: float = 1.2
-    helpers: int = 2
-    rings: int = 8
-    suspicion_seconds: float = 5
-    pause_seconds: float = 4
-    wake_probes: int = 3
-    forget_seconds: float = 86_400
-    small_zone: int = 4
-    retransmit: int = 3
-    change_bytes: int = 160
-    attached_bytes: int = 160
-    sync_seconds: float = 2
-    sync_bytes: int = 4000
+    period_seconds: Seconds = 1
+    probe_timeout: Seconds = 0.5
+    relay_timeout: Seconds = 1.2
+    helpers: CountOrNone = 2
+    rings: Count = 8
+    suspicion_seconds: Seconds = 5
+    pause_seconds: Seconds = 4
+    wake_probes: Count = 3
+    forget_seconds: Seconds = 86_400
+    small_zone: CountOrNone = 4
+    retransmit: Count = 3
+    change_bytes: Bytes = 160
+    attached_bytes: Bytes = 160
+    sync_seconds: Seconds = 2
+    sync_bytes: Bytes = 4000
 
     def __post_init__(self) -> None:
         """Refuse a pause that ordinary waits would reach."""
--- a/src/ospreyford/settings/types.py
+++ b/src/ospreyford/settings/types.py
@@ -58,6 +58,11 @@
 #: A number of things kept in memory.
 Count = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
 
+#: A number of things that may be none.
+CountOrNone = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+#: So many a second.
+Rate = Annotated[float, Meta(gt=0, le=GIBIBYTE)]
+
 #: Size of a request's head, in bytes.
 HeadBytes = Annotated[int, Meta(ge=MIN_HEAD_BYTES, le=MEBIBYTE)]
 #: Log lines waiting for a slow destination.
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -213,6 +213,63 @@
     ),
 )
 
+# Keys where a zero would have a task spin without a pause, or never run.
+ABOVE_ZERO = (
+    *(
+        (f'membership.{key}', DAY)
+        for key in (
+            'period_seconds',
+            'probe_timeout',
+            'relay_timeout',
+            'suspicion_seconds',
+            'pause_seconds',
+            'forget_seconds',
+            'sync_seconds',
+        )
+    ),
+    *(
+        (f'distribution.{key}', DAY)
+        for key in (
+            'rotation_seconds',
+            'watch_seconds',
+            'role_seconds',
+            'backoff_seconds',
+            'backoff_limit_seconds',
+            'gossip_seconds',
+            'digest_seconds',
+            'ask_seconds',
+            'stale_seconds',
+            'bootstrap_seconds',
+        )
+    ),
+    *(
+        (f'distribution.{key}', 'a number above 0 up to 1073741824')
+        for key in (
+            'service_calls_per_second',
+            'reader_calls_per_second',
+            'push_bytes_per_second',
+        )
+    ),
+    *(
+        (f'distribution.{key}', 'an integer from 1 up to 10000000')
+        for key in (
+            'fleet_size',
+            'readers_per_zone',
+            'fanout',
+            'rumour_offers',
+            'bootstrap_peers',
+            'cold_start_rounds',
+        )
+    ),
+    ('membership.change_bytes', 'an integer from 1 up to 1073741824'),
+    ('distribution.page_bytes', 'an integer from 1 up to 1073741824'),
+    ('limits.burst_seconds', 'a number above 0'),
+    ('sharing.period_seconds', 'a number above 0'),
+    ('queue.max_wait_seconds', 'a number above 0'),
+    ('routing.load_decay_seconds', 'a number above 0'),
+    ('routing.ejection.base_seconds', 'a number above 0'),
+)
+
 UNREADABLE = (
     (b'\xff', '- = (byte 0 is not UTF-8): UTF-8'),
     (b'x' * 1_048_577, '- = (too large): at most 1048576 bytes'),
@@ -255,6 +312,22 @@
     assert load_line(tmp_path, text.encode()) == line
 
 
+@pytest.mark.parametrize(('found', 'also'), [('0', ''), ('-1', FINITE)])
+@pytest.mark.parametrize(('path', 'allowed'), ABOVE_ZERO)
+def test_zero(
+    tmp_path: pathlib.Path, path: str, allowed: str, found: str, also: str
+) -> None:
+    """Symptom: a process takes a whole core as soon as it starts.
+
+    A settings file says ``gossip_seconds = 0``; the task of rumours sleeps
+    for no time at all between its rounds.
+    """
+    section, _, key = path.rpartition('.')
+    text = f'[{section}]\n{key} = {found}\n{ENTRY}'
+    line = f'{path} = {found}: {allowed}{also}'
+    assert load_line(tmp_path, text.encode()) == line
+
+
 @pytest.mark.parametrize(('added', 'line'), AGENT_ADDED)
 def test_agent(tmp_path: pathlib.Path, added: str, line: str) -> None:
     text = f'{added}\n{AGENT}'
