--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -55,6 +55,7 @@
             self._announcer,
             program.stop.requested,
         )
+        self._metrics.watch_peers(self._node.peers.counters)
         self._directory = FleetDirectory()
         self._tracing = Tracing(
             settings.traces,
--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -24,8 +24,8 @@
 Received = TypeVar('Received')
 
 _encoder = msgspec.msgpack.Encoder()
-_entry_decoder = msgspec.msgpack.Decoder(EntryFrame)
-_agent_decoder = msgspec.msgpack.Decoder(AgentFrame)
+entry_decoder = msgspec.msgpack.Decoder(EntryFrame)
+agent_decoder = msgspec.msgpack.Decoder(AgentFrame)
 
 
 def encode_frames(*frames: Frame) -> bytes:
@@ -116,6 +116,14 @@
         except OSError:
             raise Severed from None
 
+    def take_arrived(self) -> Received | None:
+        """Take the next frame without waiting.
+
+        :returns: the frame, or ``None`` if it has not wholly arrived.
+        :raises Malformed: the peer broke the protocol.
+        """
+        return self._reader.next_frame()
+
     async def receive(self) -> Received:
         """Wait for the next frame.
 
@@ -153,7 +161,7 @@
     :param sock: the accepted curio socket.
     :returns: a connection that receives an entry's frames.
     """
-    return FrameConnection(sock, _entry_decoder)
+    return FrameConnection(sock, entry_decoder)
 
 
 async def open_to_agent(
@@ -175,4 +183,4 @@
         )
     except (OSError, curio.TaskTimeout):
         raise Unreachable from None
-    return FrameConnection(sock, _agent_decoder)
+    return FrameConnection(sock, agent_decoder)
