Measure state and control costs at the size to design for

Missing were: resident memory of the state of an entry and an agent at 5,500 processes and 37,000 customers, processor time of the control work, and real processes at rest and with answers under way.

Ruled out: tracemalloc, which leaves out what the libraries hold. measure.membership: fill_tables is public now.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCE := PYTHONPATH=src
 
-.PHONY: setup test lint format demo bench faults measure measure-times clean
+.PHONY: setup test lint format demo bench faults measure measure-times capacity clean
 
 setup: $(STAMP)
 
@@ -45,5 +45,9 @@
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.membership
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.expertmap
 
+# The figures of docs/CAPACITY.md, of this machine.
+capacity: setup
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.capacity
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/src/ospreyford/measure/capacity_size.py
@@ -0,0 +1,50 @@
+"""The size to design for, and the rates that follow from it.
+
+What the users gave stands first; the rest is arithmetic, or an assumption
+that says so.
+"""
+
+from __future__ import annotations
+
+DAY_SECONDS = 86_400
+
+NODES = 1_200
+REPLICAS = 4_300
+ACCELERATORS = 34_000
+PROCESSES = NODES + REPLICAS
+REQUESTS_PER_SECOND = 46_000
+TOKENS_PER_SECOND = 13_000_000
+FIRST_TOKEN_SECONDS = 1.3
+TOKEN_GAP_SECONDS = 0.039
+RANKS = 64
+CUSTOMERS = 37_000
+MODELS = 8
+ZONES = 6
+CHANGES_A_DAY = 4_300
+FAILED_A_DAY = 49
+REPLACED_A_DAY = 1_300
+
+#: What a node may spend on control.
+CORE_SHARE = 0.042
+MEMORY_MB = 64
+BYTES_PER_SECOND = 6_000
+
+TOKENS_A_REQUEST = TOKENS_PER_SECOND / REQUESTS_PER_SECOND
+ENTRY_REQUESTS = REQUESTS_PER_SECOND / NODES
+REPLICA_REQUESTS = REQUESTS_PER_SECOND / REPLICAS
+#: Longest stay of a request that keeps to the promised times.
+STAY_SECONDS = FIRST_TOKEN_SECONDS + TOKENS_A_REQUEST * TOKEN_GAP_SECONDS
+ENTRY_IN_FLIGHT = ENTRY_REQUESTS * STAY_SECONDS
+REPLICA_IN_FLIGHT = REPLICA_REQUESTS * STAY_SECONDS
+SECONDS_A_CHANGE = DAY_SECONDS / CHANGES_A_DAY
+#: Readings of the host list follow one another after so many seconds: the
+#: whole fleet reads 100 times a second (``node.fleetnode``).
+HOST_LIST_SECONDS = PROCESSES / 100
+#: Times a second that an entry forgets its plans: for a change of the
+#: documents, for a back end that goes and comes back, and for a host list
+#: that differs from the last one.
+FORGETS_PER_SECOND = (
+    1 / SECONDS_A_CHANGE
+    + 2 * (FAILED_A_DAY + REPLACED_A_DAY) * (REPLICAS / PROCESSES) / DAY_SECONDS
+    + 1 / HOST_LIST_SECONDS
+)
--- a/src/ospreyford/measure/membership.py
+++ b/src/ospreyford/measure/membership.py
@@ -83,7 +83,7 @@
     :returns: a row of the table.
     """
     before = _resident_bytes()
-    tables = _fill(known)
+    tables = fill_tables(known)
     gc.collect()
     grown = _resident_bytes() - before
     return [len(tables.view), grown / MEBIBYTE, grown / known]
@@ -95,7 +95,7 @@
     :param known: members.
     :returns: a row of the table.
     """
-    tables = _fill(known)
+    tables = fill_tables(known)
     exchanges = Exchanges(tables)
     targets = Targets(tables)
     suspicions = Suspicions(tables, targets)
@@ -125,7 +125,12 @@
     )
 
 
-def _fill(known: int) -> Tables:
+def fill_tables(known: int) -> Tables:
+    """Make the tables of a member that knows so many.
+
+    :param known: members known, this one included.
+    :returns: the tables, all members waiting to be passed on.
+    """
     clock = SystemClock()
     rng = random.Random(1)
     tables = build_tables(MembershipSettings(), _member(0), clock, rng)
