Start the measured fleet again when a port was taken

Two of three runs of measure.capacity ended with 'Address already in use': standins.fleet chooses ports before its processes bind them, and other processes of this busy machine took one in between. Ruled out: fixed ports, which two measurements at once would share. The measurement starts the fleet up to three times, each with new ports.

--- a/src/ospreyford/measure/capacity.py
+++ b/src/ospreyford/measure/capacity.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 from collections.abc import Iterable, Iterator, Sequence
+from contextlib import ExitStack
 from pathlib import Path
 
 from tabulate import tabulate
@@ -48,14 +49,16 @@
 )
 from ospreyford.measure.capacity_streams import Streams, measure_streams
 from ospreyford.measure.capacity_times import measure_times
-from ospreyford.standins.deployment import PENSION_OFFICE
-from ospreyford.standins.fleet import Fleet
+from ospreyford.standins.deployment import PENSION_OFFICE, Size
+from ospreyford.standins.fleet import Fleet, NotReady
 from ospreyford.standins.launcher import Launcher
 
 PERCENT = 100
 KILOBYTE = 1000
 #: Documents in one page of a fresh process's questions.
 PAGE = 100
+#: Starts of a fleet.
+TRIES = 3
 STATES = (
     ('entry', fill_entry),
     ('agent of a model', fill_agent),
@@ -153,17 +156,39 @@
     rests: list[Rest] = []
     streams: list[Streams] = []
     for size in SIZES:
-        with tempfile.TemporaryDirectory() as directory, Launcher() as launcher:
-            fleet = Fleet(
-                launcher, PENSION_OFFICE, size, DOCUMENTS, Path(directory)
-            )
-            fleet.start()
+        with tempfile.TemporaryDirectory() as directory, ExitStack() as stack:
+            fleet = start_fleet(stack, size, Path(directory))
             time.sleep(SETTLE_SECONDS)
             streams = list(measure_streams(fleet)) if rests else []
             rests.extend(measure_rest(fleet))
     return rests, streams
 
 
+def start_fleet(stack: ExitStack, size: Size, directory: Path) -> Fleet:
+    """Start a fleet, again if a port was taken meanwhile.
+
+    :param stack: ends its processes.
+    :param size: how many.
+    :param directory: for their settings.
+    :returns: the fleet, ready.
+    :raises NotReady: it was not ready in any of the tries.
+    """
+    for left in reversed(range(TRIES)):
+        launcher = stack.enter_context(Launcher())
+        fleet = Fleet(launcher, PENSION_OFFICE, size, DOCUMENTS, directory)
+        try:
+            fleet.start()
+        except NotReady:
+            # Ports are chosen before the processes bind them; on a machine
+            # with other work another process takes one now and then.
+            stack.close()
+            if not left:
+                raise
+        else:
+            break
+    return fleet
+
+
 def _measure_pages(pages: Iterable[Page]) -> int:
     return sum(len(pack(page)) for page in pages)
 
