--- a/tests/distribution/test_machine.py
+++ b/tests/distribution/test_machine.py
@@ -26,9 +26,11 @@
 class DistributionMachine(RuleBasedStateMachine):
     """Five processes in two zones, and everything that can go wrong."""
 
+    world_type = World
+
     def __init__(self) -> None:
         super().__init__()
-        self.world = World()
+        self.world = self.world_type()
         self.floors: dict[str, dict[str, int]] = {}
 
     @initialize(seed=SEED)
--- a/tests/distribution/world.py
+++ b/tests/distribution/world.py
@@ -291,16 +291,16 @@
                 # the answer: pauses and other messages fit in between.
                 self.answers[id(task)] = self._carry(task, question)
             case Waiting('service', call):
-                self._end_call(task, process, call)
+                self.end_call(task, process, call)
 
     def _carry(self, task: SteppedTask, question: Question) -> bytes | None:
         address = question.address
-        if not self._reaches(task.name, address):
+        if not self.reaches(task.name, address):
             return None
         message = (address, question.topic, question.body)
         self.messages = [*self.messages[-20:], message]
         answer = self.processes[address].peers.answer(*message[1:])
-        return answer if self._reaches(address, task.name) else None
+        return answer if self.reaches(address, task.name) else None
 
     def _end_ask(
         self, task: SteppedTask, process: Process, question: Question
@@ -312,7 +312,7 @@
             process.checked = True
         self.stepper.resume(task, answer)
 
-    def _reaches(self, sender: str, address: str) -> bool:
+    def reaches(self, sender: str, address: str) -> bool:
         target = self.processes.get(address)
         if target is None or target.paused:
             return False
@@ -329,12 +329,10 @@
         if target is not None and not target.paused:
             target.peers.answer(topic, body)
 
-    def _end_call(
-        self, task: SteppedTask, process: Process, call: Call
-    ) -> None:
+    def end_call(self, task: SteppedTask, process: Process, call: Call) -> None:
         process.calls += 1
         try:
-            answer = _serve(self._pick_store(), call)
+            answer = serve_call(self.pick_store(), call)
         except ServiceUnavailable as error:
             self.stepper.throw(task, error)
             return
@@ -342,7 +340,7 @@
             process.checked = True
         self.stepper.resume(task, answer)
 
-    def _pick_store(self) -> FakeStore | None:
+    def pick_store(self) -> FakeStore | None:
         match self.mode:
             case 'down':
                 return None
@@ -398,7 +396,7 @@
     return due
 
 
-def _serve(store: FakeStore | None, call: Call) -> Listing | Text | Changes:
+def serve_call(store: FakeStore | None, call: Call) -> Listing | Text | Changes:
     if store is None:
         raise ServiceUnavailable
     match call.kind:
--- a/tests/expertmap/group.py
+++ b/tests/expertmap/group.py
@@ -43,6 +43,7 @@
     """An order to an engine under way."""
 
     process: Process
+    name: str
     apply: Callable[[], Any]
     unknown: Any
 
@@ -112,26 +113,29 @@
     async def grant(self, order: Grant) -> Any:
         ordered = max(self.group.ordered_step, order.last_step)
         self.group.ordered_step = ordered
-        return await self._order(
-            lambda: self.engine.grant(order), OrderOutcome.unknown
+        return await self.order(
+            'grant', lambda: self.engine.grant(order), OrderOutcome.unknown
         )
 
     async def halt(self, generation: int, fencing: int) -> Any:
-        return await self._order(
+        return await self.order(
+            'halt',
             lambda: self.engine.halt(fencing),
             OrderOutcome.unknown,
         )
 
     async def install_map(self, expert_map: ExpertMap, fencing: int) -> Any:
-        return await self._order(
-            lambda: self.engine.install(expert_map, fencing), False
+        return await self.order(
+            'load', lambda: self.engine.install(expert_map, fencing), False
         )
 
     async def read_status(self) -> EngineStatus:
         return self.engine.read_status()
 
-    async def _order(self, apply: Callable[[], Any], unknown: Any) -> Any:
-        return await park('order', Order(self, apply, unknown))
+    async def order(
+        self, name: str, apply: Callable[[], Any], unknown: Any
+    ) -> Any:
+        return await park('order', Order(self, name, apply, unknown))
 
     async def run(self) -> None:
         try:
@@ -190,9 +194,14 @@
         self.engines.append(engine)
         return engine
 
+    def make_process(
+        self, slot: int, address: str, engine: FakeEngine
+    ) -> Process:
+        return Process(self, slot, address, engine)
+
     def start(self, slot: int, address: str, engine: FakeEngine) -> Process:
         self.addresses[slot] = address
-        process = Process(self, slot, address, engine)
+        process = self.make_process(slot, address, engine)
         self.processes.append(process)
         process.spawn(process.run())
         return process
@@ -265,12 +274,12 @@
         questions = [
             question
             for question in self.questions
-            if self._reaches(question.asker, self.find(question.address))
+            if self.reaches(question.asker, self.find(question.address))
         ]
         replies = [
             reply
             for reply in self.replies
-            if self._reaches(reply.answerer, reply.question.asker)
+            if self.reaches(reply.answerer, reply.question.asker)
         ]
         return [*replies, *questions]
 
@@ -280,7 +289,7 @@
                 return process
         return None
 
-    def _reaches(self, source: Process, target: Process | None) -> bool:
+    def reaches(self, source: Process, target: Process | None) -> bool:
         if target is None or target.paused or target.handler is None:
             return False
         return frozenset((source.slot, target.slot)) not in self.cuts
--- a/tests/expertmap/test_machine.py
+++ b/tests/expertmap/test_machine.py
@@ -37,10 +37,11 @@
     """A group whose members may all lose their memory at once."""
 
     wall = True
+    group_type = Group
 
     @initialize(ignoring=st.none() | st.integers(0, SIZE - 1))
     def set_up(self, ignoring: int | None) -> None:
-        self.group = Group(SIZE, ignoring, self.wall)
+        self.group = self.group_type(SIZE, ignoring, self.wall)
         self.revision = 0
         self.offer(0, 0)
         self.group.flow(150)
--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -11,6 +11,7 @@
 import curio
 from tabulate import tabulate
 
+from tests.faults.agreement import SECTIONS, judge
 from tests.faults.cells import (
     STEPS,
     Cell,
@@ -21,6 +22,7 @@
     run_cells,
 )
 from tests.faults.network import Kind
+from tests.faults.sections import Finding
 
 WORKERS = 6
 AT_ONCE = 20
@@ -76,6 +78,21 @@
     print(tabulate(rows, headers=headers, tablefmt='github'))
 
 
+def run_agreement() -> list[Finding]:
+    """Run and print the sections on the agreement without a store."""
+    found = []
+    with Pool(WORKERS) as pool:
+        for section in SECTIONS.values():
+            singles = pool.map(judge, section.list_singles(), 1)
+            section.print_singles(singles)
+            if '--singles' not in sys.argv:
+                pairs = pool.map(judge, section.list_pairs(), 1)
+                section.print_pairs(pairs)
+                found += pairs
+            found += singles
+    return found
+
+
 def _show(verdict: Verdict | None) -> str:
     if verdict is None:
         return '-'
@@ -92,7 +109,7 @@
     print_singles(singles)
     pairs = run_all(list_pair_cells()) if '--singles' not in sys.argv else []
     print_pairs(pairs)
-    verdicts = singles + pairs
+    verdicts = [*singles, *pairs, *run_agreement()]
     broken = [verdict for verdict in verdicts if verdict.broken]
     for verdict in broken:
         print(verdict)
--- a/tests/membership/test_faults.py
+++ b/tests/membership/test_faults.py
@@ -26,9 +26,11 @@
 class FleetMachine(RuleBasedStateMachine):
     """Every fault of the brief as a rule, on the code that runs."""
 
+    world_type = World
+
     @initialize(seed=st.integers(0, 1000))
     def start_all(self, seed: int) -> None:
-        self.world = World(seed)
+        self.world = self.world_type(seed)
         self.hosts = {name: host(name, name[0]) for name in NAMES}
         self.lives = dict.fromkeys(NAMES, 1)
         #: The process that has each name by right.
--- a/tests/membership/world.py
+++ b/tests/membership/world.py
@@ -159,11 +159,11 @@
     def send(self, question: Question) -> None:
         if self.rng.randrange(10) == 0:
             self.past = [*self.past[-20:], question]
-        self._post(question.source, question.address, question)
+        self.post(question.source, question.address, question)
 
     def answer(self, source: Process, question: Question, body: bytes) -> None:
         target = question.source.host.peer_address
-        self._post(source, target, (question, body))
+        self.post(source, target, (question, body))
 
     def deliver(self, message: object) -> None:
         match message:
@@ -216,7 +216,7 @@
             for task in process.stepper.parked()
         ]
 
-    def _post(self, source: Process, address: str, message: object) -> None:
+    def post(self, source: Process, address: str, message: object) -> None:
         cut = (source.host.peer_address, address) in self.cuts
         if cut or self.rng.random() < self.loss:
             return
