Take a pause of a lease's time for a pause of a home

Cause: a home that was paused for up to 5 s went on lending as if nothing had been. The others' next home begins to lend 5 s after it saw the first one go, and stops when it sees it back, up to 2 s after the waking: in between both lent the whole limit. Found by the fault matrix, cells 'demand moves' + 'pause home' (sum 1.53 of the limit at 1).

Ruled out: a mistake of the test's world (views agreed within 2 s all the time); a longer wait of every new home, which would cost under-admission at each change of entries.

Change: Homes takes the settings whole, and a gap of lease_seconds (3 s, the settling time less the time in which views converge) counts as a pause.

--- a/src/ospreyford/limits/homes.py
+++ b/src/ospreyford/limits/homes.py
@@ -8,6 +8,8 @@
 
 from xxhash import xxh3_64_intdigest
 
+from ospreyford.limits.settings import ShareSettings
+
 
 class EntryView(NamedTuple):
     """The entries as this process sees them.
@@ -40,16 +42,23 @@
 
     :param me: name of this entry.
     :param members: source of the view.
-    :param settle_seconds: how long a past view still counts.
+    :param settings: how long a past view and an unnoticed pause may last.
     :param now: seconds on the monotonic clock.
     """
 
     def __init__(
-        self, me: str, members: EntryMembers, settle_seconds: float, now: float
+        self,
+        me: str,
+        members: EntryMembers,
+        settings: ShareSettings,
+        now: float,
     ) -> None:
         self._me = me
         self._members = members
-        self._settle_seconds = settle_seconds
+        self._settle_seconds = (
+            settings.lease_seconds + settings.convergence_seconds
+        )
+        self._pause_seconds = settings.lease_seconds
         self._started_at = now
         self._followed_at = now
         self._view = members.view()
@@ -66,9 +75,13 @@
 
         :param now: seconds on the monotonic clock.
         """
-        if now - self._followed_at > self._settle_seconds:
+        if now - self._followed_at >= self._pause_seconds:
             # Paused, and the others may have taken a new home meanwhile,
-            # whose leases this entry knows nothing of: start afresh.
+            # whose leases this entry knows nothing of: start afresh. That
+            # home leases once the settling time is over, and until it sees
+            # this entry back, which takes the time in which views converge:
+            # after a pause only a little shorter than the settling time
+            # both would lease out the whole limit.
             self._started_at = now
         self._followed_at = now
         while self._past and self._past[0].replaced_at <= (
--- a/src/ospreyford/limits/share.py
+++ b/src/ospreyford/limits/share.py
@@ -100,8 +100,7 @@
         self._me = me
         self._peers = peers
         self._clock = clock
-        settle = settings.lease_seconds + settings.convergence_seconds
-        self._homes = Homes(me.name, members, settle, clock.monotonic())
+        self._homes = Homes(me.name, members, settings, clock.monotonic())
         self._book = LeaseBook(settings.lease_seconds)
         self._held: dict[str, _Held] = {}
         self._demands: dict[str, _Demand] = {}
