Take types of settings and questions from one place

Cause: duplicates showed the same bounds in agent and entry settings, and the same question twice in node.questions. Change: settings.types serves both; one _ask.

--- a/src/ospreyford/agent/settings.py
+++ b/src/ospreyford/agent/settings.py
@@ -2,15 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import msgspec
 
-DAY_SECONDS = 86_400
-MAX_COUNT = 10_000_000
-
-Seconds = Annotated[float, msgspec.Meta(gt=0, le=DAY_SECONDS)]
-Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+from ospreyford.settings.types import Count, Seconds
 
 
 class RecordSettings(
--- a/src/ospreyford/entry/settings.py
+++ b/src/ospreyford/entry/settings.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-DAY_SECONDS = 86_400
-MAX_COUNT = 1_000
+from ospreyford.settings.types import Seconds
 
-Seconds = Annotated[float, msgspec.Meta(gt=0, le=DAY_SECONDS)]
-Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+MOST_ATTEMPTS = 1_000
+
+Attempts = Annotated[int, msgspec.Meta(ge=1, le=MOST_ATTEMPTS)]
 
 
 class AttemptSettings(
@@ -55,5 +55,5 @@
 
     default_deadline_seconds: Seconds = 30
     max_deadline_seconds: Seconds = 120
-    max_attempts: Count = 3
+    max_attempts: Attempts = 3
     retry_after_seconds: Seconds = 1
--- a/src/ospreyford/node/questions.py
+++ b/src/ospreyford/node/questions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 
@@ -18,6 +18,8 @@
 
 ASK_SECONDS = 0.5
 
+Answer = TypeVar('Answer')
+
 _spans = msgspec.msgpack.Decoder(list[Span])
 
 
@@ -97,13 +99,7 @@
     :param address: the agent's peer address.
     :returns: what it says, or ``None`` if it does not answer.
     """
-    body = await peers.ask(address, Topic.agent_status, b'', ASK_SECONDS)
-    if body is None:
-        return None
-    try:
-        return _status.decode(body)
-    except msgspec.MsgspecError:
-        return None
+    return await _ask(peers, address, Topic.agent_status, _status)
 
 
 async def ask_plan(peers: PeerPort, address: str) -> PlanExplanation | None:
@@ -113,11 +109,20 @@
     :param address: the agent's peer address.
     :returns: the last judgement, or ``None`` where this agent makes none.
     """
-    body = await peers.ask(address, Topic.plan, b'', ASK_SECONDS)
+    return await _ask(peers, address, Topic.plan, _plan)
+
+
+async def _ask(
+    peers: PeerPort,
+    address: str,
+    topic: Topic,
+    decoder: msgspec.msgpack.Decoder[Answer],
+) -> Answer | None:
+    body = await peers.ask(address, topic, b'', ASK_SECONDS)
     if body is None:
         return None
     try:
-        return _plan.decode(body)
+        return decoder.decode(body)
     except msgspec.MsgspecError:
         return None
 
