Wait at a planned stop for answers still being sent; measure failures

Cause: an agent asked to stop waited for what ran, not for answers on their way to an entry. Red: test_answer_still_read_holds_a_planned_stop_up (written with the change; before it the record had no list of unfinished answers). This does not mend the whole fault: the scenario stop_under_slow_reader is still cut, since an entry that its caller holds up sends no heartbeat. It stands in KNOWN-RED.txt; make faults runs and prints it, and does not count it.

--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -47,7 +47,7 @@
         self.ended: float | None = None
         self.abandoned: float | None = begun
         self.task: curio.Task | None = None
-        self._followers = 0
+        self.followers = 0
         self._dropped = False
         self._frames: list[AnswerFrame] = []
         self._changed = curio.Event()
@@ -78,7 +78,7 @@
 
     def follow(self) -> None:
         """Note that one more connection follows."""
-        self._followers += 1
+        self.followers += 1
         self.abandoned = None
 
     def unfollow(self, now: float) -> None:
@@ -86,8 +86,8 @@
 
         :param now: monotonic seconds.
         """
-        self._followers -= 1
-        if not self._followers:
+        self.followers -= 1
+        if not self.followers:
             self.abandoned = now
 
     def is_abandoned_since(self, oldest: float) -> bool:
@@ -161,7 +161,7 @@
 
         :param max_bytes: longest answer to keep, in bytes of its body.
         """
-        if self._followers or self.fate is not None:
+        if self.followers or self.fate is not None:
             return
         size = sum(
             len(frame.content)
--- a/src/ospreyford/agent/memory.py
+++ b/src/ospreyford/agent/memory.py
@@ -127,6 +127,21 @@
             if isinstance(entry, Execution) and entry.ended is None
         ]
 
+    def list_unfinished(self) -> list[Execution]:
+        """List the executions that a stop of this process would cut.
+
+        :returns: those that run, and those whose answer an entry still reads.
+        """
+        # The run may end long before its answer is delivered: a slow caller
+        # holds the entry up, and the entry the agent. Symptom of leaving
+        # then: a planned stop cuts the answer.
+        return [
+            entry
+            for entry in self._entries.values()
+            if isinstance(entry, Execution)
+            and (entry.ended is None or entry.followers)
+        ]
+
     def list_abandoned(self, orphan_seconds: float) -> list[Execution]:
         """List idempotent executions that nobody follows any more.
 
--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -79,7 +79,7 @@
 
     async def run(self) -> None:
         """Run until asked to stop, then finish what is in flight."""
-        self._program.stop.count_in_flight = self._count_running
+        self._program.stop.count_in_flight = self._count_unfinished
         self._node.configuration.listen(self._drains.note_picture)
         self._node.listen_for_hosts(self._drains.note_hosts)
         # Binding the slot's one address holds a second agent off for as long
@@ -116,7 +116,7 @@
             AgentStatus(
                 name=self._settings.identity.name,
                 incarnation=self._node.incarnation,
-                running=self._count_running(),
+                running=self._count_unfinished(),
                 records=len(self._parts.record.memory),
                 draining=tuple(
                     one.source for one in self._drains.find_causes()
@@ -183,7 +183,7 @@
     def _tell_draining(self, causes: tuple[DrainCause, ...]) -> None:
         named = ', '.join(one.source for one in causes)
         self._program.changes.log_change(
-            Draining(named, self._count_running()),
+            Draining(named, self._count_unfinished()),
         )
 
     async def _accept(self, listening: Socket) -> None:
@@ -192,14 +192,14 @@
                 sock, _ = await listening.accept()
                 await curio.spawn(self._parts.service.serve, sock, daemon=True)
 
-    def _count_running(self) -> int:
-        return len(self._parts.record.memory.list_running())
+    def _count_unfinished(self) -> int:
+        return len(self._parts.record.memory.list_unfinished())
 
     async def _drain(self, accepting: curio.Task) -> None:
         self._drains.stopping = True
         self._parts.record.draining = True
         await self._node.membership.leave()
-        while self._count_running():
+        while self._count_unfinished():
             await curio.sleep(DRAIN_POLL_SECONDS)
         # The last answers are still on their way, and an entry whose
         # connection broke may ask for the rest of one.
--- a/tests/agent/test_record.py
+++ b/tests/agent/test_record.py
@@ -248,3 +248,21 @@
     assert copy == Denied(Refusal.voided)
     retry = record.start(make_start('key', 'a2', **times))
     assert isinstance(retry, Begun)
+
+
+def test_answer_still_read_holds_a_planned_stop_up(
+    record: ExecutionRecord, clock: FakeClock
+) -> None:
+    # Symptom: a planned stop cuts an answer. Sequence: the run ends, a slow
+    # caller still reads, the agent is asked to stop. Cause: it waited only
+    # for what still ran.
+    dated, expires = _ms(clock), _ms(clock, 30)
+    begun = record.start(make_start('key', 'a1', dated=dated, expires=expires))
+    assert isinstance(begun, Begun)
+    begun.execution.follow()
+    load = LoadReport(incarnation=INCARNATION)
+    curio.run(begun.execution.finish, load, clock.monotonic())
+    assert record.memory.list_running() == []
+    assert record.memory.list_unfinished() == [begun.execution]
+    begun.execution.unfollow(clock.monotonic())
+    assert record.memory.list_unfinished() == []
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -15,7 +15,7 @@
 from http.client import HTTPConnection, HTTPException, IncompleteRead
 from itertools import count
 from threading import Event
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 from ospreyford.entry.homes import Home, order_homes
 from ospreyford.settings.types import split_address
@@ -26,6 +26,7 @@
 MODEL = 'drafting'
 DEADLINE_MS = 6_000
 CALLER_SECONDS = 12.0
+LONG_DEADLINE_MS = 60_000
 STREAM_TOKENS = 200
 THREADS = 64
 
@@ -132,8 +133,46 @@
     return told
 
 
+class SlowReader:
+    """A caller that asks for a long answer and does not read it at first.
+
+    :param address: the entry's data address.
+    :param tokens: length of the answer.
+    """
+
+    def __init__(self, address: str, tokens: int) -> None:
+        self.ask = make_ask(Kind.stream, tokens)
+        self._began = time.monotonic()
+        self._connection = HTTPConnection(
+            *split_address(address), timeout=CALLER_SECONDS
+        )
+
+    def __enter__(self) -> Self:
+        headers = _make_headers(self.ask)
+        headers['ospreyford-deadline-ms'] = str(LONG_DEADLINE_MS)
+        self._connection.request(*_address(self.ask), headers=headers)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._connection.close()
+
+    def read_rest(self, entry: str) -> Told:
+        """Read the answer to its end."""
+        told = Told(self.ask, entry, 'lost', self._began, self._began)
+        try:
+            _read_answer(self._connection, told)
+        except (OSError, HTTPException):
+            told.outcome = 'cut'
+        told.ended = time.monotonic()
+        return told
+
+
 def _exchange(caller: HTTPConnection, ask: Ask, told: Told) -> None:
     caller.request(*_address(ask), headers=_make_headers(ask))
+    _read_answer(caller, told)
+
+
+def _read_answer(caller: HTTPConnection, told: Told) -> None:
     answer = caller.getresponse()
     told.request_id = answer.getheader('ospreyford-request-id', '')
     told.outcome = answer.getheader('ospreyford-outcome', '?')
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -310,5 +310,6 @@
     PAUSE_ENTRY,
     SILENCE._replace(name='silent idle connections', early=True),
     STOP_AGENT,
+    STOP_ENTRY,
     pair(KILL_AGENT, PLATFORM_DOWN),
 )
--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -12,9 +12,17 @@
 from typing import NamedTuple
 
 from ospreyford.standins.fleet import ask, is_ready
-from tests.processes.callers import Kind, Told, make_ask, make_ask_for, send
+from tests.processes.callers import (
+    Kind,
+    SlowReader,
+    Told,
+    make_ask,
+    make_ask_for,
+    send,
+)
 from tests.processes.deployment import (
     ENGINE,
+    ENGINES,
     ENTRIES,
     HOMES,
     VICTIM,
@@ -43,6 +51,10 @@
 SETTLE_SECONDS = 1.0
 AFTER_SECONDS = 2.0
 STOP_SECONDS = 20.0
+#: An answer of some 11 MB: more than the connections on its way can hold.
+LONG_TOKENS = 250_000
+FAST_STEP_MS = 0.001
+STEP_MS = 5
 NEVER = 'planned stop, yet'
 
 
@@ -174,6 +186,35 @@
     return finding
 
 
+def stop_under_slow_reader(rig: Deployment) -> Finding:
+    """Stop the engines' agents while a caller reads a long answer slowly.
+
+    Symptom looked for: a planned stop cuts an answer whose run has ended.
+    """
+    for name in ENGINES:
+        rig.control_backend(name, {'step_ms': FAST_STEP_MS})
+    entry = ENTRIES[0]
+    with SlowReader(rig.crowd.entries[entry], LONG_TOKENS) as reader:
+        rig.wait_for(
+            lambda: any(_has_finished(rig, name, reader) for name in ENGINES),
+            'the run ends',
+        )
+        for name in ENGINES:
+            rig.find(name).process.signal(signal.SIGTERM)
+        time.sleep(AFTER_SECONDS)
+        told = reader.read_rest(entry)
+    broken = []
+    for name in ENGINES:
+        if rig.find(name).process.wait(STOP_SECONDS):
+            broken.append(f'{name} did not end well')
+        rig.restart(name)
+        rig.control_backend(name, {'step_ms': STEP_MS})
+    finding = _judge(rig, 'agent SIGTERM, slow reader', [told], planned=True)
+    finding.broken.extend(broken)
+    _wait_until_whole(rig)
+    return finding
+
+
 def notice_silence(rig: Deployment) -> Finding:
     """Send on a connection at rest that has gone silent."""
     told = []
@@ -185,6 +226,11 @@
         told.append(send(make_ask_for(VICTIM, HOMES), entry, address))
         SILENCE.heal(rig)
     finding = _judge(rig, 'silent connection at rest', told, planned=True)
+    finding.broken.extend(
+        f'a new connection would work, yet {each}'
+        for each in told
+        if each.outcome != 'answered'
+    )
     silent = [each.ended - each.began for each in told[1::2]]
     finding.measured['answered after'] = max(silent)
     return finding
@@ -285,6 +331,8 @@
     publish_while_stale,
     race_operators,
 )
+#: Listed in KNOWN-RED.txt with its cause; run and printed, not counted.
+KNOWN_RED: tuple[Scenario, ...] = (stop_under_slow_reader,)
 QUICK_SCENARIOS: tuple[Scenario, ...] = (
     drain_by_signal,
     notice_silence,
@@ -340,6 +388,14 @@
         rig.wait_until_keys_run_at(home)
 
 
+def _has_finished(rig: Deployment, name: str, reader: SlowReader) -> bool:
+    return any(
+        entry['event'] == 'finished'
+        and entry['note']['tokens'] == reader.ask.tokens
+        for entry in ask(rig.fleet.backends[name].port, '/journal')
+    )
+
+
 def _is_alive(rig: Deployment) -> bool:
     address = rig.crowd.entries[ENTRIES[0]]
     told = send(make_ask(Kind.rate), ENTRIES[0], address)
