--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -9,6 +9,7 @@
 import curio
 import msgspec
 
+from ospreyford.http.polling import has_news
 from ospreyford.wire.errors import Malformed, Severed, Unreachable
 from ospreyford.wire.frame import AgentFrame, EntryFrame, Frame
 
@@ -23,8 +24,8 @@
 Received = TypeVar('Received')
 
 _encoder = msgspec.msgpack.Encoder()
-_entry_decoder = msgspec.msgpack.Decoder(EntryFrame)
-_agent_decoder = msgspec.msgpack.Decoder(AgentFrame)
+entry_decoder = msgspec.msgpack.Decoder(EntryFrame)
+agent_decoder = msgspec.msgpack.Decoder(AgentFrame)
 
 
 def encode_frames(*frames: Frame) -> bytes:
@@ -58,6 +59,13 @@
         """
         self._buffer += received
 
+    def is_empty(self) -> bool:
+        """Tell whether every received byte was cut off as a frame.
+
+        :returns: whether nothing is left.
+        """
+        return not self._buffer
+
     def next_frame(self) -> Received | None:
         """Cut off one frame.
 
@@ -76,7 +84,8 @@
         del self._buffer[:end]  # noqa: WPS420 -- cut in place, not copied
         try:
             return self._decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
+            # Nested deeply enough, bytes exhaust the decoder's stack.
             raise Malformed(str(error)) from None
 
 
@@ -107,6 +116,14 @@
         except OSError:
             raise Severed from None
 
+    def take_arrived(self) -> Received | None:
+        """Take the next frame without waiting.
+
+        :returns: the frame, or ``None`` if it has not wholly arrived.
+        :raises Malformed: the peer broke the protocol.
+        """
+        return self._reader.next_frame()
+
     async def receive(self) -> Received:
         """Wait for the next frame.
 
@@ -127,13 +144,11 @@
             self._reader.feed(received)
 
     def is_quiet(self) -> bool:
-        """Tell whether the peer has neither sent nor closed.
+        """Tell whether the connection is open with nothing unread on it.
 
-        :returns: whether nothing waits to be read, not even an end.
+        :returns: whether a request may be sent on it.
         """
-        poller = select.poll()
-        poller.register(self._sock.fileno(), READABLE)
-        return not poller.poll(0)
+        return self._reader.is_empty() and not has_news(self._sock)
 
     async def close(self) -> None:
         """Close the socket."""
@@ -146,7 +161,7 @@
     :param sock: the accepted curio socket.
     :returns: a connection that receives an entry's frames.
     """
-    return FrameConnection(sock, _entry_decoder)
+    return FrameConnection(sock, entry_decoder)
 
 
 async def open_to_agent(
@@ -168,4 +183,4 @@
         )
     except (OSError, curio.TaskTimeout):
         raise Unreachable from None
-    return FrameConnection(sock, _agent_decoder)
+    return FrameConnection(sock, agent_decoder)
