Bound connecting to an agent by the request's deadline

Cause: with an agent's host that accepts but does not greet, a request was answered up to twice connect_seconds after its deadline.

--- a/src/ospreyford/entry/attempt.py
+++ b/src/ospreyford/entry/attempt.py
@@ -75,7 +75,10 @@
         :returns: how it ended.
         """
         try:
-            connection = await self._pool.take(target.data_address)
+            connection = await self._pool.take(
+                target.data_address,
+                self._left(),
+            )
         except Unreachable:
             return NotRun(Cause.unreachable, 0)
         # A host list that lags may name an address that another backend
@@ -98,7 +101,10 @@
             it does not move, if it did not run there; else its fate.
         """
         try:
-            connection = await self._pool.open(target.data_address)
+            connection = await self._pool.open(
+                target.data_address,
+                self._left(),
+            )
         except Unreachable:
             return Unknown(Cause.home_unreachable, 0)
         if connection.greeting.server != target.name:
@@ -125,7 +131,10 @@
 
     async def _reconnect(self, target: Target) -> AttemptOutcome | Interrupted:
         try:
-            connection = await self._pool.open(target.data_address)
+            connection = await self._pool.open(
+                target.data_address,
+                self._left(),
+            )
         except Unreachable:
             return Interrupted()
         if connection.greeting.incarnation != self._incarnation:
@@ -154,6 +163,9 @@
             await self._release(target, connection, step)
         return step
 
+    def _left(self) -> float:
+        return self._deadline - self._clock.monotonic()
+
     async def _release(
         self,
         target: Target,
--- a/src/ospreyford/wire/pool.py
+++ b/src/ospreyford/wire/pool.py
@@ -57,10 +57,11 @@
         self._idle: dict[str, list[IdleConnection]] = {}
         self._swept = clock.monotonic()
 
-    async def take(self, address: str) -> AgentConnection:
+    async def take(self, address: str, within: float) -> AgentConnection:
         """Take an idle connection, or open one.
 
         :param address: the agent's data address.
+        :param within: seconds that opening one may take at most.
         :returns: a connection with nothing unread on it.
         :raises Unreachable: none could be opened; nothing was sent.
         """
@@ -74,18 +75,20 @@
             if rested.since >= oldest and frames.is_quiet():
                 return rested.connection
             await frames.close()
-        return await self.open(address)
+        return await self.open(address, within)
 
-    async def open(self, address: str) -> AgentConnection:
+    async def open(self, address: str, within: float) -> AgentConnection:
         """Open a fresh connection.
 
         :param address: the agent's data address.
+        :param within: seconds that it may take at most, however patient the
+            settings are.
         :returns: the connection, greeted.
         :raises Unreachable: none could be opened; nothing was sent.
         """
         # The kernel accepts for a process that is paused or hung; only its
         # greeting shows that somebody answers, before anything is sent.
-        limit = self._settings.connect_seconds
+        limit = min(self._settings.connect_seconds, max(within, 0))
         frames = await open_to_agent(address, limit)
         try:
             greeting = await curio.timeout_after(limit, frames.receive())
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -11,9 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ospreyford.entry.attempt import Attempt
+from ospreyford.entry.outcome import Cause, NotRun
 from ospreyford.http.server import listen, port_of
 from ospreyford.ports.clock import SystemClock
-from ospreyford.ports.fleet import LoadReport
+from ospreyford.ports.fleet import Host, LoadReport
 from ospreyford.wire.connection import (
     MAX_FRAME_BYTES,
     FrameConnection,
@@ -40,7 +42,9 @@
 from ospreyford.wire.identity import make_id, read_date
 from ospreyford.wire.pool import ConnectionPool, PoolSettings
 from tests.agent.frames import make_follow, make_start
+from tests.faults.rig import TIMES, CollectingSink
 
+CLOCK = SystemClock()
 SETTINGS = settings(max_examples=150, derandomize=True, deadline=None)
 LOAD = LoadReport(incarnation='i', in_flight=3, free_cache_ratio=0.5)
 NESTED_BEAT = b'\x93\xa4Beat\xa1e%b' % (b'\x91' * 100_000)
@@ -197,9 +201,7 @@
 
 
 def make_pool(**times: Any) -> ConnectionPool:
-    return ConnectionPool(
-        PoolSettings(connect_seconds=0.1, **times), SystemClock()
-    )
+    return ConnectionPool(PoolSettings(connect_seconds=0.1, **times), CLOCK)
 
 
 async def say_more(agent: Agent) -> None:
@@ -232,11 +234,11 @@
     async def main() -> int:
         async with Agent(GREETING) as agent:
             pool = make_pool()
-            first = await pool.take(agent.address)
+            first = await pool.take(agent.address, 1)
             await pool.give_back(agent.address, first)
             await event(agent)
             await settle()
-            await pool.take(agent.address)
+            await pool.take(agent.address, 1)
             await settle()
             return len(agent.sockets)
 
@@ -249,8 +251,10 @@
     async def main() -> int:
         async with Agent(GREETING, FRAMES[-1]) as agent:
             pool = make_pool()
-            await pool.give_back(agent.address, await pool.take(agent.address))
-            await pool.take(agent.address)
+            await pool.give_back(
+                agent.address, await pool.take(agent.address, 1)
+            )
+            await pool.take(agent.address, 1)
             await settle()
             return len(agent.sockets)
 
@@ -268,9 +272,9 @@
     async def main() -> bytes:
         async with Agent(GREETING) as old, Agent(GREETING) as new:
             pool = make_pool(idle_seconds=0.05)
-            await pool.give_back(old.address, await pool.take(old.address))
+            await pool.give_back(old.address, await pool.take(old.address, 1))
             await curio.sleep(0.1)
-            await pool.give_back(new.address, await pool.take(new.address))
+            await pool.give_back(new.address, await pool.take(new.address, 1))
             received: bytes = await curio.timeout_after(
                 1, old.sockets[0].recv(1)
             )
@@ -283,17 +287,40 @@
 def test_whoever_does_not_greet_is_unreachable(greeting: Any) -> None:
     async def main() -> None:
         async with Agent(*greeting) as agent:
-            await make_pool().take(agent.address)
+            await make_pool().take(agent.address, 1)
 
     with pytest.raises(Unreachable):
         curio.run(main)
 
 
+def test_connecting_ends_with_the_deadline() -> None:
+    """A request that is given up gets its answer then.
+
+    Symptom: a caller waits long after its deadline.
+    Sequence: the agent's host accepts connections, the agent is paused.
+    Cause: connecting had its own bound only.
+    """
+
+    async def main() -> Any:
+        async with Agent() as agent, curio.timeout_after(2):
+            start = make_start('e', 'a')
+            pool = ConnectionPool(PoolSettings(connect_seconds=9), CLOCK)
+            deadline = CLOCK.monotonic() + 0.1
+            attempt = Attempt(
+                TIMES, pool, CLOCK, start, CollectingSink(), deadline
+            )
+            return await attempt.run(
+                Host('s', 'i', 'backend', 'z', 'r', 'v', agent.address, '')
+            )
+
+    assert curio.run(main) == NotRun(Cause.unreachable, 0)
+
+
 def test_pool_keeps_no_more_than_it_may() -> None:
     async def main() -> list[bool]:
         async with Agent(GREETING) as agent:
             pool = make_pool(idle_each=1)
-            taken = [await pool.take(agent.address) for _ in range(2)]
+            taken = [await pool.take(agent.address, 1) for _ in range(2)]
             for each in taken:
                 await pool.give_back(agent.address, each)
             return [await is_open(each.frames) for each in taken]
