--- a/src/ospreyford/wire/pool.py
+++ b/src/ospreyford/wire/pool.py
@@ -70,8 +70,9 @@
         while idle:
             rested = idle.pop()
             frames = rested.connection.frames
-            # What came after the last answer was read, or an agent that has
-            # gone, must not meet the next request.
+            # A request sent to a process that has ended meanwhile would be
+            # of unknown outcome, although no one can have run it. And what
+            # can be read on a connection at rest is nobody's answer.
             if rested.since >= oldest and frames.is_quiet():
                 return rested.connection
             await frames.close()
