Resolve documents beside the event loop

Cause: Resolver.record asks to be called in a thread, but Configuration called it on the event loop.

--- a/src/ospreyford/node/configuration.py
+++ b/src/ospreyford/node/configuration.py
@@ -71,7 +71,12 @@
         revisions = (entry.revision for entry in entries)
         self.revision = max(self.revision, *revisions)
         before = self.picture.digest
-        picture = self.resolver.record(DocumentEntry(*each) for each in entries)
+        # A document of a megabyte takes a fifth of a second: on the event
+        # loop every stream and heartbeat would stand still for so long.
+        picture: Picture = await curio.run_in_thread(
+            self.resolver.record,
+            [DocumentEntry(*each) for each in entries],
+        )
         for listener in self._listeners:
             listener(picture)
         if picture.digest != before:
