Ask a key's former home while an entry may still know it as one

Cause: when a home joins, its predecessor is asked first for an hour; when one left (former_homes, until), nobody was asked. An entry that was cut off or paused over the "until" sent a key to the old home, and the caller's retry through an up-to-date entry ran it a second time on the next home. Seen red first with real agents: two runs of one key, both answered (test_key_does_not_run_again_when_its_home_has_left: (Answered(), 2)).

Ruled out: relying on "until" being published a minute ahead; a region may be cut off for an hour.

Change: the homes at the end of each earlier set within the horizon are asked. A former home that the host list no longer shows has stopped and is passed over, so a planned removal costs no unknown outcome. One that is listed but does not answer costs "unknown" for its keys for up to an hour.

--- a/src/ospreyford/entry/homes.py
+++ b/src/ospreyford/entry/homes.py
@@ -8,8 +8,8 @@
 
 MILLISECONDS = 1000
 HOUR_SECONDS = 3_600
-#: How long after a home joined its predecessor is still asked for a key.
-#: An entry that knows an older document may go on sending keys there.
+#: How long after a home joined or left the home before is still asked for a
+#: key. An entry that knows an older document may go on sending keys there.
 HORIZON_MS = HOUR_SECONDS * MILLISECONDS
 
 
@@ -60,11 +60,14 @@
 
 
 def _list_earlier(ranked: list[Home], dated: int) -> list[tuple[str, ...]]:
-    joins = [home.since for home in ranked if home.since is not None]
+    # The last moments of the sets of homes before the key's own: each home
+    # that joined or left began another one.
+    ends = [home.since - 1 for home in ranked if home.since is not None]
+    ends += [home.until for home in ranked if home.until is not None]
     return [
-        _list_valid(ranked, joined - 1)
-        for joined in joins
-        if dated - HORIZON_MS < joined <= dated
+        _list_valid(ranked, end)
+        for end in ends
+        if dated - HORIZON_MS <= end < dated
     ]
 
 
--- a/src/ospreyford/entry/keyed.py
+++ b/src/ospreyford/entry/keyed.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from ospreyford.entry.call import Call, Directory, Plan
+    from ospreyford.entry.homes import HomeOrder
     from ospreyford.entry.sending import Sender
     from ospreyford.entry.settings import RequestSettings
     from ospreyford.entry.sink import Sink
@@ -52,7 +53,7 @@
         """
         identity = _name_key(call)
         order = order_homes(plan.homes, identity, call.dated)
-        for name in order.asked:
+        for name in self._list_asked(plan, order):
             outcome = await self._ask(call, name, sink, moved=True)
             if not isinstance(outcome, Moved):
                 return self._settle(outcome)
@@ -97,12 +98,22 @@
         if call.idempotent or not call.key:
             return refusal
         order = order_homes(plan.homes, _name_key(call), call.dated)
-        for name in (*order.asked, *order.chain[:1]):
+        for name in (*self._list_asked(plan, order), *order.chain[:1]):
             outcome = await self._ask(call, name, sink, moved=False)
             if not isinstance(outcome, NotRun):
                 return self._settle(outcome)
         return refusal
 
+    def _list_asked(self, plan: Plan, order: HomeOrder) -> list[str]:
+        # A former home that the host list no longer shows has stopped for
+        # good: nothing can reach it any more, and nobody can ask it.
+        former = {home.name for home in plan.homes if home.until is not None}
+        return [
+            name
+            for name in order.asked
+            if name not in former or self._directory.find_host(name)
+        ]
+
     async def _ask(
         self,
         call: Call,
