--- a/src/ospreyford/measure/capacity_parts.py
+++ b/src/ospreyford/measure/capacity_parts.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from ospreyford.distribution.replica import Replica
+from ospreyford.documents.parsing import is_well_formed
 from ospreyford.entry.call import Plan
 from ospreyford.entry.directory import FleetDirectory
 from ospreyford.limits.gate import LimitGate
@@ -103,7 +104,7 @@
 
     :returns: the texts by name.
     """
-    replica = Replica()
+    replica = Replica(is_well_formed)
     for entry in write_entries():
         replica.accept(entry)
     return replica
