--- a/src/ospreyford/entry/attempt.py
+++ b/src/ospreyford/entry/attempt.py
@@ -29,7 +29,7 @@
 
 
 #: Gives a greeted connection to an address.
-Connect: TypeAlias = Callable[[str], Awaitable['AgentConnection']]
+Connect: TypeAlias = Callable[[str, float], Awaitable['AgentConnection']]
 
 
 class Target(Protocol):
@@ -101,7 +101,10 @@
             it does not move, if it did not run there; else its fate.
         """
         try:
-            connection = await self._pool.open(target.data_address)
+            connection = await self._pool.open(
+                target.data_address,
+                self._left(),
+            )
         except Unreachable:
             return Unknown(Cause.home_unreachable, 0)
         if connection.greeting.server != target.name:
@@ -116,7 +119,7 @@
 
     async def _run_on(self, target: Target, connect: Connect) -> AttemptOutcome:
         try:
-            connection = await connect(target.data_address)
+            connection = await connect(target.data_address, self._left())
         except Unreachable:
             return NotRun(Cause.unreachable, 0)
         # A host list that lags may name an address that another backend
@@ -148,7 +151,10 @@
 
     async def _reconnect(self, target: Target) -> AttemptOutcome | Interrupted:
         try:
-            connection = await self._pool.open(target.data_address)
+            connection = await self._pool.open(
+                target.data_address,
+                self._left(),
+            )
         except Unreachable:
             return Interrupted()
         if connection.greeting.incarnation != self._incarnation:
@@ -177,6 +183,9 @@
             await self._release(target, connection, step)
         return step
 
+    def _left(self) -> float:
+        return self._deadline - self._clock.monotonic()
+
     async def _release(
         self,
         target: Target,
