--- a/src/ospreyford/agent/service.py
+++ b/src/ospreyford/agent/service.py
@@ -82,7 +82,10 @@
         """Forget old entries and stop orphans, for ever."""
         while True:
             await self._clock.sleep(SWEEP_SECONDS)
-            self._record.memory.sweep()
+            for _ in self._record.memory.sweep_parts():
+                # A whole sweep of a full record takes longer than two tokens
+                # may be apart.
+                await curio.sleep(0)
             await self._runner.cancel_abandoned()
 
     async def _serve_frames(
@@ -308,7 +311,5 @@
             await self._connection.send(*(frames or (beat,)))
             if ended:
                 return
-            await curio.ignore_after(
-                self._settings.beat_seconds,
-                execution.wait_for_change(sequence),
-            )
+            async with curio.ignore_after(self._settings.beat_seconds):
+                await execution.wait_for_change(sequence)
