--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 demo: setup
 	$(SOURCE) $(BIN)/python -m ospreyford.standins.demo
 
+bench: setup
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.bench
+
 faults: setup
 	$(SOURCE) $(BIN)/python -m tests.faults
 
--- a/src/ospreyford/agent/load.py
+++ b/src/ospreyford/agent/load.py
@@ -32,7 +32,7 @@
         self._record = record
         self._backend = backend
         self._clock = clock
-        self._read_at = clock.monotonic()
+        self._read_at: float | None = None
         self._engine = LoadReport(incarnation=record.incarnation)
 
     def report(self) -> LoadReport:
@@ -41,7 +41,11 @@
         :returns: the engine's last figures with their age, the own count of
             running requests, and whether the agent drains.
         """
-        rested = self._clock.monotonic() - self._read_at
+        # A plain service reports nothing: the own count is all there is, and
+        # it is of now. With an age that only grows no entry would heed it.
+        rested: float = 0
+        if self._read_at is not None:
+            rested = self._clock.monotonic() - self._read_at
         return msgspec.structs.replace(
             self._engine,
             incarnation=self._record.incarnation,
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
@@ -11,9 +12,9 @@
 import curio
 import h11
 
+from ospreyford.http.body import IncomingBody
 from ospreyford.http.errors import (
     BadMessage,
-    BodyTooLarge,
     ConnectionLost,
     HttpError,
     TooSlow,
@@ -27,6 +28,9 @@
 
 READ_BYTES = 65_536
 BACKLOG = 512
+#: ``struct linger``: on, zero seconds.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+GO_ON = h11.InformationalResponse(status_code=100, headers=[])
 HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -66,7 +70,8 @@
         """
         length = (b'content-length', str(len(body)).encode())
         await self.start(status, (*headers, length))
-        await self.write(body)
+        if self.request.method != 'HEAD':
+            await self.write(body)
         await self.finish()
 
     async def start(self, status: int, headers: Headers = ()) -> None:
@@ -155,12 +160,20 @@
         :raises TooSlow: the body took longer than the limit.
         :raises ConnectionLost: the caller went away.
         """
+        body = IncomingBody(self._limits.body_bytes)
+        # Most bodies came with their heads: only one that has not wholly
+        # arrived has to be waited for, and needs a time limit.
+        event = self._parse_event()
+        while event is not h11.NEED_DATA:
+            if body.add(event):
+                return body.join()
+            event = self._parse_event()
         limit = self._limits.body_seconds
         try:
-            body: bytes = await curio.timeout_after(limit, self._collect_body())
+            await curio.timeout_after(limit, body.collect(self._read_event))
         except curio.TaskTimeout:
             raise TooSlow('body', limit) from None
-        return body
+        return body.join()
 
     async def refuse(self, status: int, body: bytes, headers: Headers) -> None:
         """Answer what is no request, where the protocol still allows it.
@@ -187,16 +200,32 @@
         """Send one h11 event.
 
         :param event: a response, a piece of data or the end mark.
-        :raises ConnectionLost: the caller went away.
+        :raises ConnectionLost: the caller went away, or does not read.
         """
         encoded = self._parser.send(event)
         if not encoded:
             return
+        # A caller that does not read would hold its request's memory and its
+        # share of the limits for as long as it likes.
+        limit = self._limits.stall_seconds
         try:
-            await self._sock.sendall(encoded)
-        except OSError:
+            await curio.timeout_after(limit, self._sock.sendall(encoded))
+        except (OSError, curio.TaskTimeout):
             raise ConnectionLost from None
 
+    def reset_if_cut(self) -> None:
+        """Have the close break the connection under an unfinished answer.
+
+        To a caller of HTTP/1.0 an orderly close is the end mark: it would
+        take half an answer for a whole one.
+        """
+        if self._parser.our_state in {h11.SEND_BODY, h11.ERROR}:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                RESET_ON_CLOSE,
+            )
+
     def is_closing(self) -> bool:
         """Tell whether the next answer is the connection's last.
 
@@ -245,27 +274,28 @@
         return started
 
     async def _next_event(self, part: str, seconds: float) -> Any:
+        event = self._parse_event()
+        if event is not h11.NEED_DATA:
+            return event
         try:
             return await curio.timeout_after(seconds, self._read_event())
         except curio.TaskTimeout:
             raise TooSlow(part, seconds) from None
 
     async def _read_event(self) -> Any:
-        while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BadMessage(error.error_status_hint, str(error)) from None
-            if event is not h11.NEED_DATA:
-                return event
-            await self._answer_expectation()
+        event = self._parse_event()
+        while event is h11.NEED_DATA:
+            if self._parser.they_are_waiting_for_100_continue:
+                await self.send(GO_ON)
             await self._feed()
+            event = self._parse_event()
+        return event
 
-    async def _answer_expectation(self) -> None:
-        if self._parser.they_are_waiting_for_100_continue:
-            await self.send(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
+    def _parse_event(self) -> Any:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadMessage(error.error_status_hint, str(error)) from None
 
     async def _feed(self) -> bool:
         try:
@@ -276,20 +306,6 @@
         self.busy = self.busy or bool(received)
         return bool(received)
 
-    async def _collect_body(self) -> bytes:
-        pieces: list[bytes] = []
-        size = 0
-        while True:
-            event = await self._read_event()
-            if isinstance(event, h11.EndOfMessage):
-                return b''.join(pieces)
-            if not isinstance(event, h11.Data):
-                raise ConnectionLost
-            size += len(event.data)
-            if size > self._limits.body_bytes:
-                raise BodyTooLarge(self._limits.body_bytes)
-            pieces.append(bytes(event.data))
-
 
 #: Serves one request; it must answer or raise.
 RequestHandler = Callable[[Exchange], Awaitable[None]]
@@ -323,6 +339,7 @@
             if on_error is not None:
                 await on_error(error, connection)
         finally:
+            connection.reset_if_cut()
             if siblings is not None:
                 siblings.discard(connection)
 
