--- a/src/ospreyford/measure/capacity.py
+++ b/src/ospreyford/measure/capacity.py
@@ -12,7 +12,6 @@
 import tempfile
 import time
 from collections.abc import Iterable, Iterator, Sequence
-from contextlib import ExitStack
 from pathlib import Path
 
 from tabulate import tabulate
@@ -24,6 +23,7 @@
     SETTLE_SECONDS,
     SIZES,
     Rest,
+    measure_connections,
     measure_rest,
 )
 from ospreyford.measure.capacity_samples import encode_fleet, write_entries
@@ -47,18 +47,16 @@
     fill_entry,
     fill_record,
 )
-from ospreyford.measure.capacity_streams import Streams, measure_streams
+from ospreyford.measure.capacity_streams import measure_streams
 from ospreyford.measure.capacity_times import measure_times
-from ospreyford.standins.deployment import PENSION_OFFICE, Size
-from ospreyford.standins.fleet import Fleet, NotReady
+from ospreyford.standins.deployment import PENSION_OFFICE
+from ospreyford.standins.fleet import Fleet
 from ospreyford.standins.launcher import Launcher
 
 PERCENT = 100
 KILOBYTE = 1000
 #: Documents in one page of a fresh process's questions.
 PAGE = 100
-#: Starts of a fleet.
-TRIES = 3
 STATES = (
     ('entry', fill_entry),
     ('agent of a model', fill_agent),
@@ -86,17 +84,7 @@
             for cost in measure_times()
         ),
     )
-    rests, streams = measure_fleets()
-    _print(
-        'Real processes at rest',
-        ('role', 'fleet', 'MB', '% of a core', 'bytes an idle connection'),
-        (rest._replace(resident=rest.resident / MEGABYTE) for rest in rests),
-    )
-    _print(
-        'Streamed answers under way, 39 ms between tokens',
-        ('role', 'streams', 'tokens', 'bytes a stream', 'us a token'),
-        streams,
-    )
+    measure_fleets()
     _say_load()
 
 
@@ -148,45 +136,37 @@
     yield 'together', '', grown / MEGABYTE, ''
 
 
-def measure_fleets() -> tuple[list[Rest], list[Streams]]:
-    """Measure real processes in fleets of two sizes.
-
-    :returns: the processes at rest, and the streams of the larger fleet.
-    """
+def measure_fleets() -> None:
+    """Measure real processes in fleets of two sizes, and print the tables."""
     rests: list[Rest] = []
-    streams: list[Streams] = []
     for size in SIZES:
-        with tempfile.TemporaryDirectory() as directory, ExitStack() as stack:
-            fleet = start_fleet(stack, size, Path(directory))
+        with tempfile.TemporaryDirectory() as directory, Launcher() as launcher:
+            fleet = Fleet(
+                launcher, PENSION_OFFICE, size, DOCUMENTS, Path(directory)
+            )
+            fleet.start()
             time.sleep(SETTLE_SECONDS)
-            streams = list(measure_streams(fleet)) if rests else []
             rests.extend(measure_rest(fleet))
-    return rests, streams
-
+            if size == SIZES[-1]:
+                _print_fleet(fleet, rests)
 
-def start_fleet(stack: ExitStack, size: Size, directory: Path) -> Fleet:
-    """Start a fleet, again if a port was taken meanwhile.
 
-    :param stack: ends its processes.
-    :param size: how many.
-    :param directory: for their settings.
-    :returns: the fleet, ready.
-    :raises NotReady: it was not ready in any of the tries.
-    """
-    for left in reversed(range(TRIES)):
-        launcher = stack.enter_context(Launcher())
-        fleet = Fleet(launcher, PENSION_OFFICE, size, DOCUMENTS, directory)
-        try:
-            fleet.start()
-        except NotReady:
-            # Ports are chosen before the processes bind them; on a machine
-            # with other work another process takes one now and then.
-            stack.close()
-            if not left:
-                raise
-        else:
-            break
-    return fleet
+def _print_fleet(fleet: Fleet, rests: list[Rest]) -> None:
+    _print(
+        'Real processes at rest',
+        ('role', 'fleet', 'MB', '% of a core', 'peer bytes/s'),
+        rests,
+    )
+    _print(
+        'Streamed answers under way, 39 ms between tokens',
+        ('role', 'streams', 'tokens', 'bytes a stream', 'us a token'),
+        measure_streams(fleet),
+    )
+    _print(
+        'Idle connections',
+        ('role', 'connections', 'bytes a connection'),
+        measure_connections(fleet),
+    )
 
 
 def _measure_pages(pages: Iterable[Page]) -> int:
--- a/src/ospreyford/measure/capacity_processes.py
+++ b/src/ospreyford/measure/capacity_processes.py
@@ -1,4 +1,4 @@
-"""Memory and processor time of real entries and agents at rest.
+"""Memory, processor time and messages of real processes at rest.
 
 The product's own programs run on loopback beside the stand-ins, in fleets of
 two sizes; nobody sends requests. Then connections are opened and left idle.
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import os
 import socket
 import time
 from collections.abc import Iterator
@@ -15,6 +14,8 @@
 from statistics import fmean
 from typing import NamedTuple
 
+from ospreyford.measure.bench_idle import measure_idle
+from ospreyford.measure.usage import read_usage
 from ospreyford.settings.types import split_address
 from ospreyford.standins.deployment import Size
 from ospreyford.standins.fleet import Fleet, Program
@@ -26,26 +27,22 @@
 REST_SECONDS = 20
 CONNECTIONS = 400
 CONNECTED_SECONDS = 2
-PERCENT = 100
-#: Where user and system time stand in what follows the name.
-USER_TIME = 11
-SYSTEM_TIME = 12
-PAGE_BYTES = os.sysconf('SC_PAGESIZE')
-TICKS = os.sysconf('SC_CLK_TCK')
+MEBIBYTE = 1_048_576
+MEGABYTE = 1_000_000
 
 
 class Rest(NamedTuple):
     """What the processes of one role use at rest, the mean of them.
 
-    ``processes`` is the size of the fleet, ``resident`` in bytes, ``percent``
-    of a core, ``connection`` bytes for each idle connection to one of them.
+    ``processes`` is the size of the fleet, ``peer_bytes`` those a second of
+    envelopes on the peer port, sent and received.
     """
 
     role: str
     processes: int
-    resident: float
+    megabytes: float
     percent: float
-    connection: float
+    peer_bytes: float
 
 
 def measure_rest(fleet: Fleet) -> Iterator[Rest]:
@@ -55,48 +52,59 @@
     :yields: a row for each role.
     """
     programs = tuple(fleet.programs.values())
-    before = {one.host.name: read_seconds(one) for one in programs}
-    time.sleep(REST_SECONDS)
-    spent = {
-        one.host.name: read_seconds(one) - before[one.host.name]
-        for one in programs
-    }
+    usages = dict(
+        zip(fleet.programs, measure_idle(programs, REST_SECONDS), strict=True)
+    )
     for role in ROLES:
-        chosen = [one for one in programs if one.host.role == role]
-        yield Rest(
-            role,
-            len(programs),
-            fmean(read_resident(one) for one in chosen),
-            fmean(spent[one.host.name] for one in chosen)
-            / REST_SECONDS
-            * PERCENT,
-            measure_connections(chosen[0]),
+        columns = zip(
+            *(usages[one.host.name][1:] for one in list_role(fleet, role)),
+            strict=True,
         )
+        percent, mebibytes, peer_bytes = map(fmean, columns)
+        megabytes = mebibytes * MEBIBYTE / MEGABYTE
+        yield Rest(role, len(programs), megabytes, percent, peer_bytes)
 
 
-def measure_connections(program: Program) -> float:
-    """Open connections to a process and leave them idle.
+def measure_connections(fleet: Fleet) -> Iterator[tuple[str, int, float]]:
+    """Open connections to one process of each role and leave them idle.
 
-    :param program: the process.
-    :returns: bytes that it grows by for each.
+    :param fleet: the fleet.
+    :yields: the role, the connections, and the bytes that its process grows
+        by for each.
+    """
+    for role in ROLES:
+        program = list_role(fleet, role)[0]
+        before = read_resident(program)
+        address = split_address(program.host.data_address)
+        with ExitStack() as stack:
+            for _ in range(CONNECTIONS):
+                stack.enter_context(socket.create_connection(address))
+            time.sleep(CONNECTED_SECONDS)
+            grown = read_resident(program) - before
+        yield role, CONNECTIONS, grown / CONNECTIONS
+
+
+def list_role(fleet: Fleet, role: str) -> list[Program]:
+    """List the processes of a role.
+
+    :param fleet: the fleet.
+    :param role: ``entry`` or ``backend``.
+    :returns: them.
     """
-    before = read_resident(program)
-    address = split_address(program.host.data_address)
-    with ExitStack() as stack:
-        for _ in range(CONNECTIONS):
-            stack.enter_context(socket.create_connection(address))
-        time.sleep(CONNECTED_SECONDS)
-        return (read_resident(program) - before) / CONNECTIONS
+    return [
+        program
+        for program in fleet.programs.values()
+        if program.host.role == role
+    ]
 
 
-def read_resident(program: Program) -> int:
+def read_resident(program: Program) -> float:
     """Read a process's resident set.
 
     :param program: the process.
     :returns: bytes.
     """
-    statm = Path('/proc', str(program.process.pid), 'statm').read_text()
-    return int(statm.split()[1]) * PAGE_BYTES
+    return read_usage(program.process.pid).resident * MEBIBYTE
 
 
 def read_seconds(program: Program) -> float:
@@ -105,7 +113,4 @@
     :param program: the process.
     :returns: seconds, user and system.
     """
-    stat = Path('/proc', str(program.process.pid), 'stat').read_text()
-    # The name in brackets may hold blanks; the fields after it do not.
-    fields = stat.rpartition(')')[2].split()
-    return (int(fields[USER_TIME]) + int(fields[SYSTEM_TIME])) / TICKS
+    return read_usage(program.process.pid).processor_seconds
--- a/src/ospreyford/measure/capacity_streams.py
+++ b/src/ospreyford/measure/capacity_streams.py
@@ -63,7 +63,7 @@
 class Reading(NamedTuple):
     """Memory and processor time of some processes together."""
 
-    resident: int
+    resident: float
     seconds: float
 
 
