--- a/src/ospreyford/measure/capacity_parts.py
+++ b/src/ospreyford/measure/capacity_parts.py
@@ -11,7 +11,7 @@
 from ospreyford.entry.call import Plan
 from ospreyford.entry.directory import FleetDirectory
 from ospreyford.limits.gate import LimitGate
-from ospreyford.limits.homes import EntryView
+from ospreyford.limits.homes import EntryView, Homes
 from ospreyford.limits.limit import Limit
 from ospreyford.limits.settings import GateSettings, ShareSettings
 from ospreyford.limits.share import EntryIdentity, LimitShare
@@ -123,6 +123,14 @@
     return customers, gate
 
 
+def make_homes() -> Homes:
+    """Make the homes of customers among all entries.
+
+    :returns: the homes, none looked up yet.
+    """
+    return Homes('entry-0', FixedMembers(), ShareSettings(), 0)
+
+
 def fill_share(customers: int) -> tuple[int, LimitShare]:
     """Have customers ask for parts of their limits.
 
--- a/src/ospreyford/measure/capacity_size.py
+++ b/src/ospreyford/measure/capacity_size.py
@@ -37,6 +37,9 @@
 ENTRY_IN_FLIGHT = ENTRY_REQUESTS * STAY_SECONDS
 REPLICA_IN_FLIGHT = REPLICA_REQUESTS * STAY_SECONDS
 SECONDS_A_CHANGE = DAY_SECONDS / CHANGES_A_DAY
+#: How long a customer counts as active at an entry after one request: its
+#: smoothed demand halves each second from 0.5 to below 0.02 (``limits.share``).
+ACTIVE_SECONDS = 5
 #: Readings of the host list follow one another after so many seconds: the
 #: whole fleet reads 100 times a second (``node.fleetnode``).
 HOST_LIST_SECONDS = PROCESSES / 100
--- a/src/ospreyford/measure/capacity_times.py
+++ b/src/ospreyford/measure/capacity_times.py
@@ -19,12 +19,11 @@
 from ospreyford.documents.picture import Picture
 from ospreyford.documents.resolver import Resolver
 from ospreyford.entry.directory import FleetDirectory
-from ospreyford.limits.homes import Homes
 from ospreyford.measure.capacity_parts import (
-    FixedMembers,
     fill_share,
     hold_documents,
     list_plans,
+    make_homes,
     route,
 )
 from ospreyford.measure.capacity_records import (
@@ -41,6 +40,7 @@
     make_membership,
 )
 from ospreyford.measure.capacity_size import (
+    ACTIVE_SECONDS,
     ENTRY_REQUESTS,
     FORGETS_PER_SECOND,
     HOST_LIST_SECONDS,
@@ -161,16 +161,16 @@
 
     :yields: the costs.
     """
-    homes = Homes('entry-0', FixedMembers(), 0, 0)
+    homes = make_homes()
     names = [f'customer-{number}' for number in range(100)]
     spent = spend(lambda: [homes.find(name) for name in names], 1)
     yield Cost('entry', 'home of a customer among 1,200', spent / len(names), 0)
-    count = round(ENTRY_REQUESTS)
+    count = round(ENTRY_REQUESTS * ACTIVE_SECONDS)
     share = fill_share(count)[1]
     first = spend(lambda: curio.run(share.renew), 1)
-    yield Cost('entry', f'first round of {count} active customers', first, 1)
+    yield Cost('entry', f'first round of {count} active customers', first, 0)
     second = spend(lambda: curio.run(share.renew), 1)
-    yield Cost('entry', f'further round of {count} customers', second, 0)
+    yield Cost('entry', f'further round of {count} customers', second, 1)
 
 
 def time_records() -> Iterator[Cost]:
