--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -78,6 +78,8 @@
 group = "{group}"
 slot = {slot}
 addresses = [{addresses}]
+window_steps = 128
+lead_steps = 64
 
 [ranks.shape]
 ranks = {ranks}
@@ -156,8 +158,11 @@
             str(table),
         )
 
-    def start_ranks(self) -> None:
-        """Have the model replicas' ranks form one lock-step group."""
+    def start_ranks(self, ignoring: int = -1) -> None:
+        """Have the model replicas' ranks form one lock-step group.
+
+        :param ignoring: the rank whose engine ignores fencing numbers.
+        """
         size = sum(
             self._kinds.get(host.service) == MODEL for host in self.hosts
         )
@@ -165,6 +170,8 @@
             'ospreyford.standins.rankgroup',
             '--ranks',
             size,
+            '--ignoring',
+            ignoring,
         )
 
     def start(self) -> None:
--- /dev/null
+++ b/tests/agent_ranks/test_ranks.py
@@ -0,0 +1,139 @@
+"""The product's own processes around a rank group, whose journal judges."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+import curio
+import pytest
+
+from ospreyford.settings.types import split_address
+from ospreyford.standins.controls import control, read_journal
+from ospreyford.standins.deployment import CATERER, Size
+from ospreyford.standins.fleet import Fleet, ask
+from ospreyford.standins.launcher import Launcher
+
+RANKS = 3
+IGNORING = 1
+DOCUMENTS = Path(__file__).parents[2] / 'examples' / 'caterer' / 'documents'
+PROGRESS_SECONDS = 25.0
+#: Past the time limits of a question, a take-over and a suspicion.
+PAUSE_SECONDS = 7.0
+HOT, COLD = 5000.0, 100.0
+
+
+class Group:
+    """The fleet around a rank group, and what the journal says of it."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        assert fleet.ranks is not None
+        self._fleet = fleet
+        self._port = fleet.ranks.port
+        self._hot = itertools.cycle(range(6))
+        self.agents = [
+            host.name
+            for host in fleet.hosts
+            if host.service == CATERER.model_service
+        ]
+
+    def move_demand(self) -> None:
+        """Make another two experts the popular ones."""
+        hot = next(self._hot)
+        tokens = [COLD] * 6
+        tokens[hot] = HOT
+        tokens[hot - 3] = HOT
+        curio.run(control(self._port, {'loads': [tokens, tokens]}))
+
+    def read_maps(self) -> dict[int, dict[int, int]]:
+        """Read for each step the digest that each rank used."""
+        maps: defaultdict[int, dict[int, int]] = defaultdict(dict)
+        for entry in curio.run(read_journal(self._port)):
+            note: dict[str, Any] = entry.note
+            maps[note['step']][note['rank']] = note['digest']
+        return maps
+
+    def await_change(self) -> None:
+        """Wait for more steps, with a map that no step had before."""
+        before = self._read_digests()
+        deadline = time.monotonic() + PROGRESS_SECONDS
+        while not self._read_digests() - before:
+            self.check()
+            assert time.monotonic() < deadline, self._read_errors()
+            self.move_demand()
+            time.sleep(1)
+
+    def find_leader(self) -> str:
+        """Name the agent that plans, as an entry tells it."""
+        deadline = time.monotonic() + PROGRESS_SECONDS
+        while time.monotonic() < deadline:
+            plans = self.read_plans()
+            if plans:
+                return min(plans)
+            time.sleep(0.2)
+        raise AssertionError(self._read_errors())
+
+    def read_plans(self) -> dict[str, Any]:
+        """Ask an entry what the placement policy judged."""
+        entry = self._fleet.list_entries()[0]
+        _, port = split_address(entry.admin_address)
+        plans: dict[str, Any] = ask(port, '/plan')
+        return plans
+
+    def check(self) -> None:
+        """Every rank ran every step, with the same map."""
+        for step, used in self.read_maps().items():
+            assert set(used) == set(range(RANKS)), step
+            assert len(set(used.values())) == 1, (step, used)
+
+    def _read_digests(self) -> set[int]:
+        return {used[0] for used in self.read_maps().values()}
+
+    def _read_errors(self) -> list[str]:
+        programs = self._fleet.programs
+        return [programs[name].process.errors for name in self.agents]
+
+
+@pytest.fixture
+def launcher() -> Any:
+    with Launcher() as started:
+        yield started
+
+
+def test_one_map_through_kill_and_pause(
+    launcher: Launcher, tmp_path: Path
+) -> None:
+    """Symptom: ranks mix two maps in a step, or the group stands for good.
+
+    Sequence: popularity moves, so maps change; the leading agent is killed
+    in a change and started again; a member is paused past every time limit
+    and wakes. One engine ignores fencing numbers. Cause: an agent that goes
+    on by what it knew before, or that finds no way back into the group.
+    """
+    size = Size(model_replicas=RANKS, plain_replicas=1, entries=1)
+    fleet = Fleet(launcher, CATERER, size, DOCUMENTS, tmp_path)
+    fleet.start_ranks(IGNORING)
+    fleet.start()
+    group = Group(fleet)
+    group.await_change()
+
+    leader = fleet.programs[group.find_leader()]
+    group.move_demand()
+    time.sleep(0.7)
+    leader.process.kill()
+    time.sleep(0.5)
+    fleet.start_program(leader.host)
+    group.await_change()
+
+    member = fleet.programs[group.agents[IGNORING]]
+    member.process.pause()
+    time.sleep(PAUSE_SECONDS)
+    member.process.resume()
+    group.await_change()
+
+    assert member.process.exit_code is None
+    assert set(group.read_plans()) <= set(group.agents)
+    group.check()
--- a/tests/distribution/test_machine.py
+++ b/tests/distribution/test_machine.py
@@ -164,7 +164,9 @@
         for address, process in self.world.processes.items():
             if process.ready:
                 for name, revision in self.floors.get(address, {}).items():
-                    assert process.marks[name][0] >= revision
+                    held = process.marks.get(name)
+                    assert held is not None
+                    assert held[0] >= revision
 
     def floor(self) -> dict[str, int]:
         ready = [one for one in self.world.processes.values() if one.ready]
--- a/tests/faults/documents.py
+++ b/tests/faults/documents.py
@@ -19,7 +19,14 @@
     PAUSE_SECONDS,
     DistributionMachine,
 )
-from tests.distribution.world import Call, Process, Question, World, serve_call
+from tests.distribution.world import (
+    SETTINGS,
+    Call,
+    Process,
+    Question,
+    World,
+    serve_call,
+)
 from tests.fakes.stepping import SteppedTask, Waiting
 from tests.faults.sections import Hit, Hits, Later, NotAtRest, NotMet, Section
 
@@ -37,7 +44,13 @@
 )
 FIRST_STEP = 'list'
 PROCESS_FAULTS = frozenset(
-    ('pause asker', 'pause answerer', 'kill', 'fresh process')
+    (
+        'pause asker',
+        'pause answerer',
+        'kill',
+        'fresh process',
+        'fresh, cut off',
+    )
 )
 FAULTS = (
     'service down',
@@ -53,14 +66,20 @@
     'pause answerer',
     'kill',
     'fresh process',
+    'fresh, cut off',
     'rolling replacement',
     'malformed document',
     'malformed message',
     'two publishes',
+    'many publishes',
+    'service split',
 )
 PAIRED = (
     ('service stale', 'fresh process'),
     ('service flapping', 'fresh process'),
+    ('service stale', 'fresh, cut off'),
+    ('service split', 'fresh, cut off'),
+    ('service down', 'many publishes'),
     ('service stale', 'rolling replacement'),
     ('service stale', 'pause asker'),
     ('partition', 'fresh process'),
@@ -77,6 +96,14 @@
 #: Moves that a fault lasts for.
 LONG = 200
 SEEDS = 3
+#: More documents than a process may read at once.
+MANY = 60
+#: Moves in which calls to the service are counted.
+WINDOW = 20
+#: Calls a second of a reader that reads for a whole zone of five, and what
+#: it may have saved up.
+MOST_CALLS = SETTINGS.service_calls_per_second / SETTINGS.fleet_size * 5 / 2
+MOST_SAVED = MOST_CALLS * 4 + 1
 MALFORMED = b'\xc1'
 
 
@@ -98,6 +125,12 @@
     held: set[int] = field(default_factory=set)
     lost: set[int] = field(default_factory=set)
     rolling: bool = False
+    started_late: list[Process] = field(default_factory=list)
+
+    def start(self, name: str) -> Process:
+        process = super().start(name)
+        self.started_late.append(process)
+        return process
 
     def move(self) -> None:
         self.later.advance()
@@ -140,11 +173,11 @@
         assert task.waiting is not None
         note = task.waiting.note
         match hit.fault:
-            case 'service down' | 'service stale' | 'service flapping':
-                self._worsen_service(hit.fault.split()[1])
+            case fault if fault.startswith('service'):
+                self._worsen_service(fault.split()[1])
             case 'one-way cut' | 'partition':
                 self._cut(process, both=hit.fault == 'partition')
-            case 'malformed document' | 'two publishes':
+            case 'malformed document' | 'two publishes' | 'many publishes':
                 self._publish(hit.fault)
             case 'rolling replacement':
                 self.rolling = True
@@ -157,24 +190,39 @@
         return False
 
     def _worsen_service(self, how: str) -> None:
-        self.mode = {'flapping': 'flap'}.get(how, how)
-        self.later.add(LONG, lambda: setattr(self, 'mode', 'up'))
+        if how == 'split':
+            self._split_replica()
+        self.mode = how if how in {'down', 'stale'} else 'flap'
+        self.later.add(2 * LONG, lambda: setattr(self, 'mode', 'up'))
+
+    def _split_replica(self) -> None:
+        """A replica of the service gives other texts for some revisions."""
+        replica = self.store.copy()
+        replica.documents = {
+            name: held if held.deleted else held._replace(text=b'another')
+            for name, held in replica.documents.items()
+        }
+        self.replicas.append(replica)
 
     def _cut(self, process: Process, both: bool) -> None:
         address = process.member.peer_address
         if both:
             self.cut = frozenset((address,))
-            self.later.add(LONG, lambda: setattr(self, 'cut', frozenset()))
+            self.later.add(2 * LONG, lambda: setattr(self, 'cut', frozenset()))
         else:
             self.one_way |= {(address, other) for other in self.processes}
             self.later.add(LONG, self.one_way.clear)
 
     def _publish(self, fault: str) -> None:
-        if fault == 'two publishes':
-            self.store.publish('pool', b'of one operator')
-            self.store.publish('pool', b'of another')
-        else:
-            self.store.publish('limits', MALFORMED)
+        match fault:
+            case 'two publishes':
+                self.store.publish('pool', b'of one operator')
+                self.store.publish('pool', b'of another')
+            case 'many publishes':
+                for number in range(MANY):
+                    self.store.publish(f'intent-{number}', b'first')
+            case _:
+                self.store.publish('limits', MALFORMED)
 
     def _pause(self, process: Process) -> None:
         process.paused = True
@@ -192,8 +240,10 @@
             self.kill(process)
             self.later.add(LONG, lambda: self._start(process.member.name))
             return True
-        if fault == 'fresh process':
-            self.replace(process)
+        if fault.startswith('fresh'):
+            fresh = self.replace(process)
+            if fault.endswith('cut off'):
+                self._cut(fresh, both=True)
             return True
         address = note.address if isinstance(note, Question) else ''
         others = [one for one in self.everybody() if one is not process]
@@ -262,6 +312,18 @@
     return question.topic.split('.')[1]
 
 
+class TooManyCalls(AssertionError):
+    """A process called the service more often than its share allows."""
+
+
+class Usage(NamedTuple):
+    """Calls of a process to the service, by some time of its life."""
+
+    calls: int
+    awake: float
+    pauses: int
+
+
 class DocumentMachine(DistributionMachine):
     """The machine's checks, around one chosen course."""
 
@@ -270,15 +332,40 @@
     #: Moves during which not all were ready with the newest documents.
     apart = 0
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.usages: dict[str, Usage] = {}
+
     def go_on(self) -> None:
         for _ in range(LONG):
             self.world.move()
+            self._note_floors()
             self.check()
+            self._check_rate()
             self.apart += not self.world.is_same()
             if self.world.rolling:
                 self.world.rolling = False
                 self.replace_everybody()
 
+    def _check_rate(self) -> None:
+        """Calls in any window are within the rate, not only in all."""
+        for process in self.world.everybody():
+            awake = process.clock.now - process.slept
+            begin = Usage(process.calls, awake, process.pauses)
+            if self.world.later.count % WINDOW == 0:
+                self.usages[process.member.peer_address] = begin
+            begin = self.usages.get(process.member.peer_address, begin)
+            saved = MOST_SAVED * (1 + process.pauses - begin.pauses)
+            allowed = MOST_CALLS * (awake - begin.awake) + saved
+            if process.calls - begin.calls > allowed:
+                raise TooManyCalls(process.calls - begin.calls, allowed)
+
+    def _note_floors(self) -> None:
+        """A process that starts must not undercut what all others have."""
+        for fresh in self.world.started_late:
+            self.floors[fresh.member.peer_address] = self.floor()
+        self.world.started_late.clear()
+
     def change(self) -> None:
         """Go through every step."""
         store = self.world.store
--- a/tests/faults/maps.py
+++ b/tests/faults/maps.py
@@ -44,6 +44,7 @@
     'partition',
     'kill coordinator',
     'kill member',
+    'kill all',
     'pause coordinator',
     'pause member',
     'engine replaced',
@@ -180,6 +181,9 @@
                 self._cut(both=fault == 'partition')
             case 'kill coordinator' | 'kill member':
                 self._kill(victim)
+            case 'kill all':
+                for process in self.group.members():
+                    self._kill(process)
             case 'pause coordinator' | 'pause member':
                 self._pause(victim)
             case 'engine replaced':
