--- a/tests/faults/documents.py
+++ b/tests/faults/documents.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -20,9 +19,16 @@
     PAUSE_SECONDS,
     DistributionMachine,
 )
-from tests.distribution.world import Call, Process, Question, World, serve_call
+from tests.distribution.world import (
+    SETTINGS,
+    Call,
+    Process,
+    Question,
+    World,
+    serve_call,
+)
 from tests.fakes.stepping import SteppedTask, Waiting
-from tests.faults.sections import Hit, Hits, NotAtRest, NotMet, Section
+from tests.faults.sections import Hit, Hits, Later, NotAtRest, NotMet, Section
 
 STEPS = (
     'list',
@@ -37,6 +43,15 @@
     'bootstrap',
 )
 FIRST_STEP = 'list'
+PROCESS_FAULTS = frozenset(
+    (
+        'pause asker',
+        'pause answerer',
+        'kill',
+        'fresh process',
+        'fresh, cut off',
+    )
+)
 FAULTS = (
     'service down',
     'service stale',
@@ -51,14 +66,20 @@
     'pause answerer',
     'kill',
     'fresh process',
+    'fresh, cut off',
     'rolling replacement',
     'malformed document',
     'malformed message',
     'two publishes',
+    'many publishes',
+    'service split',
 )
 PAIRED = (
     ('service stale', 'fresh process'),
     ('service flapping', 'fresh process'),
+    ('service stale', 'fresh, cut off'),
+    ('service split', 'fresh, cut off'),
+    ('service down', 'many publishes'),
     ('service stale', 'rolling replacement'),
     ('service stale', 'pause asker'),
     ('partition', 'fresh process'),
@@ -75,6 +96,14 @@
 #: Moves that a fault lasts for.
 LONG = 200
 SEEDS = 3
+#: More documents than a process may read at once.
+MANY = 60
+#: Moves in which calls to the service are counted.
+WINDOW = 20
+#: Calls a second of a reader that reads for a whole zone of five, and what
+#: it may have saved up.
+MOST_CALLS = SETTINGS.service_calls_per_second / SETTINGS.fleet_size * 5 / 2
+MOST_SAVED = MOST_CALLS * 4 + 1
 MALFORMED = b'\xc1'
 
 
@@ -91,40 +120,31 @@
     """Takes its course, and at named steps a fault happens."""
 
     hits: list[Hit] = field(default_factory=list)
-    later: list[tuple[int, Callable[[], None]]] = field(default_factory=list)
-    moves: int = 0
+    later: Later = field(default_factory=Later)
     one_way: set[tuple[str, str]] = field(default_factory=set)
     held: set[int] = field(default_factory=set)
     lost: set[int] = field(default_factory=set)
     rolling: bool = False
+    started_late: list[Process] = field(default_factory=list)
+
+    def start(self, name: str) -> Process:
+        process = super().start(name)
+        self.started_late.append(process)
+        return process
 
     def move(self) -> None:
-        self.moves += 1
-        due = [entry for entry in self.later if entry[0] <= self.moves]
-        for entry in due:
-            self.later.remove(entry)
-            entry[1]()
+        self.later.advance()
         super().move()
 
     def resume(self, task: SteppedTask, process: Process) -> None:
         assert task.waiting is not None
-        first = id(task) not in self.answers
+        step = ''
         match task.waiting:
-            case Waiting('ask', Question() as question) if first:
+            case Waiting('ask', question) if id(task) not in self.answers:
                 step = name_question(question, process)
-                hit = self._take_hit(step)
-                if hit is None or not self._strike(hit, task, process):
-                    super().resume(task, process)
-            case Waiting('service', Call(kind=kind)) if self.hits:
-                self._resume_call(kind, task, process)
-            case _:
-                super().resume(task, process)
-
-    def _resume_call(
-        self, kind: str, task: SteppedTask, process: Process
-    ) -> None:
-        # A watch that nothing has happened for ends by its own time.
-        hit = self._take_hit(kind)
+            case Waiting('service', Call(kind=kind)):
+                step = kind
+        hit = self._take_hit(step)
         if hit is None or not self._strike(hit, task, process):
             super().resume(task, process)
 
@@ -141,9 +161,6 @@
             return False
         return super().reaches(sender, address)
 
-    def after(self, moves: int, act: Callable[[], None]) -> None:
-        self.later.append((self.moves + moves, act))
-
     def _take_hit(self, step: str) -> Hit | None:
         for hit in self.hits:
             if hit.step == step:
@@ -153,62 +170,80 @@
 
     def _strike(self, hit: Hit, task: SteppedTask, process: Process) -> bool:
         """Make a fault happen; tell if the event is over with it."""
-        note = task.waiting.note if task.waiting else None
+        assert task.waiting is not None
+        note = task.waiting.note
         match hit.fault:
-            case 'service down' | 'service stale' | 'service flapping':
-                self._worsen_service(hit.fault.split()[1])
+            case fault if fault.startswith('service'):
+                self._worsen_service(fault.split()[1])
             case 'one-way cut' | 'partition':
                 self._cut(process, both=hit.fault == 'partition')
-            case 'malformed document' | 'two publishes':
+            case 'malformed document' | 'two publishes' | 'many publishes':
                 self._publish(hit.fault)
             case 'rolling replacement':
                 self.rolling = True
-            case 'pause asker':
-                self._pause(process)
-                return True
-            case 'pause answerer' | 'kill' | 'fresh process':
-                return self._hit_process(hit.fault, process, note)
-            case _ if isinstance(note, Question):
-                return self._hit_message(hit.fault, task, note)
-            case _:
-                return self._hit_call(hit.fault, task, process, note)
+            case fault if fault in PROCESS_FAULTS:
+                return self._hit_process(fault, process, note)
+            case fault if isinstance(note, Question):
+                return self._hit_message(fault, task, note)
+            case fault:
+                return self._hit_call(fault, task, process, note)
         return False
 
     def _worsen_service(self, how: str) -> None:
-        self.mode = {'flapping': 'flap'}.get(how, how)
-        self.after(LONG, lambda: setattr(self, 'mode', 'up'))
+        if how == 'split':
+            self._split_replica()
+        self.mode = how if how in {'down', 'stale'} else 'flap'
+        self.later.add(2 * LONG, lambda: setattr(self, 'mode', 'up'))
+
+    def _split_replica(self) -> None:
+        """A replica of the service gives other texts for some revisions."""
+        replica = self.store.copy()
+        replica.documents = {
+            name: held if held.deleted else held._replace(text=b'another')
+            for name, held in replica.documents.items()
+        }
+        self.replicas.append(replica)
 
     def _cut(self, process: Process, both: bool) -> None:
         address = process.member.peer_address
         if both:
-            self.cut = frozenset([address])
-            self.after(LONG, lambda: setattr(self, 'cut', frozenset()))
+            self.cut = frozenset((address,))
+            self.later.add(2 * LONG, lambda: setattr(self, 'cut', frozenset()))
         else:
             self.one_way |= {(address, other) for other in self.processes}
-            self.after(LONG, self.one_way.clear)
+            self.later.add(LONG, self.one_way.clear)
 
     def _publish(self, fault: str) -> None:
-        if fault == 'two publishes':
-            self.store.publish('pool', b'of one operator')
-            self.store.publish('pool', b'of another')
-        else:
-            self.store.publish('limits', MALFORMED)
+        match fault:
+            case 'two publishes':
+                self.store.publish('pool', b'of one operator')
+                self.store.publish('pool', b'of another')
+            case 'many publishes':
+                for number in range(MANY):
+                    self.store.publish(f'intent-{number}', b'first')
+            case _:
+                self.store.publish('limits', MALFORMED)
 
     def _pause(self, process: Process) -> None:
         process.paused = True
-        self.after(LONG, lambda: self._wake(process))
+        self.later.add(LONG, lambda: self._wake(process))
 
     def _wake(self, process: Process) -> None:
         if process.paused:
             self.wake(process, PAUSE_SECONDS)
 
     def _hit_process(self, fault: str, process: Process, note: object) -> bool:
+        if fault == 'pause asker':
+            self._pause(process)
+            return True
         if fault == 'kill':
             self.kill(process)
-            self.after(LONG, lambda: self._start(process.member.name))
+            self.later.add(LONG, lambda: self._start(process.member.name))
             return True
-        if fault == 'fresh process':
-            self.replace(process)
+        if fault.startswith('fresh'):
+            fresh = self.replace(process)
+            if fault.endswith('cut off'):
+                self._cut(fresh, both=True)
             return True
         address = note.address if isinstance(note, Question) else ''
         others = [one for one in self.everybody() if one is not process]
@@ -228,10 +263,10 @@
                 self.answers[id(task)] = None
             case 'delay':
                 self.answers[id(task)] = None
-                self.after(LONG, lambda: self._deliver(stray))
+                self.later.add(LONG, lambda: self._deliver(stray))
             case 'duplicate':
                 self._deliver(stray)
-                self.after(LONG, lambda: self._deliver(stray))
+                self.later.add(LONG, lambda: self._deliver(stray))
                 return False
             case 'malformed message':
                 self._deliver(stray._replace(body=MALFORMED))
@@ -261,7 +296,7 @@
                 process.checked |= call.asked_at >= process.awake_since
                 self.stepper.resume(task, answer)
 
-        self.after(moves, arrive)
+        self.later.add(moves, arrive)
         return True
 
     def _deliver(self, stray: Stray) -> None:
@@ -277,20 +312,60 @@
     return question.topic.split('.')[1]
 
 
+class TooManyCalls(AssertionError):
+    """A process called the service more often than its share allows."""
+
+
+class Usage(NamedTuple):
+    """Calls of a process to the service, by some time of its life."""
+
+    calls: int
+    awake: float
+    pauses: int
+
+
 class DocumentMachine(DistributionMachine):
     """The machine's checks, around one chosen course."""
 
     world_type = FaultyWorld
     world: FaultyWorld
+    #: Moves during which not all were ready with the newest documents.
+    apart = 0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.usages: dict[str, Usage] = {}
 
     def go_on(self) -> None:
         for _ in range(LONG):
             self.world.move()
+            self._note_floors()
             self.check()
+            self._check_rate()
+            self.apart += not self.world.is_same()
             if self.world.rolling:
                 self.world.rolling = False
                 self.replace_everybody()
 
+    def _check_rate(self) -> None:
+        """Calls in any window are within the rate, not only in all."""
+        for process in self.world.everybody():
+            awake = process.clock.now - process.slept
+            begin = Usage(process.calls, awake, process.pauses)
+            if self.world.later.count % WINDOW == 0:
+                self.usages[process.member.peer_address] = begin
+            begin = self.usages.get(process.member.peer_address, begin)
+            saved = MOST_SAVED * (1 + process.pauses - begin.pauses)
+            allowed = MOST_CALLS * (awake - begin.awake) + saved
+            if process.calls - begin.calls > allowed:
+                raise TooManyCalls(process.calls - begin.calls, allowed)
+
+    def _note_floors(self) -> None:
+        """A process that starts must not undercut what all others have."""
+        for fresh in self.world.started_late:
+            self.floors[fresh.member.peer_address] = self.floor()
+        self.world.started_late.clear()
+
     def change(self) -> None:
         """Go through every step."""
         store = self.world.store
@@ -321,25 +396,22 @@
         machine.change()
         met |= set(hits) - set(machine.world.hits)
         machine.world.hits.clear()
-        worst = max(worst, come_to_rest(machine))
+        come_to_rest(machine)
+        worst = max(worst, machine.apart)
     if met != set(hits):
         raise NotMet(set(hits) - met)
-    return f'same in {worst} moves'
+    return f'apart {worst} moves'
 
 
-def come_to_rest(machine: DocumentMachine) -> int:
-    """Count the moves until all processes hold the newest documents."""
+def come_to_rest(machine: DocumentMachine) -> None:
+    """End all faults; all processes come to hold the newest documents."""
     world = machine.world
     world.one_way.clear()
-    world.later, late = [], world.later
-    for entry in late:
-        entry[1]()
+    world.later.finish()
     world.heal()
-    before = world.moves
     if not world.run_until_same():
         raise NotAtRest
     machine.check()
-    return world.moves - before
 
 
 DOCUMENTS = Section('documents', STEPS, FAULTS, PAIRED, run, MEANINGLESS)
