Prove configuration over the product's own processes (in work)

Entries and agents with the stand-in platform; agents answer /status too (agent/views.py, node/status.py).

--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING
 
 import curio
-import msgspec
 
 from ospreyford.agent.drains import DrainState
 from ospreyford.agent.factory import make_parts
 from ospreyford.agent.ranks import RankPart
+from ospreyford.agent.views import AgentViews
 from ospreyford.http.server import listen
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
-from ospreyford.node.questions import AgentStatus, Topic, answer_spans
+from ospreyford.node.questions import Topic, answer_spans
 from ospreyford.observability.admin import AdminPort
 from ospreyford.observability.events import Draining, Ready, Started
 from ospreyford.observability.metrics import Metrics
@@ -69,6 +69,7 @@
             self._node,
             self._tracing.tracer,
         )
+        self._views = AgentViews(self._node, self._parts.record, self._drains)
         self._ranks: RankPart | None = None
         if settings.ranks is not None:
             self._ranks = RankPart(
@@ -88,8 +89,9 @@
         self._node.peers.serve(
             Topic.spans, answer_spans(self._tracing.tracer.store)
         )
-        self._node.peers.serve(Topic.agent_status, self._answer_status)
-        self._node.peers.serve(Topic.plan, self._answer_plan)
+        self._node.peers.serve(Topic.agent_status, self._views.answer_status)
+        if self._ranks is not None:
+            self._node.peers.serve(Topic.plan, self._ranks.answer_plan)
         await self._node.start()
         await self._start_tasks()
         accepting = await curio.spawn(self._accept, sock, daemon=True)
@@ -111,25 +113,11 @@
         """
         return [LeavingHost(one.source) for one in self._drains.find_causes()]
 
-    async def _answer_status(self, body: bytes) -> bytes:
-        return msgspec.msgpack.encode(
-            AgentStatus(
-                name=self._settings.identity.name,
-                incarnation=self._node.incarnation,
-                running=self._count_running(),
-                records=len(self._parts.record.memory),
-                draining=tuple(
-                    one.source for one in self._drains.find_causes()
-                ),
-                revision=self._node.configuration.revision,
-            ),
-        )
-
     async def _start_tasks(self) -> None:
         admin = AdminPort(
             self._settings.listen,
             self._metrics,
-            {},
+            {'/status': self._views.show_status},
             self.tell_unready,
         )
         load_seconds = self._settings.service.load_seconds
@@ -164,11 +152,6 @@
             ranks.placement.note_weights(picture.placement(service))
             await curio.sleep(GROUP_SECONDS)
 
-    async def _answer_plan(self, body: bytes) -> bytes | None:
-        if self._ranks is None or self._ranks.placement.last is None:
-            return None
-        return msgspec.msgpack.encode(self._ranks.placement.last)
-
     async def _watch_drains(self) -> None:
         causes: tuple[DrainCause, ...] = ()
         while True:
--- a/src/ospreyford/agent/ranks.py
+++ b/src/ospreyford/agent/ranks.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ospreyford.agent.expertloads import HttpLoadSource
 from ospreyford.agent.placing import PlacementLoop
 from ospreyford.expertmap.engine import HttpEngine
@@ -57,6 +59,16 @@
         lower = self._addresses[: self._slot]
         self.placement.leads = not addresses.intersection(lower)
 
+    async def answer_plan(self, body: bytes) -> bytes | None:
+        """Answer an entry's question for the placement policy's plan.
+
+        :param body: not used.
+        :returns: the last judgement, encoded; ``None`` before the first.
+        """
+        if self.placement.last is None:
+            return None
+        return msgspec.msgpack.encode(self.placement.last)
+
     async def run_agreement(self) -> GroupHalted:
         """Serve the group until another process takes this one's place.
 
--- a/src/ospreyford/entry/views.py
+++ b/src/ospreyford/entry/views.py
@@ -15,6 +15,7 @@
     ask_status,
     gather_spans,
 )
+from ospreyford.node.status import describe_configuration
 from ospreyford.observability.admin import NothingFound, require_parameter
 from ospreyford.observability.plain import make_plain
 from ospreyford.observability.spans import merge_spans
@@ -87,17 +88,10 @@
         :returns: configuration, members and hosts.
         """
         node = self._node
-        picture = node.configuration.picture
         return make_plain(
             {
                 'entry': node.membership.me,
-                'configuration': {
-                    'revision': node.configuration.revision,
-                    'digest': picture.digest,
-                    'stale': node.distributor.is_stale(),
-                    'rejected': picture.rejected,
-                    'conflicts': picture.conflicts,
-                },
+                'configuration': describe_configuration(node),
                 'members': self._count_members(),
                 'silent_zones': node.membership.silent_zones(),
                 'membership_stale': node.membership.is_stale(),
--- /dev/null
+++ b/src/ospreyford/node/status.py
@@ -0,0 +1,30 @@
+"""What a process tells operators of the configuration in force there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from ospreyford.node.fleetnode import FleetNode
+
+
+def describe_configuration(node: FleetNode) -> dict[str, Any]:
+    """Describe the documents in force and how they are kept current.
+
+    :param node: this process's part in the fleet.
+    :returns: for the page ``/status``; ``stale`` is true while nothing has
+        confirmed the documents lately.
+    """
+    picture = node.configuration.picture
+    return {
+        'ready': node.configuration.ready,
+        'revision': node.configuration.revision,
+        'digest': picture.digest,
+        'stale': node.distributor.is_stale(),
+        'rejected': picture.rejected,
+        'conflicts': picture.conflicts,
+        'counters': node.distributor.counters.as_dict(),
+        'peer_bytes': node.peers.counters.total_bytes(),
+    }
--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -60,13 +60,17 @@
 [membership]
 seeds = [{seeds}]
 
+[traces]
+sample_ratio = 1.0
+
+{tuning}
+"""
+
+TUNING = """
 [distribution]
 fleet_size = 100
 cold_start_rounds = 3
 bootstrap_seconds = 0.3
-
-[traces]
-sample_ratio = 1.0
 """
 
 _RANKS = """
@@ -123,6 +127,7 @@
     :param size: how many hosts of each kind.
     :param documents: the directory of the site's published documents.
     :param directory: where settings files are written.
+    :param tuning: further sections of every settings file.
     """
 
     def __init__(
@@ -132,7 +137,9 @@
         size: Size,
         documents: Path,
         directory: Path,
+        tuning: str = TUNING,
     ) -> None:
+        self._tuning = tuning
         self.hosts = lay_out(site, size, _choose_ports())
         self.programs: dict[str, Program] = {}
         self.backends: dict[str, Launched] = {}
@@ -250,6 +257,7 @@
             config=_address(self.config),
             hosts=_address(self.host_list),
             seeds=seeds,
+            tuning=self._tuning,
         )
         if host.role != 'backend':
             return text
--- /dev/null
+++ b/tests/config_processes/test_parts.py
@@ -0,0 +1,43 @@
+"""Two parts of a fleet that cannot see each other, and meet again."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from ospreyford.standins.deployment import CATERER, PENSION_OFFICE, Size
+from ospreyford.standins.launcher import Launcher
+from tests.config_processes.rig import Rig
+
+SIZE = Size(model_replicas=0, plain_replicas=0, entries=3)
+
+
+def test_parts_that_meet_again(tmp_path: Path) -> None:
+    """Symptom: after a partition the fleet holds two pictures, one of them old.
+
+    Each part has its own seeds, host list and copy of the service, and one
+    copy is stale. The parts come to see each other; a process of the part
+    with the stale copy is replaced, and that copy is all it can read.
+    """
+    sites = {CATERER.name: CATERER, PENSION_OFFICE.name: PENSION_OFFICE}
+    with Launcher() as launcher:
+        rigs = []
+        for name, site in sites.items():
+            directory = tmp_path / name
+            directory.mkdir()
+            rigs.append(Rig(launcher, directory, site, SIZE))
+        newer, older = rigs
+        for rig in rigs:
+            for host in rig.fleet.hosts:
+                rig.fleet.start_program(host)
+        newer.publish_limit(1)
+        newer.await_in_force()
+        older.await_in_force()
+        assert older.revision < newer.revision
+        newer.list_hosts_of(older)
+        older.list_hosts_of(newer)
+        older.revision = newer.revision
+        older.resolver = newer.resolver
+        older.await_in_force()
+        older.replace(older.programs[0])
+        newer.await_in_force()
+        older.await_in_force()
