--- a/src/ospreyford/entry/caller.py
+++ b/src/ospreyford/entry/caller.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from ospreyford.entry.admission import NOT_FORWARDED
+from ospreyford.entry.forwarding import select_headers
 from ospreyford.entry.sink import CallerGone
 from ospreyford.http.errors import ConnectionLost
 
@@ -16,6 +16,7 @@
 #: Kept although it is not forwarded towards back ends: with it a caller sees
 #: by the length that an answer was cut.
 LENGTH = b'content-length'
+CHUNKED = b'transfer-encoding'
 
 
 class CallerSink:
@@ -37,13 +38,13 @@
         :param headers: HTTP header fields of the back end.
         :raises CallerGone: nobody waits for it.
         """
+        own = frozenset(name for name, _ in self._extra)
         kept = tuple(
-            pair
-            for pair in headers
-            if pair[0] == LENGTH or pair[0] not in NOT_FORWARDED
+            pair for pair in select_headers(headers) if pair[0] not in own
         )
+        length = _find_length(headers)
         try:
-            await self._exchange.start(status, (*kept, *self._extra))
+            await self._exchange.start(status, (*length, *kept, *self._extra))
         except ConnectionLost:
             raise CallerGone from None
 
@@ -76,3 +77,11 @@
         :returns: whether nobody waits for the answer any more.
         """
         return self._exchange.is_abandoned()
+
+
+def _find_length(headers: Headers) -> Headers:
+    # Of two framings the chunked one holds (RFC 9112); the length beside it
+    # says something else than what comes.
+    if any(name == CHUNKED for name, _ in headers):
+        return ()
+    return tuple(pair for pair in headers if pair[0] == LENGTH)
--- a/tests/config_processes/rig.py
+++ b/tests/config_processes/rig.py
@@ -63,7 +63,14 @@
         for name in (*NAMES, SERVICE):
             source = EXAMPLES / f'{name}.toml'
             (texts / source.name).write_bytes(source.read_bytes())
-        self.fleet = Fleet(launcher, site, size, texts, directory, TUNING)
+        self.fleet = Fleet(
+            launcher,
+            site,
+            size,
+            texts,
+            directory,
+            {'distribution': TUNING},
+        )
         self.resolver = Resolver()
         self.revision = 0
         self._seen: dict[int, int] = {}
--- /dev/null
+++ b/tests/entry/test_returns.py
@@ -0,0 +1,93 @@
+"""A back end that came back is used again.
+
+Symptom: after every agent was replaced in turn, or a drain was withdrawn, all
+requests are refused as draining.
+Sequence: an agent's last load report says that it drains; no request is sent
+to it any more; it is replaced, or its drain ends.
+Cause: only the answer to a request brought the next load report.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from ospreyford.documents.history import DocumentEntry
+from ospreyford.documents.resolver import Resolver
+from ospreyford.entry.directory import FleetDirectory
+from ospreyford.entry.returns import ReturnWatch
+from ospreyford.membership.member import Member, MemberState, StateChange
+from ospreyford.ports.fleet import LoadReport
+from ospreyford.routing.query import AllLeaving, Choice, NoBackend
+from tests.routing.fleet import make_host, make_query, make_router
+
+HOST = make_host(1, labels={'rack': 'r1'})
+DRAIN = b"""
+kind = "drain-request"
+team = "t"
+title = "t"
+reason = "maintenance"
+[hosts]
+labels = { rack = "r1" }
+"""
+
+
+def make_change(before: MemberState, after: MemberState) -> StateChange:
+    member = Member(
+        name=HOST.name,
+        instance=HOST.instance,
+        role=HOST.role,
+        zone=HOST.zone,
+        region=HOST.region,
+        service=HOST.service,
+        data_address=HOST.data_address,
+        peer_address=HOST.peer_address,
+        incarnation='2',
+    )
+    return StateChange(member, before, after)
+
+
+class World:
+    """An entry that was told by its one back end that it drains."""
+
+    def __init__(self) -> None:
+        self.router = make_router()
+        self.directory = FleetDirectory()
+        self.directory.note_hosts((HOST,))
+        self.returns = ReturnWatch(self.directory, self.router)
+        self.resolver = Resolver()
+
+    def publish(self, revision: int, *, deleted: bool) -> None:
+        entry = DocumentEntry(
+            'drain', revision, b'' if deleted else DRAIN, deleted
+        )
+        self.returns.note_picture(self.resolver.record((entry,)))
+
+    def hear_of_drain(self) -> None:
+        assert isinstance(self.choose(), Choice)
+        self.router.note_load(
+            HOST.name, LoadReport(incarnation='1', draining=True), 2
+        )
+        refusal = self.choose()
+        assert isinstance(refusal, NoBackend)
+        assert refusal.reason == AllLeaving()
+
+    def choose(self) -> Choice | NoBackend:
+        return self.router.choose(make_query(), (HOST,), 1)
+
+
+@pytest.mark.parametrize(
+    'before', [MemberState.leaving, MemberState.dead, MemberState.live]
+)
+def test_replaced_back_end_is_used_again(before: MemberState) -> None:
+    world = World()
+    world.hear_of_drain()
+    world.returns.note_member(make_change(before, MemberState.live))
+    assert isinstance(world.choose(), Choice)
+
+
+def test_withdrawn_drain_request_ends_the_drain() -> None:
+    world = World()
+    world.publish(1, deleted=False)
+    world.hear_of_drain()
+    world.publish(2, deleted=True)
+    assert isinstance(world.choose(), Choice)
