--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -67,13 +67,16 @@
 [membership]
 seeds = [{seeds}]
 
+{distribution}
+[traces]
+sample_ratio = 1.0
+"""
+
+_DISTRIBUTION = """
 [distribution]
 fleet_size = 100
 cold_start_rounds = 3
 bootstrap_seconds = 0.3
-
-[traces]
-sample_ratio = 1.0
 """
 
 _RANKS = """
@@ -135,7 +138,8 @@
     :param size: how many hosts of each kind.
     :param documents: the directory of the site's published documents.
     :param directory: where settings files are written.
-    :param sections: more TOML sections for the settings of a role's hosts.
+    :param sections: more TOML sections for the settings of a role's hosts;
+        under ``distribution`` that section for all hosts.
     """
 
     def __init__(
@@ -273,6 +277,7 @@
             config=_address(self.config),
             hosts=_address(self.host_list),
             seeds=seeds,
+            distribution=self._sections.get('distribution', _DISTRIBUTION),
         )
         text += self._sections.get(host.role, '')
         if host.role != 'backend':
