Hedge slow idempotent requests, one answer to each caller

Cause: `hedge_after_milliseconds` and `hedge_ratio` did nothing.

Ruled out: a hedge whose loser notices by itself (it does not look while it opens a connection: it was rated failed, not cancelled); buffering both answers and relaying one (the first token would wait for the last); hedging retries (two budgets for one request).

Change: an idempotent request whose first attempt has not begun to answer in time gets a second one at another back end, once, under the intent's and the entry's budgets; never past the deadline, beyond requests.max_attempts, while requests wait in the queue, or to a back end that drains, is full, or would be chosen only because most are ejected. Race lets the first answer that begins through and cancels the other, whose Conversation tells its agent (Cancel). One task group holds both attempts, so a hang-up or a stop ends both. The router is told of the loser as cancelled; hedges_total counts, the entry span's `servers` names both. A request is unknown if either attempt is. Found on the way: an open cancelled before the greeting left its connection to the garbage collector; now it is closed. Chooser is cut out of the dispatcher.

--- /dev/null
+++ b/src/ospreyford/entry/choosing.py
@@ -0,0 +1,119 @@
+"""Chooses where one sending of a call goes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.entry.outcome import Cause, NotRun
+from ospreyford.entry.sending import make_headers
+from ospreyford.entry.target import Sending
+from ospreyford.routing.query import (
+    AllLeaving,
+    Attempt,
+    Basis,
+    Choice,
+    DeadlinePassed,
+    NoBackend,
+    NoCandidate,
+    Overloaded,
+    RoutingQuery,
+)
+from ospreyford.wire.identity import make_id, read_date
+
+if TYPE_CHECKING:
+    from ospreyford.entry.call import Call, Plan
+    from ospreyford.entry.settings import RequestSettings
+    from ospreyford.ports.clock import Clock
+    from ospreyford.ports.fleet import Host
+    from ospreyford.routing.query import Reason
+    from ospreyford.routing.router import Router
+
+
+class Chooser:
+    """Asks the router pool by pool.
+
+    :param settings: when to come back where nothing better is known.
+    :param router: chooses among the hosts of a pool.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, settings: RequestSettings, router: Router, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._router = router
+        self._clock = clock
+
+    def choose(
+        self, call: Call, plan: Plan, excluded: frozenset[str], kind: Attempt
+    ) -> Sending | NotRun:
+        """Choose a back end; nothing is sent or counted yet.
+
+        :param call: the admitted call.
+        :param plan: what it may use.
+        :param excluded: names of back ends that must not be chosen.
+        :param kind: why it is sent.
+        :returns: where it goes, or why nowhere.
+        """
+        query = _make_query(call, plan, excluded)
+        now = self._clock.monotonic()
+        refusal = NoBackend(NoCandidate(), self._settings.retry_after_seconds)
+        for hosts in plan.pools:
+            choice = self._router.choose(query, hosts, now)
+            if isinstance(choice, NoBackend):
+                refusal = choice
+            elif _is_fit(choice, kind):
+                return _make_sending(call, plan, choice.host, kind)
+        return NotRun(_name_cause(refusal.reason), refusal.retry_after)
+
+
+def _is_fit(choice: Choice, kind: Attempt) -> bool:
+    # When most back ends look bad, the cause is rather a common one: a
+    # second attempt beside the first would be load and no help.
+    return kind is not Attempt.hedge or choice.basis is not Basis.panic
+
+
+def _make_sending(call: Call, plan: Plan, host: Host, kind: Attempt) -> Sending:
+    # An idempotent call may run twice, so each sending has an id of its own;
+    # any other keeps one id wherever it goes.
+    execution = make_id() if call.idempotent else call.request_id
+    return Sending(
+        host,
+        kind,
+        execution,
+        read_date(execution) or 0,
+        make_headers(plan),
+        plan.extras.allowance,
+    )
+
+
+def _make_query(
+    call: Call,
+    plan: Plan,
+    excluded: frozenset[str],
+) -> RoutingQuery:
+    return RoutingQuery(
+        service=call.service,
+        customer=call.customer,
+        deadline=call.deadline,
+        prefix=call.prefix if plan.caches_prefixes else None,
+        adapter=plan.adapter,
+        version=plan.version,
+        priority=plan.priority,
+        excluded=excluded,
+        prompt_tokens=call.tokens,
+        idempotent=call.idempotent,
+        zone_preference=plan.zone_preference,
+    )
+
+
+def _name_cause(reason: Reason) -> Cause:
+    match reason:
+        case NoCandidate():
+            return Cause.no_backend
+        case AllLeaving():
+            return Cause.draining
+        case Overloaded():
+            return Cause.overloaded
+        case DeadlinePassed():
+            return Cause.deadline
--- a/src/ospreyford/entry/conversation.py
+++ b/src/ospreyford/entry/conversation.py
@@ -61,6 +61,15 @@
         except CallerGone:
             await self._cancel(first.execution)
             return Abandoned()
+        except curio.CancelledError:
+            # Another attempt has won, or this process stops. Told nothing,
+            # the engine would go on until the agent takes it for orphaned.
+            # Bounded, since a silent connection may take nothing.
+            await curio.ignore_after(
+                self._settings.beat_seconds,
+                self._cancel(first.execution),
+            )
+            raise
 
     async def _listen(self, execution: str) -> AttemptOutcome | Interrupted:
         while True:
--- a/src/ospreyford/entry/dispatcher.py
+++ b/src/ospreyford/entry/dispatcher.py
@@ -5,30 +5,20 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ospreyford.entry.choosing import Chooser
+from ospreyford.entry.hedging import Hedger
 from ospreyford.entry.keyed import KeyedDispatcher
 from ospreyford.entry.outcome import Cause, NotRun, Outcome, Unknown
-from ospreyford.entry.sending import Sender, make_headers, settle_outcome
-from ospreyford.entry.target import Sending
+from ospreyford.entry.sending import Sender
 from ospreyford.entry.waiting import is_overload
-from ospreyford.routing.query import (
-    AllLeaving,
-    Choice,
-    DeadlinePassed,
-    NoBackend,
-    NoCandidate,
-    Overloaded,
-    RoutingQuery,
-)
-from ospreyford.routing.query import Attempt as AttemptKind
-from ospreyford.wire.identity import make_id, read_date
+from ospreyford.routing.query import Attempt
 
 if TYPE_CHECKING:
     from ospreyford.entry.call import Call, Directory, Plan
     from ospreyford.entry.sending import Wiring
     from ospreyford.entry.settings import RequestSettings
     from ospreyford.entry.sink import Sink
-    from ospreyford.ports.fleet import Host
-    from ospreyford.routing.query import Reason
+    from ospreyford.entry.target import Sending
 
 #: Causes that no other back end would judge differently.
 FINAL_CAUSES = frozenset((Cause.bad_key, Cause.key_reused, Cause.deadline))
@@ -51,9 +41,10 @@
         self._settings = settings
         self._router = wiring.router
         self._room = wiring.room
-        self._clock = wiring.clock
-        self._sender = Sender(wiring)
-        self.keyed = KeyedDispatcher(settings, self._sender, directory)
+        sender = Sender(wiring)
+        self._chooser = Chooser(settings, wiring.router, wiring.clock)
+        self._hedger = Hedger(settings, wiring, self._chooser, sender)
+        self.keyed = KeyedDispatcher(settings, sender, directory)
 
     async def dispatch(self, call: Call, plan: Plan, sink: Sink) -> Outcome:
         """See a call through to its outcome.
@@ -71,26 +62,24 @@
         excluded: frozenset[str] = frozenset()
         doubt: Unknown | None = None
         outcome: Outcome = NotRun(Cause.no_backend, 0)
-        attempts = self._count_attempts(plan)
-        for number in range(attempts):
-            sending = await self._find(call, plan, excluded, number)
+        for left in range(plan.extras.retries, -1, -1):
+            sending = await self._find(call, plan, excluded)
             if isinstance(sending, NotRun):
                 return doubt or sending
-            outcome = settle_outcome(
-                await self._sender.send(call, sending, sink),
-                self._settings.retry_after_seconds,
-            )
-            if not self._may_go_on(call, outcome):
-                break
+            outcome = await self._hedger.send(call, plan, sending, sink)
             if isinstance(outcome, Unknown):
                 doubt = outcome
-            excluded |= {sending.host.name}
-            left = attempts - number - 1
-            if not self._may_retry(plan, sending, outcome, left):
+            excluded = frozenset(call.servers)
+            # Asked for a retry that will be made alone: the question spends
+            # the budgets.
+            going = left > 0 and self._may_go_on(call, outcome)
+            if not going or not self._may_retry(plan, sending, outcome):
                 break
         return self._conclude(outcome, doubt)
 
     def _may_go_on(self, call: Call, outcome: Outcome) -> bool:
+        if len(call.servers) >= self._settings.max_attempts:
+            return False
         match outcome:
             case NotRun(cause=cause):
                 return cause not in FINAL_CAUSES
@@ -99,16 +88,9 @@
             case _:
                 return False
 
-    def _count_attempts(self, plan: Plan) -> int:
-        return min(self._settings.max_attempts, 1 + plan.extras.retries)
-
     def _may_retry(
-        self, plan: Plan, sending: Sending, outcome: Outcome, left: int
+        self, plan: Plan, sending: Sending, outcome: Outcome
     ) -> bool:
-        # After the last attempt the budgets would be spent for a retry that
-        # is not made.
-        if not left:
-            return False
         # A refusal by a draining agent costs it nothing; anything else is
         # load on servers that may be failing from load.
         if isinstance(outcome, NotRun) and outcome.cause is Cause.draining:
@@ -129,78 +111,13 @@
         call: Call,
         plan: Plan,
         excluded: frozenset[str],
-        number: int,
     ) -> Sending | NotRun:
         # Whoever waits goes first: a newcomer that found capacity would
         # otherwise overtake the whole queue.
-        find = partial(self._choose, call, plan, excluded, number)
+        kind = Attempt.retry if excluded else Attempt.first
+        find = partial(self._chooser.choose, call, plan, excluded, kind)
         if not self._room:
             sending = find()
             if not is_overload(sending):
                 return sending
         return await self._room.wait(call, plan, find)
-
-    def _choose(
-        self,
-        call: Call,
-        plan: Plan,
-        excluded: frozenset[str],
-        number: int,
-    ) -> Sending | NotRun:
-        query = _make_query(call, plan, excluded)
-        now = self._clock.monotonic()
-        refusal = NoBackend(NoCandidate(), self._settings.retry_after_seconds)
-        for hosts in plan.pools:
-            choice = self._router.choose(query, hosts, now)
-            if isinstance(choice, Choice):
-                return _make_sending(call, plan, choice.host, number)
-            refusal = choice
-        return NotRun(_name_cause(refusal.reason), refusal.retry_after)
-
-
-def _make_sending(call: Call, plan: Plan, host: Host, number: int) -> Sending:
-    kind = AttemptKind.retry if number else AttemptKind.first
-    # An idempotent call may run twice, so each sending has an id of its own;
-    # any other keeps one id wherever it goes.
-    execution = make_id() if call.idempotent else call.request_id
-    dated = read_date(execution) or 0
-    return Sending(
-        host,
-        kind,
-        execution,
-        dated,
-        make_headers(plan),
-        plan.extras.allowance,
-    )
-
-
-def _make_query(
-    call: Call,
-    plan: Plan,
-    excluded: frozenset[str],
-) -> RoutingQuery:
-    return RoutingQuery(
-        service=call.service,
-        customer=call.customer,
-        deadline=call.deadline,
-        prefix=call.prefix if plan.caches_prefixes else None,
-        adapter=plan.adapter,
-        version=plan.version,
-        priority=plan.priority,
-        excluded=excluded,
-        prompt_tokens=call.tokens,
-        idempotent=call.idempotent,
-        zone_preference=plan.zone_preference,
-    )
-
-
-def _name_cause(reason: Reason) -> Cause:
-    match reason:
-        case NoCandidate():
-            return Cause.no_backend
-        case AllLeaving():
-            return Cause.draining
-        case Overloaded():
-            return Cause.overloaded
-        case DeadlinePassed():
-            return Cause.deadline
--- /dev/null
+++ b/src/ospreyford/entry/race.py
@@ -0,0 +1,141 @@
+"""Two attempts at one request, of which one may answer the caller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.entry.outcome import Abandoned, AttemptOutcome
+from ospreyford.entry.sink import CallerGone
+
+if TYPE_CHECKING:
+    from ospreyford.entry.call import Call
+    from ospreyford.entry.sending import Sender
+    from ospreyford.entry.sink import Sink
+    from ospreyford.entry.target import Sending
+    from ospreyford.http.message import Headers
+
+
+class Race:
+    """Lets the first answer that begins through to the caller.
+
+    ``settled`` is set once an answer has begun or an attempt has ended.
+
+    :param sink: the caller.
+    """
+
+    def __init__(self, sink: Sink) -> None:
+        self.sink = sink
+        self.settled = curio.Event()
+        self.lanes: list[Lane] = []
+        self.winner: Lane | None = None
+
+    def add_lane(self) -> Lane:
+        """Let one more attempt take part.
+
+        :returns: where its answer goes.
+        """
+        lane = Lane(self)
+        self.lanes.append(lane)
+        return lane
+
+    async def claim(self, lane: Lane) -> bool:
+        """Let a lane answer the caller, if none does yet.
+
+        The others are cancelled.
+
+        :param lane: a lane whose answer begins.
+        :returns: whether it is the one.
+        """
+        if self.winner is None:
+            # Set before anything is awaited: between two awaits nobody else
+            # can claim, so that there is never a second winner.
+            self.winner = lane
+            for other in self.lanes:
+                if other is not lane:
+                    await other.cancel()
+            await self.settled.set()
+        return self.winner is lane
+
+
+class Lane:
+    """One attempt's way to the caller, closed once another has won.
+
+    :param race: which lane may answer.
+    """
+
+    def __init__(self, race: Race) -> None:
+        self.outcome: AttemptOutcome = Abandoned()
+        self._race = race
+        self._task: curio.Task | None = None
+
+    async def run(self, sender: Sender, call: Call, sending: Sending) -> None:
+        """Make the attempt and note its outcome.
+
+        :param sender: makes the attempt.
+        :param call: the admitted call.
+        :param sending: where it goes.
+        """
+        self._task = await curio.current_task()
+        # The other may have won while this task waited for its turn.
+        if self._is_lost():
+            return
+        try:
+            self.outcome = await sender.send(call, sending, self)
+        except curio.CancelledError:
+            # By the race, or with the group that this task belongs to.
+            # Raised further, it would be an error of the group, which would
+            # then cancel the answer that won.
+            return
+        finally:
+            await self._race.settled.set()
+
+    async def cancel(self) -> None:
+        """Stop the attempt; returns before it has ended."""
+        if self._task is not None:
+            await self._task.cancel(blocking=False)
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Relay the answer's head if this lane wins.
+
+        :param status: HTTP status.
+        :param headers: HTTP header fields of the back end.
+        :raises CallerGone: another one won, or nobody waits.
+        """
+        # Symptom without this check: the caller gets two heads, or parts of
+        # two answers mixed. The loser's frames end here.
+        if not await self._race.claim(self):
+            raise CallerGone
+        await self._race.sink.begin(status, headers)
+
+    async def relay(self, content: bytes) -> None:
+        """Relay a piece of the answer's body.
+
+        :param content: the bytes.
+        :raises CallerGone: this lane has not won, or nobody waits.
+        """
+        self._check()
+        await self._race.sink.relay(content)
+
+    async def finish(self) -> None:
+        """Relay that the answer is whole.
+
+        :raises CallerGone: this lane has not won, or nobody waits.
+        """
+        self._check()
+        await self._race.sink.finish()
+
+    def is_abandoned(self) -> bool:
+        """Tell whether nobody waits for this attempt.
+
+        :returns: whether another has won or the caller has gone.
+        """
+        return self._is_lost() or self._race.sink.is_abandoned()
+
+    def _is_lost(self) -> bool:
+        return self._race.winner not in {None, self}
+
+    def _check(self) -> None:
+        if self._race.winner is not self:
+            raise CallerGone
--- a/src/ospreyford/entry/sending.py
+++ b/src/ospreyford/entry/sending.py
@@ -76,8 +76,7 @@
         name = sending.host.name
         began = self._clock.monotonic()
         call.servers.append(name)
-        if sending.kind is AttemptKind.retry:
-            self._wiring.metrics.retries.labels(call.service).inc()
+        self._count(call, sending)
         self._router.note_sent(name, began, sending.kind, sending.allowance)
         attempt = self.make_attempt(call, sending, sink)
         routed = RoutingOutcome.cancelled
@@ -132,6 +131,13 @@
             call.deadline,
         )
 
+    def _count(self, call: Call, sending: Sending) -> None:
+        match sending.kind:
+            case AttemptKind.retry:
+                self._wiring.metrics.retries.labels(call.service).inc()
+            case AttemptKind.hedge:
+                self._wiring.metrics.hedges.labels(call.service).inc()
+
     def _note_finished(
         self,
         name: str,
--- a/src/ospreyford/wire/pool.py
+++ b/src/ospreyford/wire/pool.py
@@ -89,6 +89,9 @@
         except (WireError, curio.TaskTimeout):
             await frames.close()
             raise Unreachable from None
+        except curio.CancelledError:
+            await frames.close()
+            raise
         if isinstance(greeting, Greeting):
             return AgentConnection(frames, greeting)
         await frames.close()
--- /dev/null
+++ b/tests/entry/test_race.py
@@ -0,0 +1,106 @@
+"""Two answers to one caller never mix, in whatever order they come."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyford.entry.outcome import Abandoned
+from ospreyford.entry.race import Lane, Race
+from ospreyford.entry.sink import CallerGone
+from tests.faults.rig import CollectingSink
+
+PIECES = 3
+#: A head, the pieces, the end mark.
+STEPS = PIECES + 2
+#: Lanes in the order of their steps.
+ORDERS = st.lists(st.sampled_from((0, 1)), max_size=2 * STEPS)
+NAMES = (b'a', b'b')
+#: Fails if anything is sent.
+NO_SENDER: Any = None
+
+
+async def step(lane: Lane, name: bytes, number: int) -> None:
+    """Let a lane relay the next part of its answer."""
+    match number:
+        case 0:
+            await lane.begin(200 + NAMES.index(name), ())
+        case _ if number <= PIECES:
+            await lane.relay(name)
+        case _:
+            await lane.finish()
+
+
+async def play(order: list[int]) -> CollectingSink:
+    """Play two answers; one that is told to stop does."""
+    sink = CollectingSink()
+    race = Race(sink)
+    lanes = [race.add_lane(), race.add_lane()]
+    numbers = [0, 0]
+    for turn in order:
+        if numbers[turn] < STEPS:
+            try:
+                await step(lanes[turn], NAMES[turn], numbers[turn])
+            except CallerGone:
+                assert race.winner is lanes[1 - turn]
+                assert lanes[turn].is_abandoned()
+            numbers[turn] += 1
+    return sink
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(order=ORDERS)
+def test_the_caller_gets_one_answer(order: list[int]) -> None:
+    """A caller reads parts of two answers as one.
+
+    Sequence: two attempts at one request answer, their parts interleaved.
+    Cause: the loser's frames are relayed, too.
+    """
+    sink = curio.run(play, order)
+    turns = [order.count(turn) for turn in order[:1]]
+    if not turns:
+        assert (sink.status, sink.body, sink.whole) == (0, b'', False)
+        return
+    winner = order[0]
+    assert sink.status == 200 + winner
+    assert sink.body == NAMES[winner] * min(turns[0] - 1, PIECES)
+    assert sink.whole is (turns[0] >= STEPS)
+
+
+async def skip_the_head(part: int) -> None:
+    race = Race(CollectingSink())
+    await step(race.add_lane(), NAMES[0], part)
+
+
+@pytest.mark.parametrize('part', [1, STEPS - 1])
+def test_an_answer_without_a_head_is_not_relayed(part: int) -> None:
+    """An attempt that never began writes into the caller's answer.
+
+    Sequence: a broken agent sends a piece or an end mark first.
+    Cause: only the head is checked.
+    """
+    with pytest.raises(CallerGone):
+        curio.run(skip_the_head, part)
+
+
+async def start_late() -> None:
+    race = Race(CollectingSink())
+    first, second = race.add_lane(), race.add_lane()
+    await first.begin(200, ())
+    task = await curio.spawn(second.run, NO_SENDER, NO_SENDER, NO_SENDER)
+    await task.join()
+    assert second.outcome == Abandoned()
+
+
+def test_a_lane_that_starts_late_sends_nothing() -> None:
+    """A back end gets a request that has its answer already.
+
+    Sequence: the first attempt's answer begins between the decision to hedge
+    and the start of the hedge's task.
+    Cause: nothing cancels a task that has not started.
+    """
+    curio.run(start_late)
--- a/tests/faults/cells.py
+++ b/tests/faults/cells.py
@@ -10,14 +10,23 @@
 
 import curio
 
+from ospreyford.entry.call import Extras
 from ospreyford.entry.outcome import Answered, Cut, NotRun, Outcome, Unknown
 from ospreyford.wire.identity import make_id
 from tests.faults.backend import expected_body
 from tests.faults.network import Fault, Kind, Step
-from tests.faults.rig import CollectingSink, Rig, make_call, send
+from tests.faults.rig import (
+    NO_EXTRAS,
+    CollectingSink,
+    Rig,
+    make_call,
+    send,
+)
 
 SETTLE_SECONDS = 0.5
 RETRIES = 2
+#: Both attempts are under way before either is answered.
+HEDGED = Extras(hedge_after=0.002)
 STEPS = (
     Step.greeting,
     Step.start,
@@ -28,6 +37,7 @@
     Step.follow,
     Step.refused,
     Step.beat,
+    Step.cancel,
 )
 
 
@@ -37,6 +47,7 @@
     idempotent = 'idempotent'
     keyed = 'keyed'
     unkeyed = 'unkeyed'
+    hedged = 'hedged'
 
 
 class Cell(NamedTuple):
@@ -56,7 +67,7 @@
 
 
 #: An entry names its own request; only what an agent sends can be crossed.
-SENT_BY_ENTRY = frozenset((Step.start, Step.follow))
+SENT_BY_ENTRY = frozenset((Step.start, Step.follow, Step.cancel))
 FAULTS = tuple(
     (step, kind)
     for step in STEPS
@@ -65,16 +76,29 @@
 )
 
 
+def list_faults(mode: Mode) -> list[tuple[Step, Kind]]:
+    """The faults that a request of one kind can meet."""
+    # Only the attempt that loses is cancelled.
+    return [
+        fault
+        for fault in FAULTS
+        if fault[0] is not Step.cancel or mode is Mode.hedged
+    ]
+
+
 def list_single_cells() -> list[Cell]:
     """Every fault at every step, alone."""
-    return [Cell(mode, (fault,)) for mode in Mode for fault in FAULTS]
+    return [
+        Cell(mode, (fault,)) for mode in Mode for fault in list_faults(mode)
+    ]
 
 
 def list_pair_cells() -> list[Cell]:
     """Every two faults, the second at the same step or at a later one."""
     return [
         Cell(mode, (first, second))
-        for mode, first, second in product(Mode, FAULTS, FAULTS)
+        for mode in Mode
+        for first, second in product(list_faults(mode), repeat=2)
         if STEPS.index(first[0]) <= STEPS.index(second[0])
     ]
 
@@ -88,11 +112,12 @@
     tag = make_id().encode()
     async with Rig(faults, faults) as rig:
         key = make_id() if cell.mode is Mode.keyed else ''
-        idempotent = cell.mode is Mode.idempotent
+        idempotent = cell.mode in {Mode.idempotent, Mode.hedged}
         call = make_call(tag, idempotent=idempotent, key=key)
-        outcome, sink = await send(rig, rig.make_entry(1), call)
+        extras = HEDGED if cell.mode is Mode.hedged else NO_EXTRAS
+        outcome, sink = await send(rig, rig.make_entry(1), call, extras)
         await curio.sleep(SETTLE_SECONDS)
-        broken = judge_first(rig, tag, outcome, sink)
+        broken = judge_first(rig, tag, outcome, sink) + judge_counts(rig)
         if cell.mode is Mode.keyed:
             broken += await retry(rig, tag, key)
         runs = rig.count_runs(tag)
@@ -126,6 +151,13 @@
     return broken
 
 
+def judge_counts(rig: Rig) -> list[str]:
+    """Judge whether every attempt that began was told to have ended."""
+    sent = sorted(name for name, _ in rig.router.sent)
+    ended = sorted(name for name, _ in rig.router.finished)
+    return [] if sent == ended else [f'sent {sent}, ended {ended}']
+
+
 async def retry(rig: Rig, tag: bytes, key: str) -> list[str]:
     """Come again with the key through entries that share nothing."""
     broken = []
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -13,7 +13,7 @@
 from ospreyford.agent.runner import Runner
 from ospreyford.agent.service import AgentService
 from ospreyford.agent.settings import RecordSettings, ServiceSettings
-from ospreyford.entry.call import Call, Plan
+from ospreyford.entry.call import Call, Extras, Plan
 from ospreyford.entry.directory import FleetDirectory
 from ospreyford.entry.dispatcher import Dispatcher
 from ospreyford.entry.homes import Home
@@ -30,8 +30,10 @@
 from ospreyford.observability.spans import Tracer
 from ospreyford.ports.clock import SystemClock
 from ospreyford.ports.fleet import Host
+from ospreyford.routing.budget import Allowance
+from ospreyford.routing.query import Attempt, Priority
 from ospreyford.routing.query import Identity as RouterIdentity
-from ospreyford.routing.query import Priority
+from ospreyford.routing.query import Outcome as RoutingOutcome
 from ospreyford.routing.router import Router
 from ospreyford.routing.settings import RoutingSettings
 from ospreyford.settings.sections import Identity, Traces
@@ -59,6 +61,8 @@
     Identity(name='rig', instance='i', zone='z', region='r'),
 )
 POOL = PoolSettings(connect_seconds=0.15)
+NO_EXTRAS = Extras()
+REQUESTS = RequestSettings()
 
 
 @dataclass
@@ -86,6 +90,32 @@
         return self.gone
 
 
+class RecordingRouter(Router):
+    """Notes what it is told of attempts."""
+
+    def __init__(self, seed: int) -> None:
+        me = RouterIdentity('e', 'z', 'r')
+        super().__init__(RoutingSettings(), me, random.Random(seed))
+        self.sent: list[tuple[str, Attempt]] = []
+        self.finished: list[tuple[str, RoutingOutcome]] = []
+
+    def note_sent(
+        self,
+        name: str,
+        now: float,
+        attempt: Attempt = Attempt.first,
+        allowance: Allowance | None = None,
+    ) -> None:
+        self.sent.append((name, attempt))
+        super().note_sent(name, now, attempt, allowance)
+
+    def note_finished(
+        self, name: str, outcome: RoutingOutcome, seconds: float, now: float
+    ) -> None:
+        self.finished.append((name, outcome))
+        super().note_finished(name, outcome, seconds, now)
+
+
 class RunningAgent:
     """One agent in this kernel; ``restart`` gives it a new life."""
 
@@ -98,6 +128,7 @@
         self.record: ExecutionRecord | None = None
         self._tasks: list[Any] = []
         self._lock = curio.Lock()
+        self.sessions: list[Any] = []
         self.network = FaultyNetwork(0, faults)
         self.network.kill = self.die
 
@@ -138,6 +169,7 @@
 
     async def _accept(self, sock: Any, service: AgentService) -> None:
         tasks: list[Any] = []
+        self.sessions = tasks
         try:
             while True:
                 client, _ = await sock.accept()
@@ -146,6 +178,15 @@
             for task in tasks:
                 await task.cancel()
 
+    def count_connections(self) -> int:
+        """Count the connections that are open at this agent."""
+        return sum(not task.terminated for task in self.sessions)
+
+    def count_running(self) -> int:
+        """Count the requests that the back end works at."""
+        assert self.record is not None
+        return len(list(self.record.memory.list_running()))
+
     @property
     def host(self) -> Host:
         """The host as the host list shows it."""
@@ -168,6 +209,10 @@
             for number, each in enumerate(faults)
         ]
         self.directory = FleetDirectory()
+        # Of the entry made last.
+        self.router = RecordingRouter(1)
+        self.metrics = Metrics()
+        self.room = WaitingRoom(QueueSettings(), SystemClock())
         self._tasks: list[Any] = []
 
     async def __aenter__(self) -> Rig:
@@ -201,22 +246,23 @@
             caches_prefixes=False,
         )
 
-    def make_entry(self, seed: int = 1) -> Dispatcher:
+    def make_entry(
+        self, seed: int = 1, requests: RequestSettings = REQUESTS
+    ) -> Dispatcher:
         """Make an entry that shares nothing with any other."""
         clock = SystemClock()
+        self.router = RecordingRouter(seed)
+        self.metrics = Metrics()
+        self.room = WaitingRoom(QueueSettings(), clock)
         wiring = Wiring(
             TIMES,
-            Router(
-                RoutingSettings(),
-                RouterIdentity('e', 'z', 'r'),
-                random.Random(seed),
-            ),
+            self.router,
             ConnectionPool(POOL, clock),
             clock,
-            Metrics().requests,
-            WaitingRoom(QueueSettings(), clock),
+            self.metrics.requests,
+            self.room,
         )
-        return Dispatcher(RequestSettings(), wiring, self.directory)
+        return Dispatcher(requests, wiring, self.directory)
 
     def count_runs(self, tag: bytes) -> int:
         """Count the runs of a request over all back ends."""
@@ -248,8 +294,9 @@
 
 
 async def send(
-    rig: Rig, entry: Dispatcher, call: Call
+    rig: Rig, entry: Dispatcher, call: Call, extras: Extras = NO_EXTRAS
 ) -> tuple[Outcome, CollectingSink]:
     """Send a call through an entry."""
     sink = CollectingSink()
-    return await entry.dispatch(call, rig.plan, sink), sink
+    plan = rig.plan._replace(extras=extras)
+    return await entry.dispatch(call, plan, sink), sink
