--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCE := PYTHONPATH=src
 
-.PHONY: setup test lint format demo bench faults measure measure-times clean
+.PHONY: setup test lint format demo bench faults measure measure-times capacity clean
 
 setup: $(STAMP)
 
@@ -28,6 +28,9 @@
 demo: setup
 	$(SOURCE) $(BIN)/python -m ospreyford.standins.demo
 
+bench: setup
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.bench
+
 faults: setup
 	$(SOURCE) $(BIN)/python -m tests.faults
 
@@ -45,5 +48,9 @@
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.membership
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.expertmap
 
+# The figures of docs/CAPACITY.md, of this machine.
+capacity: setup
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.capacity
+
 clean:
 	rm -rf $(VENV) build
--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -56,6 +56,7 @@
             Announcer(program.changes, self._metrics),
             program.stop.requested,
         )
+        self._metrics.watch_peers(self._node.peers.counters)
         self._drains = DrainState(settings.identity.name)
         self._tracing = Tracing(
             settings.traces,
--- a/src/ospreyford/entry/dispatcher.py
+++ b/src/ospreyford/entry/dispatcher.py
@@ -116,7 +116,7 @@
         # otherwise overtake the whole queue.
         kind = Attempt.retry if excluded else Attempt.first
         find = partial(self._chooser.choose, call, plan, excluded, kind)
-        if not self._room:
+        if not self._room.has_waiters(call.service):
             sending = find()
             if not is_overload(sending):
                 return sending
--- a/src/ospreyford/entry/hedging.py
+++ b/src/ospreyford/entry/hedging.py
@@ -95,7 +95,7 @@
         self, call: Call, plan: Plan, sending: Sending
     ) -> Sending | None:
         is_last = len(call.servers) >= self._settings.max_attempts
-        if is_last or self._wiring.room:
+        if is_last or self._wiring.room.has_waiters(call.service):
             return None
         excluded = frozenset((sending.host.name,))
         other = self._chooser.choose(call, plan, excluded, Attempt.hedge)
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -8,10 +8,10 @@
 
 from ospreyford.entry.directory import FleetDirectory
 from ospreyford.entry.factory import make_parts
+from ospreyford.entry.returns import ReturnWatch
 from ospreyford.entry.views import Views
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.server import listen, serve_connection
-from ospreyford.membership.member import MemberState
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
 from ospreyford.node.questions import Topic, answer_spans
@@ -26,12 +26,10 @@
     from curio.io import Socket
 
     from ospreyford.console.program import Program
-    from ospreyford.membership.member import StateChange
     from ospreyford.observability.readiness import Unready
     from ospreyford.ports.fleet import Host
     from ospreyford.settings.programs import EntrySettings
 
-WITHDRAWN = frozenset((MemberState.leaving, MemberState.dead))
 DRAIN_POLL_SECONDS = 0.05
 READY_POLL_SECONDS = 0.1
 #: A balancer in front may send for so long after it is told to stop.
@@ -57,6 +55,7 @@
             self._announcer,
             program.stop.requested,
         )
+        self._metrics.watch_peers(self._node.peers.counters)
         self._directory = FleetDirectory()
         self._tracing = Tracing(
             settings.traces,
@@ -72,6 +71,7 @@
             self._tracing.tracer,
             program.changes,
         )
+        self._returns = ReturnWatch(self._directory, self._parts.router)
         self.stopping = False
         self._open = OpenConnections(settings.http.connections)
 
@@ -113,9 +113,9 @@
         return reasons
 
     def _listen_to_fleet(self) -> None:
-        self._node.configuration.listen(self._directory.note_picture)
+        self._node.configuration.listen(self._returns.note_picture)
         self._node.listen_for_hosts(self._note_hosts)
-        self._node.membership.subscribe(self._note_member)
+        self._node.membership.subscribe(self._returns.note_member)
 
     def _note_hosts(self, hosts: tuple[Host, ...]) -> None:
         before = self._directory.hosts.keys()
@@ -123,13 +123,6 @@
         for name in before - self._directory.hosts.keys():
             self._parts.router.note_gone(name)
 
-    def _note_member(self, change: StateChange) -> None:
-        name = change.member.name
-        if change.after in WITHDRAWN:
-            self._directory.note_withdrawn(self._directory.withdrawn | {name})
-        else:
-            self._directory.note_withdrawn(self._directory.withdrawn - {name})
-
     async def _start_admin(self) -> None:
         admin = AdminPort(
             self._settings.listen,
--- a/tests/faults/cells.py
+++ b/tests/faults/cells.py
@@ -11,6 +11,7 @@
 import curio
 
 from ospreyford.entry.call import Extras
+from ospreyford.entry.dispatcher import Dispatcher
 from ospreyford.entry.outcome import Answered, Cut, NotRun, Outcome, Unknown
 from ospreyford.wire.identity import make_id
 from tests.faults.backend import expected_body
@@ -27,6 +28,7 @@
 RETRIES = 2
 #: Both attempts are under way before either is answered.
 HEDGED = Extras(hedge_after=0.002)
+BYSTANDERS = 2
 STEPS = (
     Step.greeting,
     Step.start,
@@ -115,9 +117,13 @@
         idempotent = cell.mode in {Mode.idempotent, Mode.hedged}
         call = make_call(tag, idempotent=idempotent, key=key)
         extras = HEDGED if cell.mode is Mode.hedged else NO_EXTRAS
-        outcome, sink = await send(rig, rig.make_entry(1), call, extras)
+        entry = rig.make_entry(1)
+        outcome, sink = await send(rig, entry, call, extras)
+        broken = judge_counts(rig)
+        # The next caller of the same entry must not meet what is left of it.
+        broken += await send_bystander(rig, entry)
         await curio.sleep(SETTLE_SECONDS)
-        broken = judge_first(rig, tag, outcome, sink) + judge_counts(rig)
+        broken += judge_first(rig, tag, outcome, sink)
         if cell.mode is Mode.keyed:
             broken += await retry(rig, tag, key)
         runs = rig.count_runs(tag)
@@ -126,6 +132,20 @@
     return Verdict(cell, describe(outcome), broken)
 
 
+async def send_bystander(rig: Rig, entry: Dispatcher) -> list[str]:
+    """Send another request through the same entry."""
+    broken = []
+    for _ in range(BYSTANDERS):
+        tag = make_id().encode()
+        call = make_call(tag, idempotent=True)
+        outcome, sink = await send(rig, entry, call)
+        broken += [
+            f'bystander: {each}'
+            for each in judge_first(rig, tag, outcome, sink)
+        ]
+    return broken
+
+
 def judge_first(
     rig: Rig, tag: bytes, outcome: Outcome, sink: CollectingSink
 ) -> list[str]:
