Let a first attempt that a hedge overtook count as latency; measure hedging

Ruled out: rating the loser as failed (it says nothing of errors, and five in a row would eject a healthy back end); leaving it to the budget.

Change: Outcome.outrun, a first attempt that a later hedge overtook, counts the time so far as a latency sample; a hedge that lost stays cancelled.

--- a/src/ospreyford/entry/race.py
+++ b/src/ospreyford/entry/race.py
@@ -133,6 +133,13 @@
         """
         return self._is_lost() or self._race.sink.is_abandoned()
 
+    def is_outrun(self) -> bool:
+        """Tell whether a lane that started later has won.
+
+        :returns: whether its back end is slower for certain.
+        """
+        return self._is_lost() and self._race.lanes[0] is self
+
     def _is_lost(self) -> bool:
         return self._race.winner not in {None, self}
 
--- a/src/ospreyford/entry/sending.py
+++ b/src/ospreyford/entry/sending.py
@@ -18,6 +18,7 @@
     Outcome,
     Unknown,
 )
+from ospreyford.entry.race import Lane
 from ospreyford.entry.target import Sending
 from ospreyford.routing.query import Attempt as AttemptKind
 from ospreyford.routing.query import Outcome as RoutingOutcome
@@ -85,7 +86,7 @@
             routed = _rate(outcome)
         finally:
             first_at = attempt.answer.first_at
-            self._note_finished(name, routed, began, first_at)
+            self._note_finished(name, _overrule(routed, sink), began, first_at)
         await self._wiring.room.call_next()
         if attempt.answer.load is not None:
             now = self._clock.monotonic()
@@ -188,6 +189,12 @@
     return xxhash.xxh3_64_intdigest(head.encode() + call.body)
 
 
+def _overrule(routed: RoutingOutcome, sink: Sink) -> RoutingOutcome:
+    if isinstance(sink, Lane) and sink.is_outrun():
+        return RoutingOutcome.outrun
+    return routed
+
+
 def _rate(outcome: AttemptOutcome) -> RoutingOutcome:
     match outcome:
         case NotRun(cause=Cause.unreachable | Cause.backend_refused):
--- a/src/ospreyford/routing/health.py
+++ b/src/ospreyford/routing/health.py
@@ -68,6 +68,11 @@
                 self._note_answer(seconds, now)
             case Outcome.failed:
                 self._note_failure(now)
+            case Outcome.outrun:
+                # Without it, hedging hides a straggler: its slow attempts
+                # are the ones that are cancelled, so it is never ejected, and
+                # requests wait for it once the budget is spent.
+                self._note_latency(seconds)
             case Outcome.cancelled:
                 """Not the back end's doing."""
 
@@ -88,15 +93,18 @@
 
     def _note_answer(self, seconds: float, now: float) -> None:
         self._failures = 0
-        self.samples += 1
-        weight = max(LATENCY_WEIGHT, 1 / self.samples)
-        self.latency += weight * (seconds - self.latency)
+        self._note_latency(seconds)
         if self.state(now) is HealthState.probing:
             self._successes += 1
             if self._successes >= self._settings.probe_successes:
                 self._state = HealthState.admitted
                 self._ejections = max(0, self._ejections - 1)
 
+    def _note_latency(self, seconds: float) -> None:
+        self.samples += 1
+        weight = max(LATENCY_WEIGHT, 1 / self.samples)
+        self.latency += weight * (seconds - self.latency)
+
     def _note_failure(self, now: float) -> None:
         self._failures += 1
         probing = self.state(now) is HealthState.probing
--- a/src/ospreyford/routing/query.py
+++ b/src/ospreyford/routing/query.py
@@ -32,12 +32,14 @@
     """How an attempt at a back end ended, as the router sees it.
 
     ``cancelled`` (by the caller, or a hedge that lost) says nothing about
-    the back end's health.
+    the back end's health. ``outrun`` is a first attempt that a later hedge
+    overtook: its answer would have taken at least so long.
     """
 
     answered = 'answered'
     failed = 'failed'
     cancelled = 'cancelled'
+    outrun = 'outrun'
 
 
 class Attempt(StrEnum):
--- a/tests/entry/test_hedging.py
+++ b/tests/entry/test_hedging.py
@@ -28,6 +28,7 @@
 from tests.faults.backend import expected_body
 from tests.faults.network import Fault, Kind, Step
 from tests.faults.rig import CollectingSink, Rig, make_call
+from tests.routing.fleet import make_hosts, make_query, make_router
 
 SLOW, FAST = 'server-0', 'server-1'
 AFTER = 0.02
@@ -97,7 +98,7 @@
         duel.check_whole()
         assert duel.rig.router.sent == list(BOTH)
         assert sorted(duel.rig.router.finished) == [
-            (SLOW, RoutingOutcome.cancelled),
+            (SLOW, RoutingOutcome.outrun),
             (FAST, RoutingOutcome.answered),
         ]
         assert duel.call.servers == [SLOW, FAST]
@@ -121,6 +122,7 @@
         assert await duel.dispatch() == Answered()
         duel.check_whole()
         assert duel.rig.router.sent == list(BOTH)
+        assert (FAST, RoutingOutcome.cancelled) in duel.rig.router.finished
         await curio.sleep(SOON)
         assert not duel.fast.count_running()
         assert not duel.fast.count_connections()
@@ -294,7 +296,7 @@
 
     async def play(duel: Duel) -> None:
         assert await duel.dispatch() == Answered()
-        assert (SLOW, RoutingOutcome.cancelled) in duel.rig.router.finished
+        assert (SLOW, RoutingOutcome.outrun) in duel.rig.router.finished
         await curio.sleep(SOON)
         assert not duel.slow.count_connections()
 
@@ -377,3 +379,20 @@
             assert not agent.count_connections()
 
     run_duel(play)
+
+
+def test_hedging_does_not_hide_a_straggler() -> None:
+    """Requests wait for a slow back end that is never ejected.
+
+    Sequence: hedges overtake its answers, until the budget is spent.
+    Cause: the attempts that it is too slow for count as cancelled, which
+    says nothing of its health.
+    """
+    router = make_router()
+    hosts = make_hosts(3)
+    router.choose(make_query(), hosts, 0)
+    for _ in range(12):
+        for host in hosts[1:]:
+            router.note_finished(host.name, RoutingOutcome.answered, 0.1, 1)
+        router.note_finished(hosts[0].name, RoutingOutcome.outrun, 0.8, 1)
+    assert router.list_ejected(1) == [hosts[0]]
