--- a/tests/faults/cells.py
+++ b/tests/faults/cells.py
@@ -10,15 +10,24 @@
 
 import curio
 
+from ospreyford.entry.call import Extras
 from ospreyford.entry.dispatcher import Dispatcher
 from ospreyford.entry.outcome import Answered, Cut, NotRun, Outcome, Unknown
 from ospreyford.wire.identity import make_id
 from tests.faults.backend import expected_body
 from tests.faults.network import Fault, Kind, Step
-from tests.faults.rig import CollectingSink, Rig, make_call, send
+from tests.faults.rig import (
+    NO_EXTRAS,
+    CollectingSink,
+    Rig,
+    make_call,
+    send,
+)
 
 SETTLE_SECONDS = 0.5
 RETRIES = 2
+#: Both attempts are under way before either is answered.
+HEDGED = Extras(hedge_after=0.002)
 BYSTANDERS = 2
 STEPS = (
     Step.greeting,
@@ -30,6 +39,7 @@
     Step.follow,
     Step.refused,
     Step.beat,
+    Step.cancel,
 )
 
 
@@ -39,6 +49,7 @@
     idempotent = 'idempotent'
     keyed = 'keyed'
     unkeyed = 'unkeyed'
+    hedged = 'hedged'
 
 
 class Cell(NamedTuple):
@@ -58,7 +69,7 @@
 
 
 #: An entry names its own request; only what an agent sends can be crossed.
-SENT_BY_ENTRY = frozenset((Step.start, Step.follow))
+SENT_BY_ENTRY = frozenset((Step.start, Step.follow, Step.cancel))
 FAULTS = tuple(
     (step, kind)
     for step in STEPS
@@ -67,16 +78,29 @@
 )
 
 
+def list_faults(mode: Mode) -> list[tuple[Step, Kind]]:
+    """The faults that a request of one kind can meet."""
+    # Only the attempt that loses is cancelled.
+    return [
+        fault
+        for fault in FAULTS
+        if fault[0] is not Step.cancel or mode is Mode.hedged
+    ]
+
+
 def list_single_cells() -> list[Cell]:
     """Every fault at every step, alone."""
-    return [Cell(mode, (fault,)) for mode in Mode for fault in FAULTS]
+    return [
+        Cell(mode, (fault,)) for mode in Mode for fault in list_faults(mode)
+    ]
 
 
 def list_pair_cells() -> list[Cell]:
     """Every two faults, the second at the same step or at a later one."""
     return [
         Cell(mode, (first, second))
-        for mode, first, second in product(Mode, FAULTS, FAULTS)
+        for mode in Mode
+        for first, second in product(list_faults(mode), repeat=2)
         if STEPS.index(first[0]) <= STEPS.index(second[0])
     ]
 
@@ -90,12 +114,14 @@
     tag = make_id().encode()
     async with Rig(faults, faults) as rig:
         key = make_id() if cell.mode is Mode.keyed else ''
-        idempotent = cell.mode is Mode.idempotent
+        idempotent = cell.mode in {Mode.idempotent, Mode.hedged}
         call = make_call(tag, idempotent=idempotent, key=key)
+        extras = HEDGED if cell.mode is Mode.hedged else NO_EXTRAS
         entry = rig.make_entry(1)
-        outcome, sink = await send(rig, entry, call)
+        outcome, sink = await send(rig, entry, call, extras)
+        broken = judge_counts(rig)
         # The next caller of the same entry must not meet what is left of it.
-        broken = await send_bystander(rig, entry)
+        broken += await send_bystander(rig, entry)
         await curio.sleep(SETTLE_SECONDS)
         broken += judge_first(rig, tag, outcome, sink)
         if cell.mode is Mode.keyed:
@@ -145,6 +171,13 @@
     return broken
 
 
+def judge_counts(rig: Rig) -> list[str]:
+    """Judge whether every attempt that began was told to have ended."""
+    sent = sorted(name for name, _ in rig.router.sent)
+    ended = sorted(name for name, _ in rig.router.finished)
+    return [] if sent == ended else [f'sent {sent}, ended {ended}']
+
+
 async def retry(rig: Rig, tag: bytes, key: str) -> list[str]:
     """Come again with the key through entries that share nothing."""
     broken = []
--- a/tests/faults/network.py
+++ b/tests/faults/network.py
@@ -126,6 +126,12 @@
             await _shut(client)
             return
         self._sockets.append(server)
+        for sock in (client, server):
+            # As on the connections that it stands between: each answer would
+            # otherwise be 40 ms late.
+            sock.setsockopt(
+                plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
+            )
         pair = [Link(client, server), Link(server, client)]
         for link in pair:
             task = await curio.spawn(self._pump, link, pair, daemon=True)
