--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -41,13 +41,13 @@
         'begun',
         'ended',
         'fingerprint',
+        'followers',
         'idempotent',
         'identity',
         'task',
         'voided',
         '_changed',
         '_dropped',
-        '_followers',
         '_frames',
     )
 
@@ -65,7 +65,7 @@
         self.ended: float | None = None
         self.abandoned: float | None = begun
         self.task: curio.Task | None = None
-        self._followers = 0
+        self.followers = 0
         self._dropped = False
         self._frames: list[AnswerFrame] = []
         self._changed = curio.Event()
@@ -96,7 +96,7 @@
 
     def follow(self) -> None:
         """Note that one more connection follows."""
-        self._followers += 1
+        self.followers += 1
         self.abandoned = None
 
     def unfollow(self, now: float) -> None:
@@ -104,8 +104,8 @@
 
         :param now: monotonic seconds.
         """
-        self._followers -= 1
-        if not self._followers:
+        self.followers -= 1
+        if not self.followers:
             self.abandoned = now
 
     def is_abandoned_since(self, oldest: float) -> bool:
@@ -160,11 +160,15 @@
         )
 
     async def fail(self, fate: Fate, now: float) -> None:
-        """Mark that the answer will never be whole.
+        """Mark that the answer will never be whole, unless it is already.
 
         :param fate: what became of the run.
         :param now: monotonic seconds.
         """
+        # A cancel or a timeout may strike just as the answer ended: what is
+        # whole stays whole.
+        if self.ended is not None:
+            return
         self.ended = now
         await self._append(
             Failed(
@@ -179,7 +183,7 @@
 
         :param max_bytes: longest answer to keep, in bytes of its body.
         """
-        if self._followers or self.fate is not None:
+        if self.followers or self.fate is not None:
             return
         size = sum(
             len(frame.content)
--- a/src/ospreyford/agent/memory.py
+++ b/src/ospreyford/agent/memory.py
@@ -144,17 +144,19 @@
             if isinstance(entry, Execution) and entry.ended is None
         ]
 
-    def list_abandoned(self, orphan_seconds: float) -> list[Execution]:
-        """List idempotent executions that nobody follows any more.
+    def list_unfinished(self) -> list[Execution]:
+        """List the executions that a stop of this process would cut.
 
-        :param orphan_seconds: how long nobody followed.
-        :returns: the executions.
+        :returns: those that run, and those whose answer an entry still reads.
         """
-        oldest = self._clock.monotonic() - orphan_seconds
+        # The run may end long before its answer is delivered: a slow caller
+        # holds the entry up, and the entry the agent. Symptom of leaving
+        # then: a planned stop cuts the answer.
         return [
-            execution
-            for execution in self.list_running()
-            if execution.idempotent and execution.is_abandoned_since(oldest)
+            entry
+            for entry in self._entries.values()
+            if isinstance(entry, Execution)
+            and (entry.ended is None or entry.followers)
         ]
 
     def _sweep_entry(self, identity: str) -> None:
--- a/src/ospreyford/agent/runner.py
+++ b/src/ospreyford/agent/runner.py
@@ -90,9 +90,10 @@
 
     async def cancel_abandoned(self) -> None:
         """Stop the idempotent executions that nobody follows any more."""
-        orphan_seconds = self._settings.orphan_seconds
-        for execution in self._record.memory.list_abandoned(orphan_seconds):
-            await self.cancel(execution)
+        oldest = self._clock.monotonic() - self._settings.orphan_seconds
+        for execution in self._record.memory.list_running():
+            if execution.is_abandoned_since(oldest):
+                await self.cancel(execution)
 
     async def _run(self, execution: Execution, start: Start) -> None:
         self._meter.in_flight += 1
@@ -103,11 +104,17 @@
                 await self._run_bounded(execution, start, span)
                 _end_span(span, execution.fate)
         finally:
-            self._meter.in_flight -= 1
-            # The record keeps an execution for minutes. Kept with it, tasks
-            # that have ended fill the memory, and each full collection of
-            # garbage stops the loop while it looks at them.
-            execution.task = None
+            await self._end(execution)
+
+    async def _end(self, execution: Execution) -> None:
+        self._meter.in_flight -= 1
+        # After an error of no known kind too the run is over: a planned
+        # stop, and whoever follows, would wait for it for ever.
+        await execution.fail(Fate.unknown, self._clock.monotonic())
+        # The record keeps an execution for minutes. Kept with it, tasks
+        # that have ended fill the memory, and each full collection of
+        # garbage stops the loop while it looks at them.
+        execution.task = None
 
     async def _run_bounded(
         self,
--- a/src/ospreyford/agent/service.py
+++ b/src/ospreyford/agent/service.py
@@ -101,9 +101,30 @@
             ),
         )
         while True:
-            async with curio.timeout_after(session.patience()):
-                frame = await connection.receive()
-            await self._answer(frame, session)
+            await self._answer(
+                await self._receive(connection, session),
+                session,
+            )
+
+    async def _receive(
+        self,
+        connection: FrameConnection[EntryFrame],
+        session: Session,
+    ) -> EntryFrame:
+        # Without an entry's heartbeat the connection is closed soon while an
+        # answer is on its way. But the answer may end while this waits, and
+        # the entry keeps the connection for its next request: closed under
+        # it, that request would be lost with the connection.
+        since = self._clock.monotonic()
+        patience = session.patience()
+        while True:
+            left = since + patience - self._clock.monotonic()
+            try:
+                return await _receive_within(connection, max(left, 0))
+            except curio.TaskTimeout:
+                if session.patience() <= patience:
+                    raise
+                patience = session.patience()
 
     async def _answer(self, frame: EntryFrame, session: Session) -> None:
         match frame:
@@ -159,6 +180,14 @@
         )
 
 
+async def _receive_within(
+    connection: FrameConnection[EntryFrame],
+    seconds: float,
+) -> EntryFrame:
+    frame: EntryFrame = await curio.timeout_after(seconds, connection.receive())
+    return frame
+
+
 class Session:
     """What one connection follows; one execution at a time.
 
@@ -201,8 +230,7 @@
         :param opened: the frame that goes first.
         :raises Malformed: the entry asked before the last answer ended.
         """
-        if self._execution is not None:
-            raise Malformed('a second request before the first answer ended')
+        self._require_rest()
         self._execution = execution
         self._task = await curio.spawn(
             self._stream,
@@ -217,7 +245,10 @@
 
         :param refused: the frame.
         :raises Severed: the connection is gone.
+        :raises Malformed: the entry asked before the last answer ended; the
+            refusal would be written into the middle of that answer.
         """
+        self._require_rest()
         await self._connection.send(refused)
 
     async def leave(self, identity: str) -> Execution | None:
@@ -239,6 +270,10 @@
         if task:
             await task.cancel()
 
+    def _require_rest(self) -> None:
+        if self._execution is not None:
+            raise Malformed('a second request before the first answer ended')
+
     async def _stream(
         self,
         execution: Execution,
@@ -253,7 +288,10 @@
             return
         finally:
             execution.unfollow(self._clock.monotonic())
-            self._execution = None
+            # The entry may have read the end and asked for the next answer
+            # before this task ran again.
+            if self._execution is execution:
+                self._execution = None
 
     async def _stream_frames(
         self,
--- a/src/ospreyford/entry/caller.py
+++ b/src/ospreyford/entry/caller.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from ospreyford.entry.admission import NOT_FORWARDED
+from ospreyford.entry.forwarding import select_headers
 from ospreyford.entry.sink import CallerGone
 from ospreyford.http.errors import ConnectionLost
 
@@ -18,6 +18,7 @@
 #: Kept although it is not forwarded towards back ends: with it a caller sees
 #: by the length that an answer was cut.
 LENGTH = b'content-length'
+CHUNKED = b'transfer-encoding'
 
 
 class CallerSink:
@@ -40,13 +41,12 @@
         :param headers: HTTP header fields of the back end.
         :raises CallerGone: nobody waits for it.
         """
+        own = frozenset(name for name, _ in self._extra)
         kept = tuple(
-            pair
-            for pair in headers
-            if pair[0] == LENGTH or pair[0] not in NOT_FORWARDED
+            pair for pair in select_headers(headers) if pair[0] not in own
         )
-        head = self._exchange.make_head(status, (*kept, *self._extra))
-        self._held.append(head)
+        fields = (*_find_length(headers), *kept, *self._extra)
+        self._held.append(self._exchange.make_head(status, fields))
 
     async def relay(self, content: bytes) -> None:
         """Relay a piece of the answer's body.
@@ -85,3 +85,11 @@
         :returns: whether nobody waits for the answer any more.
         """
         return self._exchange.is_abandoned()
+
+
+def _find_length(headers: Headers) -> Headers:
+    # Of two framings the chunked one holds (RFC 9112); the length beside it
+    # says something else than what comes.
+    if any(name == CHUNKED for name, _ in headers):
+        return ()
+    return tuple(pair for pair in headers if pair[0] == LENGTH)
--- a/src/ospreyford/entry/dispatcher.py
+++ b/src/ospreyford/entry/dispatcher.py
@@ -2,35 +2,23 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
+from ospreyford.entry.choosing import Chooser
+from ospreyford.entry.hedging import Hedger
 from ospreyford.entry.keyed import KeyedDispatcher
 from ospreyford.entry.outcome import Cause, NotRun, Outcome, Unknown
-from ospreyford.entry.sending import (
-    Sender,
-    Sending,
-    make_headers,
-    settle_outcome,
-)
-from ospreyford.routing.query import (
-    AllLeaving,
-    Choice,
-    DeadlinePassed,
-    NoBackend,
-    NoCandidate,
-    Overloaded,
-    RoutingQuery,
-)
-from ospreyford.routing.query import Attempt as AttemptKind
-from ospreyford.wire.identity import make_id, read_date
+from ospreyford.entry.sending import Sender
+from ospreyford.entry.waiting import is_overload
+from ospreyford.routing.query import Attempt
 
 if TYPE_CHECKING:
     from ospreyford.entry.call import Call, Directory, Plan
     from ospreyford.entry.sending import Wiring
     from ospreyford.entry.settings import RequestSettings
     from ospreyford.entry.sink import Sink
-    from ospreyford.ports.fleet import Host
-    from ospreyford.routing.query import Reason
+    from ospreyford.entry.target import Sending
 
 #: Causes that no other back end would judge differently.
 FINAL_CAUSES = frozenset((Cause.bad_key, Cause.key_reused, Cause.deadline))
@@ -53,9 +41,10 @@
         self._settings = settings
         self._router = wiring.router
         self._room = wiring.room
-        self._clock = wiring.clock
-        self._sender = Sender(wiring)
-        self.keyed = KeyedDispatcher(settings, self._sender, directory)
+        sender = Sender(wiring)
+        self._chooser = Chooser(settings, wiring.router, wiring.clock)
+        self._hedger = Hedger(settings, wiring, self._chooser, sender)
+        self.keyed = KeyedDispatcher(settings, sender, directory)
 
     async def dispatch(self, call: Call, plan: Plan, sink: Sink) -> Outcome:
         """See a call through to its outcome.
@@ -73,24 +62,24 @@
         excluded: frozenset[str] = frozenset()
         doubt: Unknown | None = None
         outcome: Outcome = NotRun(Cause.no_backend, 0)
-        for number in range(self._settings.max_attempts):
-            sending = await self._find(call, plan, excluded, number)
+        for left in range(plan.extras.retries, -1, -1):
+            sending = await self._find(call, plan, excluded)
             if isinstance(sending, NotRun):
                 return doubt or sending
-            outcome = settle_outcome(
-                await self._sender.send(call, sending, sink),
-                self._settings.retry_after_seconds,
-            )
-            if not self._may_go_on(call, outcome):
-                break
+            outcome = await self._hedger.send(call, plan, sending, sink)
             if isinstance(outcome, Unknown):
                 doubt = outcome
-            excluded |= {sending.host.name}
-            if not self._may_retry(sending, outcome):
+            excluded = frozenset(call.servers)
+            # Asked for a retry that will be made alone: the question spends
+            # the budgets.
+            going = left > 0 and self._may_go_on(call, outcome)
+            if not going or not self._may_retry(plan, sending, outcome):
                 break
         return self._conclude(outcome, doubt)
 
     def _may_go_on(self, call: Call, outcome: Outcome) -> bool:
+        if len(call.servers) >= self._settings.max_attempts:
+            return False
         match outcome:
             case NotRun(cause=cause):
                 return cause not in FINAL_CAUSES
@@ -99,12 +88,16 @@
             case _:
                 return False
 
-    def _may_retry(self, sending: Sending, outcome: Outcome) -> bool:
+    def _may_retry(
+        self, plan: Plan, sending: Sending, outcome: Outcome
+    ) -> bool:
         # A refusal by a draining agent costs it nothing; anything else is
         # load on servers that may be failing from load.
         if isinstance(outcome, NotRun) and outcome.cause is Cause.draining:
             return True
-        return self._router.spend_retry(sending.host.name)
+        return self._router.spend_retry(
+            sending.host.name, plan.extras.allowance
+        )
 
     def _conclude(self, outcome: Outcome, doubt: Unknown | None) -> Outcome:
         # One sending of unknown fate makes the whole unknown, however many
@@ -118,74 +111,13 @@
         call: Call,
         plan: Plan,
         excluded: frozenset[str],
-        number: int,
     ) -> Sending | NotRun:
         # Whoever waits goes first: a newcomer that found capacity would
         # otherwise overtake the whole queue.
-        if not self._room:
-            sending = self._choose(call, plan, excluded, number)
-            if not _is_overload(sending):
+        kind = Attempt.retry if excluded else Attempt.first
+        find = partial(self._chooser.choose, call, plan, excluded, kind)
+        if not self._room.has_waiters(call.service):
+            sending = find()
+            if not is_overload(sending):
                 return sending
-        refusal = await self._room.wait(call, plan)
-        return refusal or self._choose(call, plan, excluded, number)
-
-    def _choose(
-        self,
-        call: Call,
-        plan: Plan,
-        excluded: frozenset[str],
-        number: int,
-    ) -> Sending | NotRun:
-        query = _make_query(call, plan, excluded)
-        now = self._clock.monotonic()
-        refusal = NoBackend(NoCandidate(), self._settings.retry_after_seconds)
-        for hosts in plan.pools:
-            choice = self._router.choose(query, hosts, now)
-            if isinstance(choice, Choice):
-                return _make_sending(call, plan, choice.host, number)
-            refusal = choice
-        return NotRun(_name_cause(refusal.reason), refusal.retry_after)
-
-
-def _is_overload(sending: Sending | NotRun) -> bool:
-    return isinstance(sending, NotRun) and sending.cause is Cause.overloaded
-
-
-def _make_sending(call: Call, plan: Plan, host: Host, number: int) -> Sending:
-    kind = AttemptKind.retry if number else AttemptKind.first
-    # An idempotent call may run twice, so each sending has an id of its own;
-    # any other keeps one id wherever it goes.
-    execution = make_id() if call.idempotent else call.request_id
-    dated = read_date(execution) or 0
-    return Sending(host, kind, execution, dated, make_headers(plan))
-
-
-def _make_query(
-    call: Call,
-    plan: Plan,
-    excluded: frozenset[str],
-) -> RoutingQuery:
-    return RoutingQuery(
-        service=call.service,
-        customer=call.customer,
-        deadline=call.deadline,
-        prefix=call.prefix,
-        adapter=plan.adapter,
-        version=plan.version,
-        priority=plan.priority,
-        excluded=excluded,
-        prompt_tokens=call.tokens,
-        idempotent=call.idempotent,
-    )
-
-
-def _name_cause(reason: Reason) -> Cause:
-    match reason:
-        case NoCandidate():
-            return Cause.no_backend
-        case AllLeaving():
-            return Cause.draining
-        case Overloaded():
-            return Cause.overloaded
-        case DeadlinePassed():
-            return Cause.deadline
+        return await self._room.wait(call, plan, find)
--- a/src/ospreyford/entry/sending.py
+++ b/src/ospreyford/entry/sending.py
@@ -8,13 +8,18 @@
 
 from ospreyford.entry.attempt import Attempt
 from ospreyford.entry.outcome import (
+    Abandoned,
+    Answered,
     AttemptOutcome,
     Cause,
+    Cut,
     Moved,
     NotRun,
     Outcome,
     Unknown,
 )
+from ospreyford.entry.race import Lane
+from ospreyford.entry.target import Sending
 from ospreyford.routing.query import Attempt as AttemptKind
 from ospreyford.routing.query import Outcome as RoutingOutcome
 from ospreyford.wire.frame import Start
@@ -28,23 +33,12 @@
     from ospreyford.http.message import Headers
     from ospreyford.observability.metrics import RequestMetrics
     from ospreyford.ports.clock import Clock
-    from ospreyford.ports.fleet import Host
     from ospreyford.routing.router import Router
     from ospreyford.wire.pool import ConnectionPool
 
 MILLISECONDS = 1000
 
 
-class Sending(NamedTuple):
-    """One sending of a call: which host, and why."""
-
-    host: Host
-    kind: AttemptKind
-    execution: str
-    dated: int
-    headers: Headers
-
-
 class Wiring(NamedTuple):
     """What every attempt needs."""
 
@@ -83,16 +77,16 @@
         name = sending.host.name
         began = self._clock.monotonic()
         call.servers.append(name)
-        if sending.kind is AttemptKind.retry:
-            self._wiring.metrics.retries.labels(call.service).inc()
-        self._router.note_sent(name, began, sending.kind)
+        self._count(call, sending)
+        self._router.note_sent(name, began, sending.kind, sending.allowance)
         attempt = self.make_attempt(call, sending, sink)
         routed = RoutingOutcome.cancelled
         try:
             outcome = await attempt.run(sending.host)
             routed = _rate(outcome)
         finally:
-            self._note_finished(name, routed, began)
+            first_at = attempt.answer.first_at
+            self._note_finished(name, _overrule(routed, sink), began, first_at)
         await self._wiring.room.call_next()
         if attempt.answer.load is not None:
             now = self._clock.monotonic()
@@ -138,14 +132,24 @@
             call.deadline,
         )
 
+    def _count(self, call: Call, sending: Sending) -> None:
+        match sending.kind:
+            case AttemptKind.retry:
+                self._wiring.metrics.retries.labels(call.service).inc()
+            case AttemptKind.hedge:
+                self._wiring.metrics.hedges.labels(call.service).inc()
+
     def _note_finished(
         self,
         name: str,
         routed: RoutingOutcome,
         began: float,
+        first_at: float | None,
     ) -> None:
         now = self._clock.monotonic()
-        self._router.note_finished(name, routed, now - began, now)
+        # A long answer is not a slow back end: time to its first part counts.
+        latency = (first_at or now) - began
+        self._router.note_finished(name, routed, latency, now)
 
 
 def make_headers(plan: Plan) -> Headers:
@@ -185,15 +189,19 @@
     return xxhash.xxh3_64_intdigest(head.encode() + call.body)
 
 
+def _overrule(routed: RoutingOutcome, sink: Sink) -> RoutingOutcome:
+    if isinstance(sink, Lane) and sink.is_outrun():
+        return RoutingOutcome.outrun
+    return routed
+
+
 def _rate(outcome: AttemptOutcome) -> RoutingOutcome:
     match outcome:
         case NotRun(cause=Cause.unreachable | Cause.backend_refused):
             return RoutingOutcome.failed
-        case NotRun() | Moved():
+        case NotRun() | Moved() | Abandoned():
             return RoutingOutcome.cancelled
-        case Unknown(cause=Cause.deadline):
+        case Unknown() | Cut():
             return RoutingOutcome.failed
-        case Unknown():
-            return RoutingOutcome.failed
-        case _:
+        case Answered():
             return RoutingOutcome.answered
--- a/src/ospreyford/measure/bench_site.py
+++ b/src/ospreyford/measure/bench_site.py
@@ -112,7 +112,12 @@
         documents = directory / 'documents'
         copy_documents(examples, documents)
         self.fleet = Fleet(
-            launcher, PENSION_OFFICE, SIZE, documents, directory, SECTIONS
+            launcher,
+            PENSION_OFFICE,
+            SIZE,
+            documents,
+            directory,
+            {'backend': SECTIONS},
         )
         self.fleet.start()
         self.entry = self.fleet.list_entries()[0]
--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -9,10 +9,12 @@
 
 from ospreyford.distribution.client import ServiceClient
 from ospreyford.distribution.distributor import Distributor
+from ospreyford.distribution.members import CachedMembers
+from ospreyford.distribution.service import DocumentSource
+from ospreyford.documents.parsing import is_well_formed
 from ospreyford.membership.member import Member, new_incarnation
 from ospreyford.membership.service import Membership
 from ospreyford.node.configuration import Configuration
-from ospreyford.node.members import DistributionMember, LiveMembers
 from ospreyford.node.pauses import PauseGuard
 from ospreyford.peers.node import PeerNode
 from ospreyford.peers.settings import PeerSettings
@@ -43,6 +45,8 @@
     :param role: ``entry`` or ``backend``.
     :param service: the backend server's service, or empty.
     :param announcer: told of changes.
+    :param stop: set when a later process has this one's name, so that this
+        one must end.
     """
 
     def __init__(
@@ -51,7 +55,9 @@
         role: str,
         service: str,
         announcer: Announcer,
+        stop: curio.Event,
     ) -> None:
+        self._stop = stop
         self.clock = SystemClock()
         self.rng = random.Random()
         self.incarnation = new_incarnation(self.clock, self.rng)
@@ -67,12 +73,17 @@
             self.clock,
             self.rng,
         )
+        members = CachedMembers(self.membership.members)
+        self.membership.subscribe(members.forget)
         self.distributor = Distributor(
             settings.distribution,
-            DistributionMember(me.name, me.peer_address, me.zone),
-            ServiceClient(*split_address(settings.platform.config_service)),
+            me,
+            DocumentSource(
+                ServiceClient(*split_address(settings.platform.config_service)),
+                is_well_formed,
+            ),
             self.peers,
-            LiveMembers(self.membership),
+            members,
             self.clock,
             self.rng,
         )
@@ -121,7 +132,7 @@
             self._pace_hosts,
         )
         return [
-            self.membership.run(),
+            self._run_membership(),
             self.distributor.run_gossip(),
             self.distributor.run_reader(),
             self.configuration.run_bootstrap(),
@@ -131,9 +142,16 @@
             hosts,
         ]
 
+    async def _run_membership(self) -> None:
+        # A process that slept through its own replacement would go on
+        # beside its successor; it finishes what it has and ends.
+        self._announcer.tell_replaced(await self.membership.run())
+        await self._stop.set()
+
     async def _count(self) -> None:
         while True:
             self._announcer.count_members(self.membership)
+            self._announcer.tell_pause(self.pauses)
             await self.clock.sleep(COUNT_SECONDS)
 
     def _pace_hosts(self) -> float:
--- a/src/ospreyford/node/questions.py
+++ b/src/ospreyford/node/questions.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 
 from ospreyford.observability.spans import Span
+from ospreyford.placement.explanation import PlanExplanation
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,6 +18,8 @@
 
 ASK_SECONDS = 0.5
 
+Answer = TypeVar('Answer')
+
 _spans = msgspec.msgpack.Decoder(list[Span])
 
 
@@ -25,6 +28,7 @@
 
     spans = 'spans'
     agent_status = 'agent-status'
+    plan = 'plan'
 
 
 class AgentStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,6 +50,7 @@
     revision: int
 
 
+_plan = msgspec.msgpack.Decoder(PlanExplanation)
 _status = msgspec.msgpack.Decoder(AgentStatus)
 
 
@@ -94,11 +99,30 @@
     :param address: the agent's peer address.
     :returns: what it says, or ``None`` if it does not answer.
     """
-    body = await peers.ask(address, Topic.agent_status, b'', ASK_SECONDS)
+    return await _ask(peers, address, Topic.agent_status, _status)
+
+
+async def ask_plan(peers: PeerPort, address: str) -> PlanExplanation | None:
+    """Ask an agent what the placement policy would move.
+
+    :param peers: messages to other processes.
+    :param address: the agent's peer address.
+    :returns: the last judgement, or ``None`` where this agent makes none.
+    """
+    return await _ask(peers, address, Topic.plan, _plan)
+
+
+async def _ask(
+    peers: PeerPort,
+    address: str,
+    topic: Topic,
+    decoder: msgspec.msgpack.Decoder[Answer],
+) -> Answer | None:
+    body = await peers.ask(address, topic, b'', ASK_SECONDS)
     if body is None:
         return None
     try:
-        return _status.decode(body)
+        return decoder.decode(body)
     except msgspec.MsgspecError:
         return None
 
