Flush through the lane of a race; time the list that exists

The capacity's timing called Memory.list_abandoned, which is gone.

Change: Lane.flush sends nothing before an answer has begun and refuses for a lane that lost; the timing lists what runs, as cancel_abandoned does.

Passed: tests/entry and tests/faults; lint clean.

--- a/src/ospreyford/entry/race.py
+++ b/src/ospreyford/entry/race.py
@@ -126,6 +126,18 @@
         self._check()
         await self._race.sink.finish()
 
+    async def flush(self) -> None:
+        """Send the caller what was relayed.
+
+        :raises CallerGone: another one won, or nobody waits.
+        """
+        # Before an answer has begun there is nothing to send; a lane that
+        # has lost must not send what the winner relayed.
+        if self._race.winner is None:
+            return
+        self._check()
+        await self._race.sink.flush()
+
     def is_abandoned(self) -> bool:
         """Tell whether nobody waits for this attempt.
 
--- a/src/ospreyford/measure/capacity_times.py
+++ b/src/ospreyford/measure/capacity_times.py
@@ -229,7 +229,7 @@
 
 def _sweep(memory: Memory) -> None:
     memory.sweep()
-    memory.list_abandoned(1)
+    memory.list_running()
 
 
 async def _answer(body: bytes) -> bytes:
