--- a/src/ospreyford/entry/caller.py
+++ b/src/ospreyford/entry/caller.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
-from ospreyford.entry.admission import NOT_FORWARDED
+import h11
+
+from ospreyford.entry.forwarding import select_headers
 from ospreyford.entry.sink import CallerGone
 from ospreyford.http.errors import ConnectionLost
 
@@ -16,6 +18,7 @@
 #: Kept although it is not forwarded towards back ends: with it a caller sees
 #: by the length that an answer was cut.
 LENGTH = b'content-length'
+CHUNKED = b'transfer-encoding'
 
 
 class CallerSink:
@@ -29,6 +32,7 @@
         self.first_at: float | None = None
         self._exchange = exchange
         self._extra = extra
+        self._held: list[Any] = []
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Relay the answer's head.
@@ -37,15 +41,12 @@
         :param headers: HTTP header fields of the back end.
         :raises CallerGone: nobody waits for it.
         """
+        own = frozenset(name for name, _ in self._extra)
         kept = tuple(
-            pair
-            for pair in headers
-            if pair[0] == LENGTH or pair[0] not in NOT_FORWARDED
+            pair for pair in select_headers(headers) if pair[0] not in own
         )
-        try:
-            await self._exchange.start(status, (*kept, *self._extra))
-        except ConnectionLost:
-            raise CallerGone from None
+        fields = (*_find_length(headers), *kept, *self._extra)
+        self._held.append(self._exchange.make_head(status, fields))
 
     async def relay(self, content: bytes) -> None:
         """Relay a piece of the answer's body.
@@ -55,18 +56,26 @@
         """
         if self.first_at is None:
             self.first_at = time.monotonic()
-        try:
-            await self._exchange.write(content)
-        except ConnectionLost:
-            raise CallerGone from None
+        self._held.append(h11.Data(data=content))
 
     async def finish(self) -> None:
         """Relay that the answer is whole.
 
         :raises CallerGone: nobody waits for it.
         """
+        self._held.append(h11.EndOfMessage())
+
+    async def flush(self) -> None:
+        """Send what was relayed, in one write.
+
+        :raises CallerGone: nobody waits for it.
+        """
+        if not self._held:
+            return
+        held = self._held
+        self._held = []
         try:
-            await self._exchange.finish()
+            await self._exchange.send(held)
         except ConnectionLost:
             raise CallerGone from None
 
@@ -76,3 +85,11 @@
         :returns: whether nobody waits for the answer any more.
         """
         return self._exchange.is_abandoned()
+
+
+def _find_length(headers: Headers) -> Headers:
+    # Of two framings the chunked one holds (RFC 9112); the length beside it
+    # says something else than what comes.
+    if any(name == CHUNKED for name, _ in headers):
+        return ()
+    return tuple(pair for pair in headers if pair[0] == LENGTH)
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -4,16 +4,17 @@
 
 import select
 import socket
-from collections.abc import Awaitable, Callable
+import struct
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import curio
 import h11
 
+from ospreyford.http.body import IncomingBody
 from ospreyford.http.errors import (
     BadMessage,
-    BodyTooLarge,
     ConnectionLost,
     HttpError,
     TooSlow,
@@ -27,6 +28,9 @@
 
 READ_BYTES = 65_536
 BACKLOG = 512
+#: ``struct linger``: on, zero seconds.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+GO_ON = h11.InformationalResponse(status_code=100, headers=[])
 HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -65,9 +69,11 @@
         :param headers: further header fields.
         """
         length = (b'content-length', str(len(body)).encode())
-        await self.start(status, (*headers, length))
-        await self.write(body)
-        await self.finish()
+        head = self.make_head(status, (*headers, length))
+        content = h11.Data(data=body)
+        if self.request.method == 'HEAD':
+            content = h11.Data(data=b'')
+        await self.send((head, content, h11.EndOfMessage()))
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send the head of an answer; its body follows in pieces.
@@ -75,12 +81,27 @@
         :param status: the HTTP status.
         :param headers: header fields; without a length the body is chunked.
         """
+        await self._connection.send(self.make_head(status, headers))
+
+    def make_head(self, status: int, headers: Headers) -> h11.Response:
+        """Make the head of an answer; from now on it counts as started.
+
+        :param status: the HTTP status.
+        :param headers: header fields; without a length the body is chunked.
+        :returns: the head, to be handed to :meth:`send`.
+        """
         self.started = True
         fields = list(headers)
         if self._connection.is_closing():
             fields.append((b'connection', b'close'))
-        head = h11.Response(status_code=status, headers=fields)
-        await self._connection.send(head)
+        return h11.Response(status_code=status, headers=fields)
+
+    async def send(self, events: Sequence[Any]) -> None:
+        """Send parts of an answer in one write.
+
+        :param events: h11 events, in order.
+        """
+        await self._connection.send(*events)
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body.
@@ -155,12 +176,21 @@
         :raises TooSlow: the body took longer than the limit.
         :raises ConnectionLost: the caller went away.
         """
+        body = IncomingBody(self._limits.body_bytes)
+        # Most bodies came with their heads: only one that has not wholly
+        # arrived has to be waited for, and needs a time limit.
+        event = self._parse_event()
+        while event is not h11.NEED_DATA:
+            if body.add(event):
+                return body.join()
+            event = self._parse_event()
         limit = self._limits.body_seconds
         try:
-            body: bytes = await curio.timeout_after(limit, self._collect_body())
+            async with curio.timeout_after(limit):
+                await body.collect(self._read_event)
         except curio.TaskTimeout:
             raise TooSlow('body', limit) from None
-        return body
+        return body.join()
 
     async def refuse(self, status: int, body: bytes, headers: Headers) -> None:
         """Answer what is no request, where the protocol still allows it.
@@ -177,26 +207,46 @@
             (b'connection', b'close'),
         ]
         try:
-            await self.send(h11.Response(status_code=status, headers=fields))
-            await self.send(h11.Data(data=body))
-            await self.send(h11.EndOfMessage())
+            await self.send(
+                h11.Response(status_code=status, headers=fields),
+                h11.Data(data=body),
+                h11.EndOfMessage(),
+            )
         except ConnectionLost:
             return
 
-    async def send(self, event: Any) -> None:
-        """Send one h11 event.
+    async def send(self, *events: Any) -> None:
+        """Send h11 events in one write.
 
-        :param event: a response, a piece of data or the end mark.
-        :raises ConnectionLost: the caller went away.
+        :param events: responses, pieces of data or the end mark.
+        :raises ConnectionLost: the caller went away, or does not read.
         """
-        encoded = self._parser.send(event)
+        encoded = b''.join(
+            [self._parser.send(event) or b'' for event in events],
+        )
         if not encoded:
             return
+        # A caller that does not read would hold its request's memory and its
+        # share of the limits for as long as it likes.
+        limit = self._limits.stall_seconds
         try:
-            await self._sock.sendall(encoded)
-        except OSError:
+            await curio.timeout_after(limit, self._sock.sendall(encoded))
+        except (OSError, curio.TaskTimeout):
             raise ConnectionLost from None
 
+    def reset_if_cut(self) -> None:
+        """Have the close break the connection under an unfinished answer.
+
+        To a caller of HTTP/1.0 an orderly close is the end mark: it would
+        take half an answer for a whole one.
+        """
+        if self._parser.our_state in {h11.SEND_BODY, h11.ERROR}:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                RESET_ON_CLOSE,
+            )
+
     def is_closing(self) -> bool:
         """Tell whether the next answer is the connection's last.
 
@@ -236,36 +286,35 @@
         if self._parser.trailing_data[0]:
             return True
         try:
-            started: bool = await curio.timeout_after(
-                self._limits.idle_seconds,
-                self._feed(),
-            )
+            async with curio.timeout_after(self._limits.idle_seconds):
+                return await self._feed()
         except curio.TaskTimeout:
             return False
-        return started
 
     async def _next_event(self, part: str, seconds: float) -> Any:
+        event = self._parse_event()
+        if event is not h11.NEED_DATA:
+            return event
         try:
-            return await curio.timeout_after(seconds, self._read_event())
+            async with curio.timeout_after(seconds):
+                return await self._read_event()
         except curio.TaskTimeout:
             raise TooSlow(part, seconds) from None
 
     async def _read_event(self) -> Any:
-        while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BadMessage(error.error_status_hint, str(error)) from None
-            if event is not h11.NEED_DATA:
-                return event
-            await self._answer_expectation()
+        event = self._parse_event()
+        while event is h11.NEED_DATA:
+            if self._parser.they_are_waiting_for_100_continue:
+                await self.send(GO_ON)
             await self._feed()
+            event = self._parse_event()
+        return event
 
-    async def _answer_expectation(self) -> None:
-        if self._parser.they_are_waiting_for_100_continue:
-            await self.send(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
+    def _parse_event(self) -> Any:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadMessage(error.error_status_hint, str(error)) from None
 
     async def _feed(self) -> bool:
         try:
@@ -276,20 +325,6 @@
         self.busy = self.busy or bool(received)
         return bool(received)
 
-    async def _collect_body(self) -> bytes:
-        pieces: list[bytes] = []
-        size = 0
-        while True:
-            event = await self._read_event()
-            if isinstance(event, h11.EndOfMessage):
-                return b''.join(pieces)
-            if not isinstance(event, h11.Data):
-                raise ConnectionLost
-            size += len(event.data)
-            if size > self._limits.body_bytes:
-                raise BodyTooLarge(self._limits.body_bytes)
-            pieces.append(bytes(event.data))
-
 
 #: Serves one request; it must answer or raise.
 RequestHandler = Callable[[Exchange], Awaitable[None]]
@@ -323,6 +358,7 @@
             if on_error is not None:
                 await on_error(error, connection)
         finally:
+            connection.reset_if_cut()
             if siblings is not None:
                 siblings.discard(connection)
 
