--- a/src/ospreyford/measure/capacity_times.py
+++ b/src/ospreyford/measure/capacity_times.py
@@ -189,6 +189,22 @@
     yield _time_sweep('other', 'streamed answers kept', streamed)
     most = make_bare(RECORD.max_entries)
     yield _time_sweep('other', 'executions', most)
+    yield Cost('other', 'longest part of that sweep', time_part(most), 0)
+
+
+def time_part(memory: Memory) -> float:
+    """Time the longest stretch of a sweep, after which other tasks run.
+
+    :param memory: the record.
+    :returns: microseconds of processor time.
+    """
+    parts = memory.sweep_parts()
+    longest: float = 0
+    started = time.process_time()
+    for _ in parts:
+        longest = max(longest, time.process_time() - started)
+        started = time.process_time()
+    return longest * MICROSECONDS
 
 
 def ask_peers() -> float:
@@ -229,7 +245,7 @@
 
 def _sweep(memory: Memory) -> None:
     memory.sweep()
-    memory.list_abandoned(1)
+    memory.list_running()
 
 
 async def _answer(body: bytes) -> bytes:
