--- a/tests/config_processes/rig.py
+++ b/tests/config_processes/rig.py
@@ -23,7 +23,6 @@
 CALLS_PER_SECOND = 40
 SIZE = Size(model_replicas=0, plain_replicas=2, entries=2)
 EXAMPLES = Path(__file__).parents[2] / 'examples' / 'caterer' / 'documents'
-NAMES = ('customers', 'intent-order-desk', 'pool-order-desk', 'limit-default')
 SERVICE = 'service-order-desk'
 TUNING = f"""
 [distribution]
@@ -60,8 +59,7 @@
     ) -> None:
         texts = directory / 'documents'
         texts.mkdir()
-        for name in (*NAMES, SERVICE):
-            source = EXAMPLES / f'{name}.toml'
+        for source in EXAMPLES.iterdir():
             (texts / source.name).write_bytes(source.read_bytes())
         self.fleet = Fleet(
             launcher,
