--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -20,6 +20,9 @@
     from ospreyford.http.message import Headers
     from ospreyford.ports.fleet import LoadReport
 
+#: Stands in for the event of an execution that has ended: nobody waits for it.
+_OVER = curio.Event()
+
 
 class Execution:
     """A request that runs or ran, with the frames of its answer.
@@ -33,6 +36,21 @@
     :param voided: earlier attempts at the same id that must not run.
     """
 
+    __slots__ = (
+        'abandoned',
+        'begun',
+        'ended',
+        'fingerprint',
+        'followers',
+        'idempotent',
+        'identity',
+        'task',
+        'voided',
+        '_changed',
+        '_dropped',
+        '_frames',
+    )
+
     def __init__(
         self,
         start: Start,
@@ -47,7 +65,7 @@
         self.ended: float | None = None
         self.abandoned: float | None = begun
         self.task: curio.Task | None = None
-        self._followers = 0
+        self.followers = 0
         self._dropped = False
         self._frames: list[AnswerFrame] = []
         self._changed = curio.Event()
@@ -78,7 +96,7 @@
 
     def follow(self) -> None:
         """Note that one more connection follows."""
-        self._followers += 1
+        self.followers += 1
         self.abandoned = None
 
     def unfollow(self, now: float) -> None:
@@ -86,8 +104,8 @@
 
         :param now: monotonic seconds.
         """
-        self._followers -= 1
-        if not self._followers:
+        self.followers -= 1
+        if not self.followers:
             self.abandoned = now
 
     def is_abandoned_since(self, oldest: float) -> bool:
@@ -165,7 +183,7 @@
 
         :param max_bytes: longest answer to keep, in bytes of its body.
         """
-        if self._followers or self.fate is not None:
+        if self.followers or self.fate is not None:
             return
         size = sum(
             len(frame.content)
@@ -179,7 +197,7 @@
     async def _append(self, frame: AnswerFrame) -> None:
         self._frames.append(frame)
         changed = self._changed
-        self._changed = curio.Event()
+        self._changed = curio.Event() if self.ended is None else _OVER
         await changed.set()
 
     def _fail_dropped(self, sequence: int) -> Failed:
--- a/src/ospreyford/agent/views.py
+++ b/src/ospreyford/agent/views.py
@@ -46,7 +46,7 @@
         return AgentStatus(
             name=self._node.membership.me.name,
             incarnation=self._node.incarnation,
-            running=len(memory.list_running()),
+            running=len(memory.list_unfinished()),
             records=len(memory),
             draining=tuple(one.source for one in self._drains.find_causes()),
             revision=self._node.configuration.revision,
--- a/src/ospreyford/routing/query.py
+++ b/src/ospreyford/routing/query.py
@@ -6,6 +6,8 @@
 from enum import IntEnum, StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
+from ospreyford.documents.intents import ZonePreference
+
 if TYPE_CHECKING:
     from ospreyford.ports.fleet import Host
 
@@ -30,12 +32,14 @@
     """How an attempt at a back end ended, as the router sees it.
 
     ``cancelled`` (by the caller, or a hedge that lost) says nothing about
-    the back end's health.
+    the back end's health. ``outrun`` is a first attempt that a later hedge
+    overtook: its answer would have taken at least so long.
     """
 
     answered = 'answered'
     failed = 'failed'
     cancelled = 'cancelled'
+    outrun = 'outrun'
 
 
 class Attempt(StrEnum):
@@ -59,6 +63,7 @@
     :param excluded: names of back ends that must not be chosen.
     :param prompt_tokens: estimated length of the prompt.
     :param idempotent: only idempotent requests are used as probes.
+    :param zone_preference: which back ends come first at equal load.
     """
 
     service: str
@@ -71,6 +76,7 @@
     excluded: frozenset[str] = frozenset()
     prompt_tokens: int = 0
     idempotent: bool = True
+    zone_preference: ZonePreference = ZonePreference.same_zone
 
 
 class Basis(StrEnum):
--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket as plain_socket
 from typing import TYPE_CHECKING, Generic, TypeVar
 
@@ -19,7 +18,6 @@
 READ_BYTES = 65_536
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 4_194_304
-READABLE = select.POLLIN | select.POLLRDHUP
 
 Received = TypeVar('Received')
 
