--- a/src/ospreyford/entry/caller.py
+++ b/src/ospreyford/entry/caller.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+import h11
 
 from ospreyford.entry.forwarding import select_headers
 from ospreyford.entry.sink import CallerGone
@@ -30,6 +32,7 @@
         self.first_at: float | None = None
         self._exchange = exchange
         self._extra = extra
+        self._held: list[Any] = []
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Relay the answer's head.
@@ -42,11 +45,8 @@
         kept = tuple(
             pair for pair in select_headers(headers) if pair[0] not in own
         )
-        length = _find_length(headers)
-        try:
-            await self._exchange.start(status, (*length, *kept, *self._extra))
-        except ConnectionLost:
-            raise CallerGone from None
+        fields = (*_find_length(headers), *kept, *self._extra)
+        self._held.append(self._exchange.make_head(status, fields))
 
     async def relay(self, content: bytes) -> None:
         """Relay a piece of the answer's body.
@@ -56,18 +56,26 @@
         """
         if self.first_at is None:
             self.first_at = time.monotonic()
-        try:
-            await self._exchange.write(content)
-        except ConnectionLost:
-            raise CallerGone from None
+        self._held.append(h11.Data(data=content))
 
     async def finish(self) -> None:
         """Relay that the answer is whole.
 
         :raises CallerGone: nobody waits for it.
         """
+        self._held.append(h11.EndOfMessage())
+
+    async def flush(self) -> None:
+        """Send what was relayed, in one write.
+
+        :raises CallerGone: nobody waits for it.
+        """
+        if not self._held:
+            return
+        held = self._held
+        self._held = []
         try:
-            await self._exchange.finish()
+            await self._exchange.send(held)
         except ConnectionLost:
             raise CallerGone from None
 
--- a/src/ospreyford/entry/race.py
+++ b/src/ospreyford/entry/race.py
@@ -126,6 +126,16 @@
         self._check()
         await self._race.sink.finish()
 
+    async def flush(self) -> None:
+        """Send the caller what this lane relayed.
+
+        :raises CallerGone: nobody waits for it.
+        """
+        # What another lane holds back is its own to send: two tasks would
+        # write to one caller at a time.
+        if self._race.winner is self:
+            await self._race.sink.flush()
+
     def is_abandoned(self) -> bool:
         """Tell whether nobody waits for this attempt.
 
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -5,7 +5,7 @@
 import select
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -69,10 +69,11 @@
         :param headers: further header fields.
         """
         length = (b'content-length', str(len(body)).encode())
-        await self.start(status, (*headers, length))
-        if self.request.method != 'HEAD':
-            await self.write(body)
-        await self.finish()
+        head = self.make_head(status, (*headers, length))
+        content = h11.Data(data=body)
+        if self.request.method == 'HEAD':
+            content = h11.Data(data=b'')
+        await self.send((head, content, h11.EndOfMessage()))
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send the head of an answer; its body follows in pieces.
@@ -80,12 +81,27 @@
         :param status: the HTTP status.
         :param headers: header fields; without a length the body is chunked.
         """
+        await self._connection.send(self.make_head(status, headers))
+
+    def make_head(self, status: int, headers: Headers) -> h11.Response:
+        """Make the head of an answer; from now on it counts as started.
+
+        :param status: the HTTP status.
+        :param headers: header fields; without a length the body is chunked.
+        :returns: the head, to be handed to :meth:`send`.
+        """
         self.started = True
         fields = list(headers)
         if self._connection.is_closing():
             fields.append((b'connection', b'close'))
-        head = h11.Response(status_code=status, headers=fields)
-        await self._connection.send(head)
+        return h11.Response(status_code=status, headers=fields)
+
+    async def send(self, events: Sequence[Any]) -> None:
+        """Send parts of an answer in one write.
+
+        :param events: h11 events, in order.
+        """
+        await self._connection.send(*events)
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body.
@@ -170,7 +186,8 @@
             event = self._parse_event()
         limit = self._limits.body_seconds
         try:
-            await curio.timeout_after(limit, body.collect(self._read_event))
+            async with curio.timeout_after(limit):
+                await body.collect(self._read_event)
         except curio.TaskTimeout:
             raise TooSlow('body', limit) from None
         return body.join()
@@ -190,19 +207,23 @@
             (b'connection', b'close'),
         ]
         try:
-            await self.send(h11.Response(status_code=status, headers=fields))
-            await self.send(h11.Data(data=body))
-            await self.send(h11.EndOfMessage())
+            await self.send(
+                h11.Response(status_code=status, headers=fields),
+                h11.Data(data=body),
+                h11.EndOfMessage(),
+            )
         except ConnectionLost:
             return
 
-    async def send(self, event: Any) -> None:
-        """Send one h11 event.
+    async def send(self, *events: Any) -> None:
+        """Send h11 events in one write.
 
-        :param event: a response, a piece of data or the end mark.
+        :param events: responses, pieces of data or the end mark.
         :raises ConnectionLost: the caller went away, or does not read.
         """
-        encoded = self._parser.send(event)
+        encoded = b''.join(
+            [self._parser.send(event) or b'' for event in events],
+        )
         if not encoded:
             return
         # A caller that does not read would hold its request's memory and its
@@ -265,20 +286,18 @@
         if self._parser.trailing_data[0]:
             return True
         try:
-            started: bool = await curio.timeout_after(
-                self._limits.idle_seconds,
-                self._feed(),
-            )
+            async with curio.timeout_after(self._limits.idle_seconds):
+                return await self._feed()
         except curio.TaskTimeout:
             return False
-        return started
 
     async def _next_event(self, part: str, seconds: float) -> Any:
         event = self._parse_event()
         if event is not h11.NEED_DATA:
             return event
         try:
-            return await curio.timeout_after(seconds, self._read_event())
+            async with curio.timeout_after(seconds):
+                return await self._read_event()
         except curio.TaskTimeout:
             raise TooSlow(part, seconds) from None
 
--- a/tests/entry/test_race.py
+++ b/tests/entry/test_race.py
@@ -104,3 +104,37 @@
     Cause: nothing cancels a task that has not started.
     """
     curio.run(start_late)
+
+
+class FlushedSink(CollectingSink):
+    """Counts how often it was flushed."""
+
+    flushed = 0
+
+    async def flush(self) -> None:
+        self.flushed += 1
+
+
+async def flush_both(wins: int) -> list[int]:
+    sink = FlushedSink()
+    race = Race(sink)
+    lanes = [race.add_lane(), race.add_lane()]
+    await lanes[wins].begin(200, ())
+    counts = []
+    for lane in lanes:
+        sink.flushed = 0
+        await lane.flush()
+        counts.append(sink.flushed)
+    return counts
+
+
+@pytest.mark.parametrize('wins', [0, 1])
+def test_only_the_winner_flushes(wins: int) -> None:
+    """Two tasks write to one caller at a time.
+
+    Sequence: the loser waits for its next frame while the winner relays.
+    Cause: any attempt flushes what the caller's connection holds back.
+    """
+    counts = curio.run(flush_both, wins)
+    assert counts.pop(wins) == 1
+    assert counts == [0]
