--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING
 
 import curio
-import msgspec
 
 from ospreyford.agent.drains import DrainState
 from ospreyford.agent.factory import make_parts
 from ospreyford.agent.group import GroupTasks
+from ospreyford.agent.views import AgentViews
 from ospreyford.http.server import listen
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
-from ospreyford.node.questions import AgentStatus, Topic, answer_spans
+from ospreyford.node.questions import Topic, answer_spans
 from ospreyford.observability.admin import AdminPort
 from ospreyford.observability.events import Draining, Ready, Started
 from ospreyford.observability.metrics import Metrics
@@ -69,6 +69,7 @@
             self._node,
             self._tracing.tracer,
         )
+        self._views = AgentViews(self._node, self._parts.record, self._drains)
         self._group: GroupTasks | None = None
         if settings.ranks is not None:
             self._group = GroupTasks(settings.ranks, self._node, program)
@@ -109,27 +110,13 @@
             self._group.listen()
         store = self._tracing.tracer.store
         node.peers.serve(Topic.spans, answer_spans(store))
-        node.peers.serve(Topic.agent_status, self._answer_status)
-
-    async def _answer_status(self, body: bytes) -> bytes:
-        return msgspec.msgpack.encode(
-            AgentStatus(
-                name=self._settings.identity.name,
-                incarnation=self._node.incarnation,
-                running=self._count_unfinished(),
-                records=len(self._parts.record.memory),
-                draining=tuple(
-                    one.source for one in self._drains.find_causes()
-                ),
-                revision=self._node.configuration.revision,
-            ),
-        )
+        node.peers.serve(Topic.agent_status, self._views.answer_status)
 
     async def _start_tasks(self) -> None:
         admin = AdminPort(
             self._settings.listen,
             self._metrics,
-            {},
+            {'/status': self._views.show_status},
             self.tell_unready,
         )
         load_seconds = self._settings.service.load_seconds
