Let the fault matrix fail when a cell could not run

Cause: a run of the hedged pairs gave 3463 verdicts for 6405 cells, "0 broken". The machine had no port left (EADDRINUSE at bind), the worker task died, and curio's task group cancels the others and keeps the error to itself; nothing counted the missing cells, so `make faults` would have passed.

Change: run_cells raises the error.

--- a/tests/faults/cells.py
+++ b/tests/faults/cells.py
@@ -214,8 +214,14 @@
         while queue:
             verdicts.append(await run_cell(queue.pop()))
 
-    async with curio.TaskGroup() as group:
+    group = curio.TaskGroup()
+    async with group:
         for _ in range(at_once):
             await group.spawn(work)
+    # A task group swallows the error of a task that nobody joins: a cell that
+    # could not be run would be missing from the matrix, and not counted.
+    for error in group.exceptions:
+        if error is not None:
+            raise error
     order = {cell: number for number, cell in enumerate(cells)}
     return sorted(verdicts, key=lambda verdict: order[verdict.cell])
--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -15,6 +15,7 @@
 import curio
 import pytest
 
+from tests.faults import cells
 from tests.faults.cells import Cell, Mode, Verdict, list_single_cells, run_cells
 
 AT_ONCE = 24
@@ -45,3 +46,20 @@
         if verdict.cell.mode is mode
     ]
     assert outcomes.count('answered') > least * len(outcomes)
+
+
+async def fail_to_run(cell: Cell) -> Verdict:
+    raise OSError(cell)
+
+
+def test_a_cell_that_cannot_run_is_an_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The matrix says "0 failed" although half of its cells never ran.
+
+    Sequence: no port is left on the machine; a cell cannot be set up.
+    Cause: a task group keeps the error of its task to itself.
+    """
+    monkeypatch.setattr(cells, 'run_cell', fail_to_run)
+    with pytest.raises(OSError, match='idempotent'):
+        curio.run(run_cells, list_single_cells()[:2], 1)
