--- a/src/ospreyford/entry/race.py
+++ b/src/ospreyford/entry/race.py
@@ -127,16 +127,14 @@
         await self._race.sink.finish()
 
     async def flush(self) -> None:
-        """Send the caller what was relayed.
+        """Send the caller what this lane relayed.
 
-        :raises CallerGone: another one won, or nobody waits.
+        :raises CallerGone: nobody waits for it.
         """
-        # Before an answer has begun there is nothing to send; a lane that
-        # has lost must not send what the winner relayed.
-        if self._race.winner is None:
-            return
-        self._check()
-        await self._race.sink.flush()
+        # What another lane holds back is its own to send: two tasks would
+        # write to one caller at a time.
+        if self._race.winner is self:
+            await self._race.sink.flush()
 
     def is_abandoned(self) -> bool:
         """Tell whether nobody waits for this attempt.
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -39,7 +39,7 @@
 
     async def act() -> None:
         pool = ConnectionPool(PoolSettings(connect_seconds=60), SystemClock())
-        task = await curio.spawn(pool.open, '127.0.0.1:1')
+        task = await curio.spawn(pool.open, '127.0.0.1:1', 60)
         await curio.sleep(0)
         await task.cancel()
 
