Let the rank group's test follow its demand

Ruled out: a digest that comes back (the digest covers the revision). Reasoned, not reproduced: the stand-in fleet's policy averaged over 600 s, the test changes popularity every second, so after a minute no change saves anything and none is planned. Change: averaging_seconds = 1 in the stand-in fleet's settings.

--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -101,6 +101,7 @@
 [ranks.placement]
 slots_per_rank = 4
 plan_interval_seconds = 1
+averaging_seconds = 1
 min_tokens = 1
 """
 
