Give each rig of the matrix a loopback address of its own

Ruled out: a fault of the product (the errors are the rig's listeners). Change: rigs listen on distinct addresses of 127.0.0.0/8.

--- a/tests/faults/network.py
+++ b/tests/faults/network.py
@@ -18,6 +18,7 @@
 from curio.io import Socket
 
 from ospreyford.http.server import listen, port_of
+from tests.fakes.loopback import next_address
 
 LENGTH_BYTES = 4
 
@@ -91,7 +92,8 @@
         self.unreachable = False
         self.kill: Callable[[bool], Awaitable[None]] | None = None
         self._awake = curio.Event()
-        self._sock = listen('127.0.0.1', 0)
+        self.address = next_address()
+        self._sock = listen(self.address, 0)
         self.port = port_of(self._sock)
         self._tasks: list[Any] = []
         self._sockets: list[Socket] = []
@@ -121,7 +123,7 @@
 
     async def _connect(self, client: Socket) -> None:
         try:
-            server = await curio.open_connection('127.0.0.1', self.upstream)
+            server = await curio.open_connection(self.address, self.upstream)
         except OSError:
             await _shut(client)
             return
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -155,7 +155,7 @@
         service = AgentService(
             self.name, AGENT_TIMES, self.record, runner, meter, self.clock
         )
-        self.sock = listen('127.0.0.1', 0)
+        self.sock = listen(self.network.address, 0)
         self.network.upstream = port_of(self.sock)
         self._tasks.append(await curio.spawn(self._accept, self.sock, service))
         self._tasks.append(await curio.spawn(service.run_sweeps))
@@ -195,7 +195,7 @@
     def host(self) -> Host:
         """The host as the host list shows it."""
         port = self.network.port
-        address = f'127.0.0.1:{port}'
+        address = f'{self.network.address}:{port}'
         return Host(
             self.name, 'i', 'backend', 'z', 'r', 'svc', address, address
         )
