--- a/tests/agent/test_connections.py
+++ b/tests/agent/test_connections.py
@@ -53,7 +53,7 @@
 
 async def send_raw(agent: RunningAgent, raw: bytes) -> bool:
     """Send bytes, and tell whether the agent closed the connection."""
-    address = ('127.0.0.1', agent.network.upstream)
+    address = (agent.network.address, agent.network.upstream)
     async with await curio.open_connection(*address) as sock:
         await sock.sendall(raw)
         received: bytes | None = b'-'
@@ -64,7 +64,7 @@
 
 async def ask(agent: RunningAgent, frame: Frame) -> list[Any]:
     """Send a frame on a new connection and collect what follows."""
-    address = f'127.0.0.1:{agent.network.upstream}'
+    address = f'{agent.network.address}:{agent.network.upstream}'
     connection = await open_to_agent(address, 1)
     frames: list[Any] = []
     await connection.send(frame)
@@ -235,7 +235,7 @@
 
             agent.backend.open = open_hanging  # type: ignore[method-assign]
             start = start_of('a', idempotent=idempotent, fresh=True)
-            address = f'127.0.0.1:{agent.network.upstream}'
+            address = f'{agent.network.address}:{agent.network.upstream}'
             connection = await open_to_agent(address, 1)
             await connection.send(start)
             await curio.sleep(0.05)
