Take nobody for fresh at the first look at a service

Ruled out: the load bound itself. Change: the first look at each service sets its moment. Seen red first: test_first_look_at_a_service_finds_nobody_fresh.

--- a/src/ospreyford/routing/registry.py
+++ b/src/ospreyford/routing/registry.py
@@ -24,7 +24,7 @@
         self._settings = settings
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, dict[str, Backend]] = {}
-        self._started_at: float | None = None
+        self._met_at: dict[str, float] = {}
 
     def find(self, host: Host, now: float) -> Backend:
         """Find the record of a host, or make it.
@@ -38,11 +38,10 @@
             known.host = host
             return known
         made = Backend(host, self._settings)
-        if self._started_at is None:
-            self._started_at = now
-        # An entry that has just started knows nobody, and that says nothing
-        # of their age; later, a name or instance not seen before is new.
-        if now > self._started_at:
+        # An entry that meets a service for the first time knows nobody, and
+        # that says nothing of their age; later, a name or instance not seen
+        # before is new.
+        if now > self._met_at.setdefault(host.service, now):
             made.start_slowly(now)
         self._backends[host.name] = made
         self._services.setdefault(host.service, {})[host.name] = made
--- /dev/null
+++ b/tests/routing/test_registry.py
@@ -0,0 +1,30 @@
+"""What an entry takes for a fresh back end."""
+
+from __future__ import annotations
+
+from ospreyford.routing.registry import Registry
+from ospreyford.routing.settings import RoutingSettings
+from tests.routing.fleet import make_host
+
+
+def test_first_look_at_a_service_finds_nobody_fresh() -> None:
+    """An entry that starts knows nothing of its back ends' age.
+
+    Symptom: requests to an idle engine are refused as overloaded for 20 s
+    after an entry's start.
+    Sequence: the entry serves another service first; then the first request
+    to the engine's service comes.
+    Cause: whoever is met after the entry's very first back end counts as
+    fresh.
+    """
+    registry = Registry(RoutingSettings(slow_start_seconds=20))
+    registry.find(make_host(1)._replace(service='quotation'), 0)
+    engine = registry.find(make_host(2), 5)
+    assert engine.share(5) == 1
+
+
+def test_later_back_end_of_a_known_service_is_fresh() -> None:
+    registry = Registry(RoutingSettings(slow_start_seconds=20))
+    registry.find(make_host(1), 0)
+    later = registry.find(make_host(2), 5)
+    assert later.share(5) < 1
