Have one piece of code ask a process for its views

Cause: gather_spans asked and decoded beside _ask, its twin. Change: _ask takes the question; _decode_spans is gone.

--- a/src/ospreyford/node/questions.py
+++ b/src/ospreyford/node/questions.py
@@ -82,13 +82,9 @@
     """
     found: list[Span] = []
     for address in addresses:
-        body = await peers.ask(
-            address,
-            Topic.spans,
-            request_id.encode(),
-            ASK_SECONDS,
-        )
-        found.extend(_decode_spans(body))
+        question = request_id.encode()
+        spans = await _ask(peers, address, Topic.spans, _spans, question)
+        found.extend(spans or ())
     return found
 
 
@@ -117,20 +113,12 @@
     address: str,
     topic: Topic,
     decoder: msgspec.msgpack.Decoder[Answer],
+    question: bytes = b'',
 ) -> Answer | None:
-    body = await peers.ask(address, topic, b'', ASK_SECONDS)
+    body = await peers.ask(address, topic, question, ASK_SECONDS)
     if body is None:
         return None
     try:
         return decoder.decode(body)
     except msgspec.MsgspecError:
         return None
-
-
-def _decode_spans(body: bytes | None) -> list[Span]:
-    if body is None:
-        return []
-    try:
-        return _spans.decode(body)
-    except msgspec.MsgspecError:
-        return []
