Secure connections and control messages by certificates and keys

Cause: whoever reached an agent's address could give orders to its back end, and whoever reached a peer address could take part in the fleet (drain it, take customers' limits); requests and answers could be read on the network.

Change: [security] names certificate, key, authority and control keys. TLS for callers, TLS 1.3 with certificates both ways between entry and agent, the agent's name held against its certificate, a BLAKE2b seal on each control message with as many keys as a replacement needs. Files are read again when they change, all or nothing. Off by default.

Seen red with the guard out: name check (1 test), client certificate (2), time limit of handshakes (2), seal check (3), all keys tried (3), all-or-nothing replacement (1), told once (1). Dropped again: session tickets and bytes pending in TLS as dangers to idle connections; with the guards out the tests stayed green, and recv takes whole TLS records.

--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -55,8 +55,10 @@
             settings.backend.service,
             Announcer(program.changes, self._metrics),
             program.stop.requested,
+            program.secrets.keyring,
         )
         self._metrics.watch_peers(self._node.peers.counters)
+        self._metrics.watch_handshakes(program.secrets.failures)
         self._drains = DrainState(settings.identity.name)
         self._tracing = Tracing(
             settings.traces,
@@ -125,6 +127,7 @@
             self._parts.meter.run(load_seconds),
             self._parts.service.run_sweeps(),
             self._watch_drains(),
+            self._program.secrets.run(self._node.clock, self._program.changes),
             *self._list_group_tasks(),
         ):
             await curio.spawn(task, daemon=True)
@@ -153,7 +156,11 @@
         async with listening:
             while True:
                 sock, _ = await listening.accept()
-                await curio.spawn(self._parts.service.serve, sock, daemon=True)
+                await curio.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, sock: Socket) -> None:
+        secrets = self._program.secrets
+        await secrets.serve_entry(sock, self._parts.service.serve)
 
     def _count_unfinished(self) -> int:
         return len(self._parts.record.memory.list_unfinished())
--- a/src/ospreyford/console/program.py
+++ b/src/ospreyford/console/program.py
@@ -15,7 +15,10 @@
 from ospreyford.observability.events import Stopped
 from ospreyford.observability.logs import ChangeLog
 from ospreyford.peers.errors import PeerError
-from ospreyford.settings.errors import SettingsError
+from ospreyford.security.errors import SecretUnusable
+from ospreyford.security.secrets import Secrets
+from ospreyford.security.settings import SecuritySettings
+from ospreyford.settings.errors import SettingsError, show_value
 from ospreyford.settings.loader import load_settings
 from ospreyford.settings.sections import Drain, Identity, Logs
 
@@ -31,6 +34,10 @@
     def drain(self) -> Drain:
         """How long a planned stop may take."""
 
+    @property
+    def security(self) -> SecuritySettings:
+        """Files with certificates and keys."""
+
     @property
     def logs(self) -> Logs:
         """Where log lines go."""
@@ -45,11 +52,17 @@
     :param settings: the checked settings.
     :param stop: tells when to stop.
     :param changes: the log of changes of state.
+    :param secrets: the certificate and keys that the settings name.
     """
 
     def __init__(
-        self, settings: AnySettings, stop: Stop, changes: ChangeLog
+        self,
+        settings: AnySettings,
+        stop: Stop,
+        changes: ChangeLog,
+        secrets: Secrets,
     ) -> None:
+        self.secrets = secrets
         self.settings = settings
         self.stop = stop
         self.changes = changes
@@ -123,6 +136,7 @@
     """
     try:
         settings = load_settings(path, kind)
+        secrets = read_secrets(path, settings)
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return ExitCode.usage
@@ -132,14 +146,34 @@
         return _fail(error)
     stop = Stop(settings.drain.deadline_seconds)
     stop.install()
+    program = Program(settings, stop, changes, secrets)
     try:
-        ending = curio.run(_supervise, start, Program(settings, stop, changes))
+        ending = curio.run(_supervise, start, program)
     finally:
         stop.finish()
         changes.close()
     return _tell_ending(ending)
 
 
+def read_secrets(path: str, settings: ProgramSettings) -> Secrets:
+    """Read the certificate and keys that settings name.
+
+    :param path: the settings file.
+    :param settings: what stands in it.
+    :returns: the secrets.
+    :raises SettingsError: a file that they name cannot be used.
+    """
+    try:
+        return Secrets(settings.security)
+    except SecretUnusable as error:
+        raise SettingsError(
+            path,
+            f'security.{error.key}',
+            show_value(error.path),
+            error.allowed,
+        ) from None
+
+
 async def _supervise(
     start: Start[AnySettings], program: Program[AnySettings]
 ) -> Ending:
--- a/src/ospreyford/console/reference.py
+++ b/src/ospreyford/console/reference.py
@@ -31,7 +31,8 @@
     entry, agent = map(_list_sections, (EntrySettings, AgentSettings))
     return '\n'.join(
         line
-        for name, kind in {**entry, **agent}.items()
+        # The order of both; where a section differs, an entry's has more.
+        for name, kind in {**entry, **agent, **entry}.items()
         for line in _write_section(name, kind, _name_users(name, entry, agent))
     )
 
--- a/src/ospreyford/entry/factory.py
+++ b/src/ospreyford/entry/factory.py
@@ -23,6 +23,7 @@
     from ospreyford.observability.logs import ChangeLog
     from ospreyford.observability.metrics import Metrics
     from ospreyford.observability.spans import Tracer
+    from ospreyford.security.secrets import Secrets
     from ospreyford.settings.programs import EntrySettings
 
 
@@ -43,6 +44,7 @@
     metrics: Metrics,
     tracer: Tracer,
     changes: ChangeLog,
+    secrets: Secrets,
 ) -> EntryParts:
     """Build an entry's parts.
 
@@ -52,6 +54,7 @@
     :param metrics: counts what becomes of requests.
     :param tracer: keeps the spans.
     :param changes: the log.
+    :param secrets: secures the connections to agents.
     :returns: the parts, ready to serve.
     """
     share = _make_share(settings, node)
@@ -66,7 +69,7 @@
     wiring = Wiring(
         settings.attempts,
         router,
-        ConnectionPool(PoolSettings(), node.clock),
+        ConnectionPool(PoolSettings(), node.clock, secrets.connect_agent),
         node.clock,
         metrics.requests,
         room,
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -54,8 +54,10 @@
             '',
             self._announcer,
             program.stop.requested,
+            program.secrets.keyring,
         )
         self._metrics.watch_peers(self._node.peers.counters)
+        self._metrics.watch_handshakes(program.secrets.failures)
         self._directory = FleetDirectory()
         self._tracing = Tracing(
             settings.traces,
@@ -70,6 +72,7 @@
             self._metrics,
             self._tracing.tracer,
             program.changes,
+            program.secrets,
         )
         self._returns = ReturnWatch(self._directory, self._parts.router)
         self.stopping = False
@@ -85,9 +88,13 @@
         )
         await self._node.start()
         await self._start_admin()
-        await curio.spawn(self._parts.share.run, daemon=True)
-        await curio.spawn(self._parts.room.run, daemon=True)
-        await curio.spawn(self._parts.watch.run, daemon=True)
+        for run in (
+            self._parts.share.run,
+            self._parts.room.run,
+            self._parts.watch.run,
+            self._watch_secrets,
+        ):
+            await curio.spawn(run, daemon=True)
         accepting = await curio.spawn(self._accept, sock, daemon=True)
         self._program.changes.log_change(
             Started(
@@ -136,6 +143,9 @@
         )
         await curio.spawn(admin.run, daemon=True)
 
+    async def _watch_secrets(self) -> None:
+        await self._program.secrets.run(self._node.clock, self._program.changes)
+
     async def _tell_ready(self) -> None:
         while self.tell_unready():
             await curio.sleep(READY_POLL_SECONDS)
@@ -148,7 +158,10 @@
                 if self._open.is_full():
                     await sock.close()
                     continue
-                await curio.spawn(self._serve, sock, daemon=True)
+                await curio.spawn(self._secure, sock, daemon=True)
+
+    async def _secure(self, sock: Socket) -> None:
+        await self._program.secrets.serve_caller(sock, self._serve)
 
     async def _serve(self, sock: Socket) -> None:
         await serve_connection(
--- a/src/ospreyford/measure/bench.py
+++ b/src/ospreyford/measure/bench.py
@@ -81,7 +81,7 @@
         ways = self._site.list_ways(kind.server)
         for connections in CONNECTIONS:
             runs = {
-                name: self._run(kind, way, connections)
+                name: self.run(kind, way, connections)
                 for name, way in ways.items()
             }
             yield _compare_runs(kind, connections, runs)
@@ -94,7 +94,7 @@
         """
         rate = LATENCY_RATES[kind.name]
         sent = {
-            name: self._run(kind, way, LATENCY_CONNECTIONS, rate).sent
+            name: self.run(kind, way, LATENCY_CONNECTIONS, rate).sent
             for name, way in self._site.list_ways(kind.server).items()
         }
         row: Row = [kind.name, rate]
@@ -107,6 +107,27 @@
             row += [least, *added, _divide(added[1], added[0])]
         return row
 
+    def run(
+        self, kind: Kind, way: Way, connections: int, rate: float = 0
+    ) -> Run:
+        """Send on one way, after a short warming.
+
+        :param kind: what to send.
+        :param way: where.
+        :param connections: how many at once.
+        :param rate: requests a second; 0 is as fast as answers come.
+        :returns: what came of it, and what it cost.
+        """
+        warm = msgspec.structs.replace(
+            make_plan(kind, way.port),
+            connections=connections,
+            rate=rate,
+            seconds=WARM_SECONDS,
+        )
+        self._site.send(warm)
+        plan = msgspec.structs.replace(warm, seconds=self._seconds)
+        return self._measure(way, plan)
+
     def list_memory(self) -> Iterable[Row]:
         """Read the resident memory of each hop after the load.
 
@@ -120,19 +141,6 @@
                 pair = (ours[hop].resident, relay[hop].resident)
                 yield [server, hop, *pair, _divide(*pair)]
 
-    def _run(
-        self, kind: Kind, way: Way, connections: int, rate: float = 0
-    ) -> Run:
-        warm = msgspec.structs.replace(
-            make_plan(kind, way.port),
-            connections=connections,
-            rate=rate,
-            seconds=WARM_SECONDS,
-        )
-        self._site.send(warm)
-        plan = msgspec.structs.replace(warm, seconds=self._seconds)
-        return self._measure(way, plan)
-
     def _measure(self, way: Way, plan: LoadPlan) -> Run:
         before = way.read_usage()
         sent = self._site.send(plan)
--- a/src/ospreyford/measure/bench_site.py
+++ b/src/ospreyford/measure/bench_site.py
@@ -104,10 +104,15 @@
     :param launcher: starts and ends the processes.
     :param examples: the site's published documents.
     :param directory: where settings and documents are written.
+    :param section: TOML that entry and agents get besides.
     """
 
     def __init__(
-        self, launcher: Launcher, examples: Path, directory: Path
+        self,
+        launcher: Launcher,
+        examples: Path,
+        directory: Path,
+        section: str = '',
     ) -> None:
         documents = directory / 'documents'
         copy_documents(examples, documents)
@@ -117,7 +122,7 @@
             SIZE,
             documents,
             directory,
-            {'backend': SECTIONS},
+            {'entry': section, 'backend': SECTIONS + section},
         )
         self.fleet.start()
         self.entry = self.fleet.list_entries()[0]
--- /dev/null
+++ b/src/ospreyford/node/factory.py
@@ -0,0 +1,26 @@
+"""Builds a process's end of the control messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.peers.node import PeerNode
+from ospreyford.peers.settings import PeerSettings
+
+if TYPE_CHECKING:
+    from ospreyford.security.keyring import Keyring
+    from ospreyford.settings.sections import Listen
+
+
+def make_peers(
+    settings: Listen, incarnation: str, keyring: Keyring
+) -> PeerNode:
+    """Build the adapter of ``PeerPort``.
+
+    :param settings: where this process listens.
+    :param incarnation: this process's incarnation.
+    :param keyring: seals and opens the messages.
+    :returns: the adapter, not started.
+    """
+    peer_settings = PeerSettings(address=settings.peer_address)
+    return PeerNode(peer_settings, incarnation, keyring)
--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -15,9 +15,8 @@
 from ospreyford.membership.member import Member, new_incarnation
 from ospreyford.membership.service import Membership
 from ospreyford.node.configuration import Configuration
+from ospreyford.node.factory import make_peers
 from ospreyford.node.pauses import PauseGuard
-from ospreyford.peers.node import PeerNode
-from ospreyford.peers.settings import PeerSettings
 from ospreyford.platform.hostlist import HostListClient, watch_hosts
 from ospreyford.ports.clock import SystemClock
 from ospreyford.settings.types import split_address
@@ -29,6 +28,7 @@
     from ospreyford.node.announcer import Announcer
     from ospreyford.ports.fleet import Host
     from ospreyford.ports.hosts import HostListener
+    from ospreyford.security.keyring import Keyring
     from ospreyford.settings.programs import AgentSettings, EntrySettings
 
 DIGEST = 'documents'
@@ -47,6 +47,7 @@
     :param announcer: told of changes.
     :param stop: set when a later process has this one's name, so that this
         one must end.
+    :param keyring: seals the control messages.
     """
 
     def __init__(
@@ -56,15 +57,13 @@
         service: str,
         announcer: Announcer,
         stop: curio.Event,
+        keyring: Keyring,
     ) -> None:
         self._stop = stop
         self.clock = SystemClock()
         self.rng = random.Random()
         self.incarnation = new_incarnation(self.clock, self.rng)
-        self.peers = PeerNode(
-            PeerSettings(address=settings.listen.peer_address),
-            self.incarnation,
-        )
+        self.peers = make_peers(settings.listen, self.incarnation, keyring)
         me = _make_member(settings, role, service, self.incarnation)
         self.membership = Membership(
             settings.membership,
--- a/src/ospreyford/observability/events.py
+++ b/src/ospreyford/observability/events.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from ospreyford.security.events import SecretRefused, SecretsReplaced
+
 
 @dataclass(frozen=True)
 class Started:
@@ -148,4 +150,6 @@
     | GroupHalted
     | PauseNoticed
     | LinesDropped
+    | SecretsReplaced
+    | SecretRefused
 )
--- a/src/ospreyford/observability/levels.py
+++ b/src/ospreyford/observability/levels.py
@@ -14,6 +14,7 @@
     StateChange,
     Stopped,
 )
+from ospreyford.security.events import SecretRefused
 
 Level = Literal['info', 'warning', 'error']
 
@@ -26,6 +27,7 @@
     BackendEjected,
     PauseNoticed,
     LinesDropped,
+    SecretRefused,
 )
 
 
--- a/src/ospreyford/observability/metrics.py
+++ b/src/ospreyford/observability/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from prometheus_client import (
@@ -214,6 +214,13 @@
         """
         self.registry.register(PeerCollector(counters))
 
+    def watch_handshakes(self, failures: Mapping[tuple[str, str], int]) -> None:
+        """Expose the failed TLS handshakes of this process.
+
+        :param failures: number by kind of peer and fault, read at a scrape.
+        """
+        self.registry.register(HandshakeCollector(failures))
+
     def render(self) -> bytes:
         """Write all metrics.
 
@@ -234,7 +241,7 @@
     def collect(self) -> Iterable[CounterMetricFamily]:
         """Read the counters.
 
-        :returns: one metric family.
+        :returns: bytes by topic, drops by reason.
         """
         family = CounterMetricFamily(
             f'{PREFIX}_peer_bytes',
@@ -244,6 +251,37 @@
         for topic, traffic in self._counters.topics.items():
             family.add_metric([topic, 'sent'], traffic.sent_bytes)
             family.add_metric([topic, 'received'], traffic.received_bytes)
+        drops = CounterMetricFamily(
+            f'{PREFIX}_peer_drops',
+            'Control messages dropped',
+            labels=['reason'],
+        )
+        for reason, number in self._counters.drops.items():
+            drops.add_metric([reason.value], number)
+        return [family, drops]
+
+
+class HandshakeCollector:
+    """Reads the failed TLS handshakes at a scrape.
+
+    :param failures: number by kind of peer and fault.
+    """
+
+    def __init__(self, failures: Mapping[tuple[str, str], int]) -> None:
+        self._failures = failures
+
+    def collect(self) -> Iterable[CounterMetricFamily]:
+        """Read the counts.
+
+        :returns: one metric family.
+        """
+        family = CounterMetricFamily(
+            f'{PREFIX}_handshake_failures',
+            'TLS handshakes that came to nothing',
+            labels=['peer', 'fault'],
+        )
+        for (peer, fault), number in self._failures.items():
+            family.add_metric([peer, fault], number)
         return [family]
 
 
--- a/src/ospreyford/peers/answerer.py
+++ b/src/ospreyford/peers/answerer.py
@@ -15,6 +15,8 @@
 from ospreyford.peers.settings import PeerSettings
 from ospreyford.peers.sockets import Frames, read_ready, send_frames
 from ospreyford.ports.peers import Handler
+from ospreyford.security.errors import Forged
+from ospreyford.security.keyring import Keyring
 
 #: A routed message: the connection's identity and the envelope.
 ROUTED_FRAMES: Final = 2
@@ -27,6 +29,7 @@
     :param me: hash of this process's incarnation.
     :param settings: the bounds.
     :param counters: the node's counters.
+    :param keyring: seals and opens the messages.
     """
 
     def __init__(
@@ -35,7 +38,9 @@
         me: int,
         settings: PeerSettings,
         counters: PeerCounters,
+        keyring: Keyring,
     ) -> None:
+        self._keyring = keyring
         self.watch = PauseWatch()
         self._router = router
         self._me = me
@@ -82,12 +87,17 @@
             await self._running.pop().cancel()
 
     def _read(self, frames: Frames) -> Question | None:
+        if len(frames) != ROUTED_FRAMES:
+            self._counters.dropped(Drop.malformed)
+            return None
         try:
-            envelope = (
-                decode(frames[1]) if len(frames) == ROUTED_FRAMES else None
-            )
+            envelope = decode(self._keyring.open(frames[1]))
         except MalformedEnvelope:
-            envelope = None
+            self._counters.dropped(Drop.malformed)
+            return None
+        except Forged:
+            self._counters.dropped(Drop.forged)
+            return None
         if isinstance(envelope, Question):
             return envelope
         self._counters.dropped(Drop.malformed)
@@ -123,7 +133,7 @@
             clock_ms=clock_ms(),
             body=body,
         )
-        payload = msgspec.msgpack.encode(answer)
+        payload = self._keyring.seal(msgspec.msgpack.encode(answer))
         if len(payload) > self._settings.message_bytes:
             self._counters.dropped(Drop.too_large)
         elif send_frames(self._router, [identity, payload]):
--- a/src/ospreyford/peers/asker.py
+++ b/src/ospreyford/peers/asker.py
@@ -23,6 +23,8 @@
 from ospreyford.peers.link import Link, Links
 from ospreyford.peers.settings import PeerSettings
 from ospreyford.peers.sockets import Frames
+from ospreyford.security.errors import Forged
+from ospreyford.security.keyring import Keyring
 
 NONCE_BITS: Final = 62
 
@@ -45,6 +47,7 @@
     :param me: hash of this process's incarnation.
     :param settings: the bounds.
     :param counters: the node's counters.
+    :param keyring: seals and opens the messages.
     """
 
     def __init__(
@@ -53,7 +56,9 @@
         me: int,
         settings: PeerSettings,
         counters: PeerCounters,
+        keyring: Keyring,
     ) -> None:
+        self._keyring = keyring
         self._links = links
         self._me = me
         self._message_bytes = settings.message_bytes
@@ -113,7 +118,7 @@
             sent_ms=sent_ms,
             body=body,
         )
-        return msgspec.msgpack.encode(question)
+        return self._keyring.seal(msgspec.msgpack.encode(question))
 
     async def _send(
         self,
@@ -135,10 +140,13 @@
 
     async def _accept(self, link: Link, frames: Frames) -> None:
         try:
-            envelope = decode(frames[0])
+            envelope = decode(self._keyring.open(frames[0]))
         except MalformedEnvelope:
             self._counters.dropped(Drop.malformed)
             return
+        except Forged:
+            self._counters.dropped(Drop.forged)
+            return
         match envelope:
             case Answer():
                 link.heard_at = time.monotonic()
--- a/src/ospreyford/peers/counters.py
+++ b/src/ospreyford/peers/counters.py
@@ -17,6 +17,7 @@
     handler_failed = 'handler_failed'
     queue_full = 'queue_full'
     too_large = 'too_large'
+    forged = 'forged'
 
 
 @dataclass
--- a/src/ospreyford/peers/node.py
+++ b/src/ospreyford/peers/node.py
@@ -15,6 +15,7 @@
 from ospreyford.peers.settings import PeerSettings
 from ospreyford.peers.sockets import open_socket, read_forever
 from ospreyford.ports.peers import Handler
+from ospreyford.security.keyring import Keyring
 
 
 class PeerNode:
@@ -27,17 +28,26 @@
 
     :param settings: the bounds and the address.
     :param incarnation: this process's incarnation.
+    :param keyring: seals and opens the messages.
     """
 
-    def __init__(self, settings: PeerSettings, incarnation: str) -> None:
+    def __init__(
+        self,
+        settings: PeerSettings,
+        incarnation: str,
+        keyring: Keyring | None = None,
+    ) -> None:
+        ring = keyring or Keyring()
         self.counters = PeerCounters()
         self.address = settings.address
         me = incarnation_hash(incarnation)
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._router = open_socket(self._context, zmq.ROUTER, settings)
         self._links = Links(self._context, settings, self.counters)
-        self._asker = Asker(self._links, me, settings, self.counters)
-        self._answerer = Answerer(self._router, me, settings, self.counters)
+        self._asker = Asker(self._links, me, settings, self.counters, ring)
+        self._answerer = Answerer(
+            self._router, me, settings, self.counters, ring
+        )
         self._tasks: list[curio.Task] = []
 
     async def start(self) -> None:
--- /dev/null
+++ b/src/ospreyford/security/__init__.py
@@ -0,0 +1,1 @@
+"""Certificates and keys: who may speak with whom, and unheard."""
--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -18,6 +18,10 @@
 )
 from ospreyford.membership.settings import MembershipSettings
 from ospreyford.routing.settings import RoutingSettings
+from ospreyford.security.settings import (
+    EntrySecuritySettings,
+    SecuritySettings,
+)
 from ospreyford.settings.errors import KeyConflict
 from ospreyford.settings.sections import (
     Backend,
@@ -41,6 +45,7 @@
     platform: Platform
     membership: MembershipSettings = MembershipSettings()
     distribution: DistributionSettings = DistributionSettings()
+    security: EntrySecuritySettings = EntrySecuritySettings()
     http: HttpLimits = HttpLimits()
     requests: RequestSettings = RequestSettings()
     attempts: AttemptSettings = AttemptSettings()
@@ -80,6 +85,7 @@
     listen: Listen
     platform: Platform
     backend: Backend
+    security: SecuritySettings = SecuritySettings()
     membership: MembershipSettings = MembershipSettings()
     distribution: DistributionSettings = DistributionSettings()
     requests: RequestSettings = RequestSettings()
--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import socket as plain_socket
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 import curio
 import msgspec
 
 from ospreyford.http.polling import has_news
+from ospreyford.security.errors import HandshakeFailed
+from ospreyford.security.handshake import Secured
 from ospreyford.wire.errors import Malformed, Severed, Unreachable
 from ospreyford.wire.frame import AgentFrame, EntryFrame, Frame
 
 if TYPE_CHECKING:
     from curio.io import Socket
 
+#: Carries out a handshake, or leaves the connection as it is.
+Secure = Callable[['Socket'], Awaitable[Secured]]
+
 READ_BYTES = 65_536
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 4_194_304
@@ -92,14 +98,18 @@
 
     :param sock: a connected curio socket.
     :param decoder: the decoder of the frames that this side may receive.
+    :param names: names that the peer's certificate proves; ``None`` where
+        nothing does.
     """
 
     def __init__(
         self,
         sock: Socket,
         decoder: msgspec.msgpack.Decoder[Received],
+        names: frozenset[str] | None = None,
     ) -> None:
         self._sock = sock
+        self._names = names
         self._reader = FrameReader(decoder)
         sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
 
@@ -114,6 +124,17 @@
         except OSError:
             raise Severed from None
 
+    def may_be(self, name: str) -> bool:
+        """Tell whether the peer may call itself by a name.
+
+        Symptom without this check: a process on a host that was replaced, or
+        a stolen certificate of any host, answers for every back end.
+
+        :param name: the name that it gave.
+        :returns: whether its certificate has the name, or there is none.
+        """
+        return self._names is None or name in self._names
+
     def take_arrived(self) -> Received | None:
         """Take the next frame without waiting.
 
@@ -162,14 +183,25 @@
     return FrameConnection(sock, entry_decoder)
 
 
+async def connect_plainly(sock: Socket) -> Secured:
+    """Use a connection as it is.
+
+    :param sock: a connected socket.
+    :returns: the connection, without a proof of who is there.
+    """
+    return Secured(sock)
+
+
 async def open_to_agent(
     address: str,
     timeout: float,
+    secure: Secure = connect_plainly,
 ) -> FrameConnection[AgentFrame]:
     """Connect to an agent.
 
     :param address: the agent's data address, as ``ip:port``.
     :param timeout: seconds to wait for the connection.
+    :param secure: carries out the handshake, if there is one.
     :returns: a connection that receives an agent's frames.
     :raises Unreachable: no connection; nothing was sent.
     """
@@ -181,4 +213,8 @@
         )
     except (OSError, curio.TaskTimeout):
         raise Unreachable from None
-    return FrameConnection(sock, agent_decoder)
+    try:
+        secured = await secure(sock)
+    except HandshakeFailed:
+        raise Unreachable from None
+    return FrameConnection(secured.sock, agent_decoder, secured.names)
--- a/src/ospreyford/wire/pool.py
+++ b/src/ospreyford/wire/pool.py
@@ -6,7 +6,12 @@
 
 import curio
 
-from ospreyford.wire.connection import FrameConnection, open_to_agent
+from ospreyford.wire.connection import (
+    FrameConnection,
+    Secure,
+    connect_plainly,
+    open_to_agent,
+)
 from ospreyford.wire.errors import Unreachable, WireError
 from ospreyford.wire.frame import Greeting
 
@@ -49,9 +54,16 @@
 
     :param settings: sizes and times.
     :param clock: source of time.
+    :param secure: carries out the handshake of a new connection.
     """
 
-    def __init__(self, settings: PoolSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: PoolSettings,
+        clock: Clock,
+        secure: Secure = connect_plainly,
+    ) -> None:
+        self._secure = secure
         self._settings = settings
         self._clock = clock
         self._idle: dict[str, list[IdleConnection]] = {}
@@ -90,7 +102,7 @@
         # The kernel accepts for a process that is paused or hung; only its
         # greeting shows that somebody answers, before anything is sent.
         limit = min(self._settings.connect_seconds, max(within, 0))
-        frames = await open_to_agent(address, limit)
+        frames = await open_to_agent(address, limit, self._secure)
         try:
             greeting = await curio.timeout_after(limit, frames.receive())
         except (WireError, curio.TaskTimeout):
@@ -99,7 +111,7 @@
         except curio.CancelledError:
             await frames.close()
             raise
-        if isinstance(greeting, Greeting):
+        if isinstance(greeting, Greeting) and frames.may_be(greeting.server):
             return AgentConnection(frames, greeting)
         await frames.close()
         raise Unreachable
