Name the security section where settings list the sections

The list of allowed sections and the fake connect of tests/wire follow the new section and parameter; no assertion is loosened.

After: tests/settings and tests/wire green.

--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -51,7 +51,7 @@
 FINITE = ', finite and not negative'
 SECTIONS = (
     'only the keys identity, listen, platform, membership, '
-    'distribution, http, requests, attempts, routing, limits, sharing, '
+    'distribution, security, http, requests, attempts, routing, limits, sharing, '
     'queue, drain, logs, traces'
 )
 
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -34,7 +34,7 @@
     """
     frames = SilentFrames()
 
-    async def connect(address: str, limit: float) -> SilentFrames:
+    async def connect(address: str, *_: object) -> SilentFrames:
         return frames
 
     async def act() -> None:
