--- a/src/ospreyford/agent/factory.py
+++ b/src/ospreyford/agent/factory.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from ospreyford.node.fleetnode import FleetNode
+    from ospreyford.observability.metrics import FlowMetrics
     from ospreyford.observability.spans import Tracer
     from ospreyford.settings.programs import AgentSettings
 
@@ -29,12 +30,14 @@
     settings: AgentSettings,
     node: FleetNode,
     tracer: Tracer,
+    flow: FlowMetrics,
 ) -> AgentParts:
     """Build an agent's parts.
 
     :param settings: the program's settings.
     :param node: this process's part in the fleet.
     :param tracer: keeps the spans.
+    :param flow: shows what runs and which connections are open.
     :returns: the parts, ready to serve.
     """
     clock = node.clock
@@ -53,4 +56,16 @@
         meter,
         clock,
     )
+    _watch_flow(flow, settings.backend.service, meter, service)
     return AgentParts(record, meter, service)
+
+
+def _watch_flow(
+    flow: FlowMetrics,
+    name: str,
+    meter: LoadMeter,
+    service: AgentService,
+) -> None:
+    service.note_silence = flow.missed_beats.labels('entry').inc
+    flow.in_flight.labels(name).set_function(lambda: meter.in_flight)
+    flow.connections.labels('entry').set_function(lambda: service.connections)
--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -68,6 +68,7 @@
             settings,
             self._node,
             self._tracing.tracer,
+            self._metrics.flow,
         )
         self._views = AgentViews(self._node, self._parts.record, self._drains)
         self._group: GroupTasks | None = None
--- a/src/ospreyford/agent/service.py
+++ b/src/ospreyford/agent/service.py
@@ -21,6 +21,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from curio.io import Socket
 
     from ospreyford.agent.execution import Execution
@@ -43,6 +45,9 @@
     :param runner: runs executions.
     :param meter: the backend server's load.
     :param clock: source of time.
+
+    ``connections`` are open now; ``note_silence`` is told of each that is
+    closed because the entry's heartbeats stopped under an answer.
     """
 
     def __init__(
@@ -54,6 +59,8 @@
         meter: LoadMeter,
         clock: Clock,
     ) -> None:
+        self.connections = 0
+        self.note_silence: Callable[[], object] = int
         self._name = name
         self._settings = settings
         self._record = record
@@ -66,17 +73,11 @@
 
         :param sock: the accepted socket.
         """
-        connection = accept_entry(sock)
-        session = Session(connection, self._settings, self._clock)
+        self.connections += 1
         try:
-            await self._serve_frames(connection, session)
-        except (WireError, curio.TaskTimeout):
-            # Severed, silent or malformed: the entry asks on a fresh
-            # connection for whatever it still misses.
-            return
+            await self._serve_session(sock)
         finally:
-            await session.stop()
-            await connection.close()
+            self.connections -= 1
 
     async def run_sweeps(self) -> None:
         """Forget old entries and stop orphans, for ever."""
@@ -88,6 +89,19 @@
                 await curio.sleep(0)
             await self._runner.cancel_abandoned()
 
+    async def _serve_session(self, sock: Socket) -> None:
+        connection = accept_entry(sock)
+        session = Session(connection, self._settings, self._clock)
+        try:
+            await self._serve_frames(connection, session)
+        except (WireError, curio.TaskTimeout):
+            # Severed, silent or malformed: the entry asks on a fresh
+            # connection for whatever it still misses.
+            return
+        finally:
+            await session.stop()
+            await connection.close()
+
     async def _serve_frames(
         self,
         connection: FrameConnection[EntryFrame],
@@ -123,9 +137,16 @@
                 return await _receive_within(connection, max(left, 0))
             except curio.TaskTimeout:
                 if session.patience() <= patience:
+                    self._note_timeout(session)
                     raise
                 patience = session.patience()
 
+    def _note_timeout(self, session: Session) -> None:
+        # A connection that rested too long between two requests is closed
+        # as well; no heartbeat was due on it.
+        if session.is_following():
+            self.note_silence()
+
     async def _answer(self, frame: EntryFrame, session: Session) -> None:
         match frame:
             case Start():
@@ -213,9 +234,16 @@
 
         :returns: seconds; short while an answer is on its way.
         """
-        if self._execution is None:
-            return self._settings.idle_seconds
-        return self._settings.silence_seconds
+        if self.is_following():
+            return self._settings.silence_seconds
+        return self._settings.idle_seconds
+
+    def is_following(self) -> bool:
+        """Tell whether an answer is on its way.
+
+        :returns: whether heartbeats are due in both directions.
+        """
+        return self._execution is not None
 
     async def follow(
         self,
--- a/src/ospreyford/entry/attempt.py
+++ b/src/ospreyford/entry/attempt.py
@@ -179,6 +179,8 @@
         step: AttemptOutcome | Interrupted = Interrupted()
         try:
             step = await conversation.run(first)
+            if conversation.silent:
+                self._pool.note_silence()
         finally:
             await self._release(target, connection, step)
         return step
--- a/src/ospreyford/entry/caller.py
+++ b/src/ospreyford/entry/caller.py
@@ -12,8 +12,11 @@
 from ospreyford.http.errors import ConnectionLost
 
 if TYPE_CHECKING:
+    from prometheus_client import Histogram
+
     from ospreyford.http.message import Headers
     from ospreyford.http.server import Exchange
+    from ospreyford.observability.metrics import FlowMetrics
 
 #: Kept although it is not forwarded towards back ends: with it a caller sees
 #: by the length that an answer was cut.
@@ -26,10 +29,23 @@
 
     :param exchange: the caller's request.
     :param extra: header fields that this system adds to the answer.
+    :param flow: counts the time between two pieces.
+    :param service: the service that the caller named.
     """
 
-    def __init__(self, exchange: Exchange, extra: Headers) -> None:
+    def __init__(
+        self,
+        exchange: Exchange,
+        extra: Headers,
+        flow: FlowMetrics,
+        service: str,
+    ) -> None:
         self.first_at: float | None = None
+        self.relayed_bytes = 0
+        self._last_at: float | None = None
+        self._token_gap = flow.token_gap
+        self._gaps: Histogram | None = None
+        self._service = service
         self._exchange = exchange
         self._extra = extra
         self._held: list[Any] = []
@@ -54,8 +70,17 @@
         :param content: the bytes.
         :raises CallerGone: nobody waits for it.
         """
-        if self.first_at is None:
-            self.first_at = time.monotonic()
+        now = time.monotonic()
+        if self._last_at is None:
+            self.first_at = now
+        else:
+            # An answer has come: the service exists, and its name may be a
+            # label. Of a refused request it is the caller's free choice.
+            if self._gaps is None:
+                self._gaps = self._token_gap.labels(self._service)
+            self._gaps.observe(now - self._last_at)
+        self._last_at = now
+        self.relayed_bytes += len(content)
         self._held.append(h11.Data(data=content))
 
     async def finish(self) -> None:
--- a/src/ospreyford/entry/conversation.py
+++ b/src/ospreyford/entry/conversation.py
@@ -29,6 +29,8 @@
     :param connection: a greeted connection with nothing unread on it.
     :param answer: the answer so far.
     :param deadline: monotonic seconds by which all must be over.
+
+    ``silent`` is set once the connection is given up for missing heartbeats.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self._connection = connection
         self._answer = answer
         self._deadline = deadline
+        self.silent = False
         self._heard = clock.monotonic()
         self._beaten = self._heard
 
@@ -129,6 +132,7 @@
         # The kernel shows a connection as open long after something between
         # the two ends has lost track of it; only missing heartbeats tell.
         if now - self._heard > self._settings.silence_seconds:
+            self.silent = True
             return Interrupted()
         return None
 
--- a/src/ospreyford/entry/factory.py
+++ b/src/ospreyford/entry/factory.py
@@ -21,7 +21,7 @@
     from ospreyford.entry.directory import FleetDirectory
     from ospreyford.node.fleetnode import FleetNode
     from ospreyford.observability.logs import ChangeLog
-    from ospreyford.observability.metrics import Metrics
+    from ospreyford.observability.metrics import FlowMetrics, Metrics
     from ospreyford.observability.spans import Tracer
     from ospreyford.settings.programs import EntrySettings
 
@@ -66,7 +66,7 @@
     wiring = Wiring(
         settings.attempts,
         router,
-        ConnectionPool(PoolSettings(), node.clock),
+        _make_pool(metrics.flow, node),
         node.clock,
         metrics.requests,
         room,
@@ -82,6 +82,16 @@
     return EntryParts(service, router, share, room, watch)
 
 
+def _make_pool(flow: FlowMetrics, node: FleetNode) -> ConnectionPool:
+    pool = ConnectionPool(
+        PoolSettings(),
+        node.clock,
+        flow.missed_beats.labels('agent').inc,
+    )
+    flow.connections.labels('agent').set_function(pool.count_open)
+    return pool
+
+
 def _make_router(settings: EntrySettings, node: FleetNode) -> Router:
     identity = settings.identity
     me = Identity(identity.name, identity.zone, identity.region)
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -74,6 +74,8 @@
         self._returns = ReturnWatch(self._directory, self._parts.router)
         self.stopping = False
         self._open = OpenConnections(settings.http.connections)
+        callers = self._metrics.flow.connections.labels('caller')
+        callers.set_function(self._open.__len__)
 
     async def run(self) -> None:
         """Run until asked to stop, then finish what is in flight."""
--- a/src/ospreyford/entry/service.py
+++ b/src/ospreyford/entry/service.py
@@ -78,6 +78,10 @@
         self._clock = clock
         self._metrics = metrics
         self._tracer = tracer
+        # To look a label up costs more than to count.
+        transferred = metrics.flow.transferred
+        self._request_bytes = transferred.labels('request')
+        self._answer_bytes = transferred.labels('answer')
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request.
@@ -126,7 +130,12 @@
 
     async def _trace(self, exchange: Exchange, call: Call) -> None:
         with self._tracer.start('caller', call.request_id, call.trace) as span:
-            sink = CallerSink(exchange, _make_headers(call, span))
+            sink = CallerSink(
+                exchange,
+                _make_headers(call, span),
+                self._metrics.flow,
+                call.service,
+            )
             outcome = await self._answer(call, sink, span)
             if isinstance(outcome, NotRun | Unknown):
                 await _tell(exchange, outcome, call.request_id)
@@ -134,6 +143,7 @@
             # closed under it, and the caller sees that it was cut.
             span.end(name_outcome(outcome), failed=_is_failure(outcome))
         self._count(call, outcome)
+        self._count_bytes(call, sink)
 
     async def _answer(
         self,
@@ -180,9 +190,12 @@
         plan: Plan,
         sink: CallerSink,
     ) -> Outcome:
+        running = self._metrics.flow.in_flight.labels(call.service)
+        running.inc()
         try:
             return await self._dispatcher.dispatch(call, plan, sink)
         finally:
+            running.dec()
             self._release(call)
 
     def _release(self, call: Call) -> None:
@@ -200,6 +213,10 @@
         if sink.first_at is not None:
             flow.first_token.labels(call.service).observe(sink.first_at - began)
 
+    def _count_bytes(self, call: Call, sink: CallerSink) -> None:
+        self._request_bytes.inc(len(call.body))
+        self._answer_bytes.inc(sink.relayed_bytes)
+
     def _count(self, call: Call, outcome: Outcome) -> None:
         requests = self._metrics.requests
         # A name that no document is known to hold is the caller's free
--- a/src/ospreyford/node/announcer.py
+++ b/src/ospreyford/node/announcer.py
@@ -95,6 +95,15 @@
         for state, count in counts.items():
             self._metrics.fleet.members.labels(state.value).set(count)
 
+    def count_call(self, target: str, *, answered: bool) -> None:
+        """Count a call to the platform.
+
+        :param target: ``config_service`` or ``host_list``.
+        :param answered: whether a usable answer came.
+        """
+        outcome = 'answered' if answered else 'failed'
+        self._metrics.fleet.platform_calls.labels(target, outcome).inc()
+
     def _tell_rejected(
         self,
         rejected: RejectedDocument,
--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -7,20 +7,17 @@
 
 import curio
 
-from ospreyford.distribution.client import ServiceClient
 from ospreyford.distribution.distributor import Distributor
 from ospreyford.distribution.members import CachedMembers
-from ospreyford.distribution.service import DocumentSource
-from ospreyford.documents.parsing import is_well_formed
 from ospreyford.membership.member import Member, new_incarnation
 from ospreyford.membership.service import Membership
 from ospreyford.node.configuration import Configuration
 from ospreyford.node.pauses import PauseGuard
+from ospreyford.node.platformcalls import read_documents, read_hosts
 from ospreyford.peers.node import PeerNode
 from ospreyford.peers.settings import PeerSettings
-from ospreyford.platform.hostlist import HostListClient, watch_hosts
+from ospreyford.platform.hostlist import watch_hosts
 from ospreyford.ports.clock import SystemClock
-from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -78,10 +75,7 @@
         self.distributor = Distributor(
             settings.distribution,
             me,
-            DocumentSource(
-                ServiceClient(*split_address(settings.platform.config_service)),
-                is_well_formed,
-            ),
+            read_documents(settings.platform, announcer),
             self.peers,
             members,
             self.clock,
@@ -90,9 +84,7 @@
         self.configuration = Configuration(self.distributor, announcer)
         self.pauses = PauseGuard(self.clock, self.distributor)
         self._announcer = announcer
-        self._hosts = HostListClient(
-            *split_address(settings.platform.host_list),
-        )
+        self._hosts = read_hosts(settings.platform, announcer)
         self._listeners: list[HostListener] = [self.membership.note_hosts]
 
     def listen_for_hosts(self, listener: HostListener) -> None:
--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -99,6 +99,7 @@
         sock: Socket,
         decoder: msgspec.msgpack.Decoder[Received],
     ) -> None:
+        self._closed = False
         self._sock = sock
         self._reader = FrameReader(decoder)
         sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
@@ -150,8 +151,16 @@
 
     async def close(self) -> None:
         """Close the socket."""
+        self._closed = True
         await self._sock.close()
 
+    def is_closed(self) -> bool:
+        """Tell whether this side has closed the connection.
+
+        :returns: whether :meth:`close` was called.
+        """
+        return self._closed
+
 
 def accept_entry(sock: Socket) -> FrameConnection[EntryFrame]:
     """Wrap a socket that an agent accepted.
--- a/src/ospreyford/wire/pool.py
+++ b/src/ospreyford/wire/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
+from weakref import WeakSet
 
 import curio
 
@@ -11,6 +12,8 @@
 from ospreyford.wire.frame import Greeting
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ospreyford.ports.clock import Clock
     from ospreyford.wire.frame import AgentFrame
 
@@ -49,14 +52,32 @@
 
     :param settings: sizes and times.
     :param clock: source of time.
+    :param note_silence: told of each connection that is given up because the
+        agent's heartbeats stopped.
     """
 
-    def __init__(self, settings: PoolSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: PoolSettings,
+        clock: Clock,
+        note_silence: Callable[[], object] = int,
+    ) -> None:
+        self.note_silence = note_silence
         self._settings = settings
         self._clock = clock
+        # Whoever took a connection closes it; those that nobody holds any
+        # more are gone without a word.
+        self._opened: WeakSet[FrameConnection[AgentFrame]] = WeakSet()
         self._idle: dict[str, list[IdleConnection]] = {}
         self._swept = clock.monotonic()
 
+    def count_open(self) -> int:
+        """Count the connections in use and at rest.
+
+        :returns: how many are open.
+        """
+        return sum(not frames.is_closed() for frames in self._opened)
+
     async def take(self, address: str, within: float) -> AgentConnection:
         """Take an idle connection, or open one.
 
@@ -91,6 +112,7 @@
         # greeting shows that somebody answers, before anything is sent.
         limit = min(self._settings.connect_seconds, max(within, 0))
         frames = await open_to_agent(address, limit)
+        self._opened.add(frames)
         try:
             greeting = await curio.timeout_after(limit, frames.receive())
         except (WireError, curio.TaskTimeout):
