Test what a dripping caller and more bad input get

Cause: of the issue's list of bad input, these had no test that looks for the typed answer, the counter and the unharmed neighbour together: a caller that sends byte after byte (only one that stopped had), a chunked body beyond the limit or with a broken chunk, a service that is named but unknown, an empty customer, UTF-8 that is wrong in the service's name, a wrong version and a target that is not ASCII.

The rig's directory tells an unknown service from an unknown customer, as the real one does. No fault was found; the code is as it was. The rows were not seen red.

Not covered: a connection beyond http.connections is closed and not counted; frames of an entry that are none end the connection at the agent, uncounted.

--- a/tests/entry/front.py
+++ b/tests/entry/front.py
@@ -70,7 +70,9 @@
     def find_plan(self, customer: str, service: str) -> Plan | NotRun:
         if customer == 'c' and service == 'svc':
             return self.plan
-        return NotRun(Cause.unknown_customer, 1)
+        if service == 'svc':
+            return NotRun(Cause.unknown_customer, 1)
+        return NotRun(Cause.unknown_service, 1)
 
     def is_repeatable(self, service: str, method: str, target: str) -> bool:
         return method != 'POST'
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import Any
 
 import curio
@@ -35,6 +36,15 @@
     return make_request(b'%b%b: %b\r\n' % (GOOD, field, content))
 
 
+def named(customer: bytes, service: bytes) -> bytes:
+    fields = b'ospreyford-customer: %b\r\nospreyford-service: %b\r\n'
+    return make_request(fields % (customer, service))
+
+
+CHUNKED = (
+    b'POST / HTTP/1.1\r\nhost: x\r\nospreyford-customer: c\r\n'
+    b'ospreyford-service: svc\r\ntransfer-encoding: chunked\r\n\r\n%b'
+)
 BAD = (
     (b'nonsense\r\n\r\n', 400, 'bad-request'),
     (b'GET / HTTP/1.1\r\nbad header\r\n\r\n', 400, 'bad-request'),
@@ -43,7 +53,14 @@
     (b'GET / HTTP/1.1\r\nhos', 408, 'too-slow'),
     (make_request(CLOSING, b'a' * 2000), 413, 'body-too-large'),
     (make_request(body=b'a' * 900)[:-1], 408, 'too-slow'),
+    (CHUNKED % (b'3e9\r\n%b' % bytes(1001)), 413, 'body-too-large'),
+    (CHUNKED % b'zz\r\n', 400, 'bad-request'),
+    (make_request(line=b'POST / HTTP/9'), 400, 'bad-request'),
+    (make_request(line=b'POST /\xff HTTP/1.1'), 400, 'bad-request'),
     (make_request(b'ospreyford-customer: c\r\n'), 404, 'unknown-service'),
+    (named(b'c', b'none'), 404, 'unknown-service'),
+    (named(b'c', b'\xc3\x28'), 400, 'bad-request'),
+    (named(b'', b'svc'), 400, 'missing-customer'),
     (make_request(b'ospreyford-service: s\r\n'), 400, 'missing-customer'),
     (make_request(b'%bx\r\n' % OTHER), 404, 'unknown-customer'),
     (make_request(b'%b\xff\r\n' % OTHER), 400, 'bad-request'),
@@ -79,6 +96,48 @@
     assert headers.get('retry-after') != '0'
 
 
+@pytest.mark.parametrize(
+    'begun',
+    [
+        b'GET / HTTP/1.1\r\nx: ',
+        make_request(body=b'a' * 900)[:-900],
+        CHUNKED % b'3e8\r\n',
+    ],
+)
+def test_caller_that_drips_is_cut_off(begun: bytes) -> None:
+    """A caller that sends a byte now and then is slow, however long it goes on.
+
+    Symptom: a few callers hold all connections of an entry for as long as
+    they like.
+    Sequence: a head or a body comes byte by byte, each soon after the last.
+    Cause: a limit between two bytes would never pass; it must be for the whole.
+    """
+
+    async def drip(front: Front) -> bytes:
+        async with await front.connect() as sock:
+            reading = await curio.spawn(read_to_end, sock, 5)
+            await sock.sendall(begun)
+            while not reading.terminated:
+                await curio.sleep(0.02)
+                with suppress(OSError):
+                    await sock.sendall(b'a')
+            received: bytes = await reading.join()
+            return received
+
+    async def main() -> tuple[bytes, float]:
+        async with Front(delay=0.05) as front:
+            good = await curio.spawn(front.call, make_request(CLOSING))
+            answer = await curio.timeout_after(5, drip(front))
+            assert (await good.join()).endswith(b'\r\n\r\nok')
+            assert await front.wait_idle()
+            return answer, front.count()
+
+    received, counted = curio.run(main)
+    assert read_problem(received)[0] == 408
+    assert read_problem(received)[2]['cause'] == 'too-slow'
+    assert counted == 1
+
+
 def test_key_of_another_body_is_refused() -> None:
     async def main() -> tuple[bytes, int]:
         async with Front() as front:
