--- a/src/ospreyford/agent/rankssettings.py
+++ b/src/ospreyford/agent/rankssettings.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import msgspec
 
 from ospreyford.expertmap.settings import RankSettings
 from ospreyford.placement.map import GroupShape
 from ospreyford.placement.settings import PlacementSettings
 from ospreyford.settings.errors import KeyConflict
-from ospreyford.settings.types import Address, Name
-
-Positive = Annotated[float, msgspec.Meta(gt=0)]
+from ospreyford.settings.types import Address, Name, Positive
 
 
 class RankSection(
--- a/src/ospreyford/limits/settings.py
+++ b/src/ospreyford/limits/settings.py
@@ -2,13 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import msgspec
 
-Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-Count = Annotated[int, msgspec.Meta(ge=1)]
+from ospreyford.settings.types import Count, Positive, Ratio
 
 
 class GateSettings(
--- a/src/ospreyford/placement/settings.py
+++ b/src/ospreyford/placement/settings.py
@@ -2,15 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import msgspec
 
 from ospreyford.documents.capacity import PlacementWeights
-
-NonNegative = Annotated[float, msgspec.Meta(ge=0)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-Count = Annotated[int, msgspec.Meta(ge=1)]
+from ospreyford.settings.types import Count, NonNegative, Positive
 
 
 class PlacementSettings(
--- a/src/ospreyford/settings/types.py
+++ b/src/ospreyford/settings/types.py
@@ -51,6 +51,10 @@
 
 #: A duration that may not be zero, up to a day.
 Seconds = Annotated[float, Meta(gt=0, le=DAY_SECONDS)]
+#: A number above zero with no other bound.
+Positive = Annotated[float, Meta(gt=0)]
+#: A number that may be zero.
+NonNegative = Annotated[float, Meta(ge=0)]
 #: A share, 0 to 1.
 Ratio = Annotated[float, Meta(ge=0, le=1)]
 #: A size in bytes, up to 1 GiB.
