Have one piece of code set up an entry's and an agent's process

Cause: entry/program.py and agent/program.py each built metrics, announcer, node, tracing and admin port, served spans, logged Started and stopped the node and the exporter, in the same order and words: about 45 lines twice.

Change: node/process.py holds it once, FleetProcess; the two programs hold one each and keep what differs (readiness, drain, tasks). Ruled out: a common base class of the two programs, since their run and drain orders differ.

--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -11,14 +11,10 @@
 from ospreyford.agent.group import GroupTasks
 from ospreyford.agent.views import AgentViews
 from ospreyford.http.server import listen
-from ospreyford.node.announcer import Announcer
-from ospreyford.node.fleetnode import FleetNode
-from ospreyford.node.questions import Topic, answer_spans
-from ospreyford.observability.admin import AdminPort
-from ospreyford.observability.events import Draining, Ready, Started
-from ospreyford.observability.metrics import Metrics
+from ospreyford.node.process import FleetProcess
+from ospreyford.node.questions import Topic
+from ospreyford.observability.events import Draining, Ready
 from ospreyford.observability.readiness import LeavingHost
-from ospreyford.observability.tracing import Tracing
 from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
@@ -48,27 +44,15 @@
         settings = program.settings
         self._program = program
         self._settings = settings
-        self._metrics = Metrics()
-        self._node = FleetNode(
-            settings,
-            'backend',
-            settings.backend.service,
-            Announcer(program.changes, self._metrics),
-            program.stop.requested,
-        )
-        self._metrics.watch_peers(self._node.peers.counters)
+        service = settings.backend.service
+        self._process = FleetProcess(program, 'backend', service)
+        self._node = self._process.node
         self._drains = DrainState(settings.identity.name)
-        self._tracing = Tracing(
-            settings.traces,
-            settings.identity,
-            self._metrics,
-        )
-        self._metrics.watch_drops('logs', program.changes.count_dropped)
         self._parts = make_parts(
             settings,
             self._node,
-            self._tracing.tracer,
-            self._metrics.flow,
+            self._process.tracing.tracer,
+            self._process.metrics.flow,
         )
         self._views = AgentViews(self._node, self._parts.record, self._drains)
         self._group: GroupTasks | None = None
@@ -85,13 +69,7 @@
         await self._node.start()
         await self._start_tasks()
         accepting = await curio.spawn(self._accept, sock, daemon=True)
-        self._program.changes.log_change(
-            Started(
-                'ospreyford-agent',
-                self._settings.identity.instance,
-                self._node.incarnation,
-            ),
-        )
+        self._process.tell_started('ospreyford-agent')
         self._program.changes.log_change(Ready())
         await self._program.stop.requested.wait()
         await self._drain(accepting)
@@ -109,20 +87,14 @@
         node.listen_for_hosts(self._drains.note_hosts)
         if self._group is not None:
             self._group.listen()
-        store = self._tracing.tracer.store
-        node.peers.serve(Topic.spans, answer_spans(store))
+        self._process.serve_spans()
         node.peers.serve(Topic.agent_status, self._views.answer_status)
 
     async def _start_tasks(self) -> None:
-        admin = AdminPort(
-            self._settings.listen,
-            self._metrics,
-            {'/status': self._views.show_status},
-            self.tell_unready,
-        )
+        providers = {'/status': self._views.show_status}
+        await self._process.start_admin(providers, self.tell_unready)
         load_seconds = self._settings.service.load_seconds
         for task in (
-            admin.run(),
             self._parts.meter.run(load_seconds),
             self._parts.service.run_sweeps(),
             self._watch_drains(),
@@ -135,10 +107,11 @@
 
     async def _watch_drains(self) -> None:
         causes: tuple[DrainCause, ...] = ()
+        records = self._process.metrics.fleet.records
         while True:
             found = self._drains.find_causes()
             self._parts.record.draining = bool(found)
-            self._metrics.fleet.records.set(len(self._parts.record.memory))
+            records.set(len(self._parts.record.memory))
             if found and found != causes:
                 self._tell_draining(found)
             causes = found
@@ -169,5 +142,4 @@
         # connection broke may ask for the rest of one.
         await curio.sleep(ANSWER_SECONDS)
         await accepting.cancel()
-        await self._node.stop()
-        self._tracing.close()
+        await self._process.stop()
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -12,14 +12,9 @@
 from ospreyford.entry.views import Views
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.server import listen, serve_connection
-from ospreyford.node.announcer import Announcer
-from ospreyford.node.fleetnode import FleetNode
-from ospreyford.node.questions import Topic, answer_spans
-from ospreyford.observability.admin import AdminPort
-from ospreyford.observability.events import Draining, Ready, Started
-from ospreyford.observability.metrics import Metrics
+from ospreyford.node.process import FleetProcess
+from ospreyford.observability.events import Draining, Ready
 from ospreyford.observability.readiness import LeavingHost, NoConfiguration
-from ospreyford.observability.tracing import Tracing
 from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
@@ -46,35 +41,22 @@
         settings = program.settings
         self._program = program
         self._settings = settings
-        self._metrics = Metrics()
-        self._announcer = Announcer(program.changes, self._metrics)
-        self._node = FleetNode(
-            settings,
-            'entry',
-            '',
-            self._announcer,
-            program.stop.requested,
-        )
-        self._metrics.watch_peers(self._node.peers.counters)
+        self._process = FleetProcess(program, 'entry', '')
+        self._node = self._process.node
         self._directory = FleetDirectory()
-        self._tracing = Tracing(
-            settings.traces,
-            settings.identity,
-            self._metrics,
-        )
-        self._metrics.watch_drops('logs', program.changes.count_dropped)
         self._parts = make_parts(
             settings,
             self._node,
             self._directory,
-            self._metrics,
-            self._tracing.tracer,
+            self._process.metrics,
+            self._process.tracing.tracer,
             program.changes,
         )
         self._returns = ReturnWatch(self._directory, self._parts.router)
         self.stopping = False
         self._open = OpenConnections(settings.http.connections)
-        callers = self._metrics.flow.connections.labels('caller')
+        flow = self._process.metrics.flow
+        callers = flow.connections.labels('caller')
         callers.set_function(self._open.__len__)
 
     async def run(self) -> None:
@@ -82,22 +64,14 @@
         self._program.stop.count_in_flight = self._open.count_busy
         self._listen_to_fleet()
         sock = listen(*split_address(self._settings.listen.data_address))
-        self._node.peers.serve(
-            Topic.spans, answer_spans(self._tracing.tracer.store)
-        )
+        self._process.serve_spans()
         await self._node.start()
         await self._start_admin()
         await curio.spawn(self._parts.share.run, daemon=True)
         await curio.spawn(self._parts.room.run, daemon=True)
         await curio.spawn(self._parts.watch.run, daemon=True)
         accepting = await curio.spawn(self._accept, sock, daemon=True)
-        self._program.changes.log_change(
-            Started(
-                'ospreyford-entry',
-                self._settings.identity.instance,
-                self._node.incarnation,
-            ),
-        )
+        self._process.tell_started('ospreyford-entry')
         await curio.spawn(self._tell_ready, daemon=True)
         await self._program.stop.requested.wait()
         await self._drain(accepting)
@@ -126,17 +100,10 @@
             self._parts.router.note_gone(name)
 
     async def _start_admin(self) -> None:
-        admin = AdminPort(
-            self._settings.listen,
-            self._metrics,
-            Views(
-                self._node,
-                self._directory,
-                self._tracing.tracer,
-            ).list_providers(),
-            self.tell_unready,
-        )
-        await curio.spawn(admin.run, daemon=True)
+        tracer = self._process.tracing.tracer
+        views = Views(self._node, self._directory, tracer)
+        providers = views.list_providers()
+        await self._process.start_admin(providers, self.tell_unready)
 
     async def _tell_ready(self) -> None:
         while self.tell_unready():
@@ -176,5 +143,4 @@
             await curio.sleep(DRAIN_POLL_SECONDS)
             if self._open.count_busy():
                 quiet_since = self._node.clock.monotonic()
-        await self._node.stop()
-        self._tracing.close()
+        await self._process.stop()
--- /dev/null
+++ b/src/ospreyford/node/process.py
@@ -0,0 +1,88 @@
+"""What an entry's process and an agent's set up alike."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.node.announcer import Announcer
+from ospreyford.node.fleetnode import FleetNode
+from ospreyford.node.questions import Topic, answer_spans
+from ospreyford.observability.admin import AdminPort
+from ospreyford.observability.events import Started
+from ospreyford.observability.metrics import Metrics
+from ospreyford.observability.tracing import Tracing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from ospreyford.console.program import Program
+    from ospreyford.observability.admin import Provider
+    from ospreyford.observability.readiness import Unready
+    from ospreyford.settings.programs import AgentSettings, EntrySettings
+
+
+class FleetProcess:
+    """One process of the fleet: its node, metrics, spans and admin port.
+
+    :param program: settings, stop signal and log.
+    :param role: ``entry`` or ``backend``.
+    :param service: the backend server's service, or empty.
+    """
+
+    def __init__(
+        self,
+        program: Program[EntrySettings] | Program[AgentSettings],
+        role: str,
+        service: str,
+    ) -> None:
+        self.metrics = Metrics()
+        self.node = FleetNode(
+            program.settings,
+            role,
+            service,
+            Announcer(program.changes, self.metrics),
+            program.stop.requested,
+        )
+        self.tracing = Tracing(
+            program.settings.traces,
+            program.settings.identity,
+            self.metrics,
+        )
+        self.metrics.watch_peers(self.node.peers.counters)
+        self.metrics.watch_drops('logs', program.changes.count_dropped)
+        self._program = program
+
+    def serve_spans(self) -> None:
+        """Answer other processes that ask for a request's spans."""
+        answer = answer_spans(self.tracing.tracer.store)
+        self.node.peers.serve(Topic.spans, answer)
+
+    async def start_admin(
+        self,
+        providers: Mapping[str, Provider],
+        tell_unready: Callable[[], list[Unready]],
+    ) -> None:
+        """Open the admin port.
+
+        :param providers: the views by path.
+        :param tell_unready: gives the reasons for taking no work.
+        """
+        listening = self._program.settings.listen
+        admin = AdminPort(listening, self.metrics, providers, tell_unready)
+        await curio.spawn(admin.run, daemon=True)
+
+    def tell_started(self, name: str) -> None:
+        """Log that the process takes connections.
+
+        :param name: the program's name.
+        """
+        instance = self._program.settings.identity.instance
+        started = Started(name, instance, self.node.incarnation)
+        self._program.changes.log_change(started)
+
+    async def stop(self) -> None:
+        """Announce the planned stop to the peers, and write what is left."""
+        await self.node.stop()
+        self.tracing.close()
