--- a/tests/console/test_docs.py
+++ b/tests/console/test_docs.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ospreyford.console.codes import ExitCode
 from ospreyford.console.ctl import Operator
 from ospreyford.console.reference import write_reference
 from ospreyford.observability.events import StateChange
@@ -47,3 +48,13 @@
     assert page.startswith(f'# ospreyfordctl {name}\n')
     assert '## Example' in page
     assert '## Exit codes' in page
+
+
+@pytest.mark.parametrize('name', ['entry', 'agent'])
+def test_program_has_a_page(name: str) -> None:
+    page = (DOCS / 'commands' / f'ospreyford-{name}.md').read_text()
+    assert page.startswith(f'# ospreyford-{name}\n')
+    assert '## Example' in page
+    codes = page.partition('## Exit codes')[2]
+    ends = set(ExitCode) - {ExitCode.no_entry}
+    assert all(f'\n| {code:d} | ' in codes for code in ends)
