--- a/src/ospreyford/entry/factory.py
+++ b/src/ospreyford/entry/factory.py
@@ -21,7 +21,7 @@
     from ospreyford.entry.directory import FleetDirectory
     from ospreyford.node.fleetnode import FleetNode
     from ospreyford.observability.logs import ChangeLog
-    from ospreyford.observability.metrics import Metrics
+    from ospreyford.observability.metrics import FlowMetrics, Metrics
     from ospreyford.observability.spans import Tracer
     from ospreyford.security.secrets import Secrets
     from ospreyford.settings.programs import EntrySettings
@@ -69,7 +69,7 @@
     wiring = Wiring(
         settings.attempts,
         router,
-        ConnectionPool(PoolSettings(), node.clock, secrets.connect_agent),
+        _make_pool(metrics.flow, node, secrets),
         node.clock,
         metrics.requests,
         room,
@@ -85,6 +85,19 @@
     return EntryParts(service, router, share, room, watch)
 
 
+def _make_pool(
+    flow: FlowMetrics, node: FleetNode, secrets: Secrets
+) -> ConnectionPool:
+    pool = ConnectionPool(
+        PoolSettings(),
+        node.clock,
+        secrets.connect_agent,
+        flow.missed_beats.labels('agent').inc,
+    )
+    flow.connections.labels('agent').set_function(pool.count_open)
+    return pool
+
+
 def _make_router(settings: EntrySettings, node: FleetNode) -> Router:
     identity = settings.identity
     me = Identity(identity.name, identity.zone, identity.region)
--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -108,6 +108,7 @@
         decoder: msgspec.msgpack.Decoder[Received],
         names: frozenset[str] | None = None,
     ) -> None:
+        self._closed = False
         self._sock = sock
         self._names = names
         self._reader = FrameReader(decoder)
@@ -171,8 +172,16 @@
 
     async def close(self) -> None:
         """Close the socket."""
+        self._closed = True
         await self._sock.close()
 
+    def is_closed(self) -> bool:
+        """Tell whether this side has closed the connection.
+
+        :returns: whether :meth:`close` was called.
+        """
+        return self._closed
+
 
 def accept_entry(sock: Socket) -> FrameConnection[EntryFrame]:
     """Wrap a socket that an agent accepted.
