Read the host list in turn, learn the rest from membership

Cause: each process read the platform's whole host list every 55 s at 5,500 hosts, 22.6 KB/s against a budget of 6 KB/s a node, and the host's own agent took a leaving mark only from its own reading, after up to 66 s.

Change: two processes of a zone, chosen as the documents' readers are (distribution.members.Neighbours), read the list in a term of 10 s; terms are short so that nobody carries the bytes for long. Everybody else has the hosts and marks from membership. Membership has no labels: an entry asks its zone's readers for the listings of instances it hears and lacks, an agent for its own only; until then a back end is left out of the pools. A dead host goes when a list read in the last minute lacks it. The age of the newest reading rides on probes; who hears of none for 60 s, was paused, or lacks more than 64 listings reads for itself, at today's rate at most and spread over it. A fresh process reads once. The agent takes a mark from its own membership record; an entry so marked shows itself unready.

Ruled out: labels in membership's descriptions (a process's own description cannot change after its start, and the list may lag behind the start); the age as a wall clock time (skew); readers that stay for two minutes as the documents' do (three readings, 3.7 MB, in one process).

Tests: tests/hosts. test_empty_and_missing_lists_change_nothing moved there from tests/platform with the loop that it tests, the same assertions.

Run: tests/hosts, platform, agent, node, entry, membership, config_processes, agent_ranks, measure/test_capacity: all passed.

--- a/src/ospreyford/agent/drains.py
+++ b/src/ospreyford/agent/drains.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ospreyford.membership.member import MemberState
 from ospreyford.ports.fleet import Host, HostState
 
 if TYPE_CHECKING:
     from ospreyford.documents.picture import Picture
+    from ospreyford.membership.member import StateChange
 
 
 @dataclass(frozen=True)
@@ -33,11 +35,12 @@
     def __init__(self, name: str) -> None:
         self.stopping = False
         self._name = name
+        self._marked = False
         self._host: Host | None = None
         self._picture: Picture | None = None
 
     def note_hosts(self, hosts: tuple[Host, ...]) -> None:
-        """Take over a newly read host list.
+        """Take over the hosts as they are known now.
 
         :param hosts: all hosts of the fleet.
         """
@@ -45,6 +48,20 @@
             if host.name == self._name:
                 self._host = host
 
+    def note_member(self, change: StateChange) -> None:
+        """Take over a leaving mark that another process has read.
+
+        What goes wrong without it: few processes read the host list, so the
+        agent itself may not for hours; it would take new work from entries
+        that lag. The mark is for good, also where a stale list shows none.
+
+        :param change: a member's new state.
+        """
+        # A stopping agent announces by the same state that it leaves.
+        is_own = change.member.name == self._name and not self.stopping
+        if is_own and change.after is MemberState.leaving:
+            self._marked = True
+
     def note_picture(self, picture: Picture) -> None:
         """Take over a new picture.
 
@@ -65,6 +82,8 @@
         return tuple(DrainCause(name) for name in found if found[name])
 
     def _is_leaving(self) -> bool:
+        if self._marked:
+            return True
         return self._host is not None and self._host.state is HostState.leaving
 
     def _is_requested(self) -> bool:
--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -106,6 +106,7 @@
         node = self._node
         node.configuration.listen(self._drains.note_picture)
         node.listen_for_hosts(self._drains.note_hosts)
+        node.membership.subscribe(self._drains.note_member)
         if self._group is not None:
             self._group.listen()
         store = self._tracing.tracer.store
--- a/src/ospreyford/distribution/members.py
+++ b/src/ospreyford/distribution/members.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 import xxhash
 
@@ -35,7 +36,10 @@
         """
 
 
-class CachedMembers:
+AnyMember = TypeVar('AnyMember', bound=Member)
+
+
+class CachedMembers(Generic[AnyMember]):
     """Keeps a list of members until it changes.
 
     Every round of rumours asks for the members; making a list of thousands
@@ -44,11 +48,11 @@
     :param fetch: makes the list.
     """
 
-    def __init__(self, fetch: Callable[[], Sequence[Member]]) -> None:
+    def __init__(self, fetch: Callable[[], Sequence[AnyMember]]) -> None:
         self._fetch = fetch
-        self._cached: Sequence[Member] | None = None
+        self._cached: Sequence[AnyMember] | None = None
 
-    def members(self) -> Sequence[Member]:
+    def members(self) -> Sequence[AnyMember]:
         """List the live processes.
 
         :returns: the list as it was fetched since the last change.
@@ -130,6 +134,21 @@
                 return False
         return True
 
+    def readers(self, readers: int, term: int) -> list[str]:
+        """List the peers that :meth:`reads` chooses, as this process sees it.
+
+        :param readers: how many a zone has.
+        :param term: number of the term.
+        :returns: their addresses; this process is left out.
+        """
+        zone = [
+            one for one in self._members.members() if one.zone == self._me.zone
+        ]
+        chosen = heapq.nlargest(
+            readers, zone, key=lambda one: _score(one.name, term)
+        )
+        return [one.peer_address for one in chosen if one.name != self._me.name]
+
 
 def _score(name: str, term: int) -> tuple[int, str]:
     return xxhash.xxh3_64_intdigest(f'{term}/{name}'.encode()), name
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -12,6 +12,7 @@
 from ospreyford.entry.views import Views
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.server import listen, serve_connection
+from ospreyford.membership.member import MemberState
 from ospreyford.node.announcer import Announcer
 from ospreyford.node.fleetnode import FleetNode
 from ospreyford.node.questions import Topic, answer_spans
@@ -108,10 +109,17 @@
         reasons: list[Unready] = []
         if self.stopping:
             reasons.append(LeavingHost('signal'))
+        elif self._is_marked():
+            reasons.append(LeavingHost('host list'))
         if not self._node.configuration.ready or not self._directory.hosts:
             reasons.append(NoConfiguration())
         return reasons
 
+    def _is_marked(self) -> bool:
+        membership = self._node.membership
+        own = membership.state_of(membership.me.name)
+        return own is MemberState.leaving
+
     def _listen_to_fleet(self) -> None:
         self._node.configuration.listen(self._returns.note_picture)
         self._node.listen_for_hosts(self._note_hosts)
--- a/src/ospreyford/measure/capacity_samples.py
+++ b/src/ospreyford/measure/capacity_samples.py
@@ -9,6 +9,7 @@
 
 from ospreyford.agent.execution import Execution
 from ospreyford.distribution.entries import Entry
+from ospreyford.hosts.messages import HostRow
 from ospreyford.measure.capacity_size import NODES, ZONES
 from ospreyford.measure.samples import (
     REGIONS,
@@ -20,7 +21,7 @@
 from ospreyford.membership.member import Member
 from ospreyford.membership.service import Membership
 from ospreyford.membership.settings import MembershipSettings
-from ospreyford.platform.hostlist import HostRow, HostTable
+from ospreyford.platform.hostlist import HostTable
 from ospreyford.ports.clock import SystemClock
 from ospreyford.ports.fleet import Host, LoadReport
 from ospreyford.ports.peers import Handler
--- /dev/null
+++ b/src/ospreyford/node/fleethosts.py
@@ -0,0 +1,149 @@
+"""The hosts of the fleet, as one process keeps and relays them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from ospreyford.distribution.members import Neighbours
+from ospreyford.hosts.exchange import HostExchange
+from ospreyford.hosts.known import MANY, KnownHosts, Scope
+from ospreyford.hosts.reader import HostReader
+from ospreyford.hosts.readings import Readings
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Coroutine, Sequence
+    from typing import Any
+
+    from ospreyford.distribution.members import CachedMembers
+    from ospreyford.membership.member import Member, MemberState
+    from ospreyford.membership.service import Membership
+    from ospreyford.node.pauses import PauseGuard
+    from ospreyford.ports.clock import Clock
+    from ospreyford.ports.fleet import Host
+    from ospreyford.ports.hosts import HostListener, HostListPort
+    from ospreyford.ports.peers import PeerPort
+
+SLOT = 'hosts'
+TELL_SECONDS = 1.0
+ENTRY = 'entry'
+
+
+class Surroundings(NamedTuple):
+    """What the hosts are kept with.
+
+    :param membership: who is live.
+    :param members: its members, kept until one changes.
+    :param peers: questions and answers between processes.
+    :param pauses: counts the pauses of this process.
+    :param clock: source of time.
+    :param rng: random numbers.
+    """
+
+    membership: Membership
+    members: CachedMembers[Member]
+    peers: PeerPort
+    pauses: PauseGuard
+    clock: Clock
+    rng: random.Random
+
+
+class FleetHosts:
+    """Joins readings of the host list, membership and others' listings.
+
+    :param source: the host list.
+    :param around: the other parts of the process.
+    """
+
+    def __init__(self, source: HostListPort, around: Surroundings) -> None:
+        me = around.membership.me
+        self._around = around
+        self._known = KnownHosts(Scope(me.name, me.role == ENTRY), self)
+        self._listeners: list[HostListener] = []
+        neighbours = Neighbours(me, around.members, around.rng)
+        readings = Readings(around.clock)
+        self._reader = HostReader(
+            source,
+            self._take,
+            neighbours,
+            readings,
+            self,
+            around.clock,
+            around.rng,
+        )
+        self._exchange = HostExchange(
+            self._known, neighbours, around.peers, around.clock, around.rng
+        )
+        around.membership.subscribe(self._known.note_member)
+        around.membership.attach(SLOT, readings.provide, readings.consume)
+
+    def listen(self, listener: HostListener) -> None:
+        """Have the hosts told whenever any of them changed.
+
+        :param listener: called with all hosts.
+        """
+        self._listeners.append(listener)
+
+    def list_tasks(self) -> list[Coroutine[Any, Any, object]]:
+        """List what runs for ever.
+
+        :returns: coroutines, not started yet.
+        """
+        return [self._reader.run(), self._exchange.run(), self._run_telling()]
+
+    def members(self) -> Sequence[Member]:
+        """List the live and suspected members.
+
+        :returns: the members.
+        """
+        return self._around.members.members()
+
+    def find(self, name: str) -> Member | None:
+        """Look up a member.
+
+        :param name: the member.
+        :returns: the member, in whatever state.
+        """
+        return self._around.membership.find(name)
+
+    def state_of(self, name: str) -> MemberState | None:
+        """Look up a member's state.
+
+        :param name: the member.
+        :returns: its state, ``None`` if it is unknown.
+        """
+        return self._around.membership.state_of(name)
+
+    def wakes(self) -> int:
+        """Count the pauses of this process.
+
+        :returns: how many so far.
+        """
+        return self._around.pauses.pauses
+
+    def lacks_many(self) -> bool:
+        """Tell whether reading the list costs less than asking others.
+
+        :returns: whether so many listings are lacking.
+        """
+        return len(self._known.lacking) > MANY
+
+    def _take(self, hosts: tuple[Host, ...]) -> None:
+        self._around.membership.note_hosts(hosts)
+        self._known.note_list(hosts, self._around.clock.monotonic())
+        self._tell()
+
+    async def _run_telling(self) -> None:
+        # Not at each change: after a start or a split there are hundreds.
+        while True:
+            self._known.trim(self._around.clock.monotonic())
+            if self._known.changed:
+                self._tell()
+            await self._around.clock.sleep(TELL_SECONDS)
+
+    def _tell(self) -> None:
+        self._known.changed = False
+        hosts = self._known.hosts()
+        if hosts:
+            for listener in self._listeners:
+                listener(hosts)
--- a/src/ospreyford/node/fleetnode.py
+++ b/src/ospreyford/node/fleetnode.py
@@ -15,10 +15,11 @@
 from ospreyford.membership.member import Member, new_incarnation
 from ospreyford.membership.service import Membership
 from ospreyford.node.configuration import Configuration
+from ospreyford.node.fleethosts import FleetHosts, Surroundings
 from ospreyford.node.pauses import PauseGuard
 from ospreyford.peers.node import PeerNode
 from ospreyford.peers.settings import PeerSettings
-from ospreyford.platform.hostlist import HostListClient, watch_hosts
+from ospreyford.platform.hostlist import HostListClient
 from ospreyford.ports.clock import SystemClock
 from ospreyford.settings.types import split_address
 
@@ -27,14 +28,10 @@
     from typing import Any
 
     from ospreyford.node.announcer import Announcer
-    from ospreyford.ports.fleet import Host
     from ospreyford.ports.hosts import HostListener
     from ospreyford.settings.programs import AgentSettings, EntrySettings
 
 DIGEST = 'documents'
-HOSTS_SECONDS = 2.0
-#: Readings of the host list by the whole fleet together, each second.
-HOST_READS_PER_SECOND = 100
 COUNT_SECONDS = 1.0
 
 
@@ -90,17 +87,24 @@
         self.configuration = Configuration(self.distributor, announcer)
         self.pauses = PauseGuard(self.clock, self.distributor)
         self._announcer = announcer
-        self._hosts = HostListClient(
-            *split_address(settings.platform.host_list),
+        self._hosts = FleetHosts(
+            HostListClient(*split_address(settings.platform.host_list)),
+            Surroundings(
+                self.membership,
+                members,
+                self.peers,
+                self.pauses,
+                self.clock,
+                self.rng,
+            ),
         )
-        self._listeners: list[HostListener] = [self.membership.note_hosts]
 
     def listen_for_hosts(self, listener: HostListener) -> None:
-        """Have each newly read host list told.
+        """Have the hosts told whenever any of them changed.
 
-        :param listener: called with the hosts.
+        :param listener: called with all hosts.
         """
-        self._listeners.append(listener)
+        self._hosts.listen(listener)
 
     async def start(self) -> None:
         """Listen to peers and start the tasks.
@@ -124,13 +128,6 @@
         await self.peers.stop()
 
     def _list_tasks(self) -> list[Coroutine[Any, Any, object]]:
-        hosts = watch_hosts(
-            self._hosts,
-            self._take_hosts,
-            self.clock,
-            self.rng,
-            self._pace_hosts,
-        )
         return [
             self._run_membership(),
             self.distributor.run_gossip(),
@@ -139,7 +136,7 @@
             self.configuration.run(),
             self.pauses.run(),
             self._count(),
-            hosts,
+            *self._hosts.list_tasks(),
         ]
 
     async def _run_membership(self) -> None:
@@ -154,17 +151,6 @@
             self._announcer.tell_pause(self.pauses)
             await self.clock.sleep(COUNT_SECONDS)
 
-    def _pace_hosts(self) -> float:
-        # The platform's rates grow more slowly than the fleet: the interval
-        # grows with it, and a leaving mark that one process has read reaches
-        # the others with the membership's own messages.
-        size = len(self.membership.members())
-        return max(HOSTS_SECONDS, size / HOST_READS_PER_SECOND)
-
-    def _take_hosts(self, hosts: tuple[Host, ...]) -> None:
-        for listener in self._listeners:
-            listener(hosts)
-
 
 def _make_member(
     settings: EntrySettings | AgentSettings,
--- /dev/null
+++ b/tests/hosts/test_leaving.py
@@ -0,0 +1,73 @@
+"""A leaving mark that one process has read is in force at its own agent."""
+
+from __future__ import annotations
+
+import pytest
+
+from ospreyford.agent.drains import DrainState
+from ospreyford.membership.member import MemberState
+from tests.membership.world import Process, World, host
+
+ZONES = 'aaabbb'
+HOSTS = tuple(host(f'h{number}', zone) for number, zone in enumerate(ZONES))
+
+
+def start() -> tuple[World, list[Process], DrainState]:
+    world = World(1)
+    processes = [world.start(one, HOSTS) for one in HOSTS]
+    state = DrainState('h0')
+    processes[0].membership.subscribe(state.note_member)
+    world.run(40)
+    return world, processes, state
+
+
+def name_causes(state: DrainState) -> list[str]:
+    return [one.source for one in state.find_causes()]
+
+
+@pytest.mark.parametrize('reader', [1, 5])
+def test_a_mark_reaches_its_own_agent(reader: int) -> None:
+    """Symptom: an agent that is to leave takes new work for 66 s.
+
+    Sequence: another process reads the mark, and later a list without it.
+    Cause: only the agent's own reading of the list counted for it.
+    """
+    world, processes, state = start()
+    assert not state.find_causes()
+    marked = host('h0', 'a', leaving=True)
+    processes[reader].membership.note_hosts([marked])
+    world.run(20)
+    assert name_causes(state) == ['host list']
+    for process in processes:
+        process.membership.note_hosts(HOSTS)
+    world.run(20)
+    assert name_causes(state) == ['host list']
+    states = {one.membership.state_of('h0') for one in processes}
+    assert states == {MemberState.leaving}
+
+
+def test_a_mark_of_the_earlier_machine_does_not_count() -> None:
+    """Symptom: a fresh host takes no work.
+
+    Sequence: a reader meets a list from before the host was replaced.
+    Cause: the mark was taken by name alone.
+    """
+    world, processes, state = start()
+    marked = host('h0', 'a', life=0, leaving=True)
+    processes[1].membership.note_hosts([marked])
+    world.run(20)
+    assert not state.find_causes()
+
+
+def test_a_stopping_agent_was_not_marked() -> None:
+    """Symptom: operators are told of a leaving mark that nobody set.
+
+    Sequence: an agent is stopped and announces that it leaves.
+    Cause: membership has one state for both.
+    """
+    world, processes, state = start()
+    state.stopping = True
+    processes[0].stepper.spawn('leave', processes[0].membership.leave())
+    world.run(20)
+    assert processes[0].membership.state_of('h0') is MemberState.leaving
+    assert name_causes(state) == ['signal']
--- /dev/null
+++ b/tests/hosts/test_reader.py
@@ -0,0 +1,194 @@
+"""Who reads the platform's host list, and when."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from ospreyford.distribution.members import Neighbours
+from ospreyford.hosts.reader import READERS, TERM_SECONDS, UNHEARD_SECONDS
+from ospreyford.hosts.readings import Readings
+from ospreyford.membership.member import MemberState
+from ospreyford.ports.fleet import Host, HostState
+from tests.fakes.clock import FakeClock
+from tests.hosts.fleet import Reading, World, make_host
+
+HOUR = 3600
+SIZE = 200
+
+
+def start_rested(size: int = SIZE) -> tuple[World, Reading]:
+    """Start one process that has read once, among others that read."""
+    world = World(size)
+    one = world.start(pick_unchosen(world))
+    assert world.step(one, (make_host(),))
+    return world, one
+
+
+def pick_unchosen(world: World) -> Host:
+    """Find a host whose turn does not come in the next minutes."""
+    term = int(world.clock.wall() // TERM_SECONDS)
+    for host in world.hosts:
+        member = world.fleet.find(host.name)
+        assert member is not None
+        neighbours = Neighbours(member, world.fleet, Random(1))
+        terms = range(term, term + 20)
+        if not any(neighbours.reads(READERS, one) for one in terms):
+            return host
+    return world.hosts[0]
+
+
+def count_reads(world: World, one: Reading, seconds: float) -> int:
+    until = world.clock.monotonic() + seconds
+    count = 0
+    while world.clock.monotonic() < until:
+        one.readings.note(world.clock.monotonic())
+        count += world.step(one, (make_host(),))
+    return count
+
+
+def test_empty_and_missing_lists_change_nothing() -> None:
+    """An empty list is the platform's fault, not a fleet that is gone.
+
+    Symptom: every request is refused for want of hosts.
+    Sequence: the platform answers with an empty list, or not at all.
+    Cause: the last good list was dropped for it.
+    """
+    host = make_host()
+    late = (host._replace(state=HostState.leaving),)
+    world = World(1)
+    one = world.start(world.hosts[0])
+    readings: list[Any] = [(host,), (), None, late]
+    for reading in readings:
+        assert world.step(one, reading)
+    assert one.told == [(host,), late]
+
+
+def test_few_read_and_all_in_turn() -> None:
+    """Symptom: 22.6 KB/s of host list a process at 5,500 hosts.
+
+    Sequence: the fleet is at rest.
+    Cause: each process read the whole list every 55 s.
+    """
+    world, one = start_rested()
+    count = count_reads(world, one, 10 * HOUR)
+    # The share of the terms in which a process is chosen is READERS / SIZE.
+    mean = 10 * HOUR / TERM_SECONDS * READERS / SIZE
+    assert 0 < count < 10 * mean
+
+
+@pytest.mark.parametrize('size', [1, 2, 3, 30])
+def test_the_next_takes_over_from_the_dead(size: int) -> None:
+    """Symptom: nobody reads the list, and leaving marks are not seen.
+
+    Sequence: the chosen readers of a zone die at once.
+    Cause: the election still counts them.
+    """
+    world = World(size)
+    term = int(world.clock.wall() // TERM_SECONDS)
+
+    def find_readers() -> set[str]:
+        return {
+            one.name
+            for one in world.fleet.members()
+            if Neighbours(one, world.fleet, Random(1)).reads(READERS, term)
+        }
+
+    first = find_readers()
+    assert len(first) == min(READERS, size)
+    for name in first:
+        world.fleet.hear(make_host(name), MemberState.dead)
+    second = find_readers()
+    assert len(second) == min(READERS, size - len(first))
+    assert not first & second
+
+
+def test_reads_alone_when_no_reading_is_heard_of() -> None:
+    """Symptom: a leaving mark is in force nowhere, for as long as it lasts.
+
+    Sequence: the zone's readers answer their peers but are cut off from the
+    platform, or are paused and not yet dead.
+    Cause: only the chosen ones ever read.
+    """
+    world, one = start_rested()
+    until = world.clock.monotonic() + UNHEARD_SECONDS + 4 * TERM_SECONDS
+    reads = 0
+    while world.clock.monotonic() < until:
+        reads += world.step(one, None)
+    assert reads
+
+
+def test_all_do_not_read_at_one_moment() -> None:
+    """Symptom: the platform is called by the whole fleet within a second.
+
+    Sequence: the list is down for a minute, so that nobody hears of a
+    reading; all processes notice it at one moment.
+    Cause: each reads as soon as it notices.
+    """
+    world = World(SIZE)
+    others = []
+    for host in world.hosts:
+        one = world.start(host)
+        now = world.clock.monotonic()
+        world.step(one, (make_host(),))
+        world.clock.seconds = now
+        others.append(one)
+    world.clock.advance(UNHEARD_SECONDS + 5)
+    now = world.clock.monotonic()
+    at_once = 0
+    for one in others:
+        at_once += world.step(one, None)
+        world.clock.seconds = now
+    assert at_once <= READERS
+
+
+@pytest.mark.parametrize('reason', ['paused', 'nobody', 'many'])
+def test_reads_again_when_it_knows_too_little(reason: str) -> None:
+    """Symptom: a process goes on with hosts that are long gone.
+
+    Sequence: it was paused while the fleet was replaced, or it is the only
+    one it sees, or it hears many new hosts at once.
+    Cause: it read once and waits for its turn.
+    """
+    world, one = start_rested(2 if reason == 'nobody' else SIZE)
+    world.clock.advance(TERM_SECONDS)
+    if reason == 'paused':
+        world.fleet.paused = 1
+    elif reason == 'many':
+        world.fleet.many = True
+    else:
+        # The survivor is its zone's first reader.
+        world.fleet.hear(world.hosts[1], MemberState.dead)
+    reads = 0
+    for _ in range(4):
+        one.readings.note(world.clock.monotonic())
+        reads += world.step(one, (make_host(),))
+    assert reads
+
+
+def test_an_age_never_grows_young_by_going_round() -> None:
+    """Symptom: the list is read by nobody, and nobody notices.
+
+    Sequence: the last reading is long ago; two processes go on telling each
+    other its age.
+    Cause: an age that is told rounded down, and heard as that much younger.
+    """
+    clock = FakeClock()
+    pair = (Readings(clock), Readings(clock))
+    assert pair[0].provide() == b''
+    pair[0].note(clock.monotonic())
+    for turn in range(200):
+        clock.advance(0.5)
+        teller = pair[turn % 2]
+        hearer = pair[1 - turn % 2]
+        hearer.consume('', teller.provide())
+    assert min(one.age() for one in pair) >= 100
+
+
+@pytest.mark.parametrize('body', [b'', b'1', b'123', b'\xff' * 9])
+def test_a_malformed_age_is_dropped(body: bytes) -> None:
+    readings = Readings(FakeClock())
+    readings.consume('', body)
+    assert readings.provide() == b''
--- a/tests/platform/test_hostlist.py
+++ b/tests/platform/test_hostlist.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 
 import curio
 import pytest
 
 from ospreyford.http.server import listen, port_of
-from ospreyford.platform.hostlist import HostListClient, watch_hosts
-from ospreyford.ports.fleet import Host, HostState
-from tests.fakes.clock import FakeClock
-from tests.fakes.stepping import Stepper, park
+from ospreyford.platform.hostlist import HostListClient
 
 ROW = (
     b'{"name":"a","instance":"i","role":"backend","zone":"z","region":"r",'
@@ -64,28 +60,3 @@
     hosts = curio.run(main)
     assert (hosts is None) is (names is None)
     assert [one.name for one in hosts or ()] == (names or [])
-
-
-class Source:
-    async def read(self) -> Any:
-        return await park('read')
-
-
-def test_empty_and_missing_lists_change_nothing() -> None:
-    """An empty list is the platform's fault, not a fleet that is gone.
-
-    Symptom: every request is refused for want of hosts.
-    Sequence: the platform answers with an empty list, or not at all.
-    Cause: the last good list was dropped for it.
-    """
-    host = Host('a', 'i', 'backend', 'z', 'r', 's', 'd', 'p')
-    late = (host._replace(state=HostState.leaving),)
-    told: list[Any] = []
-    stepper = Stepper()
-    rng = random.Random(1)
-    watch = watch_hosts(Source(), told.append, FakeClock(), rng, lambda: 1)
-    task = stepper.spawn('watch', watch)
-    for reading in ((host,), (), None, late):
-        stepper.resume(task, reading)
-        stepper.resume(task)
-    assert told == [(host,), late]
