Bound a process's own readings of the host list; measure them

Cause: by the model of measure.hostlist (trial), one process of 5,500 took 8.3 KB/s of host list in ten minutes, chosen four times by chance; a fleet of 300 had 3.2 KB/s at one process, as small fleets looked at the turn every 2 s. Looking for dead hosts to ask about took 12 ms every 2 s at an entry (trial, busy machine).

Change: a process reads 2 KB/s at most on the mean, but for its first reading and after pauses; looks at the turn grow with the fleet to the whole term at 300 processes; the questions are made with the hosts, on change.

Seen red with the guard removed: the bound, and its exemption after a pause, test_a_large_list_is_not_read_at_each_turn (both cases).

--- a/src/ospreyford/hosts/known.py
+++ b/src/ospreyford/hosts/known.py
@@ -93,6 +93,7 @@
         self.changed = False
         #: Instances heard whose labels are needed, as of :meth:`hosts`.
         self.lacking: list[HostQuestion] = []
+        self._dead: list[HostQuestion] = []
         self._scope = scope
         self._fleet = fleet
         self._rows: dict[HostQuestion, Host] = {}
@@ -167,14 +168,11 @@
     def questions(self) -> list[HostQuestion]:
         """List what this process should ask its zone's readers.
 
-        :returns: instances whose labels it lacks and, at an entry, dead
-            ones that may be gone from the list: a former home is asked
-            about its keys until it is.
+        :returns: as of the last :meth:`hosts`, instances whose labels it
+            lacks and, at an entry, dead ones that may be gone from the
+            list: a former home is asked about its keys until it is.
         """
-        if not self._scope.routes:
-            return list(self.lacking)
-        dead = [key for key in self._rows if self._is_dead(key)]
-        return [*self.lacking, *dead]
+        return [*self.lacking, *self._dead]
 
     def hosts(self) -> tuple[Host, ...]:
         """List the hosts.
@@ -187,14 +185,22 @@
         shown = {
             key.name: row for key, row in self._rows.items() if self._fits(key)
         }
+        members = {one.name: one for one in self._fleet.members()}
+        self._dead = [
+            _key(host)
+            for name, host in shown.items()
+            if self._scope.routes
+            and name not in members
+            and self._fleet.state_of(name) is MemberState.dead
+        ]
         self.lacking = []
-        for member in self._fleet.members():
-            if member.name in shown or not _is_heard(member):
+        for name, member in members.items():
+            if name in shown or not _is_heard(member):
                 continue
             if self._scope.needs(member):
                 self.lacking.append(_key(member))
             else:
-                shown[member.name] = _to_host(member)
+                shown[name] = _to_host(member)
         return tuple(shown.values())
 
     def trim(self, now: float) -> None:
--- a/src/ospreyford/hosts/reader.py
+++ b/src/ospreyford/hosts/reader.py
@@ -21,8 +21,15 @@
 LEAST_SECONDS: Final = 2.0
 #: Readings a second of the whole fleet, when each process reads for itself.
 READS_PER_SECOND: Final = 100.0
+#: Looks at the turn a second of the whole fleet; each is a reading while it
+#: is this process's. At 300 processes each looks once a term.
+TURNS_PER_SECOND: Final = 30.0
 #: Age of the newest reading heard of from which on a process reads itself.
 UNHEARD_SECONDS: Final = 60.0
+#: About what the platform sends of one host.
+LISTING_BYTES: Final = 230
+#: Mean rate of a process's readings, but for the first and after pauses.
+BYTES_PER_SECOND: Final = 2000.0
 #: Share of the interval by which two readings may differ, so that readers
 #: that started together do not go on reading together.
 JITTER: Final = 0.2
@@ -79,6 +86,7 @@
         self._read_wakes: int | None = None
         self._needed = True
         self._alone_at = -math.inf
+        self._affords_at = -math.inf
 
     async def run(self) -> None:
         """Read for ever, whenever it is due."""
@@ -89,29 +97,32 @@
         """Read if it is due, and rest."""
         if self._is_due():
             await self._read()
-        rest = min(self._pace(), TERM_SECONDS)
+        rest = min(self._pace(TURNS_PER_SECOND), TERM_SECONDS)
         await self._clock.sleep(rest * self._spread())
 
     def _is_due(self) -> bool:
-        is_needed = self._is_needed()
+        now = self._clock.monotonic()
+        is_fresh = self._read_wakes != self._needs.wakes()
+        is_needed = is_fresh or self._lacks_news()
         if is_needed and not self._needed:
             # All may come to need it at one moment, such as when the list
             # was down for a minute: they do not read at one moment.
-            wait = self._pace() * self._rng.random()
-            self._alone_at = self._clock.monotonic() + wait
+            self._alone_at = now + self._pace() * self._rng.random()
         self._needed = is_needed
+        # A large list that is read at each turn, or for want of hosts that
+        # it does not show yet, would cost more than a node's share of bytes.
+        if now < self._affords_at and not is_fresh:
+            return False
+        return self._has_turn() or (is_needed and now >= self._alone_at)
+
+    def _has_turn(self) -> bool:
         # The wall clock gives the term: a wrong one makes other readers.
         term = int(self._clock.wall() // TERM_SECONDS)
-        if self._neighbours.reads(READERS, term):
-            return True
-        return is_needed and self._clock.monotonic() >= self._alone_at
+        return self._neighbours.reads(READERS, term)
 
-    def _is_needed(self) -> bool:
-        return (
-            self._read_wakes != self._needs.wakes()
-            or self._readings.age() > UNHEARD_SECONDS
-            or self._needs.lacks_many()
-        )
+    def _lacks_news(self) -> bool:
+        is_unheard = self._readings.age() > UNHEARD_SECONDS
+        return is_unheard or self._needs.lacks_many()
 
     async def _read(self) -> None:
         asked_at = self._clock.monotonic()
@@ -125,11 +136,13 @@
             self._needed = False
             self._read_wakes = wakes
             self._readings.note(asked_at)
+            spent = len(hosts) * LISTING_BYTES
+            self._affords_at = asked_at + spent / BYTES_PER_SECOND
             self._take(hosts)
 
-    def _pace(self) -> float:
+    def _pace(self, rate: float = READS_PER_SECOND) -> float:
         size = self._neighbours.count() + 1
-        return max(LEAST_SECONDS, size / READS_PER_SECOND)
+        return max(LEAST_SECONDS, size / rate)
 
     def _spread(self) -> float:
         return 1 + JITTER * (2 * self._rng.random() - 1)
--- a/src/ospreyford/measure/capacity_size.py
+++ b/src/ospreyford/measure/capacity_size.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from ospreyford.hosts.reader import READERS, TERM_SECONDS
+
 DAY_SECONDS = 86_400
 
 NODES = 1_200
@@ -40,14 +42,14 @@
 #: How long a customer counts as active at an entry after one request: its
 #: smoothed demand halves each second from 0.5 to below 0.02 (``limits.share``).
 ACTIVE_SECONDS = 5
-#: Readings of the host list follow one another after so many seconds: the
-#: whole fleet reads 100 times a second (``node.fleetnode``).
-HOST_LIST_SECONDS = PROCESSES / 100
+#: Seconds between two readings of the host list by one process, if each
+#: takes its turns alike (``hosts.reader``).
+HOST_LIST_SECONDS = TERM_SECONDS * PROCESSES / (READERS * ZONES)
+#: Changes of members a second: each that goes is heard of twice.
+MEMBER_CHANGES = 2 * (FAILED_A_DAY + REPLACED_A_DAY) / DAY_SECONDS
 #: Times a second that an entry forgets its plans: for a change of the
-#: documents, for a back end that goes and comes back, and for a host list
-#: that differs from the last one.
+#: documents, and for a back end that goes, comes back and has its listing.
 FORGETS_PER_SECOND = (
     1 / SECONDS_A_CHANGE
-    + 2 * (FAILED_A_DAY + REPLACED_A_DAY) * (REPLICAS / PROCESSES) / DAY_SECONDS
-    + 1 / HOST_LIST_SECONDS
+    + 3 * (FAILED_A_DAY + REPLACED_A_DAY) * (REPLICAS / PROCESSES) / DAY_SECONDS
 )
--- a/src/ospreyford/measure/capacity_times.py
+++ b/src/ospreyford/measure/capacity_times.py
@@ -44,6 +44,7 @@
     ENTRY_REQUESTS,
     FORGETS_PER_SECOND,
     HOST_LIST_SECONDS,
+    MEMBER_CHANGES,
     REPLICA_IN_FLIGHT,
     REPLICA_REQUESTS,
     TOKENS_A_REQUEST,
@@ -116,7 +117,7 @@
     spent = spend(lambda: membership.note_hosts(decode_fleet(body)))
     yield Cost('both', 'a host list read and compared', spent, reading)
     spent = spend(membership.members)
-    yield Cost('both', 'members listed to pace the readings', spent, reading)
+    yield Cost('both', 'members listed after a change', spent, MEMBER_CHANGES)
     spent = spend(
         lambda: [membership.state_of(one.name) for one in membership.members()]
     )
--- a/src/ospreyford/node/fleethosts.py
+++ b/src/ospreyford/node/fleethosts.py
@@ -25,7 +25,7 @@
     from ospreyford.ports.peers import PeerPort
 
 SLOT = 'hosts'
-TELL_SECONDS = 1.0
+TELL_SECONDS = 2.0
 ENTRY = 'entry'
 
 
--- a/tests/hosts/test_known.py
+++ b/tests/hosts/test_known.py
@@ -111,7 +111,9 @@
     fleet, known = make_known()
     fleet.hear(make_host(), state)
     known.note_list([make_host()], NOW)
+    known.hosts()
     asked = [HostQuestion('a', 'i1')]
+    assert (known.questions() == asked) is (state is DEAD)
     reader = KnownHosts(ENTRY, Fleet())
     reader.note_list([make_host('b')], NOW)
     known.note_answer(asked, reader.answer(asked, NOW + age))
--- a/tests/hosts/test_reader.py
+++ b/tests/hosts/test_reader.py
@@ -120,6 +120,27 @@
     assert reads
 
 
+@pytest.mark.parametrize('many', [False, True])
+def test_a_large_list_is_not_read_at_each_turn(many: bool) -> None:
+    """Symptom: 8.3 KB/s of host list in ten minutes at one process of 5,500.
+
+    Sequence: it is chosen again by chance, or hears many new hosts that a
+    lagging list does not show; then it is paused.
+    Cause: each turn and each need was a reading.
+    """
+    world = World(2)
+    world.fleet.many = many
+    one = world.start(world.hosts[0])
+    hosts = (make_host(),) * 5500
+    until = world.clock.monotonic() + HOUR
+    count = 0
+    while world.clock.monotonic() < until:
+        count += world.step(one, hosts)
+    assert 2 < count < 8
+    world.fleet.paused = 1
+    assert any([world.step(one, hosts), world.step(one, hosts)])
+
+
 def test_all_do_not_read_at_one_moment() -> None:
     """Symptom: the platform is called by the whole fleet within a second.
 
