--- a/tests/hosts/test_reader.py
+++ b/tests/hosts/test_reader.py
@@ -17,6 +17,7 @@
 
 HOUR = 3600
 SIZE = 200
+START = FakeClock().seconds
 
 
 def start_rested(size: int = SIZE) -> tuple[World, Reading]:
@@ -213,3 +214,30 @@
     readings = Readings(FakeClock())
     readings.consume('', body)
     assert readings.provide() == b''
+
+
+def test_one_that_reaches_the_platform_is_enough() -> None:
+    """Symptom: a leaving mark is seen by nobody for as long as a fault lasts.
+
+    Sequence: all processes of a zone but one are cut off from the platform,
+    not from each other; their turns come and go.
+    Cause: the one that could read waits for its turn.
+    """
+    world = World(40)
+    zone = [world.start(host) for host in world.hosts]
+    for one in zone:
+        one.readings.note(world.clock.monotonic())
+    rng = Random(1)
+    reached = [world.clock.monotonic()]
+    while reached[-1] < START + HOUR:
+        began = world.clock.monotonic()
+        for number, one in enumerate(zone):
+            answer = None if number else (make_host(),)
+            world.step(one, answer)
+            world.clock.seconds = began
+            teller = rng.choice(zone)
+            one.readings.consume('', teller.readings.provide())
+        if len(zone[0].told) == len(reached):
+            reached.append(began)
+        assert began - reached[-1] < 2 * UNHEARD_SECONDS
+        world.clock.seconds = began + 2
