Read what members learn and send after a cold start

Cause: the one figure of convergence (16,879 of 40,000 pairs unknown after 60 s at 200 members) says nothing of how it gets there, nor of the bytes while it does; and a fleet could not be run alone.

Change: the members unknown are counted 10, 20, 30, 45 and 60 s after the start, and the bytes of the first 30 s stand beside those of the last 30 s. `python -m ospreyford.measure.membership_traffic 50 100 200` runs only the real members.

--- a/src/ospreyford/measure/membership.py
+++ b/src/ospreyford/measure/membership.py
@@ -1,8 +1,9 @@
 """What membership costs a process, against the number of members.
 
-Run ``python -m ospreyford.measure.membership``; it prints three tables as
-Markdown: traffic and processor time of real members on loopback, memory for
-each member known, and time of the parts that grow with the fleet.
+Run ``python -m ospreyford.measure.membership``; it prints four tables as
+Markdown: memory for each member known, time of the parts that grow with the
+fleet, and of real members on loopback their traffic and what they do not know
+yet after a start (``membership_traffic`` prints these two alone).
 """
 
 from __future__ import annotations
@@ -13,18 +14,16 @@
 import random
 import sys
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import partial
-from multiprocessing.connection import Connection
 from typing import Final
 
 import msgspec
-from tabulate import tabulate
 
-from ospreyford.measure.membership_nodes import (
-    ZONES,
-    Usage,
-    run_worker,
+from ospreyford.measure.membership_traffic import (
+    FLEETS,
+    print_table,
+    print_traffic,
 )
 from ospreyford.membership.exchanges import Exchanges
 from ospreyford.membership.member import Member, Version
@@ -34,13 +33,10 @@
 from ospreyford.membership.tables import Tables, build_tables
 from ospreyford.membership.targets import Targets
 from ospreyford.ports.clock import SystemClock
-from ospreyford.ports.fleet import Host
 
-FLEETS: Final = (20, 50, 100, 200)
 #: Members known, up to 1,200 nodes and 4,300 replicas.
 KNOWN: Final = (500, 1500, 2750, 5500)
 LARGE_ZONES: Final = 6
-WORKERS: Final = 4
 OTHER: Final = 'host-00001'
 NETWORK: Final = 250
 MEBIBYTE: Final = 1_048_576
@@ -48,34 +44,6 @@
 MICROSECONDS: Final = 1e6
 
 
-def measure_traffic(members: int) -> list[float]:
-    """Run real members and read what they use.
-
-    :param members: how many.
-    :returns: a row of the table.
-    """
-    context = multiprocessing.get_context('spawn')
-    share = members // WORKERS
-    pipes = []
-    for worker in range(WORKERS):
-        mine, theirs = context.Pipe()
-        arguments = theirs, worker * share, share
-        context.Process(target=run_worker, args=arguments).start()
-        pipes.append(mine)
-    return [members, *_run_together(pipes).each(members)]
-
-
-def _run_together(pipes: list[Connection]) -> Usage:
-    hosts: list[Host] = []
-    for started in pipes:
-        hosts.extend(started.recv())
-    for listening in pipes:
-        listening.send(hosts)
-    usages = [measured.recv() for measured in pipes]
-    columns = zip(*usages, strict=True)
-    return Usage(*(sum(column) for column in columns))
-
-
 def measure_memory(known: int) -> list[float]:
     """Fill a view and read the memory it takes.
 
@@ -174,25 +142,14 @@
     return (time.perf_counter() - started) / REPEATS * MICROSECONDS
 
 
-def _print(title: str, headers: list[str], rows: Iterable[list[float]]) -> None:
-    table = tabulate(
-        rows,
-        headers=headers,
-        tablefmt='github',
-        floatfmt='.1f',
-    )
-    sys.stdout.write(f'{title}\n\n{table}\n\n')
-    sys.stdout.flush()
-
-
 def main() -> None:
     """Print the tables."""
-    _print(
+    print_table(
         f'Memory of the members known ({LARGE_ZONES} zones)',
         ['members', 'MiB', 'bytes a member'],
         map(_run_apart, KNOWN),
     )
-    _print(
+    print_table(
         f'Time of the parts that grow ({LARGE_ZONES} zones)',
         [
             'members',
@@ -204,19 +161,7 @@
         ],
         map(measure_time, KNOWN),
     )
-    _print(
-        f'Real members on loopback, {ZONES} zones, {WORKERS} processes',
-        [
-            'members',
-            'bytes/s each',
-            'messages/s each',
-            'ms processor/s each',
-            'connections each',
-            'opened/s each',
-            'wrong states',
-        ],
-        map(measure_traffic, FLEETS),
-    )
+    print_traffic(FLEETS)
 
 
 def _run_apart(known: int) -> list[float]:
--- a/src/ospreyford/measure/membership_nodes.py
+++ b/src/ospreyford/measure/membership_nodes.py
@@ -18,6 +18,9 @@
 from ospreyford.ports.fleet import Host
 
 ZONES: Final = 3
+#: Seconds from the start after which the unknown members are counted.
+LOOKS: Final = (10, 20, 30, 45, 60)
+#: What is used before this look is of the start, after it at rest.
 WARM_SECONDS: Final = 30
 MEASURED_SECONDS: Final = 30
 #: Like a digest of the configuration and a load report.
@@ -103,20 +106,22 @@
             for number, node in zip(self._numbers, self._nodes, strict=True)
         ]
 
-    async def run(self, hosts: list[Host]) -> Usage:
-        """Run all members and read what they use once settled.
+    async def run(self, hosts: list[Host]) -> list[Usage]:
+        """Run all members and read what they use.
 
         :param hosts: all hosts of the fleet.
-        :returns: what was used in ``MEASURED_SECONDS``.
+        :returns: what was used since the start, at each of ``LOOKS``.
         """
+        began = self._clock.monotonic()
         waiting = list(zip(self._numbers, self._nodes, strict=True))
         while waiting:
             number, node = waiting.pop()
             await curio.spawn(self._member(number, node, hosts), daemon=True)
-        await curio.sleep(WARM_SECONDS)
         before = self._usage()
-        await curio.sleep(MEASURED_SECONDS)
-        used = self._usage().since(before)
+        used: list[Usage] = []
+        for seconds in LOOKS:
+            await curio.sleep(seconds - self._clock.monotonic() + began)
+            used.append(self._usage().since(before))
         await curio.sleep(2)  # others still measure
         return used
 
