Count the members on change, in one place

Cause: the announcer went through all members each second for the metrics, the rank group's task likewise for the addresses of the live, and readings of the host list likewise to be paced: every one made the list of 5,500 anew.

Also found: the gauge `ospreyford_members` has a label for leaving and dead, but only live and suspected members were counted, so both were always 0. The old counting would fail the new test (seen red with it).

Change: `membership.census` lists and counts once for each revision of the view; `members()` without arguments gives that one tuple, and the rank group hashes the addresses anew only when it is another tuple. Ruled out: counting up and down with each state change told, since members that are forgotten are told to nobody and the count would drift.

Tests: each seen red: with the cache never refreshed, with it always refreshed, and with the old counting. No test of the gauge existed before.

--- a/src/ospreyford/agent/group.py
+++ b/src/ospreyford/agent/group.py
@@ -16,6 +16,7 @@
 
     from ospreyford.agent.rankssettings import RankSection
     from ospreyford.console.program import Program
+    from ospreyford.membership.member import Member
     from ospreyford.node.fleetnode import FleetNode
     from ospreyford.settings.programs import AgentSettings
 
@@ -62,9 +63,14 @@
 
     async def _watch(self) -> None:
         service = self._program.settings.backend.service
+        members: tuple[Member, ...] = ()
+        live: frozenset[str] = frozenset()
         while True:
-            members = self._node.membership.members()
-            live = frozenset(one.peer_address for one in members)
+            # The same tuple comes until a member changes: thousands of
+            # addresses are hashed once for each change, not each second.
+            if members is not self._node.membership.members():
+                members = self._node.membership.members()
+                live = frozenset(one.peer_address for one in members)
             self._part.note_live(live)
             picture = self._node.configuration.picture
             self._part.placement.note_weights(picture.placement(service))
--- a/src/ospreyford/measure/capacity_size.py
+++ b/src/ospreyford/measure/capacity_size.py
@@ -51,3 +51,8 @@
     + 2 * (FAILED_A_DAY + REPLACED_A_DAY) * (REPLICAS / PROCESSES) / DAY_SECONDS
     + 1 / HOST_LIST_SECONDS
 )
+#: Times a second that something of a member changes: a host that is
+#: replaced leaves and comes back; one that fails is suspected, dead, and back.
+MEMBER_CHANGES_PER_SECOND = (
+    3 * FAILED_A_DAY + 2 * REPLACED_A_DAY
+) / DAY_SECONDS
--- a/src/ospreyford/measure/capacity_times.py
+++ b/src/ospreyford/measure/capacity_times.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from functools import partial
 from random import Random
-from typing import NamedTuple
 
 import curio
 
@@ -19,6 +18,8 @@
 from ospreyford.documents.picture import Picture
 from ospreyford.documents.resolver import Resolver
 from ospreyford.entry.directory import FleetDirectory
+from ospreyford.measure.capacity_cost import MICROSECONDS, Cost, spend
+from ospreyford.measure.capacity_members import time_members
 from ospreyford.measure.capacity_parts import (
     fill_share,
     hold_documents,
@@ -37,13 +38,11 @@
     PIECE_BYTES,
     decode_fleet,
     encode_fleet,
-    make_membership,
 )
 from ospreyford.measure.capacity_size import (
     ACTIVE_SECONDS,
     ENTRY_REQUESTS,
     FORGETS_PER_SECOND,
-    HOST_LIST_SECONDS,
     REPLICA_IN_FLIGHT,
     REPLICA_REQUESTS,
     TOKENS_A_REQUEST,
@@ -61,32 +60,11 @@
 from ospreyford.routing.router import Router
 from ospreyford.routing.settings import RoutingSettings
 
-MICROSECONDS = 1e6
-PERCENT = 100
-REPEATS = 5
 QUESTIONS = 2_000
 QUESTION_BYTES = 100
 LOOPBACK = '127.0.0.1:0'
 
 
-class Cost(NamedTuple):
-    """Processor time of one piece of work.
-
-    ``microseconds`` is for one go, ``rate`` the goes a second at the size to
-    design for.
-    """
-
-    role: str
-    name: str
-    microseconds: float
-    rate: float
-
-    @property
-    def percent(self) -> float:
-        """Percent of a core."""
-        return self.microseconds * self.rate / MICROSECONDS * PERCENT
-
-
 def measure_times() -> Iterator[Cost]:
     """Measure everything.
 
@@ -103,30 +81,6 @@
     yield Cost('both', 'a question and its answer, both ends', ask_peers(), 0)
 
 
-def time_members(body: bytes, hosts: tuple[Host, ...]) -> Iterator[Cost]:
-    """Time what grows with the hosts listed.
-
-    :param body: the host list as sent.
-    :param hosts: the hosts.
-    :yields: the costs.
-    """
-    membership = make_membership()
-    membership.note_hosts(hosts)
-    reading = 1 / HOST_LIST_SECONDS
-    spent = spend(lambda: membership.note_hosts(decode_fleet(body)))
-    yield Cost('both', 'a host list read and compared', spent, reading)
-    spent = spend(membership.members)
-    yield Cost('both', 'members listed to pace the readings', spent, reading)
-    spent = spend(
-        lambda: [membership.state_of(one.name) for one in membership.members()]
-    )
-    yield Cost('both', 'members counted for the metrics', spent, 1)
-    spent = spend(
-        lambda: frozenset(one.peer_address for one in membership.members())
-    )
-    yield Cost('rank', 'live members for the rank group', spent, 1)
-
-
 def time_plans(picture: Picture, hosts: tuple[Host, ...]) -> Iterator[Cost]:
     """Time the plans of an entry after they were forgotten.
 
@@ -216,21 +170,6 @@
     return seconds / QUESTIONS * MICROSECONDS
 
 
-def spend(work: Callable[[], object], repeats: int = REPEATS) -> float:
-    """Time some work.
-
-    :param work: the work.
-    :param repeats: how often it is done; the least time counts.
-    :returns: microseconds of processor time.
-    """
-    times: list[float] = []
-    for _ in range(repeats):
-        started = time.process_time()
-        work()
-        times.append(time.process_time() - started)
-    return min(times) * MICROSECONDS
-
-
 def _plan_anew(directory: FleetDirectory, picture: Picture) -> None:
     directory.note_picture(picture)
     plans = list_plans(directory, PLANS_HELD)
--- /dev/null
+++ b/src/ospreyford/membership/census.py
@@ -0,0 +1,54 @@
+"""Who is live and how many are in each state, found once for each change."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+
+from ospreyford.membership.member import Member, MemberState
+from ospreyford.membership.view import View
+
+_UP = frozenset((MemberState.live, MemberState.suspect))
+
+
+class Census:
+    """Lists and counts the members anew only after a change.
+
+    Several parts of a process ask each second, and changes are rare:
+    going through thousands of members each time took a hundredth of a core.
+
+    :param view: the members.
+    """
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self._revision = -1
+        self._live: tuple[Member, ...] = ()
+        self._counts: Mapping[MemberState, int] = {}
+
+    def live(self) -> tuple[Member, ...]:
+        """List the members that are live or suspect.
+
+        :returns: the members; the same tuple until something changes.
+        """
+        self._refresh()
+        return self._live
+
+    def counts(self) -> Mapping[MemberState, int]:
+        """Count the members in each state.
+
+        :returns: how many, for every state; the same object until something
+            changes, not to be written to.
+        """
+        self._refresh()
+        return self._counts
+
+    def _refresh(self) -> None:
+        if self._revision == self._view.revision:
+            return
+        self._revision = self._view.revision
+        self._live = tuple(
+            record.member for record in self._view if record.state in _UP
+        )
+        found = Counter(record.state for record in self._view)
+        self._counts = {state: found[state] for state in MemberState}
--- a/src/ospreyford/membership/service.py
+++ b/src/ospreyford/membership/service.py
@@ -7,6 +7,7 @@
 
 from ospreyford.membership.answers import Answers
 from ospreyford.membership.attachments import Consume, Provide
+from ospreyford.membership.census import Census
 from ospreyford.membership.digests import Record
 from ospreyford.membership.exchanges import Exchanges
 from ospreyford.membership.listing import note_host
@@ -45,6 +46,8 @@
     ) -> None:
         self._tables = build_tables(settings, me, clock, rng)
         self._view = self._tables.view
+        #: Counts the members, for metrics.
+        self.census = Census(self._view)
         self.counters = self._tables.counters
         exchanges = Exchanges(self._tables)
         self._targets = Targets(self._tables)
@@ -85,19 +88,21 @@
     ) -> tuple[Member, ...]:
         """List the members that are live or suspect.
 
-        Hosts that were only listed yet have an empty incarnation. The list
-        is made anew from all members: keep it until told of a change.
+        Hosts that were only listed yet have an empty incarnation. The whole
+        list is the same object until something changes; one for a role or
+        zone is made anew: keep it until told of a change.
 
         :param role: only those of this role.
         :param zone: only those of this zone.
         :returns: the members, this process included.
         """
+        live = self.census.live()
+        if role is None and zone is None:
+            return live
         return tuple(
-            record.member
-            for record in self._view
-            if record.state in {MemberState.live, MemberState.suspect}
-            and role in {None, record.member.role}
-            and zone in {None, record.member.zone}
+            member
+            for member in live
+            if role in {None, member.role} and zone in {None, member.zone}
         )
 
     def state_of(self, name: str) -> MemberState | None:
--- a/src/ospreyford/node/announcer.py
+++ b/src/ospreyford/node/announcer.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from ospreyford.membership.member import MemberState
 from ospreyford.observability.events import (
     ConfigurationInForce,
     DocumentRejected,
@@ -83,16 +82,11 @@
         )
 
     def count_members(self, membership: Membership) -> None:
-        """Count the live and suspected members.
+        """Tell how many members are in each state.
 
-        :param membership: who is live.
+        :param membership: counts them.
         """
-        counts = dict.fromkeys(MemberState, 0)
-        for member in membership.members():
-            state = membership.state_of(member.name)
-            if state is not None:
-                counts[state] += 1
-        for state, count in counts.items():
+        for state, count in membership.census.counts().items():
             self._metrics.fleet.members.labels(state.value).set(count)
 
     def _tell_rejected(
--- /dev/null
+++ b/tests/membership/test_census.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from ospreyford.membership.census import Census
+from ospreyford.membership.member import Condition, MemberState, Version
+from ospreyford.node.announcer import Announcer
+from ospreyford.observability.metrics import Metrics
+from tests.membership.test_membership import fleet
+from tests.membership.test_parts import HandClock, member, tables_of
+
+UP = frozenset((MemberState.live, MemberState.suspect))
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_the_census_is_of_now_and_taken_once(seed: int) -> None:
+    """Symptom: metrics, readers or a rank group go by members long gone.
+
+    Sequence: members appear, change, and are forgotten, in any order.
+    Cause: a list kept although something changed; or, at full size, a
+    hundredth of a core for a list made anew though nothing did.
+    """
+    rng = random.Random(seed)
+    tables = tables_of(HandClock(), 5)
+    view = tables.view
+    census = Census(view)
+    for _ in range(60):
+        name = f'h{rng.randrange(8)}'
+        record = view.find(name)
+        if record is not None and rng.randrange(5) == 0:
+            view.forget(record)
+        else:
+            condition = rng.choice(list(Condition))
+            version = Version('1', rng.randrange(5) == 0, 0, condition)
+            view.merge(name, version, member(name))
+        live, counts = census.live(), census.counts()
+        assert live == tuple(each.member for each in view if each.state in UP)
+        assert counts == {
+            state: sum(each.state is state for each in view)
+            for state in MemberState
+        }
+        assert census.live() is live
+        assert census.counts() is counts
+
+
+def test_metrics_tell_how_many_are_in_each_state() -> None:
+    """Symptom: the gauge of dead and leaving members is always 0.
+
+    Sequence: one process is killed, another leaves.
+    Cause: only the live and suspected members were counted.
+    """
+    world, processes = fleet('aaaaa')
+    world.kill(processes[0])
+    leaving = processes[1]
+    leaving.stepper.spawn('leave', leaving.membership.leave())
+    world.run(60)
+    metrics = Metrics()
+    changes: Any = None
+    Announcer(changes, metrics).count_members(processes[2].membership)
+    shown = {
+        state: metrics.registry.get_sample_value(
+            'ospreyford_members', {'state': state.value}
+        )
+        for state in MemberState
+    }
+    assert shown == {
+        MemberState.live: 3,
+        MemberState.suspect: 0,
+        MemberState.leaving: 1,
+        MemberState.dead: 1,
+    }
