Repair further buckets while bytes are left

Cause: repairs were bounded by one bucket in two seconds, not by their bytes. At 200 members a bucket holds four of them, so at most two members a second were learned that way, and 0.4 of 4 KB used.

Ruled out: larger buckets (they would waste as much at 5,500, where 57 members are more than one answer holds).

Change: an allowance of `sync_bytes` for each `sync_seconds`, questions and 100 bytes of overhead included, which were not counted before; repairs follow one another until it, the period or the buckets known to differ run out, or until one is not answered.

--- a/src/ospreyford/measure/capacity_members.py
+++ b/src/ospreyford/measure/capacity_members.py
@@ -72,7 +72,9 @@
         for cost in time_members(body, decode_fleet(body))
     ]
     headers = ['work', 'us', '% of a core']
-    table = tabulate(rows, headers, tablefmt='github', floatfmt=('', '.1f', '.3f'))
+    table = tabulate(
+        rows, headers, tablefmt='github', floatfmt=('', '.1f', '.3f')
+    )
     sys.stdout.write(f'{table}\n')
 
 
--- a/src/ospreyford/membership/repairs.py
+++ b/src/ospreyford/membership/repairs.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 
+from ospreyford.membership.allowance import Allowance
 from ospreyford.membership.digests import (
     Bucket,
     Record,
@@ -24,6 +27,10 @@
 from ospreyford.membership.tables import Tables
 from ospreyford.ports.peers import PeerPort
 
+#: What a question and its answer take besides their bodies, about; it also
+#: bounds the number of empty ones.
+_OVERHEAD_BYTES: Final = 100
+
 
 class Repairs:
     """Fetches what this process lacks, at a bounded rate.
@@ -45,7 +52,12 @@
         self._tables = tables
         self._exchanges = exchanges
         self._peers = peers
-        self._done_at = float('-inf')
+        settings = tables.settings
+        self._allowance = Allowance(
+            settings.sync_bytes,
+            settings.sync_seconds,
+            tables.clock,
+        )
 
     def serve(self, peers: PeerPort) -> None:
         """Register the handler.
@@ -54,26 +66,21 @@
         """
         peers.serve(SYNC, self.answer)
 
-    async def repair(self) -> None:
-        """Repair one bucket if one differs and the last repair is past."""
-        settings = self._tables.settings
-        now = self._tables.clock.monotonic()
-        if now - self._done_at < settings.sync_seconds:
-            return
-        bucket = self._pick()
-        if bucket is None:
-            return
-        self._done_at = now
-        self._tables.counters.repairs += 1
-        member = self._exchanges.differing.pop(bucket)
-        answer = await self._peers.ask(
-            member.peer_address,
-            SYNC,
-            msgspec.msgpack.encode(self._question(bucket)),
-            settings.probe_timeout,
-        )
-        if answer is not None:
-            self._absorb(answer)
+    async def repair(self, until: float) -> None:
+        """Repair buckets that differ, while bytes and time are left.
+
+        :param until: when to begin no further one, by the monotonic clock;
+            a bucket that is far away must not hold up the next probe.
+        """
+        # One bucket at a time would leave most of the bytes unused: in a
+        # fleet just started a bucket holds a few members, and learning all
+        # the others took minutes.
+        while self._allowance.is_left():
+            bucket = self._pick()
+            if bucket is None or not await self._repair_one(bucket):
+                return
+            if self._tables.clock.monotonic() >= until:
+                return
 
     async def answer(self, body: bytes) -> bytes | None:
         """Answer another's repair.
@@ -96,6 +103,23 @@
                 _put(answer, entry)
         return msgspec.msgpack.encode(answer)
 
+    async def _repair_one(self, bucket: Bucket) -> bool:
+        self._tables.counters.repairs += 1
+        member = self._exchanges.differing.pop(bucket)
+        question = msgspec.msgpack.encode(self._question(bucket))
+        answer = await self._peers.ask(
+            member.peer_address,
+            SYNC,
+            question,
+            self._tables.settings.probe_timeout,
+        )
+        self._allowance.use(_OVERHEAD_BYTES + len(question))
+        if answer is None:
+            return False
+        self._allowance.use(len(answer))
+        self._absorb(answer)
+        return True
+
     def _pick(self) -> Bucket | None:
         buckets = self._exchanges.differing
         near = [
--- a/src/ospreyford/membership/rounds.py
+++ b/src/ospreyford/membership/rounds.py
@@ -49,9 +49,9 @@
         target = self._targets.choose()
         if target is not None:
             await self._prober.probe(target)
-        await self._repairs.repair()
         period = self._tables.settings.period_seconds
         period *= self._tables.rng.uniform(1 - _JITTER, 1 + _JITTER)
+        await self._repairs.repair(began + period * (1 - _LEAST_REST))
         rest = period - (clock.monotonic() - began)
         await clock.sleep(max(rest, period * _LEAST_REST))
 
