Compare a whole zone in each message, then its buckets

Cause: a message carried the digest of one random bucket of 16 in each zone. At 200 members in three zones 48 buckets are compared at about two a second, so 30 s after a start a quarter of them was not compared once, and a single change that a member had missed took minutes to be found.

Change: a message carries the digest of a whole zone. Where it differs, one question with the 16 digests of the zone's buckets (270 bytes with overhead, inside the repairs' allowance) tells which buckets to repair, at once. The message's layout changes: processes of before and after do not understand each other's probes.

New test seen red: without the note of the zone, with an answer of no bucket, and with an answer of all buckets. The test of a repair after unknown news lost only its bucket number, which is gone.

--- a/src/ospreyford/membership/answers.py
+++ b/src/ospreyford/membership/answers.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from ospreyford.membership.digests import Bucket
 from ospreyford.membership.exchanges import Exchanges
 from ospreyford.membership.messages import (
     PING,
@@ -68,7 +67,7 @@
         answer = self._exchanges.compose(
             view.find(sender.name),
             introduce=sender.lacks_me,
-            bucket=Bucket(exchange.zone, exchange.bucket),
+            zone=exchange.zone,
         )
         return msgspec.msgpack.encode(answer)
 
--- a/src/ospreyford/membership/digests.py
+++ b/src/ospreyford/membership/digests.py
@@ -52,26 +52,38 @@
 
 
 class Digests:
-    """The shared records by bucket, and one hash for each bucket."""
+    """The shared records by bucket, and a hash for each bucket and zone."""
 
     def __init__(self) -> None:
         self._records: dict[Bucket, dict[str, Record]] = {}
         self._hashes: dict[Bucket, int] = {}
+        self._zones: dict[str, int] = {}
 
     def zones(self) -> list[str]:
         """List the zones that have buckets.
 
         :returns: their names, sorted.
         """
-        return sorted({bucket.zone for bucket in self._records})
+        return sorted(self._zones)
 
-    def digest(self, bucket: Bucket) -> int:
-        """Look up a bucket's hash.
+    def digest(self, zone: str) -> int:
+        """Look up a zone's hash.
 
-        :param bucket: which.
+        :param zone: which.
         :returns: 64 bits, 0 for an empty one.
         """
-        return self._hashes.get(bucket, 0)
+        return self._zones.get(zone, 0)
+
+    def bucket_digests(self, zone: str) -> list[int]:
+        """Look up the hashes of a zone's buckets.
+
+        :param zone: which.
+        :returns: 64 bits for each bucket, 0 for an empty one.
+        """
+        return [
+            self._hashes.get(Bucket(zone, number), 0)
+            for number in range(BUCKETS)
+        ]
 
     def shared(self, bucket: Bucket) -> list[Record]:
         """List a bucket's records.
@@ -103,7 +115,9 @@
             self._mix(bucket, record)
 
     def _mix(self, bucket: Bucket, record: Record) -> None:
-        self._hashes[bucket] = self.digest(bucket) ^ version_hash(record)
+        mixed = version_hash(record)
+        self._hashes[bucket] = self._hashes.get(bucket, 0) ^ mixed
+        self._zones[bucket.zone] = self.digest(bucket.zone) ^ mixed
 
 
 def bucket_of(member: Member) -> Bucket:
--- a/src/ospreyford/membership/exchanges.py
+++ b/src/ospreyford/membership/exchanges.py
@@ -4,19 +4,13 @@
 
 from typing import NamedTuple
 
-from ospreyford.membership.digests import (
-    BUCKETS,
-    Bucket,
-    Record,
-    bucket_of,
-)
+from ospreyford.membership.digests import Bucket, Record, bucket_of
 from ospreyford.membership.gossip import Due, Parcel
 from ospreyford.membership.member import Member, Version
 from ospreyford.membership.messages import (
     Change,
     Description,
     Exchange,
-    MalformedMessage,
     write_change,
 )
 from ospreyford.membership.tables import Tables
@@ -43,6 +37,8 @@
     def __init__(self, tables: Tables) -> None:
         #: Buckets to repair, and the member that has other versions.
         self.differing: dict[Bucket, Member] = {}
+        #: Zones to compare bucket by bucket, and the member that differs.
+        self.differing_zones: dict[str, Member] = {}
         self._tables = tables
         self._view = tables.view
 
@@ -51,18 +47,19 @@
         receiver: Record | None,
         *,
         introduce: bool,
-        bucket: Bucket | None = None,
+        zone: str | None = None,
     ) -> Exchange:
         """Write a probe or an answer.
 
         :param receiver: the receiver's record, if known.
         :param introduce: whether the receiver may lack this process's
             description.
-        :param bucket: the bucket to compare; a random one if left out.
+        :param zone: the zone to compare; a random one if left out.
         :returns: the exchange.
         """
         own = self._view.own
-        bucket = bucket or self._pick_bucket()
+        zones = self._view.digests.zones()
+        zone = self._tables.rng.choice(zones) if zone is None else zone
         parcel = self._parcel()
         about = None
         if receiver is not None:
@@ -73,9 +70,8 @@
             introduction=self._tables.describe(own) if introduce else None,
             changes=parcel.changes,
             descriptions=parcel.descriptions,
-            zone=bucket.zone,
-            bucket=bucket.number,
-            digest=self._view.digests.digest(bucket),
+            zone=zone,
+            digest=self._view.digests.digest(zone),
             attached=self._tables.attachments.collect(),
         )
 
@@ -122,11 +118,8 @@
         return Sender(name, version, record, lacks_me)
 
     def _absorb_digest(self, exchange: Exchange, sender: Member) -> None:
-        bucket = Bucket(exchange.zone, exchange.bucket)
-        if not 0 <= bucket.number < BUCKETS:
-            raise MalformedMessage('no such bucket')
-        if self._view.digests.digest(bucket) != exchange.digest:
-            self.differing[bucket] = sender
+        if self._view.digests.digest(exchange.zone) != exchange.digest:
+            self.differing_zones[exchange.zone] = sender
 
     def _note_undescribed(self, change: Change, sender: Member) -> None:
         record = self._view.find(change.name)
@@ -134,12 +127,6 @@
         if record is not None:
             self.differing[bucket_of(record.member)] = sender
 
-    def _pick_bucket(self) -> Bucket:
-        rng = self._tables.rng
-        return Bucket(
-            rng.choice(self._view.digests.zones()), rng.randrange(BUCKETS)
-        )
-
     def _parcel(self) -> Parcel:
         parcel = Parcel([], [])
         left = self._tables.settings.change_bytes
--- a/src/ospreyford/membership/messages.py
+++ b/src/ospreyford/membership/messages.py
@@ -12,7 +12,6 @@
 
 PING: Final = 'membership.ping'
 RELAY: Final = 'membership.relay'
-SYNC: Final = 'membership.sync'
 
 _LEAVING_BIT: Final = 4
 _CONDITION_BITS: Final = 3
@@ -117,9 +116,8 @@
         not know it.
     :param changes: versions to pass on.
     :param descriptions: members to pass on.
-    :param zone: zone of the bucket that ``digest`` is of.
-    :param bucket: number of that bucket.
-    :param digest: hash of all versions in that bucket.
+    :param zone: the zone that ``digest`` is of.
+    :param digest: hash of all versions in that zone.
     :param attached: other parts' messages, by name.
     """
 
@@ -129,7 +127,6 @@
     changes: list[Change]
     descriptions: list[Description]
     zone: str
-    bucket: int
     digest: int
     attached: list[tuple[str, bytes]]
 
@@ -153,26 +150,6 @@
     is_reached: bool
 
 
-class SyncQuestion(msgspec.Struct, frozen=True, array_like=True):
-    """Asks for what the asker lacks in a bucket.
-
-    :param zone: zone of the bucket.
-    :param bucket: its number.
-    :param known: by hash of name and incarnation, the hash of the version.
-    """
-
-    zone: str
-    bucket: int
-    known: dict[int, int]
-
-
-class SyncAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """What the asker lacks, as far as it fits."""
-
-    changes: list[Change]
-    descriptions: list[Description]
-
-
 def read_version(incarnation: str, counter: int, flags: int) -> Version:
     """Read a version from the wire.
 
--- a/src/ospreyford/membership/repairs.py
+++ b/src/ospreyford/membership/repairs.py
@@ -8,22 +8,29 @@
 
 from ospreyford.membership.allowance import Allowance
 from ospreyford.membership.digests import (
+    BUCKETS,
     Bucket,
     Record,
     identity_hash,
     version_hash,
 )
 from ospreyford.membership.exchanges import Exchanges
+from ospreyford.membership.member import Member
 from ospreyford.membership.messages import (
-    SYNC,
     Change,
     Description,
     MalformedMessage,
-    SyncAnswer,
-    SyncQuestion,
     decode,
     write_change,
 )
+from ospreyford.membership.repairmessages import (
+    COMPARE,
+    SYNC,
+    CompareAnswer,
+    CompareQuestion,
+    SyncAnswer,
+    SyncQuestion,
+)
 from ospreyford.membership.tables import Tables
 from ospreyford.ports.peers import PeerPort
 
@@ -60,11 +67,12 @@
         )
 
     def serve(self, peers: PeerPort) -> None:
-        """Register the handler.
+        """Register the handlers.
 
         :param peers: messages to other processes.
         """
         peers.serve(SYNC, self.answer)
+        peers.serve(COMPARE, self.answer_comparison)
 
     async def repair(self, until: float) -> None:
         """Repair buckets that differ, while bytes and time are left.
@@ -76,8 +84,7 @@
         # fleet just started a bucket holds a few members, and learning all
         # the others took minutes.
         while self._allowance.is_left():
-            bucket = self._pick()
-            if bucket is None or not await self._repair_one(bucket):
+            if not await self._go_on():
                 return
             if self._tables.clock.monotonic() >= until:
                 return
@@ -103,30 +110,82 @@
                 _put(answer, entry)
         return msgspec.msgpack.encode(answer)
 
-    async def _repair_one(self, bucket: Bucket) -> bool:
+    async def answer_comparison(self, body: bytes) -> bytes | None:
+        """Answer which buckets differ.
+
+        :param body: the encoded question.
+        :returns: the encoded answer.
+        """
+        try:
+            question = decode(body, CompareQuestion)
+        except MalformedMessage:
+            self._tables.counters.malformed += 1
+            return None
+        mine = self._tables.view.digests.bucket_digests(question.zone)
+        pairs = zip(mine, question.digests, strict=True)
+        differing = [
+            number for number, (one, other) in enumerate(pairs) if one != other
+        ]
+        return msgspec.msgpack.encode(CompareAnswer(differing))
+
+    async def _go_on(self) -> bool:
+        near = self._tables.zone
+        buckets = self._exchanges.differing
+        zones = self._exchanges.differing_zones
+        near_buckets = [bucket for bucket in buckets if bucket.zone == near]
+        if near_buckets:
+            return await self._repair_one(near_buckets)
+        if near in zones:
+            return await self._compare(near)
+        if buckets:
+            return await self._repair_one(list(buckets))
+        if zones:
+            return await self._compare(self._tables.rng.choice(list(zones)))
+        return False
+
+    async def _compare(self, zone: str) -> bool:
+        member = self._exchanges.differing_zones.pop(zone)
+        digests = self._tables.view.digests.bucket_digests(zone)
+        question = msgspec.msgpack.encode(CompareQuestion(zone, digests))
+        answer = await self._ask(member, COMPARE, question)
+        if answer is None:
+            return False
+        try:
+            differing = decode(answer, CompareAnswer).buckets
+        except MalformedMessage:
+            self._tables.counters.malformed += 1
+            return False
+        for number in differing:
+            if 0 <= number < BUCKETS:
+                self._exchanges.differing[Bucket(zone, number)] = member
+        return True
+
+    async def _repair_one(self, buckets: list[Bucket]) -> bool:
         self._tables.counters.repairs += 1
+        bucket = self._tables.rng.choice(buckets)
         member = self._exchanges.differing.pop(bucket)
         question = msgspec.msgpack.encode(self._question(bucket))
+        answer = await self._ask(member, SYNC, question)
+        if answer is None:
+            return False
+        self._absorb(answer)
+        return True
+
+    async def _ask(
+        self,
+        member: Member,
+        topic: str,
+        question: bytes,
+    ) -> bytes | None:
         answer = await self._peers.ask(
             member.peer_address,
-            SYNC,
+            topic,
             question,
             self._tables.settings.probe_timeout,
         )
         self._allowance.use(_OVERHEAD_BYTES + len(question))
-        if answer is None:
-            return False
-        self._allowance.use(len(answer))
-        self._absorb(answer)
-        return True
-
-    def _pick(self) -> Bucket | None:
-        buckets = self._exchanges.differing
-        near = [
-            bucket for bucket in buckets if bucket.zone == self._tables.zone
-        ]
-        choices = near or list(buckets)
-        return self._tables.rng.choice(choices) if choices else None
+        self._allowance.use(len(answer or b''))
+        return answer
 
     def _question(self, bucket: Bucket) -> SyncQuestion:
         shared = self._tables.view.digests.shared(bucket)
--- a/tests/faults/members.py
+++ b/tests/faults/members.py
@@ -11,7 +11,8 @@
 
 from types import MappingProxyType
 
-from ospreyford.membership.messages import PING, RELAY, SYNC
+from ospreyford.membership.messages import PING, RELAY
+from ospreyford.membership.repairmessages import COMPARE, SYNC
 from tests.faults.sections import Hit, Hits, NotMet, Section
 from tests.membership.test_faults import FleetMachine
 from tests.membership.world import Process, Question, World
@@ -21,14 +22,28 @@
     'probe answer',
     'relay probe',
     'relay answer',
+    'comparison',
+    'comparison answer',
     'repair',
     'repair answer',
     'join',
     'leave',
 )
-TOPICS = MappingProxyType({PING: 'probe', RELAY: 'relay probe', SYNC: 'repair'})
+TOPICS = MappingProxyType(
+    {
+        PING: 'probe',
+        RELAY: 'relay probe',
+        COMPARE: 'comparison',
+        SYNC: 'repair',
+    }
+)
 ANSWERS = MappingProxyType(
-    {PING: 'probe answer', RELAY: 'relay answer', SYNC: 'repair answer'}
+    {
+        PING: 'probe answer',
+        RELAY: 'relay answer',
+        COMPARE: 'comparison answer',
+        SYNC: 'repair answer',
+    }
 )
 FAULTS = (
     'loss',
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -9,10 +9,10 @@
 from ospreyford.membership.messages import (
     PING,
     RELAY,
-    SYNC,
     RelayAnswer,
     RelayQuestion,
 )
+from ospreyford.membership.repairmessages import COMPARE, SYNC
 from tests.fakes.stepping import SteppedTask
 from tests.membership.world import Process, World, host, states
 
@@ -245,7 +245,7 @@
 trees = st.recursive(leaves, lambda inner: st.lists(inner, max_size=9))
 encoded = trees.map(msgspec.msgpack.encode)
 bodies = st.one_of(st.binary(max_size=100), encoded)
-topics = st.sampled_from((PING, RELAY, SYNC))
+topics = st.sampled_from((PING, RELAY, COMPARE, SYNC))
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -223,7 +223,6 @@
         changes=[Change('h2', '2', 0, 0)],
         descriptions=[],
         zone='nowhere',
-        bucket=0,
         digest=0,
         attached=[],
     )
--- a/tests/membership/test_repairs.py
+++ b/tests/membership/test_repairs.py
@@ -6,11 +6,15 @@
 
 from ospreyford.membership.digests import bucket_of
 from ospreyford.membership.exchanges import Exchanges
+from ospreyford.membership.member import Version
+from ospreyford.membership.messages import Change, Exchange
 from ospreyford.membership.repairs import Repairs
 from ospreyford.membership.tables import Tables
 from tests.fakes.stepping import Stepper
 from tests.membership.test_parts import HandClock, member, tables_of
 
+FOREVER = float('inf')
+
 
 class Line:
     """Hands questions to one process's repairs and counts the bytes."""
@@ -48,7 +52,7 @@
         port: Any = self.line
         self.repairs = Repairs(self.tables, self.exchanges, port)
 
-    def repair(self, until: float = float('inf')) -> None:
+    def repair(self, until: float = FOREVER) -> None:
         task = Stepper().spawn('repair', self.repairs.repair(until))
         assert task.done
 
@@ -59,6 +63,39 @@
             self.exchanges.differing[bucket] = record.member
 
 
+@pytest.mark.parametrize('count', [1, 30, 900])
+def test_any_message_of_a_zone_shows_what_differs(count: int) -> None:
+    """Symptom: a member lacks a change for minutes after all others.
+
+    Sequence: the change was passed on as often as allowed before this member
+    heard it; from now on only digests can tell.
+    Cause: a message compared one bucket in a hundred.
+    """
+    asker = Asker(count)
+    for record in asker.old.view:
+        asker.tables.view.merge(
+            record.member.name, record.version, record.member
+        )
+    asker.old.view.merge('h0', Version('2'), member('h0', incarnation='2'))
+    message = Exchange(
+        sender=Change('h0', '1', 0, 0),
+        about=None,
+        introduction=None,
+        changes=[],
+        descriptions=[],
+        zone='a',
+        digest=asker.old.view.digests.digest('a'),
+        attached=[],
+    )
+    asker.exchanges.absorb(message)
+    asker.repair()
+    found = asker.tables.view.find('h0')
+    assert found is not None
+    assert found.version == Version('2')
+    assert asker.tables.counters.repairs == 1
+    assert asker.line.bytes < asker.tables.settings.sync_bytes
+
+
 @pytest.mark.parametrize('count', [30, 300, 900])
 def test_repairs_use_their_bytes_and_no_more(count: int) -> None:
     """Symptom: minutes after a start most members are not known yet.
