Take a well-formed question for none of the garbage

Symptom: test_garbage_is_dropped fails, or not, by which other tests run in the same session (hypothesis takes constants from the modules loaded, so its examples differ although they are seeded). Such bodies are now left out, for that topic only; everything else must still be dropped.

Seen red: `pytest tests/membership/test_membership.py tests/faults/test_agreement.py` with the body 93 a0 a0 a0; the same command passes now, and so does the first file alone.

--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given, settings
+from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
 from ospreyford.membership.member import MemberState
@@ -248,9 +248,20 @@
 topics = st.sampled_from((PING, RELAY, COMPARE, SYNC))
 
 
+def is_three_texts(body: bytes) -> bool:
+    """Tell what is a well-formed question to a helper, however odd."""
+    try:
+        tree = msgspec.msgpack.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    texts = tree[:3] if isinstance(tree, list) else []
+    return len(texts) == 3 and all(isinstance(one, str) for one in texts)
+
+
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(topics, bodies)
 def test_garbage_is_dropped(topic: str, body: bytes) -> None:
+    assume(topic != RELAY or not is_three_texts(body))
     process = Process(World(), host('h0', 'a'), 1)
     task = ask_handler(process, topic, body)
     assert task.done
