Test a sleeper that wakes among strangers

A rejoin after a pause and the replacement of everybody have tests already (test_paused_process_comes_back_or_finds_itself_replaced with SIGSTOP, test_suspicion_from_before_a_pause_starts_anew, the pauses of the state machine; test_replacement_of_everybody). Missing was the two together: all others are replaced, and gone, while one that nobody replaced sleeps.

--- a/tests/membership/test_faults.py
+++ b/tests/membership/test_faults.py
@@ -272,3 +272,28 @@
     machine.teardown()
     for old in machine.world.processes[: len(NAMES)]:
         assert old.membership.replaced
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_sleeper_finds_a_fleet_of_strangers(seed: int) -> None:
+    """Symptom: a process that wakes stays alone, and counts nobody live.
+
+    Sequence: a process is paused; all others are replaced, one after the
+    other, and the old ones are gone; the process wakes.
+    Cause: every address that it knows is of a process that is gone, and the
+    host list's new ones are not tried.
+    """
+    machine = FleetMachine()
+    machine.start_all(seed)
+    machine.pause(NAMES[0])
+    machine.run(30)
+    for name in NAMES[1:]:
+        machine.kill(name)
+        machine.replace_host(name, paused=False)
+        machine.run(30)
+    # Its connections are gone with the processes that held them.
+    machine.current[NAMES[0]].inbox.clear()
+    machine.teardown()
+    sleeper = machine.current[NAMES[0]].membership
+    assert sleeper.replaced is None
+    assert not sleeper.is_stale()
