Pass on the newest changes first, and keep at most 128

Cause: a process that has just started learns every member, and queues each to be passed on three times the decimal digits of the fleet: at 5,500 members 12 sendings of one description a message, hours (reckoned). The oldest went first, so a change heard meanwhile waited behind all of them, in every process of a fleet just started; after a rolling replacement likewise.

Ruled out: not passing on what a repair brought: after a split heals, one process learns of the others by a repair, and the rest should not wait for their own.

Change: of changes sent equally often the newest goes first, and the last in turn is dropped when there are more than 128; digests find what was dropped.

Test: seen red with the oldest first, and without the limit.

--- a/src/ospreyford/membership/gossip.py
+++ b/src/ospreyford/membership/gossip.py
@@ -5,20 +5,33 @@
 import heapq
 import math
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from ospreyford.membership.messages import Change, Description
 
 #: More changes than these never fit one message.
-_PER_MESSAGE = 12
+_PER_MESSAGE: Final = 12
+#: Changes kept, at most; twice the members of a rack and more.
+_MOST_PENDING: Final = 128
 
 
 @dataclass
 class _Pending:
-    """A change's count of sendings; ``whole`` if it brings a new member."""
+    """A change to pass on.
 
-    sent: int
+    :param number: grows from change to change.
+    :param whole: whether it brings a new member.
+    :param sent: count of sendings.
+    """
+
+    number: int
     whole: bool
+    sent: int = 0
+
+    @property
+    def turn(self) -> tuple[int, int]:
+        """The smallest is due first: the least often sent, then the newest."""
+        return self.sent, -self.number
 
 
 class Due(NamedTuple):
@@ -31,12 +44,19 @@
 class Gossip:
     """Names of members that changed, least often sent first.
 
+    What goes wrong without a limit: a process that has just started learns
+    thousands of members, and has hours of passing them on before it; news
+    wait behind them, and show up late in views all over a fleet that was
+    just started. So the newest go first and the last in turn are dropped;
+    who lacks these finds it by digests.
+
     :param retransmit: sendings for each decimal digit of the fleet's size.
     """
 
     def __init__(self, retransmit: int) -> None:
         self._retransmit = retransmit
         self._pending: dict[str, _Pending] = {}
+        self._number = 0
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -48,9 +68,13 @@
         :param whole: the receivers may not have its description.
         """
         before = self._pending.get(name)
+        self._number += 1
         self._pending[name] = _Pending(
-            0, whole or (before is not None and before.whole)
+            self._number,
+            whole or (before is not None and before.whole),
         )
+        if len(self._pending) > _MOST_PENDING:
+            self.drop(max(self._pending, key=self._turn))
 
     def drop(self, name: str) -> None:
         """Stop passing on a member's version.
@@ -67,7 +91,7 @@
         names = heapq.nsmallest(
             _PER_MESSAGE,
             self._pending,
-            key=lambda name: self._pending[name].sent,
+            key=self._turn,
         )
         return [Due(name, self._pending[name].whole) for name in names]
 
@@ -82,6 +106,9 @@
         if pending.sent >= self._retransmit * math.ceil(math.log10(fleet + 1)):
             self.drop(name)
 
+    def _turn(self, name: str) -> tuple[int, int]:
+        return self._pending[name].turn
+
 
 class Parcel(NamedTuple):
     """Changes and descriptions for one message."""
--- a/src/ospreyford/membership/settings.py
+++ b/src/ospreyford/membership/settings.py
@@ -54,8 +54,10 @@
         of the number of members.
     :param change_bytes: changes carried by one message, at most.
     :param attached_bytes: attachments carried by one message, at most.
-    :param sync_seconds: pause between two repairs of the view.
-    :param sync_bytes: records in one answer to a repair, at most.
+    :param sync_seconds: time in which repairs of the view may use
+        ``sync_bytes``.
+    :param sync_bytes: a process's own repairs in ``sync_seconds``, and the
+        records in one answer, at most.
     """
 
     seeds: tuple[Address, ...] = ()
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -161,6 +161,30 @@
     assert told == 21 * tables.settings.retransmit * 2
 
 
+def test_news_do_not_wait_behind_thousands() -> None:
+    """Symptom: after a start of everybody, changes are seen minutes late.
+
+    Sequence: a process learns thousands of members, and passes each of them
+    on; then one of them changes.
+    Cause: what was learned first was passed on first, all of it.
+    """
+    tables = tables_of(HandClock(), 2000)
+    exchanges = Exchanges(tables)
+    for _ in range(20):
+        exchanges.compose(None, introduce=False)
+    suspected = Version('1', condition=Condition.suspect)
+    tables.view.merge('h3', suspected)
+    messages = [exchanges.compose(None, introduce=False) for _ in range(300)]
+    told = [
+        {change.name for change in message.changes}
+        | {described.name for described in message.descriptions}
+        for message in messages
+    ]
+    assert 'h3' in told[0]
+    assert sum('h3' in names for names in told) >= 2
+    assert len(tables.gossip) > 100
+
+
 def test_attachments_take_turns() -> None:
     counters = MembershipCounters()
     attachments = Attachments(100, counters)
