Let repairs use 1 KB/s, so that a start fits the control budget

Cause: since repairs use what the settings allow, a start of 200 members sends and receives 4,632 bytes/s a member in its first 30 s (envelopes). With the documents (672) and the headers (1,600, by estimate) that is above the 6 KB/s that a node may spend on all control.

Change: `sync_seconds` 4 instead of 2, at 4,000 bytes.

--- a/src/ospreyford/membership/settings.py
+++ b/src/ospreyford/membership/settings.py
@@ -74,7 +74,7 @@
     retransmit: Count = 3
     change_bytes: Bytes = 160
     attached_bytes: Bytes = 160
-    sync_seconds: Seconds = 2
+    sync_seconds: Seconds = 4
     sync_bytes: Bytes = 4000
 
     def __post_init__(self) -> None:
