--- a/src/ospreyford/measure/capacity_size.py
+++ b/src/ospreyford/measure/capacity_size.py
@@ -53,3 +53,8 @@
     1 / SECONDS_A_CHANGE
     + 3 * (FAILED_A_DAY + REPLACED_A_DAY) * (REPLICAS / PROCESSES) / DAY_SECONDS
 )
+#: Times a second that something of a member changes: a host that is
+#: replaced leaves and comes back; one that fails is suspected, dead, and back.
+MEMBER_CHANGES_PER_SECOND = (
+    3 * FAILED_A_DAY + 2 * REPLACED_A_DAY
+) / DAY_SECONDS
