Check the drain deadline of both programs in one place

Cause: the entry's and the agent's settings each wrote the same check, the agent's without the reason for it and without a test.

Change: check_drain in settings/programs.py, and a row for the agent in tests/settings/test_loader.py (passes before too; not seen red).

Not looked at: the 175 further pairs. Run: tests/settings, tests/console, tests/http, tests/agent, all passed.

--- a/src/ospreyford/settings/programs.py
+++ b/src/ospreyford/settings/programs.py
@@ -58,13 +58,7 @@
         :raises KeyConflict: names the key.
         """
         check_requests(self.requests)
-        # A request admitted just before the stop may run to its deadline; a
-        # shorter drain would cut it although the stop was planned.
-        check_at_least(
-            'drain.deadline_seconds',
-            self.drain.deadline_seconds,
-            ('requests.max_deadline_seconds', longest_of(self.requests)),
-        )
+        check_drain(self.drain, self.requests)
 
 
 class AgentSettings(
@@ -97,11 +91,7 @@
         """
         check_requests(self.requests)
         check_records(self.records, self.requests)
-        check_at_least(
-            'drain.deadline_seconds',
-            self.drain.deadline_seconds,
-            ('requests.max_deadline_seconds', longest_of(self.requests)),
-        )
+        check_drain(self.drain, self.requests)
         check_backend(self.backend, self.listen)
 
 
@@ -119,6 +109,22 @@
         )
 
 
+def check_drain(drain: Drain, requests: RequestSettings) -> None:
+    """Refuse a drain that ends before the last request may.
+
+    :param drain: how long a planned stop may take.
+    :param requests: deadlines of requests.
+    :raises KeyConflict: names the key.
+    """
+    # A request admitted just before the stop may run to its deadline; a
+    # shorter drain would cut it although the stop was planned.
+    check_at_least(
+        'drain.deadline_seconds',
+        drain.deadline_seconds,
+        ('requests.max_deadline_seconds', longest_of(requests)),
+    )
+
+
 def check_records(records: RecordSettings, requests: RequestSettings) -> None:
     """Refuse an execution record that forgets too early.
 
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -188,6 +188,11 @@
 )
 
 AGENT_ADDED = (
+    (
+        '[drain]\ndeadline_seconds = 5',
+        'drain.deadline_seconds = 5: '
+        'at least requests.max_deadline_seconds, 120',
+    ),
     (
         '[records]\nretention_seconds = 60',
         'records.retention_seconds = 60: at least '
