Have a stopping agent wait for entries that still read

Cause: an answer counted as delivered once the agent's kernel had taken it. Of one of 4 MB the rest lay in the connection's buffers while the entry waited for its caller; the agent left, the entry's next heartbeat met a closed socket, and the reset cost the rest of the answer.

Ruled out: a confirmation of each answer (one more frame a request); asking the kernel for unsent bytes (says nothing of the far end's buffers).

Change: an entry beats until it has read the end, and never at rest. A beat after the end of an answer therefore says that it is still being read; a stopping agent waits until such an entry has been silent for silence_seconds, and counts it among what a second signal cuts.

The scenario: its caller has a receive buffer of 64 KiB, its answer 100,000 tokens (4.4 MB) instead of 250,000. As strict, for it now also fails if no agent had to wait for the caller.

--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -156,17 +156,21 @@
                 await curio.spawn(self._parts.service.serve, sock, daemon=True)
 
     def _count_unfinished(self) -> int:
-        return len(self._parts.record.memory.list_unfinished())
+        unfinished = len(self._parts.record.memory.list_unfinished())
+        return unfinished + self._parts.service.count_awaited()
 
     async def _drain(self, accepting: curio.Task) -> None:
         self._drains.stopping = True
         self._parts.record.draining = True
         await self._node.membership.leave()
-        while self._count_unfinished():
-            await curio.sleep(DRAIN_POLL_SECONDS)
         # The last answers are still on their way, and an entry whose
-        # connection broke may ask for the rest of one.
-        await curio.sleep(ANSWER_SECONDS)
+        # connection broke may ask for the rest of one; one that reads slowly
+        # shows it by its heartbeats.
+        quiet_since = self._node.clock.monotonic()
+        while self._node.clock.monotonic() - quiet_since < ANSWER_SECONDS:
+            await curio.sleep(DRAIN_POLL_SECONDS)
+            if self._count_unfinished():
+                quiet_since = self._node.clock.monotonic()
         await accepting.cancel()
         await self._node.stop()
         self._tracing.close()
--- a/src/ospreyford/agent/service.py
+++ b/src/ospreyford/agent/service.py
@@ -60,6 +60,14 @@
         self._runner = runner
         self._meter = meter
         self._clock = clock
+        self._sessions: set[Session] = set()
+
+    def count_awaited(self) -> int:
+        """Count the entries that still read an answer which was sent whole.
+
+        :returns: how many answers a stop of this process may cut.
+        """
+        return sum(session.is_awaited() for session in self._sessions)
 
     async def serve(self, sock: Socket) -> None:
         """Serve one entry's connection until it ends.
@@ -68,15 +76,11 @@
         """
         connection = accept_entry(sock)
         session = Session(connection, self._settings, self._clock)
+        self._sessions.add(session)
         try:
-            await self._serve_frames(connection, session)
-        except (WireError, curio.TaskTimeout):
-            # Severed, silent or malformed: the entry asks on a fresh
-            # connection for whatever it still misses.
-            return
+            await self._serve_session(connection, session)
         finally:
-            await session.stop()
-            await connection.close()
+            self._sessions.discard(session)
 
     async def run_sweeps(self) -> None:
         """Forget old entries and stop orphans, for ever."""
@@ -88,6 +92,21 @@
                 await curio.sleep(0)
             await self._runner.cancel_abandoned()
 
+    async def _serve_session(
+        self,
+        connection: FrameConnection[EntryFrame],
+        session: Session,
+    ) -> None:
+        try:
+            await self._serve_frames(connection, session)
+        except (WireError, curio.TaskTimeout):
+            # Severed, silent or malformed: the entry asks on a fresh
+            # connection for whatever it still misses.
+            return
+        finally:
+            await session.stop()
+            await connection.close()
+
     async def _serve_frames(
         self,
         connection: FrameConnection[EntryFrame],
@@ -137,7 +156,7 @@
             case Cancel():
                 await self._cancel(frame, session)
             case Beat():
-                return
+                session.note_beat()
 
     async def _carry_out(
         self,
@@ -207,6 +226,26 @@
         self._clock = clock
         self._execution: Execution | None = None
         self._task: curio.Task | None = None
+        self._awaited_at: float | None = None
+
+    def note_beat(self) -> None:
+        """Note that the entry is still waiting."""
+        if self._execution is None:
+            self._awaited_at = self._clock.monotonic()
+
+    def is_awaited(self) -> bool:
+        """Tell whether the entry still reads an answer that was sent whole.
+
+        :returns: whether it has beaten since, and not long ago.
+        """
+        # Sent means that the kernels between the two hold it. Symptom of
+        # leaving then: the entry's next heartbeat meets a closed socket, is
+        # answered by a reset, and the end of the answer is lost. An entry
+        # beats until it has read the end, and is silent at rest.
+        if self._awaited_at is None:
+            return False
+        rested = self._clock.monotonic() - self._awaited_at
+        return rested <= self._settings.silence_seconds
 
     def patience(self) -> float:
         """Tell how long the entry may say nothing.
@@ -231,6 +270,7 @@
         :raises Malformed: the entry asked before the last answer ended.
         """
         self._require_rest()
+        self._awaited_at = None
         self._execution = execution
         self._task = await curio.spawn(
             self._stream,
--- a/tests/agent/test_connections.py
+++ b/tests/agent/test_connections.py
@@ -12,6 +12,7 @@
 from ospreyford.agent.backend import BackendAddress, HttpBackend
 from ospreyford.agent.execution import Execution
 from ospreyford.agent.service import Session
+from ospreyford.agent.settings import ServiceSettings
 from ospreyford.http.message import Request
 from ospreyford.http.server import listen, port_of
 from ospreyford.ports.clock import SystemClock
@@ -30,6 +31,7 @@
     Refused,
 )
 from tests.agent.frames import make_follow, make_start
+from tests.fakes.clock import FakeClock
 from tests.faults.backend import FakeCall
 from tests.faults.rig import AGENT_TIMES, Rig, RunningAgent, make_call, send
 
@@ -348,3 +350,23 @@
             return during, found.in_flight
 
     assert curio.run(main) == (1, 0)
+
+
+@pytest.mark.parametrize(
+    ('beaten', 'seconds', 'awaited'),
+    [(True, 1, True), (True, 3, False), (False, 0, False)],
+)
+def test_an_entry_that_beats_after_the_end_still_reads(
+    beaten: bool, seconds: float, awaited: bool
+) -> None:
+    # Symptom: a planned stop cuts an answer of a few megabytes.
+    # Sequence: the whole of it is in the connection's buffers, the entry
+    # waits for a slow caller and beats; the agent leaves, and is beaten at.
+    # Cause: what the agent's kernel had taken counted as delivered.
+    clock = FakeClock()
+    connection: Any = None
+    session = Session(connection, ServiceSettings(), clock)
+    if beaten:
+        session.note_beat()
+    clock.advance(seconds)
+    assert session.is_awaited() is awaited
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -14,6 +14,7 @@
 from enum import StrEnum
 from http.client import HTTPConnection, HTTPException, IncompleteRead
 from itertools import count
+from socket import SO_RCVBUF, SOL_SOCKET
 from threading import Event
 from typing import NamedTuple, Self
 
@@ -29,6 +30,7 @@
 LONG_DEADLINE_MS = 60_000
 STREAM_TOKENS = 200
 THREADS = 64
+SMALL_BUFFER = 65_536
 
 
 class Kind(StrEnum):
@@ -148,6 +150,9 @@
         )
 
     def __enter__(self) -> Self:
+        self._connection.connect()
+        # Or its kernel takes in megabytes for it.
+        self._connection.sock.setsockopt(SOL_SOCKET, SO_RCVBUF, SMALL_BUFFER)
         headers = _make_headers(self.ask)
         headers['ospreyford-deadline-ms'] = str(LONG_DEADLINE_MS)
         self._connection.request(*_address(self.ask), headers=headers)
--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -51,8 +51,9 @@
 SETTLE_SECONDS = 1.0
 AFTER_SECONDS = 2.0
 STOP_SECONDS = 20.0
-#: An answer of some 11 MB: more than the connections on its way can hold.
-LONG_TOKENS = 250_000
+#: An answer of 4.4 MB: more than is read while its caller takes nothing in.
+#: A longer one is still being run when the entry gives the caller up.
+LONG_TOKENS = 100_000
 FAST_STEP_MS = 0.001
 STEP_MS = 5
 NEVER = 'planned stop, yet'
@@ -197,6 +198,7 @@
     for name in ENGINES:
         rig.control_backend(name, {'step_ms': FAST_STEP_MS})
     entry = ENTRIES[0]
+    broken = []
     with SlowReader(rig.crowd.entries[entry], LONG_TOKENS) as reader:
         rig.wait_for(
             lambda: any(_has_finished(rig, name, reader) for name in ENGINES),
@@ -205,8 +207,9 @@
         for name in ENGINES:
             rig.find(name).process.signal(signal.SIGTERM)
         time.sleep(AFTER_SECONDS)
+        if all(rig.find(name).process.exit_code == 0 for name in ENGINES):
+            broken.append('no agent waited for the caller')
         told = reader.read_rest(entry)
-    broken = []
     for name in ENGINES:
         if rig.find(name).process.wait(STOP_SECONDS):
             broken.append(f'{name} did not end well')
