Send second signals and drain over silent connections in make faults

Cause: that a second SIGTERM says what it cut was tested only in one process, and no run joined a drain with connections that fall silent.

Change: scenarios signal_entry_twice and signal_agent_twice (exit code 4, the log line "Stopped" and the line on stderr name as many requests as callers missed; retries through another entry run nothing again), drain_while_silent and leave_while_silent (no new work beyond the limit, nothing cut), and four pairs of rounds: leaving mark and drain request, each with connections that fall silent under way and that are silent at rest.

--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -4,9 +4,13 @@
 
 import logging
 import sys
+from argparse import ArgumentParser
 from collections import Counter, defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from multiprocessing import Pool
+from types import MappingProxyType
+from typing import NamedTuple
 
 import curio
 from tabulate import tabulate
@@ -30,6 +34,13 @@
 SHARES = 60
 
 
+class Tally(NamedTuple):
+    """How many cells kept every promise, and how many did not."""
+
+    passed: int
+    failed: int
+
+
 def run_share(cells: Sequence[Cell]) -> list[Verdict]:
     """Run a share of the cells in this process."""
     logging.disable(logging.WARNING)
@@ -104,26 +115,62 @@
     )
 
 
-def main() -> int:
-    """Run the matrix; exit 1 if any promise broke."""
+def run_request_path() -> list[Verdict]:
+    """Run and print the section on the request path."""
     singles = run_all(list_single_cells())
     print_singles(singles)
     pairs = run_all(list_pair_cells()) if '--singles' not in sys.argv else []
     print_pairs(pairs)
+    return singles + pairs
+
+
+def run_met_agreement() -> list[Finding]:
+    """Run and print the agreement; leave out what did not meet."""
     agreement = run_agreement()
     met = [finding for finding in agreement if finding.met or finding.broken]
     missed = len(agreement) - len(met)
     print(f'\n{missed} pairs did not meet and are not counted')
-    verdicts: list[Verdict | Finding] = [*singles, *pairs, *met]
-    broken = [verdict for verdict in verdicts if verdict.broken]
-    for verdict in broken:
-        print(verdict)
+    return met
+
+
+def run_processes() -> Tally:
+    """Run and print the section on real processes."""
     tally = report.run_and_print()
     for each in tally.broken:
         print(each)
-    passed = len(verdicts) - len(broken) + tally.passed
-    failed = len(verdicts) + report.count_cells() - passed
-    print(f'{passed} passed, {failed} failed')
+    return Tally(tally.passed, report.count_cells() - tally.passed)
+
+
+def run_cells_of(run: Callable[[], Sequence[Verdict | Finding]]) -> Tally:
+    """Run a section of cells and print those that broke a promise."""
+    verdicts = run()
+    broken = [verdict for verdict in verdicts if verdict.broken]
+    for verdict in broken:
+        print(verdict)
+    return Tally(len(verdicts) - len(broken), len(broken))
+
+
+PARTS: Mapping[str, Callable[[], Tally]] = MappingProxyType(
+    {
+        'request-path': partial(run_cells_of, run_request_path),
+        'agreement': partial(run_cells_of, run_met_agreement),
+        'processes': run_processes,
+    }
+)
+
+
+def main() -> int:
+    """Run the matrix, or one part of it; exit 1 if any promise broke."""
+    parser = ArgumentParser(prog='python -m tests.faults')
+    parser.add_argument('--section', choices=PARTS, help='run only this part')
+    parser.add_argument('--singles', action='store_true', help='no pairs')
+    section = parser.parse_args().section
+    parts = [section] if section else list(PARTS)
+    tallies = [PARTS[part]() for part in parts]
+    passed = sum(tally.passed for tally in tallies)
+    failed = sum(tally.failed for tally in tallies)
+    only = f' ({section} only)' if section else ''
+    print(f'{passed} passed, {failed} failed{only}')
     return 1 if failed else 0
 
 
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -202,6 +202,7 @@
     'entry SIGTERM', _terminate(_ENTRY), _await_end(_ENTRY), planned=True
 )
 SILENCE = Fault('silent connections', _link({'mode': 'silent'}), _mend_links)
+SILENT_IDLE = SILENCE._replace(name='silent idle connections', early=True)
 PLATFORM_DOWN = Fault(
     'platform down',
     _platform('down', 'down'),
@@ -252,7 +253,7 @@
         early=True,
     ),
     SILENCE,
-    SILENCE._replace(name='silent idle connections', early=True),
+    SILENT_IDLE,
     Fault(
         'one-way cut to the agent',
         _link({'mode': 'cut', 'direction': 'up'}),
@@ -299,6 +300,10 @@
     pair(STOP_AGENT, PLATFORM_DOWN),
     pair(STOP_AGENT, KILL_ENTRY),
     pair(STOP_ENTRY, SILENCE),
+    pair(LEAVING, SILENCE),
+    pair(DRAIN_REQUEST, SILENCE),
+    pair(LEAVING._replace(early=True), SILENT_IDLE),
+    pair(DRAIN_REQUEST._replace(early=True), SILENT_IDLE),
     pair(KILL_ENTRY, SILENCE),
 )
 
@@ -308,7 +313,7 @@
     PAUSE_AGENT._replace(name='agent paused before', early=True),
     KILL_ENTRY,
     PAUSE_ENTRY,
-    SILENCE._replace(name='silent idle connections', early=True),
+    SILENT_IDLE,
     STOP_AGENT,
     STOP_ENTRY,
     pair(KILL_AGENT, PLATFORM_DOWN),
--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -9,10 +9,13 @@
 from contextlib import contextmanager
 from itertools import chain
 from threading import Event, Thread
+from types import MappingProxyType
 from typing import NamedTuple
 
+from ospreyford.console.codes import ExitCode
 from ospreyford.standins.fleet import ask, is_ready
 from tests.processes.callers import (
+    Ask,
     Kind,
     SlowReader,
     Told,
@@ -36,6 +39,7 @@
     SILENCE,
     STOP_AGENT,
     Fault,
+    pair,
 )
 from tests.processes.referee import Referee
 
@@ -56,6 +60,9 @@
 LONG_TOKENS = 100_000
 FAST_STEP_MS = 0.001
 STEP_MS = 5
+#: Longer than both signals take, shorter than the callers' deadline.
+SLOW = MappingProxyType({'type': 'delay', 'seconds': 4})
+CUT_REQUESTS = 3
 NEVER = 'planned stop, yet'
 
 
@@ -131,6 +138,16 @@
     return drain(rig, STOP_AGENT, SIGNAL_SECONDS)
 
 
+def drain_while_silent(rig: Deployment) -> Finding:
+    """Drain by a drain request while connections fall silent."""
+    return drain(rig, pair(DRAIN_REQUEST, SILENCE), DOCUMENT_SECONDS)
+
+
+def leave_while_silent(rig: Deployment) -> Finding:
+    """Drain by a leaving mark while connections fall silent."""
+    return drain(rig, pair(LEAVING, SILENCE), HOST_LIST_SECONDS)
+
+
 def drain_without_platform(rig: Deployment) -> Finding:
     """Drain by the agent's own stop, which the platform never shows."""
     config, hosts = rig.fleet.config, rig.fleet.host_list
@@ -221,6 +238,58 @@
     return finding
 
 
+def signal_entry_twice(rig: Deployment) -> Finding:
+    """Stop an entry, and stop it again before its answers are there."""
+    return signal_twice(rig, ENTRIES[0])
+
+
+def signal_agent_twice(rig: Deployment) -> Finding:
+    """Stop an agent, and stop it again before its answers are there."""
+    return signal_twice(rig, VICTIM)
+
+
+def signal_twice(rig: Deployment, name: str) -> Finding:
+    """Send a process a second SIGTERM while requests are under way.
+
+    Symptom looked for: requests are cut and nothing says so, or another
+    number than callers see; the process hangs; a caller's retry runs again.
+    Sequence: requests with keys run; the first signal drains, the second
+    cuts; the callers come again through another entry. Cause: a stop that
+    only the first signal tells of, or that counts what is not in flight.
+    """
+    rig.control_backend(VICTIM, {'fault': dict(SLOW)})
+    asks = [make_ask_for(VICTIM, HOMES) for _ in range(CUT_REQUESTS)]
+    pending = [rig.crowd.send(one, ENTRIES[0]) for one in asks]
+    rig.wait_for(lambda: _have_run(rig, asks), 'the requests run')
+    process = rig.find(name).process
+    process.signal(signal.SIGTERM)
+    rig.wait_for(lambda: '"Draining"' in process.errors, f'{name} drains')
+    process.signal(signal.SIGTERM)
+    code = process.wait(STOP_SECONDS)
+    words = process.errors
+    told = [one.result() for one in pending]
+    missed = sum(one.outcome != 'answered' for one in told)
+    rig.control_backend(VICTIM, {'fault': None})
+    rig.restart(name)
+    told += [send(one, *_address(rig, ENTRIES[1])) for one in asks]
+    finding = _judge(rig, f'{name}: second SIGTERM', told, planned=False)
+    finding.measured['cut'] = missed
+    finding.broken.extend(_find_unsaid(code, words, missed))
+    _wait_until_whole(rig)
+    return finding
+
+
+def _find_unsaid(code: int, words: str, missed: int) -> Iterator[str]:
+    if code != ExitCode.cut:
+        yield f'exit code {code}'
+    if missed != CUT_REQUESTS:
+        yield f'{missed} callers had no answer, of {CUT_REQUESTS}'
+    logged = f'"cut":{missed},"cause":"second signal"'
+    for said in (logged, f'second signal: {missed} requests cut\n'):
+        if said not in words:
+            yield f'did not say {said}'
+
+
 def notice_silence(rig: Deployment) -> Finding:
     """Send on a connection at rest that has gone silent."""
     told = []
@@ -329,9 +398,13 @@
     drain_by_host_list,
     drain_by_signal,
     drain_without_platform,
+    drain_while_silent,
+    leave_while_silent,
     stop_under_slow_reader,
     roll_everything,
     kill_under_load,
+    signal_entry_twice,
+    signal_agent_twice,
     notice_silence,
     start_entry_without_platform,
     start_entry_without_hosts,
@@ -403,6 +476,15 @@
     )
 
 
+def _have_run(rig: Deployment, asks: list[Ask]) -> bool:
+    runs = Referee([], rig.read_journal()).runs
+    return all(runs[one.tag] for one in asks)
+
+
+def _address(rig: Deployment, entry: str) -> tuple[str, str]:
+    return entry, rig.crowd.entries[entry]
+
+
 def _is_alive(rig: Deployment) -> bool:
     address = rig.crowd.entries[ENTRIES[0]]
     told = send(make_ask(Kind.rate), ENTRIES[0], address)
