--- a/src/ospreyford/agent/factory.py
+++ b/src/ospreyford/agent/factory.py
@@ -68,4 +68,4 @@
 ) -> None:
     service.note_silence = flow.missed_beats.labels('entry').inc
     flow.in_flight.labels(name).set_function(lambda: meter.in_flight)
-    flow.connections.labels('entry').set_function(lambda: service.connections)
+    flow.connections.labels('entry').set_function(service.count_connections)
--- a/src/ospreyford/agent/service.py
+++ b/src/ospreyford/agent/service.py
@@ -46,8 +46,8 @@
     :param meter: the backend server's load.
     :param clock: source of time.
 
-    ``connections`` are open now; ``note_silence`` is told of each that is
-    closed because the entry's heartbeats stopped under an answer.
+    ``note_silence`` is told of each connection that is closed because the
+    entry's heartbeats stopped under an answer.
     """
 
     def __init__(
@@ -59,7 +59,6 @@
         meter: LoadMeter,
         clock: Clock,
     ) -> None:
-        self.connections = 0
         self.note_silence: Callable[[], object] = int
         self._name = name
         self._settings = settings
@@ -67,17 +66,34 @@
         self._runner = runner
         self._meter = meter
         self._clock = clock
+        self._sessions: set[Session] = set()
+
+    def count_connections(self) -> int:
+        """Count the entries' open connections.
+
+        :returns: how many there are.
+        """
+        return len(self._sessions)
+
+    def count_awaited(self) -> int:
+        """Count the entries that still read an answer which was sent whole.
+
+        :returns: how many answers a stop of this process may cut.
+        """
+        return sum(session.is_awaited() for session in self._sessions)
 
     async def serve(self, sock: Socket) -> None:
         """Serve one entry's connection until it ends.
 
         :param sock: the accepted socket.
         """
-        self.connections += 1
+        connection = accept_entry(sock)
+        session = Session(connection, self._settings, self._clock)
+        self._sessions.add(session)
         try:
-            await self._serve_session(sock)
+            await self._serve_session(connection, session)
         finally:
-            self.connections -= 1
+            self._sessions.discard(session)
 
     async def run_sweeps(self) -> None:
         """Forget old entries and stop orphans, for ever."""
@@ -89,9 +105,11 @@
                 await curio.sleep(0)
             await self._runner.cancel_abandoned()
 
-    async def _serve_session(self, sock: Socket) -> None:
-        connection = accept_entry(sock)
-        session = Session(connection, self._settings, self._clock)
+    async def _serve_session(
+        self,
+        connection: FrameConnection[EntryFrame],
+        session: Session,
+    ) -> None:
         try:
             await self._serve_frames(connection, session)
         except (WireError, curio.TaskTimeout):
@@ -158,7 +176,7 @@
             case Cancel():
                 await self._cancel(frame, session)
             case Beat():
-                return
+                session.note_beat()
 
     async def _carry_out(
         self,
@@ -228,6 +246,26 @@
         self._clock = clock
         self._execution: Execution | None = None
         self._task: curio.Task | None = None
+        self._awaited_at: float | None = None
+
+    def note_beat(self) -> None:
+        """Note that the entry is still waiting."""
+        if self._execution is None:
+            self._awaited_at = self._clock.monotonic()
+
+    def is_awaited(self) -> bool:
+        """Tell whether the entry still reads an answer that was sent whole.
+
+        :returns: whether it has beaten since, and not long ago.
+        """
+        # Sent means that the kernels between the two hold it. Symptom of
+        # leaving then: the entry's next heartbeat meets a closed socket, is
+        # answered by a reset, and the end of the answer is lost. An entry
+        # beats until it has read the end, and is silent at rest.
+        if self._awaited_at is None:
+            return False
+        rested = self._clock.monotonic() - self._awaited_at
+        return rested <= self._settings.silence_seconds
 
     def patience(self) -> float:
         """Tell how long the entry may say nothing.
@@ -259,6 +297,7 @@
         :raises Malformed: the entry asked before the last answer ended.
         """
         self._require_rest()
+        self._awaited_at = None
         self._execution = execution
         self._task = await curio.spawn(
             self._stream,
