Write an answer's bytes without a time limit where there is room

Cause: each write to a caller set a time limit of curio (four traps and an entry in its queue of times) around a write that the kernel takes at once. Change: http/outlet.py tries the write first and keeps what the kernel did not take; only that is written under the time limit, which stays as it was, so a slow caller is bounded as before. Agent not touched.

--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -20,6 +20,7 @@
     TooSlow,
 )
 from ospreyford.http.message import Headers, Limits, Request
+from ospreyford.http.outlet import Outlet
 
 if TYPE_CHECKING:
     from curio.io import Socket
@@ -140,6 +141,7 @@
         self.busy = False
         self._siblings = siblings
         self._sock = sock
+        self._outlet = Outlet(sock)
         # A token that waits for the acknowledgement of the one before it
         # comes up to 40 ms late.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -226,11 +228,15 @@
         )
         if not encoded:
             return
+        # Nearly always the kernel has room, and then no time limit is needed:
+        # setting one costs more than the write.
+        if self._outlet.push(encoded):
+            return
         # A caller that does not read would hold its request's memory and its
         # share of the limits for as long as it likes.
         limit = self._limits.stall_seconds
         try:
-            await curio.timeout_after(limit, self._sock.sendall(encoded))
+            await curio.timeout_after(limit, self._outlet.drain())
         except (OSError, curio.TaskTimeout):
             raise ConnectionLost from None
 
