Hand tokens straight to the connections that wait for them

Cause: at the agent each token woke a task (an event, a time limit of curio, a second round of its loop) only to write one frame. Change: the task that reads the back end hands the piece to every follower that waits; agent/following.py writes it if it is the next one for that follower and nothing is left of the frame before. Else, and for the head, the end mark and heartbeats, the follower's own task is woken as before and writes the rest. A broken connection is noticed by that task, never by the run. Frames, sequence numbers, end mark and heartbeats are unchanged; a heartbeat now also goes out between tokens. Ruled out: writing without the test for what is left (crossed frames). Test seen red without the test for the frame's turn; without waking the follower for what is left it stays green, since the next heartbeat does that. The stand-in connection of a test got the method that a follower now asks; its assertion is unchanged.

--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from ospreyford.agent.following import Waiting
 from ospreyford.wire.frame import (
     AnswerFrame,
     End,
@@ -17,11 +18,13 @@
 )
 
 if TYPE_CHECKING:
+    from ospreyford.agent.following import Follower
     from ospreyford.http.message import Headers
     from ospreyford.ports.fleet import LoadReport
 
-#: Stands in for the event of an execution that has ended: nobody waits for it.
-_OVER = curio.Event()
+
+#: Stands in for the followers that wait once an execution has ended: none.
+_OVER = Waiting()
 
 
 class Execution:
@@ -46,7 +49,7 @@
         'identity',
         'task',
         'voided',
-        '_changed',
+        '_waiting',
         '_dropped',
         '_frames',
     )
@@ -68,7 +71,7 @@
         self.followers = 0
         self._dropped = False
         self._frames: list[AnswerFrame] = []
-        self._changed = curio.Event()
+        self._waiting = Waiting()
 
     @property
     def fate(self) -> Fate | None:
@@ -86,13 +89,19 @@
             return [self._fail_dropped(sequence)]
         return self._frames[sequence:]
 
-    async def wait_for_change(self, sequence: int) -> None:
-        """Wait until the answer is longer.
+    async def wait_for_change(self, follower: Follower) -> None:
+        """Wait until the answer has more than a follower was handed.
 
-        :param sequence: number of the first frame wanted.
+        Pieces are handed to it meanwhile; it is woken by all else.
+
+        :param follower: who waits, and for which frame.
         """
-        while len(self._frames) <= sequence and self.ended is None:
-            await self._changed.wait()
+        while (
+            len(self._frames) <= follower.sequence
+            and self.ended is None
+            and follower.is_clear()
+        ):
+            await self._waiting.wait(follower)
 
     def follow(self) -> None:
         """Note that one more connection follows."""
@@ -196,9 +205,12 @@
 
     async def _append(self, frame: AnswerFrame) -> None:
         self._frames.append(frame)
-        changed = self._changed
-        self._changed = curio.Event() if self.ended is None else _OVER
-        await changed.set()
+        waiting = self._waiting
+        if isinstance(frame, Piece) and waiting.hand_on(frame):
+            return
+        if self.ended is not None:
+            self._waiting = _OVER
+        await waiting.wake()
 
     def _fail_dropped(self, sequence: int) -> Failed:
         return Failed(
--- a/src/ospreyford/agent/service.py
+++ b/src/ospreyford/agent/service.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from ospreyford.agent.following import Place
 from ospreyford.agent.record import Begun, Denied, Known
 from ospreyford.wire.connection import accept_entry
 from ospreyford.wire.errors import Malformed, WireError
@@ -301,9 +302,10 @@
     ) -> None:
         await self._connection.send(opened)
         beat = Beat(execution=execution.identity)
+        place = Place(self._connection, sequence)
         while True:
-            frames = execution.read_frames(sequence)
-            sequence += len(frames)
+            frames = execution.read_frames(place.sequence)
+            place.sequence += len(frames)
             ended = execution.ended is not None
             if ended:
                 # Free for the next request before the entry can send it.
@@ -312,4 +314,4 @@
             if ended:
                 return
             async with curio.ignore_after(self._settings.beat_seconds):
-                await execution.wait_for_change(sequence)
+                await execution.wait_for_change(place)
--- a/src/ospreyford/wire/connection.py
+++ b/src/ospreyford/wire/connection.py
@@ -8,6 +8,7 @@
 import curio
 import msgspec
 
+from ospreyford.http.outlet import Outlet
 from ospreyford.http.polling import has_news
 from ospreyford.wire.errors import Malformed, Severed, Unreachable
 from ospreyford.wire.frame import AgentFrame, EntryFrame, Frame
@@ -100,6 +101,7 @@
         decoder: msgspec.msgpack.Decoder[Received],
     ) -> None:
         self._sock = sock
+        self._outlet = Outlet(sock)
         self._reader = FrameReader(decoder)
         sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
 
@@ -109,11 +111,29 @@
         :param frames: the frames, in order.
         :raises Severed: the connection is gone.
         """
+        if self._outlet.push(encode_frames(*frames)):
+            return
         try:
-            await self._sock.sendall(encode_frames(*frames))
+            await self._outlet.drain()
         except OSError:
             raise Severed from None
 
+    def push(self, frame: Frame) -> bool:
+        """Send a frame without waiting, as far as the kernel takes it.
+
+        :param frame: the frame.
+        :returns: whether nothing is left. If not, :meth:`send` must follow:
+            it sends the rest first, or finds the connection broken.
+        """
+        return self._outlet.push(encode_frames(frame))
+
+    def is_clear(self) -> bool:
+        """Tell whether the kernel has taken all that was sent.
+
+        :returns: whether nothing is left.
+        """
+        return self._outlet.is_clear()
+
     def take_arrived(self) -> Received | None:
         """Take the next frame without waiting.
 
--- a/tests/agent/test_connections.py
+++ b/tests/agent/test_connections.py
@@ -300,6 +300,9 @@
         if isinstance(frames[-1], End):
             await self.release.wait()
 
+    def is_clear(self) -> bool:
+        return True
+
 
 def test_next_answer_is_followed_when_the_last_one_was_slow() -> None:
     """A finished answer must not end the next one's following.
--- /dev/null
+++ b/tests/agent/test_following.py
@@ -0,0 +1,100 @@
+"""Answers on their way to entries that read slowly, or not at all."""
+
+from __future__ import annotations
+
+from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET
+from typing import Any
+
+import curio
+import pytest
+
+from ospreyford.agent.execution import Execution
+from ospreyford.agent.service import Session
+from ospreyford.http.server import listen, port_of
+from ospreyford.ports.clock import SystemClock
+from ospreyford.ports.fleet import LoadReport
+from ospreyford.wire.connection import (
+    FrameConnection,
+    accept_entry,
+    agent_decoder,
+)
+from ospreyford.wire.frame import Beat, End, Opened
+from tests.agent.frames import make_start
+from tests.faults.rig import AGENT_TIMES
+
+LOAD = LoadReport(incarnation='i')
+PIECES = 40
+BUFFER = 100_000
+
+
+class Following:
+    """An entry's end of a connection on which an execution is followed."""
+
+    def __init__(self, execution: Execution) -> None:
+        self._execution = execution
+
+    async def __aenter__(self) -> Following:
+        async with listen('127.0.0.1', 0) as listener:
+            address = ('127.0.0.1', port_of(listener))
+            far = await curio.open_connection(*address)
+            accepted = await listener.accept()
+        for sock, size in ((accepted[0], SO_SNDBUF), (far, SO_RCVBUF)):
+            sock.setsockopt(SOL_SOCKET, size, BUFFER)
+        self._agent = accept_entry(accepted[0])
+        self.entry = FrameConnection(far, agent_decoder)
+        self.session = Session(self._agent, AGENT_TIMES, SystemClock())
+        opened = Opened(execution='x', incarnation='i', load=LOAD)
+        await self.session.follow(self._execution, 0, opened)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.session.stop()
+        await self._agent.close()
+        await self.entry.close()
+
+    async def read(self) -> list[Any]:
+        """Read the answer's frames to the end mark, without heartbeats."""
+        frames: list[Any] = []
+        while not isinstance(frames and frames[-1], End):
+            frame = await self.entry.receive()
+            if not isinstance(frame, Beat | Opened):
+                frames.append(frame)
+        return frames
+
+
+async def answer(execution: Execution, size: int, pause: float) -> None:
+    await execution.add_head(200, ())
+    for number in range(1, PIECES):
+        await execution.add_piece(bytes([number]) * size)
+        await curio.sleep(pause)
+    await execution.finish(LOAD, 1)
+
+
+@pytest.mark.parametrize('pause', [0, 0.001])
+@pytest.mark.parametrize('size', [10, 50_000])
+def test_every_follower_gets_every_frame_once(size: int, pause: float) -> None:
+    # Symptom: a frame is missing, doubled or cut into another one, and the
+    # answer ends there.
+    # Sequence: one entry reads at once, one only at the end, one breaks its
+    # connection; pieces come faster than sockets take them.
+    # Cause: a piece was handed to a connection out of turn, or while the
+    # rest of another frame was still to be written.
+    async def main() -> list[list[int]]:
+        execution = Execution(make_start('x', 'a'), 0, frozenset())
+        follow = Following
+        async with (
+            follow(execution) as quick,
+            follow(execution) as slow,
+            follow(execution) as broken,
+            curio.timeout_after(10),
+        ):
+            reader = await curio.spawn(quick.read)
+            await broken.entry.close()
+            await answer(execution, size, pause)
+            answers = [await reader.join(), await slow.read()]
+            for frames in answers:
+                for piece in frames[1:-1]:
+                    assert piece.content == bytes([piece.sequence]) * size
+            return [[each.sequence for each in frames] for frames in answers]
+
+    assert curio.run(main) == [list(range(PIECES + 1))] * 2
