Put a streamed answer's pieces into chunks without h11

Cause: h11 takes 3.9 us to encode a token's chunk (timed alone, in a loop of 50,000), of which its state machine is the most; the chunk alone takes 0.2 us. A piece of a chunked body changes nothing in h11's state. Change: http/encoder.py encodes pieces of chunked bodies; heads, end marks and bodies of a known length stay with h11, which also says whether the body is chunked. An empty piece sends nothing, as with h11. Ruled out: the same on the reading side (10 us a chunk): parsing what a back end sends by hand is a risk, and h11 stays the parser. Test seen red without the case of an empty piece, and with every body taken for chunked.

--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -13,6 +13,7 @@
 import h11
 
 from ospreyford.http.body import IncomingBody
+from ospreyford.http.encoder import AnswerEncoder
 from ospreyford.http.errors import (
     BadMessage,
     ConnectionLost,
@@ -32,6 +33,7 @@
 #: ``struct linger``: on, zero seconds.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 GO_ON = h11.InformationalResponse(status_code=100, headers=[])
+HEAD = b'HEAD'
 HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -150,6 +152,7 @@
             h11.SERVER,
             max_incomplete_event_size=limits.head_bytes,
         )
+        self._encoder = AnswerEncoder(self._parser)
 
     async def next_exchange(self) -> Exchange | None:
         """Read the next request's head.
@@ -163,6 +166,7 @@
         event = await self._next_event('head', self._limits.head_seconds)
         if not isinstance(event, h11.Request):
             return None
+        self._encoder.may_have_body = event.method != HEAD
         request = Request(
             event.method.decode('ascii'),
             event.target.decode('ascii'),
@@ -223,9 +227,7 @@
         :param events: responses, pieces of data or the end mark.
         :raises ConnectionLost: the caller went away, or does not read.
         """
-        encoded = b''.join(
-            [self._parser.send(event) or b'' for event in events],
-        )
+        encoded = b''.join([self._encoder.encode(event) for event in events])
         if not encoded:
             return
         # Nearly always the kernel has room, and then no time limit is needed:
