--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -7,6 +7,7 @@
 import curio
 
 from ospreyford.agent.following import Waiting
+from ospreyford.agent.packing import PackedAnswer
 from ospreyford.wire.frame import (
     AnswerFrame,
     End,
@@ -23,6 +24,8 @@
     from ospreyford.ports.fleet import LoadReport
 
 
+#: An answer of so many frames gains nothing by being packed.
+PACKED_FRAMES = 4
 #: Stands in for the followers that wait once an execution has ended: none.
 _OVER = Waiting()
 
@@ -52,6 +55,7 @@
         '_waiting',
         '_dropped',
         '_frames',
+        '_packed',
     )
 
     def __init__(
@@ -71,6 +75,7 @@
         self.followers = 0
         self._dropped = False
         self._frames: list[AnswerFrame] = []
+        self._packed: PackedAnswer | None = None
         self._waiting = Waiting()
 
     @property
@@ -86,7 +91,13 @@
         :returns: the frames from that number on; perhaps none yet.
         """
         if self._dropped:
-            return [self._fail_dropped(sequence)]
+            fate = Fate.answer_dropped
+            failed = Failed(
+                execution=self.identity, sequence=sequence, fate=fate
+            )
+            return [failed]
+        if self._packed is not None:
+            return self._packed.unpack()[sequence:]
         return self._frames[sequence:]
 
     async def wait_for_change(self, follower: Follower) -> None:
@@ -194,13 +205,13 @@
         """
         if self.followers or self.fate is not None:
             return
-        size = sum(
-            len(frame.content)
-            for frame in self._frames
-            if isinstance(frame, Piece)
-        )
-        if size > max_bytes:
+        if self._packed is None and len(self._frames) > PACKED_FRAMES:
+            # A frame for each token takes four times their bytes.
+            self._packed = PackedAnswer(self._frames)
+            self._frames.clear()
+        if self._count_bytes() > max_bytes:
             self._dropped = True
+            self._packed = None
             self._frames.clear()
 
     async def _append(self, frame: AnswerFrame) -> None:
@@ -212,9 +223,11 @@
             self._waiting = _OVER
         await waiting.wake()
 
-    def _fail_dropped(self, sequence: int) -> Failed:
-        return Failed(
-            execution=self.identity,
-            sequence=sequence,
-            fate=Fate.answer_dropped,
+    def _count_bytes(self) -> int:
+        if self._packed is not None:
+            return self._packed.size
+        return sum(
+            len(frame.content)
+            for frame in self._frames
+            if isinstance(frame, Piece)
         )
--- /dev/null
+++ b/src/ospreyford/agent/packing.py
@@ -0,0 +1,56 @@
+"""A whole answer in little memory."""
+
+from __future__ import annotations
+
+from array import array
+from itertools import accumulate, pairwise
+from typing import TYPE_CHECKING
+
+from ospreyford.wire.frame import Piece
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ospreyford.wire.frame import AnswerFrame
+
+
+class PackedAnswer:
+    """The frames of an answer that has ended, its pieces joined.
+
+    Where each piece ends is kept: an entry that has read a part of them asks
+    for the next one by its number, and must get just that one.
+
+    :param frames: a head, pieces and an end mark.
+    """
+
+    __slots__ = ('_content', '_ends', '_head', '_last')
+
+    def __init__(self, frames: Sequence[AnswerFrame]) -> None:
+        self._head = frames[0]
+        self._last = frames[-1]
+        pieces = [one.content for one in frames if isinstance(one, Piece)]
+        self._content = b''.join(pieces)
+        self._ends = array('I', accumulate(map(len, pieces)))
+
+    @property
+    def size(self) -> int:
+        """Bytes of the body."""
+        return len(self._content)
+
+    def unpack(self) -> list[AnswerFrame]:
+        """Make the frames anew.
+
+        :returns: frames that equal those that were packed.
+        """
+        execution = self._head.execution
+        pieces = [
+            Piece(
+                execution=execution,
+                sequence=sequence,
+                content=self._content[start:end],
+            )
+            for sequence, (start, end) in enumerate(
+                pairwise((0, *self._ends)), 1
+            )
+        ]
+        return [self._head, *pieces, self._last]
