--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -6,6 +6,8 @@
 
 import curio
 
+from ospreyford.agent.following import Waiting
+from ospreyford.agent.packing import PackedAnswer
 from ospreyford.wire.frame import (
     AnswerFrame,
     End,
@@ -17,11 +19,15 @@
 )
 
 if TYPE_CHECKING:
+    from ospreyford.agent.following import Follower
     from ospreyford.http.message import Headers
     from ospreyford.ports.fleet import LoadReport
 
-#: Stands in for the event of an execution that has ended: nobody waits for it.
-_OVER = curio.Event()
+
+#: An answer of so many frames gains nothing by being packed.
+PACKED_FRAMES = 4
+#: Stands in for the followers that wait once an execution has ended: none.
+_OVER = Waiting()
 
 
 class Execution:
@@ -46,9 +52,10 @@
         'identity',
         'task',
         'voided',
-        '_changed',
+        '_waiting',
         '_dropped',
         '_frames',
+        '_packed',
     )
 
     def __init__(
@@ -68,7 +75,8 @@
         self.followers = 0
         self._dropped = False
         self._frames: list[AnswerFrame] = []
-        self._changed = curio.Event()
+        self._packed: PackedAnswer | None = None
+        self._waiting = Waiting()
 
     @property
     def fate(self) -> Fate | None:
@@ -83,16 +91,28 @@
         :returns: the frames from that number on; perhaps none yet.
         """
         if self._dropped:
-            return [self._fail_dropped(sequence)]
+            fate = Fate.answer_dropped
+            failed = Failed(
+                execution=self.identity, sequence=sequence, fate=fate
+            )
+            return [failed]
+        if self._packed is not None:
+            return self._packed.unpack()[sequence:]
         return self._frames[sequence:]
 
-    async def wait_for_change(self, sequence: int) -> None:
-        """Wait until the answer is longer.
+    async def wait_for_change(self, follower: Follower) -> None:
+        """Wait until the answer has more than a follower was handed.
 
-        :param sequence: number of the first frame wanted.
+        Pieces are handed to it meanwhile; it is woken by all else.
+
+        :param follower: who waits, and for which frame.
         """
-        while len(self._frames) <= sequence and self.ended is None:
-            await self._changed.wait()
+        while (
+            len(self._frames) <= follower.sequence
+            and self.ended is None
+            and follower.is_clear()
+        ):
+            await self._waiting.wait(follower)
 
     def follow(self) -> None:
         """Note that one more connection follows."""
@@ -185,24 +205,29 @@
         """
         if self.followers or self.fate is not None:
             return
-        size = sum(
-            len(frame.content)
-            for frame in self._frames
-            if isinstance(frame, Piece)
-        )
-        if size > max_bytes:
+        if self._packed is None and len(self._frames) > PACKED_FRAMES:
+            # A frame for each token takes four times their bytes.
+            self._packed = PackedAnswer(self._frames)
+            self._frames.clear()
+        if self._count_bytes() > max_bytes:
             self._dropped = True
+            self._packed = None
             self._frames.clear()
 
     async def _append(self, frame: AnswerFrame) -> None:
         self._frames.append(frame)
-        changed = self._changed
-        self._changed = curio.Event() if self.ended is None else _OVER
-        await changed.set()
-
-    def _fail_dropped(self, sequence: int) -> Failed:
-        return Failed(
-            execution=self.identity,
-            sequence=sequence,
-            fate=Fate.answer_dropped,
+        waiting = self._waiting
+        if isinstance(frame, Piece) and waiting.hand_on(frame):
+            return
+        if self.ended is not None:
+            self._waiting = _OVER
+        await waiting.wake()
+
+    def _count_bytes(self) -> int:
+        if self._packed is not None:
+            return self._packed.size
+        return sum(
+            len(frame.content)
+            for frame in self._frames
+            if isinstance(frame, Piece)
         )
--- a/src/ospreyford/http/outgoing.py
+++ b/src/ospreyford/http/outgoing.py
@@ -8,7 +8,9 @@
 
 import curio
 
+from ospreyford.http.encoder import AnswerEncoder
 from ospreyford.http.errors import ConnectionLost
+from ospreyford.http.outlet import Outlet
 
 if TYPE_CHECKING:
     import h11
@@ -30,25 +32,24 @@
         parser: h11.Connection,
         stall_seconds: float,
     ) -> None:
-        self._sock = sock
-        self._parser = parser
+        self.encoder = AnswerEncoder(parser)
+        self._outlet = Outlet(sock)
         self._stall_seconds = stall_seconds
         self._until = math.inf
-        self._rest = memoryview(b'')
 
     def add(self, *events: Any) -> None:
-        """Add parts of an answer.
+        """Add parts of an answer, and write what the kernel takes at once.
 
         :param events: h11 events, in order.
         """
-        encoded = b''.join(
-            [self._parser.send(event) or b'' for event in events],
-        )
-        if self._rest:
-            encoded = bytes(self._rest) + encoded
-        else:
+        encoded = b''.join([self.encoder.encode(event) for event in events])
+        if not encoded:
+            return
+        # Nearly always the kernel has room, and then no time limit is needed:
+        # setting one costs more than the write.
+        was_clear = self._outlet.is_clear()
+        if not self._outlet.push(encoded) and was_clear:
             self._until = time.monotonic() + self._stall_seconds
-        self._rest = memoryview(encoded)
 
     async def push(self, within: float = math.inf) -> bool:
         """Write what was added, as far as the caller takes it in.
@@ -57,13 +58,13 @@
         :returns: whether nothing is left.
         :raises ConnectionLost: the caller went away, or does not read.
         """
-        if not self._rest:
+        if self._outlet.is_clear():
             return True
         # A caller that does not read would hold its request's memory and its
         # share of the limits for as long as it likes.
         left = max(self._until - time.monotonic(), 0)
         try:
-            await curio.timeout_after(min(within, left), self._write)
+            await curio.timeout_after(min(within, left), self._outlet.drain())
         except OSError:
             raise ConnectionLost from None
         except curio.TaskTimeout:
@@ -78,11 +79,4 @@
         :returns: whether nothing is left. Otherwise the protocol's state is
             ahead of what was sent, and must not be trusted.
         """
-        return not self._rest
-
-    async def _write(self) -> None:
-        while self._rest:
-            # A timeout strikes only while nothing can be written, so that
-            # what is left is always known.
-            sent: int = await self._sock.send(self._rest)
-            self._rest = self._rest[sent:]
+        return self._outlet.is_clear()
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -32,6 +32,7 @@
 #: ``struct linger``: on, zero seconds.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 GO_ON = h11.InformationalResponse(status_code=100, headers=[])
+HEAD = b'HEAD'
 HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -179,6 +180,7 @@
         event = await self._next_event('head', self._limits.head_seconds)
         if not isinstance(event, h11.Request):
             return None
+        self.outgoing.encoder.may_have_body = event.method != HEAD
         request = Request(
             event.method.decode('ascii'),
             event.target.decode('ascii'),
