Read a text again when a replica behind answered

Symptom: tests/config_processes::test_fresh_process_beside_a_bad_service waited its 40 s in vain now and then; it is the first wait of the test, for the change to reach the processes, not the wait for the fresh process.

Cause: a service whose replicas answer in turn. The watch meets the new replica and tells of the change, the read of the text meets the old one, the reading ends behind; the next watch meets the new one again, and so on. Two calls a reading keep step with two replicas, for ever with one reader, and with several until their calls happen to fall between each other's.

Change: a text that is too old or doesn't come is read again at once, 2 to 4 reads in all, each out of the budget. The number is random, so that it keeps step with no number of replicas.

Ruled out: the fresh process (it asks peers, all of whom have a picture, and needs no service), the budget (four calls a second a reader), freshness (not looked at by the test).

Test: test_replicas_that_answer_in_turn (one reader, two to four replicas, a changed and a new document): red in 24 of 24 without the change, green with it.

--- a/src/ospreyford/distribution/reader.py
+++ b/src/ospreyford/distribution/reader.py
@@ -22,6 +22,10 @@
     from ospreyford.distribution.state import State
 
 
+#: Reads of one text in one reading: at least and at most.
+TEXT_READS = (2, 4)
+
+
 class Reading(enum.Enum):
     """How one reading of the service went."""
 
@@ -61,6 +65,7 @@
         self._permit = permit
         self._budget = CallBudget(state.settings, state.clock, neighbours, rng)
         self._backoff = Backoff(state.settings, rng)
+        self._rng = rng
         self._reads = False
 
     async def run(self) -> None:
@@ -142,10 +147,28 @@
         if change.deleted:
             entry = Entry(change.name, change.revision, b'', deleted=True)
         else:
-            entry = await self._fetch_text(change.name)
+            entry = await self._fetch_text(change)
         self._state.apply((entry,), tell=self._state.settled)
 
-    async def _fetch_text(self, name: str) -> Entry:
+    async def _fetch_text(self, change: Change) -> Entry:
+        # Replicas of the service that answer in turn: where each watch meets
+        # the one that is ahead, each read that follows meets the one behind,
+        # and a reader that then watched again would do so for ever; nobody
+        # learns of the change. The next read meets another replica, and a
+        # number of reads that varies keeps step with no number of replicas.
+        reads = self._rng.randint(*TEXT_READS)
+        while reads > 1:
+            reads -= 1
+            try:
+                entry = await self._read_text(change.name)
+            except ServiceUnavailable:
+                self._state.counters.service_failures += 1
+                continue
+            if entry.revision >= change.revision:
+                return entry
+        return await self._read_text(change.name)
+
+    async def _read_text(self, name: str) -> Entry:
         await self._budget.take()
         if not self._may_read():
             raise ServiceUnavailable
--- a/tests/distribution/test_failures.py
+++ b/tests/distribution/test_failures.py
@@ -4,12 +4,14 @@
 
 from random import Random
 
+import msgspec
 import pytest
 
 from ospreyford.distribution.entries import Entry
-from tests.distribution.world import MALFORMED, MAX_STEPS, World
+from tests.distribution.world import MALFORMED, MAX_STEPS, SETTINGS, World
 
 POOL = 'pool'
+ONE_READER = msgspec.structs.replace(SETTINGS, readers_per_zone=1)
 
 
 def build_fleet(seed: int, size: int = 4) -> World:
@@ -147,6 +149,27 @@
     assert world.run_until_same()
 
 
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('name', [POOL, 'new'])
+@pytest.mark.parametrize('older', [1, 2, 3])
+def test_replicas_that_answer_in_turn(seed: int, name: str, older: int) -> None:
+    """Symptom: a change is published, and no process ever learns of it.
+
+    The service's replicas answer in turn, and all but one are old. Each watch
+    of the only reader meets the new one, the read of the text that follows
+    an old one; the calls of each reading are as many as the replicas.
+    """
+    world = World(rng=Random(seed), settings=ONE_READER)
+    world.store.publish(POOL, b'first')
+    for number in (0, 2, 4):
+        world.start(f'host-{number}')
+    assert world.run_until_same()
+    world.replicas = [world.store.copy() for _ in range(older)]
+    world.store.publish(name, b'second')
+    world.mode = 'turns'
+    assert world.run_until_same()
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_two_texts_of_one_revision(seed: int) -> None:
     """Symptom: two processes disagree for ever, each sure of itself.
--- a/tests/distribution/world.py
+++ b/tests/distribution/world.py
@@ -359,11 +359,17 @@
                 return None
             case 'stale' if self.replicas:
                 return self.replicas[0]
+            case 'turns' if self.replicas:
+                stores = [*self.replicas, self.store]
+                return stores[self._count_calls() % len(stores)]
             case 'flap' if self.replicas:
                 return self.rng.choice([*self.replicas, self.store])
             case _:
                 return self.store
 
+    def _count_calls(self) -> int:
+        return sum(one.calls for one in self.processes.values())
+
     def heal(self) -> None:
         self.mode = 'up'
         self.loss = 0
