--- a/src/ospreyford/distribution/reader.py
+++ b/src/ospreyford/distribution/reader.py
@@ -22,8 +22,8 @@
     from ospreyford.distribution.state import State
 
 
-#: Reads of one text in one reading: at least and at most.
-TEXT_READS = (2, 4)
+#: Reads of one text after one that failed: at least and at most.
+MORE_READS = (1, 3)
 
 
 class Reading(enum.Enum):
@@ -156,17 +156,22 @@
         # and a reader that then watched again would do so for ever; nobody
         # learns of the change. The next read meets another replica, and a
         # number of reads that varies keeps step with no number of replicas.
-        reads = self._rng.randint(*TEXT_READS)
-        while reads > 1:
-            reads -= 1
-            try:
-                entry = await self._read_text(change.name)
-            except ServiceUnavailable:
-                self._state.counters.service_failures += 1
-                continue
-            if entry.revision >= change.revision:
-                return entry
-        return await self._read_text(change.name)
+        entry = await self._try_text(change)
+        if entry is not None:
+            return entry
+        left = self._rng.randint(*MORE_READS)
+        while entry is None and left > 1:
+            left -= 1
+            entry = await self._try_text(change)
+        return entry or await self._read_text(change.name)
+
+    async def _try_text(self, change: Change) -> Entry | None:
+        try:
+            entry = await self._read_text(change.name)
+        except ServiceUnavailable:
+            self._state.counters.service_failures += 1
+            return None
+        return None if entry.revision < change.revision else entry
 
     async def _read_text(self, name: str) -> Entry:
         await self._budget.take()
