Forget the marks of removed documents below a floor

Cause: the tombstone of every removed document was kept for ever.

Change: a floor, a revision up to which a process has held every change. What it does not hold at or below it was replaced or removed and is refused without a mark, so tombstones below it may go. New settings tombstone_seconds and tombstone_batch; the digest, a leaf's question and a page carry a field more, at their end.

Ruled out (docs/DISTRIBUTION.md): an age alone, the consent of all members, a list of live names in each comparison.

Left: documents.history keeps its own tombstones; a service split in two histories for longer than the age (docs, not proved).

--- a/src/ospreyford/distribution/answers.py
+++ b/src/ospreyford/distribution/answers.py
@@ -63,12 +63,17 @@
         )
 
     def _give_leaf(self, question: LeafQuestion) -> Page:
+        replica = self._state.replica
         lacking = (
             entry
-            for entry in self._state.replica.leaf_entries(question.leaf)
+            for entry in replica.leaf_entries(question.leaf)
             if fingerprint_of(entry) not in question.fingerprints
         )
-        return cut_page(lacking, self._state.settings.page_bytes)
+        page = cut_page(lacking, self._state.settings.page_bytes)
+        gone = frozenset(
+            head.fingerprint for head in question.heads if replica.is_gone(head)
+        )
+        return Page(page.entries, page.more, gone, replica.floor)
 
 
 def cut_page(entries: Iterable[Entry], limit: int) -> Page:
--- a/src/ospreyford/distribution/entries.py
+++ b/src/ospreyford/distribution/entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import xxhash
@@ -52,6 +53,18 @@
     return xxhash.xxh3_64_intdigest(b'%s\0%s' % (prefix.encode(), entry.text))
 
 
+def leave_out(checksum: int, entries: Iterable[Entry]) -> int:
+    """Give a checksum as if some entries were not held.
+
+    :param checksum: the exclusive or of the fingerprints of all.
+    :param entries: some of them.
+    :returns: the checksum of the others.
+    """
+    for entry in entries:
+        checksum ^= fingerprint_of(entry)
+    return checksum
+
+
 def head_of(entry: Entry) -> Head:
     """Name a version of a document without its text.
 
--- a/src/ospreyford/distribution/gossip.py
+++ b/src/ospreyford/distribution/gossip.py
@@ -59,6 +59,7 @@
         """Make one round."""
         await self._offer_round()
         await self._repair.run_queued()
+        self._state.collect()
         await self._compare_when_due()
 
     async def flush(self) -> None:
--- a/src/ospreyford/distribution/messages.py
+++ b/src/ospreyford/distribution/messages.py
@@ -29,6 +29,7 @@
         before anything is known.
     :param settled: the process has a whole picture; a fresh one has none.
     :param stale: the process has not checked its picture lately.
+    :param floor: removed documents are forgotten up to this revision.
     """
 
     revision: int
@@ -36,6 +37,7 @@
     complete: int
     settled: bool
     stale: bool
+    floor: int = 0
 
 
 class Greeting(msgspec.Struct, frozen=True, array_like=True):
@@ -71,10 +73,19 @@
 
 
 class Page(msgspec.Struct, frozen=True, array_like=True):
-    """Entries in answer to a question; ``more`` when they were cut off."""
+    """Entries in answer to a question; ``more`` when they were cut off.
+
+    :param entries: the entries.
+    :param more: there are more of them.
+    :param gone: fingerprints of the heads in a leaf's question that the
+        answerer knows to be replaced or removed.
+    :param floor: the answerer's floor.
+    """
 
     entries: tuple[Entry, ...]
     more: bool
+    gone: frozenset[int] = frozenset()
+    floor: int = 0
 
 
 class BranchQuestion(msgspec.Struct, frozen=True, array_like=True):
@@ -91,7 +102,13 @@
 
 
 class LeafQuestion(msgspec.Struct, frozen=True, array_like=True):
-    """Asks for the entries of a leaf that the asker does not hold."""
+    """Asks for the entries of a leaf that the asker does not hold.
+
+    :param leaf: the leaf's number.
+    :param fingerprints: what the asker holds.
+    :param heads: those of it that the answerer's floor may be above.
+    """
 
     leaf: int
     fingerprints: frozenset[int]
+    heads: tuple[Head, ...] = ()
--- a/src/ospreyford/distribution/pull.py
+++ b/src/ospreyford/distribution/pull.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from itertools import islice
 from typing import TYPE_CHECKING
 
 from ospreyford.distribution.checksums import BRANCHES
-from ospreyford.distribution.entries import fingerprint_of
+from ospreyford.distribution.entries import (
+    Entry,
+    Head,
+    fingerprint_of,
+    head_of,
+    leave_out,
+)
 from ospreyford.distribution.messages import (
     BranchQuestion,
     Differing,
@@ -16,7 +23,7 @@
     PageQuestion,
     Topic,
 )
-from ospreyford.distribution.replica import LAST_NAME
+from ospreyford.distribution.ordered import LAST_NAME
 
 if TYPE_CHECKING:
     from ospreyford.distribution.exchange import Exchange
@@ -48,11 +55,14 @@
             return True
         if theirs.revision > replica.revision:
             return False
-        # Most often the peer only lacks the newest changes; without them
-        # the checksums agree, and no tree need be walked.
+        # Most often the peer only lacks the newest changes, and the removals
+        # that it has forgotten; without them the checksums agree, and no
+        # tree need be walked.
         behind = replica.entries_after(theirs.revision, LAST_NAME)
-        newer = list(islice(behind, NEWER_LIMIT))
-        return replica.checksum_without(newer) == theirs.checksum
+        extra = list(islice(behind, NEWER_LIMIT))
+        if theirs.floor > replica.floor:
+            extra.extend(replica.ordered.tombstones(theirs.floor))
+        return leave_out(replica.checksum, extra) == theirs.checksum
 
     async def merge(self, address: str, theirs: Digest) -> bool:
         """Fetch what is missing.
@@ -72,7 +82,7 @@
         if theirs.revision > self._place.revision:
             if not await self._pull_pages(address):
                 return False
-        return self.holds(theirs) or await self._walk(address)
+        return self.holds(theirs) or await self._walk(address, theirs.floor)
 
     async def _pull_pages(self, address: str) -> bool:
         while True:
@@ -87,12 +97,13 @@
             last = page.entries[-1]
             self._place = PageQuestion(last.revision, last.name)
 
-    async def _walk(self, address: str) -> bool:
+    async def _walk(self, address: str, floor: int) -> bool:
         branches = await self._find_differing(address, None)
         while branches:
             branch = branches.pop()
             leaves = await self._find_differing(address, branch)
-            if not await self._pull_leaves(address, branch, leaves):
+            numbers = _number_leaves(branch, leaves)
+            if not await self._pull_leaves(address, numbers, floor):
                 return False
         return branches is not None
 
@@ -106,29 +117,55 @@
         return None if answer is None else list(answer.children)
 
     async def _pull_leaves(
-        self, address: str, branch: int, leaves: list[int] | None
+        self, address: str, leaves: list[int] | None, floor: int
     ) -> bool:
         while leaves:
-            leaf = branch * BRANCHES + leaves.pop()
-            if not await self._pull_leaf(address, leaf):
+            if not await self._pull_leaf(address, leaves.pop(), floor):
                 return False
         return leaves is not None
 
-    async def _pull_leaf(self, address: str, leaf: int) -> bool:
+    async def _pull_leaf(self, address: str, leaf: int, floor: int) -> bool:
         while True:
             entries = self._state.replica.leaf_entries(leaf)
             question = LeafQuestion(
-                leaf, frozenset(map(fingerprint_of, entries))
+                leaf,
+                frozenset(map(fingerprint_of, entries)),
+                self._list_doubtful(entries, floor),
             )
             page = await self._exchange.ask(address, Topic.leaf, question, Page)
-            if page is None:
+            if page is None or page.floor < floor:
+                # Another process, started at that address since, knows
+                # nothing: all that is held here would count as removed.
                 return False
+            taken = self._take(page)
+            if not page.more:
+                # Not before the last page: it may bring the version that
+                # replaced one of ours, which then is no removal.
+                self._state.withdraw(leaf, page.gone, floor)
+                return True
             # Entries that are older than ours come back each time; a page
             # with nothing but those would be asked for without end.
-            if not (self._take(page) and page.more):
-                return not page.more
+            if not taken:
+                return False
+
+    def _list_doubtful(
+        self, entries: Iterable[Entry], floor: int
+    ) -> tuple[Head, ...]:
+        if floor <= self._state.replica.floor:
+            return ()
+        return tuple(
+            head_of(entry)
+            for entry in entries
+            if entry.revision <= floor and not entry.deleted
+        )
 
     def _take(self, page: Page) -> int:
         taken = self._state.apply(page.entries, tell=self._state.settled)
         self._state.counters.pulled_entries += taken
         return taken
+
+
+def _number_leaves(branch: int, leaves: list[int] | None) -> list[int] | None:
+    if leaves is None:
+        return None
+    return [branch * BRANCHES + leaf for leaf in leaves]
--- a/src/ospreyford/distribution/repair.py
+++ b/src/ospreyford/distribution/repair.py
@@ -93,6 +93,7 @@
             return False
         state = self._state
         if theirs.settled:
+            state.adopt_floor(theirs.floor)
             state.adopt_complete(theirs.complete)
             state.settle()
             self._confirm(address, theirs, asked)
--- a/src/ospreyford/distribution/replica.py
+++ b/src/ospreyford/distribution/replica.py
@@ -2,30 +2,14 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, bisect_right, insort
-from collections.abc import Collection, Iterator
+from collections.abc import Iterator
 
 from ospreyford.distribution.checksums import ChecksumTree, leaf_of
-from ospreyford.distribution.entries import (
-    Entry,
-    Head,
-    fingerprint_of,
-)
+from ospreyford.distribution.entries import Entry, Head, head_of
+from ospreyford.distribution.ordered import OrderedEntries
 from ospreyford.distribution.service import WellFormed
 from ospreyford.distribution.versions import Verdict, Versions
 
-#: Sorts after every name, for a cursor behind all names of a revision.
-LAST_NAME = '\U0010ffff'
-
-
-def place_of(entry: Entry) -> tuple[int, str]:
-    """Give the place of an entry in the order of revisions.
-
-    :param entry: the entry.
-    :returns: revision and name.
-    """
-    return entry.revision, entry.name
-
 
 class Replica:
     """Every document's highest accepted revision, tombstones included.
@@ -34,14 +18,19 @@
     ``tree`` holds the checksums by which two processes find the few documents
     in which they differ without sending the list of all.
 
+    ``floor`` is a revision below which nothing new is taken in: this process
+    has held every version up to it that counts, so what it does not hold of
+    that age was replaced or removed, and tombstones need not be kept.
+
     :param is_well_formed: judges texts.
     """
 
     def __init__(self, is_well_formed: WellFormed) -> None:
         self._is_well_formed = is_well_formed
         self.tree = ChecksumTree()
+        self.floor = 0
         self._versions: dict[str, Versions] = {}
-        self._ordered: list[Entry] = []
+        self.ordered = OrderedEntries(self.tree)
         self._names: dict[int, list[str]] = {}
 
     def __len__(self) -> int:
@@ -50,12 +39,12 @@
 
     def __iter__(self) -> Iterator[Entry]:
         """Iterate over the entries by revision."""
-        return iter(self._ordered)
+        return iter(self.ordered)
 
     @property
     def revision(self) -> int:
-        """The highest revision held; 0 when empty."""
-        return self._ordered[-1].revision if self._ordered else 0
+        """The highest revision held or forgotten; 0 when empty."""
+        return max(self.ordered.revision, self.floor)
 
     @property
     def checksum(self) -> int:
@@ -79,10 +68,14 @@
         :returns: whether it is now held, and why not.
         """
         held = self._versions.get(entry.name)
+        # The mark of a removed document may be gone: a process that slept, a
+        # late message and a stale service would bring the document back.
+        if self.is_gone(head_of(entry)):
+            return Verdict.older
         if held is None:
             self._versions[entry.name] = Versions(entry, self._is_well_formed)
             self._names.setdefault(leaf_of(entry.name), []).append(entry.name)
-            self._insert(entry)
+            self.ordered.insert(entry)
             return Verdict.accepted
         # A service that serves stale data, a flapping one and a late message
         # all bring back older versions. The operators would see a withdrawn
@@ -92,9 +85,9 @@
         after = held.list_entries()
         for one in before:
             if one not in after:
-                self._remove(one)
+                self.ordered.remove(one)
         if entry in after and entry not in before:
-            self._insert(entry)
+            self.ordered.insert(entry)
         return verdict
 
     def lacks(self, head: Head) -> bool:
@@ -103,6 +96,8 @@
         :param head: what somebody else holds.
         :returns: whether the version is worth fetching.
         """
+        if self.is_gone(head):
+            return False
         held = self._versions.get(head.name)
         return held is None or held.lacks(head)
 
@@ -116,6 +111,8 @@
         :param revision: the least revision.
         :returns: whether the mark has reached it.
         """
+        if revision <= self.floor:
+            return True
         held = self._versions.get(name)
         return held is not None and held.newest.revision >= revision
 
@@ -126,10 +123,7 @@
         :param name: the place's name.
         :returns: the entries behind that place.
         """
-        index = bisect_right(self._ordered, (revision, name), key=place_of)
-        while index < len(self._ordered):
-            yield self._ordered[index]
-            index += 1
+        return self.ordered.after(revision, name)
 
     def leaf_entries(self, leaf: int) -> tuple[Entry, ...]:
         """Give the entries of a leaf.
@@ -144,28 +138,37 @@
             for entry in self._versions[name].list_entries()
         )
 
-    def checksum_without(self, newer: Collection[Entry]) -> int:
-        """Give the checksum as if some entries were not held.
+    def is_gone(self, head: Head) -> bool:
+        """Tell whether a version was replaced or removed, by the floor alone.
 
-        :param newer: entries held here.
-        :returns: the checksum of the others.
+        :param head: the version.
+        :returns: ``False`` also where two versions have one revision, which
+            the order between them decides.
         """
-        checksum = self.checksum
-        for entry in newer:
-            checksum ^= fingerprint_of(entry)
-        return checksum
-
-    def _insert(self, entry: Entry) -> None:
-        insort(self._ordered, entry, key=_sort_key)
-        self.tree.toggle(entry.name, fingerprint_of(entry))
-
-    def _remove(self, entry: Entry) -> None:
-        key = _sort_key(entry)
-        self._ordered.pop(bisect_left(self._ordered, key, key=_sort_key))
-        self.tree.toggle(entry.name, fingerprint_of(entry))
+        if head.revision > self.floor:
+            return False
+        return all(
+            entry.revision != head.revision for entry in self.find(head.name)
+        )
 
+    def raise_floor(self, floor: int) -> int:
+        """Forget removed documents.
 
-def _sort_key(entry: Entry) -> tuple[int, str, bool, bytes]:
-    # Two versions of one document share a place where the service gave two
-    # texts with one revision.
-    return entry.revision, entry.name, entry.deleted, entry.text
+        :param floor: a revision up to which this process holds everything
+            that counts.
+        :returns: how many tombstones are gone.
+        """
+        if floor <= self.floor:
+            return 0
+        forgotten = self.ordered.tombstones(floor)
+        for entry in forgotten:
+            self._forget(entry, floor)
+        self.floor = floor
+        return len(forgotten)
+
+    def _forget(self, tombstone: Entry, floor: int) -> None:
+        name = tombstone.name
+        if self._versions[name].forget_good_tombstone(floor) is None:
+            self._versions.pop(name)
+            self._names[leaf_of(name)].remove(name)
+        self.ordered.remove(tombstone)
--- a/src/ospreyford/distribution/settings.py
+++ b/src/ospreyford/distribution/settings.py
@@ -51,6 +51,9 @@
     :param cold_start_rounds: rounds in a row that met fresh peers only
         before a fresh process may trust the service.
     :param cold_start_peers: live peers that must be in view for that.
+    :param tombstone_seconds: how long a removed document's mark is kept at
+        least; longer than most partitions and pauses.
+    :param tombstone_batch: marks of that age that are collected together.
     """
 
     fleet_size: Count = 5_500
@@ -78,3 +81,5 @@
     bootstrap_seconds: Seconds = 1
     cold_start_rounds: Count = 10
     cold_start_peers: CountOrNone = 1
+    tombstone_seconds: Seconds = 86_400
+    tombstone_batch: Count = 256
--- a/src/ospreyford/distribution/state.py
+++ b/src/ospreyford/distribution/state.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, fields
 from typing import TYPE_CHECKING
 
-from ospreyford.distribution.entries import Entry
+from ospreyford.distribution.collector import Collector
+from ospreyford.distribution.entries import Entry, fingerprint_of
 from ospreyford.distribution.freshness import Freshness
 from ospreyford.distribution.messages import Digest
 from ospreyford.distribution.replica import Replica
@@ -38,6 +39,7 @@
     offers: int = 0
     pushed_entries: int = 0
     push_deferred: int = 0
+    tombstones_collected: int = 0
     repairs: int = 0
     pulled_entries: int = 0
 
@@ -71,6 +73,7 @@
         self.counters = Counters()
         self.complete = NOTHING_COMPLETE
         self.settled = False
+        self._collector = Collector(settings, clock, self.replica)
         self._subscribers: list[Subscriber] = []
 
     def subscribe(self, subscriber: Subscriber) -> None:
@@ -105,6 +108,40 @@
         """
         self.complete = max(self.complete, revision)
 
+    def collect(self) -> None:
+        """Forget the tombstones that are old enough."""
+        if self.settled:
+            target = self._collector.choose_floor(self.complete)
+            self.adopt_floor(target)
+
+    def withdraw(self, leaf: int, gone: Collection[int], floor: int) -> None:
+        """Take versions out of force that a peer knows to be gone.
+
+        The peer has forgotten the tombstones, so this process writes its own,
+        at a revision below all versions that are not gone.
+
+        :param leaf: the leaf that they are in.
+        :param gone: their fingerprints.
+        :param floor: the peer's floor.
+        """
+        for entry in self.replica.leaf_entries(leaf):
+            held = self.replica.find(entry.name)
+            if entry in held and fingerprint_of(entry) in gone:
+                newest = held[0]
+                revision = floor
+                if entry != newest:
+                    revision = min(floor, newest.revision - 1)
+                tombstone = Entry(entry.name, revision, b'', deleted=True)
+                self.apply((tombstone,), tell=False)
+
+    def adopt_floor(self, floor: int) -> None:
+        """Forget removed documents up to a revision.
+
+        :param floor: a revision up to which everything that counts is held.
+        """
+        collected = self.replica.raise_floor(floor)
+        self.counters.tombstones_collected += collected
+
     def settle(self) -> None:
         """Note that the picture is whole, and show it to the subscribers."""
         if not self.settled:
@@ -122,6 +159,7 @@
             complete=self.complete,
             settled=self.settled,
             stale=self.freshness.is_stale(),
+            floor=self.replica.floor,
         )
 
     def _accept(self, entry: Entry) -> bool:
--- a/src/ospreyford/distribution/versions.py
+++ b/src/ospreyford/distribution/versions.py
@@ -75,6 +75,18 @@
             return Verdict.accepted if taken else Verdict.older
         return Verdict.conflict_accepted if taken else Verdict.conflict_refused
 
+    def forget_good_tombstone(self, floor: int) -> Entry | None:
+        """Forget a removal that is kept as the last good version.
+
+        :param floor: only up to this revision.
+        :returns: the tombstone, if there was one.
+        """
+        held = self.last_good
+        if held is None or not held.deleted or held.revision > floor:
+            return None
+        self.last_good = None
+        return held
+
     def lacks(self, head: Head) -> bool:
         """Tell whether a version may be worth keeping.
 
--- /dev/null
+++ b/tests/distribution/test_removals.py
@@ -0,0 +1,153 @@
+"""Removed documents: their marks are forgotten, and they stay removed."""
+
+from __future__ import annotations
+
+import pytest
+
+from ospreyford.distribution.codec import pack
+from ospreyford.distribution.entries import Entry, head_of
+from ospreyford.distribution.exchange import Exchange
+from ospreyford.distribution.messages import Differing, Digest, Page, Topic
+from ospreyford.distribution.pull import Pull
+from ospreyford.distribution.replica import Replica
+from ospreyford.distribution.state import State
+from ospreyford.distribution.versions import Verdict
+from tests.distribution.test_failures import POOL, build_fleet
+from tests.distribution.world import (
+    MALFORMED,
+    SETTINGS,
+    FakeClock,
+    FakePeers,
+    World,
+    is_well_formed,
+)
+from tests.fakes.stepping import Stepper
+
+FLOOR = 8
+OLD = Entry('pool', 5, b'old')
+REMOVAL = Entry('pool', 7, b'', deleted=True)
+AGAIN = Entry('pool', 12, b'again')
+BAD = Entry('pool', 12, MALFORMED)
+
+
+def pass_time(world: World) -> None:
+    until = world.oldest() + SETTINGS.tombstone_seconds * 2
+    while world.oldest() < until:
+        world.move()
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('mode', ['up', 'stale', 'flap', 'down'])
+def test_sleeper_that_holds_a_removed_document(seed: int, mode: str) -> None:
+    """Symptom: a document that was removed is in force again.
+
+    A process is paused; the document is removed, and all others forget the
+    tombstone. The sleeper wakes beside a stale service and offers its copy;
+    a host is replaced meanwhile and asks it.
+    """
+    world = build_fleet(seed)
+    sleeper = world.everybody()[0]
+    hidden = world.hide(sleeper)
+    world.store.delete(POOL)
+    pass_time(world)
+    for process in world.everybody():
+        assert not process.distributor.snapshot()
+    world.mode = mode
+    world.show(sleeper, hidden)
+    state = sleeper.distributor._state
+    state.rumours.add(POOL)
+    fresh = world.replace(world.everybody()[0])
+    assert world.run_until_ready(fresh)
+    assert world.run_until_same()
+    for process in world.everybody():
+        assert POOL not in process.read_marks() or process.read_marks()[POOL][1]
+    pass_time(world)
+    sums = {
+        one.distributor._state.replica.checksum for one in world.everybody()
+    }
+    assert sums == {0}
+
+
+def test_removals_are_bounded() -> None:
+    """Symptom: a process grows by each document that ever was."""
+    world = build_fleet(1)
+    for number in range(200):
+        world.store.publish(f'limits-{number}', b'x')
+        world.store.delete(f'limits-{number}')
+    assert world.run_until_same()
+    pass_time(world)
+    for process in world.everybody():
+        assert [one.name for one in process.distributor.snapshot()] == [POOL]
+        counters = process.distributor.counters
+        assert counters.tombstones_collected == 200
+    world.store.publish('limits-7', b'again')
+    assert world.run_until_same()
+
+
+@pytest.mark.parametrize(
+    ('held', 'offered', 'verdict'),
+    [
+        ([OLD, REMOVAL], OLD, Verdict.older),
+        ([OLD, REMOVAL], REMOVAL, Verdict.older),
+        ([OLD, REMOVAL], AGAIN, Verdict.accepted),
+        ([OLD, REMOVAL, BAD], OLD, Verdict.older),
+        ([OLD, REMOVAL, AGAIN], OLD, Verdict.older),
+        ([OLD], OLD, Verdict.known),
+        ([OLD], OLD._replace(text=b'other'), Verdict.conflict_accepted),
+        ([OLD], OLD._replace(revision=4), Verdict.older),
+    ],
+)
+def test_nothing_old_below_the_floor(
+    held: list[Entry], offered: Entry, verdict: Verdict
+) -> None:
+    replica = Replica(is_well_formed)
+    for entry in held:
+        replica.accept(entry)
+    replica.raise_floor(FLOOR)
+    assert not any(entry.deleted for entry in replica)
+    assert replica.covers('pool', REMOVAL.revision)
+    taken = {Verdict.accepted, Verdict.conflict_accepted}
+    assert replica.lacks(head_of(offered)) is (verdict in taken)
+    assert replica.accept(offered) is verdict
+
+
+@pytest.mark.parametrize(('floor', 'merged'), [(FLOOR, True), (0, False)])
+def test_peer_that_was_restarted(floor: int, merged: bool) -> None:
+    """Symptom: a process takes all its documents for removed.
+
+    A peer gives its digest, and is replaced at the same address; the new
+    process knows nothing yet, and answers that it lacks what is asked for.
+    """
+    clock, stepper = FakeClock(), Stepper()
+    state = State(SETTINGS, clock, is_well_formed)
+    state.apply((OLD,))
+    state.settle()
+    pull = Pull(state, Exchange(state, FakePeers(clock)))
+    theirs = Digest(5, 1, 9, settled=True, stale=False, floor=FLOOR)
+    task = stepper.spawn('merge', pull.merge('peer', theirs))
+    gone = frozenset((head_of(OLD).fingerprint,))
+    while not task.done:
+        assert task.waiting is not None
+        is_leaf = task.waiting.note.topic == Topic.leaf
+        page = Page((), more=False, gone=gone, floor=floor)
+        stepper.resume(task, pack(page if is_leaf else Differing((0,))))
+    assert task.answer is merged
+    assert state.replica.covers('pool', OLD.revision)
+
+
+def test_missed_document_below_the_floor() -> None:
+    """Symptom: a process refuses a document that all others have.
+
+    It holds a later removal by a rumour, but has missed an earlier change;
+    if the floor followed the highest revision, the change came too late.
+    """
+    clock = FakeClock()
+    state = State(SETTINGS, clock, is_well_formed)
+    state.apply((REMOVAL,))
+    state.adopt_complete(3)
+    state.settle()
+    for _ in range(20):
+        clock.now += SETTINGS.tombstone_seconds / 4
+        state.collect()
+    assert state.apply((Entry('missed', 5, b'text'),)) == 1
+    assert state.replica.covers('pool', REMOVAL.revision)
