Run the expert map's machine for groups of four and five as well

Cause: the state machine ran groups of three only.

Change: the group's size is a class attribute; the test is parameterised by it (50, 24 and 20 examples for 3, 4 and 5, of both machines). Slots are drawn from 0 to 59 modulo the size, so the examples of size 3 are others than before; the checks are the same. Waits of the fault-free course grow with the square of the size (pairs that ask each other); for 3 they are what they were.

--- a/tests/expertmap/test_machine.py
+++ b/tests/expertmap/test_machine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import Any
 
 import pytest
@@ -25,8 +26,12 @@
 
 CHOICE = st.integers(0, 30)
 SIZE = 3
-SLOTS = st.integers(0, SIZE - 1)
-MOST_PROCESSES = 9
+#: Taken modulo the group's size: each slot is as likely for 3, 4 and 5.
+SLOTS = st.integers(0, 59)
+#: Processes that ever were in a slot, at most, on the average.
+MOST_A_SLOT = 3
+#: Examples of each machine by the group's size; larger groups take longer.
+EXAMPLES = MappingProxyType({3: 50, 4: 24, 5: 20})
 
 
 def pick(options: list[Any], choice: int) -> Any:
@@ -38,13 +43,20 @@
 
     wall = True
     group_type = Group
+    size = SIZE
 
-    @initialize(ignoring=st.none() | st.integers(0, SIZE - 1))
+    @initialize(ignoring=st.none() | SLOTS)
     def set_up(self, ignoring: int | None) -> None:
-        self.group = self.group_type(SIZE, ignoring, self.wall)
+        if ignoring is not None:
+            ignoring %= self.size
+        self.group = self.group_type(self.size, ignoring, self.wall)
         self.revision = 0
         self.offer(0, 0)
-        self.group.flow(150)
+        self.group.flow(self.scale(150))
+
+    def scale(self, events: int) -> int:
+        """Give as many events for each pair as a group of three has."""
+        return events * self.size * self.size // (SIZE * SIZE)
 
     @rule(events=st.integers(1, 60))
     def flow(self, events: int) -> None:
@@ -125,8 +137,9 @@
 
     @rule(first=SLOTS, second=SLOTS)
     def cut_or_mend(self, first: int, second: int) -> None:
-        if first != second:
-            self.group.cuts ^= {frozenset((first, second))}
+        pair = frozenset((first % self.size, second % self.size))
+        if len(pair) > 1:
+            self.group.cuts ^= {pair}
 
     @rule(choice=CHOICE, engine_too=st.booleans())
     def kill_and_restart(self, choice: int, engine_too: bool) -> None:
@@ -187,16 +200,16 @@
             process.paused = False
         # The host list lags, but in the end it reaches everyone.
         group.tell_addresses()
-        group.settle(250)
-        for slot in range(SIZE):
+        group.settle(self.scale(250))
+        for slot in range(self.size):
             if not any(member.slot == slot for member in group.members()):
                 self.restart_ended(slot)
         self.revision += 1
         self.offer(0, 1)
-        group.settle(500)
+        group.settle(self.scale(500))
         # Processes of replaced hosts may have got further in their own life.
         before = {m: m.engine.step for m in group.members()}
-        group.settle(60)
+        group.settle(self.scale(60))
         for member, step in before.items():
             assert member.engine.step > step
             assert group.referee.maps[step].revision == self.revision
@@ -211,10 +224,10 @@
         member.service.propose(ExpertMap(revision=self.revision, layers=layers))
 
     def choose_victim(self, choice: int, hidden: bool) -> Process | None:
-        if len(self.group.processes) >= MOST_PROCESSES:
+        if len(self.group.processes) >= MOST_A_SLOT * self.size:
             return None
         members = self.group.members()
-        if len(members) < SIZE:
+        if len(members) < self.size:
             return None
         victim: Process = pick(members, choice)
         return victim if self.may_lose(victim, hidden) else None
@@ -244,8 +257,9 @@
         return remembered >= max(self.group.ordered_step, *known)
 
 
+@pytest.mark.parametrize('size', EXAMPLES)
 @pytest.mark.parametrize('machine', [GroupMachine, MemoryMachine])
-def test_one_map_in_each_step(machine: type[GroupMachine]) -> None:
+def test_one_map_in_each_step(machine: type[GroupMachine], size: int) -> None:
     """Symptom: ranks mix two expert maps in one step and answer rubbish.
 
     Sequence: any mix of late, lost, doubled and reordered messages and
@@ -253,11 +267,11 @@
     Cause: a grant of a step that another map was or may be granted for.
     """
     run_state_machine_as_test(
-        machine,
+        type(machine.__name__, (machine,), {'size': size}),
         settings=settings(
             derandomize=True,
             deadline=None,
-            max_examples=50,
+            max_examples=EXAMPLES[size],
             phases=(Phase.generate,),
             stateful_step_count=40,
             database=None,
