--- a/src/ospreyford/agent/group.py
+++ b/src/ospreyford/agent/group.py
@@ -53,6 +53,7 @@
         return [
             self._run_agreement(),
             self._part.placement.run(),
+            self._part.service.run_weights(),
             self._watch(),
         ]
 
@@ -67,7 +68,7 @@
             live = frozenset(one.peer_address for one in members)
             self._part.note_live(live)
             picture = self._node.configuration.picture
-            self._part.placement.note_weights(picture.placement(service))
+            self._part.note_weights(picture.placement(service))
             await curio.sleep(GROUP_SECONDS)
 
     async def _answer_plan(self, body: bytes) -> bytes | None:
--- a/src/ospreyford/agent/placing.py
+++ b/src/ospreyford/agent/placing.py
@@ -52,7 +52,7 @@
         self._service = service
         self._source = source
         self._clock = clock
-        self._settings = section.placement
+        self.settings = section.placement
         self._planner = self._make_planner()
 
     def note_weights(self, published: PlacementWeights | None) -> None:
@@ -63,8 +63,8 @@
         settings = self._section.placement
         if published is not None:
             settings = apply_weights(settings, published)
-        if settings != self._settings:
-            self._settings = settings
+        if settings != self.settings:
+            self.settings = settings
             self._planner = self._make_planner()
 
     async def run(self) -> None:
@@ -110,15 +110,15 @@
         return None if name is None else self._service.keeper.maps.find(name)
 
     def _make_planner(self) -> Planner:
-        rate = self._settings.store_bytes_per_second
+        rate = self.settings.store_bytes_per_second
         budget = TokenBucket(
             rate,
             rate * BURST_SECONDS,
             self._clock.monotonic(),
         )
         return Planner(
-            choose_variant(self._settings),
+            choose_variant(self.settings),
             self._section.shape,
-            self._settings,
+            self.settings,
             budget,
         )
--- a/src/ospreyford/agent/ranks.py
+++ b/src/ospreyford/agent/ranks.py
@@ -8,12 +8,15 @@
 from ospreyford.agent.placing import PlacementLoop
 from ospreyford.expertmap.engine import HttpEngine
 from ospreyford.expertmap.errors import Superseded
-from ospreyford.expertmap.service import RankService
+from ospreyford.expertmap.httpweights import HttpWeights
+from ospreyford.expertmap.leaves import WeightPace
+from ospreyford.expertmap.service import RankService, WeightPart
 from ospreyford.observability.events import GroupHalted
 from ospreyford.settings.types import split_address
 
 if TYPE_CHECKING:
     from ospreyford.agent.rankssettings import RankSection
+    from ospreyford.documents.capacity import PlacementWeights
     from ospreyford.ports.clock import Clock
     from ospreyford.ports.fleet import Host
     from ospreyford.ports.peers import PeerPort
@@ -34,11 +37,20 @@
         clock: Clock,
     ) -> None:
         address = split_address(section.engine)
+        self._pace = WeightPace(
+            expert_bytes=max(1, section.shape.expert_bytes),
+            bytes_per_second=section.placement.store_bytes_per_second,
+            slots=section.placement.slots_per_rank,
+        )
+        port = HttpWeights(address, section.agreement.slot)
         self.service = RankService(
             section.agreement,
             peers,
             clock,
             HttpEngine(address, section.agreement.slot),
+            weights=(
+                WeightPart(port, self._pace) if section.orders_weights else None
+            ),
         )
         self.placement = PlacementLoop(
             section,
@@ -62,6 +74,15 @@
                 self._addresses[slot] = host.peer_address
                 self.service.readdress(slot, host.peer_address)
 
+    def note_weights(self, published: PlacementWeights | None) -> None:
+        """Put the published weights in force.
+
+        :param published: the model's document, or ``None`` for none.
+        """
+        self.placement.note_weights(published)
+        settings = self.placement.settings
+        self._pace.bytes_per_second = settings.store_bytes_per_second
+
     def note_live(self, addresses: frozenset[str]) -> None:
         """Take over which peers are live.
 
--- a/src/ospreyford/agent/rankssettings.py
+++ b/src/ospreyford/agent/rankssettings.py
@@ -30,6 +30,8 @@
     :param shape: size of the group and of its model.
     :param placement: limits of the placement policy.
     :param report_seconds: interval of the engine's load readings.
+    :param orders_weights: whether the agent orders the engine's loads and
+        drops; ``false`` for engines that see to that when given a map.
     """
 
     agreement: RankSettings
@@ -38,6 +40,7 @@
     shape: GroupShape
     placement: PlacementSettings
     report_seconds: Positive = 10
+    orders_weights: bool = True
 
     def __post_init__(self) -> None:
         """Refuse members that do not match the addresses.
--- a/src/ospreyford/expertmap/calls.py
+++ b/src/ospreyford/expertmap/calls.py
@@ -73,10 +73,19 @@
         :raises Outbid: a member promised a higher ballot.
         :raises MemberLost: a member isn't in the generation.
         """
-        asked = sorted(slots)
-        body = encode(question)
+        return await self.ask_each(dict.fromkeys(slots, question))
+
+    async def ask_each(self, questions: Mapping[int, Question]) -> Answers:
+        """Ask each member its own question, at the same time.
+
+        :param questions: by slot.
+        :returns: the answers by slot; ``None`` for silence.
+        :raises Outbid: a member promised a higher ballot.
+        :raises MemberLost: a member isn't in the generation.
+        """
+        asked = sorted(questions)
         calls: list[Coroutine[Any, Any, Any]] = [
-            self._ask(slot, body) for slot in asked
+            self._ask(slot, encode(questions[slot])) for slot in asked
         ]
         encoded = await self._ports.tasks.gather(calls)
         answers = {
@@ -99,6 +108,13 @@
         if self.keeper.promised > self.ballot:
             raise Outbid(self.keeper.promised)
 
+    def read_monotonic(self) -> float:
+        """Read the clock that never goes back.
+
+        :returns: seconds since an arbitrary moment.
+        """
+        return self._ports.clock.monotonic()
+
     def read_wall(self) -> float:
         """Read the wall clock.
 
--- a/src/ospreyford/expertmap/coordinator.py
+++ b/src/ospreyford/expertmap/coordinator.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from ospreyford.expertmap.calls import Answers, MemberCalls
+    from ospreyford.expertmap.leaves import Allotment
     from ospreyford.expertmap.maps import MapName
     from ospreyford.expertmap.settings import RankSettings
 
@@ -29,12 +30,19 @@
 
     :param settings: the member's settings.
     :param calls: questions to the members, under a ballot never used before.
+    :param allotment: the group's share of the weight store, under the same.
     """
 
-    def __init__(self, settings: RankSettings, calls: MemberCalls) -> None:
+    def __init__(
+        self,
+        settings: RankSettings,
+        calls: MemberCalls,
+        allotment: Allotment | None = None,
+    ) -> None:
         self._settings = settings
         self._calls = calls
-        self._installer = MapInstaller(calls)
+        self._installer = MapInstaller(calls, allotment)
+        self._load_at = calls.read_monotonic()
 
     async def lead(self) -> None:
         """Take over, then hand out windows for as long as it is let.
@@ -54,7 +62,7 @@
             await self._choose(state, released, proposed)
             # Its release travels with the next window's proposal.
             granted, released = released, proposed
-            await self._wait_for_demand(granted)
+            await self._wait_for_demand(granted, released.map_name)
             proposed = await self._next_window(released)
 
     async def _prepare(self) -> list[Promise]:
@@ -104,15 +112,29 @@
             name = newest
         return self._window_after(released, name)
 
-    async def _wait_for_demand(self, granted: Window | None) -> None:
+    async def _wait_for_demand(
+        self, granted: Window | None, name: MapName
+    ) -> None:
         while granted is not None:
             status = await self._calls.keeper.read_status()
             if status is not None:
                 left = granted.last_step - status.step
                 if left < self._settings.lead_steps:
                     return
+            await self._load_ahead(name)
             await self._calls.pause(self._settings.poll_seconds)
 
+    async def _load_ahead(self, name: MapName) -> None:
+        # Weights take far longer than a window: leave to read them is given
+        # meanwhile, or the store's share would stand unused.
+        now = self._calls.read_monotonic()
+        if now < self._load_at:
+            return
+        self._load_at = now + self._settings.load_seconds
+        newest = self._installer.newest_after(name)
+        if newest is not None:
+            await self._installer.prepare(newest)
+
     async def _choose(
         self, state: Recovery, released: Window | None, proposed: Window
     ) -> None:
--- a/src/ospreyford/expertmap/engine.py
+++ b/src/ospreyford/expertmap/engine.py
@@ -2,28 +2,15 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
-from typing import TypeVar
-
-import msgspec
-
+from ospreyford.expertmap.enginecalls import EngineCalls
 from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.expertmap.orders import (
-    AnyOrder,
     GrantOrder,
     HaltOrder,
     InstallOrder,
-    OrderReply,
     StatusReply,
 )
 from ospreyford.expertmap.ports import EngineStatus, Grant, OrderOutcome
-from ospreyford.http.client import fetch
-from ospreyford.http.errors import HttpError
-from ospreyford.http.message import Request
-
-JSON_TYPE = (b'content-type', b'application/json')
-
-Decoded = TypeVar('Decoded')
 
 
 class HttpEngine:
@@ -37,9 +24,8 @@
     def __init__(
         self, address: tuple[str, int], rank: int, timeout: float = 1.0
     ) -> None:
-        self._address = address
+        self._calls = EngineCalls(address, timeout)
         self._rank = rank
-        self._timeout = timeout
 
     async def grant(self, order: Grant) -> OrderOutcome:
         """Let the engine run the steps of a window.
@@ -47,7 +33,7 @@
         :param order: range, map, generation and fencing number.
         :returns: what became of it.
         """
-        reply = await self._order(
+        reply = await self._calls.order(
             GrantOrder(
                 rank=self._rank,
                 fencing=order.fencing,
@@ -66,7 +52,7 @@
         :param fencing: number of this order.
         :returns: what became of it.
         """
-        reply = await self._order(
+        reply = await self._calls.order(
             HaltOrder(rank=self._rank, fencing=fencing, generation=generation)
         )
         return reply.outcome
@@ -78,7 +64,7 @@
         :param fencing: number of this order.
         :returns: whether it is loaded; ask again until it is.
         """
-        reply = await self._order(
+        reply = await self._calls.order(
             InstallOrder(
                 rank=self._rank, fencing=fencing, expert_map=expert_map
             )
@@ -90,29 +76,6 @@
 
         :returns: its status, or ``None`` if it can't be reached.
         """
-        request = Request('GET', f'/ranks/{self._rank}', ())
-        reply = await self._fetch(request, b'', StatusReply)
+        target = f'/ranks/{self._rank}'
+        reply = await self._calls.read(target, StatusReply)
         return None if reply is None else reply.to_status()
-
-    async def _order(self, order: AnyOrder) -> OrderReply:
-        request = Request('POST', '/orders', (JSON_TYPE,))
-        body = msgspec.json.encode(order)
-        reply = await self._fetch(request, body, OrderReply)
-        # An order without an answer may yet be applied.
-        return OrderReply(OrderOutcome.unknown) if reply is None else reply
-
-    async def _fetch(
-        self, request: Request, body: bytes, reply_type: type[Decoded]
-    ) -> Decoded | None:
-        try:
-            head, content = await fetch(
-                self._address, request, body, self._timeout
-            )
-        except HttpError:
-            return None
-        if head.status != HTTPStatus.OK:
-            return None
-        try:
-            return msgspec.json.decode(content, type=reply_type)
-        except msgspec.MsgspecError:
-            return None
--- a/src/ospreyford/expertmap/gate.py
+++ b/src/ospreyford/expertmap/gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from ospreyford.expertmap.errors import Superseded
@@ -16,10 +17,13 @@
 if TYPE_CHECKING:
     from ospreyford.expertmap.maps import ExpertMap, MapName
     from ospreyford.expertmap.windows import Window
+    from ospreyford.ports.weights import Experts
 
 #: An engine has a map in use and one that it changes to.
 LOADED_MAPS = 4
 
+WeightOrder = Callable[['Experts', int], Awaitable[OrderOutcome]]
+
 
 class EngineGate:
     """Orders to the engine, one at a time and numbered.
@@ -39,6 +43,7 @@
         self._fencing = 0
         self._loaded: list[MapName] = []
         self._pending: deque[tuple[int, Window]] = deque()
+        self._sent: list[Window] = []
 
     def has_loaded(self, name: MapName) -> bool:
         """Tell whether the engine holds a map.
@@ -52,6 +57,17 @@
         """Drop what was known of an engine that has been replaced."""
         self._loaded = []
         self._pending.clear()
+        self._sent = []
+
+    def list_windows(self, step: int) -> list[Window]:
+        """List the windows that the engine may run, or will be granted.
+
+        :param step: the last step that it ran.
+        :returns: those that aren't past, the present one included.
+        """
+        # A grant without an answer counts: the engine may have taken it.
+        self._sent = [one for one in self._sent if one.last_step >= step]
+        return [*self._sent, *(window for _, window in self._pending)]
 
     def enqueue(self, generation: int, window: Window) -> None:
         """Note a chosen window to grant.
@@ -98,7 +114,10 @@
             outcome = await self._engine.halt(generation, self._next_fencing())
         finally:
             self._busy = False
-        return self._judge(outcome)
+        if self._judge(outcome):
+            self._sent = []
+            return True
+        return False
 
     async def install_map(self, name: MapName, expert_map: ExpertMap) -> bool:
         """Have the engine load a map.
@@ -125,6 +144,30 @@
             self._loaded = self._loaded[-LOADED_MAPS:]
         return name in self._loaded
 
+    async def order_weights(
+        self, order: WeightOrder, experts: Experts
+    ) -> OrderOutcome:
+        """Have the engine load or free experts.
+
+        :param order: the engine's load or drop.
+        :param experts: which.
+        :returns: what became of it; ``unknown`` also if it was not sent,
+            because another order is under way.
+        :raises Superseded: another process orders this engine.
+        """
+        if self._busy:
+            return OrderOutcome.unknown
+        self._busy = True
+        try:
+            outcome = await order(experts, self._next_fencing())
+        finally:
+            self._busy = False
+        self._judge(outcome)
+        # A grant that came meanwhile would otherwise wait for the next
+        # window's, and the group with it.
+        await self.drive()
+        return outcome
+
     async def drive(self) -> None:
         """Send the grants that wait, in order.
 
@@ -149,6 +192,8 @@
                 window.first_step,
                 window.last_step,
             )
+            if window not in self._sent:
+                self._sent.append(window)
             if not self._judge(await self._engine.grant(order)):
                 return
             if self._pending and self._pending[0] is entry:
--- /dev/null
+++ b/src/ospreyford/expertmap/httpweights.py
@@ -0,0 +1,60 @@
+"""Adapter of ``WeightPort`` over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.expertmap.enginecalls import EngineCalls
+from ospreyford.expertmap.orders import DropOrder, LoadOrder, WeightsReply
+
+if TYPE_CHECKING:
+    from ospreyford.expertmap.ports import OrderOutcome
+    from ospreyford.ports.weights import Experts, Inventory
+
+
+class HttpWeights:
+    """The weights of one rank's engine.
+
+    :param address: the engine's IP number and port.
+    :param rank: the rank.
+    :param timeout: seconds for one order.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], rank: int, timeout: float = 1.0
+    ) -> None:
+        self._calls = EngineCalls(address, timeout)
+        self._rank = rank
+
+    async def load(self, experts: Experts, fencing: int) -> OrderOutcome:
+        """Have the engine begin to read experts.
+
+        :param experts: what to read.
+        :param fencing: number of this order.
+        :returns: what became of the order.
+        """
+        order = LoadOrder(
+            rank=self._rank, fencing=fencing, experts=tuple(sorted(experts))
+        )
+        return (await self._calls.order(order)).outcome
+
+    async def drop(self, experts: Experts, fencing: int) -> OrderOutcome:
+        """Have the engine free the memory of experts.
+
+        :param experts: what to free.
+        :param fencing: number of this order.
+        :returns: what became of the order.
+        """
+        order = DropOrder(
+            rank=self._rank, fencing=fencing, experts=tuple(sorted(experts))
+        )
+        return (await self._calls.order(order)).outcome
+
+    async def read_weights(self) -> Inventory | None:
+        """Read what the engine holds.
+
+        :returns: its inventory, or ``None`` if it can't be had.
+        """
+        target = f'/ranks/{self._rank}/weights'
+        reply = await self._calls.read(target, WeightsReply)
+        return None if reply is None else reply.to_inventory()
--- a/src/ospreyford/expertmap/installer.py
+++ b/src/ospreyford/expertmap/installer.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
-from ospreyford.expertmap.calls import MemberCalls
+from ospreyford.expertmap.calls import Answers, MemberCalls
 from ospreyford.expertmap.errors import MapMissing
+from ospreyford.expertmap.leaves import Allotment
 from ospreyford.expertmap.maps import ExpertMap, MapName
 from ospreyford.expertmap.messages import (
     Fetch,
@@ -20,10 +21,16 @@
     """Spreads maps and knows who holds which.
 
     :param calls: questions to the members.
+    :param allotment: the group's share of the weight store; ``None`` where
+        engines see to their weights themselves.
     """
 
-    def __init__(self, calls: MemberCalls) -> None:
+    def __init__(
+        self, calls: MemberCalls, allotment: Allotment | None = None
+    ) -> None:
         self._calls = calls
+        self._allotment = allotment
+        self._unready: tuple[MapName | None, set[int]] = (None, set())
         self._holders: dict[MapName, int] = {}
 
     def learn(self, promises: Sequence[Promise]) -> None:
@@ -31,6 +38,8 @@
 
         :param promises: the members' promises, by slot.
         """
+        if self._allotment is not None:
+            self._allotment.learn([each.incarnation for each in promises])
         for slot, promise in enumerate(promises):
             self.note(slot, promise.newest)
             if promise.vote is not None:
@@ -59,29 +68,65 @@
         }
         return newest if newest > name else None
 
-    async def install(self, name: MapName) -> bool:
+    async def prepare(self, name: MapName) -> None:
+        """Have the engines that still lack weights go on loading a map.
+
+        :param name: the map.
+        :raises MapMissing: no member holds it any more.
+        """
+        if self._allotment is None:
+            return
+        known, slots = self._unready
+        await self.install(name, slots if known == name else None)
+
+    async def install(
+        self, name: MapName, only: Iterable[int] | None = None
+    ) -> bool:
         """Have every engine load a map.
 
         :param name: the map.
-        :returns: whether all have; if not, ask again.
+        :param only: the members to ask; all if absent.
+        :returns: whether all those asked have; if not, ask again.
         :raises MapMissing: no member holds it any more.
         """
         body = self._calls.keeper.maps.find(name) or await self._fetch(name)
         if body is None:
             return False
         # A map is far larger than its name: only those who lack it get it.
-        answers = await self._calls.ask(Install(name), self._calls.slots())
+        slots = self._calls.slots() if only is None else only
+        answers = await self._ask(name, None, slots)
         lacking = [
             slot
             for slot, answer in answers.items()
             if isinstance(answer, Installed) and not answer.held
         ]
         if lacking:
-            answers.update(await self._calls.ask(Install(name, body), lacking))
-        return all(
-            isinstance(answer, Installed) and answer.loaded
-            for answer in answers.values()
+            answers.update(await self._ask(name, body, lacking))
+        unready = {
+            slot
+            for slot, answer in answers.items()
+            if not (isinstance(answer, Installed) and answer.loaded)
+        }
+        self._unready = (name, unready)
+        return not unready
+
+    async def _ask(
+        self, name: MapName, body: ExpertMap | None, slots: Iterable[int]
+    ) -> Answers:
+        allotment = self._allotment
+        if allotment is None:
+            return await self._calls.ask(Install(name, body), slots)
+        allotment.allot(self._calls.read_monotonic())
+        answers = await self._calls.ask_each(
+            {
+                slot: Install(name, body, allotment.make_leave(slot))
+                for slot in slots
+            }
         )
+        for slot, answer in answers.items():
+            if isinstance(answer, Installed):
+                allotment.note(slot, answer.wants)
+        return answers
 
     async def _fetch(self, name: MapName) -> ExpertMap | None:
         holder = self._holders.get(name)
--- a/src/ospreyford/expertmap/keeper.py
+++ b/src/ospreyford/expertmap/keeper.py
@@ -23,11 +23,13 @@
     decode_question,
     encode,
 )
+from ospreyford.expertmap.readiness import Readiness
 from ospreyford.expertmap.windows import NO_BALLOT, Ballot, Vote, Window
 
 if TYPE_CHECKING:
     from ospreyford.expertmap.gate import EngineGate
     from ospreyford.expertmap.ports import EngineStatus
+    from ospreyford.expertmap.weights import MemberWeights, Needed
     from ospreyford.ports.clock import Clock
 
 
@@ -41,6 +43,7 @@
     :param gate: the way to the engine.
     :param clock: source of time.
     :param draw_incarnation: gives a number never given before.
+    :param weights: loads and drops of the engine's weights, if ordered here.
     """
 
     def __init__(
@@ -49,11 +52,13 @@
         gate: EngineGate,
         clock: Clock,
         draw_incarnation: Callable[[], int],
+        weights: MemberWeights | None = None,
     ) -> None:
         self.slot = slot
         self.incarnation = draw_incarnation()
         self.gate = gate
         self.maps = MapShelf()
+        self.readiness = Readiness(gate, self.maps, weights)
         self.promised = NO_BALLOT
         self.released: Window | None = None
         self.heard_at = clock.monotonic()
@@ -98,6 +103,20 @@
         except Superseded:
             self.superseded = True
 
+    async def tend_weights(self) -> bool:
+        """Have the engine load what is due and free what has become spare.
+
+        :returns: whether there is more to do.
+        """
+        weights = self.readiness.weights
+        if weights is None or self.superseded:
+            return False
+        try:
+            return await weights.tend(lambda: self._instance, self._find_needed)
+        except Superseded:
+            self.superseded = True
+            return False
+
     async def answer(self, body: bytes) -> bytes | None:
         """Answer a question of a coordinator.
 
@@ -122,7 +141,9 @@
             case Extend():
                 return await self._extend(question)
             case Install():
-                return await self._install(question)
+                return await self.readiness.install(
+                    question, self.promised, self.incarnation
+                )
             case Fetch():
                 return Fetched(self.maps.find(question.name))
 
@@ -172,7 +193,7 @@
             if not self._may_join(question):
                 return Refused(self.promised)
         name = question.proposed.map_name
-        if not self.gate.has_loaded(name):
+        if not self.readiness.is_ready(name):
             held = self.maps.find(name) is not None
             return Installed(held=held, loaded=False)
         return None
@@ -210,15 +231,10 @@
         self._floor = max(self._floor, question.proposed.last_step)
         self.heard_at = self._clock.monotonic()
 
-    async def _install(self, question: Install) -> Answer:
-        name = question.name
-        if question.body is not None and question.body.name() == name:
-            self.maps.put(question.body)
-        expert_map = self.maps.find(name)
-        if expert_map is None:
-            return Installed(held=False, loaded=False)
-        loaded = await self.gate.install_map(name, expert_map)
-        return Installed(held=True, loaded=loaded)
+    def _find_needed(self, step: int) -> Needed:
+        voted = None if self._vote is None else self._vote.window.map_name
+        released = None if self.released is None else self.released.map_name
+        return self.readiness.find_needed(step, (voted, released))
 
     def _forget(self, status: EngineStatus) -> None:
         self.incarnation = self._draw_incarnation()
@@ -226,4 +242,4 @@
         self.released = None
         self._vote = None
         self._floor = max(self._floor, status.granted_step)
-        self.gate.forget()
+        self.readiness.forget()
--- a/src/ospreyford/expertmap/messages.py
+++ b/src/ospreyford/expertmap/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ospreyford.expertmap.leaves import Leave
 from ospreyford.expertmap.maps import ExpertMap, MapName
 from ospreyford.expertmap.windows import Ballot, Vote, Window
 
@@ -79,17 +80,26 @@
 
 
 class Install(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """Ask a member to have its engine load a map; ``body`` if it lacks it."""
+    """Ask a member to have its engine load a map; ``body`` if it lacks it.
+
+    ``leave`` tells how much may be read from the weight store for it; absent
+    where engines see to their weights themselves.
+    """
 
     name: MapName
     body: ExpertMap | None = None
+    leave: Leave | None = None
 
 
 class Installed(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """How far a member is with a map."""
+    """How far a member is with a map.
+
+    ``wants`` counts the experts that it needs leave for.
+    """
 
     held: bool
     loaded: bool
+    wants: int = 0
 
 
 class Fetch(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/src/ospreyford/expertmap/orders.py
+++ b/src/ospreyford/expertmap/orders.py
@@ -6,6 +6,7 @@
 
 from ospreyford.expertmap.maps import ExpertMap, MapName
 from ospreyford.expertmap.ports import EngineStatus, OrderOutcome
+from ospreyford.ports.weights import Expert, Inventory
 
 
 class GrantOrder(msgspec.Struct, frozen=True, kw_only=True, tag='grant'):
@@ -44,7 +45,23 @@
     expert_map: ExpertMap
 
 
-AnyOrder = GrantOrder | HaltOrder | InstallOrder
+class LoadOrder(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
+    """Begin to read the weights of experts from the weight store."""
+
+    rank: int
+    fencing: int
+    experts: tuple[Expert, ...]
+
+
+class DropOrder(msgspec.Struct, frozen=True, kw_only=True, tag='drop'):
+    """Free the memory of experts."""
+
+    rank: int
+    fencing: int
+    experts: tuple[Expert, ...]
+
+
+AnyOrder = GrantOrder | HaltOrder | InstallOrder | LoadOrder | DropOrder
 
 
 class OrderReply(msgspec.Struct, frozen=True):
@@ -74,3 +91,32 @@
         return EngineStatus(
             self.instance, self.step, self.granted_step, self.fencing
         )
+
+
+class WeightsReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``GET /ranks/{rank}/weights``; see :class:`Inventory`."""
+
+    instance: str
+    step: int
+    held: tuple[Expert, ...]
+    loading: tuple[Expert, ...]
+    refused: int
+    failed: int
+    retry_after: float
+    read_bytes: int
+
+    def to_inventory(self) -> Inventory:
+        """Convert to the port's type.
+
+        :returns: the inventory.
+        """
+        return Inventory(
+            instance=self.instance,
+            step=self.step,
+            held=frozenset(self.held),
+            loading=frozenset(self.loading),
+            refused=self.refused,
+            failed=self.failed,
+            retry_after=self.retry_after,
+            read_bytes=self.read_bytes,
+        )
--- a/src/ospreyford/expertmap/service.py
+++ b/src/ospreyford/expertmap/service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import uuid_utils
 
@@ -17,7 +17,9 @@
 )
 from ospreyford.expertmap.gate import EngineGate
 from ospreyford.expertmap.keeper import RankKeeper
+from ospreyford.expertmap.leaves import Allotment, WeightPace
 from ospreyford.expertmap.tasks import CurioTasks
+from ospreyford.expertmap.weights import MemberWeights
 from ospreyford.expertmap.windows import NO_BALLOT, Ballot
 
 if TYPE_CHECKING:
@@ -26,10 +28,20 @@
     from ospreyford.expertmap.settings import RankSettings
     from ospreyford.ports.clock import Clock
     from ospreyford.ports.peers import PeerPort
+    from ospreyford.ports.weights import WeightPort
 
 UUID_BITS = 128
 INCARNATION_BITS = 63
 MOST_FAILURES = 2
+#: How often an engine's weights are looked at while nothing is to be done.
+IDLE_SECONDS = 2.0
+
+
+class WeightPart(NamedTuple):
+    """The weights of the engine of this host's ranks, and their store."""
+
+    port: WeightPort
+    pace: WeightPace
 
 
 def draw_incarnation() -> int:
@@ -49,6 +61,8 @@
     :param engine: the engine of this host's ranks.
     :param tasks: runs calls at the same time.
     :param incarnations: gives a number never given before.
+    :param weights: the engine's memory; ``None`` for an engine that loads
+        the weights itself when it is given a map.
     """
 
     def __init__(
@@ -59,9 +73,18 @@
         engine: EnginePort,
         tasks: TaskPort | None = None,
         incarnations: Callable[[], int] = draw_incarnation,
+        weights: WeightPart | None = None,
     ) -> None:
+        gate = EngineGate(engine)
+        self.weights: MemberWeights | None = None
+        self._pace: WeightPace | None = None
+        if weights is not None:
+            self._pace = weights.pace
+            self.weights = MemberWeights(
+                settings.slot, weights.pace, weights.port, gate, clock
+            )
         self.keeper = RankKeeper(
-            settings.slot, EngineGate(engine), clock, incarnations
+            settings.slot, gate, clock, incarnations, self.weights
         )
         self._settings = settings
         self._ports = CoordinatorPorts(peers, clock, tasks or CurioTasks())
@@ -109,6 +132,19 @@
             if await self._should_lead():
                 await self._lead()
 
+    async def run_weights(self) -> None:
+        """Have the engine load and free weights, for as long as this runs."""
+        if self.weights is None:
+            return
+        clock = self._ports.clock
+        tended_at = clock.monotonic()
+        while not self.keeper.superseded:
+            idle = clock.monotonic() - tended_at
+            if self.weights.is_due() or idle > IDLE_SECONDS:
+                tended_at = clock.monotonic()
+                await self.keeper.tend_weights()
+            await clock.sleep(self._settings.poll_seconds)
+
     async def _should_lead(self) -> bool:
         if not await self._wants_steps():
             self._waiting_since = None
@@ -149,16 +185,21 @@
         return self._addresses[self._settings.slot] == mine
 
     async def _lead(self) -> None:
+        ballot = self._next_ballot()
         calls = MemberCalls(
             self._settings,
             self._addresses,
             self.keeper,
             self._ports,
-            self._next_ballot(),
+            ballot,
         )
+        allotment = None
+        if self._pace is not None:
+            now = self._ports.clock.monotonic()
+            allotment = Allotment(self._pace, ballot, now)
         self._patient = True
         try:
-            await Coordinator(self._settings, calls).lead()
+            await Coordinator(self._settings, calls, allotment).lead()
         except Outbid as outbid:
             self._highest = max(self._highest, outbid.promised.number)
             self._failures = 0
--- a/src/ospreyford/expertmap/settings.py
+++ b/src/ospreyford/expertmap/settings.py
@@ -21,6 +21,8 @@
     :param ask_seconds: timeout of one question.
     :param poll_seconds: how often the engine's progress is read.
     :param install_seconds: how often an engine that loads a map is asked.
+    :param load_seconds: how often members that load weights are given leave
+        to read more; below the seconds that their leave may be saved up.
     :param takeover_seconds: silence after which a member may coordinate;
         slots follow one another over as long again, the lowest first.
     """
@@ -33,6 +35,7 @@
     ask_seconds: float = 0.25
     poll_seconds: float = 0.2
     install_seconds: float = 0.5
+    load_seconds: float = 2
     takeover_seconds: float = 0.6
 
     def topic(self) -> str:
--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -96,7 +96,7 @@
 ranks = {ranks}
 layers = 2
 experts = 6
-expert_bytes = 1000
+expert_bytes = {expert_bytes}
 
 [ranks.placement]
 slots_per_rank = 4
@@ -112,6 +112,10 @@
 kind = "{kind}"
 """
 
+EXPERT_BYTES = 1000
+#: Bytes a second of the weight store.
+STORE_RATE = 20_000
+
 _numbers = count()
 
 
@@ -170,22 +174,35 @@
             str(documents),
         )
         self.ranks: Launched | None = None
+        self.weights: Launched | None = None
         self.host_list = launcher.start(
             'ospreyford.standins.hostlist',
             '--hosts',
             str(table),
         )
 
-    def start_ranks(self, ignoring: int = -1) -> None:
+    def start_ranks(
+        self, ignoring: int = -1, store_rate: float = STORE_RATE
+    ) -> None:
         """Have the model replicas' ranks form one lock-step group.
 
         :param ignoring: the rank whose engine ignores fencing numbers.
+        :param store_rate: the weight store's limit, in bytes a second.
         """
         size = sum(
             self._kinds.get(host.service) == MODEL for host in self.hosts
         )
+        self.weights = self._launcher.start(
+            'ospreyford.standins.weightstore',
+            '--expert-bytes',
+            EXPERT_BYTES,
+            '--bytes-per-second',
+            store_rate,
+        )
         self.ranks = self._launcher.start(
             'ospreyford.standins.rankgroup',
+            '--weights-port',
+            self.weights.port,
             '--ranks',
             size,
             '--ignoring',
@@ -308,6 +325,7 @@
             addresses=addresses,
             members=', '.join('"{0}"'.format(each.name) for each in group),
             ranks=len(group),
+            expert_bytes=EXPERT_BYTES,
         )
 
 
--- a/src/ospreyford/standins/rankengine.py
+++ b/src/ospreyford/standins/rankengine.py
@@ -1,11 +1,15 @@
-"""What one rank's engine may do: its grants, maps and fencing number."""
+"""What one rank's engine may do: grants, maps, weights, fencing number."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ospreyford.expertmap.maps import ExpertMap, MapName
 from ospreyford.expertmap.ports import EngineStatus, Grant, OrderOutcome
+from ospreyford.expertmap.weights import find_experts
+from ospreyford.ports.weights import Expert, Experts, Inventory
+from ospreyford.standins.rankmemory import RankMemory
 
 
 @dataclass
@@ -13,7 +17,8 @@
     """Takes orders; knows which steps it may run and with which map.
 
     ``loading_orders`` is how many install orders a map takes to be loaded.
-    An engine that doesn't honour fencing numbers takes every order.
+    An engine that doesn't honour fencing numbers takes every order. It steps
+    without the weights that it lacks, so that a referee can see it.
     """
 
     instance: str
@@ -24,6 +29,8 @@
     fencing: int = 0
     grants: list[Grant] = field(default_factory=list)
     installs: dict[MapName, int] = field(default_factory=dict)
+    maps: dict[MapName, ExpertMap] = field(default_factory=dict)
+    memory: RankMemory = field(default_factory=RankMemory)
 
     def grant(self, order: Grant) -> OrderOutcome:
         """Take a grant.
@@ -63,9 +70,60 @@
         if not self._admit(fencing):
             return False
         name = expert_map.name()
+        self.maps[name] = expert_map
         self.installs[name] = self.installs.get(name, 0) + 1
         return self._has_loaded(name)
 
+    def load(self, experts: Iterable[Expert], fencing: int) -> OrderOutcome:
+        """Begin to read experts.
+
+        :param experts: which.
+        :param fencing: number of the order.
+        :returns: what became of it.
+        """
+        if not self._admit(fencing):
+            return OrderOutcome.refused
+        self.memory.enqueue(experts)
+        return OrderOutcome.applied
+
+    def drop(self, experts: Iterable[Expert], fencing: int) -> OrderOutcome:
+        """Free experts.
+
+        :param experts: which.
+        :param fencing: number of the order.
+        :returns: what became of it.
+        """
+        if not self._admit(fencing):
+            return OrderOutcome.refused
+        self.memory.drop(experts)
+        return OrderOutcome.applied
+
+    def read_weights(self) -> Inventory:
+        """Tell what is held.
+
+        :returns: the inventory.
+        """
+        memory = self.memory
+        return Inventory(
+            instance=self.instance,
+            step=self.step,
+            held=frozenset(memory.held),
+            loading=frozenset(memory.queue),
+            refused=memory.refused,
+            failed=memory.failed,
+            retry_after=memory.retry_after,
+            read_bytes=memory.read_bytes,
+        )
+
+    def find_lacks(self, name: MapName, rank: int) -> Experts:
+        """Tell what a step on a map would miss.
+
+        :param name: the map.
+        :param rank: this engine's rank.
+        :returns: the experts that the map has here and that aren't held.
+        """
+        return find_experts(self.maps[name], rank) - self.memory.held
+
     def read_status(self) -> EngineStatus:
         """Tell the engine's progress.
 
