--- a/src/ospreyford/agent/placing.py
+++ b/src/ospreyford/agent/placing.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ospreyford.placement.budget import TokenBucket
 from ospreyford.placement.explanation import PlanExplanation, explain_plan
 from ospreyford.placement.map import spread_experts
@@ -16,7 +18,7 @@
     from ospreyford.agent.expertloads import LoadSource
     from ospreyford.agent.rankssettings import RankSection
     from ospreyford.documents.capacity import PlacementWeights
-    from ospreyford.expertmap.maps import ExpertMap
+    from ospreyford.expertmap.maps import ExpertMap, MapName
     from ospreyford.expertmap.service import RankService
     from ospreyford.placement.loads import ExpertLoads
     from ospreyford.placement.outcomes import Outcome
@@ -54,6 +56,8 @@
         self._clock = clock
         self.settings = section.placement
         self._planner = self._make_planner()
+        self._awaited: MapName | None = None
+        self._awaited_since: float = 0
 
     def note_weights(self, published: PlacementWeights | None) -> None:
         """Put the published weights in force.
@@ -80,13 +84,15 @@
         if current is None:
             self._service.propose(spread_experts(self._section.shape))
             return
+        if self._is_under_way(current):
+            return
         report = await self._source.read()
         now = self._clock.monotonic()
         planner = self._planner
         outcome = await self._plan(planner, report, current, now)
         self.last = explain_plan(planner, outcome, current)
         if isinstance(outcome, Plan):
-            self._service.propose(outcome.target)
+            self._propose(outcome.target)
 
     async def _plan(
         self,
@@ -105,6 +111,29 @@
             # Between two layers the agent's heartbeats and answers go on.
             await self._clock.sleep(0)
 
+    def _is_under_way(self, current: ExpertMap) -> bool:
+        # Weights are loaded for a plan for minutes, while the policy goes on
+        # judging. A new plan each time would throw away what was read for
+        # the last one, and none would ever come into force.
+        newest = self._service.keeper.maps.newest()
+        if newest is None or newest <= current.name():
+            self._awaited = None
+            return False
+        now = self._clock.monotonic()
+        if newest != self._awaited:
+            self._awaited = newest
+            self._awaited_since = now
+        return now - self._awaited_since < self._section.patience_seconds
+
+    def _propose(self, target: ExpertMap) -> None:
+        # Above the plan that it replaces, or the group would keep to that.
+        newest = self._service.keeper.maps.newest()
+        if newest is not None and newest.revision >= target.revision:
+            target = msgspec.structs.replace(
+                target, revision=newest.revision + 1
+            )
+        self._service.propose(target)
+
     def _find_current(self) -> ExpertMap | None:
         name = self._service.current
         return None if name is None else self._service.keeper.maps.find(name)
--- a/src/ospreyford/agent/rankssettings.py
+++ b/src/ospreyford/agent/rankssettings.py
@@ -30,6 +30,8 @@
     :param shape: size of the group and of its model.
     :param placement: limits of the placement policy.
     :param report_seconds: interval of the engine's load readings.
+    :param patience_seconds: a plan that is not in force after so long may be
+        replaced by another; until then its loads go on undisturbed.
     :param orders_weights: whether the agent orders the engine's loads and
         drops; ``false`` for engines that see to that when given a map.
     """
@@ -40,6 +42,7 @@
     shape: GroupShape
     placement: PlacementSettings
     report_seconds: Positive = 10
+    patience_seconds: Positive = 600
     orders_weights: bool = True
 
     def __post_init__(self) -> None:
--- a/tests/agent/test_parts.py
+++ b/tests/agent/test_parts.py
@@ -12,6 +12,7 @@
 from ospreyford.agent.placing import PlacementLoop
 from ospreyford.agent.ranks import RankPart
 from ospreyford.agent.rankssettings import RankSection
+from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.expertmap.settings import RankSettings
 from ospreyford.placement.map import spread_experts
 from ospreyford.ports.fleet import Host, HostState
@@ -103,6 +104,10 @@
         self.keeper = self
         self.maps = self
         self.find = {first.revision: first}.get
+        self.pending: Any = None
+
+    def newest(self) -> Any:
+        return self.pending
 
     def propose(self, target: Any) -> None:
         self.proposed.append(target)
@@ -149,6 +154,30 @@
     assert min(len(group.proposed), 1) == proposals
 
 
+@pytest.mark.parametrize(
+    ('waited', 'revisions'), [(0, []), (599, []), (601, [8])]
+)
+def test_plan_under_way_is_left_alone(
+    waited: float, revisions: list[int]
+) -> None:
+    """Symptom: no plan ever comes into force while demand moves.
+
+    Sequence: weights are loaded for a plan; the policy judges the next
+    report before they are there. Cause: each plan replaces the one before.
+    """
+    group: Any = Group()
+    group.pending = ExpertMap(revision=7, layers=()).name()
+    clock = FakeClock(REPORTED - waited)
+    loop = PlacementLoop(make_section(0), group, Loads(GOOD), clock)
+    for moment in (waited, 0):
+        stepper = Stepper()
+        task = stepper.spawn('judge', loop.judge_once())
+        while not task.done:
+            stepper.resume(task)
+        clock.advance(moment)
+    assert [each.revision for each in group.proposed] == revisions
+
+
 @pytest.mark.parametrize(
     'body', [b'', b'[]', b'{"queued":"\xff"}', b'{"x":%b' % (b'[' * 100_000)]
 )
--- a/tests/agent_ranks/test_ranks.py
+++ b/tests/agent_ranks/test_ranks.py
@@ -53,7 +53,8 @@
         maps: defaultdict[int, dict[int, int]] = defaultdict(dict)
         for entry in curio.run(read_journal(self._port)):
             note: dict[str, Any] = entry.note
-            maps[note['step']][note['rank']] = note['digest']
+            if entry.event == 'step':
+                maps[note['step']][note['rank']] = note['digest']
         return maps
 
     def await_change(self) -> None:
