Keep a coordinator that loads weights from being outbid

Cause: a coordinator that has weights loaded proposes nothing for as long as that takes; members took it for silent after 0.2 to 0.6 s and outbid one another, each with an empty share of the store. Change: an Install with leave counts as heard, and says whether the group stands.

--- a/src/ospreyford/expertmap/coordinator.py
+++ b/src/ospreyford/expertmap/coordinator.py
@@ -23,6 +23,8 @@
     from ospreyford.expertmap.settings import RankSettings
 
 MICROSECONDS = 1_000_000
+#: Asks at short intervals while a map is installed in a group that stands.
+QUICK_TRIES = 6
 
 
 class Coordinator:
@@ -166,8 +168,17 @@
         return accepted
 
     async def _install(self, name: MapName) -> None:
+        self._installer.tell_forming(forming=True)
+        tries = 0
         while not await self._installer.install(name):
-            await self._calls.pause(self._settings.install_seconds)
+            tries += 1
+            # Asking all members often is a cost that a long load can't bear.
+            await self._calls.pause(
+                self._settings.install_seconds
+                if tries < QUICK_TRIES
+                else self._settings.load_seconds
+            )
+        self._installer.tell_forming(forming=False)
 
 
 def _lacks_map(answers: Answers) -> bool:
--- a/src/ospreyford/expertmap/installer.py
+++ b/src/ospreyford/expertmap/installer.py
@@ -45,6 +45,14 @@
             if promise.vote is not None:
                 self.note(slot, promise.vote.window.map_name)
 
+    def tell_forming(self, forming: bool) -> None:
+        """Note whether the group stands until the next map is loaded.
+
+        :param forming: whether it does.
+        """
+        if self._allotment is not None:
+            self._allotment.forming = forming
+
     def note(self, slot: int, name: MapName | None) -> None:
         """Note that a member holds a map.
 
--- a/src/ospreyford/expertmap/keeper.py
+++ b/src/ospreyford/expertmap/keeper.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from ospreyford.expertmap.gate import EngineGate
+    from ospreyford.expertmap.leaves import Leave
     from ospreyford.expertmap.ports import EngineStatus
     from ospreyford.expertmap.weights import MemberWeights, Needed
     from ospreyford.ports.clock import Clock
@@ -63,6 +64,7 @@
         self.released: Window | None = None
         self.heard_at = clock.monotonic()
         self.superseded = False
+        self.forming = False
         self.generation = NO_BALLOT
         self._vote: Vote | None = None
         self._floor = 0
@@ -141,6 +143,7 @@
             case Extend():
                 return await self._extend(question)
             case Install():
+                self._note_leave(question.leave)
                 return await self.readiness.install(
                     question, self.promised, self.incarnation
                 )
@@ -151,6 +154,7 @@
         if ballot < self.promised:
             return Refused(self.promised)
         self.promised = ballot
+        self.forming = False
         # The others give a new coordinator the time to finish, or as many
         # members as the group has would outbid one another.
         self.heard_at = self._clock.monotonic()
@@ -227,10 +231,19 @@
             self.gate.enqueue(self.generation.number, chosen)
             self.maps.drop_before(chosen.map_name)
         self.promised = question.ballot
+        self.forming = False
         self._vote = Vote(ballot=question.ballot, window=question.proposed)
         self._floor = max(self._floor, question.proposed.last_step)
         self.heard_at = self._clock.monotonic()
 
+    def _note_leave(self, leave: Leave | None) -> None:
+        # Weights take minutes, and nothing is proposed meanwhile. Members
+        # that took this for silence would outbid one another for ever, and
+        # each new coordinator starts with an empty share of the store.
+        if leave is not None and leave.ballot == self.promised:
+            self.heard_at = self._clock.monotonic()
+            self.forming = leave.forming
+
     def _find_needed(self, step: int) -> Needed:
         voted = None if self._vote is None else self._vote.window.map_name
         released = None if self.released is None else self.released.map_name
--- a/src/ospreyford/expertmap/leaves.py
+++ b/src/ospreyford/expertmap/leaves.py
@@ -33,12 +33,14 @@
         what its earlier one spent.
     :param serial: rises with each question of this ballot.
     :param allowed: bytes that may be read under this ballot, all together.
+    :param forming: whether the group stands until the weights are there.
     """
 
     ballot: Ballot
     incarnation: int
     serial: int
     allowed: int
+    forming: bool = False
 
 
 @dataclass
@@ -107,6 +109,7 @@
     """
 
     def __init__(self, pace: WeightPace, ballot: Ballot, now: float) -> None:
+        self.forming = False
         self._pace = pace
         self._ballot = ballot
         self._rate = pace.bytes_per_second
@@ -158,6 +161,7 @@
             incarnation=self._incarnations[slot],
             serial=self._serial,
             allowed=self._allowed[slot],
+            forming=self.forming,
         )
 
     def _make_bucket(self, now: float) -> TokenBucket:
--- a/src/ospreyford/expertmap/service.py
+++ b/src/ospreyford/expertmap/service.py
@@ -33,6 +33,8 @@
 UUID_BITS = 128
 INCARNATION_BITS = 63
 MOST_FAILURES = 2
+#: Asks of a coordinator that loads weights, after which it counts as silent.
+LOADS_MISSED = 2
 #: How often an engine's weights are looked at while nothing is to be done.
 IDLE_SECONDS = 2.0
 
@@ -176,6 +178,8 @@
         base = settings.takeover_seconds
         if self.keeper.generation == NO_BALLOT:
             base = settings.poll_seconds
+        if self.keeper.forming:
+            base = settings.load_seconds * LOADS_MISSED
         return base * (1 << self._failures) + share * settings.takeover_seconds
 
     def _holds_slot(self) -> bool:
