--- a/tests/expertmap/engines.py
+++ b/tests/expertmap/engines.py
@@ -6,6 +6,7 @@
 
 from ospreyford.expertmap.maps import MapName
 from ospreyford.expertmap.ports import Grant
+from ospreyford.ports.weights import Experts
 from ospreyford.standins.rankengine import RankEngine
 
 
@@ -13,6 +14,10 @@
     """The promise is broken: two ranks used different maps in a step."""
 
 
+class WeightsLacking(AssertionError):
+    """A rank stepped on a map without the weights that the map needs."""
+
+
 class OldGenerationRan(AssertionError):
     """A survivor ran a step of a generation after a later one had begun."""
 
@@ -30,11 +35,16 @@
     one_process_a_slot: bool = True
     maps: dict[int, MapName] = field(default_factory=dict)
     generation: int = 0
+    judges_weights: bool = False
 
     def note(self, step: int, name: MapName) -> None:
         if self.maps.setdefault(step, name) != name:
             raise TwoMapsInOneStep(step, self.maps[step], name)
 
+    def note_lacks(self, step: int, lacks: Experts) -> None:
+        if self.judges_weights and lacks:
+            raise WeightsLacking(step, lacks)
+
     def note_generation(self, honours: bool, grant: Grant) -> None:
         if not (honours and self.one_process_a_slot):
             return
@@ -50,9 +60,12 @@
     here each engine goes as far as it may, so that a wrong one shows.
     """
 
-    def __init__(self, referee: Referee, instance: str, honours: bool) -> None:
+    def __init__(
+        self, referee: Referee, instance: str, honours: bool, rank: int = 0
+    ) -> None:
         super().__init__(instance, honours, loading_orders=2)
         self.referee = referee
+        self.rank = rank
 
     def run_step(self) -> bool:
         """Run the next step that a grant covers."""
@@ -62,5 +75,7 @@
             return False
         self.step = step
         self.referee.note(step, grant.map_name)
+        lacks = self.find_lacks(grant.map_name, self.rank)
+        self.referee.note_lacks(step, lacks)
         self.referee.note_generation(self.honours, grant)
         return True
--- a/tests/expertmap/group.py
+++ b/tests/expertmap/group.py
@@ -10,13 +10,19 @@
 from ospreyford.expertmap.errors import Superseded
 from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.expertmap.ports import EngineStatus, Grant, OrderOutcome
-from ospreyford.expertmap.service import RankService
+from ospreyford.expertmap.leaves import WeightPace
+from ospreyford.expertmap.service import RankService, WeightPart
 from ospreyford.expertmap.settings import RankSettings
 from ospreyford.ports.peers import Handler
+from ospreyford.ports.weights import Experts, Inventory
 from tests.expertmap.engines import FakeEngine, Referee
 from tests.fakes.stepping import SteppedTask, Stepper, park
 
 WINDOW_STEPS = 4
+EXPERT_BYTES = 10
+#: Leave for one expert every tenth of a second.
+STORE_RATE = 100
+MEMORY_SLOTS = 3
 
 
 @dataclass(eq=False)
@@ -87,6 +93,14 @@
             self,
             tasks=self,
             incarnations=lambda: next(self.group.incarnations),
+            weights=self.make_weights(),
+        )
+
+    def make_weights(self) -> WeightPart | None:
+        if not self.group.weights:
+            return None
+        return WeightPart(
+            self, WeightPace(EXPERT_BYTES, STORE_RATE, MEMORY_SLOTS)
         )
 
     # PeerPort
@@ -132,6 +146,24 @@
     async def read_status(self) -> EngineStatus:
         return self.engine.read_status()
 
+    # WeightPort
+    async def load(self, experts: Experts, fencing: int) -> Any:
+        return await self.order(
+            'load weights',
+            lambda: self.engine.load(sorted(experts), fencing),
+            OrderOutcome.unknown,
+        )
+
+    async def drop(self, experts: Experts, fencing: int) -> Any:
+        return await self.order(
+            'drop weights',
+            lambda: self.engine.drop(experts, fencing),
+            OrderOutcome.unknown,
+        )
+
+    async def read_weights(self) -> Inventory:
+        return self.engine.read_weights()
+
     async def order(
         self, name: str, apply: Callable[[], Any], unknown: Any
     ) -> Any:
@@ -154,7 +186,13 @@
 class Group:
     """The members, their engines and everything under way between them."""
 
-    def __init__(self, size: int, ignoring: int | None, wall: bool) -> None:
+    def __init__(
+        self,
+        size: int,
+        ignoring: int | None,
+        wall: bool,
+        weights: bool = False,
+    ) -> None:
         self.now = 0.0
         self.addresses = [f'h{slot}' for slot in range(size)]
         self.incarnations = count(1)
@@ -169,6 +207,8 @@
         self.cuts: set[frozenset[int]] = set()
         self.processes: list[Process] = []
         self.ordered_step = 0
+        self.weights = weights
+        self.referee.judges_weights = weights
         self._wall = wall
         self._ignoring = ignoring
         for slot in range(size):
@@ -190,7 +230,7 @@
     def new_engine(self, slot: int) -> FakeEngine:
         honours = slot != self._ignoring
         name = f'engine{next(self.names)}'
-        engine = FakeEngine(self.referee, name, honours)
+        engine = FakeEngine(self.referee, name, honours, slot)
         self.engines.append(engine)
         return engine
 
@@ -204,6 +244,8 @@
         process = self.make_process(slot, address, engine)
         self.processes.append(process)
         process.spawn(process.run())
+        if self.weights:
+            process.spawn(process.service.run_weights())
         return process
 
     def spawn(
@@ -362,8 +404,15 @@
         elif messages:
             self.deliver(messages[0])
         elif not any([engine.run_step() for engine in self.engines]):
+            self.read_store()
             self.pass_time()
 
+    def read_store(self, engine: FakeEngine | None = None) -> None:
+        """Let reads from the weight store come to their end."""
+        for each in self.engines if engine is None else [engine]:
+            for one in list(each.memory.queue):
+                each.memory.arrive(one, EXPERT_BYTES)
+
     def pass_time(self) -> None:
         asks = self.parked('ask')
         sleeps = self.parked('sleep')
--- a/tests/expertmap/test_machine.py
+++ b/tests/expertmap/test_machine.py
@@ -244,7 +244,37 @@
         return remembered >= max(self.group.ordered_step, *known)
 
 
-@pytest.mark.parametrize('machine', [GroupMachine, MemoryMachine])
+class WeightMachine(GroupMachine):
+    """Weights are ordered too; each engine checks what a step needs.
+
+    Every engine honours fencing numbers: one that ignores them may apply an
+    unanswered drop late, which nothing of ours can prevent.
+    """
+
+    @initialize()
+    def set_up(self) -> None:  # type: ignore[override]  # no choice of engine
+        self.group = Group(SIZE, None, self.wall, weights=True)
+        self.revision = 0
+        self.offer(0, 0)
+        self.group.flow(300)
+
+    @rule(choice=CHOICE)
+    def read_store(self, choice: int) -> None:
+        self.group.read_store(pick(self.group.engines, choice))
+
+    @rule(choice=CHOICE, failing=st.booleans())
+    def refuse_reads(self, choice: int, failing: bool) -> None:
+        memory = pick(self.group.engines, choice).memory
+        if failing:
+            memory.fail()
+        else:
+            memory.refuse(retry_after=1)
+
+
+MACHINES = (GroupMachine, MemoryMachine, WeightMachine)
+
+
+@pytest.mark.parametrize('machine', MACHINES)
 def test_one_map_in_each_step(machine: type[GroupMachine]) -> None:
     """Symptom: ranks mix two expert maps in one step and answer rubbish.
 
