--- a/src/ospreyford/expertmap/readiness.py
+++ b/src/ospreyford/expertmap/readiness.py
@@ -105,8 +105,6 @@
         agreed = list(windows)
         if keeper.vote is not None:
             agreed.append(keeper.vote.window)
-        if keeper.released is not None:
-            agreed.append(keeper.released)
         return Needed(
             names=frozenset(window.map_name for window in agreed),
             in_force=any(
--- a/tests/agent_ranks/test_ranks.py
+++ b/tests/agent_ranks/test_ranks.py
@@ -23,6 +23,10 @@
 PROGRESS_SECONDS = 25.0
 #: Past the time limits of a question, a take-over and a suspicion.
 PAUSE_SECONDS = 7.0
+#: For the windows to end that were granted before the engine was replaced.
+DOWN_SECONDS = 2.0
+#: In both layers together.
+EXPERTS = 12
 HOT, COLD = 5000.0, 100.0
 
 
@@ -30,8 +34,9 @@
     """The fleet around a rank group, and what the journal says of it."""
 
     def __init__(self, fleet: Fleet) -> None:
-        assert fleet.ranks is not None
+        assert fleet.ranks is not None and fleet.weights is not None
         self._fleet = fleet
+        self._store_port = fleet.weights.port
         self._port = fleet.ranks.port
         self._hot = itertools.cycle(range(6))
         self.agents = [
@@ -85,10 +90,33 @@
         return plans
 
     def check(self) -> None:
-        """Every rank ran every step, with the same map."""
+        """Every rank ran every step, with the same map and all its weights."""
         for step, used in self.read_maps().items():
             assert set(used) == set(range(RANKS)), step
             assert len(set(used.values())) == 1, (step, used)
+        for entry in curio.run(read_journal(self._port)):
+            assert not entry.note.get('lacks'), entry
+
+    def count(self, event: str) -> int:
+        """Count the experts that were loaded or dropped."""
+        entries = curio.run(read_journal(self._port))
+        return sum(entry.event == event for entry in entries)
+
+    def await_count(self, event: str, number: int) -> None:
+        """Wait until so many experts were loaded or dropped."""
+        deadline = time.monotonic() + PROGRESS_SECONDS
+        while self.count(event) < number:
+            assert time.monotonic() < deadline, self._read_errors()
+            self.move_demand()
+            time.sleep(1)
+
+    def set_store(self, mode: str) -> None:
+        """Take the weight store down or up."""
+        curio.run(control(self._store_port, {'mode': mode}))
+
+    def restart_engine(self, rank: int) -> None:
+        """Put a fresh engine, without weights, in a rank's place."""
+        curio.run(control(self._port, {'restart': rank}))
 
     def _read_digests(self) -> set[int]:
         return {used[0] for used in self.read_maps().values()}
@@ -111,8 +139,9 @@
 
     Sequence: popularity moves, so maps change; the leading agent is killed
     in a change and started again; a member is paused past every time limit
-    and wakes. One engine ignores fencing numbers. Cause: an agent that goes
-    on by what it knew before, or that finds no way back into the group.
+    and wakes; the weight store goes down and an engine loses its weights. One
+    engine ignores fencing numbers. Cause: an agent that goes on by what it
+    knew before, or that finds no way back into the group.
     """
     size = Size(model_replicas=RANKS, plain_replicas=1, entries=1)
     fleet = Fleet(launcher, CATERER, size, DOCUMENTS, tmp_path)
@@ -135,6 +164,19 @@
     member.process.resume()
     group.await_change()
 
+    # An engine that lost its weights gets none while the store is down.
+    loads = group.count('loaded')
+    group.set_store('down')
+    group.restart_engine(2)
+    time.sleep(DOWN_SECONDS)
+    steps = group.read_maps()
+    time.sleep(DOWN_SECONDS)
+    assert group.read_maps() == steps
+    group.set_store('up')
+    group.await_change()
+    group.await_count('loaded', loads + EXPERTS // RANKS)
+    group.await_count('dropped', 1)
+
     assert member.process.exit_code is None
     assert set(group.read_plans()) <= set(group.agents)
     group.check()
--- a/tests/expertmap/test_weights.py
+++ b/tests/expertmap/test_weights.py
@@ -25,6 +25,7 @@
     encode,
 )
 from ospreyford.expertmap.ports import EngineStatus, OrderOutcome
+from ospreyford.expertmap.wants import WantedMaps
 from ospreyford.expertmap.weights import MemberWeights
 from ospreyford.expertmap.windows import Ballot, Window
 from ospreyford.ports.weights import Expert, Experts, Inventory
@@ -242,6 +243,29 @@
     member.run_steps(16)
 
 
+def test_accepted_map_keeps_its_weights() -> None:
+    """Symptom: a window that all accepted can't be run by one of them.
+
+    Sequence: a map is accepted; a later plan replaces it as the one to load
+    for. Cause: only what is granted and what is loaded for counts as needed.
+    """
+    member = step_on_first()
+    assert member.bring(SECOND).loaded
+    member.extend(3, SECOND, FIRST)
+    member.install(THIRD)
+    member.run_steps(1)
+    member.tend()
+    assert member.weights.held == experts(0, 1, 2)
+
+
+def test_unknown_map_may_need_anything() -> None:
+    wanted = WantedMaps(0)
+    wanted.aim(FIRST.name(), FIRST)
+    present = frozenset(experts(0, 1, 2))
+    assert wanted.find_spare(present, [FIRST.name()]) == experts(2)
+    assert not wanted.find_spare(present, [FIRST.name(), SECOND.name()])
+
+
 def test_unanswered_drop_is_not_counted_on() -> None:
     """Symptom: a rank steps on a map just as its weights are freed.
 
@@ -406,19 +430,22 @@
     other before the first leave is given. Cause: loading taken for silence.
     """
     group = Group(3, None, wall=False, weights=True)
-    group.processes[0].service.propose(FIRST)
-    group.flow(120)
+    # At the store's rate that takes twelve seconds.
+    large = ExpertMap(revision=1, layers=(((0,), (1,), (2,)),) * 40)
+    group.processes[0].service.propose(large)
+    group.flow(600)
     promised = group.processes[0].service.keeper.promised
     assert promised.number <= 3
     assert all(engine.step for engine in group.engines)
 
 
-@given(
-    takes=st.lists(st.tuples(st.floats(0, 3), st.integers(0, 3)), max_size=30)
-)
+TAKES = st.tuples(st.floats(0, 3), st.integers(0, 3))
+
+
+@given(takes=st.lists(TAKES, max_size=30))
 @settings(derandomize=True, database=None, max_examples=60)
 def test_allotment_stays_within_the_share(
-    takes: list[tuple[float, int]],
+    takes: Any,
 ) -> None:
     """Symptom: members together read more than the group's share.
 
