--- a/src/ospreyford/agent/group.py
+++ b/src/ospreyford/agent/group.py
@@ -11,7 +11,7 @@
 from ospreyford.node.questions import Topic
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Mapping
     from typing import Any
 
     from ospreyford.agent.rankssettings import RankSection
@@ -40,6 +40,14 @@
         self._node = node
         self._program = program
 
+    def count_weights(self) -> Mapping[str, int]:
+        """Tell the counts of loads and drops.
+
+        :returns: by kind; none where engines see to their weights.
+        """
+        weights = self._part.service.weights
+        return {} if weights is None else weights.counts
+
     def listen(self) -> None:
         """Follow the host list and answer operators."""
         self._node.listen_for_hosts(self._part.note_hosts)
@@ -72,6 +80,5 @@
             await curio.sleep(GROUP_SECONDS)
 
     async def _answer_plan(self, body: bytes) -> bytes | None:
-        if self._part.placement.last is None:
-            return None
-        return msgspec.msgpack.encode(self._part.placement.last)
+        told = self._part.placement.tell()
+        return None if told is None else msgspec.msgpack.encode(told)
--- a/src/ospreyford/agent/placing.py
+++ b/src/ospreyford/agent/placing.py
@@ -71,6 +71,17 @@
             self.settings = settings
             self._planner = self._make_planner()
 
+    def tell(self) -> PlanExplanation | None:
+        """Tell operators the last judgement.
+
+        :returns: the judgement, with how long its copies have been loaded
+            for; ``None`` before the first.
+        """
+        if self.last is None or self._awaited is None:
+            return self.last
+        waited = self._clock.monotonic() - self._awaited_since
+        return msgspec.structs.replace(self.last, loading_seconds=waited)
+
     async def run(self) -> None:
         """Judge reports for ever."""
         while True:
--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -73,6 +73,7 @@
         self._group: GroupTasks | None = None
         if settings.ranks is not None:
             self._group = GroupTasks(settings.ranks, self._node, program)
+            self._metrics.watch_weights(self._group.count_weights())
 
     async def run(self) -> None:
         """Run until asked to stop, then finish what is in flight."""
--- a/src/ospreyford/expertmap/weights.py
+++ b/src/ospreyford/expertmap/weights.py
@@ -166,7 +166,6 @@
         refused, failed = self._backoff.note(inventory)
         self.counts['refused'] += refused
         self.counts['failed'] += failed
-        self.counts['read_bytes'] = inventory.read_bytes
         self._present = inventory.held
         self._loading = inventory.loading
         self.held = inventory.held - self._orders.drops
--- a/src/ospreyford/observability/metrics.py
+++ b/src/ospreyford/observability/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from prometheus_client import (
@@ -214,6 +214,13 @@
         """
         self.registry.register(PeerCollector(counters))
 
+    def watch_weights(self, counts: Mapping[str, int]) -> None:
+        """Expose what became of the loads and drops of experts.
+
+        :param counts: by kind, read when metrics are scraped.
+        """
+        self.registry.register(WeightCollector(counts))
+
     def render(self) -> bytes:
         """Write all metrics.
 
@@ -247,6 +254,30 @@
         return [family]
 
 
+class WeightCollector:
+    """Reads the counts of weight orders at a scrape.
+
+    :param counts: by kind.
+    """
+
+    def __init__(self, counts: Mapping[str, int]) -> None:
+        self._counts = counts
+
+    def collect(self) -> Iterable[CounterMetricFamily]:
+        """Read the counts.
+
+        :returns: one metric family.
+        """
+        family = CounterMetricFamily(
+            f'{PREFIX}_weights',
+            'Loads and drops of experts: orders, experts, reads put off',
+            labels=['kind'],
+        )
+        for kind, count in self._counts.items():
+            family.add_metric([kind], count)
+        return [family]
+
+
 class DropCollector:
     """Reads the dropped lines of each bounded buffer at a scrape."""
 
--- a/src/ospreyford/placement/explanation.py
+++ b/src/ospreyford/placement/explanation.py
@@ -52,6 +52,8 @@
     :param saved_seconds: step time saved over the horizon.
     :param weighted_cost: ``copy_seconds`` times the move weight.
     :param weighted_saving: ``saved_seconds`` times the skew weight.
+    :param loading_seconds: for how long the plan's copies have been loaded;
+        absent once its map is in force. Its drops follow after that.
     """
 
     revision: int
@@ -62,6 +64,7 @@
     saved_seconds: float = 0
     weighted_cost: float = 0
     weighted_saving: float = 0
+    loading_seconds: float | None = None
 
 
 def explain_plan(
