--- a/src/ospreyford/measure/expertmap_group.py
+++ b/src/ospreyford/measure/expertmap_group.py
@@ -11,13 +11,15 @@
 import curio
 import msgspec
 
+from ospreyford.expertmap.leaves import WeightPace
 from ospreyford.expertmap.maps import ExpertMap
 from ospreyford.expertmap.ports import EngineStatus, Grant, OrderOutcome
-from ospreyford.expertmap.service import RankService
+from ospreyford.expertmap.service import RankService, WeightPart
 from ospreyford.expertmap.settings import RankSettings
 from ospreyford.peers.envelope import Answer, Question
 from ospreyford.ports.clock import SystemClock
 from ospreyford.ports.peers import Handler
+from ospreyford.ports.weights import Experts, Inventory
 from ospreyford.standins.rankengine import RankEngine
 
 STEP_SECONDS = 0.005
@@ -123,22 +125,38 @@
         """Read the engine's progress; see ``EnginePort``."""
         return self._engine.read_status()
 
+    async def load(self, experts: Experts, fencing: int) -> OrderOutcome:
+        """Pass a load on; see ``WeightPort``."""
+        return self._engine.load(sorted(experts), fencing)
+
+    async def drop(self, experts: Experts, fencing: int) -> OrderOutcome:
+        """Pass a drop on; see ``WeightPort``."""
+        return self._engine.drop(experts, fencing)
+
+    async def read_weights(self) -> Inventory:
+        """Read what the engine holds; see ``WeightPort``."""
+        return self._engine.read_weights()
+
 
 class MeasuredGroup:
     """The members and their engines, stepping together.
 
     :param ranks: how many members.
+    :param pace: the weight store's terms; ``None`` for engines that see to
+        their weights themselves.
     """
 
-    def __init__(self, ranks: int) -> None:
+    def __init__(self, ranks: int, pace: WeightPace | None = None) -> None:
         self.ranks = ranks
+        self.lacks = 0
+        self._pace = pace
         self.network = Network()
         self.steps = 0
         self.stalls = 0
         self.revision = 0
         self.engine_seconds: float = 0
         self.services: dict[int, RankService] = {}
-        self._engines = [RankEngine(str(rank)) for rank in range(ranks)]
+        self.engines = [RankEngine(str(rank)) for rank in range(ranks)]
         self._tasks: dict[int, curio.Task] = {}
 
     async def start(self, slot: int) -> None:
@@ -151,8 +169,17 @@
             slot=slot,
             addresses=tuple(map(str, range(self.ranks))),
         )
-        member = Member(slot, self.network, self._engines[slot])
-        service = RankService(settings, member, SystemClock(), member)
+        member = Member(slot, self.network, self.engines[slot])
+        pace = self._pace
+        service = RankService(
+            settings,
+            member,
+            SystemClock(),
+            member,
+            weights=None if pace is None else WeightPart(member, pace),
+        )
+        if pace is not None:
+            await curio.spawn(service.run_weights, daemon=True)
         self.services[slot] = service
         running: Coroutine[Any, Any, None] = service.run()
         self._tasks[slot] = await curio.spawn(running, daemon=True)
@@ -195,12 +222,18 @@
         return len(msgspec.msgpack.encode(expert_map))
 
     def _run_step(self) -> bool:
-        steps = [engine.next_step() or 0 for engine in self._engines]
+        steps = [engine.next_step() or 0 for engine in self.engines]
         step = max(steps)
-        grants = [engine.find_grant(step) for engine in self._engines]
+        grants = [engine.find_grant(step) for engine in self.engines]
         if not all(grants):
             return False
-        for engine, grant in zip(self._engines, grants, strict=True):
+        for rank, (engine, grant) in enumerate(
+            zip(self.engines, grants, strict=True)
+        ):
             engine.step = step
-            self.revision = grant.map_name.revision if grant else 0
+            if grant is None:
+                continue
+            self.revision = grant.map_name.revision
+            if self._pace is not None:
+                self.lacks += len(engine.find_lacks(grant.map_name, rank))
         return True
--- a/tests/expertmap/test_weights.py
+++ b/tests/expertmap/test_weights.py
@@ -431,7 +431,8 @@
     """
     group = Group(3, None, wall=False, weights=True)
     # At the store's rate that takes twelve seconds.
-    large = ExpertMap(revision=1, layers=(((0,), (1,), (2,)),) * 40)
+    layers = make_map(1, 0, 1, 2).layers
+    large = ExpertMap(revision=1, layers=layers * 40)
     group.processes[0].service.propose(large)
     group.flow(600)
     promised = group.processes[0].service.keeper.promised
