--- a/src/ospreyford/agent/placing.py
+++ b/src/ospreyford/agent/placing.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ospreyford.placement.budget import TokenBucket
 from ospreyford.placement.explanation import PlanExplanation, explain_plan
 from ospreyford.placement.map import spread_experts
@@ -16,7 +18,7 @@
     from ospreyford.agent.expertloads import LoadSource
     from ospreyford.agent.rankssettings import RankSection
     from ospreyford.documents.capacity import PlacementWeights
-    from ospreyford.expertmap.maps import ExpertMap
+    from ospreyford.expertmap.maps import ExpertMap, MapName
     from ospreyford.expertmap.service import RankService
     from ospreyford.placement.loads import ExpertLoads
     from ospreyford.placement.outcomes import Outcome
@@ -52,8 +54,10 @@
         self._service = service
         self._source = source
         self._clock = clock
-        self._settings = section.placement
+        self.settings = section.placement
         self._planner = self._make_planner()
+        self._awaited: MapName | None = None
+        self._awaited_since: float = 0
 
     def note_weights(self, published: PlacementWeights | None) -> None:
         """Put the published weights in force.
@@ -63,10 +67,21 @@
         settings = self._section.placement
         if published is not None:
             settings = apply_weights(settings, published)
-        if settings != self._settings:
-            self._settings = settings
+        if settings != self.settings:
+            self.settings = settings
             self._planner = self._make_planner()
 
+    def tell(self) -> PlanExplanation | None:
+        """Tell operators the last judgement.
+
+        :returns: the judgement, with how long its copies have been loaded
+            for; ``None`` before the first.
+        """
+        if self.last is None or self._awaited is None:
+            return self.last
+        waited = self._clock.monotonic() - self._awaited_since
+        return msgspec.structs.replace(self.last, loading_seconds=waited)
+
     async def run(self) -> None:
         """Judge reports for ever."""
         while True:
@@ -80,13 +95,15 @@
         if current is None:
             self._service.propose(spread_experts(self._section.shape))
             return
+        if self._is_under_way(current):
+            return
         report = await self._source.read()
         now = self._clock.monotonic()
         planner = self._planner
         outcome = await self._plan(planner, report, current, now)
         self.last = explain_plan(planner, outcome, current)
         if isinstance(outcome, Plan):
-            self._service.propose(outcome.target)
+            self._propose(outcome.target)
 
     async def _plan(
         self,
@@ -105,20 +122,43 @@
             # Between two layers the agent's heartbeats and answers go on.
             await self._clock.sleep(0)
 
+    def _is_under_way(self, current: ExpertMap) -> bool:
+        # Weights are loaded for a plan for minutes, while the policy goes on
+        # judging. A new plan each time would throw away what was read for
+        # the last one, and none would ever come into force.
+        newest = self._service.keeper.maps.newest()
+        if newest is None or newest <= current.name():
+            self._awaited = None
+            return False
+        now = self._clock.monotonic()
+        if newest != self._awaited:
+            self._awaited = newest
+            self._awaited_since = now
+        return now - self._awaited_since < self._section.patience_seconds
+
+    def _propose(self, target: ExpertMap) -> None:
+        # Above the plan that it replaces, or the group would keep to that.
+        newest = self._service.keeper.maps.newest()
+        if newest is not None and newest.revision >= target.revision:
+            target = msgspec.structs.replace(
+                target, revision=newest.revision + 1
+            )
+        self._service.propose(target)
+
     def _find_current(self) -> ExpertMap | None:
         name = self._service.current
         return None if name is None else self._service.keeper.maps.find(name)
 
     def _make_planner(self) -> Planner:
-        rate = self._settings.store_bytes_per_second
+        rate = self.settings.store_bytes_per_second
         budget = TokenBucket(
             rate,
             rate * BURST_SECONDS,
             self._clock.monotonic(),
         )
         return Planner(
-            choose_variant(self._settings),
+            choose_variant(self.settings),
             self._section.shape,
-            self._settings,
+            self.settings,
             budget,
         )
--- a/src/ospreyford/expertmap/keeper.py
+++ b/src/ospreyford/expertmap/keeper.py
@@ -23,11 +23,14 @@
     decode_question,
     encode,
 )
+from ospreyford.expertmap.readiness import Readiness
 from ospreyford.expertmap.windows import NO_BALLOT, Ballot, Vote, Window
 
 if TYPE_CHECKING:
     from ospreyford.expertmap.gate import EngineGate
+    from ospreyford.expertmap.leaves import Leave
     from ospreyford.expertmap.ports import EngineStatus
+    from ospreyford.expertmap.weights import MemberWeights
     from ospreyford.ports.clock import Clock
 
 
@@ -41,6 +44,7 @@
     :param gate: the way to the engine.
     :param clock: source of time.
     :param draw_incarnation: gives a number never given before.
+    :param weights: loads and drops of the engine's weights, if ordered here.
     """
 
     def __init__(
@@ -49,21 +53,23 @@
         gate: EngineGate,
         clock: Clock,
         draw_incarnation: Callable[[], int],
+        weights: MemberWeights | None = None,
     ) -> None:
         self.slot = slot
         self.incarnation = draw_incarnation()
         self.gate = gate
         self.maps = MapShelf()
+        self.readiness = Readiness(gate, self.maps, weights)
         self.promised = NO_BALLOT
         self.released: Window | None = None
         self.heard_at = clock.monotonic()
         self.superseded = False
         self.generation = NO_BALLOT
-        self._vote: Vote | None = None
+        self.vote: Vote | None = None
         self._floor = 0
         self._clock = clock
         self._draw_incarnation = draw_incarnation
-        self._instance = ''
+        self.instance = ''
 
     async def start(self) -> bool:
         """Halt the engine; nothing is known of what it was granted before.
@@ -73,7 +79,7 @@
         status = await self.gate.take_over()
         if status is None:
             return False
-        self._instance = status.instance
+        self.instance = status.instance
         self._floor = max(status.step, status.granted_step)
         return True
 
@@ -83,11 +89,11 @@
         :returns: its status, or ``None`` if it can't be reached.
         """
         status = await self.gate.read_status()
-        if status is not None and status.instance != self._instance:
+        if status is not None and status.instance != self.instance:
             # A replaced engine process has lost its grants and maps, and the
             # collective with the other ranks' engines: for the group that is
             # a member without memory, so this one becomes a new incarnation.
-            self._instance = status.instance
+            self.instance = status.instance
             self._forget(status)
         return status
 
@@ -122,7 +128,10 @@
             case Extend():
                 return await self._extend(question)
             case Install():
-                return await self._install(question)
+                self._note_leave(question.leave)
+                return await self.readiness.install(
+                    question, self.promised, self.incarnation
+                )
             case Fetch():
                 return Fetched(self.maps.find(question.name))
 
@@ -130,6 +139,7 @@
         if ballot < self.promised:
             return Refused(self.promised)
         self.promised = ballot
+        self.readiness.forming = False
         # The others give a new coordinator the time to finish, or as many
         # members as the group has would outbid one another.
         self.heard_at = self._clock.monotonic()
@@ -138,7 +148,7 @@
             incarnation=self.incarnation,
             generation=self.generation,
             released=self.released,
-            vote=self._vote,
+            vote=self.vote,
             floor=self._floor,
             newest=self.maps.newest(),
         )
@@ -172,7 +182,7 @@
             if not self._may_join(question):
                 return Refused(self.promised)
         name = question.proposed.map_name
-        if not self.gate.has_loaded(name):
+        if not self.readiness.is_ready(name):
             held = self.maps.find(name) is not None
             return Installed(held=held, loaded=False)
         return None
@@ -192,8 +202,8 @@
         # A duplicate that arrives late must not replace a later vote.
         return (
             question.generation == self.generation
-            and self._vote is not None
-            and question.proposed.index < self._vote.window.index
+            and self.vote is not None
+            and question.proposed.index < self.vote.window.index
         )
 
     def _accept(self, question: Extend) -> None:
@@ -206,24 +216,23 @@
             self.gate.enqueue(self.generation.number, chosen)
             self.maps.drop_before(chosen.map_name)
         self.promised = question.ballot
-        self._vote = Vote(ballot=question.ballot, window=question.proposed)
+        self.readiness.forming = False
+        self.vote = Vote(ballot=question.ballot, window=question.proposed)
         self._floor = max(self._floor, question.proposed.last_step)
         self.heard_at = self._clock.monotonic()
 
-    async def _install(self, question: Install) -> Answer:
-        name = question.name
-        if question.body is not None and question.body.name() == name:
-            self.maps.put(question.body)
-        expert_map = self.maps.find(name)
-        if expert_map is None:
-            return Installed(held=False, loaded=False)
-        loaded = await self.gate.install_map(name, expert_map)
-        return Installed(held=True, loaded=loaded)
+    def _note_leave(self, leave: Leave | None) -> None:
+        # Weights take minutes, and nothing is proposed meanwhile. Members
+        # that took this for silence would outbid one another for ever, and
+        # each new coordinator starts with an empty share of the store.
+        if leave is not None and leave.ballot == self.promised:
+            self.heard_at = self._clock.monotonic()
+            self.readiness.forming = leave.forming
 
     def _forget(self, status: EngineStatus) -> None:
         self.incarnation = self._draw_incarnation()
         self.generation = NO_BALLOT
         self.released = None
-        self._vote = None
+        self.vote = None
         self._floor = max(self._floor, status.granted_step)
-        self.gate.forget()
+        self.readiness.forget()
--- a/src/ospreyford/observability/metrics.py
+++ b/src/ospreyford/observability/metrics.py
@@ -221,6 +221,13 @@
         """
         self.registry.register(HandshakeCollector(failures))
 
+    def watch_weights(self, counts: Mapping[str, int]) -> None:
+        """Expose what became of the loads and drops of experts.
+
+        :param counts: by kind, read when metrics are scraped.
+        """
+        self.registry.register(WeightCollector(counts))
+
     def render(self) -> bytes:
         """Write all metrics.
 
@@ -285,6 +292,30 @@
         return [family]
 
 
+class WeightCollector:
+    """Reads the counts of weight orders at a scrape.
+
+    :param counts: by kind.
+    """
+
+    def __init__(self, counts: Mapping[str, int]) -> None:
+        self._counts = counts
+
+    def collect(self) -> Iterable[CounterMetricFamily]:
+        """Read the counts.
+
+        :returns: one metric family.
+        """
+        family = CounterMetricFamily(
+            f'{PREFIX}_weights',
+            'Loads and drops of experts: orders, experts, reads put off',
+            labels=['kind'],
+        )
+        for kind, count in self._counts.items():
+            family.add_metric([kind], count)
+        return [family]
+
+
 class DropCollector:
     """Reads the dropped lines of each bounded buffer at a scrape."""
 
--- a/tests/expertmap/test_machine.py
+++ b/tests/expertmap/test_machine.py
@@ -42,7 +42,7 @@
     """A group whose members may all lose their memory at once."""
 
     wall = True
-    group_type = Group
+    group_type: type[Group] = Group
     size = SIZE
 
     @initialize(ignoring=st.none() | SLOTS)
@@ -257,8 +257,38 @@
         return remembered >= max(self.group.ordered_step, *known)
 
 
+class WeightMachine(GroupMachine):
+    """Weights are ordered too; each engine checks what a step needs.
+
+    Every engine honours fencing numbers: one that ignores them may apply an
+    unanswered drop late, which nothing of ours can prevent.
+    """
+
+    @initialize()
+    def set_up(self) -> None:
+        self.group = Group(self.size, None, self.wall, weights=True)
+        self.revision = 0
+        self.offer(0, 0)
+        self.group.flow(self.scale(300))
+
+    @rule(choice=CHOICE)
+    def read_store(self, choice: int) -> None:
+        self.group.read_store(pick(self.group.engines, choice))
+
+    @rule(choice=CHOICE, failing=st.booleans())
+    def refuse_reads(self, choice: int, failing: bool) -> None:
+        memory = pick(self.group.engines, choice).memory
+        if failing:
+            memory.fail()
+        else:
+            memory.refuse(retry_after=1)
+
+
+MACHINES = (GroupMachine, MemoryMachine, WeightMachine)
+
+
 @pytest.mark.parametrize('size', EXAMPLES)
-@pytest.mark.parametrize('machine', [GroupMachine, MemoryMachine])
+@pytest.mark.parametrize('machine', MACHINES)
 def test_one_map_in_each_step(machine: type[GroupMachine], size: int) -> None:
     """Symptom: ranks mix two expert maps in one step and answer rubbish.
 
