--- a/src/ospreyford/measure/capacity_state.py
+++ b/src/ospreyford/measure/capacity_state.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import NamedTuple
 
+from ospreyford.distribution.replica import Replica
 from ospreyford.documents.history import DocumentEntry
 from ospreyford.documents.resolver import Resolver
 from ospreyford.entry.directory import FleetDirectory
@@ -74,6 +75,17 @@
     grown: int
 
 
+class State(NamedTuple):
+    """What a process holds that published documents change.
+
+    An agent has no ``directory``.
+    """
+
+    replica: Replica
+    resolver: Resolver
+    directory: FleetDirectory | None
+
+
 class Meter:
     """Reads the resident set after each part, and keeps the parts alive."""
 
@@ -103,10 +115,24 @@
     :returns: its parts.
     """
     meter = Meter()
+    state = fill_entry_control(meter)
+    if state.directory is not None:
+        more = list_plans(state.directory, MOST_PLANS)
+        meter.fill('plans, the most kept', len(more), more)
+    return meter.parts
+
+
+def fill_entry_control(meter: Meter) -> State:
+    """Fill what an entry holds for control.
+
+    :param meter: notes the parts.
+    :returns: what changes while it runs.
+    """
     hosts = fill_members(meter)
     directory = FleetDirectory()
     directory.note_hosts(hosts)
-    directory.note_picture(fill_documents(meter).picture)
+    replica, resolver = fill_documents(meter)
+    directory.note_picture(resolver.picture)
     plans = list_plans(directory, PLANS_HELD)
     meter.fill('plans between two changes', len(plans), directory)
     router = Router(RoutingSettings(), ME, Random(SEED))
@@ -115,9 +141,7 @@
     meter.fill('customers at the gate', *fill_gate(customers))
     meter.fill('customers that ask for leases', *fill_share(customers))
     meter.fill('spans', *fill_spans())
-    more = list_plans(directory, MOST_PLANS)
-    meter.fill('plans, the most kept', len(more), more)
-    return meter.parts
+    return State(replica, resolver, directory)
 
 
 def fill_agent() -> list[Part]:
@@ -126,9 +150,7 @@
     :returns: its parts.
     """
     meter = Meter()
-    fill_members(meter)
-    fill_documents(meter)
-    meter.fill('spans', *fill_spans())
+    fill_agent_control(meter)
     tokens = (round(TOKENS_A_REQUEST), PIECE_BYTES)
     running = make_executions(round(REPLICA_IN_FLIGHT), tokens, whole=False)
     meter.fill('answers under way', len(running), running)
@@ -140,6 +162,18 @@
     return meter.parts
 
 
+def fill_agent_control(meter: Meter) -> State:
+    """Fill what an agent holds for control.
+
+    :param meter: notes the parts.
+    :returns: what changes while it runs.
+    """
+    fill_members(meter)
+    replica, resolver = fill_documents(meter)
+    meter.fill('spans', *fill_spans())
+    return State(replica, resolver, None)
+
+
 def fill_record() -> list[Part]:
     """Fill execution records in other ways than a model's agent does.
 
@@ -189,16 +223,15 @@
     return hosts
 
 
-def fill_documents(meter: Meter) -> Resolver:
+def fill_documents(meter: Meter) -> tuple[Replica, Resolver]:
     """Fill the documents' texts and the picture that follows from them.
 
     :param meter: notes the part.
-    :returns: holds the picture.
+    :returns: the texts, and what holds the picture.
     """
     replica = hold_documents()
     resolver = Resolver()
     resolver.record(DocumentEntry(*each) for each in replica)
-    meter.fill(
-        'documents: texts and picture', len(replica), (replica, resolver)
-    )
-    return resolver
+    held = (replica, resolver)
+    meter.fill('documents: texts and picture', len(replica), held)
+    return held
