Import the OpenTelemetry SDK only where spans are exported

Ruled out: the API, which carries the trace context in every process. Change: ids and the choice of sampled traces are two functions, tested against the SDK's sampler; the exporter is imported when the settings ask for it.

--- a/src/ospreyford/observability/spans.py
+++ b/src/ospreyford/observability/spans.py
@@ -10,10 +10,9 @@
 
 import msgspec
 from opentelemetry import trace
-from opentelemetry.sdk.trace.id_generator import RandomIdGenerator
-from opentelemetry.sdk.trace.sampling import Decision, TraceIdRatioBased
 from opentelemetry.trace.span import format_span_id, format_trace_id
 
+from ospreyford.observability.ids import make_id, make_sampler
 from ospreyford.observability.traceparent import format_traceparent
 
 if TYPE_CHECKING:
@@ -25,7 +24,8 @@
 #: The hops of a request, in the order in which it meets them.
 Hop = Literal['caller', 'entry', 'agent', 'backend']
 
-_ids = RandomIdGenerator()
+TRACE_BITS = 128
+SPAN_BITS = 64
 
 
 class Span(msgspec.Struct, frozen=True, kw_only=True):
@@ -212,7 +212,7 @@
     ) -> None:
         self.host = identity.name
         self.store = SpanStore(settings.max_spans)
-        self._sampler = TraceIdRatioBased(settings.sample_ratio)
+        self._samples = make_sampler(settings.sample_ratio)
         self._export = export
 
     def start(
@@ -247,7 +247,7 @@
         :param parent: the span above it; its sampling decision stands.
         :returns: a context with a fresh span id.
         """
-        span_id = _ids.generate_span_id()
+        span_id = make_id(SPAN_BITS)
         if parent is not None:
             return trace.SpanContext(
                 parent.trace_id,
@@ -256,7 +256,7 @@
                 trace_flags=parent.trace_flags,
                 trace_state=parent.trace_state,
             )
-        trace_id = _ids.generate_trace_id()
+        trace_id = make_id(TRACE_BITS)
         return trace.SpanContext(
             trace_id,
             span_id,
@@ -265,8 +265,7 @@
         )
 
     def _choose_flags(self, trace_id: int) -> trace.TraceFlags:
-        verdict = self._sampler.should_sample(None, trace_id, '')
-        if verdict.decision is Decision.RECORD_AND_SAMPLE:
+        if self._samples(trace_id):
             return trace.TraceFlags(trace.TraceFlags.SAMPLED)
         return trace.TraceFlags(trace.TraceFlags.DEFAULT)
 
--- a/src/ospreyford/observability/tracing.py
+++ b/src/ospreyford/observability/tracing.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from importlib import import_module
 from typing import TYPE_CHECKING
 
-from ospreyford.observability.exporter import SpanWriter
 from ospreyford.observability.spans import Tracer
 
 if TYPE_CHECKING:
+    from ospreyford.observability.exporter import SpanWriter
     from ospreyford.observability.metrics import Metrics
     from ospreyford.settings.sections import Identity, Traces
 
@@ -49,4 +50,8 @@
     """
     if settings.exporter == 'none':
         return None
-    return SpanWriter(settings, identity)
+    # The SDK that the exporter needs takes 2 MB of the 64 MB of a process,
+    # and most processes export nothing.
+    exporter = import_module('ospreyford.observability.exporter')
+    writer: SpanWriter = exporter.SpanWriter(settings, identity)
+    return writer
