Keep the counts of a back end as plain numbers

Cause: the record of a back end held 128 changes as tuples and two deques of 0.75 KB each, empty or not. Change: two arrays, and a tuple for earlier incarnations.

--- a/src/ospreyford/routing/backend.py
+++ b/src/ospreyford/routing/backend.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections import deque
 from math import exp
 from typing import TYPE_CHECKING, NamedTuple
 
 from ospreyford.routing.budget import AttemptBudget
+from ospreyford.routing.counts import Counts
 from ospreyford.routing.health import Health
 from ospreyford.routing.residence import Residence
 
@@ -16,21 +16,12 @@
 
 #: Earlier incarnations remembered, so that their late reports are refused.
 INCARNATIONS_KEPT = 4
-#: Changes of this entry's own count that are remembered.
-HISTORY_KEPT = 128
 #: Mean stays of a request after which a report has lost 63 % of its weight.
 TURNOVERS = 1
 #: Share that a fresh back end starts with.
 FIRST_SHARE = 0.1
 
 
-class _Count(NamedTuple):
-    """Requests of this entry from a moment on."""
-
-    at: float
-    in_flight: int
-
-
 class Others(NamedTuple):
     """Requests of other entries, and the report's weight, 0 to 1."""
 
@@ -52,7 +43,7 @@
         self.host = host
         self.in_flight = 0
         self._residence = Residence()
-        self._history: deque[_Count] = deque(maxlen=HISTORY_KEPT)
+        self._counts = Counts()
         self.draining = False
         self.step_seconds: float = 0
         self.health = Health(settings.ejection)
@@ -61,7 +52,7 @@
         )
         self._settings = settings
         self._incarnation = ''
-        self._earlier: deque[str] = deque(maxlen=INCARNATIONS_KEPT)
+        self._earlier: tuple[str, ...] = ()
         self._reported_at = float('-inf')
         self._others: float = 0
         self._fresh_since = float('-inf')
@@ -73,7 +64,7 @@
         """
         self._residence.note(self.in_flight, now)
         self.in_flight += 1
-        self._history.append(_Count(now, self.in_flight))
+        self._counts.note(self.in_flight, now)
 
     def note_ended(self, now: float) -> None:
         """Count the end of a request of this entry.
@@ -83,7 +74,7 @@
         self._residence.note(self.in_flight, now)
         self._residence.note_end()
         self.in_flight = max(0, self.in_flight - 1)
-        self._history.append(_Count(now, self.in_flight))
+        self._counts.note(self.in_flight, now)
 
     def note_load(self, report: LoadReport, now: float) -> None:
         """Take in a load report unless a newer one is known.
@@ -107,7 +98,7 @@
         total = report.in_flight + max(report.queued, waiting)
         # What was sent since the measuring is not in the report: taking it
         # off would hide as much of the others' load.
-        self._others = max(0, total - self._count_at(measured_at))
+        self._others = max(0, total - self._counts.count_at(measured_at))
 
     def load(self, reported: Others, mean_others: float) -> float:
         """Estimate the requests on this back end.
@@ -150,12 +141,6 @@
         """
         self._fresh_since = now
 
-    def _count_at(self, moment: float) -> int:
-        for count in reversed(self._history):
-            if count.at <= moment:
-                return count.in_flight
-        return 0
-
     def _report_weight(self, now: float) -> float:
         age = max(0, now - self._reported_at)
         fading = self._settings.load_decay_seconds
@@ -169,7 +154,8 @@
 
     def _note_incarnation(self, incarnation: str, now: float) -> None:
         if self._incarnation:
-            self._earlier.append(self._incarnation)
+            known = (*self._earlier, self._incarnation)
+            self._earlier = known[-INCARNATIONS_KEPT:]
             self.start_slowly(now)
             self.health = Health(self._settings.ejection)
         self._incarnation = incarnation
