Hold the owners of labels only where there are several

Cause: the directory of 37,000 customers held a second table of as many keys for the case that two documents label one customer, and copied it at each change. Change: owners are found for the changed keys in one pass.

--- a/src/ospreyford/documents/directories.py
+++ b/src/ospreyford/documents/directories.py
@@ -77,6 +77,8 @@
         self._tables_of = tables_of
         self._shared = LabelPool()
         self._bodies: dict[str, Body] = {}
+        # Only of keys with several: a table of all 37,000 customers took a
+        # megabyte, and one more at each change, for a case that is rare.
         self._owners: dict[str, tuple[str, ...]] = {}
         self._merged: dict[str, LabelSet] = {}
 
@@ -96,8 +98,9 @@
         affected: set[str] = set()
         for change in changes:
             affected.update(directory._take(change))
+        found = directory._find_owners(affected)
         for key in affected:
-            directory._merge(key)
+            directory._merge(key, tuple(found.get(key, ())))
         return directory
 
     def find(self, key: str) -> LabelSet | None:
@@ -121,35 +124,31 @@
         :returns: one conflict for each value that lost.
         """
         for key, owners in self._owners.items():
-            if len(owners) > 1:
-                yield from self._label_conflicts(key, owners)
+            yield from self._label_conflicts(key, owners)
 
     def _take(self, change: BodyChange[Body]) -> set[str]:
         affected: set[str] = set()
         if change.before is not None:
             self._bodies.pop(change.name)
-            for key in self._tables_of(change.before):
-                self._disown(key, change.name)
-                affected.add(key)
+            affected.update(self._tables_of(change.before))
         if change.after is not None:
             self._bodies[change.name] = change.after
-            alone = (change.name,)
-            for key in self._tables_of(change.after):
-                others = self._owners.get(key)
-                self._owners[key] = (*others, change.name) if others else alone
-                affected.add(key)
+            affected.update(self._tables_of(change.after))
         return affected
 
-    def _disown(self, key: str, name: str) -> None:
-        kept = tuple(owner for owner in self._owners[key] if owner != name)
-        if kept:
-            self._owners[key] = kept
-        else:
-            self._owners.pop(key)
+    def _find_owners(self, keys: set[str]) -> dict[str, list[str]]:
+        owners: dict[str, list[str]] = {}
+        for name, body in self._bodies.items():
+            for key in keys.intersection(self._tables_of(body)):
+                owners.setdefault(key, []).append(name)
+        return owners
 
-    def _merge(self, key: str) -> None:
-        owners = self._owners.get(key)
-        if owners is None:
+    def _merge(self, key: str, owners: tuple[str, ...]) -> None:
+        if len(owners) > 1:
+            self._owners[key] = owners
+        else:
+            self._owners.pop(key, None)
+        if not owners:
             self._merged.pop(key, None)
             return
         merged: dict[str, str] = {}
