Share the texts that many documents have alike

Cause: the 3,458 documents beside the customers' each held strings of their own for teams, titles, services and labels. Ruled out: interning the keys, which are customers' ids or short-lived. Change: values of up to 64 characters are interned when a document is parsed.

--- a/src/ospreyford/documents/parsing.py
+++ b/src/ospreyford/documents/parsing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 import tomllib
 from typing import Any, NamedTuple
 
@@ -15,6 +16,9 @@
 #: The configuration service holds values up to a megabyte.
 MAX_BYTES = 1_048_576
 
+#: Longer texts are hardly ever the same in two documents.
+LONGEST_SHARED = 64
+
 #: The most parts a dotted key may have.
 MAX_KEY_PARTS = 16
 
@@ -75,7 +79,7 @@
     if isinstance(table, RejectedDocument):
         return table
     try:
-        return Document(name, convert_body(table))
+        return Document(name, convert_body(_share_texts(table)))
     except msgspec.ValidationError as error:
         place = locate_fault(table, str(error))
     except (ValueError, RecursionError):
@@ -104,6 +108,19 @@
         return RejectedDocument(name, ROOT, found, 'TOML')
 
 
+def _share_texts(found: Any) -> Any:
+    # Each value that is read is a string of its own: thousands of documents
+    # name the same teams, services, pools and labels.
+    match found:
+        case str() if len(found) <= LONGEST_SHARED:
+            return sys.intern(found)
+        case dict():
+            return {key: _share_texts(one) for key, one in found.items()}
+        case list():
+            return [_share_texts(one) for one in found]
+    return found
+
+
 def _show_byte(text: bytes, offset: int) -> str:
     code = hex(text[offset])
     return f'{code} at byte {offset}'
