Import prometheus_client without its servers

Cause: it imports the standard library's HTTP and WSGI servers and URL opener for uses that no process here has, and they import mail, HTML and mime tables. Ruled out: importing parts of it, since the package's own module imports all; the text format is in the same module as the servers. Change: while it is imported, placeholders stand for three modules that are not loaded yet. Price: its own server and push functions do not work in our processes.

--- a/src/ospreyford/observability/metrics.py
+++ b/src/ospreyford/observability/metrics.py
@@ -5,14 +5,17 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    generate_latest,
-)
-from prometheus_client.core import CounterMetricFamily
+from ospreyford.observability.placeholders import SERVERS, placeholders
+
+with placeholders(SERVERS):
+    from prometheus_client import (
+        CollectorRegistry,
+        Counter,
+        Gauge,
+        Histogram,
+        generate_latest,
+    )
+    from prometheus_client.core import CounterMetricFamily
 
 if TYPE_CHECKING:
     from ospreyford.peers.counters import PeerCounters
