--- a/src/ospreyford/hosts/messages.py
+++ b/src/ospreyford/hosts/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ospreyford.ports.fleet import Host, HostState
+from ospreyford.ports.sharing import share_host
 
 TOPIC: Final = 'hosts.rows'
 
@@ -52,7 +53,7 @@
     :param row: the listing.
     :returns: the host.
     """
-    return Host(**msgspec.structs.asdict(row))
+    return share_host(Host(**msgspec.structs.asdict(row)))
 
 
 def write_host(host: Host) -> HostRow:
