Revert "Import prometheus_client without its servers"

It put stand-ins for three modules of the standard library in place while prometheus_client is imported, for 2.4 MB. With it or without it an agent is within 64 MB at rest and above after changes, and an entry above, so it decides nothing; and an upgrade of the library, or any other import in that moment, would fail in a way that nobody expects.

--- a/src/ospreyford/observability/metrics.py
+++ b/src/ospreyford/observability/metrics.py
@@ -5,17 +5,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
-from ospreyford.observability.placeholders import SERVERS, placeholders
-
-with placeholders(SERVERS):
-    from prometheus_client import (
-        CollectorRegistry,
-        Counter,
-        Gauge,
-        Histogram,
-        generate_latest,
-    )
-    from prometheus_client.core import CounterMetricFamily
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+from prometheus_client.core import CounterMetricFamily
 
 if TYPE_CHECKING:
     from ospreyford.peers.counters import PeerCounters
