--- a/src/ospreyford/measure/capacity_samples.py
+++ b/src/ospreyford/measure/capacity_samples.py
@@ -9,7 +9,7 @@
 
 from ospreyford.agent.execution import Execution
 from ospreyford.distribution.entries import Entry
-from ospreyford.hosts.messages import HostRow
+from ospreyford.hosts.messages import HostRow, read_host
 from ospreyford.measure.capacity_size import NODES, ZONES
 from ospreyford.measure.samples import (
     REGIONS,
@@ -25,7 +25,6 @@
 from ospreyford.ports.clock import SystemClock
 from ospreyford.ports.fleet import Host, LoadReport
 from ospreyford.ports.peers import Handler
-from ospreyford.ports.sharing import share_host
 from ospreyford.wire.frame import Start
 from ospreyford.wire.identity import make_id
 
@@ -78,9 +77,7 @@
     :returns: the hosts.
     """
     table = msgspec.json.decode(body, type=HostTable)
-    return tuple(
-        share_host(Host(**msgspec.structs.asdict(row))) for row in table.hosts
-    )
+    return tuple(map(read_host, table.hosts))
 
 
 def make_membership() -> Membership:
