--- a/src/ospreyford/measure/capacity_size.py
+++ b/src/ospreyford/measure/capacity_size.py
@@ -45,8 +45,6 @@
 #: Seconds between two readings of the host list by one process, if each
 #: takes its turns alike (``hosts.reader``).
 HOST_LIST_SECONDS = TERM_SECONDS * PROCESSES / (READERS * ZONES)
-#: Changes of members a second: each that goes is heard of twice.
-MEMBER_CHANGES = 2 * (FAILED_A_DAY + REPLACED_A_DAY) / DAY_SECONDS
 #: Times a second that an entry forgets its plans: for a change of the
 #: documents, and for a back end that goes, comes back and has its listing.
 FORGETS_PER_SECOND = (
--- a/src/ospreyford/observability/metrics.py
+++ b/src/ospreyford/observability/metrics.py
@@ -24,6 +24,8 @@
 TOKEN_GAP_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.039, 0.06, 0.1, 0.25, 1, 5)
 
 PREFIX = 'ospreyford'
+#: The values of the labels, and the count.
+LabelledCount = tuple[tuple[str, ...], int]
 SERVICE = 'service'
 BACKEND = 'backend'
 
@@ -219,14 +221,28 @@
 
         :param failures: number by kind of peer and fault, read at a scrape.
         """
-        self.registry.register(HandshakeCollector(failures))
+        self.registry.register(
+            CountCollector(
+                'handshake_failures',
+                'TLS handshakes that came to nothing',
+                ('peer', 'fault'),
+                failures.items,
+            )
+        )
 
     def watch_weights(self, counts: Mapping[str, int]) -> None:
         """Expose what became of the loads and drops of experts.
 
         :param counts: by kind, read when metrics are scraped.
         """
-        self.registry.register(WeightCollector(counts))
+        self.registry.register(
+            CountCollector(
+                'weights',
+                'Loads and drops of experts: orders, experts, reads put off',
+                ('kind',),
+                lambda: [((kind,), count) for kind, count in counts.items()],
+            )
+        )
 
     def render(self) -> bytes:
         """Write all metrics.
@@ -268,38 +284,26 @@
         return [family, drops]
 
 
-class HandshakeCollector:
-    """Reads the failed TLS handshakes at a scrape.
-
-    :param failures: number by kind of peer and fault.
-    """
-
-    def __init__(self, failures: Mapping[tuple[str, str], int]) -> None:
-        self._failures = failures
-
-    def collect(self) -> Iterable[CounterMetricFamily]:
-        """Read the counts.
-
-        :returns: one metric family.
-        """
-        family = CounterMetricFamily(
-            f'{PREFIX}_handshake_failures',
-            'TLS handshakes that came to nothing',
-            labels=['peer', 'fault'],
-        )
-        for (peer, fault), number in self._failures.items():
-            family.add_metric([peer, fault], number)
-        return [family]
-
-
-class WeightCollector:
-    """Reads the counts of weight orders at a scrape.
+class CountCollector:
+    """Reads counts that another part of the process keeps, at a scrape.
 
-    :param counts: by kind.
+    :param name: the metric's name without prefix and suffix.
+    :param text: what it counts.
+    :param labels: the labels' names.
+    :param read: gives the labels' values and the count of each.
     """
 
-    def __init__(self, counts: Mapping[str, int]) -> None:
-        self._counts = counts
+    def __init__(
+        self,
+        name: str,
+        text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Iterable[LabelledCount]],
+    ) -> None:
+        self._name = f'{PREFIX}_{name}'
+        self._text = text
+        self._labels = labels
+        self._read = read
 
     def collect(self) -> Iterable[CounterMetricFamily]:
         """Read the counts.
@@ -307,12 +311,10 @@
         :returns: one metric family.
         """
         family = CounterMetricFamily(
-            f'{PREFIX}_weights',
-            'Loads and drops of experts: orders, experts, reads put off',
-            labels=['kind'],
+            self._name, self._text, labels=self._labels
         )
-        for kind, count in self._counts.items():
-            family.add_metric([kind], count)
+        for found, count in self._read():
+            family.add_metric(found, count)
         return [family]
 
 
--- a/src/ospreyford/security/secrets.py
+++ b/src/ospreyford/security/secrets.py
@@ -53,9 +53,7 @@
         if callers == 'plain' or self._contexts is None:
             await serve(sock)
             return
-        with suppress(HandshakeFailed):
-            secured = await self._secure(sock, self._contexts.callers, 'caller')
-            await serve(secured.sock)
+        await self._serve(sock, serve, self._contexts.callers, 'caller')
 
     async def serve_entry(self, sock: Socket, serve: Serve) -> None:
         """Serve an entry at this agent.
@@ -69,9 +67,7 @@
         if self._contexts is None:
             await serve(sock)
             return
-        with suppress(HandshakeFailed):
-            secured = await self._secure(sock, self._contexts.entries, 'entry')
-            await serve(secured.sock)
+        await self._serve(sock, serve, self._contexts.entries, 'entry')
 
     async def connect_agent(self, sock: Socket) -> Secured:
         """Secure this entry's connection to an agent.
@@ -124,6 +120,13 @@
         self._contexts = contexts
         return changed
 
+    async def _serve(
+        self, sock: Socket, serve: Serve, context: ssl.SSLContext, peer: str
+    ) -> None:
+        with suppress(HandshakeFailed):
+            secured = await self._secure(sock, context, peer)
+            await serve(secured.sock)
+
     async def _secure(
         self, sock: Socket, context: ssl.SSLContext, peer: str
     ) -> Secured:
