--- /dev/null
+++ b/src/ospreyford/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Entries that reach backend servers directly, without an agent between."""
--- /dev/null
+++ b/src/ospreyford/direct/call.py
@@ -0,0 +1,78 @@
+"""One caller's request as the entry handles it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ospreyford.direct.catalog import Repetition
+
+if TYPE_CHECKING:
+    from ospreyford.direct.catalog import Customer, Route
+    from ospreyford.http.message import Request
+
+
+@dataclass
+class Attempt:
+    """One sending of a request, for the log.
+
+    :param backend: id of the back end.
+    :param at: milliseconds after the request was read.
+    :param outcome: how it ended.
+    """
+
+    backend: str
+    at: int
+    outcome: str = 'under way'
+
+
+@dataclass
+class Call:
+    """One request.
+
+    :param id: the caller's id of this attempt.
+    :param request: its head as it came.
+    :param body: its whole body.
+    :param route: the route that takes it.
+    :param service: the service that was drawn for it.
+    :param key: the caller's key.
+    :param customer: whose key it is.
+    :param started_at: when it was read, on the monotonic clock.
+    :param deadline: when the caller or the route gives up, on that clock.
+    :param cursor: id of the last event that the caller has.
+    """
+
+    id: str
+    request: Request
+    route: Route
+    service: str
+    key: str | None
+    customer: Customer | None
+    started_at: float
+    deadline: float
+    cursor: int | None = None
+    body: bytes = b''
+    attempts: list[Attempt] = field(default_factory=list)
+    may_have_run: bool = False
+
+    def may_repeat(self) -> bool:
+        """Tell whether it may be sent again after a sending of unknown fate.
+
+        :returns: whether more than one run does no harm.
+        """
+        return self.route.repetition is not Repetition.once
+
+    def list_tried(self) -> set[str]:
+        """List the back ends that it was sent to.
+
+        :returns: their ids.
+        """
+        return {attempt.backend for attempt in self.attempts}
+
+    def tell_left(self, now: float) -> float:
+        """Tell how much time is left.
+
+        :param now: seconds on the monotonic clock.
+        :returns: seconds; not below zero.
+        """
+        return max(self.deadline - now, 0)
--- /dev/null
+++ b/src/ospreyford/direct/changes.py
@@ -0,0 +1,110 @@
+"""Published changes taking effect at an entry."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from ospreyford.direct.decisions import BackendChanged, CatalogInForce
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ospreyford.direct.catalog import Catalog
+    from ospreyford.direct.fleet import BackendServer
+    from ospreyford.direct.world import World
+
+#: A registration that lapsed while the store was away is renewed within about
+#: two seconds of its return; one that is still missing then is gone.
+RETURN_SECONDS = 2.2
+
+
+class Changes:
+    """Takes over what a reader of the store hands on.
+
+    :param world: what the entry knows.
+    """
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    def take_catalog(self, catalog: Catalog, revision: int) -> None:
+        """Put a catalog in force, unless a newer one is.
+
+        :param catalog: the operators' newest.
+        :param revision: of the store.
+        """
+        known = self._world.catalog
+        # A stale or repeated reading must not take the entry back.
+        if known is not None and catalog.version <= known.version:
+            return
+        self._world.catalog = catalog
+        self._world.log.log_change(
+            CatalogInForce(
+                catalog.version,
+                revision,
+                sum(map(len, catalog.routes.values())),
+            )
+        )
+
+    def take_server(self, server: BackendServer) -> None:
+        """Take over a back end's registration.
+
+        :param server: as registered.
+        """
+        if self._world.fleet.put(server):
+            change = 'draining' if server.is_draining else 'ready'
+            self._log(server, change, server.revision)
+
+    async def lose_server(
+        self, server_id: str, revision: int, may_return: bool
+    ) -> None:
+        """Take over that a registration is gone.
+
+        :param server_id: the back end's id.
+        :param revision: of the store.
+        :param may_return: whether it may have lapsed only because the store
+            was away.
+        """
+        member = self._world.fleet.find(server_id)
+        if member is None:
+            return
+        if may_return and not member.server.is_draining:
+            # All registrations lapse together when the store was away for
+            # long. Were they dropped at once, every request would be refused
+            # until the back ends have registered again.
+            self._world.fleet.mark_missing(
+                server_id, time.monotonic() + RETURN_SECONDS
+            )
+            self._log(member.server, 'missing', revision)
+            return
+        self._world.fleet.remove(server_id)
+        self._log(member.server, 'gone', revision)
+        await self._world.pool.forget(server_id)
+
+    async def take_servers(
+        self, servers: Sequence[BackendServer], revision: int, may_return: bool
+    ) -> None:
+        """Take over the list of all registrations.
+
+        :param servers: all that are registered.
+        :param revision: of the store.
+        :param may_return: whether missing ones may have lapsed only because
+            the store was away.
+        """
+        for server in servers:
+            self.take_server(server)
+        registered = {server.id for server in servers}
+        for server_id in self._world.fleet.ids():
+            if server_id not in registered:
+                await self.lose_server(server_id, revision, may_return)
+
+    async def drop_missing(self) -> None:
+        """Forget the back ends that did not come back in time."""
+        for server_id in self._world.fleet.remove_missing(time.monotonic()):
+            await self._world.pool.forget(server_id)
+
+    def _log(self, server: BackendServer, change: str, revision: int) -> None:
+        self._world.log.log_change(
+            BackendChanged(server.id, server.service, change, revision)
+        )
--- /dev/null
+++ b/src/ospreyford/direct/choosing.py
@@ -0,0 +1,92 @@
+"""Which back end takes a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+    from random import Random
+
+    from ospreyford.direct.catalog import Split
+    from ospreyford.direct.fleet import Member
+
+#: What a failure rate of 1 weighs, in requests per slot. A back end that
+#: fails all it gets is then chosen only when the others hold twice their
+#: slots more.
+FAILURE_WEIGHT = 2.0
+#: What another availability zone weighs, in requests per slot: less than one
+#: request of a back end with six slots. It settles ties, so that bytes stay in
+#: the zone where nothing else speaks for another one.
+ZONE_WEIGHT = 0.1
+#: A failure is held against a back end for this long, in seconds. Without an
+#: end it would get no request any more that could show it sound again.
+FAILURE_MEMORY = 4.0
+
+
+class Wish(NamedTuple):
+    """What a request wants of its back end.
+
+    :param zone: the entry's availability zone.
+    :param avoided: ids of back ends that it was sent to before.
+    :param now: seconds on the monotonic clock.
+    """
+
+    zone: str
+    avoided: Collection[str]
+    now: float
+
+
+def choose_member(
+    members: Sequence[Member], wish: Wish, random: Random
+) -> Member | None:
+    """Choose the back end with the least load per slot.
+
+    Load pattern: many short and few long requests of unequal size, from
+    several entries that know of each other's load only some time later; ties
+    are drawn so that the entries do not all choose the same one.
+
+    :param members: back ends that take new work.
+    :param wish: what the request wants.
+    :param random: draws between equals.
+    :returns: the member, or ``None`` if there is none.
+    """
+    fresh = [one for one in members if one.server.id not in wish.avoided]
+    candidates = fresh or list(members)
+    if not candidates:
+        return None
+    return min(
+        candidates,
+        key=lambda member: (weigh_member(member, wish), random.random()),
+    )
+
+
+def weigh_member(member: Member, wish: Wish) -> float:
+    """Tell how little a back end suits a request.
+
+    :param member: the back end.
+    :param wish: what the request wants.
+    :returns: requests per slot, with what else speaks against it.
+    """
+    weight = member.count_load() / max(member.server.slots, 1)
+    if wish.now - member.failed_at < FAILURE_MEMORY:
+        weight += FAILURE_WEIGHT * member.failure_rate
+    if member.server.zone != wish.zone:
+        weight += ZONE_WEIGHT
+    return weight
+
+
+def choose_service(splits: Sequence[Split], random: Random) -> str | None:
+    """Draw the service of a request by the weights of its route.
+
+    :param splits: the route's services.
+    :param random: the source of the draw.
+    :returns: the service's name, or ``None`` if the route has none.
+    """
+    total = sum(split.weight for split in splits)
+    drawn = random.random() * total
+    for split in splits:
+        drawn -= split.weight
+        if drawn < 0:
+            return split.service
+    return splits[-1].service if splits else None
--- /dev/null
+++ b/src/ospreyford/direct/decisions.py
@@ -0,0 +1,157 @@
+"""Decisions and changes that an entry logs: one type each, one line each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(frozen=True)
+class RequestEnded:
+    """A request got its final answer, or its caller left.
+
+    :param request_id: the caller's id of it.
+    :param customer: whose key it carried.
+    :param route: the route's name.
+    :param service: the service that was drawn.
+    :param version: the catalog's version.
+    :param age_ms: age of the catalog when the request was read.
+    :param attempts: back end, moment and outcome of each sending.
+    :param verdict: type of the outcome.
+    :param detail: its fields.
+    :param took_ms: from the request's end to its answer's.
+    :param waited_ms: of these, in the queue.
+    """
+
+    request_id: str
+    customer: str
+    route: str
+    service: str
+    version: int
+    age_ms: int
+    attempts: list[str]
+    verdict: str
+    detail: dict[str, Any]
+    took_ms: int
+    waited_ms: int
+
+
+@dataclass(frozen=True)
+class RequestDenied:
+    """A request was answered without being sent to a back end.
+
+    :param request_id: the caller's id of it.
+    :param asked_host: the host name that it was for.
+    :param path: its path.
+    :param cause: why.
+    :param status: the HTTP status.
+    :param version: the catalog's version, or -1.
+    :param age_ms: the catalog's age, or -1.
+    """
+
+    request_id: str
+    asked_host: str
+    path: str
+    cause: str
+    status: int
+    version: int
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class CatalogInForce:
+    """A newer catalog took effect.
+
+    :param version: the operators' version.
+    :param revision: of the store.
+    :param routes: number of routes.
+    """
+
+    version: int
+    revision: int
+    routes: int
+
+
+@dataclass(frozen=True)
+class CatalogRefused:
+    """A published catalog cannot be used; the last good one stays.
+
+    :param revision: of the store.
+    :param reason: what is wrong with it.
+    """
+
+    revision: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class RegistrationRefused:
+    """A back end's registration cannot be used.
+
+    :param backend: its id.
+    :param reason: what is wrong with it.
+    """
+
+    backend: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class BackendChanged:
+    """A back end registered, drains or is gone.
+
+    :param backend: its id.
+    :param service: its service.
+    :param change: ``ready``, ``draining``, ``missing`` or ``gone``.
+    :param revision: of the store.
+    """
+
+    backend: str
+    service: str
+    change: str
+    revision: int
+
+
+@dataclass(frozen=True)
+class StoreLost:
+    """The platform's store does not answer.
+
+    :param reason: what was seen.
+    :param age_ms: age of the picture.
+    """
+
+    reason: str
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class StoreRegained:
+    """The platform's store answers again.
+
+    :param revision: of the store.
+    """
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class SettingsReread:
+    """The settings file was read again.
+
+    :param changed: whether it said anything else.
+    """
+
+    changed: bool
+
+
+Decision = (
+    RequestEnded
+    | RequestDenied
+    | CatalogInForce
+    | CatalogRefused
+    | RegistrationRefused
+    | BackendChanged
+    | StoreLost
+    | StoreRegained
+    | SettingsReread
+)
--- /dev/null
+++ b/src/ospreyford/direct/headers.py
@@ -0,0 +1,89 @@
+"""Header fields on their way between callers and back ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from ospreyford.http.message import find_header
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ospreyford.direct.call import Call
+    from ospreyford.direct.dialect import Dialect
+    from ospreyford.direct.fleet import BackendServer
+    from ospreyford.http.message import Headers
+
+MILLISECONDS = 1000
+
+#: Fields that concern one connection only (RFC 9110, section 7.6.1), and
+#: those that frame a body, which is framed anew.
+HOP_FIELDS: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+
+
+def keep_end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Drop the fields that concern one connection only.
+
+    :param headers: the fields as they came.
+    :returns: those that are passed on.
+    """
+    dropped = HOP_FIELDS | set(read_connection_options(headers))
+    return [(name, text) for name, text in headers if name not in dropped]
+
+
+def read_connection_options(headers: Headers) -> Iterable[bytes]:
+    """List the fields that a message itself ties to its connection.
+
+    :param headers: the fields as they came.
+    :returns: lower-case names.
+    """
+    named = find_header(headers, b'connection') or b''
+    return [option.strip().lower() for option in named.split(b',')]
+
+
+def make_backend_headers(
+    call: Call, server: BackendServer, dialect: Dialect, left: float
+) -> Headers:
+    """Make the fields of one sending.
+
+    :param call: the request.
+    :param server: the back end that may run it.
+    :param dialect: the names of the fields.
+    :param left: seconds that the back end may take.
+    :returns: the fields, without a length.
+    """
+    # Whatever a caller sends under these names must not reach the back end:
+    # it would choose its own customer, or an instance.
+    ours = {
+        dialect.key,
+        dialect.customer,
+        dialect.instance,
+        dialect.deadline,
+        dialect.last_event,
+    }
+    fields = [
+        (name, text)
+        for name, text in keep_end_to_end(call.request.headers)
+        if name not in ours
+    ]
+    fields.append((dialect.deadline, b'%d' % int(left * MILLISECONDS)))
+    fields.append((dialect.instance, server.id.encode()))
+    if call.customer is not None:
+        fields.append((dialect.customer, call.customer.name.encode()))
+    if call.cursor is not None:
+        fields.append((dialect.last_event, b'%d' % call.cursor))
+    return tuple(fields)
--- /dev/null
+++ b/src/ospreyford/direct/metrics.py
@@ -0,0 +1,57 @@
+"""Counters and latency histograms of an entry."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+#: Upper bounds of the latency histograms, in seconds: around the objectives of
+#: plain calls (0.1 to 0.5) and of streams (0.5 to 8).
+LATENCY_BOUNDS: Final = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2.5, 4, 8,
+)  # fmt: skip
+
+
+class EntryMetrics:
+    """What an entry counts."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            'ospreyford_requests',
+            'Requests by outcome.',
+            ('service', 'verdict'),
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            'ospreyford_request_seconds',
+            'Time from a request to the end of its answer.',
+            ('service',),
+            buckets=LATENCY_BOUNDS,
+            registry=self.registry,
+        )
+        self.sendings = Counter(
+            'ospreyford_sendings',
+            'Sendings to back ends by outcome.',
+            ('service', 'outcome'),
+            registry=self.registry,
+        )
+        self.picture_age = Gauge(
+            'ospreyford_picture_age_seconds',
+            'Age of what is known of the published state.',
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Render all figures.
+
+        :returns: text in the exposition format of Prometheus.
+        """
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/ospreyford/direct/program.py
@@ -0,0 +1,185 @@
+"""The tasks of an entry that reaches back ends directly."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+import curio
+
+from ospreyford.direct.agents import AgentLink
+from ospreyford.direct.changes import Changes
+from ospreyford.direct.handler import RequestHandler
+from ospreyford.direct.messages import CONTENT_TYPE, make_problem
+from ospreyford.direct.verdicts import Cause
+from ospreyford.http.connections import OpenConnections
+from ospreyford.http.errors import (
+    BadMessage,
+    BodyTooLarge,
+    HttpError,
+    TooSlow,
+)
+from ospreyford.http.message import Limits
+from ospreyford.http.server import listen, serve_connection
+from ospreyford.observability.events import Draining, NotReady, Ready, Stopped
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from curio.io import Socket
+
+    from ospreyford.console.stopping import Stop
+    from ospreyford.direct.world import World
+    from ospreyford.http.server import Exchange, ServerConnection
+
+OK: Final = 200
+UNAVAILABLE: Final = 503
+REQUEST_TIMEOUT: Final = 408
+TOO_LARGE: Final = 413
+#: Callers' connections open at once: below what the descriptors of an entry
+#: allow, with as many again left for back ends.
+MAX_CONNECTIONS = 1800
+#: How often resting connections and missing back ends are looked at, seconds.
+SWEEP_SECONDS = 0.25
+#: Part of the grace in which new connections are still taken: the balancer
+#: asks once a second and needs two refusals before it stops sending them.
+ACCEPT_PART = 0.4
+#: Part of the grace after which the process ends whatever is in flight.
+FINISH_PART = 0.93
+#: How often a stopping entry looks whether all answers are out, in seconds.
+FINISH_POLL = 0.05
+
+
+class EntryServer:
+    """Everything that runs in an entry beside the reader of the store.
+
+    :param world: what the entry knows and uses.
+    :param stop: tells when to stop.
+    """
+
+    def __init__(self, world: World, stop: Stop) -> None:
+        self._world = world
+        self._stop = stop
+        self._handler = RequestHandler(world)
+        self._open = OpenConnections(MAX_CONNECTIONS)
+        self._was_ready = False
+        self.changes = Changes(world)
+
+    async def run(self, feed: Callable[[], Awaitable[None]]) -> None:
+        """Serve until the process is told to stop and all answers are out.
+
+        :param feed: follows the published state.
+        """
+        world = self._world
+        settings = world.settings
+        self._stop.count_in_flight = self._open.count_busy
+        front = listen(*settings.front)
+        ready = listen(*settings.ready)
+        metrics = listen(settings.front[0], settings.metrics_port)
+        accepting = await curio.spawn(self._accept_callers, front, daemon=True)
+        await curio.spawn(accept, ready, self._answer_ready, daemon=True)
+        await curio.spawn(accept, metrics, self._answer_metrics, daemon=True)
+        await curio.spawn(feed, daemon=True)
+        await curio.spawn(AgentLink(world).run, daemon=True)
+        await curio.spawn(self._sweep, daemon=True)
+        await self._stop.requested.wait()
+        await self._finish(accepting)
+
+    async def _finish(self, accepting: curio.Task) -> None:
+        world = self._world
+        grace = world.settings.bounds.grace_seconds
+        started = time.monotonic()
+        world.is_stopping = True
+        self._open.closing = True
+        world.log.log_change(Draining('signal', self._open.count_busy()))
+        await curio.sleep(grace * ACCEPT_PART)
+        await accepting.cancel()
+        quiet = 0
+        while time.monotonic() - started < grace * FINISH_PART and quiet < 3:
+            await curio.sleep(FINISH_POLL)
+            quiet = 0 if self._open.count_busy() else quiet + 1
+        world.log.log_change(Stopped(self._open.count_busy()))
+
+    async def _accept_callers(self, sock: Socket) -> None:
+        async with sock:
+            while True:
+                client, _ = await sock.accept()
+                if self._open.is_full():
+                    await client.close()
+                    continue
+                catalog = self._world.catalog
+                limits = catalog.limits if catalog else Limits()
+                await curio.spawn(
+                    serve_connection,
+                    client,
+                    limits,
+                    self._handler.handle,
+                    refuse,
+                    self._open,
+                    daemon=True,
+                )
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        status = OK if self._world.is_ready() else UNAVAILABLE
+        await exchange.respond(status, b'')
+
+    async def _answer_metrics(self, exchange: Exchange) -> None:
+        world = self._world
+        world.metrics.picture_age.set(world.knowledge.tell_age() or 0)
+        await exchange.respond(
+            OK,
+            world.metrics.render(),
+            ((b'content-type', b'text/plain; version=0.0.4'),),
+        )
+
+    async def _sweep(self) -> None:
+        while True:
+            await curio.sleep(SWEEP_SECONDS)
+            await self._world.pool.close_expired()
+            await self.changes.drop_missing()
+            self._note_readiness()
+
+    def _note_readiness(self) -> None:
+        is_ready = self._world.is_ready()
+        if is_ready is self._was_ready:
+            return
+        self._was_ready = is_ready
+        if is_ready:
+            self._world.log.log_change(Ready())
+        else:
+            age_ms = self._world.tell_age_ms()
+            self._world.log.log_change(NotReady(f'picture {age_ms} ms old'))
+
+
+async def accept(
+    sock: Socket, handler: Callable[[Exchange], Awaitable[None]]
+) -> None:
+    """Serve a small port for the platform's own questions.
+
+    :param sock: the listening socket.
+    :param handler: answers each request.
+    """
+    async with sock:
+        while True:
+            client, _ = await sock.accept()
+            await curio.spawn(
+                serve_connection, client, Limits(), handler, daemon=True
+            )
+
+
+async def refuse(error: HttpError, connection: ServerConnection) -> None:
+    """Answer what is no request, where the protocol still allows it.
+
+    :param error: what was wrong.
+    :param connection: the caller's connection.
+    """
+    match error:
+        case BadMessage(status=status):
+            body = make_problem(Cause.garbled, '')
+            await connection.refuse(status, body, (CONTENT_TYPE,))
+        case BodyTooLarge():
+            body = make_problem(Cause.refused, '')
+            await connection.refuse(TOO_LARGE, body, (CONTENT_TYPE,))
+        case TooSlow():
+            body = make_problem(Cause.out_of_time, '')
+            await connection.refuse(REQUEST_TIMEOUT, body, (CONTENT_TYPE,))
--- /dev/null
+++ b/src/ospreyford/direct/relay.py
@@ -0,0 +1,232 @@
+"""A request's way to back ends and its answer's way back."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+import curio
+import h11
+
+from ospreyford.direct.call import Attempt
+from ospreyford.direct.choosing import Wish, choose_member
+from ospreyford.direct.events import EventSplitter
+from ospreyford.direct.headers import keep_end_to_end
+from ospreyford.direct.sending import Sending
+from ospreyford.direct.verdicts import (
+    Answered,
+    Cause,
+    Cut,
+    Lost,
+    NotRun,
+    Refused,
+    Replied,
+    Sent,
+    Streaming,
+    Unknown,
+    Verdict,
+)
+from ospreyford.http.errors import HttpError
+
+if TYPE_CHECKING:
+    from ospreyford.direct.call import Call
+    from ospreyford.direct.events import StreamEvent
+    from ospreyford.direct.fleet import Member
+    from ospreyford.direct.world import World
+    from ospreyford.http.message import Response
+    from ospreyford.http.server import Exchange
+
+BAD_GATEWAY: Final = 502
+GATEWAY_TIMEOUT: Final = 504
+SERVER_ERROR: Final = 500
+MILLISECONDS = 1000
+#: A resumable stream that is silent for this long goes on at another back
+#: end, in seconds. Callers leave after two seconds of silence.
+STALL_SECONDS = 1.2
+#: With less time left a request is not sent any more, in seconds.
+LEAST_SECONDS = 0.02
+#: When to come back where nothing better is known, in seconds.
+RETRY_SECONDS = 0.3
+
+
+class Relay:
+    """Sends one request until it has its final answer.
+
+    :param call: the request.
+    :param exchange: the caller's side.
+    :param world: what the entry knows and uses.
+    """
+
+    def __init__(self, call: Call, exchange: Exchange, world: World) -> None:
+        self._call = call
+        self._exchange = exchange
+        self._world = world
+        self._cause = Cause.no_backend
+        self._cursor = call.cursor
+
+    async def run(self) -> Verdict:
+        """Serve the request within its time.
+
+        :returns: how it ended; an answer of a back end is delivered.
+        """
+        left = self._call.tell_left(time.monotonic())
+        try:
+            return await curio.timeout_after(left, self._send_until_final)
+        except curio.TaskTimeout:
+            return self._give_up(Cause.out_of_time, GATEWAY_TIMEOUT)
+
+    async def _send_until_final(self) -> Verdict:
+        verdict: Verdict | None = None
+        while verdict is None:
+            member = self._choose()
+            if member is None:
+                return self._give_up(self._cause, BAD_GATEWAY)
+            verdict = await self._attempt(member)
+        return verdict
+
+    def _choose(self) -> Member | None:
+        call = self._call
+        world = self._world
+        now = time.monotonic()
+        if call.attempts:
+            if len(call.attempts) >= call.route.attempts:
+                return None
+            if not world.budget.spend(call.service, now):
+                return None
+        wish = Wish(world.settings.zone, call.list_tried(), now)
+        members = world.fleet.list_service(call.service)
+        return choose_member(members, wish, world.random)
+
+    async def _attempt(self, member: Member) -> Verdict | None:
+        call = self._call
+        now = time.monotonic()
+        attempt = Attempt(
+            member.server.id, int((now - call.started_at) * MILLISECONDS)
+        )
+        call.attempts.append(attempt)
+        member.in_flight += 1
+        try:
+            async with Sending(
+                call, member.server, self._world.tools
+            ) as sending:
+                sent = await sending.start()
+                attempt.outcome = type(sent).__name__
+                return await self._judge(sent, sending, member)
+        finally:
+            member.in_flight -= 1
+
+    async def _judge(
+        self, sent: Sent, sending: Sending, member: Member
+    ) -> Verdict | None:
+        match sent:
+            case Refused(head=head):
+                member.note_failure(time.monotonic())
+                self._cause = Cause.refused if head else Cause.unreachable
+                return None
+            case Lost(cause=cause):
+                return self._judge_loss(cause, member)
+            case Replied(head=head, body=body):
+                return await self._deliver(head, body, member)
+            case Streaming(head=head):
+                return await self._relay_stream(head, sending, member)
+
+    def _judge_loss(self, cause: Cause, member: Member) -> Verdict | None:
+        member.note_failure(time.monotonic())
+        self._call.may_have_run = True
+        self._cause = cause
+        if self._call.may_repeat():
+            return None
+        return self._give_up(cause, BAD_GATEWAY)
+
+    async def _deliver(
+        self, head: Response, body: bytes, member: Member
+    ) -> Verdict | None:
+        call = self._call
+        if head.status >= SERVER_ERROR:
+            member.note_failure(time.monotonic())
+            call.may_have_run = True
+            if call.may_repeat() and self._may_try_again():
+                self._cause = Cause.refused
+                return None
+        else:
+            member.note_success()
+        await self._exchange.respond(
+            head.status, body, tuple(keep_end_to_end(head.headers))
+        )
+        return Answered(head.status)
+
+    def _may_try_again(self) -> bool:
+        call = self._call
+        return len(call.attempts) < call.route.attempts
+
+    async def _relay_stream(
+        self, head: Response, sending: Sending, member: Member
+    ) -> Verdict | None:
+        self._call.may_have_run = True
+        if not self._exchange.started:
+            fields = tuple(keep_end_to_end(head.headers))
+            self._exchange.add((self._exchange.make_head(head.status, fields),))
+        if await self._pass_on(sending):
+            member.note_success()
+            await self._exchange.finish()
+            return Answered(head.status)
+        member.note_failure(time.monotonic())
+        self._cause = Cause.lost
+        if self._call.may_repeat():
+            self._call.cursor = self._cursor
+            return None
+        return self._give_up(Cause.lost, BAD_GATEWAY)
+
+    async def _pass_on(self, sending: Sending) -> bool:
+        """Pass whole events on as they come.
+
+        :returns: whether the stream came to its end.
+        """
+        splitter = EventSplitter()
+        pieces = sending.read_pieces()
+        while True:
+            try:
+                piece = await curio.timeout_after(
+                    STALL_SECONDS, pieces.__anext__()
+                )
+            except StopAsyncIteration:
+                return not splitter.has_rest()
+            except (HttpError, curio.TaskTimeout):
+                return False
+            events = splitter.add(piece)
+            if not all([self._forward(event) for event in events]):
+                return False
+            await self._push()
+
+    def _forward(self, event: StreamEvent) -> bool:
+        """Add an event to what goes to the caller.
+
+        :returns: whether it is the next one. A gap means that pieces were
+            lost: the stream must go on at another back end.
+        """
+        if event.id is not None:
+            if self._cursor is not None and event.id <= self._cursor:
+                return True
+            if self._cursor is not None and event.id > self._cursor + 1:
+                return False
+            self._cursor = event.id
+        self._exchange.add((h11.Data(data=event.encoded),))
+        return True
+
+    async def _push(self) -> None:
+        await self._exchange.push(STALL_SECONDS)
+
+    def _give_up(self, cause: Cause, status: int) -> Verdict:
+        if self._exchange.started:
+            return Cut(cause, self._cursor)
+        if self._call.may_have_run or self._is_sent():
+            return Unknown(cause, status)
+        return NotRun(cause, RETRY_SECONDS)
+
+    def _is_sent(self) -> bool:
+        """Tell whether the last sending's fate is unknown.
+
+        :returns: whether it was still under way.
+        """
+        attempts = self._call.attempts
+        return bool(attempts) and attempts[-1].outcome == 'under way'
--- /dev/null
+++ b/src/ospreyford/direct/sending.py
@@ -0,0 +1,166 @@
+"""One sending of a request to one back end."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+import curio
+
+from ospreyford.direct.headers import make_backend_headers
+from ospreyford.direct.verdicts import (
+    Cause,
+    Lost,
+    Refused,
+    Replied,
+    Sent,
+    Streaming,
+)
+from ospreyford.http.errors import ConnectionRefused, HttpError
+from ospreyford.http.message import Request, Response, find_header
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from ospreyford.direct.call import Call
+    from ospreyford.direct.connections import ConnectionPool
+    from ospreyford.direct.dialect import Dialect
+    from ospreyford.direct.fleet import BackendServer
+    from ospreyford.http.client import ClientConnection
+
+OK: Final = 200
+REDIRECTION: Final = 300
+MISDIRECTED: Final = 421
+
+
+class Tools(NamedTuple):
+    """What each sending uses.
+
+    :param pool: connections to back ends.
+    :param dialect: the names of header fields.
+    """
+
+    pool: ConnectionPool
+    dialect: Dialect
+
+
+class Sending:
+    """A request on its way to a back end, and the answer to it.
+
+    Leaving the context closes a connection whose answer was not read in
+    whole: the back end then stops its work, and nobody is given the rest.
+
+    :param call: the request.
+    :param server: the back end.
+    :param tools: connections and names.
+    """
+
+    def __init__(self, call: Call, server: BackendServer, tools: Tools) -> None:
+        self.server = server
+        self._call = call
+        self._tools = tools
+        self._connection: ClientConnection | None = None
+        self._head: Response | None = None
+        self._is_whole = False
+
+    async def __aenter__(self) -> Sending:
+        """Begin.
+
+        :returns: itself.
+        """
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Keep the connection if its answer was read in whole."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        if self._is_whole and self._head is not None:
+            await self._tools.pool.give_back(
+                self.server, connection, self._head
+            )
+        else:
+            await connection.close()
+
+    async def start(self) -> Sent:
+        """Send the request and wait for the head of its answer.
+
+        :returns: what came of it; a plain answer is read in whole.
+        """
+        try:
+            self._connection = await self._tools.pool.take(self.server)
+        except ConnectionRefused:
+            return Refused(head=None)
+        try:
+            return await self._exchange(self._connection)
+        except HttpError:
+            return Lost(Cause.lost)
+
+    async def read_pieces(self) -> AsyncIterator[bytes]:
+        """Read the body of a stream as it comes.
+
+        :returns: an iterator of pieces that ends with the answer.
+        :raises HttpError: the stream was cut.
+        """
+        if self._connection is None:
+            return
+        async for piece in self._connection.read_pieces():
+            yield piece
+        self._is_whole = True
+
+    async def _exchange(self, connection: ClientConnection) -> Sent:
+        call = self._call
+        left = call.tell_left(time.monotonic())
+        headers = make_backend_headers(
+            call, self.server, self._tools.dialect, left
+        )
+        await connection.send(
+            Request(call.request.method, call.request.target, headers),
+            call.body,
+        )
+        head = await connection.read_head()
+        self._head = head
+        return await self._judge(connection, head)
+
+    async def _judge(
+        self, connection: ClientConnection, head: Response
+    ) -> Sent:
+        dialect = self._tools.dialect
+        refused = find_header(head.headers, dialect.refused) is not None
+        if refused or head.status == MISDIRECTED:
+            await self._read_rest(connection)
+            return Refused(head, head.status == MISDIRECTED)
+        if not self._is_ours(head):
+            return Lost(Cause.garbled)
+        if self._call.route.streams and head.status == OK:
+            return Streaming(head)
+        body = await connection.read_body()
+        self._is_whole = True
+        return Replied(head, body)
+
+    async def _read_rest(self, connection: ClientConnection) -> None:
+        async with curio.ignore_after(0.05):
+            try:
+                await connection.read_body()
+            except HttpError:
+                return
+            self._is_whole = True
+
+    def _is_ours(self, head: Response) -> bool:
+        """Tell whether an answer belongs to this request and is usable.
+
+        A back end may answer an earlier request twice, or late, where this
+        answer is expected. The id shows it; without this check the caller
+        would get somebody else's answer.
+        """
+        dialect = self._tools.dialect
+        echoed = find_header(head.headers, dialect.request_id)
+        if echoed is not None and echoed.decode('latin-1') != self._call.id:
+            return False
+        if find_header(head.headers, b'content-encoding') is not None:
+            return False
+        is_success = OK <= head.status < REDIRECTION
+        return not is_success or (
+            echoed is not None
+            and find_header(head.headers, dialect.seal) is not None
+        )
--- /dev/null
+++ b/src/ospreyford/direct/world.py
@@ -0,0 +1,67 @@
+"""What an entry knows and uses while it serves requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING
+
+from ospreyford.direct.budget import RetryBudget
+from ospreyford.direct.connections import ConnectionPool
+from ospreyford.direct.fleet import Fleet
+from ospreyford.direct.knowledge import Knowledge
+from ospreyford.direct.metrics import EntryMetrics
+from ospreyford.direct.sending import Tools
+
+if TYPE_CHECKING:
+    from ospreyford.direct.catalog import Catalog
+    from ospreyford.direct.dialect import Dialect
+    from ospreyford.direct.settings import DirectSettings
+    from ospreyford.observability.logs import ChangeLog
+
+
+@dataclass
+class World:
+    """The parts of one entry.
+
+    :param settings: as read at the start.
+    :param dialect: names of header fields.
+    :param log: where decisions go.
+    :param random: draws between equals.
+    """
+
+    settings: DirectSettings
+    dialect: Dialect
+    log: ChangeLog
+    random: Random = field(default_factory=Random)
+    catalog: Catalog | None = None
+    is_stopping: bool = False
+
+    def __post_init__(self) -> None:
+        """Make the parts."""
+        self.fleet = Fleet()
+        self.budget = RetryBudget(self.settings.retries)
+        self.knowledge = Knowledge(self.settings.bounds)
+        self.pool = ConnectionPool()
+        self.metrics = EntryMetrics()
+        self.tools = Tools(self.pool, self.dialect)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers are served well here.
+
+        :returns: whether the catalog and back ends are known and fresh.
+        """
+        return (
+            not self.is_stopping
+            and self.catalog is not None
+            and len(self.fleet) > 0
+            and self.knowledge.may_serve_keys()
+        )
+
+    def tell_age_ms(self) -> int:
+        """Tell the age of the picture.
+
+        :returns: milliseconds, or -1 without a picture.
+        """
+        age = self.knowledge.tell_age()
+        return -1 if age is None else int(age * 1000)
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -33,6 +33,8 @@
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 GO_ON = h11.InformationalResponse(status_code=100, headers=[])
 HEAD = b'HEAD'
+#: How often a connection with an unread request is asked for its end.
+HANGUP_SECONDS = 0.2
 HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -140,6 +142,13 @@
         """
         return self._connection.is_hung_up()
 
+    async def wait_for_hangup(self) -> None:
+        """Wait until the caller has closed its side of the connection.
+
+        Only while the request's body is read and no other task reads.
+        """
+        await self._connection.wait_for_hangup()
+
 
 class ServerConnection:
     """One caller's connection.
@@ -274,6 +283,17 @@
         poller.register(self._sock.fileno(), HANGUP)
         return bool(poller.poll(0))
 
+    async def wait_for_hangup(self) -> None:
+        """Wait until the caller has closed its side of the connection."""
+        try:
+            received = await self._sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return
+        # The caller's next request may be here already. As long as it lies
+        # unread, the end of the connection behind it cannot be seen.
+        while received and not self.is_hung_up():
+            await curio.sleep(HANGUP_SECONDS)
+
     def start_next_cycle(self) -> bool:
         """Make ready for another request.
 
--- a/src/ospreyford/observability/events.py
+++ b/src/ospreyford/observability/events.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from ospreyford.direct.decisions import Decision as EntryDecision
+from ospreyford.rebalance.decisions import Decision as AgentDecision
 from ospreyford.security.events import SecretRefused, SecretsReplaced
 
 
@@ -152,4 +154,6 @@
     | LinesDropped
     | SecretsReplaced
     | SecretRefused
+    | EntryDecision
+    | AgentDecision
 )
--- /dev/null
+++ b/src/ospreyford/platform/agent.py
@@ -0,0 +1,83 @@
+"""The agent on the platform: ``python3 -m ospreyford.platform.agent``."""
+
+from __future__ import annotations
+
+import curio
+
+from ospreyford.console.allocator import hand_back_memory
+from ospreyford.console.stopping import Stop
+from ospreyford.observability.events import Started
+from ospreyford.observability.logs import ChangeLog
+from ospreyford.platform.entry import METRICS_PORT, open_log
+from ospreyford.platform.errors import BadNodeFile
+from ospreyford.platform.nodefile import PATH_VARIABLE, Node, read_node
+from ospreyford.platform.replica import Replica
+from ospreyford.ports.clock import SystemClock
+from ospreyford.rebalance.agent import Outside, RankAgent
+from ospreyford.rebalance.settings import AgentSettings
+
+#: Time for the answer of a back end on another host, in seconds.
+REMOTE_SECONDS = 0.25
+
+
+def make_settings(node: Node) -> AgentSettings:
+    """Make an agent's settings.
+
+    :param node: what the platform's file says.
+    :returns: the settings.
+    :raises BadNodeFile: there is no back end on this host.
+    """
+    if node.backend is None:
+        raise BadNodeFile(PATH_VARIABLE, 'app', 'missing')
+    return AgentSettings(
+        name=node.name,
+        zone=node.zone,
+        region=node.region,
+        backend=node.backend,
+        datagrams=(node.ip, node.first_port),
+        metrics_port=METRICS_PORT,
+        grace_seconds=node.grace_seconds,
+    )
+
+
+def reach(address: tuple[str, int]) -> Replica:
+    """Reach a back end on another host.
+
+    :param address: IP number and port.
+    :returns: its calls.
+    """
+    return Replica(address, REMOTE_SECONDS)
+
+
+async def serve(node: Node, log: ChangeLog, stop: Stop) -> None:
+    """Run the agent until it has stopped.
+
+    :param node: what the platform's file says.
+    :param log: where decisions go.
+    :param stop: tells when to stop.
+    """
+    settings = make_settings(node)
+    log.log_change(Started('agent', node.name, ''))
+    outside = Outside(Replica(settings.backend), reach, log, SystemClock())
+    agent = RankAgent(settings, outside)
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(agent.run, stop)
+        await group.spawn(stop.watch)
+
+
+def main() -> None:
+    """Run the agent with the platform's settings file."""
+    hand_back_memory()
+    node = read_node()
+    log = open_log(node)
+    stop = Stop(node.grace_seconds)
+    stop.install()
+    try:
+        curio.run(serve, node, log, stop)
+    finally:
+        stop.finish()
+        log.close()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/ospreyford/platform/dialect.py
@@ -0,0 +1,20 @@
+"""The platform's names of header fields."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ospreyford.direct.dialect import Dialect
+
+DIALECT: Final = Dialect(
+    # Named for a caller's attempt: a caller's retry carries another one.
+    request_id=b'x-attempt-id',
+    deadline=b'x-deadline-ms',
+    key=b'x-api-key',
+    customer=b'x-tenant',
+    instance=b'x-expect-replica',
+    refused=b'x-not-executed',
+    seal=b'x-response-seal',
+    last_event=b'last-event-id',
+    culprit=b'at-server',
+)
--- /dev/null
+++ b/src/ospreyford/platform/entry.py
@@ -0,0 +1,96 @@
+"""The entry on the platform: ``python3 -m ospreyford.platform.entry``."""
+
+from __future__ import annotations
+
+import curio
+
+from ospreyford.console.allocator import hand_back_memory
+from ospreyford.console.stopping import Stop
+from ospreyford.direct.program import EntryServer
+from ospreyford.direct.settings import Bounds, DirectSettings, RetrySettings
+from ospreyford.direct.world import World
+from ospreyford.observability.events import Started
+from ospreyford.observability.lines import DescriptorSink
+from ospreyford.observability.logs import ChangeLog
+from ospreyford.platform.dialect import DIALECT
+from ospreyford.platform.errors import BadNodeFile
+from ospreyford.platform.feed import StoreFeed
+from ospreyford.platform.nodefile import PATH_VARIABLE, Node, read_node
+from ospreyford.platform.store import Store
+from ospreyford.settings.sections import Identity, Logs
+
+STANDARD_OUTPUT = 1
+METRICS_PORT = 9464
+
+
+def make_settings(node: Node) -> DirectSettings:
+    """Make an entry's settings.
+
+    :param node: what the platform's file says.
+    :returns: the settings.
+    :raises BadNodeFile: callers cannot reach this host.
+    """
+    if node.front is None or node.ready is None:
+        raise BadNodeFile(PATH_VARIABLE, 'Listen.Front', 'missing')
+    return DirectSettings(
+        name=node.name,
+        zone=node.zone,
+        region=node.region,
+        front=node.front,
+        ready=node.ready,
+        datagrams=(node.ip, node.first_port),
+        metrics_port=METRICS_PORT,
+        agent_port=node.first_port,
+        retries=RetrySettings(
+            node.retry_ratio, node.retry_slack, node.retry_window
+        ),
+        bounds=Bounds(
+            node.drain_seconds, node.grace_seconds, node.revoke_seconds
+        ),
+    )
+
+
+def open_log(node: Node) -> ChangeLog:
+    """Open the log on standard output.
+
+    :param node: who writes it.
+    :returns: the log.
+    """
+    identity = Identity(
+        name=node.name, instance=node.name, zone=node.zone, region=node.region
+    )
+    return ChangeLog(Logs(), identity, DescriptorSink(STANDARD_OUTPUT))
+
+
+async def serve(node: Node, log: ChangeLog, stop: Stop) -> None:
+    """Run the entry until it has stopped.
+
+    :param node: what the platform's file says.
+    :param log: where decisions go.
+    :param stop: tells when to stop.
+    """
+    world = World(make_settings(node), DIALECT, log)
+    log.log_change(Started('entry', node.name, ''))
+    server = EntryServer(world, stop)
+    feed = StoreFeed(Store(node.store), server.changes, world)
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(server.run, feed.run)
+        await group.spawn(stop.watch)
+
+
+def main() -> None:
+    """Run the entry with the platform's settings file."""
+    hand_back_memory()
+    node = read_node()
+    log = open_log(node)
+    stop = Stop(node.grace_seconds)
+    stop.install()
+    try:
+        curio.run(serve, node, log, stop)
+    finally:
+        stop.finish()
+        log.close()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/ospreyford/platform/nodefile.py
@@ -0,0 +1,212 @@
+"""The settings file that the platform hands to each process."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from ospreyford.platform.errors import BadNodeFile
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+#: Environment variable with the file's path.
+PATH_VARIABLE: Final = 'OSPREYFORD_NODE_FILE'
+MILLISECONDS = 1000
+MAX_BYTES = 1_048_576
+
+
+class Node(NamedTuple):
+    """What a settings file says, by the project's names.
+
+    :param name: the host's name.
+    :param ip: its IP number.
+    :param zone: its availability zone.
+    :param region: its region.
+    :param front: where callers connect, on entries only.
+    :param ready: where the balancer asks for readiness, on entries only.
+    :param first_port: the first port for messages between processes.
+    :param store: the address of the platform's store.
+    :param drain_seconds: a back end whose leaving was acknowledged may still
+        get requests for that long.
+    :param grace_seconds: from SIGTERM to SIGKILL.
+    :param revoke_seconds: a revoked key may be served for that long, or
+        ``None`` if the deployment does not ask for it.
+    :param retry_ratio: second sendings for each request.
+    :param retry_window: in which they are counted, in seconds.
+    :param retry_slack: second sendings beyond the ratio, of all processes.
+    :param backend: the back end on this host, on agents only.
+    :param service: that back end's service.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    region: str
+    front: tuple[str, int] | None
+    ready: tuple[str, int] | None
+    first_port: int
+    store: tuple[str, int]
+    drain_seconds: float
+    grace_seconds: float
+    revoke_seconds: float | None
+    retry_ratio: float
+    retry_window: float
+    retry_slack: float
+    backend: tuple[str, int] | None
+    service: str | None
+
+
+class Fields:
+    """The lines of a settings file, read by key.
+
+    :param path: the file, for errors.
+    :param lines: values by key.
+    """
+
+    def __init__(self, path: str, lines: Mapping[str, str]) -> None:
+        self._path = path
+        self._lines = lines
+
+    def text(self, key: str) -> str:
+        """Read a value that must be there.
+
+        :param key: its key.
+        :returns: the text.
+        :raises BadNodeFile: it is missing.
+        """
+        found = self._lines.get(key)
+        if not found:
+            raise BadNodeFile(self._path, key, 'missing')
+        return found
+
+    def number(self, key: str) -> float:
+        """Read a number that must be there.
+
+        :param key: its key.
+        :returns: the number; not negative.
+        :raises BadNodeFile: it is missing or no such number.
+        """
+        text = self.text(key)
+        try:
+            number = float(text)
+        except ValueError:
+            raise BadNodeFile(self._path, key, f'no number: {text}') from None
+        if not 0 <= number < float('inf'):
+            raise BadNodeFile(self._path, key, f'out of range: {text}')
+        return number
+
+    def seconds(self, key: str) -> float:
+        """Read a time that is given in milliseconds.
+
+        :param key: its key.
+        :returns: seconds.
+        :raises BadNodeFile: it is missing or no time.
+        """
+        return self.number(key) / MILLISECONDS
+
+    def address(self, key: str) -> tuple[str, int]:
+        """Read an address that must be there.
+
+        :param key: its key.
+        :returns: IP number and port.
+        :raises BadNodeFile: it is missing or no address.
+        """
+        text = self.text(key)
+        address = split_address(text)
+        if address is None:
+            raise BadNodeFile(self._path, key, f'no address: {text}')
+        return address
+
+    def optional_address(self, key: str) -> tuple[str, int] | None:
+        """Read an address that may be missing.
+
+        :param key: its key.
+        :returns: IP number and port, or ``None``.
+        :raises BadNodeFile: it is there and no address.
+        """
+        return self.address(key) if self._lines.get(key) else None
+
+    def flag(self, key: str) -> bool:
+        """Read a truth value that may be missing.
+
+        :param key: its key.
+        :returns: whether it is true.
+        """
+        return self._lines.get(key, '').lower() == 'true'
+
+
+def split_address(text: str) -> tuple[str, int] | None:
+    """Split an address.
+
+    :param text: IP number, colon, port.
+    :returns: both parts, or ``None`` if it is no address.
+    """
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        return None
+    return host, int(port)
+
+
+def read_node() -> Node:
+    """Read the settings file that the environment names.
+
+    :returns: its content by the project's names.
+    :raises BadNodeFile: it cannot be read, or an entry cannot be used.
+    """
+    path = os.environ.get(PATH_VARIABLE, '')
+    try:
+        with Path(path).open(encoding='utf-8', errors='replace') as stream:
+            content = stream.read(MAX_BYTES)
+    except OSError as error:
+        raise BadNodeFile(path, '-', str(error)) from None
+    return parse_node(path, content)
+
+
+def parse_node(path: str, content: str) -> Node:
+    """Decode a settings file.
+
+    :param path: the file, for errors.
+    :param content: lines of the form ``a.b=value``.
+    :returns: its content by the project's names.
+    :raises BadNodeFile: an entry is missing or cannot be used.
+    """
+    lines: dict[str, str] = {}
+    for line in content.splitlines():
+        key, mark, text = line.partition('=')
+        if mark:
+            lines[key.strip()] = text.strip()
+    fields = Fields(path, lines)
+    return Node(
+        name=fields.text('NodeName'),
+        ip=fields.text('Ip'),
+        zone=fields.text('Zone'),
+        region=fields.text('Region'),
+        front=fields.optional_address('Listen.Front'),
+        ready=fields.optional_address('Listen.Ready'),
+        first_port=_read_first_port(path, fields),
+        store=fields.address('Platform.Address'),
+        drain_seconds=fields.seconds('Bounds.DrainMs'),
+        grace_seconds=fields.number('Bounds.GraceS'),
+        revoke_seconds=(
+            fields.seconds('Bounds.RevokeMs')
+            if fields.flag('Bounds.FailClosed')
+            else None
+        ),
+        retry_ratio=fields.number('Bounds.RetryBudgetRatio'),
+        retry_window=fields.number('Bounds.RetryWindowS'),
+        # The budget's own slack: requests that may be sent again beyond the
+        # ratio.
+        retry_slack=fields.number('Bounds.BudgetSlack'),
+        # The replica of a model service that shares this host.
+        backend=fields.optional_address('app'),
+        service=lines.get('Service') or None,
+    )
+
+
+def _read_first_port(path: str, fields: Fields) -> int:
+    text = fields.text('PortRange').split(',')[0]
+    if not text.isdigit():
+        raise BadNodeFile(path, 'PortRange', f'no port: {text}')
+    return int(text)
--- /dev/null
+++ b/src/ospreyford/platform/records.py
@@ -0,0 +1,232 @@
+"""What operators and back ends publish in the platform's store."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from ospreyford.direct.catalog import (
+    Catalog,
+    Customer,
+    Engine,
+    Repetition,
+    Route,
+    Service,
+    Split,
+)
+from ospreyford.direct.fleet import BackendServer
+from ospreyford.http.message import Limits
+from ospreyford.platform.errors import BadRecord
+from ospreyford.platform.nodefile import split_address
+
+#: The key of the operators' newest configuration, and the prefix of the back
+#: ends' registrations.
+CATALOG_KEY: Final = 'op/config'
+SERVERS_PREFIX: Final = 'servers/'
+MILLISECONDS = 1000
+MEGABIT_PER_MEGABYTE = 8
+#: Registrations say nothing of attempts beyond the first where a route does
+#: not either.
+ONE_ATTEMPT = 1
+
+
+class _Backend(msgspec.Struct, frozen=True, rename='pascal'):
+    service: str
+    weight: float = 1
+
+
+class _Route(msgspec.Struct, frozen=True, rename='pascal'):
+    name: str
+    host: str
+    prefix: str
+    # Not a kind of transport: it says what may be repeated.
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    max_attempts: int = ONE_ATTEMPT
+    priority: int = 1
+    public: bool = False
+    can_resume: bool = False
+    service: str = ''
+    # The services that share the route's requests, not single back ends.
+    backends: list[_Backend] = []
+
+
+class _Engine(msgspec.Struct, frozen=True, rename='pascal'):
+    slots: int
+    link_mbps: float = 0
+    sets: int = 0
+    experts: int = 0
+    placements: int = 0
+    spare: int = 0
+    expert_mb: float = 0
+
+
+class _Service(msgspec.Struct, frozen=True, rename='pascal'):
+    name: str
+    max_connections: int
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename='pascal'):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct, frozen=True, rename='pascal'):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct, frozen=True, rename='pascal'):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] | None = None
+
+
+class _Registration(msgspec.Struct, frozen=True, rename='pascal'):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+
+
+_configs = msgspec.json.Decoder(_Config)
+_registrations = msgspec.json.Decoder(_Registration)
+
+#: A stream counts as run once at most, unless its route lets it be resumed.
+_REPETITIONS: Final = {
+    'idempotent': Repetition.idempotent,
+    'non_idempotent': Repetition.once,
+    'streaming': Repetition.once,
+}
+
+
+def decode_catalog(raw: bytes) -> Catalog:
+    """Decode the operators' configuration.
+
+    :param raw: the stored value.
+    :returns: the catalog.
+    :raises BadRecord: it cannot be used.
+    """
+    try:
+        config = _configs.decode(raw)
+    except (msgspec.DecodeError, UnicodeError) as error:
+        raise BadRecord(CATALOG_KEY, str(error)) from None
+    routes: dict[str, list[Route]] = {}
+    for route in config.routes:
+        routes.setdefault(route.host.lower(), []).append(_make_route(route))
+    return Catalog(
+        version=config.version,
+        routes={
+            host: tuple(sorted(found, key=lambda one: -len(one.prefix)))
+            for host, found in routes.items()
+        },
+        services={one.name: _make_service(one) for one in config.services},
+        customers=_make_customers(config.tenants),
+        limits=_make_limits(config.limits),
+    )
+
+
+def decode_registration(key: str, raw: bytes, revision: int) -> BackendServer:
+    """Decode a back end's registration.
+
+    :param key: the key that it stands under.
+    :param raw: the stored value.
+    :param revision: of its last change.
+    :returns: the back end.
+    :raises BadRecord: it cannot be used.
+    """
+    try:
+        found = _registrations.decode(raw)
+    except (msgspec.DecodeError, UnicodeError) as error:
+        raise BadRecord(key, str(error)) from None
+    address = split_address(found.address)
+    if address is None:
+        raise BadRecord(key, f'no address: {found.address}')
+    return BackendServer(
+        id=key.removeprefix(SERVERS_PREFIX),
+        service=found.service,
+        host=address[0],
+        port=address[1],
+        zone=found.zone,
+        slots=found.slots,
+        is_draining=found.state != 'ready',
+        revision=revision,
+    )
+
+
+def _make_route(route: _Route) -> Route:
+    repetition = _REPETITIONS.get(route.route_type)
+    if repetition is None:
+        raise BadRecord(CATALOG_KEY, f'unknown type {route.route_type}')
+    if route.can_resume:
+        repetition = Repetition.resumable
+    splits = tuple(Split(one.service, one.weight) for one in route.backends)
+    if route.service:
+        splits = (Split(route.service, 1), *splits)
+    return Route(
+        name=route.name,
+        prefix=route.prefix,
+        splits=splits,
+        repetition=repetition,
+        streams=route.route_type == 'streaming',
+        timeout=route.timeout_ms / MILLISECONDS,
+        objective=route.target_latency_ms / MILLISECONDS,
+        attempts=max(route.max_attempts, ONE_ATTEMPT),
+        priority=route.priority,
+        public=route.public,
+    )
+
+
+def _make_service(service: _Service) -> Service:
+    engine = service.engine
+    return Service(
+        name=service.name,
+        max_connections=service.max_connections,
+        engine=None if engine is None else _make_engine(engine),
+    )
+
+
+def _make_engine(engine: _Engine) -> Engine:
+    copy_seconds = 0.0
+    if engine.link_mbps > 0:
+        copy_seconds = (
+            engine.expert_mb * MEGABIT_PER_MEGABYTE / engine.link_mbps
+        )
+    return Engine(
+        slots=engine.slots,
+        sets=engine.sets,
+        experts=engine.experts,
+        places=engine.placements,
+        spare=engine.spare,
+        copy_seconds=copy_seconds,
+    )
+
+
+def _make_customers(
+    tenants: list[_Tenant] | None,
+) -> dict[str, Customer] | None:
+    if tenants is None:
+        return None
+    return {
+        key: Customer(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+
+
+def _make_limits(limits: _Limits) -> Limits:
+    return Limits(
+        head_seconds=limits.header_timeout_ms / MILLISECONDS,
+        idle_seconds=limits.idle_timeout_ms / MILLISECONDS,
+        head_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+    )
--- /dev/null
+++ b/src/ospreyford/platform/replica.py
@@ -0,0 +1,254 @@
+"""A back end's own calls: its report, counts and orders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+import curio
+import msgspec
+
+from ospreyford.http.client import ClientConnection
+from ospreyford.http.errors import HttpError
+from ospreyford.http.message import Request
+from ospreyford.rebalance.group import (
+    Arm,
+    Armed,
+    Disarm,
+    Go,
+    Guard,
+    Hold,
+    Order,
+    Prepare,
+    RankExperts,
+    RankState,
+)
+from ospreyford.rebalance.ports import Reply
+
+if TYPE_CHECKING:
+    from ospreyford.http.message import Headers
+
+#: Time for an answer, in seconds: the back end beside an agent needs a
+#: millisecond. One that leaves an order unanswered is asked again.
+ANSWER_SECONDS = 0.08
+OK: Final = 200
+REPLIES: Final = (
+    (200, Reply.holds),
+    (202, Reply.begun),
+    (409, Reply.unfit),
+    (412, Reply.fenced),
+)
+JSON_HEADER: Final = (b'content-type', b'application/json')
+
+
+class _Group(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name='Name')
+    epoch: int
+    rank: int
+    state: str = msgspec.field(name='State')
+
+
+class _Report(msgspec.Struct, frozen=True):
+    group: _Group
+    size: int
+    step: int
+    # Orders that the rank has accepted, not the number of the report.
+    sequence: int = msgspec.field(name='Sequence')
+    # Only the version of the map in force, not the map.
+    expert_map: int = msgspec.field(name='ExpertMap')
+    prepared: int | None = msgspec.field(name='Prepared', default=None)
+    armed: Any = msgspec.field(name='Armed', default=None)
+    held: int | None = None
+    active: int = msgspec.field(name='Active', default=0)
+    queued: int = msgspec.field(name='Queued', default=0)
+    pace: float = 1
+
+
+class _Picked(msgspec.Struct, frozen=True):
+    counts: list[int] = msgspec.field(name='Counts')
+
+
+class _Map(msgspec.Struct, frozen=True):
+    version: int = msgspec.field(name='Version')
+    experts: list[list[int]] = msgspec.field(name='Experts')
+
+
+class _Lists(msgspec.Struct, frozen=True):
+    expert_map: _Map = msgspec.field(name='ExpertMap')
+
+
+_reports = msgspec.json.Decoder(_Report)
+_picked = msgspec.json.Decoder(_Picked)
+_lists = msgspec.json.Decoder(_Lists)
+
+
+class Replica:
+    """Calls of one back end, one at a time on one kept connection.
+
+    :param address: IP number and port.
+    :param seconds: time for an answer.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], seconds: float = ANSWER_SECONDS
+    ) -> None:
+        self.calls = 0
+        self.bad_answers = 0
+        self._address = address
+        self._seconds = seconds
+        self._connection: ClientConnection | None = None
+        self._lock = curio.Lock()
+
+    async def read_state(self) -> RankState | None:
+        """Read the rank's state.
+
+        :returns: the state, or ``None`` without an answer.
+        """
+        report = await self._read('/report', _reports)
+        return None if report is None else self._make_state(report)
+
+    async def read_counts(self) -> tuple[int, ...] | None:
+        """Read how often each expert was chosen since the rank's start.
+
+        :returns: one count for each set and expert, set by set.
+        """
+        picked = await self._read('/picked', _picked)
+        return None if picked is None else tuple(picked.counts)
+
+    async def read_experts(self) -> RankExperts | None:
+        """Read which experts the rank holds by the map in force.
+
+        :returns: the experts of each set.
+        """
+        lists = await self._read('/picked?Lists=1', _lists)
+        if lists is None:
+            return None
+        return tuple(map(tuple, lists.expert_map.experts))
+
+    async def give(self, order: Order, guard: Guard) -> Reply:
+        """Give an order.
+
+        :param order: the order.
+        :param guard: what the rank checks first.
+        :returns: its answer.
+        """
+        body = msgspec.json.encode(make_order(order, guard))
+        answer = await self._call('POST', '/order', (JSON_HEADER,), body)
+        if answer is None:
+            return Reply.none
+        return dict(REPLIES).get(answer[0], Reply.none)
+
+    async def _read(self, path: str, decoder: Any) -> Any:
+        answer = await self._call('GET', path, (), b'')
+        if answer is None or answer[0] != OK:
+            return None
+        try:
+            return decoder.decode(answer[1])
+        except (msgspec.DecodeError, UnicodeError):
+            self.bad_answers += 1
+            return None
+
+    async def _call(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> tuple[int, bytes] | None:
+        self.calls += 1
+        request = Request(method, target, headers)
+        async with self._lock:
+            try:
+                return await curio.timeout_after(
+                    self._seconds, self._exchange, request, body
+                )
+            except (HttpError, curio.TaskTimeout):
+                # An order without an answer keeps its connection busy for
+                # good; the next one needs another.
+                await self._close()
+                return None
+
+    async def _exchange(
+        self, request: Request, body: bytes
+    ) -> tuple[int, bytes]:
+        connection = self._connection
+        if connection is None or not connection.is_quiet():
+            await self._close()
+            connection = await ClientConnection.open(
+                *self._address, self._seconds
+            )
+            self._connection = connection
+        host = (b'host', ':'.join(map(str, self._address)).encode())
+        await connection.send(
+            request._replace(headers=(host, *request.headers)), body
+        )
+        head = await connection.read_head()
+        content = await connection.read_body()
+        if not connection.start_next_cycle():
+            await self._close()
+        return head.status, content
+
+    async def _close(self) -> None:
+        connection = self._connection
+        self._connection = None
+        if connection is not None:
+            await connection.close()
+
+    def _make_state(self, report: _Report) -> RankState:
+        return RankState(
+            group=report.group.name,
+            epoch=report.group.epoch,
+            rank=report.group.rank,
+            size=report.size,
+            is_open=report.group.state == 'open',
+            step=report.step,
+            sequence=report.sequence,
+            version=report.expert_map,
+            prepared=report.prepared,
+            armed=read_armed(report.armed),
+            held=report.held,
+            active=report.active,
+            queued=report.queued,
+            pace=report.pace,
+        )
+
+
+def read_armed(shown: Any) -> Armed | None:
+    """Read the switch that a rank shows.
+
+    :param shown: version and step, in whichever form.
+    :returns: the switch, or ``None``.
+    """
+    match shown:
+        case {'Version': int(version), 'step': int(step)}:
+            return Armed(version, step)
+        case [int(version), int(step)]:
+            return Armed(version, step)
+    return None
+
+
+def make_order(order: Order, guard: Guard) -> dict[str, Any]:
+    """Make the body of an order.
+
+    :param order: the order.
+    :param guard: what the rank checks first.
+    :returns: the fields by the platform's names.
+    """
+    fields: dict[str, Any] = {
+        'FencingToken': guard.token,
+        'epoch': guard.epoch,
+    }
+    if guard.sequence is not None:
+        # The number of orders accepted so far, not a condition in words.
+        fields['Precondition'] = guard.sequence
+    match order:
+        case Prepare(version=version, experts=experts):
+            named = {
+                'Operation': 'prepare',
+                'Version': version,
+                'ExpertMap': experts,
+            }
+        case Hold(step=step):
+            named = {'Operation': 'Hold', 'step': step}
+        case Arm(version=version, step=step):
+            named = {'Operation': 'arm', 'Version': version, 'step': step}
+        case Go(step=step):
+            named = {'Operation': 'go', 'step': step}
+        case Disarm(version=version):
+            named = {'Operation': 'disarm', 'Version': version}
+    return {**fields, **named}
--- /dev/null
+++ b/src/ospreyford/platform/store.py
@@ -0,0 +1,216 @@
+"""The client of the platform's store; the store is only read."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from typing import TYPE_CHECKING, Final, NamedTuple, TypeVar
+from urllib.parse import urlencode
+
+import curio
+import msgspec
+
+from ospreyford.http.client import ClientConnection
+from ospreyford.http.errors import HttpError
+from ospreyford.http.message import Request
+from ospreyford.platform.errors import (
+    BadRecord,
+    HistoryGone,
+    StoreUnavailable,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+OK: Final = 200
+NOT_FOUND: Final = 404
+GONE: Final = 410
+#: Time for opening a connection to the store, in seconds; it answers in
+#: milliseconds when it is well.
+CONNECT_SECONDS = 0.7
+#: Time beyond what a call may wait by itself, in seconds: the store may be a
+#: hundred times slower than its usual few milliseconds and still be of use.
+ANSWER_SECONDS = 1.0
+MILLISECONDS = 1000
+
+
+class Item(NamedTuple):
+    """One stored value, or the mark that it was deleted.
+
+    :param key: its key.
+    :param raw: the value, or ``None`` if it was deleted.
+    :param revision: of that change.
+    """
+
+    key: str
+    raw: bytes | None
+    revision: int
+
+
+class Reading(NamedTuple):
+    """What a call returned.
+
+    :param items: stored values or changes, in order.
+    :param revision: of the store as it answered.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class _Item(msgspec.Struct, frozen=True, rename='pascal'):
+    key: str
+    revision: int
+    value: str = ''
+    deleted: bool = False
+    # The store's own revision, in answers about a single key only.
+    at: int = 0
+
+
+class _Page(msgspec.Struct, frozen=True, rename='pascal'):
+    items: list[_Item]
+    at: int
+    has_more: bool = False
+
+
+class _Changes(msgspec.Struct, frozen=True):
+    events: list[_Item]
+    at: int = msgspec.field(name='At')
+
+
+_Any = TypeVar('_Any')
+
+_items = msgspec.json.Decoder(_Item)
+_pages = msgspec.json.Decoder(_Page)
+_changes = msgspec.json.Decoder(_Changes)
+
+
+class Store:
+    """Calls of the store, one at a time on one kept connection.
+
+    :param address: IP number and port.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.calls = 0
+        self._address = address
+        self._connection: ClientConnection | None = None
+
+    async def get(self, key: str) -> Reading:
+        """Read one value.
+
+        :param key: its key.
+        :returns: the value, or nothing if there is none.
+        :raises PlatformError: no answer, or none that can be used.
+        """
+        status, body = await self._call('/kv-key', {'Key': key}, 0)
+        if status == NOT_FOUND:
+            return Reading((), 0)
+        self._check(status)
+        found = self._decode(_items, body, key)
+        return Reading((_make_item(found),), found.at or found.revision)
+
+    async def list_prefix(self, prefix: str) -> Reading:
+        """Read all values whose keys begin alike.
+
+        Pages are no snapshot: what changes meanwhile is seen by a watch from
+        the first page's revision.
+
+        :param prefix: how the keys begin.
+        :returns: the values, and the revision of the first page.
+        :raises PlatformError: no answer, or none that can be used.
+        """
+        items: list[Item] = []
+        revision: int | None = None
+        query = {'Prefix': prefix}
+        while True:
+            status, body = await self._call('/kv-range', query, 0)
+            self._check(status)
+            page = self._decode(_pages, body, prefix)
+            items.extend(_make_item(one) for one in page.items)
+            revision = page.at if revision is None else revision
+            if not page.has_more or not page.items:
+                return Reading(tuple(items), revision)
+            query = {'Prefix': prefix, 'After': page.items[-1].key}
+
+    async def watch(self, prefix: str, after: int, seconds: float) -> Reading:
+        """Wait for changes.
+
+        :param prefix: how the keys begin.
+        :param after: revision that is known already.
+        :param seconds: how long to wait.
+        :returns: the changes; none if nothing changed in time.
+        :raises HistoryGone: the changes since then are not kept any more.
+        :raises PlatformError: no answer, or none that can be used.
+        """
+        query = {
+            'Prefix': prefix,
+            'After': str(after),
+            'WaitMs': str(int(seconds * MILLISECONDS)),
+        }
+        status, body = await self._call('/kv-watch', query, seconds)
+        if status == GONE:
+            raise HistoryGone
+        self._check(status)
+        found = self._decode(_changes, body, prefix)
+        return Reading(tuple(map(_make_item, found.events)), found.at)
+
+    async def close(self) -> None:
+        """Close the connection; the next call opens another one."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
+
+    def _check(self, status: int) -> None:
+        if status != OK:
+            raise StoreUnavailable(f'status {status}')
+
+    def _decode(
+        self, decoder: msgspec.json.Decoder[_Any], body: bytes, key: str
+    ) -> _Any:
+        try:
+            return decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeError) as error:
+            raise BadRecord(key, str(error)) from None
+
+    async def _call(
+        self, path: str, query: Mapping[str, str], seconds: float
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        limit = seconds + ANSWER_SECONDS
+        try:
+            return await curio.timeout_after(limit, self._exchange, path, query)
+        except HttpError as error:
+            await self.close()
+            raise StoreUnavailable(type(error).__name__) from None
+        except curio.TaskTimeout:
+            # A connection on which one answer was lost returns nothing more.
+            await self.close()
+            raise StoreUnavailable('no answer in time') from None
+
+    async def _exchange(
+        self, path: str, query: Mapping[str, str]
+    ) -> tuple[int, bytes]:
+        if self._connection is None or not self._connection.is_quiet():
+            await self.close()
+            self._connection = await ClientConnection.open(
+                *self._address, CONNECT_SECONDS
+            )
+        connection = self._connection
+        host = ':'.join(map(str, self._address)).encode()
+        target = f'{path}?{urlencode(query, safe="/")}'
+        await connection.send(Request('GET', target, ((b'host', host),)))
+        head = await connection.read_head()
+        body = await connection.read_body()
+        if not connection.start_next_cycle():
+            await self.close()
+        return head.status, body
+
+
+def _make_item(found: _Item) -> Item:
+    if found.deleted:
+        return Item(found.key, None, found.revision)
+    try:
+        raw = b64decode(found.value, validate=True)
+    except ValueError as error:
+        raise BadRecord(found.key, str(error)) from None
+    return Item(found.key, raw, found.revision)
--- /dev/null
+++ b/src/ospreyford/rebalance/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps that follow the load of the last second."""
--- /dev/null
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -0,0 +1,240 @@
+"""Changing the expert map of a whole group between two passes.
+
+All ranks must begin each pass with the same map. A change goes: prepare on
+all, hold one pass at one rank, arm all for that pass, go. Between hold and go
+no rank can begin the pass, so it does not matter how long the arming takes or
+what fails on the way; go is given only when every rank has confirmed that it
+is armed. A coordinator that finds anything else than a group at rest puts it
+right first (:meth:`Coordinator.settle`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from ospreyford.rebalance.group import (
+    Arm,
+    Disarm,
+    Done,
+    ExpertMap,
+    Fenced,
+    Go,
+    Hold,
+    Order,
+    Outcome,
+    Prepare,
+    RankState,
+    Term,
+)
+
+if TYPE_CHECKING:
+    from ospreyford.ports.clock import Clock
+    from ospreyford.rebalance.fanout import FanOut
+    from ospreyford.rebalance.ports import RanksPort
+
+#: Passes between the last one begun and the one that is held. The next one
+#: may begin before the hold arrives.
+HOLD_AHEAD = 1
+#: Tries to hold a pass that has not begun yet.
+HOLD_TRIES = 4
+#: Tries to arm a rank, or to take an order back, while the group is held.
+ARM_TRIES = 25
+#: Looks whether a switch has been made, and the time between them in seconds.
+SWITCH_LOOKS = 200
+SWITCH_POLL = 0.01
+
+
+class Change(StrEnum):
+    """How a change of maps ended."""
+
+    made = 'made'
+    not_prepared = 'not prepared'
+    not_held = 'not held'
+    not_armed = 'not armed'
+    not_released = 'not released'
+    fenced = 'fenced'
+    lost_group = 'group changed'
+
+
+@dataclass(frozen=True)
+class Group:
+    """The group that a coordinator has taken over.
+
+    :param epoch: its epoch.
+    :param ranks: its ranks.
+    """
+
+    epoch: int
+    ranks: tuple[int, ...]
+
+
+class Coordinator:
+    """Gives the orders of one group, as long as nobody shuts it out.
+
+    :param me: the rank beside the coordinator.
+    :param token: its fencing token.
+    :param ranks: reaches the ranks.
+    :param fan_out: runs the same for several ranks at once.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        me: int,
+        token: int,
+        ranks: RanksPort,
+        fan_out: FanOut,
+        clock: Clock,
+    ) -> None:
+        self.is_fenced = False
+        self._me = me
+        self._token = token
+        self._ranks = ranks
+        self._fan_out = fan_out
+        self._clock = clock
+
+    async def change(
+        self, group: Group, version: int, experts: ExpertMap
+    ) -> Change:
+        """Put a map in force.
+
+        :param group: the group, open and at rest.
+        :param version: of the map; higher than any before.
+        :param experts: the map.
+        :returns: how it ended. After anything but ``made`` the group must be
+            settled before the next change.
+        """
+        prepare = Prepare(version, experts)
+        if not await self._all_done(group, group.ranks, prepare):
+            return self._explain(Change.not_prepared)
+        step = await self._hold(group)
+        if step is None:
+            return self._explain(Change.not_held)
+        arm = Arm(version, step)
+        if not await self._all_done(group, group.ranks, arm, ARM_TRIES):
+            return self._explain(Change.not_armed)
+        if not await self._one_done(group, self._me, Go(step), ARM_TRIES):
+            return self._explain(Change.not_released)
+        return await self._wait_for_switch(group, version)
+
+    async def settle(
+        self, group: Group, version: int, experts: ExpertMap
+    ) -> bool:
+        """Bring a group to rest, whatever an earlier coordinator left behind.
+
+        Where a pass is held, its holder is shut off from the earlier
+        coordinator first, with an order that counts on the number of orders
+        accepted there: had a go come in between, the order is refused and
+        everything is read again. From then on nobody else can let the pass
+        begin. Then the others are shut off and disarmed, and the pass is let
+        go with the map that is in force.
+
+        Where a rank is armed and no pass is held, the earlier coordinator has
+        let go, so all are armed: there is nothing to do but wait.
+
+        :param group: the group.
+        :param version: of the map in force under a new number, with which
+            ranks are shut off from earlier coordinators.
+        :param experts: that map.
+        :returns: whether the group is at rest.
+        """
+        states = self._ranks.read_states()
+        holders = [rank for rank in group.ranks if _is_held(states, rank)]
+        if not holders:
+            armed = [rank for rank in group.ranks if _is_armed(states, rank)]
+            return not armed
+        held = states[holders[0]].held
+        if held is None:
+            return False
+        prepare = Prepare(version, experts)
+        others = [rank for rank in group.ranks if rank != holders[0]]
+        for rank in (holders[0], *others):
+            if not await self._clear(group, rank, prepare):
+                return False
+        released = True
+        for holder in holders:
+            go = Go(states[holder].held or held)
+            released = released and await self._one_done(group, holder, go, ARM_TRIES)
+        return released
+
+    async def _clear(
+        self, group: Group, rank: int, prepare: Prepare
+    ) -> bool:
+        state = self._ranks.read_states().get(rank)
+        if state is not None and state.armed is not None:
+            disarm = Disarm(state.armed.version)
+            if not await self._one_done(group, rank, disarm, 2):
+                return False
+        return await self._one_done(group, rank, prepare, 2)
+
+    async def _hold(self, group: Group) -> int | None:
+        for _ in range(HOLD_TRIES):
+            state = self._ranks.read_states().get(self._me)
+            if state is None or state.epoch != group.epoch:
+                return None
+            step = state.step + HOLD_AHEAD
+            if await self._one_done(group, self._me, Hold(step), 1):
+                return step
+            if self.is_fenced:
+                return None
+        return None
+
+    async def _wait_for_switch(self, group: Group, version: int) -> Change:
+        for _ in range(SWITCH_LOOKS):
+            state = self._ranks.read_states().get(self._me)
+            if state is None or state.epoch != group.epoch:
+                return Change.lost_group
+            if state.version == version:
+                return Change.made
+            await self._clock.sleep(SWITCH_POLL)
+        # An idle group makes no passes; the switch comes with the next one.
+        return Change.made
+
+    async def _all_done(
+        self,
+        group: Group,
+        ranks: Sequence[int],
+        order: Order,
+        tries: int = 1,
+    ) -> bool:
+        term = Term(self._token, group.epoch)
+        left = tuple(ranks)
+        for _ in range(tries):
+            outcomes = await self._fan_out(
+                [self._ranks.carry_out(rank, order, term)
+                 for rank in left]
+            )
+            left = self._keep_failed(left, outcomes)
+            if not left or self.is_fenced:
+                break
+        return not left
+
+    async def _one_done(
+        self, group: Group, rank: int, order: Order, tries: int
+    ) -> bool:
+        return await self._all_done(group, (rank,), order, tries)
+
+    def _keep_failed(
+        self, ranks: Sequence[int], outcomes: Sequence[Outcome]
+    ) -> tuple[int, ...]:
+        if any(isinstance(outcome, Fenced) for outcome in outcomes):
+            self.is_fenced = True
+        return tuple(
+            rank
+            for rank, outcome in zip(ranks, outcomes, strict=True)
+            if not isinstance(outcome, Done)
+        )
+
+    def _explain(self, failure: Change) -> Change:
+        return Change.fenced if self.is_fenced else failure
+
+
+def _is_held(states: Mapping[int, RankState], rank: int) -> bool:
+    return rank in states and states[rank].held is not None
+
+
+def _is_armed(states: Mapping[int, RankState], rank: int) -> bool:
+    return rank in states and states[rank].armed is not None
--- /dev/null
+++ b/src/ospreyford/rebalance/election.py
@@ -0,0 +1,94 @@
+"""Which agent coordinates a group."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ospreyford.ports.clock import Clock
+    from ospreyford.rebalance.post import Address
+
+#: Time between two heartbeats of a coordinator, in seconds.
+BEAT_SECONDS = 0.1
+#: A coordinator that has been silent for so long is replaced, in seconds: four
+#: heartbeats, of which single ones may be lost.
+SILENCE_SECONDS = 0.45
+#: Further wait of each next candidate, in seconds: more than a heartbeat takes
+#: to arrive, so that the first one is heard before the second one begins.
+TURN_SECONDS = 0.12
+MILLISECONDS = 1000
+#: Numbers of tokens within one millisecond, one for each rank.
+RANKS = 128
+
+
+class Election:
+    """Follows the coordinator with the highest token, or becomes it.
+
+    Two agents may believe for a while that they coordinate: one that was
+    paused, or two that do not hear each other. The ranks keep them apart, by
+    their tokens; the election only has to end with one of them.
+
+    :param me: this agent's address.
+    :param clock: source of time.
+    """
+
+    def __init__(self, me: Address, clock: Clock) -> None:
+        self.token: int | None = None
+        self.leader: Address | None = None
+        self._me = me
+        self._clock = clock
+        self._highest = 0
+        self._heard_at = clock.monotonic()
+
+    def is_leading(self) -> bool:
+        """Tell whether this agent coordinates.
+
+        :returns: whether it holds the highest token that it knows.
+        """
+        return self.token is not None
+
+    def hear(self, token: int, address: Address) -> bool:
+        """Take over a coordinator's heartbeat.
+
+        :param token: its token.
+        :param address: its address.
+        :returns: whether this agent follows another one than before.
+        """
+        if token < self._highest:
+            return False
+        changed = address != self.leader
+        self._highest = token
+        self._heard_at = self._clock.monotonic()
+        self.leader = address
+        if address != self._me:
+            self.token = None
+        return changed
+
+    def step_down(self) -> None:
+        """Stop coordinating: a rank has refused the token."""
+        self.token = None
+        self.leader = None
+        # What shut this agent out holds a higher token; it is heard of soon,
+        # or else it is gone and the next candidate needs a higher one still.
+        self._heard_at = self._clock.monotonic()
+
+    def stand(self, members: Sequence[Address], rank: int) -> bool:
+        """Become the coordinator if there is none and it is this one's turn.
+
+        :param members: the agents of the group, sorted.
+        :param rank: the rank beside this agent.
+        :returns: whether it has become the coordinator now.
+        """
+        if self.is_leading() or self._me not in members:
+            return False
+        turn = list(members).index(self._me)
+        wait = SILENCE_SECONDS + TURN_SECONDS * turn
+        if self._clock.monotonic() - self._heard_at < wait:
+            return False
+        now = int(self._clock.wall() * MILLISECONDS) * RANKS
+        # Clocks of hosts differ: the highest token heard of counts as well.
+        self.token = max(now, self._highest + RANKS) // RANKS * RANKS + rank
+        self._highest = self.token
+        self.leader = self._me
+        return True
--- /dev/null
+++ b/src/ospreyford/rebalance/fanout.py
@@ -0,0 +1,28 @@
+"""Running the same for several ranks at once."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any
+
+import curio
+
+from ospreyford.rebalance.group import Outcome
+
+#: Runs coroutines at once and hands out their results in order.
+FanOut = Callable[
+    [Sequence[Coroutine[Any, Any, Outcome]]], Awaitable[Sequence[Outcome]]
+]
+
+
+async def run_together(
+    parts: Sequence[Coroutine[Any, Any, Outcome]],
+) -> Sequence[Outcome]:
+    """Run coroutines as tasks of their own.
+
+    :param parts: the coroutines.
+    :returns: their results, in the order of the coroutines.
+    """
+    async with curio.TaskGroup() as group:
+        tasks = [await group.spawn(part) for part in parts]
+    return [task.result for task in tasks]
--- /dev/null
+++ b/src/ospreyford/rebalance/leader.py
@@ -0,0 +1,184 @@
+"""The coordinator's own work: from counts to plans to changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.rebalance.coordinator import Change, Coordinator, Group
+from ospreyford.rebalance.decisions import GroupSettled, MapChanged
+from ospreyford.rebalance.fanout import run_together
+from ospreyford.rebalance.loads import LoadTracker
+from ospreyford.rebalance.planner import Plan, PlanLimits, plan_map
+
+if TYPE_CHECKING:
+    from ospreyford.direct.catalog import Engine
+    from ospreyford.observability.logs import ChangeLog
+    from ospreyford.ports.clock import Clock
+    from ospreyford.rebalance.group import ExpertMap, RankExperts, RankState
+    from ospreyford.rebalance.messages import Counts
+    from ospreyford.rebalance.ranks import GroupRanks
+    from ospreyford.rebalance.settings import Pace
+
+MILLISECONDS = 1000
+#: A rank that was not heard of for so long is not counted on, in seconds.
+STALE_SECONDS = 1.5
+#: Numbers of map versions within one millisecond.
+VERSIONS = 128
+
+
+class GroupLeader:
+    """Plans and changes the maps of one group while its agent leads.
+
+    :param me: the rank beside this agent.
+    :param ranks: reaches the ranks.
+    :param pace: how fast maps follow the load.
+    :param log: where decisions go.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        me: int,
+        ranks: GroupRanks,
+        pace: Pace,
+        log: ChangeLog,
+        clock: Clock,
+    ) -> None:
+        self.changes = 0
+        self.failures = 0
+        self._me = me
+        self._ranks = ranks
+        self._pace = pace
+        self._log = log
+        self._clock = clock
+        self._loads = LoadTracker(pace.half_life)
+        self._experts: dict[int, RankExperts] = {}
+        self._counted_at = clock.monotonic()
+
+    def note_counts(self, counts: Counts) -> None:
+        """Take over a rank's counts.
+
+        :param counts: its report.
+        """
+        self._ranks.note_state(counts.state)
+        self._experts[counts.state.rank] = counts.experts
+        if counts.chosen:
+            self._counted_at = self._clock.monotonic()
+            self._loads.add(counts.scale, counts.chosen, self._counted_at)
+
+    async def work(self, token: int, engine: Engine) -> bool:
+        """Look at the group once, and change its map if that pays.
+
+        :param token: this coordinator's fencing token.
+        :param engine: figures of the engine.
+        :returns: whether the token is still good.
+        """
+        group = self._view_group()
+        if group is None:
+            return True
+        coordinator = Coordinator(
+            self._me, token, self._ranks, run_together, self._clock
+        )
+        if self._is_unsettled(group):
+            await self._settle(coordinator, group)
+            return not coordinator.is_fenced
+        experts = self._view_map(group)
+        plan = None if experts is None else self._plan(experts, engine)
+        if plan is not None:
+            await self._change(coordinator, group, plan)
+        return not coordinator.is_fenced
+
+    def _view_group(self) -> Group | None:
+        states = self._ranks.read_states()
+        mine = states.get(self._me)
+        if mine is None or not mine.is_open:
+            return None
+        ranks = tuple(range(mine.size))
+        for rank in ranks:
+            state = states.get(rank)
+            if state is None or state.epoch != mine.epoch:
+                return None
+        return Group(mine.epoch, ranks)
+
+    def _is_unsettled(self, group: Group) -> bool:
+        states = self._ranks.read_states()
+        return any(
+            states[rank].held is not None or states[rank].armed is not None
+            for rank in group.ranks
+        )
+
+    def _view_map(self, group: Group) -> ExpertMap | None:
+        """Put the ranks' lists together, if all are of one map."""
+        states = self._ranks.read_states()
+        versions = {states[rank].version for rank in group.ranks}
+        lists = [self._experts.get(rank) for rank in group.ranks]
+        if len(versions) != 1 or not all(lists):
+            return None
+        sets = len(lists[0] or ())
+        return tuple(
+            tuple((of_rank or ())[number] for of_rank in lists)
+            for number in range(sets)
+        )
+
+    def _plan(self, experts: ExpertMap, engine: Engine) -> Plan | None:
+        loads = self._loads.split(len(experts))
+        if not loads or not loads[0]:
+            return None
+        limits = PlanLimits(
+            places=engine.places,
+            spare=engine.spare,
+            copies=self._pace.copies,
+            least_gain=self._pace.least_gain,
+        )
+        return plan_map(loads, experts, limits)
+
+    async def _change(
+        self, coordinator: Coordinator, group: Group, plan: Plan
+    ) -> None:
+        began = self._clock.monotonic()
+        version = self._next_version()
+        outcome = await coordinator.change(group, version, plan.experts)
+        if outcome is Change.made:
+            self.changes += 1
+        else:
+            self.failures += 1
+        self._log.log_change(
+            MapChanged(
+                group=self._name(),
+                epoch=group.epoch,
+                version=version,
+                outcome=outcome.value,
+                moves=plan.moves,
+                before=round(plan.before, 2),
+                after=round(plan.after, 2),
+                age_ms=int((began - self._counted_at) * MILLISECONDS),
+                took_ms=int(
+                    (self._clock.monotonic() - began) * MILLISECONDS
+                ),
+            )
+        )
+
+    async def _settle(self, coordinator: Coordinator, group: Group) -> None:
+        states = self._ranks.read_states()
+        held = [rank for rank in group.ranks if states[rank].held is not None]
+        armed = [
+            rank for rank in group.ranks if states[rank].armed is not None
+        ]
+        experts = self._view_map(group)
+        if experts is None:
+            return
+        is_settled = await coordinator.settle(
+            group, self._next_version(), experts
+        )
+        self._log.log_change(
+            GroupSettled(self._name(), group.epoch, held, armed, is_settled)
+        )
+
+    def _name(self) -> str:
+        state = self._ranks.read_states().get(self._me)
+        return '' if state is None else state.group
+
+    def _next_version(self) -> int:
+        # Higher than those of other coordinators, whose clocks are nearly
+        # true, and of other ranks in the same millisecond.
+        return int(self._clock.wall() * MILLISECONDS) * VERSIONS + self._me
--- /dev/null
+++ b/src/ospreyford/rebalance/member.py
@@ -0,0 +1,114 @@
+"""One rank's part in a change of maps, done by the agent beside it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.rebalance.group import (
+    Done,
+    Fenced,
+    Guard,
+    Order,
+    Outcome,
+    Prepare,
+    RankState,
+    Rejected,
+    Silent,
+    Term,
+    holds_already,
+)
+from ospreyford.rebalance.ports import EnginePort, Reply
+
+if TYPE_CHECKING:
+    from ospreyford.ports.clock import Clock
+
+#: Sendings of one order to the rank beside this agent. An order that the rank
+#: does not answer may be carried out seconds later; the next sending is
+#: accepted at once all the same.
+TRIES = 6
+#: Looks at the rank while it copies experts, and the time between them in
+#: seconds: a tenth of what one expert takes.
+COPY_LOOKS = 400
+COPY_POLL = 0.01
+
+
+class RankMember:
+    """Carries out a coordinator's orders on one rank.
+
+    :param engine: the rank.
+    :param clock: source of time.
+    :param is_near: whether the rank shows its state without delay.
+    """
+
+    def __init__(
+        self, engine: EnginePort, clock: Clock, *, is_near: bool = True
+    ) -> None:
+        self._engine = engine
+        self._clock = clock
+        self._is_near = is_near
+
+    async def carry_out(self, order: Order, term: Term) -> Outcome:
+        """Carry out an order, however often the rank leaves it unanswered.
+
+        Each sending carries the number of orders that the rank has accepted:
+        of several sendings of one order only the first that arrives counts,
+        and none of them counts any more once another order was accepted.
+
+        :param order: the order.
+        :param term: whose order it is, and for which epoch.
+        :returns: what came of it.
+        """
+        for _ in range(TRIES):
+            state = await self._engine.read_state()
+            if state is None:
+                continue
+            if state.epoch != term.epoch:
+                return Rejected(state)
+            if self._is_settled(state, order):
+                return Done(state)
+            guard = Guard(*term, state.sequence)
+            match await self._engine.give(order, guard):
+                case Reply.fenced:
+                    return Fenced()
+                case Reply.begun | Reply.holds:
+                    return await self._finish(order, state)
+                case Reply.unfit:
+                    outcome = await self._judge_unfit(order, state)
+                    if outcome is not None:
+                        return outcome
+        return Silent()
+
+    def _is_settled(self, state: RankState, order: Order) -> bool:
+        # A prepared map does not show whose it is: only an accepted order
+        # shuts out coordinators with lower tokens. And what is seen from afar
+        # is older than the orders that were accepted since.
+        if isinstance(order, Prepare) or not self._is_near:
+            return False
+        return holds_already(state, order)
+
+    async def _finish(self, order: Order, before: RankState) -> Outcome:
+        """Wait until the rank shows what it accepted."""
+        if not self._is_near and not isinstance(order, Prepare):
+            return Done(before)
+        for _ in range(COPY_LOOKS):
+            state = await self._engine.read_state()
+            if state is not None and holds_already(state, order):
+                return Done(state)
+            if state is not None and not isinstance(order, Prepare):
+                return Rejected(state)
+            await self._clock.sleep(COPY_POLL)
+        return Silent()
+
+    async def _judge_unfit(
+        self, order: Order, before: RankState
+    ) -> Outcome | None:
+        """Tell a refusal for good from one that an earlier sending caused."""
+        state = await self._engine.read_state()
+        if state is None:
+            return None
+        if holds_already(state, order):
+            return Done(state)
+        # Another order came between reading the state and giving this one.
+        if state.sequence != before.sequence and state.epoch == before.epoch:
+            return None
+        return Rejected(state)
--- /dev/null
+++ b/src/ospreyford/rebalance/messages.py
@@ -0,0 +1,153 @@
+"""Datagrams between agents, and between entries and agents."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from ospreyford.direct.catalog import Engine
+from ospreyford.rebalance.group import RankState
+
+#: Datagrams up to this size cross every link in one packet.
+MAX_BYTES: Final = 60_000
+
+
+class Hello(msgspec.Struct, frozen=True, tag='h', array_like=True):
+    """An entry asks an agent for its load and tells it the members.
+
+    :param entry: the entry's name.
+    :param service: the service that the members serve.
+    :param digest: of the members.
+    :param members: IP number and port of each back end of the service, sorted;
+        left out where the agent has shown the digest.
+    :param engine: published figures of the service's engine, with the members.
+    """
+
+    entry: str
+    service: str
+    digest: int
+    members: tuple[tuple[str, int], ...] | None = None
+    engine: Engine | None = None
+
+
+class Load(msgspec.Struct, frozen=True, tag='l', array_like=True):
+    """An agent's answer to an entry.
+
+    :param host: IP number of the agent's back end.
+    :param port: its port.
+    :param digest: of the members that the agent knows.
+    :param entries: entries that ask this agent.
+    :param is_open: whether the group takes requests.
+    :param active: requests that run at the back end.
+    :param queued: requests that wait there.
+    :param pace: above 1 the back end is slower than usual.
+    """
+
+    host: str
+    port: int
+    digest: int
+    entries: int
+    is_open: bool
+    active: int
+    queued: int
+    pace: float
+
+
+class Lead(msgspec.Struct, frozen=True, tag='d', array_like=True):
+    """A coordinator's heartbeat to the agents of its group.
+
+    :param group: the group's name.
+    :param token: the coordinator's fencing token.
+    """
+
+    group: str
+    token: int
+
+
+class Counts(msgspec.Struct, frozen=True, tag='c', array_like=True):
+    """What an agent reports to the coordinator.
+
+    :param state: the rank's.
+    :param experts: for each set, the experts that the rank holds.
+    :param seconds: length of the window; 0 without counts.
+    :param scale: what the counts were divided by.
+    :param chosen: a byte for each set and expert, set by set: how often it was
+        chosen in the window, divided by ``scale`` and rounded.
+    """
+
+    state: RankState
+    experts: tuple[tuple[int, ...], ...]
+    seconds: float
+    scale: float
+    chosen: bytes
+
+
+class Ask(msgspec.Struct, frozen=True, tag='a', array_like=True):
+    """A coordinator has a rank carry out an order.
+
+    :param number: of the question; a repeated one is carried out once.
+    :param token: the coordinator's fencing token.
+    :param epoch: the epoch that it is meant for.
+    :param order: the order.
+    """
+
+    number: int
+    token: int
+    epoch: int
+    order: OrderFrame
+
+
+class Tell(msgspec.Struct, frozen=True, tag='t', array_like=True):
+    """An agent's answer to an order.
+
+    :param number: of the question.
+    :param outcome: what came of it, or ``None`` while it is under way.
+    :param state: the rank's state, where it is known.
+    """
+
+    number: int
+    outcome: str | None
+    state: RankState | None = None
+
+
+class OrderFrame(msgspec.Struct, frozen=True, array_like=True):
+    """An order on its way.
+
+    :param kind: name of the order's type.
+    :param version: of the map, where the order has one.
+    :param step: the pass, where the order has one.
+    :param experts: the map, where the order has one.
+    """
+
+    kind: str
+    version: int = 0
+    step: int = 0
+    experts: tuple[tuple[tuple[int, ...], ...], ...] = ()
+
+
+Message = Hello | Load | Lead | Counts | Ask | Tell
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message.
+
+    :param message: the message.
+    :returns: the datagram's bytes.
+    """
+    return _encoder.encode(message)
+
+
+def decode(datagram: bytes) -> Message | None:
+    """Decode a datagram.
+
+    :param datagram: its bytes.
+    :returns: the message, or ``None`` if it is none.
+    """
+    try:
+        return _decoder.decode(datagram)
+    except (msgspec.DecodeError, UnicodeError, RecursionError):
+        return None
--- /dev/null
+++ b/src/ospreyford/rebalance/ports.py
@@ -0,0 +1,75 @@
+"""What the agreement on maps needs of the ranks."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import Enum
+from typing import Protocol
+
+from ospreyford.rebalance.group import (
+    Guard,
+    Order,
+    Outcome,
+    RankExperts,
+    RankState,
+    Term,
+)
+
+
+class Reply(Enum):
+    """How a rank answered an order."""
+
+    begun = 'begun'
+    holds = 'holds'
+    unfit = 'unfit'
+    fenced = 'fenced'
+    none = 'none'
+
+
+class EnginePort(Protocol):
+    """One rank, as the agent beside it reaches it."""
+
+    async def read_state(self) -> RankState | None:
+        """Read the rank's state.
+
+        :returns: the state, or ``None`` without an answer.
+        """
+
+    async def read_counts(self) -> tuple[int, ...] | None:
+        """Read how often each expert was chosen since the rank's start.
+
+        :returns: one count for each set and expert, set by set.
+        """
+
+    async def read_experts(self) -> RankExperts | None:
+        """Read which experts the rank holds by the map in force.
+
+        :returns: the experts of each set.
+        """
+
+    async def give(self, order: Order, guard: Guard) -> Reply:
+        """Give an order.
+
+        :param order: the order.
+        :param guard: what the rank checks first.
+        :returns: its answer.
+        """
+
+
+class RanksPort(Protocol):
+    """All ranks of a group, as its coordinator reaches them."""
+
+    def read_states(self) -> Mapping[int, RankState]:
+        """Read the newest known state of each rank.
+
+        :returns: by rank.
+        """
+
+    async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
+        """Have a rank carry out an order.
+
+        :param rank: the rank.
+        :param order: the order.
+        :param term: whose order it is, and for which epoch.
+        :returns: what came of it.
+        """
--- /dev/null
+++ b/src/ospreyford/rebalance/post.py
@@ -0,0 +1,76 @@
+"""One datagram socket of a process, and who handles what arrives.
+
+Datagrams rather than connections: an open connection may go silent for good,
+a late count is worth nothing, and each order is repeated until it is answered
+whatever carries it.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from curio import socket as curio_socket
+
+from ospreyford.rebalance.messages import MAX_BYTES, Message, decode, encode
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+Address = tuple[str, int]
+#: Handles one message and its sender's address.
+MessageHandler = Callable[[Message, Address], Awaitable[None]]
+
+
+class Post:
+    """Sends and receives datagrams.
+
+    :param address: IP number and port to bind.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.sent = 0
+        self.malformed = 0
+        self._sock: Socket = curio_socket.socket(
+            socket.AF_INET, socket.SOCK_DGRAM
+        )
+        self._sock.bind(address)
+
+    async def send(self, message: Message, address: Address) -> None:
+        """Send a message; it may be lost.
+
+        :param message: the message.
+        :param address: of the receiver.
+        """
+        await self.send_bytes(encode(message), address)
+
+    async def send_bytes(self, datagram: bytes, address: Address) -> None:
+        """Send an encoded message; it may be lost.
+
+        :param datagram: the bytes.
+        :param address: of the receiver.
+        """
+        self.sent += 1
+        try:
+            await self._sock.sendto(datagram, address)
+        except OSError:
+            # Nobody listens there, or no way leads there: as good as lost.
+            return
+
+    async def receive(self, handler: MessageHandler) -> None:
+        """Hand each message to its handler, for as long as the process lives.
+
+        :param handler: is awaited for each message, one at a time.
+        """
+        while True:
+            try:
+                datagram, address = await self._sock.recvfrom(MAX_BYTES)
+            except OSError:
+                # An earlier datagram met a closed port.
+                continue
+            message = decode(datagram)
+            if message is None:
+                self.malformed += 1
+            else:
+                await handler(message, address)
--- /dev/null
+++ b/src/ospreyford/rebalance/settings.py
@@ -0,0 +1,48 @@
+"""Settings of an agent that balances experts."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Pace(NamedTuple):
+    """How fast maps follow the load.
+
+    :param poll: time between two looks at the rank beside the agent, seconds.
+    :param counts: time between two reports of counts, in seconds.
+    :param half_life: of a count in the expected load, in seconds.
+    :param copies: experts that one plan may add to a rank.
+    :param least_gain: what a move must lower the peak of a set by, as a part
+        of a rank's mean load.
+    :param rest: least time between two changes, in seconds.
+    """
+
+    poll: float = 0.025
+    counts: float = 0.1
+    half_life: float = 0.4
+    copies: int = 2
+    least_gain: float = 0.05
+    rest: float = 0.0
+
+
+class AgentSettings(NamedTuple):
+    """All that an agent needs to know at its start.
+
+    :param name: the host's name.
+    :param zone: its availability zone.
+    :param region: its region.
+    :param backend: the back end beside it, IP number and port.
+    :param datagrams: where messages of other processes arrive.
+    :param metrics_port: the port of the metrics.
+    :param grace_seconds: from SIGTERM to the end of the process.
+    :param pace: how fast maps follow the load.
+    """
+
+    name: str
+    zone: str
+    region: str
+    backend: tuple[str, int]
+    datagrams: tuple[str, int]
+    metrics_port: int
+    grace_seconds: float
+    pace: Pace = Pace()
