Weigh expert counts by the requests that write, and bound a group's streams

Cause: nine in ten counts are of prompt tokens, whose work is a hundredth of an answer's token; recorded windows of prompts alone had a skew of 1.3 under the map in force, windows of answers alone 2 to 3.1, so maps fitted the wrong load. And with 65 streams in the group a pass took 85 ms, 130 to 150 after a change of demand, so nearly every stream met one pause over 120 ms.

Change: each rank's counts become shares that weigh as much as the requests that write there; a window with a prompt replaces one request's part only. The streams of a group are bounded by what each was seen to add to a pass.

--- a/src/ospreyford/console/stopping.py
+++ b/src/ospreyford/console/stopping.py
@@ -52,7 +52,7 @@
         # the event loop must not touch its locks. The C library's handler
         # writes the signal's number to the socket, which wakes the loop.
         signal.set_wakeup_fd(self._pair[0].fileno(), warn_on_full_buffer=False)
-        for number in SIGNALS:
+        for number in (*SIGNALS, signal.SIGHUP):
             signal.signal(number, _ignore)
 
     def finish(self) -> None:
--- /dev/null
+++ b/src/ospreyford/direct/admission.py
@@ -0,0 +1,214 @@
+"""How many streams run in a rank group at once, and which one goes next."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+#: Part of the pause that callers bear which a pass may take on average. All
+#: ranks wait for the most loaded one: right after other experts came into
+#: demand a pass takes one and a half times its usual time.
+PASS_PART = 0.55
+#: Passes from the admission of a request to its first event: the rest of the
+#: one under way, one or two for its prompt, one for the event.
+FIRST_EVENT_PASSES = 3
+#: Longest wait for a first event with which a request still counts as being
+#: in time, as a part of the objective; the rest is the way through the network.
+IN_TIME_PART = 0.9
+#: Requests for which there is room in any case: the figures of an idle group
+#: say little.
+LEAST_ROOM = 8
+#: Requests that wait although they will be late, as a part of those that run:
+#: more than that are not served before their deadlines even if no further
+#: request comes.
+LATE_PART = 0.5
+#: Part of a request's time that must be left when it is admitted late: a
+#: stream takes two to three seconds under high load, of eight.
+LEFT_PART = 0.35
+#: Weight of the newest figure in what a request adds to a pass.
+COST_WEIGHT = 0.3
+
+
+class GroupLoad(NamedTuple):
+    """What a group's coordinator tells of it.
+
+    :param running: requests that run at its ranks.
+    :param queued: requests that wait there.
+    :param pass_seconds: mean time of the last passes; 0 if there were none.
+    :param base_seconds: time of a pass without any request.
+    """
+
+    running: int
+    queued: int
+    pass_seconds: float
+    base_seconds: float
+
+
+class Waiter(NamedTuple):
+    """A request that waits for its admission.
+
+    :param number: unique in this process, in the order of arrival.
+    :param started_at: when it was read, on the monotonic clock.
+    :param objective: latency that its caller hopes for, in seconds.
+    :param deadline: when it ends at the latest, on that clock.
+    :param priority: 0 goes first.
+    """
+
+    number: int
+    started_at: float
+    objective: float
+    deadline: float
+    priority: int
+
+
+@dataclass(frozen=True)
+class Admit:
+    """A waiting request may go.
+
+    :param waiter: the request.
+    """
+
+    waiter: Waiter
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """A waiting request cannot be served any more.
+
+    :param waiter: the request.
+    """
+
+    waiter: Waiter
+
+
+class StreamLimit:
+    """This entry's part of the streams that a group runs at once.
+
+    Load pattern: arrivals come in waves, and each stream makes every pass of
+    the whole group longer, for all others as well. Beyond some number all
+    streams are late because of the pauses between their events, and the group
+    serves hardly more of them. So the number is bounded by what a stream was
+    seen to add to a pass; whoever waits for an admission loses less than all
+    would. Measured on a replayed wave at 28 requests a second: passes of 85 ms
+    and one stream in four in time without the bound.
+
+    :param max_gap: pause between events that callers bear, in seconds.
+    """
+
+    def __init__(self, max_gap: float) -> None:
+        self.pass_seconds = 0.0
+        self.limit = float('inf')
+        self._max_gap = max_gap
+        self._cost: float | None = None
+
+    def take_load(self, load: GroupLoad, mine: int, entries: int) -> None:
+        """Take over the group's newest figures.
+
+        :param load: as told by its coordinator.
+        :param mine: streams that this entry has in the group.
+        :param entries: entries that send to the group.
+        """
+        if load.pass_seconds > 0 and load.running >= LEAST_ROOM:
+            self.pass_seconds = load.pass_seconds
+            excess = max(load.pass_seconds - load.base_seconds, 0)
+            self._learn(excess / load.running)
+        room = self._tell_most(load) - load.running - load.queued
+        self.limit = max(mine + room / max(entries, 1), 1)
+
+    def _learn(self, cost: float) -> None:
+        if self._cost is None:
+            self._cost = cost
+        self._cost += COST_WEIGHT * (cost - self._cost)
+
+    def _tell_most(self, load: GroupLoad) -> float:
+        if not self._cost:
+            return float('inf')
+        target = PASS_PART * self._max_gap - load.base_seconds
+        return max(target / self._cost, LEAST_ROOM)
+
+
+class AdmissionQueue:
+    """Requests that wait for a place in a group.
+
+    Those that can still be in time go first, the oldest first. The others
+    have until their deadline: they fill what the waves leave free. Served in
+    the order of arrival alone, a queue longer than the objective would make
+    every request behind it late, although there is room for most of them.
+    """
+
+    def __init__(self) -> None:
+        self._waiters: dict[int, Waiter] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def add(self, waiter: Waiter) -> None:
+        """Add a request.
+
+        :param waiter: the request.
+        """
+        self._waiters[waiter.number] = waiter
+
+    def remove(self, number: int) -> None:
+        """Remove a request.
+
+        :param number: of the request.
+        """
+        self._waiters.pop(number, None)
+
+    def choose(self, now: float, first_event: float) -> Waiter | None:
+        """Choose the request that goes next.
+
+        :param now: seconds on the monotonic clock.
+        :param first_event: expected time to the first event, in seconds.
+        :returns: the request, or ``None`` if none waits.
+        """
+        if not self._waiters:
+            return None
+        return min(
+            self._waiters.values(),
+            key=lambda waiter: (
+                is_late(waiter, now, first_event),
+                waiter.priority,
+                waiter.number,
+            ),
+        )
+
+    def list_hopeless(
+        self, now: float, first_event: float, places: float
+    ) -> list[Waiter]:
+        """List the requests that will not be served any more.
+
+        :param now: seconds on the monotonic clock.
+        :param first_event: expected time to the first event, in seconds.
+        :param places: streams that this entry runs at once.
+        :returns: those without enough time, and the newest of the late ones
+            beyond the bound.
+        """
+        late = [
+            waiter
+            for waiter in self._waiters.values()
+            if is_late(waiter, now, first_event)
+        ]
+        out_of_time = [
+            waiter
+            for waiter in late
+            if waiter.deadline - now
+            < LEFT_PART * (waiter.deadline - waiter.started_at)
+        ]
+        bound = max(int(LATE_PART * places), 1)
+        rest = [waiter for waiter in late if waiter not in out_of_time]
+        rest.sort(key=lambda waiter: waiter.number)
+        return out_of_time + rest[bound:]
+
+
+def is_late(waiter: Waiter, now: float, first_event: float) -> bool:
+    """Tell whether a request will miss its objective if it goes now.
+
+    :param waiter: the request.
+    :param now: seconds on the monotonic clock.
+    :param first_event: expected time to the first event, in seconds.
+    :returns: whether it is late.
+    """
+    waited = now - waiter.started_at
+    return waited + first_event > IN_TIME_PART * waiter.objective
--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -7,7 +7,13 @@
 import curio
 import xxhash
 
-from ospreyford.rebalance.messages import Hello, Load, Message, encode
+from ospreyford.rebalance.messages import (
+    GroupNews,
+    Hello,
+    Load,
+    Message,
+    encode,
+)
 from ospreyford.rebalance.post import Post
 
 if TYPE_CHECKING:
@@ -33,6 +39,7 @@
         self._world = world
         self._post = Post(world.settings.datagrams)
         self._digests: dict[Address, int] = {}
+        self._tokens: dict[str, int] = {}
 
     async def run(self) -> None:
         """Greet and listen for as long as the process lives."""
@@ -70,12 +77,28 @@
             )
 
     async def _take(self, message: Message, address: Address) -> None:
-        if not isinstance(message, Load):
-            return
+        match message:
+            case Load():
+                self._take_load(message)
+            case GroupNews():
+                await self._take_news(message)
+
+    def _take_load(self, message: Load) -> None:
         self._digests[message.host, message.port] = message.digest
         self._world.budget.entries = max(message.entries, 1)
-        for member in self._world.fleet.find_address(
-            message.host, message.port
-        ):
-            others = message.active + message.queued - member.in_flight
-            member.elsewhere = max(others, 0)
+
+    async def _take_news(self, news: GroupNews) -> None:
+        # Two coordinators may tell of one group; the newer one is right.
+        if news.token < self._tokens.get(news.service, 0):
+            return
+        self._tokens[news.service] = news.token
+        running = queued = 0
+        for host, active, waiting in news.ranks:
+            running += active
+            queued += waiting
+            for member in self._world.fleet.find_host(news.service, host):
+                others = active + waiting - member.in_flight
+                member.elsewhere = max(others, 0)
+        await self._world.take_group_load(
+            news.service, running, queued, news.pass_seconds
+        )
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -54,6 +54,22 @@
     body: bytes = b''
     attempts: list[Attempt] = field(default_factory=list)
     may_have_run: bool = False
+    admitted_at: float | None = None
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_gap: float = 0
+
+    def note_event(self, now: float) -> None:
+        """Note that events were passed on.
+
+        :param now: seconds on the monotonic clock.
+        """
+        if self.last_event_at is None:
+            self.first_event_at = now
+        else:
+            gap = now - self.last_event_at
+            self.longest_gap = max(self.longest_gap, gap)
+        self.last_event_at = now
 
     def may_repeat(self) -> bool:
         """Tell whether it may be sent again after a sending of unknown fate.
--- a/src/ospreyford/direct/catalog.py
+++ b/src/ospreyford/direct/catalog.py
@@ -44,6 +44,8 @@
     :param streams: whether answers are event streams.
     :param timeout: longest time until the final answer, in seconds.
     :param objective: latency that callers hope for, in seconds.
+    :param max_gap: longest pause between two events of a stream that callers
+        bear, in seconds; 0 if none is published.
     :param attempts: back ends that one request may reach at most.
     :param priority: 0 is the most urgent.
     :param public: whether a request needs no key.
@@ -56,6 +58,7 @@
     streams: bool
     timeout: float
     objective: float
+    max_gap: float
     attempts: int
     priority: int
     public: bool
@@ -70,6 +73,7 @@
     :param places: experts of a set that a rank holds at most.
     :param spare: experts of a set that one change may add to a rank.
     :param copy_seconds: time to copy one expert to a rank.
+    :param pass_seconds: time of a pass without any request.
     """
 
     slots: int
@@ -78,6 +82,7 @@
     places: int
     spare: int
     copy_seconds: float
+    pass_seconds: float
 
 
 class Service(NamedTuple):
--- a/src/ospreyford/direct/decisions.py
+++ b/src/ospreyford/direct/decisions.py
@@ -21,6 +21,8 @@
     :param detail: its fields.
     :param took_ms: from the request's end to its answer's.
     :param waited_ms: of these, in the queue.
+    :param first_event_ms: until a stream's first event, or -1.
+    :param longest_gap_ms: between two of its events.
     """
 
     request_id: str
@@ -34,6 +36,8 @@
     detail: dict[str, Any]
     took_ms: int
     waited_ms: int
+    first_event_ms: int
+    longest_gap_ms: int
 
 
 @dataclass(frozen=True)
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -112,17 +112,17 @@
             if member.server.service == service
         ]
 
-    def find_address(self, host: str, port: int) -> list[Member]:
-        """Find the back ends at an address.
+    def find_host(self, service: str, host: str) -> list[Member]:
+        """Find the back ends of a service on a host.
 
+        :param service: the service's name.
         :param host: the IP number.
-        :param port: the port.
         :returns: the members; during a replacement there may be two.
         """
         return [
             member
             for member in self._members.values()
-            if (member.server.host, member.server.port) == (host, port)
+            if member.server.host == host and member.server.service == service
         ]
 
     def put(self, server: BackendServer) -> bool:
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -215,7 +215,9 @@
                 verdict=type(verdict).__name__,
                 detail=asdict(verdict),
                 took_ms=int(took * MILLISECONDS),
-                waited_ms=call.attempts[0].at if call.attempts else 0,
+                waited_ms=tell_ms(call.started_at, call.admitted_at),
+                first_event_ms=tell_ms(call.started_at, call.first_event_at),
+                longest_gap_ms=int(call.longest_gap * MILLISECONDS),
             )
         )
 
@@ -225,6 +227,16 @@
     return Left()
 
 
+def tell_ms(began: float, ended: float | None) -> int:
+    """Tell the time between two moments.
+
+    :param began: seconds on the monotonic clock.
+    :param ended: the same, or ``None`` if it never came.
+    :returns: milliseconds, or -1.
+    """
+    return -1 if ended is None else int((ended - began) * MILLISECONDS)
+
+
 def read_number(text: bytes | None) -> int | None:
     """Read a whole number of a header field.
 
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -40,7 +40,7 @@
 #: allow, with as many again left for back ends.
 MAX_CONNECTIONS = 1800
 #: How often resting connections and missing back ends are looked at, seconds.
-SWEEP_SECONDS = 0.25
+SWEEP_SECONDS = 0.1
 #: Part of the grace in which new connections are still taken: the balancer
 #: asks once a second and needs two refusals before it stops sending them.
 ACCEPT_PART = 0.4
@@ -137,6 +137,8 @@
             await curio.sleep(SWEEP_SECONDS)
             await self._world.pool.close_expired()
             await self.changes.drop_missing()
+            for gate in self._world.gates.values():
+                await gate.look()
             self._note_readiness()
 
     def _note_readiness(self) -> None:
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -76,6 +76,18 @@
             return self._give_up(Cause.out_of_time, GATEWAY_TIMEOUT)
 
     async def _send_until_final(self) -> Verdict:
+        gate = self._world.find_gate(self._call)
+        if gate is None:
+            return await self._send_often()
+        if not await gate.enter(self._call):
+            return self._give_up(Cause.overloaded, BAD_GATEWAY)
+        self._call.admitted_at = time.monotonic()
+        try:
+            return await self._send_often()
+        finally:
+            await gate.leave()
+
+    async def _send_often(self) -> Verdict:
         verdict: Verdict | None = None
         while verdict is None:
             member = self._choose()
@@ -196,6 +208,8 @@
             events = splitter.add(piece)
             if not all([self._forward(event) for event in events]):
                 return False
+            if events:
+                self._call.note_event(time.monotonic())
             await self._push()
 
     def _forward(self, event: StreamEvent) -> bool:
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -6,14 +6,17 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from ospreyford.direct.admission import GroupLoad
 from ospreyford.direct.budget import RetryBudget
 from ospreyford.direct.connections import ConnectionPool
 from ospreyford.direct.fleet import Fleet
+from ospreyford.direct.gate import StreamGate
 from ospreyford.direct.knowledge import Knowledge
 from ospreyford.direct.metrics import EntryMetrics
 from ospreyford.direct.sending import Tools
 
 if TYPE_CHECKING:
+    from ospreyford.direct.call import Call
     from ospreyford.direct.catalog import Catalog
     from ospreyford.direct.dialect import Dialect
     from ospreyford.direct.settings import DirectSettings
@@ -44,8 +47,43 @@
         self.knowledge = Knowledge(self.settings.bounds)
         self.pool = ConnectionPool()
         self.metrics = EntryMetrics()
+        self.gates: dict[str, StreamGate] = {}
         self.tools = Tools(self.pool, self.dialect)
 
+    def find_gate(self, call: Call) -> StreamGate | None:
+        """Find where a request waits for its admission.
+
+        :param call: the request.
+        :returns: the gate, or ``None`` if its service has no rank groups.
+        """
+        catalog = self.catalog
+        service = catalog.services.get(call.service) if catalog else None
+        if service is None or service.engine is None or not call.route.max_gap:
+            return None
+        gate = self.gates.get(call.service)
+        if gate is None:
+            gate = self.gates[call.service] = StreamGate(call.route.max_gap)
+        return gate
+
+    async def take_group_load(
+        self, service: str, running: int, queued: int, pass_seconds: float
+    ) -> None:
+        """Take over what a coordinator tells of its group.
+
+        :param service: the service that the group serves.
+        :param running: requests that run.
+        :param queued: requests that wait at its ranks.
+        :param pass_seconds: mean time of the last passes.
+        """
+        gate = self.gates.get(service)
+        known = self.catalog.services.get(service) if self.catalog else None
+        if gate is None or known is None or known.engine is None:
+            return
+        load = GroupLoad(
+            running, queued, pass_seconds, known.engine.pass_seconds
+        )
+        await gate.take_load(load, self.budget.entries)
+
     def is_ready(self) -> bool:
         """Tell whether callers are served well here.
 
--- a/src/ospreyford/platform/records.py
+++ b/src/ospreyford/platform/records.py
@@ -44,6 +44,7 @@
     route_type: str
     timeout_ms: float
     target_latency_ms: float = 0
+    target_gap_ms: float = 0
     max_attempts: int = ONE_ATTEMPT
     priority: int = 1
     public: bool = False
@@ -61,6 +62,9 @@
     placements: int = 0
     spare: int = 0
     expert_mb: float = 0
+    # Token steps of one pass.
+    stride: int = 1
+    step_ms: float = msgspec.field(name='step_ms', default=0)
 
 
 class _Service(msgspec.Struct, frozen=True, rename='pascal'):
@@ -180,6 +184,7 @@
         streams=route.route_type == 'streaming',
         timeout=route.timeout_ms / MILLISECONDS,
         objective=route.target_latency_ms / MILLISECONDS,
+        max_gap=route.target_gap_ms / MILLISECONDS,
         attempts=max(route.max_attempts, ONE_ATTEMPT),
         priority=route.priority,
         public=route.public,
@@ -208,6 +213,7 @@
         places=engine.placements,
         spare=engine.spare,
         copy_seconds=copy_seconds,
+        pass_seconds=engine.stride * engine.step_ms / MILLISECONDS,
     )
 
 
--- a/src/ospreyford/platform/replica.py
+++ b/src/ospreyford/platform/replica.py
@@ -29,7 +29,7 @@
 
 #: Time for an answer, in seconds: the back end beside an agent needs a
 #: millisecond. One that leaves an order unanswered is asked again.
-ANSWER_SECONDS = 0.08
+ANSWER_SECONDS = 0.025
 OK: Final = 200
 REPLIES: Final = (
     (200, Reply.holds),
--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -19,16 +19,18 @@
 from ospreyford.rebalance.frames import pack_outcome, unpack_order
 from ospreyford.rebalance.group import Rejected, Term
 from ospreyford.rebalance.leader import GroupLeader
-from ospreyford.rebalance.loads import WindowCounter
+from ospreyford.rebalance.loads import ShareTracker
 from ospreyford.rebalance.member import RankMember
 from ospreyford.rebalance.messages import (
     Ask,
     Counts,
+    GroupNews,
     Hello,
     Lead,
     Load,
     Message,
     Tell,
+    encode,
 )
 from ospreyford.rebalance.post import Post
 from ospreyford.rebalance.ranks import GroupRanks
@@ -80,7 +82,7 @@
         self._post = Post(settings.datagrams)
         self._member = RankMember(outside.engine, outside.clock)
         self._election = Election(settings.datagrams, outside.clock)
-        self._window = WindowCounter()
+        self._shares = ShareTracker()
         self._state: RankState | None = None
         self._experts: RankExperts = ()
         self._experts_of: tuple[int, int] | None = None
@@ -91,7 +93,8 @@
         self._backends: tuple[Address, ...] = ()
         self._digest = 0
         self._engine: Engine | None = None
-        self._entries: dict[str, float] = {}
+        self._entries: dict[str, tuple[Address, float]] = {}
+        self._service = ''
         self._answers: OrderedDict[tuple[Address, int], Tell] = OrderedDict()
 
     async def run(self, stop: Stop) -> None:
@@ -128,8 +131,16 @@
         elif before.is_open != state.is_open:
             self._log_rank(state, 'open' if state.is_open else 'broken')
         await self._learn_experts(state)
-        if self._ranks is not None:
+        if before is None or before.step != state.step:
+            await self._learn_shares(state)
+        if self._ranks is not None and self._leader is not None:
             self._ranks.note_state(state)
+            self._leader.passes.add(state.step, time.monotonic())
+
+    async def _learn_shares(self, state: RankState) -> None:
+        counts = await self._outside.engine.read_counts()
+        if counts is not None:
+            self._shares.take(counts, state.epoch, state.step, state.active)
 
     async def _learn_experts(self, state: RankState) -> None:
         if self._experts_of == (state.epoch, state.version):
@@ -138,25 +149,20 @@
         if experts is not None:
             self._experts = experts
             self._experts_of = (state.epoch, state.version)
-            await self._report(())
+            await self._report()
 
     async def _report_often(self) -> None:
         while True:
-            await curio.sleep(self._settings.pace.counts)
-            counts = await self._outside.engine.read_counts()
-            await self._report(counts or ())
+            await curio.sleep(self._settings.pace.report)
+            await self._report()
 
-    async def _report(self, counts: tuple[int, ...]) -> None:
+    async def _report(self) -> None:
         state = self._state
         leader = self._election.leader
         if state is None or leader is None:
             return
-        seconds, scale, chosen = 0.0, 1.0, b''
-        if counts:
-            seconds, scale, chosen = self._window.take(
-                counts, state.epoch, time.monotonic()
-            )
-        report = Counts(state, self._experts, seconds, scale, chosen)
+        shares = self._shares.pack(state.active)
+        report = Counts(state, self._experts, shares)
         if leader != self._settings.datagrams:
             await self._post.send(report, leader)
         elif self._leader is not None:
@@ -173,6 +179,21 @@
             token = self._election.token
             if token is not None:
                 await self._send_beats(Lead(state.group, token))
+                await self._tell_entries(token)
+
+    async def _tell_entries(self, token: int) -> None:
+        if self._ranks is None or self._leader is None:
+            return
+        news = encode(
+            GroupNews(
+                self._service,
+                token,
+                self._leader.passes.tell_mean(),
+                self._ranks.list_loads(self._settings.backend[0]),
+            )
+        )
+        for address, _ in tuple(self._entries.values()):
+            await self._post.send_bytes(news, address)
 
     async def _send_beats(self, beat: Lead) -> None:
         for address in self._members:
@@ -237,7 +258,8 @@
             self._log_leader(beat.group, address[0])
 
     async def _greet(self, hello: Hello, address: Address) -> None:
-        self._entries[hello.entry] = time.monotonic()
+        self._entries[hello.entry] = (address, time.monotonic())
+        self._service = hello.service
         if hello.members is not None:
             self._digest = hello.digest
             self._backends = hello.members
@@ -261,7 +283,9 @@
     def _count_entries(self) -> int:
         oldest = time.monotonic() - ENTRY_SECONDS
         self._entries = {
-            name: at for name, at in self._entries.items() if at > oldest
+            name: seen
+            for name, seen in self._entries.items()
+            if seen[1] > oldest
         }
         return len(self._entries)
 
--- a/src/ospreyford/rebalance/decisions.py
+++ b/src/ospreyford/rebalance/decisions.py
@@ -30,6 +30,9 @@
     :param moves: experts that were copied.
     :param before: expected load of the most loaded rank over the mean.
     :param after: the same with the new map.
+    :param step: the last pass that was begun as it was planned.
+    :param running: requests that ran in the group then.
+    :param queued: requests that waited at its ranks then.
     :param age_ms: age of the newest counts as it was planned.
     :param took_ms: from the plan to the end of the change.
     """
@@ -41,6 +44,9 @@
     moves: int
     before: float
     after: float
+    step: int
+    running: int
+    queued: int
     age_ms: int
     took_ms: int
 
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -7,7 +7,8 @@
 from ospreyford.rebalance.coordinator import Change, Coordinator, Group
 from ospreyford.rebalance.decisions import GroupSettled, MapChanged
 from ospreyford.rebalance.fanout import run_together
-from ospreyford.rebalance.loads import LoadTracker
+from ospreyford.rebalance.loads import Shares, add_up
+from ospreyford.rebalance.passes import PassTimer
 from ospreyford.rebalance.planner import Plan, PlanLimits, plan_map
 
 if TYPE_CHECKING:
@@ -51,7 +52,8 @@
         self._pace = pace
         self._log = log
         self._clock = clock
-        self._loads = LoadTracker(pace.half_life)
+        self.passes = PassTimer()
+        self._parts: dict[int, Shares] = {}
         self._experts: dict[int, RankExperts] = {}
         self._counted_at = clock.monotonic()
 
@@ -62,9 +64,9 @@
         """
         self._ranks.note_state(counts.state)
         self._experts[counts.state.rank] = counts.experts
-        if counts.chosen:
+        if counts.shares is not None:
             self._counted_at = self._clock.monotonic()
-            self._loads.add(counts.scale, counts.chosen, self._counted_at)
+            self._parts[counts.state.rank] = counts.shares
 
     async def work(self, token: int, engine: Engine) -> bool:
         """Look at the group once, and change its map if that pays.
@@ -121,8 +123,8 @@
         )
 
     def _plan(self, experts: ExpertMap, engine: Engine) -> Plan | None:
-        loads = self._loads.split(len(experts))
-        if not loads or not loads[0]:
+        loads = add_up(self._parts, len(experts))
+        if not loads or not any(loads[0]):
             return None
         limits = PlanLimits(
             places=engine.places,
@@ -136,6 +138,8 @@
         self, coordinator: Coordinator, group: Group, plan: Plan
     ) -> None:
         began = self._clock.monotonic()
+        counted_at = self._counted_at
+        states = dict(self._ranks.read_states())
         version = self._next_version()
         outcome = await coordinator.change(group, version, plan.experts)
         if outcome is Change.made:
@@ -151,7 +155,10 @@
                 moves=plan.moves,
                 before=round(plan.before, 2),
                 after=round(plan.after, 2),
-                age_ms=int((began - self._counted_at) * MILLISECONDS),
+                step=states[self._me].step,
+                running=sum(one.active for one in states.values()),
+                queued=sum(one.queued for one in states.values()),
+                age_ms=int((began - counted_at) * MILLISECONDS),
                 took_ms=int(
                     (self._clock.monotonic() - began) * MILLISECONDS
                 ),
--- a/src/ospreyford/rebalance/loads.py
+++ b/src/ospreyford/rebalance/loads.py
@@ -1,101 +1,133 @@
-"""The load of each expert, from the counts of all ranks."""
+"""The load of each expert, as the ranks' counts foretell it.
 
-from __future__ import annotations
+A rank counts how often its requests chose each expert, prompts and answers
+alike. Work is another matter: a token of an answer costs a hundred times what
+a token of a prompt does, but a prompt has ten times as many. Taken as they
+come, nine counts in ten are of prompts that are already read. So each rank's
+counts of a window are taken as shares, and weigh as much as the requests that
+write there.
+"""
 
-from typing import TYPE_CHECKING
+from __future__ import annotations
 
-if TYPE_CHECKING:
-    from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 BYTE_MAX = 255
+#: Weight of one pass in a rank's shares: those of the last two to three passes
+#: count, in which a request's choices hardly change. Averaged over ten, a
+#: change of demand was seen half a second later.
+PASS_WEIGHT = 0.4
+#: A window with so many times the counts that the requests which write can
+#: have made holds a prompt.
+PROMPT_FACTOR = 1.6
+#: Growth with each window of the counts that one request makes in a pass, as
+#: long as none shows less: lets a wrong low value end.
+LEARNING_GROWTH = 1.01
+
+
+class Shares(NamedTuple):
+    """A rank's part of the load.
+
+    :param scale: what each byte stands for, in requests.
+    :param chosen: a byte for each set and expert, set by set.
+    """
 
+    scale: float
+    chosen: bytes
 
-class WindowCounter:
-    """Turns a rank's growing counts into those of the last window."""
+
+class ShareTracker:
+    """Turns a rank's growing counts into shares of what is written there."""
 
     def __init__(self) -> None:
-        self._counts: tuple[int, ...] = ()
-        self._at = 0.0
+        self._counts: Sequence[int] = ()
+        self._step = 0
         self._epoch = -1
+        self._shares: list[float] = []
+        self._usual: float | None = None
 
     def take(
-        self, counts: tuple[int, ...], epoch: int, now: float
-    ) -> tuple[float, float, bytes]:
+        self, counts: Sequence[int], epoch: int, step: int, writing: int
+    ) -> None:
         """Take the newest counts.
 
-        :param counts: since the rank's start.
+        :param counts: since the rank's start, set by set.
         :param epoch: of the group.
-        :param now: seconds on the monotonic clock.
-        :returns: the window's length in seconds, the scale, and a byte for
-            each expert; no window after a restart.
+        :param step: the last pass that was begun.
+        :param writing: requests that run at the rank.
         """
         before, self._counts = self._counts, counts
-        began, self._at = self._at, now
+        passes, self._step = step - self._step, step
         same, self._epoch = self._epoch == epoch, epoch
-        if not same or len(before) != len(counts):
-            return 0, 1, b''
+        if not same or len(before) != len(counts) or passes < 1:
+            return
         window = [new - old for new, old in zip(counts, before, strict=True)]
+        total = sum(window)
         # A rank that started anew counts from zero again.
-        if min(window, default=0) < 0:
-            return 0, 1, b''
-        return (now - began, *shrink(window))
-
-
-def shrink(window: Sequence[int]) -> tuple[float, bytes]:
-    """Round counts so that each fits a byte.
-
-    :param window: counts.
-    :returns: what they were divided by, and the bytes.
-    """
-    scale = max(max(window, default=0) / BYTE_MAX, 1)
-    return scale, bytes(round(count / scale) for count in window)
-
-
-class LoadTracker:
-    """Averages the load of each expert, newest counts first.
-
-    :param half_life: in seconds: a count weighs half as much after it.
-    """
-
-    def __init__(self, half_life: float) -> None:
-        self._half_life = half_life
-        self._loads: list[float] = []
-        self._at = 0.0
+        if total <= 0 or min(window) < 0:
+            return
+        self._blend(window, total, self._weigh(total, passes, writing))
 
-    def add(self, scale: float, chosen: bytes, now: float) -> None:
-        """Add a rank's window.
+    def pack(self, writing: int) -> Shares | None:
+        """Pack the shares for a message.
 
-        :param scale: what the counts were divided by.
-        :param chosen: a byte for each expert.
-        :param now: seconds on the monotonic clock.
+        :param writing: requests that run at the rank.
+        :returns: the shares, or ``None`` before the first counts.
         """
-        if len(self._loads) != len(chosen):
-            self._loads = [0] * len(chosen)
-        self._fade(now)
-        self._loads = [
-            load + scale * count
-            for load, count in zip(self._loads, chosen, strict=True)
+        if not self._shares:
+            return None
+        peak = max(self._shares)
+        chosen = bytes(
+            round(share / peak * BYTE_MAX) for share in self._shares
+        )
+        return Shares(peak / BYTE_MAX * writing, chosen)
+
+    def _weigh(self, total: int, passes: int, writing: int) -> float:
+        """Tell how much of the shares a window replaces."""
+        seen = total / (passes * max(writing, 1))
+        usual = seen if self._usual is None else self._usual * LEARNING_GROWTH
+        self._usual = min(usual, seen)
+        if seen > PROMPT_FACTOR * self._usual:
+            # A prompt shows what its request will choose while it writes:
+            # one of those that run.
+            return 1 / max(writing, 1)
+        return 1 - (1 - PASS_WEIGHT) ** passes
+
+    def _blend(
+        self, window: Sequence[int], total: int, weight: float
+    ) -> None:
+        if len(self._shares) != len(window):
+            self._shares = [count / total for count in window]
+            return
+        factor = weight / total
+        self._shares = [
+            share * (1 - weight) + count * factor
+            for share, count in zip(self._shares, window, strict=True)
         ]
 
-    def split(self, sets: int) -> list[list[float]]:
-        """Tell the load of each expert of each set.
 
-        :param sets: the number of sets.
-        :returns: for each set, the load of each expert.
-        """
-        size = len(self._loads) // max(sets, 1)
-        return [
-            self._loads[number * size : (number + 1) * size]
-            for number in range(sets)
-        ]
-
-    def forget(self) -> None:
-        """Forget all counts."""
-        self._loads = []
+def add_up(parts: Mapping[int, Shares], sets: int) -> list[list[float]]:
+    """Add up the load of each expert over the ranks.
 
-    def _fade(self, now: float) -> None:
-        passed, self._at = now - self._at, now
-        if passed <= 0:
-            return
-        factor = 0.5 ** (passed / self._half_life)
-        self._loads = [load * factor for load in self._loads]
+    :param parts: the newest shares of each rank.
+    :param sets: the number of sets.
+    :returns: for each set, the load of each expert; empty without any.
+    """
+    longest = max((len(part.chosen) for part in parts.values()), default=0)
+    sums = [0.0] * longest
+    for part in parts.values():
+        if len(part.chosen) == longest and part.scale:
+            sums = _add(sums, part)
+    size = longest // max(sets, 1)
+    return [
+        sums[number * size : (number + 1) * size] for number in range(sets)
+    ]
+
+
+def _add(sums: Iterable[float], part: Shares) -> list[float]:
+    scale = part.scale
+    return [
+        load + scale * count
+        for load, count in zip(sums, part.chosen, strict=True)
+    ]
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -8,6 +8,7 @@
 
 from ospreyford.direct.catalog import Engine
 from ospreyford.rebalance.group import RankState
+from ospreyford.rebalance.loads import Shares
 
 #: Datagrams up to this size cross every link in one packet.
 MAX_BYTES: Final = 60_000
@@ -54,6 +55,21 @@
     pace: float
 
 
+class GroupNews(msgspec.Struct, frozen=True, tag='g', array_like=True):
+    """What a coordinator tells the entries of its group.
+
+    :param service: the service that the group serves.
+    :param token: the coordinator's fencing token.
+    :param pass_seconds: mean time of the last passes; 0 if there were none.
+    :param ranks: IP number, requests that run and that wait, of each rank.
+    """
+
+    service: str
+    token: int
+    pass_seconds: float
+    ranks: tuple[tuple[str, int, int], ...]
+
+
 class Lead(msgspec.Struct, frozen=True, tag='d', array_like=True):
     """A coordinator's heartbeat to the agents of its group.
 
@@ -70,17 +86,12 @@
 
     :param state: the rank's.
     :param experts: for each set, the experts that the rank holds.
-    :param seconds: length of the window; 0 without counts.
-    :param scale: what the counts were divided by.
-    :param chosen: a byte for each set and expert, set by set: how often it was
-        chosen in the window, divided by ``scale`` and rounded.
+    :param shares: the rank's part of the load, or ``None`` if it is not known.
     """
 
     state: RankState
     experts: tuple[tuple[int, ...], ...]
-    seconds: float
-    scale: float
-    chosen: bytes
+    shares: Shares | None
 
 
 class Ask(msgspec.Struct, frozen=True, tag='a', array_like=True):
@@ -126,7 +137,7 @@
     experts: tuple[tuple[tuple[int, ...], ...], ...] = ()
 
 
-Message = Hello | Load | Lead | Counts | Ask | Tell
+Message = Hello | Load | GroupNews | Lead | Counts | Ask | Tell
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -83,6 +83,20 @@
         """
         return self._states
 
+    def list_loads(self, my_host: str) -> tuple[tuple[str, int, int], ...]:
+        """List what runs and waits at each rank.
+
+        :param my_host: IP number of this agent's host.
+        :returns: IP number, running and waiting requests.
+        """
+        hosts = {rank: address[0] for rank, address in self.agents.items()}
+        hosts[self._me] = my_host
+        return tuple(
+            (hosts[rank], state.active, state.queued)
+            for rank, state in self._states.items()
+            if rank in hosts
+        )
+
     def tell_silence(self, rank: int) -> float:
         """Tell how long a rank has not been heard of.
 
--- a/src/ospreyford/rebalance/settings.py
+++ b/src/ospreyford/rebalance/settings.py
@@ -9,17 +9,15 @@
     """How fast maps follow the load.
 
     :param poll: time between two looks at the rank beside the agent, seconds.
-    :param counts: time between two reports of counts, in seconds.
-    :param half_life: of a count in the expected load, in seconds.
+    :param report: time between two reports to the coordinator, in seconds.
     :param copies: experts that one plan may add to a rank.
     :param least_gain: what a move must lower the peak of a set by, as a part
         of a rank's mean load.
     :param rest: least time between two changes, in seconds.
     """
 
-    poll: float = 0.025
-    counts: float = 0.1
-    half_life: float = 0.4
+    poll: float = 0.03
+    report: float = 0.09
     copies: int = 2
     least_gain: float = 0.05
     rest: float = 0.0
