Split the agent, the planner and the relay; disarm only what is still held

Settling a group took back a switch at its holder without asking whether the pass was still held there: a go of the earlier coordinator in between would have left the other ranks armed. The order now counts on the hold and on the number of orders accepted.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -82,21 +82,20 @@
 
 
 class StreamLimit:
-    """This entry's part of the streams that a group runs at once.
+    """The entry's part of the streams that a group runs at once.
 
     Load pattern: arrivals come in waves, and each stream makes every pass of
     the whole group longer, for all others as well. Beyond some number all
     streams are late because of the pauses between their events, and the group
     serves hardly more of them. So the number is bounded by what a stream was
     seen to add to a pass; whoever waits for an admission loses less than all
-    would. Measured on a replayed wave at 28 requests a second: passes of 85 ms
-    and one stream in four in time without the bound.
+    would.
 
     :param max_gap: pause between events that callers bear, in seconds.
     """
 
     def __init__(self, max_gap: float) -> None:
-        self.pass_seconds = 0.0
+        self.pass_seconds: float = 0
         self.limit = float('inf')
         self._max_gap = max_gap
         self._cost: float | None = None
--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING
 
 import curio
@@ -17,7 +18,7 @@
 from ospreyford.rebalance.post import Post
 
 if TYPE_CHECKING:
-    from ospreyford.direct.fleet import Member
+    from ospreyford.direct.catalog import Catalog, Engine
     from ospreyford.direct.world import World
     from ospreyford.rebalance.post import Address
 
@@ -42,40 +43,51 @@
         self._tokens: dict[str, int] = {}
 
     async def run(self) -> None:
-        """Greet and listen for as long as the process lives."""
-        await curio.spawn(self._post.receive, self._take, daemon=True)
+        """Listen for as long as the process lives."""
+        await self._post.receive(self._take)
+
+    async def greet_often(self) -> None:
+        """Greet for as long as the process lives."""
         while True:
-            await self._greet_all()
+            if self._world.catalog is not None:
+                await self._greet_all(self._world.catalog)
             await curio.sleep(GREETING_SECONDS)
 
-    async def _greet_all(self) -> None:
-        catalog = self._world.catalog
-        if catalog is None:
-            return
-        for service in catalog.services.values():
+    async def _greet_all(self, catalog: Catalog) -> None:
+        for name, service in catalog.services.items():
             if service.engine is not None:
-                members = self._world.fleet.list_all(service.name)
-                await self._greet(service.name, members)
+                await self._greet(self._make_hello(name, service.engine))
 
-    async def _greet(self, service: str, members: list[Member]) -> None:
-        name = self._world.settings.name
-        port = self._world.settings.agent_port
+    def _make_hello(self, service: str, engine: Engine) -> Hello:
+        members = self._world.fleet.list_all(service)
         addresses = tuple(
             sorted((one.server.host, one.server.port) for one in members)
         )
-        catalog = self._world.catalog
-        engine = catalog.services[service].engine if catalog else None
-        digest = xxhash.xxh32_intdigest(
-            repr((addresses, engine)).encode()
-        )
-        short = encode(Hello(name, service, digest))
-        whole = encode(Hello(name, service, digest, addresses, engine))
-        for address in addresses:
-            knows = self._digests.get(address) == digest
+        known = (addresses, engine, self._find_max_gap(service))
+        digest = xxhash.xxh32_intdigest(repr(known).encode())
+        return Hello(self._world.settings.name, service, digest, *known)
+
+    async def _greet(self, hello: Hello) -> None:
+        whole = encode(hello)
+        short = encode(Hello(hello.entry, hello.service, hello.digest))
+        port = self._world.settings.agent_port
+        for address in hello.members or ():
+            knows = self._digests.get(address) == hello.digest
             await self._post.send_bytes(
                 short if knows else whole, (address[0], port)
             )
 
+    def _find_max_gap(self, service: str) -> float:
+        catalog = self._world.catalog
+        if catalog is None:
+            return 0
+        gaps = [
+            route.max_gap
+            for route in chain.from_iterable(catalog.routes.values())
+            if route.max_gap > 0 and route.splits[0].service == service
+        ]
+        return min(gaps, default=0)
+
     async def _take(self, message: Message, address: Address) -> None:
         match message:
             case Load():
@@ -92,7 +104,8 @@
         if news.token < self._tokens.get(news.service, 0):
             return
         self._tokens[news.service] = news.token
-        running = queued = 0
+        running = 0
+        queued = 0
         for host, active, waiting in news.ranks:
             running += active
             queued += waiting
--- a/src/ospreyford/direct/changes.py
+++ b/src/ospreyford/direct/changes.py
@@ -94,7 +94,7 @@
         """
         for server in servers:
             self.take_server(server)
-        registered = {server.id for server in servers}
+        registered = {one.id for one in servers}
         for server_id in self._world.fleet.ids():
             if server_id not in registered:
                 await self.lose_server(server_id, revision, may_return)
--- a/src/ospreyford/direct/events.py
+++ b/src/ospreyford/direct/events.py
@@ -36,8 +36,9 @@
         :param piece: the next bytes of the stream.
         :returns: the events that are whole now.
         """
-        *whole, self._rest = (self._rest + piece).split(EVENT_END)
-        return [read_event(text + EVENT_END) for text in whole]
+        parts = (self._rest + piece).split(EVENT_END)
+        self._rest = parts.pop()
+        return [read_event(text + EVENT_END) for text in parts]
 
     def has_rest(self) -> bool:
         """Tell whether the stream stands in the middle of an event.
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -44,8 +44,8 @@
     def __init__(self, server: BackendServer) -> None:
         self.server = server
         self.in_flight = 0
-        self.failure_rate = 0.0
-        self.failed_at = 0.0
+        self.failure_rate: float = 0
+        self.failed_at: float = 0
         self.elsewhere = 0
         self.is_gone = False
         self.gone_by: float | None = None
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -60,9 +60,7 @@
         try:
             return await self._wait(waiter)
         finally:
-            self._queue.remove(waiter.number)
-            self._turns.pop(waiter.number, None)
-            self._refused.discard(waiter.number)
+            self._forget(waiter.number)
 
     async def leave(self) -> None:
         """Free a place."""
@@ -96,6 +94,11 @@
             self.running += 1
             await self._turns[chosen.number].set()
 
+    def _forget(self, number: int) -> None:
+        self._queue.remove(number)
+        self._turns.pop(number, None)
+        self._refused.discard(number)
+
     async def _wait(self, waiter: Waiter) -> bool:
         turn = self._turns[waiter.number]
         await self.look()
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -58,7 +58,7 @@
     def __init__(self, world: World) -> None:
         self._world = world
 
-    async def handle(self, exchange: Exchange) -> None:
+    async def serve(self, exchange: Exchange) -> None:
         """Serve a request.
 
         :param exchange: the request and the way back to its caller.
@@ -72,7 +72,7 @@
         admitted.body = body
         self._world.budget.count_request(admitted.service, admitted.started_at)
         age_ms = self._world.tell_age_ms()
-        verdict = await self._serve(admitted, exchange)
+        verdict = await self._relay(admitted, exchange)
         self._log_end(admitted, verdict, age_ms)
         await self._answer(exchange, verdict, admitted.id)
 
@@ -127,14 +127,12 @@
             ),
         )
 
-    async def _serve(self, call: Call, exchange: Exchange) -> Verdict:
+    async def _relay(self, call: Call, exchange: Exchange) -> Verdict:
         relay = Relay(call, exchange, self._world)
-        try:
-            async with curio.TaskGroup(wait=any) as group:
-                await group.spawn(self._run_relay, relay)
-                await group.spawn(_watch_caller, exchange)
-        except curio.TaskError:
-            return Left()
+        group = curio.TaskGroup(wait=any)
+        async with group:
+            await group.spawn(self._run_relay, relay)
+            await group.spawn(_watch_caller, exchange)
         verdict: Verdict = group.result
         return verdict
 
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -22,6 +22,7 @@
 from ospreyford.http.message import Limits
 from ospreyford.http.server import listen, serve_connection
 from ospreyford.observability.events import Draining, NotReady, Ready, Stopped
+from ospreyford.observability.supervision import keep_running
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -79,9 +80,9 @@
         accepting = await curio.spawn(self._accept_callers, front, daemon=True)
         await curio.spawn(accept, ready, self._answer_ready, daemon=True)
         await curio.spawn(accept, metrics, self._answer_metrics, daemon=True)
-        await curio.spawn(feed, daemon=True)
-        await curio.spawn(AgentLink(world).run, daemon=True)
-        await curio.spawn(self._sweep, daemon=True)
+        agents = AgentLink(world)
+        for task in (feed, agents.run, agents.greet_often, self._sweep):
+            await curio.spawn(keep_running, task, world.log, daemon=True)
         await self._stop.requested.wait()
         await self._finish(accepting)
 
@@ -113,7 +114,7 @@
                     serve_connection,
                     client,
                     limits,
-                    self._handler.handle,
+                    self._handler.serve,
                     refuse,
                     self._open,
                     daemon=True,
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -6,13 +6,12 @@
 from typing import TYPE_CHECKING, Final
 
 import curio
-import h11
 
 from ospreyford.direct.call import Attempt
 from ospreyford.direct.choosing import Wish, choose_member
-from ospreyford.direct.events import EventSplitter
 from ospreyford.direct.headers import keep_end_to_end
 from ospreyford.direct.sending import Sending
+from ospreyford.direct.streaming import pass_stream_on
 from ospreyford.direct.verdicts import (
     Answered,
     Cause,
@@ -26,11 +25,9 @@
     Unknown,
     Verdict,
 )
-from ospreyford.http.errors import HttpError
 
 if TYPE_CHECKING:
     from ospreyford.direct.call import Call
-    from ospreyford.direct.events import StreamEvent
     from ospreyford.direct.fleet import Member
     from ospreyford.direct.world import World
     from ospreyford.http.message import Response
@@ -40,9 +37,6 @@
 GATEWAY_TIMEOUT: Final = 504
 SERVER_ERROR: Final = 500
 MILLISECONDS = 1000
-#: A resumable stream that is silent for this long goes on at another back
-#: end, in seconds. Callers leave after two seconds of silence.
-STALL_SECONDS = 1.2
 #: With less time left a request is not sent any more, in seconds.
 LEAST_SECONDS = 0.02
 #: When to come back where nothing better is known, in seconds.
@@ -62,7 +56,6 @@
         self._exchange = exchange
         self._world = world
         self._cause = Cause.no_backend
-        self._cursor = call.cursor
 
     async def run(self) -> Verdict:
         """Serve the request within its time.
@@ -71,9 +64,12 @@
         """
         left = self._call.tell_left(time.monotonic())
         try:
-            return await curio.timeout_after(left, self._send_until_final)
+            verdict: Verdict = await curio.timeout_after(
+                left, self._send_until_final
+            )
         except curio.TaskTimeout:
             return self._give_up(Cause.out_of_time, GATEWAY_TIMEOUT)
+        return verdict
 
     async def _send_until_final(self) -> Verdict:
         gate = self._world.find_gate(self._call)
@@ -178,61 +174,19 @@
         if not self._exchange.started:
             fields = tuple(keep_end_to_end(head.headers))
             self._exchange.add((self._exchange.make_head(head.status, fields),))
-        if await self._pass_on(sending):
+        if await pass_stream_on(self._call, sending, self._exchange):
             member.note_success()
             await self._exchange.finish()
             return Answered(head.status)
         member.note_failure(time.monotonic())
         self._cause = Cause.lost
         if self._call.may_repeat():
-            self._call.cursor = self._cursor
             return None
         return self._give_up(Cause.lost, BAD_GATEWAY)
 
-    async def _pass_on(self, sending: Sending) -> bool:
-        """Pass whole events on as they come.
-
-        :returns: whether the stream came to its end.
-        """
-        splitter = EventSplitter()
-        pieces = sending.read_pieces()
-        while True:
-            try:
-                piece = await curio.timeout_after(
-                    STALL_SECONDS, pieces.__anext__()
-                )
-            except StopAsyncIteration:
-                return not splitter.has_rest()
-            except (HttpError, curio.TaskTimeout):
-                return False
-            events = splitter.add(piece)
-            if not all([self._forward(event) for event in events]):
-                return False
-            if events:
-                self._call.note_event(time.monotonic())
-            await self._push()
-
-    def _forward(self, event: StreamEvent) -> bool:
-        """Add an event to what goes to the caller.
-
-        :returns: whether it is the next one. A gap means that pieces were
-            lost: the stream must go on at another back end.
-        """
-        if event.id is not None:
-            if self._cursor is not None and event.id <= self._cursor:
-                return True
-            if self._cursor is not None and event.id > self._cursor + 1:
-                return False
-            self._cursor = event.id
-        self._exchange.add((h11.Data(data=event.encoded),))
-        return True
-
-    async def _push(self) -> None:
-        await self._exchange.push(STALL_SECONDS)
-
     def _give_up(self, cause: Cause, status: int) -> Verdict:
         if self._exchange.started:
-            return Cut(cause, self._cursor)
+            return Cut(cause, self._call.cursor)
         if self._call.may_have_run or self._is_sent():
             return Unknown(cause, status)
         return NotRun(cause, RETRY_SECONDS)
--- a/src/ospreyford/direct/sending.py
+++ b/src/ospreyford/direct/sending.py
@@ -31,6 +31,9 @@
 OK: Final = 200
 REDIRECTION: Final = 300
 MISDIRECTED: Final = 421
+#: Time for the rest of a refusal, in seconds. With it read, the connection can
+#: serve again; without, only a new one is needed.
+REST_SECONDS = 0.05
 
 
 class Tools(NamedTuple):
@@ -72,7 +75,8 @@
 
     async def __aexit__(self, *_: object) -> None:
         """Keep the connection if its answer was read in whole."""
-        connection, self._connection = self._connection, None
+        connection = self._connection
+        self._connection = None
         if connection is None:
             return
         if self._is_whole and self._head is not None:
@@ -139,7 +143,7 @@
         return Replied(head, body)
 
     async def _read_rest(self, connection: ClientConnection) -> None:
-        async with curio.ignore_after(0.05):
+        async with curio.ignore_after(REST_SECONDS):
             try:
                 await connection.read_body()
             except HttpError:
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -62,7 +62,8 @@
             return None
         gate = self.gates.get(call.service)
         if gate is None:
-            gate = self.gates[call.service] = StreamGate(call.route.max_gap)
+            gate = StreamGate(call.route.max_gap)
+            self.gates[call.service] = gate
         return gate
 
     async def take_group_load(
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Sequence
@@ -19,6 +18,7 @@
     HttpError,
     TooSlow,
 )
+from ospreyford.http.hangup import Hangup
 from ospreyford.http.message import Headers, Limits, Request
 from ospreyford.http.outgoing import Outgoing
 
@@ -33,9 +33,6 @@
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 GO_ON = h11.InformationalResponse(status_code=100, headers=[])
 HEAD = b'HEAD'
-#: How often a connection with an unread request is asked for its end.
-HANGUP_SECONDS = 0.2
-HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Exchange:
@@ -140,14 +137,14 @@
 
         :returns: whether nobody waits for the answer any more.
         """
-        return self._connection.is_hung_up()
+        return self._connection.hangup.is_known()
 
     async def wait_for_hangup(self) -> None:
         """Wait until the caller has closed its side of the connection.
 
         Only while the request's body is read and no other task reads.
         """
-        await self._connection.wait_for_hangup()
+        await self._connection.hangup.wait()
 
 
 class ServerConnection:
@@ -175,6 +172,7 @@
             h11.SERVER,
             max_incomplete_event_size=limits.head_bytes,
         )
+        self.hangup = Hangup(sock)
         self.outgoing = Outgoing(sock, self._parser, limits.stall_seconds)
 
     async def next_exchange(self) -> Exchange | None:
@@ -274,26 +272,6 @@
         """
         return self._siblings is not None and self._siblings.closing
 
-    def is_hung_up(self) -> bool:
-        """Tell whether the caller has closed its side of the connection.
-
-        :returns: whether a hang-up is known to the kernel.
-        """
-        poller = select.poll()
-        poller.register(self._sock.fileno(), HANGUP)
-        return bool(poller.poll(0))
-
-    async def wait_for_hangup(self) -> None:
-        """Wait until the caller has closed its side of the connection."""
-        try:
-            received = await self._sock.recv(1, socket.MSG_PEEK)
-        except OSError:
-            return
-        # The caller's next request may be here already. As long as it lies
-        # unread, the end of the connection behind it cannot be seen.
-        while received and not self.is_hung_up():
-            await curio.sleep(HANGUP_SECONDS)
-
     def start_next_cycle(self) -> bool:
         """Make ready for another request.
 
--- a/src/ospreyford/observability/events.py
+++ b/src/ospreyford/observability/events.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ospreyford.direct.decisions import Decision as EntryDecision
+from ospreyford.observability.supervision import TaskFailed
 from ospreyford.rebalance.decisions import Decision as AgentDecision
 from ospreyford.security.events import SecretRefused, SecretsReplaced
 
@@ -154,6 +155,7 @@
     | LinesDropped
     | SecretsReplaced
     | SecretRefused
-    | EntryDecision
-    | AgentDecision
 )
+
+#: Everything that has a line: changes, and decisions about single requests.
+LoggedEvent = StateChange | EntryDecision | AgentDecision | TaskFailed
--- a/src/ospreyford/observability/levels.py
+++ b/src/ospreyford/observability/levels.py
@@ -9,9 +9,9 @@
     DocumentRejected,
     GroupHalted,
     LinesDropped,
+    LoggedEvent,
     NotReady,
     PauseNoticed,
-    StateChange,
     Stopped,
 )
 from ospreyford.security.events import SecretRefused
@@ -31,7 +31,7 @@
 )
 
 
-def find_level(event: StateChange) -> Level:
+def find_level(event: LoggedEvent) -> Level:
     """Tell how much a change of state matters.
 
     :param event: the change.
--- a/src/ospreyford/observability/logs.py
+++ b/src/ospreyford/observability/logs.py
@@ -10,7 +10,7 @@
 import eliot
 import msgspec
 
-from ospreyford.observability.events import LinesDropped, StateChange
+from ospreyford.observability.events import LinesDropped, LoggedEvent
 from ospreyford.observability.levels import find_level, reaches
 from ospreyford.observability.lines import LineWriter, Sink, open_sink
 
@@ -48,7 +48,7 @@
         )
         eliot.add_destinations(self.writer.put)
 
-    def log_change(self, event: StateChange) -> None:
+    def log_change(self, event: LoggedEvent) -> None:
         """Log a change of state; never waits.
 
         :param event: the change.
--- a/src/ospreyford/platform/feed.py
+++ b/src/ospreyford/platform/feed.py
@@ -18,7 +18,6 @@
     BadRecord,
     HistoryGone,
     PlatformError,
-    StoreUnavailable,
 )
 from ospreyford.platform.records import (
     CATALOG_KEY,
@@ -171,8 +170,5 @@
         if self._is_lost:
             return
         self._is_lost = True
-        match error:
-            case StoreUnavailable(reason=reason) | BadRecord(reason=reason):
-                self._world.log.log_change(
-                    StoreLost(reason, self._world.tell_age_ms())
-                )
+        reason = getattr(error, 'reason', type(error).__name__)
+        self._world.log.log_change(StoreLost(reason, self._world.tell_age_ms()))
--- a/src/ospreyford/platform/nodefile.py
+++ b/src/ospreyford/platform/nodefile.py
@@ -15,6 +15,7 @@
 PATH_VARIABLE: Final = 'OSPREYFORD_NODE_FILE'
 MILLISECONDS = 1000
 MAX_BYTES = 1_048_576
+MAX_PORT = 65_535
 
 
 class Node(NamedTuple):
@@ -144,7 +145,7 @@
     :returns: both parts, or ``None`` if it is no address.
     """
     host, _, port = text.rpartition(':')
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
         return None
     return host, int(port)
 
--- a/src/ospreyford/platform/records.py
+++ b/src/ospreyford/platform/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import Final
 
 import msgspec
@@ -19,6 +20,15 @@
 from ospreyford.http.message import Limits
 from ospreyford.platform.errors import BadRecord
 from ospreyford.platform.nodefile import split_address
+from ospreyford.platform.schema import (
+    StoredConfig,
+    StoredEngine,
+    StoredLimits,
+    StoredRegistration,
+    StoredRoute,
+    StoredService,
+    StoredTenant,
+)
 
 #: The key of the operators' newest configuration, and the prefix of the back
 #: ends' registrations.
@@ -26,91 +36,19 @@
 SERVERS_PREFIX: Final = 'servers/'
 MILLISECONDS = 1000
 MEGABIT_PER_MEGABYTE = 8
-#: Registrations say nothing of attempts beyond the first where a route does
-#: not either.
-ONE_ATTEMPT = 1
-
-
-class _Backend(msgspec.Struct, frozen=True, rename='pascal'):
-    service: str
-    weight: float = 1
-
-
-class _Route(msgspec.Struct, frozen=True, rename='pascal'):
-    name: str
-    host: str
-    prefix: str
-    # Not a kind of transport: it says what may be repeated.
-    route_type: str
-    timeout_ms: float
-    target_latency_ms: float = 0
-    target_gap_ms: float = 0
-    max_attempts: int = ONE_ATTEMPT
-    priority: int = 1
-    public: bool = False
-    can_resume: bool = False
-    service: str = ''
-    # The services that share the route's requests, not single back ends.
-    backends: list[_Backend] = []
-
-
-class _Engine(msgspec.Struct, frozen=True, rename='pascal'):
-    slots: int
-    link_mbps: float = 0
-    sets: int = 0
-    experts: int = 0
-    placements: int = 0
-    spare: int = 0
-    expert_mb: float = 0
-    # Token steps of one pass.
-    stride: int = 1
-    step_ms: float = msgspec.field(name='step_ms', default=0)
-
-
-class _Service(msgspec.Struct, frozen=True, rename='pascal'):
-    name: str
-    max_connections: int
-    engine: _Engine | None = None
-
-
-class _Limits(msgspec.Struct, frozen=True, rename='pascal'):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
 
 
-class _Tenant(msgspec.Struct, frozen=True, rename='pascal'):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
-
-
-class _Config(msgspec.Struct, frozen=True, rename='pascal'):
-    version: int
-    routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits
-    tenants: list[_Tenant] | None = None
-
-
-class _Registration(msgspec.Struct, frozen=True, rename='pascal'):
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int = 1
-
-
-_configs = msgspec.json.Decoder(_Config)
-_registrations = msgspec.json.Decoder(_Registration)
+_configs = msgspec.json.Decoder(StoredConfig)
+_registrations = msgspec.json.Decoder(StoredRegistration)
 
 #: A stream counts as run once at most, unless its route lets it be resumed.
-_REPETITIONS: Final = {
-    'idempotent': Repetition.idempotent,
-    'non_idempotent': Repetition.once,
-    'streaming': Repetition.once,
-}
+_REPETITIONS: Final = MappingProxyType(
+    {
+        'idempotent': Repetition.idempotent,
+        'non_idempotent': Repetition.once,
+        'streaming': Repetition.once,
+    }
+)
 
 
 def decode_catalog(raw: bytes) -> Catalog:
@@ -130,7 +68,7 @@
     return Catalog(
         version=config.version,
         routes={
-            host: tuple(sorted(found, key=lambda one: -len(one.prefix)))
+            host: tuple(sorted(found, key=_tell_shortness))
             for host, found in routes.items()
         },
         services={one.name: _make_service(one) for one in config.services},
@@ -167,7 +105,11 @@
     )
 
 
-def _make_route(route: _Route) -> Route:
+def _tell_shortness(route: Route) -> int:
+    return -len(route.prefix)
+
+
+def _make_route(route: StoredRoute) -> Route:
     repetition = _REPETITIONS.get(route.route_type)
     if repetition is None:
         raise BadRecord(CATALOG_KEY, f'unknown type {route.route_type}')
@@ -185,13 +127,13 @@
         timeout=route.timeout_ms / MILLISECONDS,
         objective=route.target_latency_ms / MILLISECONDS,
         max_gap=route.target_gap_ms / MILLISECONDS,
-        attempts=max(route.max_attempts, ONE_ATTEMPT),
+        attempts=max(route.max_attempts, 1),
         priority=route.priority,
         public=route.public,
     )
 
 
-def _make_service(service: _Service) -> Service:
+def _make_service(service: StoredService) -> Service:
     engine = service.engine
     return Service(
         name=service.name,
@@ -200,8 +142,8 @@
     )
 
 
-def _make_engine(engine: _Engine) -> Engine:
-    copy_seconds = 0.0
+def _make_engine(engine: StoredEngine) -> Engine:
+    copy_seconds: float = 0
     if engine.link_mbps > 0:
         copy_seconds = (
             engine.expert_mb * MEGABIT_PER_MEGABYTE / engine.link_mbps
@@ -218,7 +160,7 @@
 
 
 def _make_customers(
-    tenants: list[_Tenant] | None,
+    tenants: list[StoredTenant] | None,
 ) -> dict[str, Customer] | None:
     if tenants is None:
         return None
@@ -229,7 +171,7 @@
     }
 
 
-def _make_limits(limits: _Limits) -> Limits:
+def _make_limits(limits: StoredLimits) -> Limits:
     return Limits(
         head_seconds=limits.header_timeout_ms / MILLISECONDS,
         idle_seconds=limits.idle_timeout_ms / MILLISECONDS,
--- a/src/ospreyford/platform/replica.py
+++ b/src/ospreyford/platform/replica.py
@@ -154,7 +154,7 @@
         request = Request(method, target, headers)
         async with self._lock:
             try:
-                return await curio.timeout_after(
+                answer: tuple[int, bytes] = await curio.timeout_after(
                     self._seconds, self._exchange, request, body
                 )
             except (HttpError, curio.TaskTimeout):
@@ -162,6 +162,7 @@
                 # good; the next one needs another.
                 await self._close()
                 return None
+        return answer
 
     async def _exchange(
         self, request: Request, body: bytes
--- a/src/ospreyford/platform/store.py
+++ b/src/ospreyford/platform/store.py
@@ -156,7 +156,8 @@
 
     async def close(self) -> None:
         """Close the connection; the next call opens another one."""
-        connection, self._connection = self._connection, None
+        connection = self._connection
+        self._connection = None
         if connection is not None:
             await connection.close()
 
@@ -178,7 +179,9 @@
         self.calls += 1
         limit = seconds + ANSWER_SECONDS
         try:
-            return await curio.timeout_after(limit, self._exchange, path, query)
+            answer: tuple[int, bytes] = await curio.timeout_after(
+                limit, self._exchange, path, query
+            )
         except HttpError as error:
             await self.close()
             raise StoreUnavailable(type(error).__name__) from None
@@ -186,6 +189,7 @@
             # A connection on which one answer was lost returns nothing more.
             await self.close()
             raise StoreUnavailable('no answer in time') from None
+        return answer
 
     async def _exchange(
         self, path: str, query: Mapping[str, str]
--- a/src/ospreyford/rebalance/coordinator.py
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -42,6 +42,9 @@
 HOLD_TRIES = 4
 #: Tries to arm a rank, or to take an order back, while the group is held.
 ARM_TRIES = 25
+#: Tries to shut a rank off from an earlier coordinator; after them all is read
+#: again.
+CLEAR_TRIES = 2
 #: Looks whether a switch has been made, and the time between them in seconds.
 SWITCH_LOOKS = 200
 SWITCH_POLL = 0.01
@@ -142,33 +145,30 @@
         :returns: whether the group is at rest.
         """
         states = self._ranks.read_states()
-        holders = [rank for rank in group.ranks if _is_held(states, rank)]
-        if not holders:
-            armed = [rank for rank in group.ranks if _is_armed(states, rank)]
-            return not armed
-        held = states[holders[0]].held
-        if held is None:
-            return False
+        held = {rank: states[rank].held for rank in group.ranks}
+        if not any(step is not None for step in held.values()):
+            return not any(_is_armed(states, one) for one in group.ranks)
         prepare = Prepare(version, experts)
-        others = [rank for rank in group.ranks if rank != holders[0]]
-        for rank in (holders[0], *others):
-            if not await self._clear(group, rank, prepare):
+        holders_first = sorted(
+            (step is None, rank) for rank, step in held.items()
+        )
+        for _, member in holders_first:
+            if not await self._clear(group, member, prepare):
                 return False
-        released = True
-        for holder in holders:
-            go = Go(states[holder].held or held)
-            released = released and await self._one_done(group, holder, go, ARM_TRIES)
-        return released
-
-    async def _clear(
-        self, group: Group, rank: int, prepare: Prepare
-    ) -> bool:
-        state = self._ranks.read_states().get(rank)
-        if state is not None and state.armed is not None:
-            disarm = Disarm(state.armed.version)
-            if not await self._one_done(group, rank, disarm, 2):
+        released = [
+            await self._one_done(group, holder, Go(step), ARM_TRIES)
+            for holder, step in held.items()
+            if step is not None
+        ]
+        return all(released)
+
+    async def _clear(self, group: Group, rank: int, prepare: Prepare) -> bool:
+        state = self._ranks.read_states()[rank]
+        if state.armed is not None:
+            disarm = Disarm(state.armed.version, state.held)
+            if not await self._one_done(group, rank, disarm, CLEAR_TRIES):
                 return False
-        return await self._one_done(group, rank, prepare, 2)
+        return await self._one_done(group, rank, prepare, CLEAR_TRIES)
 
     async def _hold(self, group: Group) -> int | None:
         for _ in range(HOLD_TRIES):
@@ -204,8 +204,7 @@
         left = tuple(ranks)
         for _ in range(tries):
             outcomes = await self._fan_out(
-                [self._ranks.carry_out(rank, order, term)
-                 for rank in left]
+                [self._ranks.carry_out(rank, order, term) for rank in left]
             )
             left = self._keep_failed(left, outcomes)
             if not left or self.is_fenced:
@@ -232,9 +231,5 @@
         return Change.fenced if self.is_fenced else failure
 
 
-def _is_held(states: Mapping[int, RankState], rank: int) -> bool:
-    return rank in states and states[rank].held is not None
-
-
 def _is_armed(states: Mapping[int, RankState], rank: int) -> bool:
     return rank in states and states[rank].armed is not None
--- a/src/ospreyford/rebalance/decisions.py
+++ b/src/ospreyford/rebalance/decisions.py
@@ -7,16 +7,18 @@
 
 @dataclass(frozen=True)
 class CoordinatorChanged:
-    """This agent follows another coordinator, or has become it.
+    """An agent follows another coordinator, or has become it.
 
     :param group: the group's name.
     :param coordinator: its IP number.
-    :param token: its fencing token.
+    :param token: the highest fencing token known here.
+    :param seconds: by this host's clock, which tokens are made of.
     """
 
     group: str
     coordinator: str
     token: int
+    seconds: int
 
 
 @dataclass(frozen=True)
@@ -27,7 +29,7 @@
     :param epoch: of the group.
     :param version: of the new map.
     :param outcome: how it ended.
-    :param moves: experts that were copied.
+    :param copies: experts that were copied.
     :param before: expected load of the most loaded rank over the mean.
     :param after: the same with the new map.
     :param step: the last pass that was begun as it was planned.
@@ -41,7 +43,7 @@
     epoch: int
     version: int
     outcome: str
-    moves: int
+    copies: int
     before: float
     after: float
     step: int
--- a/src/ospreyford/rebalance/election.py
+++ b/src/ospreyford/rebalance/election.py
@@ -38,7 +38,7 @@
         self.leader: Address | None = None
         self._me = me
         self._clock = clock
-        self._highest = 0
+        self.highest = 0
         self._heard_at = clock.monotonic()
 
     def is_leading(self) -> bool:
@@ -55,10 +55,10 @@
         :param address: its address.
         :returns: whether this agent follows another one than before.
         """
-        if token < self._highest:
+        if token < self.highest:
             return False
         changed = address != self.leader
-        self._highest = token
+        self.highest = token
         self._heard_at = self._clock.monotonic()
         self.leader = address
         if address != self._me:
@@ -88,7 +88,7 @@
             return False
         now = int(self._clock.wall() * MILLISECONDS) * RANKS
         # Clocks of hosts differ: the highest token heard of counts as well.
-        self.token = max(now, self._highest + RANKS) // RANKS * RANKS + rank
-        self._highest = self.token
+        self.token = max(now, self.highest + RANKS) // RANKS * RANKS + rank
+        self.highest = self.token
         self.leader = self._me
         return True
--- a/src/ospreyford/rebalance/frames.py
+++ b/src/ospreyford/rebalance/frames.py
@@ -33,8 +33,8 @@
             return OrderFrame('Arm', version, step)
         case Go(step=step):
             return OrderFrame('Go', 0, step)
-        case Disarm(version=version):
-            return OrderFrame('Disarm', version)
+        case Disarm(version=version, held=held):
+            return OrderFrame('Disarm', version, held or 0)
 
 
 def unpack_order(frame: OrderFrame) -> Order | None:
@@ -53,7 +53,7 @@
         case 'Go':
             return Go(frame.step)
         case 'Disarm':
-            return Disarm(frame.version)
+            return Disarm(frame.version, frame.step or None)
     return None
 
 
--- a/src/ospreyford/rebalance/group.py
+++ b/src/ospreyford/rebalance/group.py
@@ -134,9 +134,13 @@
     """Take back an order to switch.
 
     :param version: of the map.
+    :param held: the pass that the rank must still hold, or ``None``. Had the
+        group been let go in between, the other ranks would switch and this one
+        would not.
     """
 
     version: int
+    held: int | None = None
 
 
 Order = Prepare | Hold | Arm | Go | Disarm
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -9,7 +9,7 @@
 from ospreyford.rebalance.fanout import run_together
 from ospreyford.rebalance.loads import Shares, add_up
 from ospreyford.rebalance.passes import PassTimer
-from ospreyford.rebalance.planner import Plan, PlanLimits, plan_map
+from ospreyford.rebalance.planner import Plan, PlanLimits, Planner
 
 if TYPE_CHECKING:
     from ospreyford.direct.catalog import Engine
@@ -30,7 +30,6 @@
 class GroupLeader:
     """Plans and changes the maps of one group while its agent leads.
 
-    :param me: the rank beside this agent.
     :param ranks: reaches the ranks.
     :param pace: how fast maps follow the load.
     :param log: where decisions go.
@@ -39,7 +38,6 @@
 
     def __init__(
         self,
-        me: int,
         ranks: GroupRanks,
         pace: Pace,
         log: ChangeLog,
@@ -47,8 +45,8 @@
     ) -> None:
         self.changes = 0
         self.failures = 0
-        self._me = me
-        self._ranks = ranks
+        self.ranks = ranks
+        self._me = ranks.me
         self._pace = pace
         self._log = log
         self._clock = clock
@@ -62,36 +60,45 @@
 
         :param counts: its report.
         """
-        self._ranks.note_state(counts.state)
+        self.ranks.note_state(counts.state)
         self._experts[counts.state.rank] = counts.experts
         if counts.shares is not None:
             self._counted_at = self._clock.monotonic()
             self._parts[counts.state.rank] = counts.shares
 
-    async def work(self, token: int, engine: Engine) -> bool:
+    def note_pass(self, state: RankState) -> None:
+        """Take over a look at the rank beside this agent.
+
+        :param state: the rank's.
+        """
+        self.ranks.note_state(state)
+        self.passes.add(state.step, self._clock.monotonic())
+
+    async def work(self, token: int, engine: Engine, max_gap: float) -> bool:
         """Look at the group once, and change its map if that pays.
 
         :param token: this coordinator's fencing token.
         :param engine: figures of the engine.
+        :param max_gap: pause between events that callers bear, in seconds.
         :returns: whether the token is still good.
         """
         group = self._view_group()
         if group is None:
             return True
         coordinator = Coordinator(
-            self._me, token, self._ranks, run_together, self._clock
+            self._me, token, self.ranks, run_together, self._clock
         )
         if self._is_unsettled(group):
             await self._settle(coordinator, group)
             return not coordinator.is_fenced
         experts = self._view_map(group)
-        plan = None if experts is None else self._plan(experts, engine)
+        plan = None if experts is None else self._plan(experts, engine, max_gap)
         if plan is not None:
             await self._change(coordinator, group, plan)
         return not coordinator.is_fenced
 
     def _view_group(self) -> Group | None:
-        states = self._ranks.read_states()
+        states = self.ranks.read_states()
         mine = states.get(self._me)
         if mine is None or not mine.is_open:
             return None
@@ -103,7 +110,7 @@
         return Group(mine.epoch, ranks)
 
     def _is_unsettled(self, group: Group) -> bool:
-        states = self._ranks.read_states()
+        states = self.ranks.read_states()
         return any(
             states[rank].held is not None or states[rank].armed is not None
             for rank in group.ranks
@@ -111,7 +118,7 @@
 
     def _view_map(self, group: Group) -> ExpertMap | None:
         """Put the ranks' lists together, if all are of one map."""
-        states = self._ranks.read_states()
+        states = self.ranks.read_states()
         versions = {states[rank].version for rank in group.ranks}
         lists = [self._experts.get(rank) for rank in group.ranks]
         if len(versions) != 1 or not all(lists):
@@ -122,7 +129,9 @@
             for number in range(sets)
         )
 
-    def _plan(self, experts: ExpertMap, engine: Engine) -> Plan | None:
+    def _plan(
+        self, experts: ExpertMap, engine: Engine, max_gap: float
+    ) -> Plan | None:
         loads = add_up(self._parts, len(experts))
         if not loads or not any(loads[0]):
             return None
@@ -130,16 +139,31 @@
             places=engine.places,
             spare=engine.spare,
             copies=self._pace.copies,
-            least_gain=self._pace.least_gain,
+            least_gain=self._tell_least_gain(max_gap),
         )
-        return plan_map(loads, experts, limits)
+        return Planner(loads, experts, limits).plan()
+
+    def _tell_least_gain(self, max_gap: float) -> float:
+        """Tell what a move must gain now.
+
+        A copy has the same price under any load. While passes are short, an
+        uneven load makes nobody wait too long; near the pause that callers
+        bear, every part of a pass counts.
+        """
+        pace = self._pace
+        mean = self.passes.tell_mean()
+        limit = pace.pass_part * max_gap
+        if mean <= 0 or limit <= 0:
+            return pace.least_gain
+        ease: float = max(limit / mean, 1) ** pace.ease
+        return pace.least_gain * ease
 
     async def _change(
         self, coordinator: Coordinator, group: Group, plan: Plan
     ) -> None:
         began = self._clock.monotonic()
         counted_at = self._counted_at
-        states = dict(self._ranks.read_states())
+        states = dict(self.ranks.read_states())
         version = self._next_version()
         outcome = await coordinator.change(group, version, plan.experts)
         if outcome is Change.made:
@@ -152,25 +176,21 @@
                 epoch=group.epoch,
                 version=version,
                 outcome=outcome.value,
-                moves=plan.moves,
+                copies=plan.copies,
                 before=round(plan.before, 2),
                 after=round(plan.after, 2),
                 step=states[self._me].step,
                 running=sum(one.active for one in states.values()),
                 queued=sum(one.queued for one in states.values()),
                 age_ms=int((began - counted_at) * MILLISECONDS),
-                took_ms=int(
-                    (self._clock.monotonic() - began) * MILLISECONDS
-                ),
+                took_ms=int((self._clock.monotonic() - began) * MILLISECONDS),
             )
         )
 
     async def _settle(self, coordinator: Coordinator, group: Group) -> None:
-        states = self._ranks.read_states()
+        states = self.ranks.read_states()
         held = [rank for rank in group.ranks if states[rank].held is not None]
-        armed = [
-            rank for rank in group.ranks if states[rank].armed is not None
-        ]
+        armed = [rank for rank in group.ranks if states[rank].armed is not None]
         experts = self._view_map(group)
         if experts is None:
             return
@@ -182,7 +202,7 @@
         )
 
     def _name(self) -> str:
-        state = self._ranks.read_states().get(self._me)
+        state = self.ranks.read_states().get(self._me)
         return '' if state is None else state.group
 
     def _next_version(self) -> int:
--- a/src/ospreyford/rebalance/loads.py
+++ b/src/ospreyford/rebalance/loads.py
@@ -57,10 +57,15 @@
         :param step: the last pass that was begun.
         :param writing: requests that run at the rank.
         """
-        before, self._counts = self._counts, counts
-        passes, self._step = step - self._step, step
-        same, self._epoch = self._epoch == epoch, epoch
-        if not same or len(before) != len(counts) or passes < 1:
+        before = self._counts
+        passes = step - self._step
+        is_same = self._epoch == epoch and len(before) == len(counts)
+        if passes < 1 and is_same:
+            return
+        self._counts = counts
+        self._step = step
+        self._epoch = epoch
+        if not is_same or passes < 1:
             return
         window = [new - old for new, old in zip(counts, before, strict=True)]
         total = sum(window)
@@ -78,9 +83,7 @@
         if not self._shares:
             return None
         peak = max(self._shares)
-        chosen = bytes(
-            round(share / peak * BYTE_MAX) for share in self._shares
-        )
+        chosen = bytes(round(share / peak * BYTE_MAX) for share in self._shares)
         return Shares(peak / BYTE_MAX * writing, chosen)
 
     def _weigh(self, total: int, passes: int, writing: int) -> float:
@@ -94,9 +97,7 @@
             return 1 / max(writing, 1)
         return 1 - (1 - PASS_WEIGHT) ** passes
 
-    def _blend(
-        self, window: Sequence[int], total: int, weight: float
-    ) -> None:
+    def _blend(self, window: Sequence[int], total: int, weight: float) -> None:
         if len(self._shares) != len(window):
             self._shares = [count / total for count in window]
             return
@@ -115,14 +116,13 @@
     :returns: for each set, the load of each expert; empty without any.
     """
     longest = max((len(part.chosen) for part in parts.values()), default=0)
-    sums = [0.0] * longest
+    sums: list[float] = [0 for _ in range(longest)]
     for part in parts.values():
         if len(part.chosen) == longest and part.scale:
             sums = _add(sums, part)
     size = longest // max(sets, 1)
-    return [
-        sums[number * size : (number + 1) * size] for number in range(sets)
-    ]
+    starts = range(0, size * sets, max(size, 1))
+    return [sums[start : start + size] for start in starts]
 
 
 def _add(sums: Iterable[float], part: Shares) -> list[float]:
--- a/src/ospreyford/rebalance/member.py
+++ b/src/ospreyford/rebalance/member.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ospreyford.rebalance.group import (
+    Disarm,
     Done,
     Fenced,
     Guard,
@@ -60,24 +61,29 @@
         """
         for _ in range(TRIES):
             state = await self._engine.read_state()
-            if state is None:
-                continue
-            if state.epoch != term.epoch:
-                return Rejected(state)
-            if self._is_settled(state, order):
-                return Done(state)
-            guard = Guard(*term, state.sequence)
-            match await self._engine.give(order, guard):
-                case Reply.fenced:
-                    return Fenced()
-                case Reply.begun | Reply.holds:
-                    return await self._finish(order, state)
-                case Reply.unfit:
-                    outcome = await self._judge_unfit(order, state)
-                    if outcome is not None:
-                        return outcome
+            if state is not None:
+                outcome = await self._try_once(order, term, state)
+                if outcome is not None:
+                    return outcome
         return Silent()
 
+    async def _try_once(
+        self, order: Order, term: Term, state: RankState
+    ) -> Outcome | None:
+        if state.epoch != term.epoch or not _may_apply(state, order):
+            return Rejected(state)
+        if self._is_settled(state, order):
+            return Done(state)
+        guard = Guard(*term, state.sequence)
+        match await self._engine.give(order, guard):
+            case Reply.fenced:
+                return Fenced()
+            case Reply.begun | Reply.holds:
+                return await self._finish(order, state)
+            case Reply.unfit:
+                return await self._judge_unfit(order, state)
+        return None
+
     def _is_settled(self, state: RankState, order: Order) -> bool:
         # A prepared map does not show whose it is: only an accepted order
         # shuts out coordinators with lower tokens. And what is seen from afar
@@ -112,3 +118,11 @@
         if state.sequence != before.sequence and state.epoch == before.epoch:
             return None
         return Rejected(state)
+
+
+def _may_apply(state: RankState, order: Order) -> bool:
+    # The order carries the number of orders accepted when this state was
+    # read: what comes in between makes the rank refuse it.
+    if isinstance(order, Disarm) and order.held is not None:
+        return state.held == order.held
+    return True
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -7,9 +7,11 @@
 import msgspec
 
 from ospreyford.direct.catalog import Engine
-from ospreyford.rebalance.group import RankState
+from ospreyford.rebalance.group import ExpertMap, RankState
 from ospreyford.rebalance.loads import Shares
 
+#: IP number and port.
+Place = tuple[str, int]
 #: Datagrams up to this size cross every link in one packet.
 MAX_BYTES: Final = 60_000
 
@@ -23,13 +25,16 @@
     :param members: IP number and port of each back end of the service, sorted;
         left out where the agent has shown the digest.
     :param engine: published figures of the service's engine, with the members.
+    :param max_gap: pause between events that callers of the service bear, in
+        seconds; 0 if none is published.
     """
 
     entry: str
     service: str
     digest: int
-    members: tuple[tuple[str, int], ...] | None = None
+    members: tuple[Place, ...] | None = None
     engine: Engine | None = None
+    max_gap: float = 0
 
 
 class Load(msgspec.Struct, frozen=True, tag='l', array_like=True):
@@ -40,9 +45,6 @@
     :param digest: of the members that the agent knows.
     :param entries: entries that ask this agent.
     :param is_open: whether the group takes requests.
-    :param active: requests that run at the back end.
-    :param queued: requests that wait there.
-    :param pace: above 1 the back end is slower than usual.
     """
 
     host: str
@@ -50,9 +52,6 @@
     digest: int
     entries: int
     is_open: bool
-    active: int
-    queued: int
-    pace: float
 
 
 class GroupNews(msgspec.Struct, frozen=True, tag='g', array_like=True):
@@ -134,7 +133,7 @@
     kind: str
     version: int = 0
     step: int = 0
-    experts: tuple[tuple[tuple[int, ...], ...], ...] = ()
+    experts: ExpertMap = ()
 
 
 Message = Hello | Load | GroupNews | Lead | Counts | Ask | Tell
--- /dev/null
+++ b/src/ospreyford/rebalance/orderdesk.py
@@ -0,0 +1,78 @@
+"""Orders of a coordinator, carried out on the rank beside an agent."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.rebalance.decisions import OrderCarriedOut
+from ospreyford.rebalance.frames import pack_outcome, unpack_order
+from ospreyford.rebalance.group import Term
+from ospreyford.rebalance.messages import Ask, Tell
+
+if TYPE_CHECKING:
+    from ospreyford.observability.logs import ChangeLog
+    from ospreyford.rebalance.member import RankMember
+    from ospreyford.rebalance.post import Address, Post
+
+MILLISECONDS = 1000
+#: Answers kept for questions that are repeated: more than one change asks.
+ANSWERS_KEPT = 64
+
+
+class OrderDesk:
+    """Carries out each question once, however often it is repeated.
+
+    :param member: carries out orders on the rank.
+    :param post: the process's datagrams.
+    :param log: where outcomes go.
+    """
+
+    def __init__(self, member: RankMember, post: Post, log: ChangeLog) -> None:
+        self._member = member
+        self._post = post
+        self._log = log
+        self._answers: OrderedDict[tuple[Address, int], Tell] = OrderedDict()
+
+    async def take(self, ask: Ask, address: Address) -> None:
+        """Take a question; its answer is sent when it is there.
+
+        :param ask: the question.
+        :param address: of the coordinator.
+        """
+        key = (address, ask.number)
+        known = self._answers.get(key)
+        if known is not None:
+            # Also while it is under way: the coordinator learns that this
+            # agent lives, and does not reach past it.
+            await self._post.send(known, address)
+            return
+        self._answers[key] = Tell(ask.number, None)
+        while len(self._answers) > ANSWERS_KEPT:
+            self._answers.popitem(last=False)
+        await curio.spawn(self._carry_out, ask, address, daemon=True)
+
+    async def _carry_out(self, ask: Ask, address: Address) -> None:
+        began = time.monotonic()
+        order = unpack_order(ask.order)
+        if order is None:
+            return
+        term = Term(ask.token, ask.epoch)
+        outcome = await self._member.carry_out(order, term)
+        answer = pack_outcome(ask.number, outcome)
+        self._answers[address, ask.number] = answer
+        await self._post.send(answer, address)
+        self._log.log_change(
+            OrderCarriedOut(
+                order=ask.order.kind,
+                version=ask.order.version,
+                step=ask.order.step,
+                token=ask.token,
+                epoch=ask.epoch,
+                outcome=type(outcome).__name__,
+                took_ms=int((time.monotonic() - began) * MILLISECONDS),
+            )
+        )
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -22,8 +22,8 @@
 
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
-    from ospreyford.rebalance.post import Address, Post
     from ospreyford.rebalance.ports import EnginePort
+    from ospreyford.rebalance.post import Address, Post
 
 #: Time between two sendings of one question, in seconds: some round trips
 #: between zones and the rank's own answer.
@@ -66,7 +66,7 @@
     ) -> None:
         self.agents: dict[int, Address] = {}
         self.direct_orders = 0
-        self._me = me
+        self.me = me
         self._member = member
         self._post = post
         self._reach = reach
@@ -90,7 +90,7 @@
         :returns: IP number, running and waiting requests.
         """
         hosts = {rank: address[0] for rank, address in self.agents.items()}
-        hosts[self._me] = my_host
+        hosts[self.me] = my_host
         return tuple(
             (hosts[rank], state.active, state.queued)
             for rank, state in self._states.items()
@@ -149,7 +149,7 @@
         :param term: whose order it is, and for which epoch.
         :returns: what came of it.
         """
-        if rank == self._me:
+        if rank == self.me:
             outcome = await self._member.carry_out(order, term)
         else:
             outcome = await self._ask(rank, order, term)
@@ -163,7 +163,8 @@
         if address is None:
             return Silent()
         number = next(self._numbers)
-        waiting = self._waiting[number] = _Waiting()
+        waiting = _Waiting()
+        self._waiting[number] = waiting
         question = encode(Ask(number, *term, pack_order(order)))
         limit = ORDER_SECONDS
         if isinstance(order, Prepare):
--- a/src/ospreyford/rebalance/settings.py
+++ b/src/ospreyford/rebalance/settings.py
@@ -13,14 +13,18 @@
     :param copies: experts that one plan may add to a rank.
     :param least_gain: what a move must lower the peak of a set by, as a part
         of a rank's mean load.
-    :param rest: least time between two changes, in seconds.
+    :param pass_part: part of the pause that callers bear which a pass may
+        take before every move that is worth ``least_gain`` is made; below it
+        the gain must be larger.
+    :param ease: how fast the gain must grow below that.
     """
 
     poll: float = 0.03
     report: float = 0.09
     copies: int = 2
     least_gain: float = 0.05
-    rest: float = 0.0
+    pass_part: float = 0.5
+    ease: float = 3
 
 
 class AgentSettings(NamedTuple):
