Admit streams by two limits, and keep only the moves that pay for their copies

Cause: with one limit, either a change of demand made all streams late (passes double) or waves were refused; late requests were refused although the wave's trough had room for them. Plans made up to 19 copies for a gain of 0.03.

Change: requests that can wait are admitted up to 47 % of the pause that callers bear, urgent ones up to 62 %; late ones wait longer behind them. A plan keeps the part of its moves whose gain is worth their copies.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -5,10 +5,16 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-#: Part of the pause that callers bear which a pass may take on average. All
-#: ranks wait for the most loaded one: right after other experts came into
-#: demand a pass takes one and a half times its usual time.
-PASS_PART = 0.55
+#: Parts of the pause that callers bear which a pass may take on average. Right
+#: after other experts came into demand a pass takes twice its usual time, since
+#: all ranks wait for the most loaded one: with the first part even then no
+#: stream is late. Requests that would be late if they waited any longer are
+#: admitted up to the second part.
+EASY_PART = 0.47
+FULL_PART = 0.62
+#: A request that can wait no longer than this is urgent, in seconds: two
+#: reports of the group.
+URGENT_SECONDS = 0.2
 #: Passes from the admission of a request to its first event: the rest of the
 #: one under way, one or two for its prompt, one for the event.
 FIRST_EVENT_PASSES = 3
@@ -19,9 +25,8 @@
 #: say little.
 LEAST_ROOM = 8
 #: Requests that wait although they will be late, as a part of those that run:
-#: more than that are not served before their deadlines even if no further
-#: request comes.
-LATE_PART = 0.5
+#: about what the rest of a wave leaves room for before their deadlines.
+LATE_PART = 1.5
 #: Part of a request's time that must be left when it is admitted late: a
 #: stream takes two to three seconds under high load, of eight.
 LEFT_PART = 0.35
@@ -96,7 +101,8 @@
 
     def __init__(self, max_gap: float) -> None:
         self.pass_seconds: float = 0
-        self.limit = float('inf')
+        self.easy = float('inf')
+        self.full = float('inf')
         self._max_gap = max_gap
         self._cost: float | None = None
 
@@ -111,19 +117,20 @@
             self.pass_seconds = load.pass_seconds
             excess = max(load.pass_seconds - load.base_seconds, 0)
             self._learn(excess / load.running)
-        room = self._tell_most(load) - load.running - load.queued
-        self.limit = max(mine + room / max(entries, 1), 1)
+        self.easy = mine + self._tell_room(load, EASY_PART) / max(entries, 1)
+        self.full = mine + self._tell_room(load, FULL_PART) / max(entries, 1)
 
     def _learn(self, cost: float) -> None:
         if self._cost is None:
             self._cost = cost
         self._cost += COST_WEIGHT * (cost - self._cost)
 
-    def _tell_most(self, load: GroupLoad) -> float:
+    def _tell_room(self, load: GroupLoad, part: float) -> float:
         if not self._cost:
             return float('inf')
-        target = PASS_PART * self._max_gap - load.base_seconds
-        return max(target / self._cost, LEAST_ROOM)
+        target = part * self._max_gap - load.base_seconds
+        most = max(target / self._cost, LEAST_ROOM)
+        return most - load.running - load.queued
 
 
 class AdmissionQueue:
@@ -201,6 +208,20 @@
         return out_of_time + rest[bound:]
 
 
+def is_urgent(waiter: Waiter, now: float, first_event: float) -> bool:
+    """Tell whether a request will soon be late, and is not yet.
+
+    :param waiter: the request.
+    :param now: seconds on the monotonic clock.
+    :param first_event: expected time to the first event, in seconds.
+    :returns: whether it can hardly wait any longer.
+    """
+    soon = now + URGENT_SECONDS
+    return is_late(waiter, soon, first_event) and not is_late(
+        waiter, now, first_event
+    )
+
+
 def is_late(waiter: Waiter, now: float, first_event: float) -> bool:
     """Tell whether a request will miss its objective if it goes now.
 
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -13,6 +13,7 @@
     AdmissionQueue,
     StreamLimit,
     Waiter,
+    is_urgent,
 )
 
 if TYPE_CHECKING:
@@ -45,7 +46,7 @@
         :returns: whether it has a place; otherwise it has not been sent and
             should be refused now.
         """
-        if not self._queue and self.running < self.limit.limit:
+        if not self._queue and self.running < self.limit.easy:
             self.running += 1
             return True
         waiter = Waiter(
@@ -81,15 +82,19 @@
         now = time.monotonic()
         first_event = FIRST_EVENT_PASSES * self.limit.pass_seconds
         for waiter in self._queue.list_hopeless(
-            now, first_event, min(self.limit.limit, self.running + 1)
+            now, first_event, self.running + 1
         ):
             self._queue.remove(waiter.number)
             self._refused.add(waiter.number)
             await self._turns[waiter.number].set()
-        while self.running < self.limit.limit:
+        while True:
             chosen = self._queue.choose(now, first_event)
             if chosen is None:
                 return
+            is_pressing = is_urgent(chosen, now, first_event)
+            limit = self.limit.full if is_pressing else self.limit.easy
+            if self.running >= limit:
+                return
             self._queue.remove(chosen.number)
             self.running += 1
             await self._turns[chosen.number].set()
--- a/src/ospreyford/rebalance/coordinator.py
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -146,15 +146,19 @@
         """
         states = self._ranks.read_states()
         held = {rank: states[rank].held for rank in group.ranks}
-        if not any(step is not None for step in held.values()):
+        holders = [rank for rank, step in held.items() if step is not None]
+        if not holders:
             return not any(_is_armed(states, one) for one in group.ranks)
+        others = [rank for rank, step in held.items() if step is None]
         prepare = Prepare(version, experts)
-        holders_first = sorted(
-            (step is None, rank) for rank, step in held.items()
-        )
-        for _, member in holders_first:
+        for member in (*holders, *others):
             if not await self._clear(group, member, prepare):
                 return False
+        return await self._release(group, held)
+
+    async def _release(
+        self, group: Group, held: Mapping[int, int | None]
+    ) -> bool:
         released = [
             await self._one_done(group, holder, Go(step), ARM_TRIES)
             for holder, step in held.items()
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -139,12 +139,13 @@
             places=engine.places,
             spare=engine.spare,
             copies=self._pace.copies,
-            least_gain=self._tell_least_gain(max_gap),
+            least_gain=self._pace.least_gain,
+            copy_cost=self._pace.copy_cost * self._tell_ease(max_gap),
         )
         return Planner(loads, experts, limits).plan()
 
-    def _tell_least_gain(self, max_gap: float) -> float:
-        """Tell what a move must gain now.
+    def _tell_ease(self, max_gap: float) -> float:
+        """Tell how much more a copy must gain now than under high load.
 
         A copy has the same price under any load. While passes are short, an
         uneven load makes nobody wait too long; near the pause that callers
@@ -154,9 +155,9 @@
         mean = self.passes.tell_mean()
         limit = pace.pass_part * max_gap
         if mean <= 0 or limit <= 0:
-            return pace.least_gain
+            return 1
         ease: float = max(limit / mean, 1) ** pace.ease
-        return pace.least_gain * ease
+        return ease
 
     async def _change(
         self, coordinator: Coordinator, group: Group, plan: Plan
--- a/src/ospreyford/rebalance/planner.py
+++ b/src/ospreyford/rebalance/planner.py
@@ -20,14 +20,16 @@
     :param spare: experts of a set that a plan may add to a rank.
     :param copies: experts of all sets that a plan may add to a rank; each one
         delays the change by the time of a copy.
-    :param least_gain: what a move must lower the peak by, as a part of the
-        mean load of a rank.
+    :param least_gain: what a move must lower the peak of its set by, as a part
+        of the mean load of a rank.
+    :param copy_cost: what a copy must lower the mean skew of all sets by.
     """
 
     places: int
     spare: int
     copies: int
     least_gain: float
+    copy_cost: float
 
 
 class Plan(NamedTuple):
@@ -78,13 +80,15 @@
             [limits.spare for _ in range(ranks)] for _ in self._states
         ]
         self._copies = 0
+        self._planned = list(experts)
+        self._before = self._tell_skew()
+        self._best = Plan(experts, 0, self._before, self._before)
 
     def plan(self) -> Plan | None:
         """Plan.
 
         :returns: the plan, or ``None`` if no move pays.
         """
-        before = self._tell_skew()
         open_sets = set(range(len(self._states)))
         for _ in range(MOVES_PER_RANK * len(self._left) * len(self._states)):
             if not open_sets:
@@ -95,13 +99,7 @@
                 open_sets.discard(number)
             else:
                 self._make(number, move)
-        if not self._copies:
-            return None
-        experts = tuple(
-            tuple(tuple(sorted(held)) for held in state.held)
-            for state in self._states
-        )
-        return Plan(experts, self._copies, before, self._tell_skew())
+        return self._best if self._best.copies else None
 
     def _tell_peak(self, number: int) -> float:
         return max(self._states[number].rank_loads)
@@ -131,3 +129,22 @@
                 self._left[rank] -= 1
                 self._spare[number][rank] -= 1
                 self._copies += 1
+        self._planned[number] = tuple(
+            tuple(sorted(held)) for held in self._states[number].held
+        )
+        self._keep_if_best()
+
+    def _keep_if_best(self) -> None:
+        # Several ranks of a set may be equally loaded: moves that take load
+        # from one of them pay only together with those for the others.
+        plan = Plan(
+            tuple(self._planned),
+            self._copies,
+            self._before,
+            self._tell_skew(),
+        )
+        if self._tell_net(plan) > self._tell_net(self._best):
+            self._best = plan
+
+    def _tell_net(self, plan: Plan) -> float:
+        return plan.before - plan.after - self._limits.copy_cost * plan.copies
--- a/src/ospreyford/rebalance/settings.py
+++ b/src/ospreyford/rebalance/settings.py
@@ -13,16 +13,18 @@
     :param copies: experts that one plan may add to a rank.
     :param least_gain: what a move must lower the peak of a set by, as a part
         of a rank's mean load.
-    :param pass_part: part of the pause that callers bear which a pass may
-        take before every move that is worth ``least_gain`` is made; below it
-        the gain must be larger.
-    :param ease: how fast the gain must grow below that.
+    :param copy_cost: what a copy must lower the mean skew of all sets by where
+        a pass takes ``pass_part`` of the pause that callers bear.
+    :param pass_part: see ``copy_cost``; in shorter passes a copy must gain
+        more.
+    :param ease: how fast that grows as passes get shorter.
     """
 
     poll: float = 0.03
     report: float = 0.09
     copies: int = 2
-    least_gain: float = 0.05
+    least_gain: float = 0.03
+    copy_cost: float = 0.005
     pass_part: float = 0.5
     ease: float = 3
 
