--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,158 @@
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyford.direct.catalog import Repetition, find_route
+from ospreyford.platform.errors import BadNodeFile, BadRecord
+from ospreyford.platform.nodefile import parse_node
+from ospreyford.platform.records import decode_catalog, decode_registration
+from tests.platform.storefake import make_config, make_registration
+
+NODE = """
+NodeName=side-a-1
+Ip=10.1.0.42
+Zone=hall-a
+Region=here
+PortRange=7340,7355
+Bounds.DrainMs=2000
+Bounds.GraceS=8
+Bounds.FailClosed=true
+Bounds.RevokeMs=5000
+Bounds.RetryBudgetRatio=0.2
+Bounds.RetryWindowS=10
+Bounds.BudgetSlack=90
+app=10.1.0.42:8228
+Service=huvo11a
+Platform.Address=10.200.1.7:8223
+Unknown.Key=ignored
+a line without a mark
+"""
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text()
+
+
+def nest(inner: st.SearchStrategy[Any]) -> st.SearchStrategy[Any]:
+    return st.lists(inner) | st.dictionaries(st.text(), inner)
+
+
+JSON = st.recursive(SCALARS, nest, max_leaves=12)
+
+
+def test_a_catalog_in_the_projects_words() -> None:
+    catalog = decode_catalog(make_config(3))
+    assert catalog.version == 3
+    route = find_route(catalog, 'host.example', '/a/x')
+    assert route is not None
+    assert route.repetition is Repetition.resumable
+    times = (route.timeout, route.objective, route.max_gap)
+    assert times == (8, 0.5, 0.12)
+    assert [split.weight for split in route.splits] == [90, 10]
+    inner = find_route(catalog, 'host.example', '/a/b/x')
+    assert inner is not None
+    assert inner.repetition is Repetition.once
+
+
+def test_an_engine_and_customers_in_the_projects_words() -> None:
+    catalog = decode_catalog(make_config(3))
+    engine = catalog.services['s1'].engine
+    assert engine is not None
+    assert engine.copy_seconds == pytest.approx(0.1)
+    assert engine.pass_seconds == pytest.approx(0.018)
+    assert catalog.customers is not None
+    assert catalog.customers['k2'].name == 't1'
+
+
+@pytest.mark.parametrize(
+    ('path', 'name'),
+    [('/a/', 'r1'), ('/a/b/', 'r2'), ('/a/b', 'r1'), ('/a', None)],
+)
+def test_the_longest_prefix_takes_the_path(path: str, name: str | None) -> None:
+    route = find_route(decode_catalog(make_config(3)), 'host.example', path)
+    assert (route and route.name) == name
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'Version': 'x'},
+        {'Routes': None},
+        {'Limits': {}},
+        {'Routes': [{'Name': 'r'}]},
+        {'Tenants': 3},
+        {
+            'Routes': [
+                {
+                    'Name': 'r',
+                    'Host': 'h',
+                    'Prefix': '/',
+                    'RouteType': 'new',
+                    'TimeoutMs': 1,
+                }
+            ]
+        },
+    ],
+)
+def test_a_catalog_that_cannot_be_used(changed: dict[str, Any]) -> None:
+    with pytest.raises(BadRecord):
+        decode_catalog(make_config(3, **changed))
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary() | JSON.map(msgspec.json.encode))
+def test_any_record_is_decoded_or_refused(raw: bytes) -> None:
+    with pytest.raises(BadRecord):
+        decode_catalog(raw)
+    with pytest.raises(BadRecord):
+        decode_registration('servers/x', raw, 1)
+
+
+@pytest.mark.parametrize(
+    ('state', 'draining'),
+    [('ready', False), ('draining', True), ('new-state', True)],
+)
+def test_a_registration(state: str, *, draining: bool) -> None:
+    server = decode_registration('servers/i-1', make_registration(state), 7)
+    assert server.id == 'i-1'
+    assert server.is_draining is draining
+    assert (server.host, server.port) == ('127.0.0.1', 9000)
+
+
+def test_a_node_in_the_projects_words() -> None:
+    node = parse_node('f', NODE)
+    assert node.backend == ('10.1.0.42', 8228)
+    assert node.revoke_seconds == 5
+    assert node.first_port == 7340
+    assert node.front is None
+
+
+@pytest.mark.parametrize(
+    ('line', 'key'),
+    [
+        ('NodeName=', 'NodeName'),
+        ('Bounds.DrainMs=soon', 'Bounds.DrainMs'),
+        ('Bounds.GraceS=-1', 'Bounds.GraceS'),
+        ('Bounds.RetryWindowS=inf', 'Bounds.RetryWindowS'),
+        ('Platform.Address=10.0.0.1', 'Platform.Address'),
+        ('Platform.Address=10.0.0.1:99999', 'Platform.Address'),
+        ('app=x:y', 'app'),
+        ('PortRange=a,b', 'PortRange'),
+    ],
+)
+def test_a_bad_entry_is_named(line: str, key: str) -> None:
+    with pytest.raises(BadNodeFile) as caught:
+        parse_node('f', f'{NODE}\n{line}')
+    assert caught.value.key == key
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.text(), st.sampled_from(NODE.split('\n')))
+def test_any_node_file_is_read_or_refused(text: str, dropped: str) -> None:
+    content = NODE.replace(dropped, text)
+    try:
+        parse_node('f', content)
+    except BadNodeFile as error:
+        assert error.reason
