--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -32,7 +32,9 @@
 Unknown.Key=ignored
 a line without a mark
 """
-SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text()
+SCALARS = st.one_of(
+    st.none(), st.booleans(), st.integers(), st.floats(), st.text()
+)
 
 
 def nest(inner: st.SearchStrategy[Any]) -> st.SearchStrategy[Any]:
