--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -24,6 +24,8 @@
 #: Requests for which there is room in any case: the figures of an idle group
 #: say little.
 LEAST_ROOM = 8
+#: Streams that an entry runs at once, until it knows its part of a group.
+USUAL_PLACES = 10
 #: Requests that wait although they will be late, as a part of those that run:
 #: about what the rest of a wave leaves room for before their deadlines.
 LATE_PART = 1.5
@@ -41,12 +43,14 @@
     :param queued: requests that wait there.
     :param pass_seconds: mean time of the last passes; 0 if there were none.
     :param base_seconds: time of a pass without any request.
+    :param is_open: whether the group takes requests.
     """
 
     running: int
     queued: int
     pass_seconds: float
     base_seconds: float
+    is_open: bool = True
 
 
 class Waiter(NamedTuple):
@@ -103,6 +107,7 @@
         self.pass_seconds: float = 0
         self.easy = float('inf')
         self.full = float('inf')
+        self.places: float = USUAL_PLACES
         self._max_gap = max_gap
         self._cost: float | None = None
 
@@ -118,6 +123,8 @@
             excess = max(load.pass_seconds - load.base_seconds, 0)
             self._learn(excess / load.running)
         self.easy = mine + self._tell_room(load, EASY_PART) / max(entries, 1)
+        if load.is_open and self.easy < float('inf'):
+            self.places = max(self.easy, 1)
         self.full = mine + self._tell_room(load, FULL_PART) / max(entries, 1)
 
     def _learn(self, cost: float) -> None:
--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -8,6 +8,7 @@
 import curio
 import xxhash
 
+from ospreyford.direct.admission import GroupLoad
 from ospreyford.rebalance.messages import (
     GroupNews,
     Hello,
@@ -104,14 +105,18 @@
         if news.token < self._tokens.get(news.service, 0):
             return
         self._tokens[news.service] = news.token
-        running = 0
-        queued = 0
-        for host, active, waiting in news.ranks:
-            running += active
-            queued += waiting
-            for member in self._world.fleet.find_host(news.service, host):
-                others = active + waiting - member.in_flight
+        for load in news.ranks:
+            for member in self._world.fleet.find_host(news.service, load.host):
+                others = load.active + load.queued - member.in_flight
                 member.elsewhere = max(others, 0)
+                member.pace = max(load.pace, 1)
         await self._world.take_group_load(
-            news.service, running, queued, news.pass_seconds
+            news.service,
+            GroupLoad(
+                running=sum(one.active for one in news.ranks),
+                queued=sum(one.queued for one in news.ranks),
+                pass_seconds=news.pass_seconds,
+                base_seconds=0,
+                is_open=news.is_open,
+            ),
         )
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -85,6 +85,14 @@
         """
         return {attempt.backend for attempt in self.attempts}
 
+    def has_runs_left(self) -> bool:
+        """Tell whether its route lets it run at a further back end.
+
+        :returns: whether fewer sendings than that were not refused.
+        """
+        runs = sum(one.outcome != 'Refused' for one in self.attempts)
+        return runs < self.route.attempts
+
     def tell_left(self, now: float) -> float:
         """Tell how much time is left.
 
--- a/src/ospreyford/direct/choosing.py
+++ b/src/ospreyford/direct/choosing.py
@@ -19,6 +19,9 @@
 #: request of a back end with six slots. It settles ties, so that bytes stay in
 #: the zone where nothing else speaks for another one.
 ZONE_WEIGHT = 0.1
+#: From here on a rank counts as slow: all ranks wait in each pass for the work
+#: of its own requests, so it gets none while others have room.
+SLOW_PACE = 1.25
 #: A failure is held against a back end for this long, in seconds. Without an
 #: end it would get no request any more that could show it sound again.
 FAILURE_MEMORY = 4.0
@@ -69,6 +72,8 @@
     :returns: requests per slot, with what else speaks against it.
     """
     weight = member.count_load() / max(member.server.slots, 1)
+    if member.pace > SLOW_PACE:
+        weight += member.pace
     if wish.now - member.failed_at < FAILURE_MEMORY:
         weight += FAILURE_WEIGHT * member.failure_rate
     if member.server.zone != wish.zone:
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -47,6 +47,7 @@
         self.failure_rate: float = 0
         self.failed_at: float = 0
         self.elsewhere = 0
+        self.pace: float = 1
         self.is_gone = False
         self.gone_by: float | None = None
 
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -20,6 +20,18 @@
     from ospreyford.direct.admission import GroupLoad
     from ospreyford.direct.call import Call
 
+#: Pause after a refusal, in seconds: what ranks show of their group is as old
+#: as two reports.
+PAUSE_SECONDS = 0.2
+#: Pause after a request that finds out whether the group is open again, in
+#: seconds: it is refused at once, or begins with the next passes.
+PROBE_SECONDS = 0.15
+#: When a refused request should come back, in seconds: a wave lasts some
+#: seconds, and a request has one or two further tries in all.
+BUSY_SECONDS = 1.0
+#: The same while the group is closed: back ends that crashed take some seconds
+#: to start, and their group then opens within one.
+CLOSED_SECONDS = 2.0
 #: How often waiting requests are looked at, in seconds; each end of a stream
 #: and each report of a group looks as well.
 LOOK_SECONDS = 0.05
@@ -38,6 +50,8 @@
         self._numbers = itertools.count()
         self._turns: dict[int, curio.Event] = {}
         self._refused: set[int] = set()
+        self._paused_until: float = 0
+        self._is_closed = False
 
     async def enter(self, call: Call) -> bool:
         """Wait for a place; whoever got one must leave it.
@@ -46,7 +60,9 @@
         :returns: whether it has a place; otherwise it has not been sent and
             should be refused now.
         """
-        if not self._queue and self.running < self.limit.easy:
+        now = time.monotonic()
+        is_free = not self._queue and not self._is_waiting(now)
+        if is_free and self.running < self.limit.easy:
             self.running += 1
             return True
         waiter = Waiter(
@@ -68,6 +84,29 @@
         self.running -= 1
         await self.look()
 
+    def tell_retry(self) -> float:
+        """Tell when a refused request should come back.
+
+        :returns: seconds: until a wave has passed, or a group that is closed
+            has most likely opened again.
+        """
+        return CLOSED_SECONDS if self._is_closed else BUSY_SECONDS
+
+    def note_refusal(self) -> None:
+        """Note that a rank refused a request: its group may be closed.
+
+        All ranks of a group refuse while one of them is away. Sent on at
+        once, each waiting request would be refused by as many ranks as it may
+        reach, and be lost within milliseconds although the group opens again
+        long before its deadline.
+        """
+        self._is_closed = True
+        self._paused_until = time.monotonic() + PAUSE_SECONDS
+
+    def note_start(self) -> None:
+        """Note that a rank began a request: its group is open."""
+        self._is_closed = False
+
     async def take_load(self, load: GroupLoad, entries: int) -> None:
         """Take over the group's newest figures.
 
@@ -75,6 +114,8 @@
         :param entries: entries that send to the group.
         """
         self.limit.take_load(load, self.running, entries)
+        if not load.is_open:
+            self.note_refusal()
         await self.look()
 
     async def look(self) -> None:
@@ -82,12 +123,12 @@
         now = time.monotonic()
         first_event = FIRST_EVENT_PASSES * self.limit.pass_seconds
         for waiter in self._queue.list_hopeless(
-            now, first_event, self.running + 1
+            now, first_event, max(self.running + 1, self.limit.places)
         ):
             self._queue.remove(waiter.number)
             self._refused.add(waiter.number)
             await self._turns[waiter.number].set()
-        while True:
+        while not self._is_waiting(now):
             chosen = self._queue.choose(now, first_event)
             if chosen is None:
                 return
@@ -97,8 +138,14 @@
                 return
             self._queue.remove(chosen.number)
             self.running += 1
+            if self._is_closed:
+                # One request finds out whether the group is open again.
+                self._paused_until = now + PROBE_SECONDS
             await self._turns[chosen.number].set()
 
+    def _is_waiting(self, now: float) -> bool:
+        return self._is_closed and now < self._paused_until
+
     def _forget(self, number: int) -> None:
         self._queue.remove(number)
         self._turns.pop(number, None)
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from ospreyford.direct.call import Call
     from ospreyford.direct.fleet import Member
+    from ospreyford.direct.gate import StreamGate
     from ospreyford.direct.world import World
     from ospreyford.http.message import Response
     from ospreyford.http.server import Exchange
@@ -37,6 +38,9 @@
 GATEWAY_TIMEOUT: Final = 504
 SERVER_ERROR: Final = 500
 MILLISECONDS = 1000
+#: Sendings of one request at most, refused ones among them: a closed group
+#: refuses for some seconds, and each sending is paid by the shared budget.
+MOST_SENDINGS = 6
 #: With less time left a request is not sent any more, in seconds.
 LEAST_SECONDS = 0.02
 #: When to come back where nothing better is known, in seconds.
@@ -55,6 +59,7 @@
         self._call = call
         self._exchange = exchange
         self._world = world
+        self._gate = world.find_gate(call)
         self._cause = Cause.no_backend
 
     async def run(self) -> Verdict:
@@ -72,9 +77,15 @@
         return verdict
 
     async def _send_until_final(self) -> Verdict:
-        gate = self._world.find_gate(self._call)
-        if gate is None:
-            return await self._send_often()
+        verdict: Verdict | None = None
+        while verdict is None:
+            if self._gate is None:
+                verdict = await self._send_often()
+            else:
+                verdict = await self._send_admitted(self._gate)
+        return verdict
+
+    async def _send_admitted(self, gate: StreamGate) -> Verdict | None:
         if not await gate.enter(self._call):
             return self._give_up(Cause.overloaded, BAD_GATEWAY)
         self._call.admitted_at = time.monotonic()
@@ -83,28 +94,49 @@
         finally:
             await gate.leave()
 
-    async def _send_often(self) -> Verdict:
+    async def _send_often(self) -> Verdict | None:
+        """Send until the request is answered, or its group is closed.
+
+        :returns: how it ended, or ``None`` if it should wait again.
+        """
         verdict: Verdict | None = None
         while verdict is None:
             member = self._choose()
             if member is None:
                 return self._give_up(self._cause, BAD_GATEWAY)
             verdict = await self._attempt(member)
+            is_refused = verdict is None and self._cause is Cause.refused
+            if self._gate is not None and is_refused:
+                self._gate.note_refusal()
+                break
         return verdict
 
     def _choose(self) -> Member | None:
         call = self._call
         world = self._world
         now = time.monotonic()
-        if call.attempts:
-            if len(call.attempts) >= call.route.attempts:
-                return None
-            if not world.budget.spend(call.service, now):
-                return None
-        wish = Wish(world.settings.zone, call.list_tried(), now)
+        if call.attempts and not self._may_send_again(now):
+            return None
         members = world.fleet.list_service(call.service)
+        tried = call.list_tried()
+        avoided = tried
+        if len(tried) >= call.route.attempts:
+            if self._gate is None:
+                return None
+            # No further back end may get it; one that refused it still may.
+            members = [one for one in members if one.server.id in tried]
+            avoided = set()
+        wish = Wish(world.settings.zone, avoided, now)
         return choose_member(members, wish, world.random)
 
+    def _may_send_again(self, now: float) -> bool:
+        call = self._call
+        if len(call.attempts) >= MOST_SENDINGS:
+            return False
+        if not call.has_runs_left():
+            return False
+        return self._world.budget.spend(call.service, now)
+
     async def _attempt(self, member: Member) -> Verdict | None:
         call = self._call
         now = time.monotonic()
@@ -153,7 +185,7 @@
         if head.status >= SERVER_ERROR:
             member.note_failure(time.monotonic())
             call.may_have_run = True
-            if call.may_repeat() and self._may_try_again():
+            if call.may_repeat() and call.has_runs_left():
                 self._cause = Cause.refused
                 return None
         else:
@@ -163,14 +195,12 @@
         )
         return Answered(head.status)
 
-    def _may_try_again(self) -> bool:
-        call = self._call
-        return len(call.attempts) < call.route.attempts
-
     async def _relay_stream(
         self, head: Response, sending: Sending, member: Member
     ) -> Verdict | None:
         self._call.may_have_run = True
+        if self._gate is not None:
+            self._gate.note_start()
         if not self._exchange.started:
             fields = tuple(keep_end_to_end(head.headers))
             self._exchange.add((self._exchange.make_head(head.status, fields),))
@@ -189,7 +219,9 @@
             return Cut(cause, self._call.cursor)
         if self._call.may_have_run or self._is_sent():
             return Unknown(cause, status)
-        return NotRun(cause, RETRY_SECONDS)
+        if self._gate is None:
+            return NotRun(cause, RETRY_SECONDS)
+        return NotRun(cause, self._gate.tell_retry())
 
     def _is_sent(self) -> bool:
         """Tell whether the last sending's fate is unknown.
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -66,24 +66,21 @@
             self.gates[call.service] = gate
         return gate
 
-    async def take_group_load(
-        self, service: str, running: int, queued: int, pass_seconds: float
-    ) -> None:
+    async def take_group_load(self, service: str, load: GroupLoad) -> None:
         """Take over what a coordinator tells of its group.
 
         :param service: the service that the group serves.
-        :param running: requests that run.
-        :param queued: requests that wait at its ranks.
-        :param pass_seconds: mean time of the last passes.
+        :param load: what it tells; without the time of an empty pass, which
+            is published.
         """
         gate = self.gates.get(service)
         known = self.catalog.services.get(service) if self.catalog else None
         if gate is None or known is None or known.engine is None:
             return
-        load = GroupLoad(
-            running, queued, pass_seconds, known.engine.pass_seconds
+        base = known.engine.pass_seconds
+        await gate.take_load(
+            load._replace(base_seconds=base), self.budget.entries
         )
-        await gate.take_load(load, self.budget.entries)
 
     def is_ready(self) -> bool:
         """Tell whether callers are served well here.
--- a/src/ospreyford/platform/agent.py
+++ b/src/ospreyford/platform/agent.py
@@ -13,7 +13,8 @@
 from ospreyford.platform.nodefile import PATH_VARIABLE, Node, read_node
 from ospreyford.platform.replica import Replica
 from ospreyford.ports.clock import SystemClock
-from ospreyford.rebalance.agent import Outside, RankAgent
+from ospreyford.rebalance.agent import RankAgent
+from ospreyford.rebalance.outside import Outside
 from ospreyford.rebalance.settings import AgentSettings
 
 #: Time for the answer of a back end on another host, in seconds.
--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import curio
 
@@ -13,11 +12,13 @@
 from ospreyford.rebalance.audience import Audience
 from ospreyford.rebalance.decisions import CoordinatorChanged
 from ospreyford.rebalance.election import BEAT_SECONDS, Election
+from ospreyford.rebalance.knownmaps import KnownMaps
 from ospreyford.rebalance.leader import GroupLeader
 from ospreyford.rebalance.member import RankMember
 from ospreyford.rebalance.messages import (
     Ask,
     Counts,
+    GroupNews,
     Hello,
     Lead,
     Message,
@@ -30,29 +31,13 @@
 
 if TYPE_CHECKING:
     from ospreyford.console.stopping import Stop
-    from ospreyford.observability.logs import ChangeLog
-    from ospreyford.ports.clock import Clock
     from ospreyford.rebalance.group import RankState
+    from ospreyford.rebalance.outside import Outside
     from ospreyford.rebalance.ports import EnginePort
     from ospreyford.rebalance.post import Address
     from ospreyford.rebalance.settings import AgentSettings
 
 
-class Outside(NamedTuple):
-    """What an agent uses of its surroundings.
-
-    :param engine: the rank beside it.
-    :param reach: reaches another rank by IP number and port.
-    :param log: where decisions go.
-    :param clock: source of time.
-    """
-
-    engine: EnginePort
-    reach: Callable[[tuple[str, int]], EnginePort]
-    log: ChangeLog
-    clock: Clock
-
-
 class RankAgent:
     """Reads one rank, gives it orders, and coordinates its group if elected.
 
@@ -65,7 +50,10 @@
         self._outside = outside
         self._post = Post(settings.datagrams)
         self._member = RankMember(outside.engine, outside.clock)
-        self._desk = OrderDesk(self._member, self._post, outside.log)
+        self._maps = KnownMaps()
+        self._desk = OrderDesk(
+            self._member, self._post, self._maps, outside.log
+        )
         self._watcher = RankWatcher(outside.engine, outside.log)
         self._audience = Audience(settings, self._post)
         self._election = Election(settings.datagrams, outside.clock)
@@ -114,7 +102,7 @@
         if address != self._settings.datagrams:
             await self._post.send(report, address)
         elif self._leader is not None:
-            self._leader.note_counts(report)
+            self._leader.view.note_counts(report)
 
     async def _beat_often(self) -> None:
         while True:
@@ -133,19 +121,33 @@
         for address in self._audience.members:
             if address != self._settings.datagrams:
                 await self._post.send(beat, address)
-        await self._audience.tell_all(
-            beat.token,
-            leader.passes.tell_mean(),
-            leader.ranks.list_loads(self._settings.backend[0]),
+        state = self._watcher.state
+        news = GroupNews(
+            service=self._audience.service,
+            token=beat.token,
+            is_open=state is not None and state.is_open,
+            pass_seconds=leader.passes.tell_mean(),
+            ranks=leader.ranks.list_loads(),
         )
+        await self._audience.tell_all(news)
 
     def _begin_leading(self, state: RankState) -> None:
         outside = self._outside
         ranks = GroupRanks(
-            state.rank, self._member, self._post, self._reach, outside.clock
+            state.rank,
+            self._settings.datagrams[0],
+            self._member,
+            self._post,
+            self._reach,
+            outside.clock,
         )
         self._leader = GroupLeader(
-            ranks, self._settings.pace, outside.log, outside.clock
+            ranks,
+            self._maps,
+            self._election.lost,
+            self._settings.pace,
+            outside.log,
+            outside.clock,
         )
         self._log_leader(state.group, self._settings.datagrams[0])
 
@@ -161,14 +163,15 @@
             engine = self._audience.engine
             if token is None or leader is None or engine is None:
                 continue
+            await leader.view.look_past_agents(self._audience.members)
             if not await leader.work(token, engine, self._audience.max_gap):
                 self._election.step_down()
 
     async def _handle_message(self, message: Message, address: Address) -> None:
         match message:
             case Counts() if self._leader is not None:
-                self._leader.ranks.agents[message.state.rank] = address
-                self._leader.note_counts(message)
+                self._leader.ranks.note_report(message.state, address)
+                self._leader.view.note_counts(message)
             case Ask():
                 await self._desk.take(message, address)
             case Tell() if self._leader is not None:
--- a/src/ospreyford/rebalance/audience.py
+++ b/src/ospreyford/rebalance/audience.py
@@ -9,7 +9,6 @@
     GroupNews,
     Hello,
     Load,
-    Message,
     encode,
 )
 
@@ -39,7 +38,7 @@
         self._settings = settings
         self._post = post
         self._digest = 0
-        self._service = ''
+        self.service = ''
         self._entries: dict[str, tuple[Address, float]] = {}
 
     async def greet(
@@ -52,7 +51,7 @@
         :param state: of the rank, if it answers.
         """
         self._entries[hello.entry] = (address, time.monotonic())
-        self._service = hello.service
+        self.service = hello.service
         if hello.members is not None:
             self._take_members(hello, hello.members)
         load = Load(
@@ -64,19 +63,11 @@
         )
         await self._post.send(load, address)
 
-    async def tell_all(
-        self,
-        token: int,
-        pass_seconds: float,
-        ranks: tuple[tuple[str, int, int], ...],
-    ) -> None:
+    async def tell_all(self, news: GroupNews) -> None:
         """Tell all entries of the group that this agent coordinates.
 
-        :param token: the coordinator's fencing token.
-        :param pass_seconds: mean time of the last passes.
-        :param ranks: IP number, running and waiting requests of each rank.
+        :param news: what they are told.
         """
-        news: Message = GroupNews(self._service, token, pass_seconds, ranks)
         datagram = encode(news)
         for address in self._list_entries():
             await self._post.send_bytes(datagram, address)
--- a/src/ospreyford/rebalance/coordinator.py
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -6,6 +6,12 @@
 what fails on the way; go is given only when every rank has confirmed that it
 is armed. A coordinator that finds anything else than a group at rest puts it
 right first (:meth:`Coordinator.settle`).
+
+A host that freezes or loses power takes the rank beside it out of reach. So
+that the group does not stand still until the coordinator's own host is back,
+the pass is held at another rank, and the coordinator's own rank is armed last:
+whoever takes over and finds a rank that is not armed knows without asking that
+the one out of reach is not armed either.
 """
 
 from __future__ import annotations
@@ -29,6 +35,7 @@
     RankState,
     Term,
 )
+from ospreyford.rebalance.versions import find_author
 
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
@@ -68,10 +75,13 @@
 
     :param epoch: its epoch.
     :param ranks: its ranks.
+    :param missing: the rank beside the earlier coordinator, if it is out of
+        reach.
     """
 
     epoch: int
     ranks: tuple[int, ...]
+    missing: int | None = None
 
 
 class Coordinator:
@@ -113,13 +123,13 @@
         prepare = Prepare(version, experts)
         if not await self._all_done(group, group.ranks, prepare):
             return self._explain(Change.not_prepared)
-        step = await self._hold(group)
+        holder = self._ranks.choose_holder(group.ranks)
+        step = await self._hold(group, holder)
         if step is None:
             return self._explain(Change.not_held)
-        arm = Arm(version, step)
-        if not await self._all_done(group, group.ranks, arm, ARM_TRIES):
+        if not await self._arm(group, Arm(version, step)):
             return self._explain(Change.not_armed)
-        if not await self._one_done(group, self._me, Go(step), ARM_TRIES):
+        if not await self._one_done(group, holder, Go(step), ARM_TRIES):
             return self._explain(Change.not_released)
         return await self._wait_for_switch(group, version)
 
@@ -135,12 +145,16 @@
         begin. Then the others are shut off and disarmed, and the pass is let
         go with the map that is in force.
 
+        Where one rank is out of reach, it is not armed as long as any other is
+        not, if the change is that of the coordinator beside it: it would have
+        been the last.
+
         Where a rank is armed and no pass is held, the earlier coordinator has
         let go, so all are armed: there is nothing to do but wait.
 
         :param group: the group.
         :param version: of the map in force under a new number, with which
-            ranks are shut off from earlier coordinators.
+            ranks are shut off from earlier coordinators; of nobody's plan.
         :param experts: that map.
         :returns: whether the group is at rest.
         """
@@ -149,6 +163,8 @@
         holders = [rank for rank, step in held.items() if step is not None]
         if not holders:
             return not any(_is_armed(states, one) for one in group.ranks)
+        if not _is_missing_rank_unarmed(group, states):
+            return False
         others = [rank for rank, step in held.items() if step is None]
         prepare = Prepare(version, experts)
         for member in (*holders, *others):
@@ -174,13 +190,19 @@
                 return False
         return await self._one_done(group, rank, prepare, CLEAR_TRIES)
 
-    async def _hold(self, group: Group) -> int | None:
+    async def _arm(self, group: Group, arm: Arm) -> bool:
+        others = [rank for rank in group.ranks if rank != self._me]
+        if not await self._all_done(group, others, arm, ARM_TRIES):
+            return False
+        return await self._one_done(group, self._me, arm, ARM_TRIES)
+
+    async def _hold(self, group: Group, holder: int) -> int | None:
         for _ in range(HOLD_TRIES):
             state = self._ranks.read_states().get(self._me)
             if state is None or state.epoch != group.epoch:
                 return None
             step = state.step + HOLD_AHEAD
-            if await self._one_done(group, self._me, Hold(step), 1):
+            if await self._one_done(group, holder, Hold(step), 1):
                 return step
             if self.is_fenced:
                 return None
@@ -237,3 +259,23 @@
 
 def _is_armed(states: Mapping[int, RankState], rank: int) -> bool:
     return rank in states and states[rank].armed is not None
+
+
+def _is_missing_rank_unarmed(
+    group: Group, states: Mapping[int, RankState]
+) -> bool:
+    """Tell whether a rank out of reach is certainly not armed.
+
+    The change under way must be that of the coordinator beside the missing
+    rank: had that one taken over from yet another and not settled the group,
+    its rank might be armed before others.
+
+    :returns: also true if no rank is missing.
+    """
+    if group.missing is None:
+        return True
+    prepared = {states[rank].prepared for rank in group.ranks}
+    version = prepared.pop()
+    if prepared or version is None or find_author(version) != group.missing:
+        return False
+    return not all(_is_armed(states, rank) for rank in group.ranks)
--- a/src/ospreyford/rebalance/election.py
+++ b/src/ospreyford/rebalance/election.py
@@ -36,6 +36,7 @@
     def __init__(self, me: Address, clock: Clock) -> None:
         self.token: int | None = None
         self.leader: Address | None = None
+        self.lost: str | None = None
         self._me = me
         self._clock = clock
         self.highest = 0
@@ -90,5 +91,6 @@
         # Clocks of hosts differ: the highest token heard of counts as well.
         self.token = max(now, self.highest + RANKS) // RANKS * RANKS + rank
         self.highest = self.token
+        self.lost = None if self.leader is None else self.leader[0]
         self.leader = self._me
         return True
--- /dev/null
+++ b/src/ospreyford/rebalance/far.py
@@ -0,0 +1,60 @@
+"""Ranks as reached from another host, past their agents."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ospreyford.rebalance.group import (
+    Order,
+    Outcome,
+    Silent,
+    Term,
+)
+from ospreyford.rebalance.member import RankMember
+
+if TYPE_CHECKING:
+    from ospreyford.ports.clock import Clock
+    from ospreyford.rebalance.ports import EnginePort
+
+
+class FarRanks:
+    """Gives orders to ranks from afar; each one costs.
+
+    :param reach: reaches a rank by its host's IP number.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, reach: Callable[[str], EnginePort | None], clock: Clock
+    ) -> None:
+        self.orders = 0
+        self._reach = reach
+        self._clock = clock
+        self._engines: dict[str, EnginePort] = {}
+
+    def find(self, host: str) -> EnginePort | None:
+        """Find the way to a rank.
+
+        :param host: IP number of its host.
+        :returns: the rank, or ``None`` if it is not known.
+        """
+        engine = self._engines.get(host) or self._reach(host)
+        if engine is not None:
+            self._engines[host] = engine
+        return engine
+
+    async def carry_out(self, host: str, order: Order, term: Term) -> Outcome:
+        """Carry out an order in place of a silent agent.
+
+        :param host: IP number of the rank's host.
+        :param order: the order.
+        :param term: whose order it is, and for which epoch.
+        :returns: what came of it.
+        """
+        engine = self.find(host)
+        if engine is None:
+            return Silent()
+        self.orders += 1
+        member = RankMember(engine, self._clock, is_near=False)
+        return await member.carry_out(order, term)
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -54,19 +54,36 @@
     is_open: bool
 
 
+class RankLoad(NamedTuple):
+    """What runs and waits at a rank.
+
+    :param host: IP number of the rank's host.
+    :param active: requests that run.
+    :param queued: requests that wait.
+    :param pace: above 1 the rank is slower than usual.
+    """
+
+    host: str
+    active: int
+    queued: int
+    pace: float
+
+
 class GroupNews(msgspec.Struct, frozen=True, tag='g', array_like=True):
     """What a coordinator tells the entries of its group.
 
     :param service: the service that the group serves.
     :param token: the coordinator's fencing token.
+    :param is_open: whether the group takes requests.
     :param pass_seconds: mean time of the last passes; 0 if there were none.
-    :param ranks: IP number, requests that run and that wait, of each rank.
+    :param ranks: the load of each rank.
     """
 
     service: str
     token: int
+    is_open: bool
     pass_seconds: float
-    ranks: tuple[tuple[str, int, int], ...]
+    ranks: tuple[RankLoad, ...]
 
 
 class Lead(msgspec.Struct, frozen=True, tag='d', array_like=True):
--- a/src/ospreyford/rebalance/moves.py
+++ b/src/ospreyford/rebalance/moves.py
@@ -66,6 +66,7 @@
         return min(self._list_moves(), key=lambda move: move.peak, default=None)
 
     def _list_moves(self) -> Iterator[Move]:
+        yield from self._list_retirements()
         state = self._state
         loads = state.rank_loads
         heavy = sorted(state.held[self._source], key=state.share, reverse=True)
@@ -93,15 +94,10 @@
                 yield from self._list_exchange(expert, target)
                 return
             relief = state.share(dropped)
-        for taken, left, leaves in (
-            (shared, shared, False),
-            (share, 0, True),
-        ):
+        for taken, leaves in ((shared, False), (share, True)):
+            left = 0 if leaves else shared
             yield Move(
-                max(
-                    state.rank_loads[self._source] - share + left,
-                    state.rank_loads[target] + taken - relief,
-                ),
+                self._tell_peak(target, left - share, taken - relief),
                 expert,
                 self._source,
                 target,
@@ -110,6 +106,31 @@
                 returned=False,
             )
 
+    def _tell_peak(
+        self, target: int, source_change: float, target_change: float
+    ) -> float:
+        state = self._state
+        source = self._source
+        return max(
+            state.rank_loads[source] + source_change * state.paces[source],
+            state.rank_loads[target] + target_change * state.paces[target],
+        )
+
+    def _list_retirements(self) -> Iterator[Move]:
+        """List the experts of the source that others can serve alone."""
+        state = self._state
+        for expert in state.held[self._source]:
+            if state.count_copies(expert) > 1:
+                yield Move(
+                    state.tell_peak_without(expert, self._source),
+                    expert,
+                    self._source,
+                    self._source,
+                    None,
+                    leaves=True,
+                    returned=False,
+                )
+
     def _find_spare(self, rank: int) -> int | None:
         state = self._state
         spare = [one for one in state.held[rank] if state.count_copies(one) > 1]
@@ -124,10 +145,7 @@
             return
         gained = state.share(expert) - state.share(light)
         yield Move(
-            max(
-                state.rank_loads[self._source] - gained,
-                state.rank_loads[target] + gained,
-            ),
+            self._tell_peak(target, -gained, gained),
             expert,
             self._source,
             target,
@@ -143,6 +161,9 @@
     :param state: the set; changed in place.
     :param move: the move.
     """
+    if move.target == move.source:
+        state.drop(move.expert, move.source)
+        return
     state.add(move.expert, move.target)
     if move.dropped is not None:
         if move.returned:
--- a/src/ospreyford/rebalance/orderdesk.py
+++ b/src/ospreyford/rebalance/orderdesk.py
@@ -10,11 +10,12 @@
 
 from ospreyford.rebalance.decisions import OrderCarriedOut
 from ospreyford.rebalance.frames import pack_outcome, unpack_order
-from ospreyford.rebalance.group import Term
+from ospreyford.rebalance.group import Prepare, Term
 from ospreyford.rebalance.messages import Ask, Tell
 
 if TYPE_CHECKING:
     from ospreyford.observability.logs import ChangeLog
+    from ospreyford.rebalance.knownmaps import KnownMaps
     from ospreyford.rebalance.member import RankMember
     from ospreyford.rebalance.post import Address, Post
 
@@ -28,10 +29,18 @@
 
     :param member: carries out orders on the rank.
     :param post: the process's datagrams.
+    :param maps: takes the maps that are prepared.
     :param log: where outcomes go.
     """
 
-    def __init__(self, member: RankMember, post: Post, log: ChangeLog) -> None:
+    def __init__(
+        self,
+        member: RankMember,
+        post: Post,
+        maps: KnownMaps,
+        log: ChangeLog,
+    ) -> None:
+        self._maps = maps
         self._member = member
         self._post = post
         self._log = log
@@ -60,6 +69,8 @@
         order = unpack_order(ask.order)
         if order is None:
             return
+        if isinstance(order, Prepare):
+            self._maps.note(order.version, order.experts)
         term = Term(ask.token, ask.epoch)
         outcome = await self._member.carry_out(order, term)
         answer = pack_outcome(ask.number, outcome)
--- a/src/ospreyford/rebalance/planner.py
+++ b/src/ospreyford/rebalance/planner.py
@@ -60,6 +60,7 @@
     :param loads: for each set, the expected load of each expert.
     :param experts: the map in force.
     :param limits: what the plan keeps to.
+    :param paces: for each rank, above 1 if it is slower than usual.
     """
 
     def __init__(
@@ -67,11 +68,12 @@
         loads: Sequence[Sequence[float]],
         experts: ExpertMap,
         limits: PlanLimits,
+        paces: Sequence[float] = (),
     ) -> None:
         self._in_force = experts
         self._limits = limits
         self._states = [
-            SetState(of_set, held)
+            SetState(of_set, held, paces)
             for of_set, held in zip(loads, experts, strict=True)
         ]
         # Experts that are new to each rank, by set.
@@ -96,7 +98,8 @@
                 open_sets.discard(number)
             else:
                 self._make(number, move)
-        return self._best if self._best.copies else None
+        is_new = self._best.experts != self._in_force
+        return self._best if is_new else None
 
     def _tell_peak(self, number: int) -> float:
         return max(self._states[number].rank_loads)
--- a/src/ospreyford/rebalance/ports.py
+++ b/src/ospreyford/rebalance/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -65,6 +65,14 @@
         :returns: by rank.
         """
 
+    def choose_holder(self, ranks: Sequence[int]) -> int:
+        """Choose the rank at which a pass is held.
+
+        :param ranks: the ranks of the group.
+        :returns: one whose agent is heard of, another than the
+            coordinator's own if there is one.
+        """
+
     async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
         """Have a rank carry out an order.
 
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
 import curio
 
+from ospreyford.rebalance.far import FarRanks
 from ospreyford.rebalance.frames import pack_order, unpack_outcome
 from ospreyford.rebalance.group import (
     Order,
@@ -18,7 +19,8 @@
     Term,
 )
 from ospreyford.rebalance.member import RankMember
-from ospreyford.rebalance.messages import Ask, Tell, encode
+from ospreyford.rebalance.messages import Ask, RankLoad, Tell, encode
+from ospreyford.rebalance.silence import SilentAgents
 
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
@@ -50,6 +52,7 @@
     """Reaches each rank through its agent, or directly if that is silent.
 
     :param me: the rank beside this agent.
+    :param my_host: IP number of this agent's host.
     :param member: carries out orders on that rank.
     :param post: the process's datagrams.
     :param reach: reaches a rank by its IP number, without an agent.
@@ -59,20 +62,21 @@
     def __init__(
         self,
         me: int,
+        my_host: str,
         member: RankMember,
         post: Post,
         reach: Callable[[str], EnginePort | None],
         clock: Clock,
     ) -> None:
         self.agents: dict[int, Address] = {}
-        self.direct_orders = 0
         self.me = me
+        self._my_host = my_host
         self._member = member
         self._post = post
-        self._reach = reach
+        self._far = FarRanks(reach, clock)
         self._clock = clock
         self._states: dict[int, RankState] = {}
-        self._heard: dict[int, float] = {}
+        self._silent = SilentAgents(clock)
         self._numbers = itertools.count(int(clock.wall() * 1000) << 8)
         self._waiting: dict[int, _Waiting] = {}
 
@@ -83,27 +87,60 @@
         """
         return self._states
 
-    def list_loads(self, my_host: str) -> tuple[tuple[str, int, int], ...]:
+    def list_loads(self) -> tuple[RankLoad, ...]:
         """List what runs and waits at each rank.
 
-        :param my_host: IP number of this agent's host.
-        :returns: IP number, running and waiting requests.
+        :returns: the load of each rank that is known.
         """
         hosts = {rank: address[0] for rank, address in self.agents.items()}
-        hosts[self.me] = my_host
+        hosts[self.me] = self._my_host
         return tuple(
-            (hosts[rank], state.active, state.queued)
+            RankLoad(hosts[rank], state.active, state.queued, state.pace)
             for rank, state in self._states.items()
             if rank in hosts
         )
 
-    def tell_silence(self, rank: int) -> float:
-        """Tell how long a rank has not been heard of.
+    def note_report(self, state: RankState, agent: Address) -> None:
+        """Take over an agent's report.
 
-        :param rank: its number.
-        :returns: seconds.
+        :param state: of the rank beside it.
+        :param agent: the agent's address.
         """
-        return self._clock.monotonic() - self._heard.get(rank, float('-inf'))
+        self.agents[state.rank] = agent
+        self._silent.note_report(agent[0])
+        self.note_state(state)
+
+    async def look_past_agents(
+        self, members: Sequence[Address]
+    ) -> list[tuple[int, EnginePort]]:
+        """Look directly at the ranks whose agents are silent.
+
+        An agent that is frozen or cut off says nothing of a rank that goes on
+        stepping. Without its state the group could not be changed, nor, if an
+        earlier coordinator left it held, be let go.
+
+        :param members: the agents of the group.
+        :returns: the ranks that were looked at, and how they are reached.
+        """
+        seen = []
+        for address in members:
+            host = address[0]
+            if host != self._my_host and self._silent.take_look(host):
+                engine = self._far.find(host)
+                state = None if engine is None else await engine.read_state()
+                if engine is not None and state is not None:
+                    self.agents[state.rank] = address
+                    self.note_state(state)
+                    seen.append((state.rank, engine))
+        return seen
+
+    def is_silent(self, host: str | None) -> bool:
+        """Tell whether an agent has been silent for too long.
+
+        :param host: IP number of its host, or ``None``.
+        :returns: whether it is passed over.
+        """
+        return host is not None and self._silent.is_silent(host)
 
     def note_state(self, state: RankState) -> None:
         """Take over what a rank shows.
@@ -119,14 +156,20 @@
         ):
             return
         self._states[state.rank] = state
-        self._heard[state.rank] = self._clock.monotonic()
 
-    def forget(self, rank: int) -> None:
-        """Forget a rank that started anew.
+    def note_switch(self, version: int) -> None:
+        """Note that a pass has begun for which all ranks were armed.
 
-        :param rank: its number.
+        What the others reported is some passes old: taken for the present, it
+        would look like a group in the middle of a change.
+
+        :param version: of the map that is in force now.
         """
-        self._states.pop(rank, None)
+        for rank, state in tuple(self._states.items()):
+            if state.armed is not None and state.armed.version == version:
+                self._states[rank] = state._replace(
+                    version=version, prepared=None, armed=None
+                )
 
     async def note_answer(self, answer: Tell) -> None:
         """Take over an agent's answer.
@@ -141,6 +184,21 @@
             waiting.outcome = unpack_outcome(answer)
             await waiting.done.set()
 
+    def choose_holder(self, ranks: Sequence[int]) -> int:
+        """Choose the rank at which a pass is held.
+
+        :param ranks: the ranks of the group.
+        :returns: one whose agent is heard of, another than this agent's own if
+            there is one.
+        """
+        following = sorted(ranks, key=lambda rank: (rank <= self.me, rank))
+        for rank in following:
+            agent = self.agents.get(rank)
+            if rank != self.me and agent is not None:
+                if not self._silent.is_silent(agent[0]):
+                    return rank
+        return self.me
+
     async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
         """Have a rank carry out an order.
 
@@ -162,6 +220,8 @@
         address = self.agents.get(rank)
         if address is None:
             return Silent()
+        if self._silent.is_silent(address[0]):
+            return await self._far.carry_out(address[0], order, term)
         number = next(self._numbers)
         waiting = _Waiting()
         self._waiting[number] = waiting
@@ -177,7 +237,7 @@
             return waiting.outcome
         if waiting.seen:
             return Silent()
-        return await self._order_directly(address[0], order, term)
+        return await self._far.carry_out(address[0], order, term)
 
     async def _repeat(
         self,
@@ -194,13 +254,3 @@
             await self._post.send_bytes(question, address)
             tries += 1
             await curio.ignore_after(REPEAT_SECONDS, waiting.done.wait())
-
-    async def _order_directly(
-        self, host: str, order: Order, term: Term
-    ) -> Outcome:
-        engine = self._reach(host)
-        if engine is None:
-            return Silent()
-        self.direct_orders += 1
-        member = RankMember(engine, self._clock, is_near=False)
-        return await member.carry_out(order, term)
--- a/src/ospreyford/rebalance/setstate.py
+++ b/src/ospreyford/rebalance/setstate.py
@@ -10,10 +10,15 @@
 
     :param loads: load of each expert.
     :param held: for each rank, the experts that it holds.
+    :param paces: for each rank, by how much it is slower than usual; a slow
+        rank takes as long for little load as the others for much.
     """
 
     def __init__(
-        self, loads: Sequence[float], held: Sequence[Sequence[int]]
+        self,
+        loads: Sequence[float],
+        held: Sequence[Sequence[int]],
+        paces: Sequence[float] = (),
     ) -> None:
         self.held = [set(experts) for experts in held]
         self._loads = loads
@@ -21,7 +26,12 @@
         for rank, experts in enumerate(held):
             for expert in experts:
                 self._holders[expert].append(rank)
-        self.rank_loads = [sum(map(self.share, one)) for one in self.held]
+        self.paces = list(paces) or [1 for _ in held]
+        self.rank_loads = [
+            pace * sum(map(self.share, one))
+            for one, pace in zip(self.held, self.paces, strict=True)
+        ]
+        self._mean = sum(loads) / len(self.held)
 
     def share(self, expert: int) -> float:
         """Tell what an expert adds to each rank that holds it.
@@ -47,11 +57,11 @@
         return self.rank_loads.index(max(self.rank_loads))
 
     def tell_mean(self) -> float:
-        """Tell the mean load of a rank.
+        """Tell the mean load of a rank at its usual pace.
 
         :returns: the load.
         """
-        return sum(self.rank_loads) / len(self.rank_loads)
+        return self._mean
 
     def tell_skew(self) -> float:
         """Tell the load of the most loaded rank over the mean.
@@ -61,6 +71,22 @@
         mean = self.tell_mean()
         return max(self.rank_loads) / mean if mean > 0 else 1
 
+    def tell_peak_without(self, expert: int, rank: int) -> float:
+        """Tell the load of the most loaded holder if one drops an expert.
+
+        :param expert: its number; another rank must hold it as well.
+        :param rank: the rank that would drop it.
+        :returns: the load of the most loaded rank that holds it now.
+        """
+        share = self.share(expert)
+        others = [one for one in self._holders[expert] if one != rank]
+        grown = share / len(others)
+        left = self.rank_loads[rank] - share * self.paces[rank]
+        taken = [
+            self.rank_loads[one] + grown * self.paces[one] for one in others
+        ]
+        return max(left, *taken)
+
     def add(self, expert: int, rank: int) -> None:
         """Put an expert on one more rank.
 
@@ -85,4 +111,4 @@
 
     def _charge(self, expert: int, load: float) -> None:
         for rank in self._holders[expert]:
-            self.rank_loads[rank] += load
+            self.rank_loads[rank] += load * self.paces[rank]
--- /dev/null
+++ b/src/ospreyford/rebalance/silence.py
@@ -0,0 +1,57 @@
+"""Which agents a coordinator does not hear."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ospreyford.ports.clock import Clock
+
+#: An agent that has not reported for so long is passed over, and its rank is
+#: looked at directly, in seconds: five reports.
+SILENT_SECONDS = 0.5
+#: Time between two such looks at one rank, in seconds; each one costs, and what
+#: it shows is older than that anyway.
+LOOK_SECONDS = 0.25
+
+
+class SilentAgents:
+    """Notes when each agent has reported.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._began = clock.monotonic()
+        self._reported: dict[str, float] = {}
+        self._looked: dict[str, float] = {}
+
+    def note_report(self, host: str) -> None:
+        """Note that an agent has reported.
+
+        :param host: IP number of its host.
+        """
+        self._reported[host] = self._clock.monotonic()
+
+    def is_silent(self, host: str) -> bool:
+        """Tell whether an agent has been silent for too long.
+
+        :param host: IP number of its host.
+        :returns: whether it is passed over.
+        """
+        reported = self._reported.get(host, self._began)
+        return self._clock.monotonic() - reported > SILENT_SECONDS
+
+    def take_look(self, host: str) -> bool:
+        """Tell whether to look past an agent now, and count the look.
+
+        :param host: IP number of its host.
+        :returns: whether the agent is silent and the last look is long ago.
+        """
+        now = self._clock.monotonic()
+        looked = self._looked.get(host, float('-inf'))
+        if not self.is_silent(host) or now - looked <= LOOK_SECONDS:
+            return False
+        self._looked[host] = now
+        return True
--- /dev/null
+++ b/src/ospreyford/rebalance/view.py
@@ -0,0 +1,162 @@
+"""A group as its coordinator sees it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.rebalance.coordinator import Group
+from ospreyford.rebalance.loads import Shares, add_up
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ospreyford.ports.clock import Clock
+    from ospreyford.rebalance.group import ExpertMap, RankExperts, RankState
+    from ospreyford.rebalance.knownmaps import KnownMaps
+    from ospreyford.rebalance.messages import Counts
+    from ospreyford.rebalance.ports import EnginePort
+    from ospreyford.rebalance.post import Address
+    from ospreyford.rebalance.ranks import GroupRanks
+
+
+class GroupView:
+    """States, maps and loads of all ranks, put together.
+
+    :param ranks: reaches the ranks.
+    :param maps: the last maps that this agent was told of.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, ranks: GroupRanks, maps: KnownMaps, clock: Clock
+    ) -> None:
+        self._maps = maps
+        self.counted_at = clock.monotonic()
+        self._ranks = ranks
+        self._clock = clock
+        self._parts: dict[int, Shares] = {}
+        self._experts: dict[int, RankExperts] = {}
+        self._experts_of: dict[int, tuple[int, int] | None] = {}
+
+    def note_counts(self, counts: Counts) -> None:
+        """Take over a rank's report.
+
+        :param counts: the report.
+        """
+        self._ranks.note_state(counts.state)
+        rank = counts.state.rank
+        if counts.experts:
+            self._note_experts(rank, counts.experts)
+        if counts.shares is not None:
+            self.counted_at = self._clock.monotonic()
+            self._parts[rank] = counts.shares
+
+    async def look_past_agents(self, members: Sequence[Address]) -> None:
+        """Look directly at the ranks whose agents are silent.
+
+        :param members: the agents of the group.
+        """
+        for rank, engine in await self._ranks.look_past_agents(members):
+            await self._learn_experts(rank, engine)
+
+    def find_mine(self) -> RankState | None:
+        """Find the state of the rank beside the coordinator.
+
+        :returns: the state, or ``None`` if it does not answer.
+        """
+        return self._ranks.read_states().get(self._ranks.me)
+
+    def find_group(self, lost: str | None) -> Group | None:
+        """Find the group, if it is open and its ranks are known.
+
+        :param lost: IP number of the earlier coordinator's host, whose rank
+            may be out of reach.
+        :returns: the group, or ``None``.
+        """
+        states = self._ranks.read_states()
+        mine = self.find_mine()
+        if mine is None or not mine.is_open:
+            return None
+        known = tuple(
+            rank
+            for rank in range(mine.size)
+            if rank in states and states[rank].epoch == mine.epoch
+        )
+        missing = sorted(set(range(mine.size)).difference(known))
+        if not missing:
+            return Group(mine.epoch, known)
+        is_explained = len(missing) == 1 and self._ranks.is_silent(lost)
+        return Group(mine.epoch, known, missing[0]) if is_explained else None
+
+    def list_held(self, group: Group) -> list[int]:
+        """List the ranks that hold a pass.
+
+        :param group: the group.
+        :returns: the ranks.
+        """
+        states = self._ranks.read_states()
+        return [rank for rank in group.ranks if states[rank].held is not None]
+
+    def list_armed(self, group: Group) -> list[int]:
+        """List the ranks that are armed.
+
+        :param group: the group.
+        :returns: the ranks.
+        """
+        states = self._ranks.read_states()
+        return [rank for rank in group.ranks if states[rank].armed is not None]
+
+    def find_map(self, group: Group) -> ExpertMap | None:
+        """Find the map in force, if all ranks show the same version.
+
+        :param group: the group.
+        :returns: the map in force, or ``None`` if it is not known.
+        """
+        states = self._ranks.read_states()
+        versions = {states[rank].version for rank in group.ranks}
+        if len(versions) != 1:
+            return None
+        whole = self._maps.find(min(versions))
+        return self._join_lists(group) if whole is None else whole
+
+    def find_loads(self, sets: int) -> list[list[float]]:
+        """Add up the load of each expert.
+
+        :param sets: the number of sets.
+        :returns: for each set, the load of each expert; empty if not known.
+        """
+        return add_up(self._parts, sets)
+
+    def list_paces(self, group: Group) -> list[float]:
+        """List by how much each rank is slower than usual.
+
+        :param group: the group.
+        :returns: 1 for a rank at its usual pace.
+        """
+        states = self._ranks.read_states()
+        return [max(states[rank].pace, 1) for rank in group.ranks]
+
+    async def _learn_experts(self, rank: int, engine: EnginePort) -> None:
+        name = self._name_map(rank)
+        is_known = name is None or self._maps.find(name[1]) is not None
+        if is_known or self._experts_of.get(rank) == name:
+            return
+        experts = await engine.read_experts()
+        if experts is not None:
+            self._note_experts(rank, experts)
+
+    def _note_experts(self, rank: int, experts: RankExperts) -> None:
+        self._experts[rank] = experts
+        self._experts_of[rank] = self._name_map(rank)
+
+    def _name_map(self, rank: int) -> tuple[int, int] | None:
+        state = self._ranks.read_states().get(rank)
+        return None if state is None else (state.epoch, state.version)
+
+    def _join_lists(self, group: Group) -> ExpertMap | None:
+        maps = {self._name_map(rank) for rank in group.ranks}
+        known = {self._experts_of.get(rank) for rank in group.ranks}
+        if maps != known:
+            return None
+        lists = [self._experts[rank] for rank in group.ranks]
+        return tuple(zip(*lists, strict=True))
--- a/src/ospreyford/rebalance/watcher.py
+++ b/src/ospreyford/rebalance/watcher.py
@@ -58,7 +58,8 @@
         if self.state is None:
             return None
         shares = self._shares.pack(self.state.active)
-        return Counts(self.state, self._experts, shares)
+        is_known = self._experts_of == (self.state.epoch, self.state.version)
+        return Counts(self.state, self._experts if is_known else (), shares)
 
     def _note_miss(self) -> None:
         self._missed += 1
--- a/tests/rebalance/coordinators.py
+++ b/tests/rebalance/coordinators.py
@@ -18,6 +18,7 @@
 )
 from ospreyford.rebalance.member import RankMember
 from ospreyford.rebalance.ports import Reply
+from ospreyford.rebalance.versions import NOBODY, make_version
 from tests.fakes.clock import FakeClock
 from tests.fakes.stepping import SteppedTask, Stepper, Waiting, park
 from tests.rebalance.fakegroup import FakeGroup
@@ -57,14 +58,25 @@
 
     group: FakeGroup
     clock: FakeClock
+    me: int
     seen: dict[int, RankState] = field(default_factory=dict)
 
     def read_states(self) -> Mapping[int, RankState]:
         return self.seen
 
-    def look(self) -> None:
-        for rank in range(self.group.size):
-            self.seen[rank] = self.group.show(rank)
+    def look(self) -> Group:
+        self.seen = {
+            rank: self.group.show(rank)
+            for rank in range(self.group.size)
+            if rank not in self.group.unreachable
+        }
+        ranks = tuple(self.seen)
+        gone = sorted(self.group.unreachable)
+        return Group(self.group.epoch, ranks, gone[0] if gone else None)
+
+    def choose_holder(self, ranks: Sequence[int]) -> int:
+        others = [rank for rank in ranks if rank != self.me]
+        return others[0] if others else self.me
 
     async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
         member = RankMember(Engine(self.group, rank), self.clock)
@@ -99,6 +111,7 @@
     late: list[tuple[int, Order, Guard]] = field(default_factory=list)
     token: int = 0
     version: int = 0
+    homes: dict[str, int] = field(default_factory=dict)
 
     def start(self, kind: int) -> None:
         """Have another agent believe that it coordinates."""
@@ -108,20 +121,22 @@
         )
 
     async def _coordinate(self, token: int, kind: int) -> bool:
-        ranks = Ranks(self.group, self.clock)
         me = kind % self.group.size
+        ranks = Ranks(self.group, self.clock, me)
+        self.homes[f'coordinator {token}'] = me
         coordinator = Coordinator(me, token, ranks, run_in_turn, self.clock)
         for turn in range(4):
-            ranks.look()
-            group = Group(self.group.epoch, tuple(range(self.group.size)))
+            group = ranks.look()
             experts = MAPS[(kind + turn) % len(MAPS)]
             self.version += 1
+            version = make_version(self.version, me)
             states = ranks.seen.values()
             if any(one.held is not None or one.armed for one in states):
                 current = self.group.ranks[0].experts
-                await coordinator.settle(group, self.version, current)
-            else:
-                await coordinator.change(group, self.version, experts)
+                fence = make_version(self.version, NOBODY)
+                await coordinator.settle(group, fence, current)
+            elif group.missing is None:
+                await coordinator.change(group, version, experts)
             if coordinator.is_fenced:
                 return False
         return True
@@ -135,7 +150,7 @@
         assert waiting is not None
         match waiting:
             case Waiting('state', int(rank)):
-                lost = fate == 1
+                lost = fate == 1 or self._is_out_of_reach(task, rank)
                 self.stepper.resume(
                     task, None if lost else self.group.show(rank)
                 )
@@ -147,6 +162,9 @@
     def _give(
         self, task: SteppedTask, what: tuple[int, Order, Guard], fate: int
     ) -> None:
+        if self._is_out_of_reach(task, what[0]):
+            self.stepper.resume(task, Reply.none)
+            return
         if fate == 1:
             self.late.append(what)
             self.stepper.resume(task, Reply.none)
@@ -159,12 +177,25 @@
         if self.late:
             self.group.take(*self.late.pop(number % len(self.late)))
 
+    def _is_out_of_reach(self, task: SteppedTask, rank: int) -> bool:
+        return rank in self.group.unreachable
+
+    def freeze(self, task: SteppedTask) -> None:
+        """End a coordinator, and take the rank beside it out of reach."""
+        self.group.unreachable = {self.homes[task.name]}
+        self.kill(task)
+
+    def thaw(self) -> None:
+        """Have the rank out of reach answer again."""
+        self.group.unreachable = set()
+
     def kill(self, task: SteppedTask) -> None:
         """End a coordinator where it stands."""
         self.stepper.kill(task)
 
     def calm_down(self) -> None:
         """Leave one new coordinator alone with the group."""
+        self.thaw()
         for task in self.list_tasks():
             self.kill(task)
         self.start(0)
--- a/tests/rebalance/fakegroup.py
+++ b/tests/rebalance/fakegroup.py
@@ -61,6 +61,7 @@
     epoch: int = 1
     ranks: list[FakeRank] = field(default_factory=list)
     ignored: frozenset[str] = frozenset()
+    unreachable: set[int] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.ranks = [FakeRank(number) for number in range(self.size)]
--- a/tests/rebalance/test_machine.py
+++ b/tests/rebalance/test_machine.py
@@ -71,6 +71,17 @@
         tasks = self.world.list_tasks()
         self.world.kill(tasks[choice % len(tasks)])
 
+    @precondition(has_tasks)
+    @rule(choice=CHOICE)
+    def freeze_coordinator(self, choice: int) -> None:
+        tasks = self.world.list_tasks()
+        if len(tasks) == 1 and not self.world.group.unreachable:
+            self.world.freeze(tasks[choice % len(tasks)])
+
+    @rule()
+    def thaw_host(self) -> None:
+        self.world.thaw()
+
     @rule()
     def lose_rank(self) -> None:
         self.world.group.reopen()
@@ -94,6 +105,10 @@
     )
 
 
+#: Of a pass, a late order, a kill, a new epoch, a freeze, a thaw and a step.
+WEIGHTS = (20, 12, 1, 1, 1, 1, 166)
+
+
 def walk(world: World, random: Random, steps: int) -> None:
     """Take random steps, faults among them."""
     for _ in range(steps):
@@ -101,7 +116,7 @@
         if not tasks or (len(tasks) < 2 and random.randrange(33) == 0):
             world.start(random.randrange(30))
             continue
-        match random.choices(range(5), (20, 12, 1, 1, 166))[0]:
+        match random.choices(range(7), WEIGHTS)[0]:
             case 0:
                 world.group.begin_pass()
             case 1:
@@ -110,6 +125,11 @@
                 world.kill(random.choice(tasks))
             case 3:
                 world.group.reopen()
+            case 4:
+                if len(tasks) == 1 and not world.group.unreachable:
+                    world.freeze(tasks[0])
+            case 5:
+                world.thaw()
             case _:
                 fate = random.choices((0, 1, 2), (12, 1, 1))[0]
                 world.resume(random.choice(tasks), fate)
@@ -146,3 +166,28 @@
     the guard left out; with all of them no walk breaks.
     """
     assert (count_broken(frozenset(ignored), 400) > 0) is breaks
+
+
+@pytest.mark.parametrize('steps', range(6, 60))
+def test_a_frozen_host_does_not_stop_its_group(steps: int) -> None:
+    """A group stood still for four seconds.
+
+    Sequence: a coordinator freezes after any step of a change, and its host
+    takes the rank beside it out of reach; another one takes over. Cause: the
+    pass was held at the coordinator's own rank, so nobody could let it begin.
+    What is left: the coordinator's own rank is armed last, and while it is, all
+    the others are; only it can tell whether it is.
+    """
+    world = World(FakeGroup())
+    world.start(0)
+    for _ in range(steps):
+        world.resume(world.list_tasks()[0], 0)
+    world.freeze(world.list_tasks()[0])
+    others = world.group.ranks[1:]
+    are_armed = all(rank.armed is not None for rank in others)
+    world.start(1)
+    for _ in range(400):
+        tasks = world.list_tasks()
+        if tasks:
+            world.resume(tasks[0], 0)
+    assert are_armed or world.group.begin_pass()
