--- a/tests/console/test_program.py
+++ b/tests/console/test_program.py
@@ -83,6 +83,22 @@
     assert '"message_type":"Stopped"' in errors
 
 
+def test_a_hangup_signal_ends_nothing(tmp_path: pathlib.Path) -> None:
+    """Processes ended with code 129.
+
+    Sequence: the platform sends SIGHUP when the settings file has changed.
+    Cause: the signal's default action.
+    """
+    process = launch(tmp_path, 0, 60)
+    assert process.stdout is not None
+    assert process.stdout.readline() == 'started\n'
+    process.send_signal(signal.SIGHUP)
+    process.send_signal(signal.SIGTERM)
+    assert process.stdout.readline() == 'draining\n'
+    process.communicate(timeout=20)
+    assert process.returncode == 0
+
+
 # Settings, exit code and the start of the only line.
 FAILURES = (
     ('taken', 60, 1, 'cannot run: [Errno 98] Address already in use'),
--- /dev/null
+++ b/tests/direct/test_gate.py
@@ -0,0 +1,122 @@
+"""Where streams wait: closed groups, callers that leave, places given back."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+
+from ospreyford.direct.admission import GroupLoad
+from ospreyford.direct.call import Call
+from ospreyford.direct.catalog import Repetition
+from ospreyford.direct.gate import PAUSE_SECONDS, StreamGate
+from ospreyford.http.message import Request
+from tests.direct import backends as be
+
+ROUTE = be.make_route(Repetition.resumable, streams=True, max_gap=0.12)
+#: A group whose passes take too long for any further stream.
+FULL = GroupLoad(40, 0, 0.3, 0.018)
+EMPTY = GroupLoad(0, 0, 0, 0.018)
+
+
+def make_call(seconds: float = 8) -> Call:
+    now = time.monotonic()
+    return Call(
+        id='x',
+        request=Request('POST', '/a/x', ()),
+        route=ROUTE,
+        service='service',
+        key=None,
+        customer=None,
+        started_at=now,
+        deadline=now + seconds,
+    )
+
+
+async def enter_closed() -> tuple[int, float]:
+    gate = StreamGate(0.12)
+    gate.note_refusal()
+    began = time.monotonic()
+    entered = []
+
+    async def enter() -> None:
+        entered.append(await gate.enter(make_call()))
+
+    for _ in range(5):
+        await curio.spawn(enter, daemon=True)
+    await curio.sleep(PAUSE_SECONDS / 2)
+    early = len(entered)
+    while not entered:
+        await curio.sleep(0.02)
+        await gate.look()
+    return early, time.monotonic() - began
+
+
+def test_requests_wait_for_a_closed_group() -> None:
+    """Requests were refused by two ranks within 4 ms and lost.
+
+    Sequence: all hosts lose power; the entries are back before the group has
+    opened. Cause: each refusal was followed at once by the next sending, and
+    the caller's only retry met the same.
+    """
+    early, waited = curio.run(enter_closed)
+    assert early == 0
+    assert waited >= PAUSE_SECONDS
+
+
+async def probe_closed() -> list[int]:
+    gate = StreamGate(0.12)
+    gate.note_refusal()
+    for _ in range(5):
+        await curio.spawn(gate.enter, make_call(), daemon=True)
+    await curio.sleep(PAUSE_SECONDS + 0.02)
+    await gate.look()
+    probing = gate.running
+    gate.note_start()
+    await gate.look()
+    return [probing, gate.running]
+
+
+def test_one_request_finds_out_whether_the_group_is_open() -> None:
+    assert curio.run(probe_closed) == [1, 5]
+
+
+async def give_back() -> int:
+    gate = StreamGate(0.12)
+    await gate.enter(make_call())
+    await gate.take_load(FULL, 1)
+    waiting = await curio.spawn(gate.enter, make_call())
+    await curio.sleep(0.01)
+    await waiting.cancel()
+    await gate.leave()
+    return gate.running
+
+
+def test_a_caller_that_leaves_takes_no_place() -> None:
+    assert curio.run(give_back) == 0
+
+
+async def refuse_late() -> list[bool]:
+    gate = StreamGate(0.12)
+    await gate.take_load(FULL, 1)
+    call = make_call(0.3)
+    tasks = [await curio.spawn(gate.enter, call) for _ in range(2)]
+    await curio.sleep(0.25)
+    await gate.look()
+    return [await task.join() for task in tasks]
+
+
+def test_what_cannot_be_served_in_time_is_told_so() -> None:
+    assert curio.run(refuse_late) == [False, False]
+
+
+async def stay_open() -> bool:
+    gate = StreamGate(0.12)
+    gate.note_refusal()
+    await gate.take_load(EMPTY._replace(is_open=True), 1)
+    gate.note_start()
+    return await gate.enter(make_call())
+
+
+def test_an_open_group_is_entered_at_once() -> None:
+    assert curio.run(stay_open)
