--- a/src/ospreyford/direct/sending.py
+++ b/src/ospreyford/direct/sending.py
@@ -30,6 +30,8 @@
 
 OK: Final = 200
 REDIRECTION: Final = 300
+#: The first status that HTTP does not know.
+BEYOND: Final = 600
 MISDIRECTED: Final = 421
 #: Time for the rest of a refusal, in seconds. With it read, the connection can
 #: serve again; without, only a new one is needed.
@@ -159,6 +161,8 @@
         """
         dialect = self._tools.dialect
         echoed = find_header(head.headers, dialect.request_id)
+        if not OK <= head.status < BEYOND:
+            return False
         if echoed is not None and echoed.decode('latin-1') != self._call.id:
             return False
         if find_header(head.headers, b'content-encoding') is not None:
