Listen before libraries are imported; call a group closed after two refusals

And processes that start refuse callers for the time of their imports, 0.13 s of a whole core: now connections wait in the kernel, and requests up to 0.8 s for the first reading of the store.

--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import takewhile
 from typing import TYPE_CHECKING
 
 from ospreyford.direct.catalog import Repetition
@@ -90,9 +91,17 @@
 
         :returns: whether fewer sendings than that were not refused.
         """
-        runs = sum(one.outcome != 'Refused' for one in self.attempts)
+        runs = sum(not _is_refused(one) for one in self.attempts)
         return runs < self.route.attempts
 
+    def count_last_refusals(self) -> int:
+        """Count the refusals since the last sending that was not refused.
+
+        :returns: how many back ends in a row have refused it.
+        """
+        refused = takewhile(_is_refused, reversed(self.attempts))
+        return len(list(refused))
+
     def tell_left(self, now: float) -> float:
         """Tell how much time is left.
 
@@ -100,3 +109,7 @@
         :returns: seconds; not below zero.
         """
         return max(self.deadline - now, 0)
+
+
+def _is_refused(attempt: Attempt) -> bool:
+    return attempt.outcome == 'Refused'
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -64,6 +64,7 @@
         :param exchange: the request and the way back to its caller.
         """
         body = await exchange.read_body()
+        await self._world.wait_until_known()
         admitted = self._admit(exchange.request)
         if not isinstance(admitted, Call):
             await self._answer(exchange, admitted, self._read_id(exchange))
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
 
@@ -51,14 +51,27 @@
 FINISH_POLL = 0.05
 
 
+class Listeners(NamedTuple):
+    """Sockets that listen already.
+
+    :param front: where callers connect.
+    :param ready: where the balancer asks whether this entry is ready.
+    """
+
+    front: Socket
+    ready: Socket
+
+
 class EntryServer:
     """Everything that runs in an entry beside the reader of the store.
 
     :param world: what the entry knows and uses.
     :param stop: tells when to stop.
+    :param listeners: sockets that listen already.
     """
 
-    def __init__(self, world: World, stop: Stop) -> None:
+    def __init__(self, world: World, stop: Stop, listeners: Listeners) -> None:
+        self._listeners = listeners
         self._world = world
         self._stop = stop
         self._handler = RequestHandler(world)
@@ -74,8 +87,7 @@
         world = self._world
         settings = world.settings
         self._stop.count_in_flight = self._open.count_busy
-        front = listen(*settings.front)
-        ready = listen(*settings.ready)
+        front, ready = self._listeners
         metrics = listen(settings.front[0], settings.metrics_port)
         accepting = await curio.spawn(self._accept_callers, front, daemon=True)
         await curio.spawn(accept, ready, self._answer_ready, daemon=True)
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -41,6 +41,9 @@
 #: Sendings of one request at most, refused ones among them: a closed group
 #: refuses for some seconds, and each sending is paid by the shared budget.
 MOST_SENDINGS = 6
+#: Ranks in a row that refuse a request before its whole group counts as closed:
+#: one alone may be full, or leaving.
+CLOSED_REFUSALS = 2
 #: With less time left a request is not sent any more, in seconds.
 LEAST_SECONDS = 0.02
 #: When to come back where nothing better is known, in seconds.
@@ -105,8 +108,9 @@
             if member is None:
                 return self._give_up(self._cause, BAD_GATEWAY)
             verdict = await self._attempt(member)
-            is_refused = verdict is None and self._cause is Cause.refused
-            if self._gate is not None and is_refused:
+            refusals = self._call.count_last_refusals()
+            is_closed = verdict is None and refusals >= CLOSED_REFUSALS
+            if self._gate is not None and is_closed:
                 self._gate.note_refusal()
                 break
         return verdict
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
+import curio
+
 from ospreyford.direct.admission import GroupLoad
 from ospreyford.direct.budget import RetryBudget
 from ospreyford.direct.connections import ConnectionPool
@@ -23,6 +26,12 @@
     from ospreyford.observability.logs import ChangeLog
 
 
+#: Time after the start in which requests wait for the first reading, seconds;
+#: callers leave a request alone that was not read for a second.
+LEARNING_SECONDS = 0.8
+LEARNING_POLL = 0.02
+
+
 @dataclass
 class World:
     """The parts of one entry.
@@ -47,6 +56,7 @@
         self.knowledge = Knowledge(self.settings.bounds)
         self.pool = ConnectionPool()
         self.metrics = EntryMetrics()
+        self.started_at = time.monotonic()
         self.gates: dict[str, StreamGate] = {}
         self.tools = Tools(self.pool, self.dialect)
 
@@ -82,6 +92,20 @@
             load._replace(base_seconds=base), self.budget.entries
         )
 
+    async def wait_until_known(self) -> bool:
+        """Wait for the first reading of the store, shortly after the start.
+
+        Callers' connections are there before the configuration is. A refusal
+        would cost them one of their few tries, for some hundredths of a
+        second.
+
+        :returns: whether catalog and back ends are known.
+        """
+        until = self.started_at + LEARNING_SECONDS
+        while not self._is_known() and time.monotonic() < until:
+            await curio.sleep(LEARNING_POLL)
+        return self._is_known()
+
     def is_ready(self) -> bool:
         """Tell whether callers are served well here.
 
@@ -89,8 +113,7 @@
         """
         return (
             not self.is_stopping
-            and self.catalog is not None
-            and len(self.fleet) > 0
+            and self._is_known()
             and self.knowledge.may_serve_keys()
         )
 
@@ -101,3 +124,6 @@
         """
         age = self.knowledge.tell_age()
         return -1 if age is None else int(age * 1000)
+
+    def _is_known(self) -> bool:
+        return self.catalog is not None and len(self.fleet) > 0
--- a/src/ospreyford/platform/agent.py
+++ b/src/ospreyford/platform/agent.py
@@ -1,7 +1,10 @@
-"""The agent on the platform: ``python3 -m ospreyford.platform.agent``."""
+"""The agent on the platform."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from socket import socket
+
 import curio
 
 from ospreyford.console.allocator import hand_back_memory
@@ -10,7 +13,7 @@
 from ospreyford.observability.logs import ChangeLog
 from ospreyford.platform.entry import METRICS_PORT, open_log
 from ospreyford.platform.errors import BadNodeFile
-from ospreyford.platform.nodefile import PATH_VARIABLE, Node, read_node
+from ospreyford.platform.nodefile import PATH_VARIABLE, Node
 from ospreyford.platform.replica import Replica
 from ospreyford.ports.clock import SystemClock
 from ospreyford.rebalance.agent import RankAgent
@@ -66,10 +69,15 @@
         await group.spawn(stop.watch)
 
 
-def main() -> None:
-    """Run the agent with the platform's settings file."""
+def run(node: Node, listeners: Sequence[socket]) -> None:
+    """Run the agent.
+
+    :param node: what the platform's file says.
+    :param listeners: unused; callers do not reach an agent.
+    """
     hand_back_memory()
-    node = read_node()
+    for unused in listeners:
+        unused.close()
     log = open_log(node)
     stop = Stop(node.grace_seconds)
     stop.install()
@@ -78,7 +86,3 @@
     finally:
         stop.finish()
         log.close()
-
-
-if __name__ == '__main__':
-    main()
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -1,12 +1,16 @@
-"""The entry on the platform: ``python3 -m ospreyford.platform.entry``."""
+"""The entry on the platform."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from socket import socket
+
 import curio
+from curio.io import Socket
 
 from ospreyford.console.allocator import hand_back_memory
 from ospreyford.console.stopping import Stop
-from ospreyford.direct.program import EntryServer
+from ospreyford.direct.program import EntryServer, Listeners
 from ospreyford.direct.settings import Bounds, DirectSettings, RetrySettings
 from ospreyford.direct.world import World
 from ospreyford.observability.events import Started
@@ -15,7 +19,7 @@
 from ospreyford.platform.dialect import DIALECT
 from ospreyford.platform.errors import BadNodeFile
 from ospreyford.platform.feed import StoreFeed
-from ospreyford.platform.nodefile import PATH_VARIABLE, Node, read_node
+from ospreyford.platform.nodefile import PATH_VARIABLE, Node
 from ospreyford.platform.store import Store
 from ospreyford.settings.sections import Identity, Logs
 
@@ -62,35 +66,38 @@
     return ChangeLog(Logs(), identity, DescriptorSink(STANDARD_OUTPUT))
 
 
-async def serve(node: Node, log: ChangeLog, stop: Stop) -> None:
+async def serve(
+    node: Node, listeners: Sequence[socket], log: ChangeLog, stop: Stop
+) -> None:
     """Run the entry until it has stopped.
 
     :param node: what the platform's file says.
+    :param listeners: where callers connect, and where the balancer asks.
     :param log: where decisions go.
     :param stop: tells when to stop.
     """
     world = World(make_settings(node), DIALECT, log)
     log.log_change(Started('entry', node.name, ''))
-    server = EntryServer(world, stop)
+    front, ready = map(Socket, listeners)
+    server = EntryServer(world, stop, Listeners(front, ready))
     feed = StoreFeed(Store(node.store), server.changes, world)
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(server.run, feed.run)
         await group.spawn(stop.watch)
 
 
-def main() -> None:
-    """Run the entry with the platform's settings file."""
+def run(node: Node, listeners: Sequence[socket]) -> None:
+    """Run the entry.
+
+    :param node: what the platform's file says.
+    :param listeners: where callers connect, and where the balancer asks.
+    """
     hand_back_memory()
-    node = read_node()
     log = open_log(node)
     stop = Stop(node.grace_seconds)
     stop.install()
     try:
-        curio.run(serve, node, log, stop)
+        curio.run(serve, node, listeners, log, stop)
     finally:
         stop.finish()
         log.close()
-
-
-if __name__ == '__main__':
-    main()
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -231,6 +231,7 @@
     lines = Lines()
     world = World(SETTINGS, DIALECT, lines)  # type: ignore[arg-type]
     world.catalog = make_catalog(route)
+    world.started_at = 0
     world.knowledge.confirm(read_boot_clock())
     backends = []
     names = itertools.count()
