--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -72,6 +72,15 @@
             self.longest_gap = max(self.longest_gap, gap)
         self.last_event_at = now
 
+    def tell_priority(self) -> int:
+        """Tell how urgent it is.
+
+        :returns: the customer's priority, or else the route's; 0 goes first.
+        """
+        if self.customer is None or self.customer.priority is None:
+            return self.route.priority
+        return self.customer.priority
+
     def may_repeat(self) -> bool:
         """Tell whether it may be sent again after a sending of unknown fate.
 
--- a/src/ospreyford/direct/decisions.py
+++ b/src/ospreyford/direct/decisions.py
@@ -138,16 +138,6 @@
     revision: int
 
 
-@dataclass(frozen=True)
-class SettingsReread:
-    """The settings file was read again.
-
-    :param changed: whether it said anything else.
-    """
-
-    changed: bool
-
-
 Decision = (
     RequestEnded
     | RequestDenied
@@ -157,5 +147,4 @@
     | BackendChanged
     | StoreLost
     | StoreRegained
-    | SettingsReread
 )
--- a/src/ospreyford/direct/dialect.py
+++ b/src/ospreyford/direct/dialect.py
@@ -16,7 +16,6 @@
     :param refused: an answer with it has not run the request.
     :param seal: the back end's signature of a success.
     :param last_event: the id after which a stream goes on.
-    :param culprit: which back end a refusal is about.
     """
 
     request_id: bytes
@@ -27,4 +26,3 @@
     refused: bytes
     seal: bytes
     last_event: bytes
-    culprit: bytes
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -70,7 +70,7 @@
             call.started_at,
             call.route.objective,
             call.deadline,
-            call.route.priority,
+            call.tell_priority(),
         )
         self._queue.add(waiter)
         self._turns[waiter.number] = curio.Event()
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -20,8 +20,9 @@
     TooSlow,
 )
 from ospreyford.http.message import Limits
-from ospreyford.http.server import listen, serve_connection
+from ospreyford.http.server import serve_connection
 from ospreyford.observability.events import Draining, NotReady, Ready, Stopped
+from ospreyford.observability.exposition import FigureServer, accept
 from ospreyford.observability.supervision import keep_running
 
 if TYPE_CHECKING:
@@ -88,10 +89,10 @@
         settings = world.settings
         self._stop.count_in_flight = self._open.count_busy
         front, ready = self._listeners
-        metrics = listen(settings.front[0], settings.metrics_port)
         accepting = await curio.spawn(self._accept_callers, front, daemon=True)
         await curio.spawn(accept, ready, self._answer_ready, daemon=True)
-        await curio.spawn(accept, metrics, self._answer_metrics, daemon=True)
+        figures = FigureServer(self._render_metrics)
+        await figures.start(settings.front[0], settings.metrics_port)
         agents = AgentLink(world)
         for task in (feed, agents.run, agents.greet_often, self._sweep):
             await curio.spawn(keep_running, task, world.log, daemon=True)
@@ -136,14 +137,10 @@
         status = OK if self._world.is_ready() else UNAVAILABLE
         await exchange.respond(status, b'')
 
-    async def _answer_metrics(self, exchange: Exchange) -> None:
+    def _render_metrics(self) -> bytes:
         world = self._world
         world.metrics.picture_age.set(world.knowledge.tell_age() or 0)
-        await exchange.respond(
-            OK,
-            world.metrics.render(),
-            ((b'content-type', b'text/plain; version=0.0.4'),),
-        )
+        return world.metrics.render()
 
     async def _sweep(self) -> None:
         while True:
@@ -166,22 +163,6 @@
             self._world.log.log_change(NotReady(f'picture {age_ms} ms old'))
 
 
-async def accept(
-    sock: Socket, handler: Callable[[Exchange], Awaitable[None]]
-) -> None:
-    """Serve a small port for the platform's own questions.
-
-    :param sock: the listening socket.
-    :param handler: answers each request.
-    """
-    async with sock:
-        while True:
-            client, _ = await sock.accept()
-            await curio.spawn(
-                serve_connection, client, Limits(), handler, daemon=True
-            )
-
-
 async def refuse(error: HttpError, connection: ServerConnection) -> None:
     """Answer what is no request, where the protocol still allows it.
 
--- a/src/ospreyford/platform/dialect.py
+++ b/src/ospreyford/platform/dialect.py
@@ -16,5 +16,4 @@
     refused=b'x-not-executed',
     seal=b'x-response-seal',
     last_event=b'last-event-id',
-    culprit=b'at-server',
 )
--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -8,11 +8,11 @@
 import curio
 
 from ospreyford.observability.events import Draining, Stopped
+from ospreyford.observability.exposition import FigureServer
 from ospreyford.observability.supervision import keep_running
 from ospreyford.rebalance.audience import Audience
 from ospreyford.rebalance.decisions import CoordinatorChanged
 from ospreyford.rebalance.election import BEAT_SECONDS, Election
-from ospreyford.rebalance.knownmaps import KnownMaps
 from ospreyford.rebalance.leader import GroupLeader
 from ospreyford.rebalance.member import RankMember
 from ospreyford.rebalance.messages import (
@@ -24,6 +24,7 @@
     Message,
     Tell,
 )
+from ospreyford.rebalance.metrics import AgentMetrics
 from ospreyford.rebalance.orderdesk import OrderDesk
 from ospreyford.rebalance.post import Post
 from ospreyford.rebalance.ranks import GroupRanks
@@ -50,9 +51,12 @@
         self._outside = outside
         self._post = Post(settings.datagrams)
         self._member = RankMember(outside.engine, outside.clock)
-        self._maps = KnownMaps()
+        self._metrics = AgentMetrics()
         self._desk = OrderDesk(
-            self._member, self._post, self._maps, outside.log
+            self._member,
+            self._post,
+            self._metrics,
+            outside.log,
         )
         self._watcher = RankWatcher(outside.engine, outside.log)
         self._audience = Audience(settings, self._post)
@@ -73,6 +77,9 @@
             self._lead_often,
         ):
             await curio.spawn(keep_running, task, log, daemon=True)
+        await FigureServer(self._metrics.render).start(
+            self._settings.datagrams[0], self._settings.metrics_port
+        )
         await stop.requested.wait()
         log.log_change(Draining('signal', 0))
         log.log_change(Stopped(0))
@@ -143,11 +150,11 @@
         )
         self._leader = GroupLeader(
             ranks,
-            self._maps,
+            self._desk.maps,
             self._election.lost,
             self._settings.pace,
-            outside.log,
-            outside.clock,
+            self._metrics,
+            outside,
         )
         self._log_leader(state.group, self._settings.datagrams[0])
 
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -14,10 +14,10 @@
 
 if TYPE_CHECKING:
     from ospreyford.direct.catalog import Engine
-    from ospreyford.observability.logs import ChangeLog
-    from ospreyford.ports.clock import Clock
     from ospreyford.rebalance.group import RankState
     from ospreyford.rebalance.knownmaps import KnownMaps
+    from ospreyford.rebalance.metrics import AgentMetrics
+    from ospreyford.rebalance.outside import Outside
     from ospreyford.rebalance.ranks import GroupRanks
     from ospreyford.rebalance.settings import Pace
 
@@ -31,8 +31,8 @@
     :param maps: the last maps that this agent was told of.
     :param lost: IP number of the earlier coordinator's host, if there was one.
     :param pace: how fast maps follow the load.
-    :param log: where decisions go.
-    :param clock: source of time.
+    :param metrics: counts the changes.
+    :param outside: where decisions go, and the source of time.
     """
 
     def __init__(
@@ -41,16 +41,18 @@
         maps: KnownMaps,
         lost: str | None,
         pace: Pace,
-        log: ChangeLog,
-        clock: Clock,
+        metrics: AgentMetrics,
+        outside: Outside,
     ) -> None:
+        clock = outside.clock
         self.ranks = ranks
         self.view = GroupView(ranks, maps, clock)
         self._maps = maps
         self._lost = lost
         self.passes = PassTimer()
         self._pace = pace
-        self._log = log
+        self._metrics = metrics
+        self._log = outside.log
         self._clock = clock
 
     def note_pass(self, state: RankState) -> None:
@@ -130,6 +132,9 @@
         if outcome is Change.made:
             self.ranks.note_switch(version)
         took = self._clock.monotonic() - began
+        self._metrics.changes.labels(outcome.value).inc()
+        self._metrics.copies.inc(plan.copies)
+        self._metrics.change_seconds.observe(took)
         self._log.log_change(
             MapChanged(
                 group=mine.group,
--- a/src/ospreyford/rebalance/orderdesk.py
+++ b/src/ospreyford/rebalance/orderdesk.py
@@ -11,12 +11,13 @@
 from ospreyford.rebalance.decisions import OrderCarriedOut
 from ospreyford.rebalance.frames import pack_outcome, unpack_order
 from ospreyford.rebalance.group import Prepare, Term
+from ospreyford.rebalance.knownmaps import KnownMaps
 from ospreyford.rebalance.messages import Ask, Tell
 
 if TYPE_CHECKING:
     from ospreyford.observability.logs import ChangeLog
-    from ospreyford.rebalance.knownmaps import KnownMaps
     from ospreyford.rebalance.member import RankMember
+    from ospreyford.rebalance.metrics import AgentMetrics
     from ospreyford.rebalance.post import Address, Post
 
 MILLISECONDS = 1000
@@ -29,7 +30,7 @@
 
     :param member: carries out orders on the rank.
     :param post: the process's datagrams.
-    :param maps: takes the maps that are prepared.
+    :param metrics: counts the outcomes.
     :param log: where outcomes go.
     """
 
@@ -37,10 +38,11 @@
         self,
         member: RankMember,
         post: Post,
-        maps: KnownMaps,
+        metrics: AgentMetrics,
         log: ChangeLog,
     ) -> None:
-        self._maps = maps
+        self._metrics = metrics
+        self.maps = KnownMaps()
         self._member = member
         self._post = post
         self._log = log
@@ -70,12 +72,14 @@
         if order is None:
             return
         if isinstance(order, Prepare):
-            self._maps.note(order.version, order.experts)
+            self.maps.note(order.version, order.experts)
         term = Term(ask.token, ask.epoch)
         outcome = await self._member.carry_out(order, term)
         answer = pack_outcome(ask.number, outcome)
         self._answers[address, ask.number] = answer
         await self._post.send(answer, address)
+        name = type(outcome).__name__
+        self._metrics.orders.labels(ask.order.kind, name).inc()
         self._log.log_change(
             OrderCarriedOut(
                 order=ask.order.kind,
@@ -83,7 +87,7 @@
                 step=ask.order.step,
                 token=ask.token,
                 epoch=ask.epoch,
-                outcome=type(outcome).__name__,
+                outcome=name,
                 took_ms=int((time.monotonic() - began) * MILLISECONDS),
             )
         )
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -44,7 +44,6 @@
     refused=b'x-refused',
     seal=b'x-seal',
     last_event=b'last-event-id',
-    culprit=b'x-culprit',
 )
 SETTINGS = DirectSettings(
     name='entry',
