--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -165,3 +165,14 @@
     known.confirm(100 - age)
     known.confirm(50 - age)
     assert known.may_serve_keys() is good
+
+
+def test_a_slow_rank_gets_no_request_while_others_have_room() -> None:
+    fleet = make_fleet(make_server('slow'), make_server('usual'))
+    slow = fleet.find('slow')
+    usual = fleet.find('usual')
+    assert slow is not None
+    assert usual is not None
+    slow.pace = 12
+    usual.in_flight = 6
+    assert choose(fleet) == 'usual'
--- /dev/null
+++ b/tests/rebalance/test_known.py
@@ -0,0 +1,52 @@
+"""Maps that agents remember, passes they time, agents that are silent."""
+
+from __future__ import annotations
+
+from ospreyford.rebalance.knownmaps import KEPT, KnownMaps
+from ospreyford.rebalance.passes import PassTimer
+from ospreyford.rebalance.silence import SilentAgents
+from ospreyford.rebalance.versions import NOBODY, find_author, make_version
+from tests.fakes.clock import FakeClock
+
+
+def test_the_last_maps_are_kept() -> None:
+    """A new coordinator waited for an agent that was frozen.
+
+    Sequence: the coordinator's host freezes; the next one needs the whole map
+    to change or settle the group. Cause: it put the map together from what
+    each agent reported of its own rank.
+    """
+    maps = KnownMaps()
+    for version in range(KEPT + 2):
+        maps.note(version, (((version,),),))
+    assert maps.find(0) is None
+    assert maps.find(KEPT + 1) == (((KEPT + 1,),),)
+
+
+def test_the_mean_of_the_last_passes() -> None:
+    timer = PassTimer()
+    assert not timer.tell_mean()
+    for number in range(100):
+        timer.add(number // 2, number / 100)
+    assert 50 * timer.tell_mean() == 1
+    timer.add(1, 1.0)
+    assert not timer.tell_mean()
+
+
+def test_silent_agents_are_looked_past_now_and_then() -> None:
+    clock = FakeClock()
+    agents = SilentAgents(clock)
+    assert not agents.take_look('a')
+    clock.advance(0.6)
+    agents.note_report('b')
+    assert agents.take_look('a')
+    assert not agents.take_look('a')
+    assert not agents.take_look('b')
+    clock.advance(0.3)
+    assert agents.take_look('a')
+
+
+def test_a_version_tells_its_author() -> None:
+    assert find_author(make_version(1_800_000_000_123, 7)) == 7
+    assert find_author(make_version(1, NOBODY)) == NOBODY
+    assert make_version(2, 0) > make_version(1, NOBODY)
--- a/tests/rebalance/test_planner.py
+++ b/tests/rebalance/test_planner.py
@@ -121,3 +121,35 @@
 )
 def test_level_load_needs_no_plan(loads: list[list[float]]) -> None:
     assert Planner(loads, FIRST, LIMITS).plan() is None
+
+
+def test_a_slow_rank_is_spared() -> None:
+    """All passes took half a second for nine seconds.
+
+    Sequence: one rank turns twelve times slower than usual. Cause: it kept its
+    part of the experts, and all ranks wait for the most loaded one.
+    """
+    loads = draw_loads(3)
+    experts = plan_often(loads, 20)[-1].experts
+    paces = [12.0] + [1.0] * (RANKS - 1)
+    slow = Planner(loads, experts, LIMITS, paces).plan()
+    assert slow is not None
+    first = slow.before
+    for _ in range(12):
+        plan = Planner(loads, experts, LIMITS, paces).plan()
+        if plan is None:
+            break
+        experts = plan.experts
+        last = plan.after
+    assert 3 * last < first
+
+
+def test_a_copy_that_serves_nobody_is_dropped_without_a_copy() -> None:
+    """A slow rank drops what others hold as well: that costs nothing."""
+    experts: ExpertMap = (((0, 1), (0, 1), (2, 3), (3, 2)),)
+    loads = [[1.0, 1.0, 1.0, 1.0]]
+    limits = PlanLimits(4, 0, 0, 0.01, 0.001)
+    plan = Planner(loads, experts, limits, [9, 1, 1, 1]).plan()
+    assert plan is not None
+    assert plan.copies == 0
+    assert plan.experts[0][0] == ()
