--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -119,6 +119,9 @@
         call = self._call
         world = self._world
         now = time.monotonic()
+        if not world.may_serve(call):
+            self._cause = Cause.key_withdrawn
+            return None
         if call.attempts and not self._may_send_again(now):
             return None
         members = world.fleet.list_service(call.service)
--- a/src/ospreyford/direct/sending.py
+++ b/src/ospreyford/direct/sending.py
@@ -135,7 +135,7 @@
         refused = find_header(head.headers, dialect.refused) is not None
         if refused or head.status == MISDIRECTED:
             await self._read_rest(connection)
-            return Refused(head, head.status == MISDIRECTED)
+            return Refused(head)
         if not self._is_ours(head):
             return Lost(Cause.garbled)
         if self._call.route.streams and head.status == OK:
--- a/src/ospreyford/direct/verdicts.py
+++ b/src/ospreyford/direct/verdicts.py
@@ -17,6 +17,7 @@
     stale_configuration = 'configuration too old to check keys'
     no_route = 'no such route'
     unknown_key = 'unknown key'
+    key_withdrawn = 'key withdrawn, or too long unconfirmed'
     no_backend = 'no back end takes work'
     refused = 'refused by back ends'
     unreachable = 'back ends unreachable'
@@ -32,11 +33,9 @@
     """The back end did not run the request and never will.
 
     :param head: its answer, or ``None`` if no connection could be opened.
-    :param wrong_instance: whether another instance has the address.
     """
 
     head: Response | None
-    wrong_instance: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -92,6 +92,21 @@
             load._replace(base_seconds=base), self.budget.entries
         )
 
+    def may_serve(self, call: Call) -> bool:
+        """Tell whether a request's key is still good as it is sent on.
+
+        A request may have waited, or goes on at another back end, since its key
+        was looked up.
+
+        :param call: the request.
+        :returns: whether it may be sent to a back end now.
+        """
+        if call.customer is None:
+            return True
+        known = self.catalog.customers if self.catalog else None
+        is_known = known is None or call.key in known
+        return is_known and self.knowledge.may_serve_keys()
+
     async def wait_until_known(self) -> bool:
         """Wait for the first reading of the store, shortly after the start.
 
--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -130,6 +130,23 @@
     assert line.status == status
 
 
+async def withdraw_on_the_way() -> tuple[int, list[int]]:
+    async def withdraw(exchange: Any) -> None:
+        catalog = site.world.catalog
+        assert catalog is not None
+        site.world.catalog = catalog._replace(customers={})
+        await be.shed(exchange)
+
+    site = await be.open_site(ONCE, withdraw, withdraw)
+    head, _ = await site.ask()
+    return head.status, sorted(site.count_runs())
+
+
+def test_a_key_is_looked_up_again_for_each_sending() -> None:
+    """A request ran whose key had been taken away while it waited."""
+    assert run(withdraw_on_the_way) == (503, [0, 1])
+
+
 async def ask_without_catalog() -> int:
     site = await be.open_site(ONCE, be.answer)
     site.world.catalog = None
