--- /dev/null
+++ b/tests/direct/test_program.py
@@ -0,0 +1,140 @@
+"""A whole entry: readiness, figures, and a planned stop."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import curio
+import pytest
+
+from ospreyford.direct.catalog import Repetition
+from ospreyford.direct.knowledge import read_boot_clock
+from ospreyford.direct.program import EntryServer, Listeners
+from ospreyford.direct.world import World
+from ospreyford.http.client import ClientConnection, fetch
+from ospreyford.http.errors import ConnectionRefused
+from ospreyford.http.message import Request, find_header
+from ospreyford.http.server import listen, port_of
+from tests.direct import backends as be
+from tests.fakes.loopback import next_address
+
+ONCE = be.make_route(Repetition.once)
+GRACE = 1.5
+READY = Request('GET', '/ready', ())
+
+
+class FakeStop:
+    """Stops when the test says so."""
+
+    def __init__(self) -> None:
+        self.requested = curio.Event()
+        self.count_in_flight: Any = None
+
+
+class Entry:
+    """An entry with one back end."""
+
+    def __init__(self, site: be.Site) -> None:
+        host = next_address()
+        front = listen(host, 0)
+        ready = listen(host, 0)
+        self.front = (host, port_of(front))
+        self.ready = (host, port_of(ready))
+        self.stop = FakeStop()
+        bounds = be.SETTINGS.bounds._replace(grace_seconds=GRACE)
+        settings = be.SETTINGS._replace(
+            front=self.front, bounds=bounds, datagrams=(host, 0)
+        )
+        self.world = World(settings, be.DIALECT, site.lines)  # type: ignore[arg-type]
+        self.world.fleet = site.world.fleet
+        self.world.catalog = site.world.catalog
+        self.world.knowledge.confirm(read_boot_clock())
+        listeners = Listeners(front, ready)
+        self.server = EntryServer(
+            self.world,
+            self.stop,  # type: ignore[arg-type]
+            listeners,
+        )
+
+    async def start(self) -> curio.Task:
+        task = await curio.spawn(self.server.run, self._follow, daemon=True)
+        await curio.sleep(0.05)
+        return task
+
+    async def ask(self) -> ClientConnection:
+        connection = await ClientConnection.open(*self.front, 1)
+        fields = (
+            (b'host', b'host'),
+            (b'x-id', b'mine'),
+            (b'x-key', b'good-key'),
+        )
+        await connection.send(Request('POST', '/a/x', fields))
+        return connection
+
+    async def is_ready(self) -> bool:
+        head, _ = await fetch(self.ready, READY)
+        return head.status == 200
+
+    async def _follow(self) -> None:
+        await curio.sleep(60)
+
+
+async def be_slow(exchange: Any) -> None:
+    await curio.sleep(0.5)
+    await be.answer(exchange)
+
+
+async def stop_under_load() -> dict[str, Any]:
+    entry = Entry(await be.open_site(ONCE, be_slow))
+    running = await entry.start()
+    seen: dict[str, Any] = {'before': await entry.is_ready()}
+    early = await entry.ask()
+    await curio.sleep(0.1)
+    began = time.monotonic()
+    await entry.stop.requested.set()
+    await curio.sleep(0.05)
+    seen['after'] = await entry.is_ready()
+    # The balancer needs some seconds to notice: what still comes is served.
+    late = await entry.ask()
+    answers = [await one.read_head() for one in (early, late)]
+    seen['statuses'] = [head.status for head in answers]
+    seen['closing'] = [
+        find_header(head.headers, b'connection') for head in answers
+    ]
+    await running.join()
+    seen['took'] = time.monotonic() - began
+    with pytest.raises(ConnectionRefused):
+        await entry.ask()
+    return seen
+
+
+def test_a_planned_stop_cuts_nothing() -> None:
+    """Callers' requests were cut as their entry was replaced.
+
+    Sequence: SIGTERM while a request is under way, and one more from a caller
+    whom the balancer still sends here. Cause: the process ended, or stopped
+    listening, before the balancer knew.
+    """
+    seen = curio.run(stop_under_load)
+    assert seen['before']
+    assert not seen['after']
+    assert seen['statuses'] == [200, 200]
+    assert seen['closing'] == [b'close', b'close']
+    assert seen['took'] <= GRACE
+
+
+async def lose_knowledge() -> list[bool]:
+    entry = Entry(await be.open_site(ONCE, be.answer))
+    await entry.start()
+    seen = [await entry.is_ready()]
+    entry.world.knowledge = type(entry.world.knowledge)(
+        entry.world.settings.bounds
+    )
+    entry.world.knowledge.confirm(read_boot_clock() - 10)
+    seen.append(await entry.is_ready())
+    return seen
+
+
+def test_an_entry_that_knows_too_little_is_not_ready() -> None:
+    assert curio.run(lose_knowledge) == [True, False]
