--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -14,9 +14,9 @@
 from tests.platform.storefake import make_config, make_registration
 
 NODE = """
-NodeName=side-a-1
+NodeName=agent-1
 Ip=10.1.0.42
-Zone=hall-a
+Zone=zone-a
 Region=here
 PortRange=7340,7355
 Bounds.DrainMs=2000
@@ -26,9 +26,9 @@
 Bounds.RetryBudgetRatio=0.2
 Bounds.RetryWindowS=10
 Bounds.BudgetSlack=90
-app=10.1.0.42:8228
-Service=huvo11a
-Platform.Address=10.200.1.7:8223
+app=10.9.0.2:9100
+Service=plain-service
+Platform.Address=10.9.0.1:9000
 Unknown.Key=ignored
 a line without a mark
 """
@@ -125,7 +125,7 @@
 
 def test_a_node_in_the_projects_words() -> None:
     node = parse_node('f', NODE)
-    assert node.backend == ('10.1.0.42', 8228)
+    assert node.backend == ('10.9.0.2', 9100)
     assert node.revoke_seconds == 5
     assert node.first_port == 7340
     assert node.front is None
