--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -32,9 +32,6 @@
 #: The same while the group is closed: back ends that crashed take some seconds
 #: to start, and their group then opens within one.
 CLOSED_SECONDS = 2.0
-#: How often waiting requests are looked at, in seconds; each end of a stream
-#: and each report of a group looks as well.
-LOOK_SECONDS = 0.05
 
 
 class StreamGate:
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -44,8 +44,6 @@
 #: Ranks in a row that refuse a request before its whole group counts as closed:
 #: one alone may be full, or leaving.
 CLOSED_REFUSALS = 2
-#: With less time left a request is not sent any more, in seconds.
-LEAST_SECONDS = 0.02
 #: When to come back where nothing better is known, in seconds.
 RETRY_SECONDS = 0.3
 
