Count a quiet watch's picture from the end of its wait

The picture was dated by the question of the last watch, which had waited 1.5 s before it was answered. Change: an empty answer after the whole wait dates it by the wait's end.

--- a/src/ospreyford/platform/feed.py
+++ b/src/ospreyford/platform/feed.py
@@ -80,19 +80,35 @@
                 await curio.sleep(PAUSE_SECONDS + spread)
 
     async def _follow_once(self) -> None:
-        asked_at = read_boot_clock()
         if self._revision is None:
+            # The store's picture is at least as new as the question.
+            known_at = read_boot_clock()
             await self._read_all()
         else:
-            reading = await self._store.watch(
-                EVERYTHING, self._revision, self._choose_wait()
-            )
-            for item in reading.items:
-                await self._take(item)
-            self._revision = max(reading.revision, self._revision)
+            known_at = await self._watch(self._revision)
         self._note_answer()
-        # The store's picture is at least as new as the question.
-        self._world.knowledge.confirm(asked_at)
+        self._world.knowledge.confirm(known_at)
+
+    async def _watch(self, revision: int) -> float:
+        """Wait for changes once, and take them over.
+
+        :returns: until when the picture holds all that was published, by
+            :func:`~ospreyford.direct.knowledge.read_boot_clock`.
+        """
+        seconds = self._choose_wait()
+        asked_at = read_boot_clock()
+        reading = await self._store.watch(EVERYTHING, revision, seconds)
+        took = read_boot_clock() - asked_at
+        for item in reading.items:
+            await self._take(item)
+        self._revision = max(reading.revision, revision)
+        if reading.items or took < seconds:
+            return asked_at
+        # A watch without changes is answered at the end of its wait, not at
+        # its beginning. Counted from there, the picture would be a whole wait
+        # older when the store goes away, and callers with good keys would be
+        # refused that much sooner.
+        return asked_at + seconds
 
     async def _read_all(self) -> None:
         config = await self._store.get(CATALOG_KEY)
--- a/tests/platform/storefake.py
+++ b/tests/platform/storefake.py
@@ -104,6 +104,8 @@
     calls: list[str] = field(default_factory=list)
     #: Status, raw body or ``None`` for silence; one for each of the next calls.
     faults: list[int | bytes | None] = field(default_factory=list)
+    #: The same for the next watches alone.
+    late_faults: list[int | bytes | None] = field(default_factory=list)
 
     def put(self, key: str, raw: bytes | None) -> None:
         self.revision += 1
@@ -142,6 +144,9 @@
         if self.faults:
             await self._fail(exchange, self.faults.pop(0))
             return
+        if self.late_faults and parts.path == '/kv-watch':
+            await self._fail(exchange, self.late_faults.pop(0))
+            return
         match parts.path:
             case '/kv-key':
                 await self._get(exchange, query['Key'])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,13 +14,14 @@
     StoreLost,
     StoreRegained,
 )
+from ospreyford.direct.knowledge import read_boot_clock
 from ospreyford.direct.world import World
 from ospreyford.platform.errors import (
     BadRecord,
     HistoryGone,
     StoreUnavailable,
 )
-from ospreyford.platform.feed import StoreFeed
+from ospreyford.platform.feed import WATCH_PART, StoreFeed
 from ospreyford.platform.store import Store
 from tests.direct.backends import DIALECT, SETTINGS, Lines
 from tests.platform.storefake import (
@@ -29,6 +30,9 @@
     make_registration,
 )
 
+#: Some watches' time in a test, in seconds.
+REVOKE_SECONDS = 0.5
+
 
 async def read_all(fake: FakeStore) -> Any:
     store = Store(await fake.open())
@@ -187,6 +191,49 @@
     assert len(followed.lines.find(RegistrationRefused)) == 2
 
 
+class Confirmations:
+    """Notes until when the picture was confirmed, and when that was said."""
+
+    def __init__(self) -> None:
+        self.noted: list[tuple[float, float]] = []
+
+    def confirm(self, known_at: float) -> None:
+        self.noted.append((known_at, read_boot_clock()))
+
+
+async def confirm_twice(fake: FakeStore) -> list[tuple[float, float]]:
+    fake.put('op/config', make_config(3))
+    bounds = SETTINGS.bounds._replace(revoke_seconds=REVOKE_SECONDS)
+    world = World(SETTINGS._replace(bounds=bounds), DIALECT, Lines())  # type: ignore[arg-type]
+    spy = Confirmations()
+    world.knowledge = spy  # type: ignore[assignment]
+    feed = StoreFeed(Store(await fake.open()), Changes(world), world)
+    task = await curio.spawn(feed.run, daemon=True)
+    while len(spy.noted) < 2:
+        await curio.sleep(0.01)
+    await task.cancel()
+    return spy.noted
+
+
+def test_a_watch_without_changes_confirms_the_picture_at_its_end() -> None:
+    """Callers with good keys were refused 1.5 s too soon.
+
+    Symptom: "configuration too old to check keys" 1.6 s after the store had
+    gone. Sequence: a watch waits 1.5 s and returns nothing; the next one meets
+    a silent store. Cause: the picture counted as old as the question, although
+    the store had answered at the end of the wait.
+    """
+    first, second = curio.run(confirm_twice, FakeStore())
+    assert second[0] - first[0] >= REVOKE_SECONDS * WATCH_PART
+
+
+def test_an_early_answer_without_changes_confirms_no_future() -> None:
+    fake = FakeStore()
+    fake.late_faults = [b'{"events":[],"At":6}']
+    for known_at, said_at in curio.run(confirm_twice, fake):
+        assert known_at <= said_at
+
+
 async def lose_and_return(fake: FakeStore) -> Any:
     followed = Followed(fake)
     await followed.start()
