Hold a pass from the coordinator's own host

Change: the coordinator gives the hold itself, with the sequence number that it knows; the agent is asked where that is unclear. Test: tests/rebalance/test_ranks.py, red before.

--- a/src/ospreyford/rebalance/far.py
+++ b/src/ospreyford/rebalance/far.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ospreyford.rebalance.group import (
+    Guard,
     Order,
     Outcome,
     Silent,
@@ -15,7 +16,7 @@
 
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
-    from ospreyford.rebalance.ports import EnginePort
+    from ospreyford.rebalance.ports import EnginePort, Reply
 
 
 class FarRanks:
@@ -44,6 +45,19 @@
             self._engines[host] = engine
         return engine
 
+    async def give(
+        self, engine: EnginePort, order: Order, guard: Guard
+    ) -> Reply:
+        """Give a rank an order once, without looking at it first.
+
+        :param engine: the rank.
+        :param order: the order.
+        :param guard: what the rank checks first.
+        :returns: its answer.
+        """
+        self.orders += 1
+        return await engine.give(order, guard)
+
     async def carry_out(self, host: str, order: Order, term: Term) -> Outcome:
         """Carry out an order in place of a silent agent.
 
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -11,6 +11,10 @@
 from ospreyford.rebalance.far import FarRanks
 from ospreyford.rebalance.frames import pack_order, unpack_outcome
 from ospreyford.rebalance.group import (
+    Done,
+    Fenced,
+    Guard,
+    Hold,
     Order,
     Outcome,
     Prepare,
@@ -20,6 +24,7 @@
 )
 from ospreyford.rebalance.member import RankMember
 from ospreyford.rebalance.messages import Ask, RankLoad, Tell, encode
+from ospreyford.rebalance.ports import Reply
 from ospreyford.rebalance.silence import SilentAgents
 
 if TYPE_CHECKING:
@@ -209,6 +214,8 @@
         """
         if rank == self.me:
             outcome = await self._member.carry_out(order, term)
+        elif isinstance(order, Hold):
+            outcome = await self._hold(rank, order, term)
         else:
             outcome = await self._ask(rank, order, term)
         state = getattr(outcome, 'state', None)
@@ -216,6 +223,33 @@
             self.note_state(state)
         return outcome
 
+    async def _hold(self, rank: int, order: Hold, term: Term) -> Outcome:
+        """Hold a pass at a rank from here, without the agent beside it.
+
+        A host that freezes takes its rank out of reach. Held by its own agent,
+        the group stood still for as long as the freeze that met that agent
+        with the hold just given: nobody else can let the pass begin. Held from
+        here, the rank stays in reach when this host freezes. The order from
+        afar has its price; it takes one exchange in place of three.
+        """
+        agent = self.agents.get(rank)
+        known = self._states.get(rank)
+        engine = None if agent is None else self._far.find(agent[0])
+        if engine is None or known is None:
+            return await self._ask(rank, order, term)
+        match await self._far.give(engine, order, Guard(*term, known.sequence)):
+            case Reply.begun:
+                sequence = known.sequence + 1
+                return Done(known._replace(held=order.step, sequence=sequence))
+            case Reply.holds:
+                return Done(known._replace(held=order.step))
+            case Reply.fenced:
+                return Fenced()
+        # What is known of the rank may be too old, or the order is on its way
+        # still: the agent reads the rank first, and a late order is refused
+        # for its sequence number.
+        return await self._ask(rank, order, term)
+
     async def _ask(self, rank: int, order: Order, term: Term) -> Outcome:
         address = self.agents.get(rank)
         if address is None:
--- /dev/null
+++ b/tests/rebalance/test_ranks.py
@@ -0,0 +1,127 @@
+"""How a coordinator reaches the ranks of its group."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+import pytest
+
+from ospreyford.rebalance.frames import pack_outcome
+from ospreyford.rebalance.group import (
+    Done,
+    Fenced,
+    Guard,
+    Hold,
+    Order,
+    RankState,
+    Rejected,
+    Term,
+)
+from ospreyford.rebalance.messages import Ask, decode
+from ospreyford.rebalance.ports import Reply
+from ospreyford.rebalance.ranks import GroupRanks
+from tests.fakes.clock import FakeClock
+
+TERM = Term(token=900, epoch=1)
+STEP = 41
+AGENT = ('10.0.0.2', 7000)
+
+
+def make_state(rank: int = 1) -> RankState:
+    return RankState(
+        group='g',
+        epoch=TERM.epoch,
+        rank=rank,
+        size=2,
+        is_open=True,
+        step=STEP - 1,
+        sequence=6,
+        version=3,
+        prepared=None,
+        armed=None,
+        held=None,
+        active=0,
+        queued=0,
+        pace=1,
+    )
+
+
+@dataclass
+class Engine:
+    """A rank that answers each order alike."""
+
+    reply: Reply
+    orders: list[tuple[Order, Guard]] = field(default_factory=list)
+
+    async def give(self, order: Order, guard: Guard) -> Reply:
+        self.orders.append((order, guard))
+        return self.reply
+
+
+@dataclass
+class Agent:
+    """The agent beside the rank: it refuses whatever it is asked."""
+
+    ranks: Any = None
+    asked: list[Ask] = field(default_factory=list)
+
+    async def send_bytes(self, datagram: bytes, address: Any) -> None:
+        message = decode(datagram)
+        assert isinstance(message, Ask)
+        assert address == AGENT
+        self.asked.append(message)
+        refusal = pack_outcome(message.number, Rejected(make_state()))
+        await self.ranks.note_answer(refusal)
+
+
+async def hold(reply: Reply) -> tuple[Any, Engine, Agent, GroupRanks]:
+    engine = Engine(reply)
+    agent = Agent()
+    ranks = GroupRanks(
+        0,
+        '10.0.0.1',
+        None,  # type: ignore[arg-type]
+        agent,  # type: ignore[arg-type]
+        lambda host: engine if host == AGENT[0] else None,  # type: ignore[arg-type,return-value]
+        FakeClock(),
+    )
+    agent.ranks = ranks
+    ranks.note_report(make_state(), AGENT)
+    outcome = await ranks.carry_out(1, Hold(STEP), TERM)
+    return outcome, engine, agent, ranks
+
+
+def test_a_pass_is_held_by_the_coordinator_itself() -> None:
+    """A group stood still for four seconds, and 190 requests were refused.
+
+    Sequence: the coordinator asks the agent beside a rank to hold a pass; that
+    agent's host freezes with the hold just given. Cause: the freeze takes the
+    rank out of reach, and nobody else can let the pass begin. Given from the
+    coordinator's host, the hold stays in reach whichever host freezes.
+    """
+    outcome, engine, agent, ranks = curio.run(hold, Reply.begun)
+    assert isinstance(outcome, Done)
+    assert not agent.asked
+    assert engine.orders == [(Hold(STEP), Guard(*TERM, 6))]
+    state = ranks.read_states()[1]
+    assert (state.held, state.sequence) == (STEP, 7)
+
+
+@pytest.mark.parametrize(
+    ('reply', 'kind', 'asks_agent'),
+    [
+        (Reply.holds, Done, False),
+        (Reply.fenced, Fenced, False),
+        (Reply.none, Rejected, True),
+        (Reply.unfit, Rejected, True),
+    ],
+)
+def test_an_unclear_hold_goes_through_the_agent(
+    reply: Reply, kind: type, asks_agent: bool
+) -> None:
+    outcome, engine, agent, _ = curio.run(hold, reply)
+    assert isinstance(outcome, kind)
+    assert len(engine.orders) == 1
+    assert bool(agent.asked) is asks_agent
