Move streams away from a rank that turned slow

Change: a stream that may be resumed leaves a rank at twice its time or more, if another one has room, and pays for that from the shared budget first. Test: tests/direct/test_moving.py.

--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from itertools import chain
 from typing import TYPE_CHECKING
 
@@ -105,11 +106,10 @@
         if news.token < self._tokens.get(news.service, 0):
             return
         self._tokens[news.service] = news.token
+        now = time.monotonic()
         for load in news.ranks:
             for member in self._world.fleet.find_host(news.service, load.host):
-                others = load.active + load.queued - member.in_flight
-                member.elsewhere = max(others, 0)
-                member.pace = max(load.pace, 1)
+                member.take_figures(load.active + load.queued, load.pace, now)
         await self._world.take_group_load(
             news.service,
             GroupLoad(
--- a/src/ospreyford/direct/choosing.py
+++ b/src/ospreyford/direct/choosing.py
@@ -22,6 +22,10 @@
 #: From here on a rank counts as slow: all ranks wait in each pass for the work
 #: of its own requests, so it gets none while others have room.
 SLOW_PACE = 1.25
+#: From here on streams leave a rank. The work of its own requests is a small
+#: part of a pass; at twice its time it is longer than what level experts leave
+#: for all others, at twelve times a pass takes half a second for everybody.
+LEAVE_PACE = 2.0
 #: A failure is held against a back end for this long, in seconds. Without an
 #: end it would get no request any more that could show it sound again.
 FAILURE_MEMORY = 4.0
@@ -64,6 +68,28 @@
     )
 
 
+def find_refuge(members: Sequence[Member], slow: Member) -> Member | None:
+    """Find where the streams of a slow rank may go on.
+
+    Load pattern: one rank of a group turns slow while streams run there. It
+    gets no new ones, but all ranks wait in each pass for its own requests, and
+    those take many times as long to end as elsewhere: every stream of the
+    group is late until the last of them is out.
+
+    :param members: back ends that take new work.
+    :param slow: where a stream runs now.
+    :returns: a rank at its usual pace with room, or ``None`` if there is none
+        or the rank is not slow enough.
+    """
+    if slow.pace < LEAVE_PACE:
+        return None
+    for member in members:
+        has_room = member.count_load() < member.server.slots
+        if member.pace <= SLOW_PACE and has_room:
+            return member
+    return None
+
+
 def weigh_member(member: Member, wish: Wish) -> float:
     """Tell how little a back end suits a request.
 
--- a/src/ospreyford/direct/decisions.py
+++ b/src/ospreyford/direct/decisions.py
@@ -40,6 +40,24 @@
     longest_gap_ms: int
 
 
+@dataclass(frozen=True)
+class StreamMoved:
+    """A stream left a slow back end and goes on at another one.
+
+    :param request_id: the caller's id of it.
+    :param backend: the one that it left.
+    :param pace: how many times its usual time that one takes.
+    :param pace_age_ms: how long ago that was told.
+    :param event: id of the last event that the caller has.
+    """
+
+    request_id: str
+    backend: str
+    pace: float
+    pace_age_ms: int
+    event: int | None
+
+
 @dataclass(frozen=True)
 class RequestDenied:
     """A request was answered without being sent to a back end.
@@ -140,6 +158,7 @@
 
 Decision = (
     RequestEnded
+    | StreamMoved
     | RequestDenied
     | CatalogInForce
     | CatalogRefused
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -48,6 +48,7 @@
         self.failed_at: float = 0
         self.elsewhere = 0
         self.pace: float = 1
+        self.told_at: float = 0
         self.is_gone = False
         self.gone_by: float | None = None
 
@@ -63,6 +64,17 @@
         self.failure_rate += OUTCOME_WEIGHT * (1 - self.failure_rate)
         self.failed_at = now
 
+    def take_figures(self, requests: int, pace: float, now: float) -> None:
+        """Take over what its group's coordinator tells of it.
+
+        :param requests: that run and wait there, of all entries.
+        :param pace: how many times its usual time it takes.
+        :param now: seconds on the monotonic clock.
+        """
+        self.elsewhere = max(requests - self.in_flight, 0)
+        self.pace = max(pace, 1)
+        self.told_at = now
+
     def count_load(self) -> int:
         """Count the requests that it has, of this entry and of others.
 
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import curio
@@ -10,8 +11,9 @@
 from ospreyford.direct.call import Attempt
 from ospreyford.direct.choosing import Wish, choose_member
 from ospreyford.direct.headers import keep_end_to_end
+from ospreyford.direct.moving import StreamMover
 from ospreyford.direct.sending import Sending
-from ospreyford.direct.streaming import pass_stream_on
+from ospreyford.direct.streaming import Passage, pass_stream_on
 from ospreyford.direct.verdicts import (
     Answered,
     Cause,
@@ -62,6 +64,7 @@
         self._world = world
         self._gate = world.find_gate(call)
         self._cause = Cause.no_backend
+        self._mover = StreamMover(call, world, MOST_SENDINGS)
 
     async def run(self) -> Verdict:
         """Serve the request within its time.
@@ -140,6 +143,8 @@
             return False
         if not call.has_runs_left():
             return False
+        if self._mover.take_paid():
+            return True
         return self._world.budget.spend(call.service, now)
 
     async def _attempt(self, member: Member) -> Verdict | None:
@@ -209,10 +214,20 @@
         if not self._exchange.started:
             fields = tuple(keep_end_to_end(head.headers))
             self._exchange.add((self._exchange.make_head(head.status, fields),))
-        if await pass_stream_on(self._call, sending, self._exchange):
-            member.note_success()
-            await self._exchange.finish()
-            return Answered(head.status)
+        passage = await pass_stream_on(
+            self._call,
+            sending,
+            self._exchange,
+            partial(self._mover.should_move, member),
+        )
+        match passage:
+            case Passage.whole:
+                member.note_success()
+                await self._exchange.finish()
+                return Answered(head.status)
+            case Passage.moved:
+                self._call.attempts[-1].outcome = 'Moved'
+                return None
         member.note_failure(time.monotonic())
         self._cause = Cause.lost
         if self._call.may_repeat():
--- a/src/ospreyford/direct/sending.py
+++ b/src/ospreyford/direct/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
@@ -20,7 +21,7 @@
 from ospreyford.http.message import Request, Response, find_header
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from ospreyford.direct.call import Call
     from ospreyford.direct.connections import ConnectionPool
@@ -102,7 +103,7 @@
         except HttpError:
             return Lost(Cause.lost)
 
-    async def read_pieces(self) -> AsyncIterator[bytes]:
+    async def read_pieces(self) -> AsyncGenerator[bytes, None]:
         """Read the body of a stream as it comes.
 
         :returns: an iterator of pieces that ends with the answer.
@@ -110,8 +111,9 @@
         """
         if self._connection is None:
             return
-        async for piece in self._connection.read_pieces():
-            yield piece
+        async with aclosing(self._connection.read_pieces()) as pieces:
+            async for piece in pieces:
+                yield piece
         self._is_whole = True
 
     async def _exchange(self, connection: ClientConnection) -> Sent:
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections.abc import AsyncGenerator, Callable, Sequence
+from contextlib import aclosing
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import curio
@@ -22,34 +25,66 @@
 STALL_SECONDS = 1.2
 
 
+class Passage(Enum):
+    """How the events of one back end ended."""
+
+    #: The stream came to its end.
+    whole = 'whole'
+    #: It broke off: it must go on at another back end, or be cut.
+    broken = 'broken'
+    #: It was left for another back end.
+    moved = 'moved'
+
+
 async def pass_stream_on(
-    call: Call, sending: Sending, exchange: Exchange
-) -> bool:
+    call: Call,
+    sending: Sending,
+    exchange: Exchange,
+    should_move: Callable[[], bool],
+) -> Passage:
     """Pass whole events on as they come.
 
     :param call: the request; its cursor follows what the caller has.
     :param sending: the back end's side.
     :param exchange: the caller's side.
-    :returns: whether the stream came to its end. Otherwise it must go on at
-        another back end, or be cut.
+    :param should_move: asked after each event whether the stream is better
+        off elsewhere.
+    :returns: how the events ended.
     :raises ConnectionLost: the caller left.
     """
+    async with aclosing(sending.read_pieces()) as pieces:
+        return await _pass_on(pieces, call, exchange, should_move)
+
+
+async def _pass_on(
+    pieces: AsyncGenerator[bytes, None],
+    call: Call,
+    exchange: Exchange,
+    should_move: Callable[[], bool],
+) -> Passage:
     splitter = EventSplitter()
-    pieces = sending.read_pieces()
     while True:
         try:
-            piece = await curio.timeout_after(STALL_SECONDS, pieces.__anext__())
+            piece = await curio.timeout_after(STALL_SECONDS, anext(pieces))
         except StopAsyncIteration:
-            return not splitter.has_rest()
+            return Passage.broken if splitter.has_rest() else Passage.whole
         except (HttpError, curio.TaskTimeout):
-            return False
-        events = splitter.add(piece)
-        is_in_order = all([_forward(event, call, exchange) for event in events])
-        if events:
-            call.note_event(time.monotonic())
+            return Passage.broken
+        is_in_order = _forward_all(splitter.add(piece), call, exchange)
         await exchange.push(STALL_SECONDS)
         if not is_in_order:
-            return False
+            return Passage.broken
+        if should_move():
+            return Passage.moved
+
+
+def _forward_all(
+    events: Sequence[StreamEvent], call: Call, exchange: Exchange
+) -> bool:
+    is_in_order = all([_forward(event, call, exchange) for event in events])
+    if events:
+        call.note_event(time.monotonic())
+    return is_in_order
 
 
 def _forward(event: StreamEvent, call: Call, exchange: Exchange) -> bool:
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -79,7 +79,7 @@
             raise ConnectionLost
         return Response(event.status_code, tuple(event.headers))
 
-    async def read_pieces(self) -> AsyncIterator[bytes]:
+    async def read_pieces(self) -> AsyncGenerator[bytes, None]:
         """Read the answer's body as it comes.
 
         :returns: an iterator of pieces that ends with the answer.
--- /dev/null
+++ b/tests/direct/test_moving.py
@@ -0,0 +1,111 @@
+"""Streams that leave a slow back end."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import pytest
+
+from ospreyford.direct.catalog import Repetition, Route
+from ospreyford.direct.choosing import LEAVE_PACE, find_refuge
+from ospreyford.direct.decisions import RequestEnded, StreamMoved
+from ospreyford.direct.fleet import BackendServer, Member
+from ospreyford.direct.settings import RetrySettings
+from tests.direct import backends as be
+
+RESUMABLE = be.make_route(Repetition.resumable, streams=True)
+STREAM = be.make_route(Repetition.once, streams=True)
+SINGLE = be.make_route(Repetition.resumable, streams=True, attempts=1)
+WHOLE = b''.join(map(be.make_event, range(1, 6)))
+NO_RETRIES = RetrySettings(ratio=0, slack=0, window=10)
+
+
+async def ask_slow(
+    route: Route, retries: RetrySettings = be.SETTINGS.retries
+) -> tuple[bytes, be.Site]:
+    """Begin a stream at a back end that turns slow after its second event."""
+    site: be.Site
+
+    async def turn_slow(exchange: Any) -> None:
+        await exchange.start(200, be.sealed(exchange))
+        for number in range(1, 6):
+            if number == 3:
+                slow = site.world.fleet.find(site.backends[0].name)
+                assert slow is not None
+                slow.take_figures(1, 12, 0)
+            await exchange.write(be.make_event(number))
+            await curio.sleep(0.02)
+        await exchange.finish()
+
+    site = await be.open_site(route, turn_slow, be.stream(5))
+    site.world.budget._settings = retries
+    other = site.world.fleet.find(site.backends[1].name)
+    assert other is not None
+    other.elsewhere = 1
+    _, body = await site.ask()
+    return body, site
+
+
+def test_a_stream_leaves_a_slow_rank() -> None:
+    """Every stream of a group was late for seven seconds.
+
+    Symptom: passes of 250 to 560 ms, hardly an event in time. Sequence: one
+    rank turns twelve times slower while streams run there; new ones avoid it.
+    Cause: all ranks wait in each pass for that rank's own streams, which take
+    as many times longer to end.
+    """
+    body, site = curio.run(ask_slow, RESUMABLE)
+    assert body == WHOLE
+    assert site.count_runs() == [1, 1]
+    resumed = site.backends[1].seen[0].headers
+    assert be.read_field(resumed, be.DIALECT.last_event) == b'3'
+    moved = site.lines.find(StreamMoved)
+    assert [(one.pace, one.event) for one in moved] == [(12, 3)]
+    ended = site.lines.find(RequestEnded)[0]
+    assert [one.split()[2] for one in ended.attempts] == ['Moved', 'Streaming']
+
+
+@pytest.mark.parametrize(
+    ('route', 'retries'),
+    [
+        # It may run once only.
+        (STREAM, be.SETTINGS.retries),
+        # It may not run at a second back end.
+        (SINGLE, be.SETTINGS.retries),
+        # The shared budget is used up: left now, it would be cut.
+        (RESUMABLE, NO_RETRIES),
+    ],
+)
+def test_a_stream_that_may_not_move_stays(
+    route: Route, retries: RetrySettings
+) -> None:
+    body, site = curio.run(ask_slow, route, retries)
+    assert body == WHOLE
+    assert site.count_runs() == [1, 0]
+    assert not site.lines.find(StreamMoved)
+
+
+def make_member(pace: float, requests: int = 0) -> Member:
+    member = Member(BackendServer('b', 's', 'h', 1, 'a', 6, False, 1))
+    member.take_figures(requests, pace, 0)
+    return member
+
+
+@pytest.mark.parametrize(
+    ('pace', 'others', 'moves'),
+    [
+        (LEAVE_PACE, [make_member(1)], True),
+        (LEAVE_PACE - 0.1, [make_member(1)], False),
+        (12, [], False),
+        (12, [make_member(12), make_member(1.6)], False),
+        # No room: what is full queues the stream behind others.
+        (12, [make_member(1, requests=6)], False),
+        (12, [make_member(1, requests=6), make_member(1, requests=5)], True),
+    ],
+)
+def test_only_a_rank_with_room_is_a_refuge(
+    pace: float, others: list[Member], moves: bool
+) -> None:
+    refuge = find_refuge(others, make_member(pace))
+    assert (refuge is not None) is moves
