--- a/tests/direct/test_admission.py
+++ b/tests/direct/test_admission.py
@@ -98,6 +98,12 @@
     assert replay(late_last=True) > 1.2 * replay(late_last=False)
 
 
+def tell_pass(step: int, running: int) -> float:
+    has_moved = step > 180 and step % 180 < 20
+    cost = 2 * COST if has_moved else COST
+    return BASE + cost * running
+
+
 def replay_shifts() -> float:
     """Replay demand that moves every 3.6 s; tell the part without a pause.
 
@@ -117,14 +123,14 @@
         now = step * tick
         if random.random() < 33 * tick:
             queue.add(make_waiter(step, now))
-        has_moved = now > 4 and step % 180 < 20
-        cost = 2 * COST if has_moved else COST
-        pass_seconds = BASE + cost * len(running)
+        pass_seconds = tell_pass(step, len(running))
         passes.append(pass_seconds)
-        mean = sum(passes[-20:]) / len(passes[-20:])
+        last = passes[-20:]
+        mean = sum(last) / len(last)
         part = tick / pass_seconds
         left = [one - part for one in running]
-        marred = [one or pass_seconds > MAX_GAP for one in marred]
+        if pass_seconds > MAX_GAP:
+            marred = [True for _ in running]
         pairs = list(zip(left, marred, strict=True))
         ended += [is_marred for one, is_marred in pairs if one <= 0]
         marred = [is_marred for one, is_marred in pairs if one > 0]
