Put changed settings in force without a restart

Cause: the settings file was read at the start only, SIGHUP ignored: a changed grace, retry budget, bound of keys or store address waited for the next start.

--- a/src/ospreyford/console/stopping.py
+++ b/src/ospreyford/console/stopping.py
@@ -30,18 +30,20 @@
 
 
 class Stop:
-    """Tells a program when to stop.
+    """Tells a program when to stop, and when to read its settings again.
 
     The program waits for ``requested``, then takes no new work, finishes what
     is in flight and returns. Until then it keeps ``count_in_flight`` set.
+    ``hung_up`` is set by each SIGHUP; who reads the settings clears it.
 
     :param deadline: seconds from the first signal until the program is cut.
     """
 
     def __init__(self, deadline: float) -> None:
         self.requested = curio.Event()
+        self.hung_up = curio.Event()
+        self.deadline = deadline
         self.count_in_flight: Callable[[], int] = _count_nothing
-        self._deadline = deadline
         self._pair = socket.socketpair()
         for end in self._pair:
             end.setblocking(False)
@@ -71,12 +73,12 @@
         :returns: why the program's work is cut, and how much.
         """
         async with Socket(self._pair[1]) as wakeups:
-            await _wait_for_signal(wakeups)
+            await self._wait_for_signal(wakeups)
             await self.requested.set()
             cause = 'drain deadline'
             with suppress(curio.TaskTimeout):
                 await curio.timeout_after(
-                    self._deadline, _wait_for_signal, wakeups
+                    self.deadline, self._wait_for_signal, wakeups
                 )
                 cause = 'second signal'
         # What is left to do is bounded only as far as the program's own code
@@ -85,13 +87,14 @@
             signal.signal(number, signal.SIG_DFL)
         return Cut(self.count_in_flight(), cause)
 
-
-async def _wait_for_signal(wakeups: Socket) -> None:
-    while True:
-        received: bytes = await wakeups.recv(READ_BYTES)
-        # Other signals, such as SIGCHLD, come through the same socket.
-        if any(number in SIGNALS for number in received):
-            return
+    async def _wait_for_signal(self, wakeups: Socket) -> None:
+        while True:
+            received: bytes = await wakeups.recv(READ_BYTES)
+            if signal.SIGHUP in received:
+                await self.hung_up.set()
+            # Other signals, such as SIGCHLD, come through the same socket.
+            if any(number in SIGNALS for number in received):
+                return
 
 
 def _ignore(number: int, frame: FrameType | None) -> None:
--- a/src/ospreyford/direct/budget.py
+++ b/src/ospreyford/direct/budget.py
@@ -28,7 +28,7 @@
 
     def __init__(self, settings: RetrySettings) -> None:
         self.entries = settings.assumed_entries
-        self._settings = settings
+        self.settings = settings
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
 
@@ -52,14 +52,14 @@
         retries = self._retries.setdefault(service, deque())
         self._forget(requests, now)
         self._forget(retries, now)
-        fixed = self._settings.slack / max(self.entries, 1)
-        allowed = USED_PART * (self._settings.ratio * len(requests) + fixed)
+        fixed = self.settings.slack / max(self.entries, 1)
+        allowed = USED_PART * (self.settings.ratio * len(requests) + fixed)
         if len(retries) + 1 > allowed:
             return False
         retries.append(now)
         return True
 
     def _forget(self, moments: deque[float], now: float) -> None:
-        oldest = now - self._settings.window
+        oldest = now - self.settings.window
         while moments and moments[0] < oldest:
             moments.popleft()
--- a/src/ospreyford/direct/knowledge.py
+++ b/src/ospreyford/direct/knowledge.py
@@ -27,7 +27,7 @@
     """
 
     def __init__(self, bounds: Bounds) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._known_at: float | None = None
 
     def confirm(self, known_at: float) -> None:
@@ -55,6 +55,6 @@
         age = self.tell_age()
         if age is None:
             return False
-        if self._bounds.revoke_seconds is None:
+        if self.bounds.revoke_seconds is None:
             return True
-        return age < self._bounds.revoke_seconds - self._bounds.knowledge_margin
+        return age < self.bounds.revoke_seconds - self.bounds.knowledge_margin
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -92,6 +92,15 @@
             load._replace(base_seconds=base), self.budget.entries
         )
 
+    def take_settings(self, settings: DirectSettings) -> None:
+        """Put changed bounds and another retry budget in force.
+
+        :param settings: the new ones; addresses are used at the start only.
+        """
+        self.settings = settings
+        self.budget.settings = settings.retries
+        self.knowledge.bounds = settings.bounds
+
     def may_serve(self, call: Call) -> bool:
         """Tell whether a request's key is still good as it is sent on.
 
--- a/src/ospreyford/observability/events.py
+++ b/src/ospreyford/observability/events.py
@@ -8,6 +8,7 @@
 from ospreyford.observability.supervision import TaskFailed
 from ospreyford.rebalance.decisions import Decision as AgentDecision
 from ospreyford.security.events import SecretRefused, SecretsReplaced
+from ospreyford.settings.events import SettingsChange
 
 
 @dataclass(frozen=True)
@@ -158,4 +159,6 @@
 )
 
 #: Everything that has a line: changes, and decisions about single requests.
-LoggedEvent = StateChange | EntryDecision | AgentDecision | TaskFailed
+LoggedEvent = (
+    StateChange | SettingsChange | EntryDecision | AgentDecision | TaskFailed
+)
--- a/src/ospreyford/platform/agent.py
+++ b/src/ospreyford/platform/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import partial
 from socket import socket
 
 import curio
@@ -14,6 +15,7 @@
 from ospreyford.platform.entry import METRICS_PORT, open_log
 from ospreyford.platform.errors import BadNodeFile
 from ospreyford.platform.nodefile import PATH_VARIABLE, Node
+from ospreyford.platform.reloading import SettingsFollower
 from ospreyford.platform.replica import Replica
 from ospreyford.ports.clock import SystemClock
 from ospreyford.rebalance.agent import RankAgent
@@ -53,6 +55,15 @@
     return Replica(address, REMOTE_SECONDS)
 
 
+def apply_settings(stop: Stop, changed: Node) -> None:
+    """Put changed settings in force at a running agent.
+
+    :param stop: tells the agent when to stop.
+    :param changed: what the platform's file says now.
+    """
+    stop.deadline = changed.grace_seconds
+
+
 async def serve(node: Node, log: ChangeLog, stop: Stop) -> None:
     """Run the agent until it has stopped.
 
@@ -64,8 +75,10 @@
     log.log_change(Started('agent', node.name, ''))
     outside = Outside(Replica(settings.backend), reach, log, SystemClock())
     agent = RankAgent(settings, outside)
+    follower = SettingsFollower(node, partial(apply_settings, stop), log)
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(agent.run, stop)
+        await group.spawn(follower.follow, stop.hung_up)
         await group.spawn(stop.watch)
 
 
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import partial
 from socket import socket
 
 import curio
@@ -20,6 +21,7 @@
 from ospreyford.platform.errors import BadNodeFile
 from ospreyford.platform.feed import StoreFeed
 from ospreyford.platform.nodefile import PATH_VARIABLE, Node
+from ospreyford.platform.reloading import SettingsFollower
 from ospreyford.platform.store import Store
 from ospreyford.settings.sections import Identity, Logs
 
@@ -66,6 +68,21 @@
     return ChangeLog(Logs(), identity, DescriptorSink(STANDARD_OUTPUT))
 
 
+def apply_settings(
+    world: World, store: Store, stop: Stop, changed: Node
+) -> None:
+    """Put changed settings in force at a running entry.
+
+    :param world: what the entry knows and uses.
+    :param store: the client of the store.
+    :param stop: tells the entry when to stop.
+    :param changed: what the platform's file says now.
+    """
+    world.take_settings(make_settings(changed))
+    store.address = changed.store
+    stop.deadline = changed.grace_seconds
+
+
 async def serve(
     node: Node, listeners: Sequence[socket], log: ChangeLog, stop: Stop
 ) -> None:
@@ -78,11 +95,15 @@
     """
     world = World(make_settings(node), DIALECT, log)
     log.log_change(Started('entry', node.name, ''))
-    front, ready = map(Socket, listeners)
-    server = EntryServer(world, stop, Listeners(front, ready))
-    feed = StoreFeed(Store(node.store), server.changes, world)
+    server = EntryServer(world, stop, Listeners(*map(Socket, listeners)))
+    store = Store(node.store)
+    feed = StoreFeed(store, server.changes, world)
+    follower = SettingsFollower(
+        node, partial(apply_settings, world, store, stop), log
+    )
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(server.run, feed.run)
+        await group.spawn(follower.follow, stop.hung_up)
         await group.spawn(stop.watch)
 
 
--- a/src/ospreyford/platform/store.py
+++ b/src/ospreyford/platform/store.py
@@ -87,12 +87,13 @@
 class Store:
     """Calls of the store, one at a time on one kept connection.
 
-    :param address: IP number and port.
+    :param address: IP number and port; another one counts from the next
+        connection on.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.calls = 0
-        self._address = address
+        self.address = address
         self._connection: ClientConnection | None = None
 
     async def get(self, key: str) -> Reading:
@@ -197,10 +198,10 @@
         if self._connection is None or not self._connection.is_quiet():
             await self.close()
             self._connection = await ClientConnection.open(
-                *self._address, CONNECT_SECONDS
+                *self.address, CONNECT_SECONDS
             )
         connection = self._connection
-        host = ':'.join(map(str, self._address)).encode()
+        host = ':'.join(map(str, self.address)).encode()
         target = f'{path}?{urlencode(query, safe="/")}'
         await connection.send(Request('GET', target, ((b'host', host),)))
         head = await connection.read_head()
--- a/tests/direct/test_moving.py
+++ b/tests/direct/test_moving.py
@@ -39,7 +39,7 @@
         await exchange.finish()
 
     site = await be.open_site(route, turn_slow, be.stream(5))
-    site.world.budget._settings = retries
+    site.world.budget.settings = retries
     other = site.world.fleet.find(site.backends[1].name)
     assert other is not None
     other.elsewhere = 1
