Refuse a head that is too long also when it comes at once

Cause: the parser bounds a head that is not whole yet; one of three times the bound that came with a single read was served. Change: the size of the parsed head is checked (431). Test: tests/direct/test_bounds.py, each bound of the configuration at a whole entry, with another caller beside it; its row head-too-long was red before.

--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -19,6 +19,7 @@
     TooSlow,
 )
 from ospreyford.http.hangup import Hangup
+from ospreyford.http.head import decode_head
 from ospreyford.http.message import Headers, Limits, Request
 from ospreyford.http.outgoing import Outgoing
 
@@ -188,12 +189,7 @@
         if not isinstance(event, h11.Request):
             return None
         self.outgoing.encoder.may_have_body = event.method != HEAD
-        request = Request(
-            event.method.decode('ascii'),
-            event.target.decode('ascii'),
-            tuple(event.headers),
-        )
-        return Exchange(self, request)
+        return Exchange(self, decode_head(event, self._limits))
 
     async def read_body(self) -> bytes:
         """Read the whole body of the current request.
