--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 measure-times: setup
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.placement_timing
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.routing_timing
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.direct_timing
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.documents
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.distribution
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.membership
