--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -110,6 +110,25 @@
     waiter: Waiter
 
 
+class GateView(NamedTuple):
+    """What a decision about a waiting stream rested on, for the log.
+
+    :param running: streams that this entry has in the group.
+    :param waiting: requests that wait at this entry.
+    :param easy: streams that it admits, or -1 for any number.
+    :param full: the same where one can wait no longer.
+    :param pass_ms: mean time of the group's last passes.
+    :param age_ms: age of the group's figures, or -1 before the first ones.
+    """
+
+    running: int
+    waiting: int
+    easy: float
+    full: float
+    pass_ms: int
+    age_ms: int
+
+
 class StreamLimit:
     """The entry's part of the streams that a group runs at once.
 
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -9,6 +9,7 @@
 from ospreyford.direct.catalog import Repetition
 
 if TYPE_CHECKING:
+    from ospreyford.direct.admission import GateView
     from ospreyford.direct.catalog import Customer, Route
     from ospreyford.http.message import Request
 
@@ -55,6 +56,7 @@
     body: bytes = b''
     attempts: list[Attempt] = field(default_factory=list)
     may_have_run: bool = False
+    gate: GateView | None = None
     admitted_at: float | None = None
     first_event_at: float | None = None
     last_event_at: float | None = None
--- a/src/ospreyford/direct/decisions.py
+++ b/src/ospreyford/direct/decisions.py
@@ -23,6 +23,7 @@
     :param waited_ms: of these, in the queue.
     :param first_event_ms: until a stream's first event, or -1.
     :param longest_gap_ms: between two of its events.
+    :param gate: what its admission or refusal rested on, for streams.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     waited_ms: int
     first_event_ms: int
     longest_gap_ms: int
+    gate: dict[str, Any]
 
 
 @dataclass(frozen=True)
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from ospreyford.direct.admission import (
     FIRST_EVENT_PASSES,
     AdmissionQueue,
+    GateView,
     StreamLimit,
     Waiter,
     is_urgent,
@@ -21,6 +23,7 @@
     from ospreyford.direct.admission import GroupLoad
     from ospreyford.direct.call import Call
 
+MILLISECONDS = 1000
 #: Pause after a refusal, in seconds: what ranks show of their group is as old
 #: as two reports.
 PAUSE_SECONDS = 0.2
@@ -50,35 +53,18 @@
         self._refused: set[int] = set()
         self._paused_until: float = 0
         self._is_closed = False
+        self._told_at: float | None = None
 
     async def enter(self, call: Call) -> bool:
         """Wait for a place; whoever got one must leave it.
 
-        :param call: the request.
+        :param call: the request; notes what the decision rested on.
         :returns: whether it has a place; otherwise it has not been sent and
             should be refused now.
         """
-        now = time.monotonic()
-        is_free = not self._queue and not self._is_waiting(now)
-        if is_free and self.running < self.limit.easy:
-            self.running += 1
-            return True
-        waiter = Waiter(
-            next(self._numbers),
-            call.started_at,
-            call.route.objective,
-            call.deadline,
-            call.tell_priority(),
-            call.tell_quiet_since()
-            - call.started_at
-            + tell_patience(call.route.objective, call.route.max_gap),
-        )
-        self._queue.add(waiter)
-        self._turns[waiter.number] = curio.Event()
-        try:
-            return await self._wait(waiter)
-        finally:
-            self._forget(waiter.number)
+        has_place = await self._decide(call)
+        call.gate = self._tell_view()
+        return has_place
 
     async def leave(self) -> None:
         """Free a place."""
@@ -114,6 +100,7 @@
         :param load: as told by its coordinator.
         :param entries: entries that send to the group.
         """
+        self._told_at = time.monotonic()
         self.limit.take_load(load, self.running, entries)
         if not load.is_open:
             self.note_refusal()
@@ -144,6 +131,42 @@
                 self._paused_until = now + PROBE_SECONDS
             await self._turns[chosen.number].set()
 
+    async def _decide(self, call: Call) -> bool:
+        now = time.monotonic()
+        is_free = not self._queue and not self._is_waiting(now)
+        if is_free and self.running < self.limit.easy:
+            self.running += 1
+            return True
+        waiter = Waiter(
+            next(self._numbers),
+            call.started_at,
+            call.route.objective,
+            call.deadline,
+            call.tell_priority(),
+            call.tell_quiet_since()
+            - call.started_at
+            + tell_patience(call.route.objective, call.route.max_gap),
+        )
+        self._queue.add(waiter)
+        self._turns[waiter.number] = curio.Event()
+        try:
+            return await self._wait(waiter)
+        finally:
+            self._forget(waiter.number)
+
+    def _tell_view(self) -> GateView:
+        age: float = -1
+        if self._told_at is not None:
+            age = (time.monotonic() - self._told_at) * MILLISECONDS
+        return GateView(
+            running=self.running,
+            waiting=len(self._queue),
+            easy=_round(self.limit.easy),
+            full=_round(self.limit.full),
+            pass_ms=round(self.limit.pass_seconds * MILLISECONDS),
+            age_ms=int(age),
+        )
+
     def _is_waiting(self, now: float) -> bool:
         return self._is_closed and now < self._paused_until
 
@@ -163,3 +186,8 @@
                 self.running -= 1
             raise
         return waiter.number not in self._refused
+
+
+def _round(places: float) -> float:
+    # JSON has no infinity.
+    return round(places, 1) if math.isfinite(places) else -1
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -220,6 +220,7 @@
                 waited_ms=tell_ms(call.started_at, call.admitted_at),
                 first_event_ms=tell_ms(call.started_at, call.first_event_at),
                 longest_gap_ms=int(call.longest_gap * MILLISECONDS),
+                gate=call.gate._asdict() if call.gate else {},
             )
         )
 
--- a/tests/direct/test_gate.py
+++ b/tests/direct/test_gate.py
@@ -120,3 +120,37 @@
 
 def test_an_open_group_is_entered_at_once() -> None:
     assert curio.run(stay_open)
+
+
+async def refuse_when_full() -> Call:
+    gate = StreamGate(0.12)
+    gate.running = 12
+    await gate.take_load(FULL, 4)
+    call = make_call()
+    call.started_at -= 3
+    assert not await gate.enter(call)
+    return call
+
+
+def test_a_refusal_tells_what_it_rested_on() -> None:
+    """Nobody could say why a request found no place in time.
+
+    Sequence: a stream is refused; its line tells how long it waited. Cause:
+    whether the group was full, closed, or its figures old stood nowhere.
+    """
+    view = curio.run(refuse_when_full).gate
+    assert view is not None
+    assert (view.running, view.pass_ms) == (12, 300)
+    assert view.full < view.running
+    assert view.age_ms >= 0
+
+
+def test_what_is_unlimited_can_be_logged() -> None:
+    async def admit() -> Call:
+        call = make_call()
+        assert await StreamGate(0.12).enter(call)
+        return call
+
+    view = curio.run(admit).gate
+    assert view is not None
+    assert (view.easy, view.full, view.age_ms) == (-1, -1, -1)
