Pass over ranks whose agents are silent; one client for kept connections

Change: the coordinator tells which agents it does not hear; entries pass their ranks over. Besides: the store's and the ranks' clients were twins and are one (http/kept.py); numbers that nobody served are metrics now, one is gone.

--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -110,6 +110,7 @@
         for load in news.ranks:
             for member in self._world.fleet.find_host(news.service, load.host):
                 member.take_figures(load.active + load.queued, load.pace, now)
+                member.is_silent = load.is_silent
         await self._world.take_group_load(
             news.service,
             GroupLoad(
--- a/src/ospreyford/direct/choosing.py
+++ b/src/ospreyford/direct/choosing.py
@@ -22,6 +22,12 @@
 #: From here on a rank counts as slow: all ranks wait in each pass for the work
 #: of its own requests, so it gets none while others have room.
 SLOW_PACE = 1.25
+#: What an agent that is not heard of weighs, in requests per slot. Its host may
+#: be frozen or cut off with the back end beside it. Requests sent there hang
+#: until their callers leave, and its last figures, of a back end with little to
+#: do, would draw ever more. If the agent alone is gone, the others of its group
+#: can take its part; if all are silent, all weigh the same.
+SILENT_WEIGHT = 2.0
 #: From here on streams leave a rank. The work of its own requests is a small
 #: part of a pass; at twice its time it is longer than what level experts leave
 #: for all others, at twelve times a pass takes half a second for everybody.
@@ -85,7 +91,8 @@
         return None
     for member in members:
         has_room = member.count_load() < member.server.slots
-        if member.pace <= SLOW_PACE and has_room:
+        is_sound = member.pace <= SLOW_PACE and not member.is_silent
+        if is_sound and has_room:
             return member
     return None
 
@@ -100,6 +107,8 @@
     weight = member.count_load() / max(member.server.slots, 1)
     if member.pace > SLOW_PACE:
         weight += member.pace
+    if member.is_silent:
+        weight += SILENT_WEIGHT
     if wish.now - member.failed_at < FAILURE_MEMORY:
         weight += FAILURE_WEIGHT * member.failure_rate
     if member.server.zone != wish.zone:
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -49,6 +49,7 @@
         self.elsewhere = 0
         self.pace: float = 1
         self.told_at: float = 0
+        self.is_silent = False
         self.is_gone = False
         self.gone_by: float | None = None
 
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -17,6 +17,7 @@
 from ospreyford.direct.knowledge import Knowledge
 from ospreyford.direct.metrics import EntryMetrics
 from ospreyford.direct.sending import Tools
+from ospreyford.observability.tallies import serve_tally
 
 if TYPE_CHECKING:
     from ospreyford.direct.call import Call
@@ -56,6 +57,13 @@
         self.knowledge = Knowledge(self.settings.bounds)
         self.pool = ConnectionPool()
         self.metrics = EntryMetrics()
+        serve_tally(
+            self.metrics.registry,
+            'ospreyford_connections_opened',
+            'Connections opened to back ends.',
+            self.pool,
+            'opened',
+        )
         self.started_at = time.monotonic()
         self.gates: dict[str, StreamGate] = {}
         self.tools = Tools(self.pool, self.dialect)
--- /dev/null
+++ b/src/ospreyford/http/kept.py
@@ -0,0 +1,77 @@
+"""Calls of one address, one at a time, on a connection that is kept."""
+
+from __future__ import annotations
+
+import curio
+
+from ospreyford.http.client import ClientConnection
+from ospreyford.http.errors import HttpError, TooSlow
+from ospreyford.http.message import Request
+
+
+class KeptConnection:
+    """Opens a connection when it is needed and keeps it between calls.
+
+    A connection whose call failed is closed: on one on which an answer was
+    lost, the next call would wait in vain as well, or read the lost answer.
+
+    :param address: IP number and port; another one counts from the next
+        connection on.
+    :param connect_seconds: time for opening a connection.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], connect_seconds: float
+    ) -> None:
+        self.address = address
+        self._connect_seconds = connect_seconds
+        self._connection: ClientConnection | None = None
+
+    async def call(
+        self, request: Request, body: bytes, seconds: float
+    ) -> tuple[int, bytes]:
+        """Send a request and read the whole answer.
+
+        :param request: the request, without its host.
+        :param body: the request's body.
+        :param seconds: time for all of it.
+        :returns: the answer's status and body.
+        :raises HttpError: no whole answer in time.
+        """
+        try:
+            answer: tuple[int, bytes] = await curio.timeout_after(
+                seconds, self._exchange, request, body
+            )
+        except HttpError:
+            await self.close()
+            raise
+        except curio.TaskTimeout:
+            await self.close()
+            raise TooSlow('answer', seconds) from None
+        return answer
+
+    async def close(self) -> None:
+        """Close the connection; the next call opens another one."""
+        connection = self._connection
+        self._connection = None
+        if connection is not None:
+            await connection.close()
+
+    async def _exchange(
+        self, request: Request, body: bytes
+    ) -> tuple[int, bytes]:
+        connection = self._connection
+        if connection is None or not connection.is_quiet():
+            await self.close()
+            connection = await ClientConnection.open(
+                *self.address, self._connect_seconds
+            )
+            self._connection = connection
+        host = ':'.join(map(str, self.address)).encode()
+        headers = ((b'host', host), *request.headers)
+        await connection.send(request._replace(headers=headers), body)
+        head = await connection.read_head()
+        content = await connection.read_body()
+        if not connection.start_next_cycle():
+            await self.close()
+        return head.status, content
--- a/src/ospreyford/platform/agent.py
+++ b/src/ospreyford/platform/agent.py
@@ -12,6 +12,7 @@
 from ospreyford.console.stopping import Stop
 from ospreyford.observability.events import Started
 from ospreyford.observability.logs import ChangeLog
+from ospreyford.observability.tallies import serve_tally
 from ospreyford.platform.entry import METRICS_PORT, open_log
 from ospreyford.platform.errors import BadNodeFile
 from ospreyford.platform.nodefile import PATH_VARIABLE, Node
@@ -64,6 +65,22 @@
     stop.deadline = changed.grace_seconds
 
 
+def serve_tallies(agent: RankAgent, replica: Replica) -> None:
+    """Serve what the agent's parts count among its metrics.
+
+    :param agent: the agent.
+    :param replica: the calls of the rank beside it.
+    """
+    for owner, name, field in (
+        (agent.post, 'ospreyford_datagrams_sent', 'sent'),
+        (agent.post, 'ospreyford_datagrams_malformed', 'malformed'),
+        (replica, 'ospreyford_rank_calls', 'calls'),
+        (replica, 'ospreyford_rank_bad_answers', 'bad_answers'),
+    ):
+        text = 'Messages of this agent, or calls of the rank beside it.'
+        serve_tally(agent.metrics.registry, name, text, owner, field)
+
+
 async def serve(node: Node, log: ChangeLog, stop: Stop) -> None:
     """Run the agent until it has stopped.
 
@@ -73,8 +90,9 @@
     """
     settings = make_settings(node)
     log.log_change(Started('agent', node.name, ''))
-    outside = Outside(Replica(settings.backend), reach, log, SystemClock())
-    agent = RankAgent(settings, outside)
+    replica = Replica(settings.backend)
+    agent = RankAgent(settings, Outside(replica, reach, log, SystemClock()))
+    serve_tallies(agent, replica)
     follower = SettingsFollower(node, partial(apply_settings, stop), log)
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(agent.run, stop)
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -17,6 +17,7 @@
 from ospreyford.observability.events import Started
 from ospreyford.observability.lines import DescriptorSink
 from ospreyford.observability.logs import ChangeLog
+from ospreyford.observability.tallies import serve_tally
 from ospreyford.platform.dialect import DIALECT
 from ospreyford.platform.errors import BadNodeFile
 from ospreyford.platform.feed import StoreFeed
@@ -79,7 +80,7 @@
     :param changed: what the platform's file says now.
     """
     world.take_settings(make_settings(changed))
-    store.address = changed.store
+    store.move(changed.store)
     stop.deadline = changed.grace_seconds
 
 
@@ -97,6 +98,13 @@
     log.log_change(Started('entry', node.name, ''))
     server = EntryServer(world, stop, Listeners(*map(Socket, listeners)))
     store = Store(node.store)
+    serve_tally(
+        world.metrics.registry,
+        'ospreyford_store_calls',
+        "Calls of the platform's store.",
+        store,
+        'calls',
+    )
     feed = StoreFeed(store, server.changes, world)
     follower = SettingsFollower(
         node, partial(apply_settings, world, store, stop), log
--- a/src/ospreyford/platform/nodefile.py
+++ b/src/ospreyford/platform/nodefile.py
@@ -115,7 +115,7 @@
         :raises BadNodeFile: it is missing or no address.
         """
         text = self.text(key)
-        address = split_address(text)
+        address = parse_address(text)
         if address is None:
             raise BadNodeFile(self._path, key, f'no address: {text}')
         return address
@@ -138,8 +138,8 @@
         return self._lines.get(key, '').lower() == 'true'
 
 
-def split_address(text: str) -> tuple[str, int] | None:
-    """Split an address.
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Parse an address.
 
     :param text: IP number, colon, port.
     :returns: both parts, or ``None`` if it is no address.
--- a/src/ospreyford/platform/records.py
+++ b/src/ospreyford/platform/records.py
@@ -19,7 +19,7 @@
 from ospreyford.direct.fleet import BackendServer
 from ospreyford.http.message import Limits
 from ospreyford.platform.errors import BadRecord
-from ospreyford.platform.nodefile import split_address
+from ospreyford.platform.nodefile import parse_address
 from ospreyford.platform.schema import (
     StoredConfig,
     StoredEngine,
@@ -90,7 +90,7 @@
         found = _registrations.decode(raw)
     except (msgspec.DecodeError, UnicodeError) as error:
         raise BadRecord(key, str(error)) from None
-    address = split_address(found.address)
+    address = parse_address(found.address)
     if address is None:
         raise BadRecord(key, f'no address: {found.address}')
     return BackendServer(
--- a/src/ospreyford/platform/replica.py
+++ b/src/ospreyford/platform/replica.py
@@ -7,8 +7,8 @@
 import curio
 import msgspec
 
-from ospreyford.http.client import ClientConnection
 from ospreyford.http.errors import HttpError
+from ospreyford.http.kept import KeptConnection
 from ospreyford.http.message import Request
 from ospreyford.rebalance.group import (
     Arm,
@@ -93,9 +93,8 @@
     ) -> None:
         self.calls = 0
         self.bad_answers = 0
-        self._address = address
         self._seconds = seconds
-        self._connection: ClientConnection | None = None
+        self._connection = KeptConnection(address, seconds)
         self._lock = curio.Lock()
 
     async def read_state(self) -> RankState | None:
@@ -154,41 +153,11 @@
         request = Request(method, target, headers)
         async with self._lock:
             try:
-                answer: tuple[int, bytes] = await curio.timeout_after(
-                    self._seconds, self._exchange, request, body
-                )
-            except (HttpError, curio.TaskTimeout):
-                # An order without an answer keeps its connection busy for
-                # good; the next one needs another.
-                await self._close()
+                return await self._connection.call(request, body, self._seconds)
+            except HttpError:
+                # The caller tries again or passes the rank over, and logs what
+                # that means; the outcome of an order stays unknown.
                 return None
-        return answer
-
-    async def _exchange(
-        self, request: Request, body: bytes
-    ) -> tuple[int, bytes]:
-        connection = self._connection
-        if connection is None or not connection.is_quiet():
-            await self._close()
-            connection = await ClientConnection.open(
-                *self._address, self._seconds
-            )
-            self._connection = connection
-        host = (b'host', ':'.join(map(str, self._address)).encode())
-        await connection.send(
-            request._replace(headers=(host, *request.headers)), body
-        )
-        head = await connection.read_head()
-        content = await connection.read_body()
-        if not connection.start_next_cycle():
-            await self._close()
-        return head.status, content
-
-    async def _close(self) -> None:
-        connection = self._connection
-        self._connection = None
-        if connection is not None:
-            await connection.close()
 
     def _make_state(self, report: _Report) -> RankState:
         return RankState(
--- a/src/ospreyford/platform/store.py
+++ b/src/ospreyford/platform/store.py
@@ -6,11 +6,10 @@
 from typing import TYPE_CHECKING, Final, NamedTuple, TypeVar
 from urllib.parse import urlencode
 
-import curio
 import msgspec
 
-from ospreyford.http.client import ClientConnection
-from ospreyford.http.errors import HttpError
+from ospreyford.http.errors import HttpError, TooSlow
+from ospreyford.http.kept import KeptConnection
 from ospreyford.http.message import Request
 from ospreyford.platform.errors import (
     BadRecord,
@@ -87,14 +86,12 @@
 class Store:
     """Calls of the store, one at a time on one kept connection.
 
-    :param address: IP number and port; another one counts from the next
-        connection on.
+    :param address: IP number and port.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.calls = 0
-        self.address = address
-        self._connection: ClientConnection | None = None
+        self._connection = KeptConnection(address, CONNECT_SECONDS)
 
     async def get(self, key: str) -> Reading:
         """Read one value.
@@ -155,12 +152,16 @@
         found = self._decode(_changes, body, prefix)
         return Reading(tuple(map(_make_item, found.events)), found.at)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Use another address, from the next connection on.
+
+        :param address: IP number and port.
+        """
+        self._connection.address = address
+
     async def close(self) -> None:
         """Close the connection; the next call opens another one."""
-        connection = self._connection
-        self._connection = None
-        if connection is not None:
-            await connection.close()
+        await self._connection.close()
 
     def _check(self, status: int) -> None:
         if status != OK:
@@ -178,37 +179,16 @@
         self, path: str, query: Mapping[str, str], seconds: float
     ) -> tuple[int, bytes]:
         self.calls += 1
+        target = f'{path}?{urlencode(query, safe="/")}'
         limit = seconds + ANSWER_SECONDS
         try:
-            answer: tuple[int, bytes] = await curio.timeout_after(
-                limit, self._exchange, path, query
+            return await self._connection.call(
+                Request('GET', target, ()), b'', limit
             )
+        except TooSlow:
+            raise StoreUnavailable('no answer in time') from None
         except HttpError as error:
-            await self.close()
             raise StoreUnavailable(type(error).__name__) from None
-        except curio.TaskTimeout:
-            # A connection on which one answer was lost returns nothing more.
-            await self.close()
-            raise StoreUnavailable('no answer in time') from None
-        return answer
-
-    async def _exchange(
-        self, path: str, query: Mapping[str, str]
-    ) -> tuple[int, bytes]:
-        if self._connection is None or not self._connection.is_quiet():
-            await self.close()
-            self._connection = await ClientConnection.open(
-                *self.address, CONNECT_SECONDS
-            )
-        connection = self._connection
-        host = ':'.join(map(str, self.address)).encode()
-        target = f'{path}?{urlencode(query, safe="/")}'
-        await connection.send(Request('GET', target, ((b'host', host),)))
-        head = await connection.read_head()
-        body = await connection.read_body()
-        if not connection.start_next_cycle():
-            await self.close()
-        return head.status, body
 
 
 def _make_item(found: _Item) -> Item:
--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -49,17 +49,17 @@
     def __init__(self, settings: AgentSettings, outside: Outside) -> None:
         self._settings = settings
         self._outside = outside
-        self._post = Post(settings.datagrams)
+        self.post = Post(settings.datagrams)
         self._member = RankMember(outside.engine, outside.clock)
-        self._metrics = AgentMetrics()
+        self.metrics = AgentMetrics()
         self._desk = OrderDesk(
             self._member,
-            self._post,
-            self._metrics,
+            self.post,
+            self.metrics,
             outside.log,
         )
         self._watcher = RankWatcher(outside.engine, outside.log)
-        self._audience = Audience(settings, self._post)
+        self._audience = Audience(settings, self.post)
         self._election = Election(settings.datagrams, outside.clock)
         self._leader: GroupLeader | None = None
 
@@ -77,7 +77,7 @@
             self._lead_often,
         ):
             await curio.spawn(keep_running, task, log, daemon=True)
-        await FigureServer(self._metrics.render).start(
+        await FigureServer(self.metrics.render).start(
             self._settings.datagrams[0], self._settings.metrics_port
         )
         await stop.requested.wait()
@@ -85,7 +85,7 @@
         log.log_change(Stopped(0))
 
     async def _receive(self) -> None:
-        await self._post.receive(self._handle_message)
+        await self.post.receive(self._handle_message)
 
     async def _look_often(self) -> None:
         while True:
@@ -107,7 +107,7 @@
         if report is None or address is None:
             return
         if address != self._settings.datagrams:
-            await self._post.send(report, address)
+            await self.post.send(report, address)
         elif self._leader is not None:
             self._leader.view.note_counts(report)
 
@@ -127,7 +127,7 @@
     async def _beat(self, beat: Lead, leader: GroupLeader) -> None:
         for address in self._audience.members:
             if address != self._settings.datagrams:
-                await self._post.send(beat, address)
+                await self.post.send(beat, address)
         state = self._watcher.state
         news = GroupNews(
             service=self._audience.service,
@@ -144,7 +144,7 @@
             state.rank,
             self._settings.datagrams[0],
             self._member,
-            self._post,
+            self.post,
             self._reach,
             outside.clock,
         )
@@ -153,7 +153,7 @@
             self._desk.maps,
             self._election.lost,
             self._settings.pace,
-            self._metrics,
+            self.metrics,
             outside,
         )
         self._log_leader(state.group, self._settings.datagrams[0])
--- a/src/ospreyford/rebalance/far.py
+++ b/src/ospreyford/rebalance/far.py
@@ -29,7 +29,6 @@
     def __init__(
         self, reach: Callable[[str], EnginePort | None], clock: Clock
     ) -> None:
-        self.orders = 0
         self._reach = reach
         self._clock = clock
         self._engines: dict[str, EnginePort] = {}
@@ -55,7 +54,6 @@
         :param guard: what the rank checks first.
         :returns: its answer.
         """
-        self.orders += 1
         return await engine.give(order, guard)
 
     async def carry_out(self, host: str, order: Order, term: Term) -> Outcome:
@@ -69,6 +67,5 @@
         engine = self.find(host)
         if engine is None:
             return Silent()
-        self.orders += 1
         member = RankMember(engine, self._clock, is_near=False)
         return await member.carry_out(order, term)
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -61,12 +61,15 @@
     :param active: requests that run.
     :param queued: requests that wait.
     :param pace: above 1 the rank is slower than usual.
+    :param is_silent: whether the agent beside it is not heard of; the other
+        figures are then the last ones that were told.
     """
 
     host: str
     active: int
     queued: int
     pace: float
+    is_silent: bool = False
 
 
 class GroupNews(msgspec.Struct, frozen=True, tag='g', array_like=True):
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -100,7 +100,14 @@
         hosts = {rank: address[0] for rank, address in self.agents.items()}
         hosts[self.me] = self._my_host
         return tuple(
-            RankLoad(hosts[rank], state.active, state.queued, state.pace)
+            RankLoad(
+                host=hosts[rank],
+                active=state.active,
+                queued=state.queued,
+                pace=state.pace,
+                is_silent=rank != self.me
+                and self.silent.is_silent(hosts[rank]),
+            )
             for rank, state in self._states.items()
             if rank in hosts
         )
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -60,6 +60,22 @@
     assert choose(fleet) == 'y'
 
 
+def test_a_back_end_whose_agent_is_silent_is_passed_over() -> None:
+    """Requests were sent to a frozen host, which looked the least loaded."""
+    fleet = make_fleet(make_server('frozen'), make_server('busy'))
+    frozen = fleet.find('frozen')
+    busy = fleet.find('busy')
+    assert frozen is not None
+    assert busy is not None
+    busy.elsewhere = 6
+    assert choose(fleet) == 'frozen'
+    frozen.is_silent = True
+    assert choose(fleet) == 'busy'
+    # All agents gone at once say nothing of their back ends.
+    busy.is_silent = True
+    assert choose(fleet) == 'frozen'
+
+
 def test_a_failing_back_end_is_left_and_tried_again() -> None:
     """Half of the requests failed while the health check was good.
 
--- a/tests/platform/test_reloading.py
+++ b/tests/platform/test_reloading.py
@@ -118,7 +118,7 @@
     apply_settings(world, store, stop, read_node())
     assert not world.budget.spend('service', 0)
     assert world.knowledge.bounds.revoke_seconds == pytest.approx(0.1)
-    assert store.address == ('127.0.0.1', 9)
+    assert store._connection.address == ('127.0.0.1', 9)
     assert stop.deadline == 3
 
 
--- a/tests/rebalance/test_ranks.py
+++ b/tests/rebalance/test_ranks.py
@@ -76,6 +76,34 @@
         await self.ranks.note_answer(refusal)
 
 
+def make_ranks(clock: FakeClock) -> GroupRanks:
+    return GroupRanks(
+        0,
+        '10.0.0.1',
+        None,  # type: ignore[arg-type]
+        None,  # type: ignore[arg-type]
+        lambda _: None,
+        clock,
+    )
+
+
+def test_a_rank_whose_agent_is_silent_is_told_as_such() -> None:
+    """Seven requests hung until their callers left.
+
+    Sequence: a host freezes with the rank beside it; the coordinator goes on
+    telling that rank's last figures, of one with little to do. Cause: nothing
+    said that they were old, so the entries chose it first.
+    """
+    clock = FakeClock()
+    ranks = make_ranks(clock)
+    ranks.note_report(make_state(), AGENT)
+    assert [one.is_silent for one in ranks.list_loads()] == [False]
+    clock.advance(1)
+    assert [one.is_silent for one in ranks.list_loads()] == [True]
+    ranks.note_report(make_state(), AGENT)
+    assert [one.is_silent for one in ranks.list_loads()] == [False]
+
+
 async def hold(reply: Reply) -> tuple[Any, Engine, Agent, GroupRanks]:
     engine = Engine(reply)
     agent = Agent()
