Arm one other rank by itself before the coordinator's own; say a standing group once

Change: all others but one, then that one, then the coordinator's own. Some ten milliseconds are left in which only the frozen host can tell. Besides: GroupSettled was logged at each look, 30 times a second, while a group stood still; now once. Tests: tests/rebalance/test_arming.py, test_leader.py, red before.

--- a/src/ospreyford/rebalance/coordinator.py
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -9,9 +9,9 @@
 
 A host that freezes or loses power takes the rank beside it out of reach. So
 that the group does not stand still until the coordinator's own host is back,
-the pass is held at another rank, and the coordinator's own rank is armed last:
-whoever takes over and finds a rank that is not armed knows without asking that
-the one out of reach is not armed either.
+the pass is held at another rank, and the ranks are armed in three steps: all
+but one, that one, the coordinator's own. Whoever takes over and finds a rank
+that is not armed knows without asking that the one out of reach is not either.
 """
 
 from __future__ import annotations
@@ -214,7 +214,13 @@
 
     async def _arm(self, group: Group, arm: Arm) -> bool:
         others = [rank for rank in group.ranks if rank != self._me]
-        if not await self._all_done(group, others, arm, ARM_TRIES):
+        if not await self._all_done(group, others[:-1], arm, ARM_TRIES):
+            return False
+        # One more is armed by itself, before the coordinator's own. Asked
+        # together, all others arm themselves also when this host freezes right
+        # after asking, and whoever takes over cannot tell that its rank is not
+        # armed: the group then stands still until the host is back.
+        if not await self._all_done(group, others[-1:], arm, ARM_TRIES):
             return False
         return await self._one_done(group, self._me, arm, ARM_TRIES)
 
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -58,6 +58,7 @@
         self._metrics = metrics
         self._log = outside.log
         self._clock = clock
+        self._last_settled: GroupSettled | None = None
 
     def note_pass(self, state: RankState) -> None:
         """Take over a look at the rank beside this agent.
@@ -126,6 +127,7 @@
     async def _change(
         self, coordinator: Coordinator, group: Group, plan: Plan
     ) -> None:
+        self._last_settled = None
         began = self._clock.monotonic()
         age = began - self.view.counted_at
         states = dict(self.ranks.read_states())
@@ -166,9 +168,13 @@
         version = self._next_version(NOBODY)
         self._maps.note(version, experts)
         is_settled = await coordinator.settle(group, version, experts)
-        self._log.log_change(
-            GroupSettled(mine.group, group.epoch, held, armed, is_settled)
-        )
+        settled = GroupSettled(mine.group, group.epoch, held, armed, is_settled)
+        # An idle group stays armed until its next pass, and one that is held
+        # out of reach until its host is back: one line says so, not one for
+        # each look.
+        if settled != self._last_settled:
+            self._last_settled = settled
+            self._log.log_change(settled)
 
     def _next_version(self, author: int) -> int:
         now = int(self._clock.wall() * MILLISECONDS)
--- /dev/null
+++ b/tests/rebalance/test_arming.py
@@ -0,0 +1,114 @@
+"""In which order the ranks of a group are armed."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+
+from ospreyford.rebalance.coordinator import Change, Coordinator, Group
+from ospreyford.rebalance.group import (
+    Arm,
+    Armed,
+    Done,
+    Go,
+    Hold,
+    Order,
+    Outcome,
+    RankState,
+    Term,
+)
+from tests.fakes.clock import FakeClock
+from tests.rebalance.test_ranks import make_state
+
+SIZE = 5
+ME = 2
+VERSION = 9
+MAP = (((0,), (1,), (2,), (3,), (4,)),)
+
+
+class Frozen(Exception):
+    """The coordinator's host froze."""
+
+
+@dataclass
+class Ranks:
+    """Ranks that do what they are asked; the host may freeze while asking."""
+
+    freezes_at: int
+    states: dict[int, RankState] = field(
+        default_factory=lambda: {rank: make_state(rank) for rank in range(SIZE)}
+    )
+    asked: int = 0
+
+    def read_states(self) -> Mapping[int, RankState]:
+        return self.states
+
+    def choose_holder(self, ranks: Sequence[int]) -> int:
+        return 0
+
+    async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
+        self._apply(rank, order)
+        return Done(self.states[rank])
+
+    async def ask_together(self, parts: Sequence[Any]) -> Sequence[Outcome]:
+        """What was asked is done, also if the host freezes right after."""
+        outcomes = [await part for part in parts]
+        self.asked += 1
+        if self.asked == self.freezes_at:
+            raise Frozen
+        return outcomes
+
+    def _apply(self, rank: int, order: Order) -> None:
+        state = self.states[rank]
+        match order:
+            case Hold(step=step):
+                state = state._replace(held=step)
+            case Arm(version=version, step=step):
+                state = state._replace(armed=Armed(version, step))
+            case Go():
+                self.states = {
+                    one: known._replace(version=VERSION, armed=None, held=None)
+                    for one, known in self.states.items()
+                }
+                return
+        self.states[rank] = state
+
+
+async def change(ranks: Ranks) -> Change:
+    coordinator = Coordinator(
+        ME,
+        1,
+        ranks,
+        ranks.ask_together,
+        FakeClock(),
+    )
+    group = Group(ranks.states[ME].epoch, tuple(range(SIZE)))
+    return await coordinator.change(group, VERSION, MAP)
+
+
+def test_who_takes_over_can_tell_that_the_lost_rank_is_not_armed() -> None:
+    """A group stood still for four seconds, until its coordinator was back.
+
+    Sequence: a coordinator asks all other ranks to arm themselves and freezes;
+    they do. Cause: with all of them armed, only the frozen host knows whether
+    its own rank is armed as well. One other rank is armed by itself, so there
+    is one moment only, between that one and the coordinator's own, in which
+    this cannot be told.
+    """
+    unclear = []
+    for moment in range(1, 20):
+        ranks = Ranks(moment)
+        try:
+            assert curio.run(change, ranks) is Change.made
+        except Frozen:
+            mine = ranks.states.pop(ME).armed
+            others = [one.armed is not None for one in ranks.states.values()]
+            unclear.append(all(others) and mine is None)
+            # While any other is not armed, neither is the coordinator's own.
+            assert all(others) or mine is None
+    assert sum(unclear) == 1
+    # The freeze right after the hold's own answer, with the next orders out.
+    assert not unclear[2]
--- /dev/null
+++ b/tests/rebalance/test_leader.py
@@ -0,0 +1,49 @@
+"""What a coordinator does at each look at its group."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+
+from ospreyford.rebalance.decisions import GroupSettled
+from ospreyford.rebalance.group import Armed
+from ospreyford.rebalance.knownmaps import KnownMaps
+from ospreyford.rebalance.leader import GroupLeader
+from ospreyford.rebalance.metrics import AgentMetrics
+from ospreyford.rebalance.outside import Outside
+from ospreyford.rebalance.settings import Pace
+from tests.direct.backends import Lines
+from tests.fakes.clock import FakeClock
+from tests.rebalance.test_ranks import AGENT, make_ranks, make_state
+
+
+async def look_often(lines: Lines) -> None:
+    clock = FakeClock()
+    ranks = make_ranks(clock)
+    maps = KnownMaps()
+    maps.note(make_state().version, (((0,), (1,)),))
+    nothing: Any = None
+    leader = GroupLeader(
+        ranks,
+        maps,
+        None,
+        Pace(),
+        AgentMetrics(),
+        Outside(nothing, nothing, lines, clock),  # type: ignore[arg-type]
+    )
+    ranks.note_state(make_state(0)._replace(armed=Armed(9, 50)))
+    ranks.note_report(make_state(1), AGENT)
+    for _ in range(5):
+        assert await leader.work(1, nothing, 0.12)
+
+
+def test_an_idle_group_that_stays_armed_has_one_line() -> None:
+    """Seventeen lines in half a second said the same.
+
+    Sequence: the last change before a quiet time; the group makes no pass, so
+    its ranks stay armed. Cause: each look at the group was logged.
+    """
+    lines = Lines()
+    curio.run(look_often, lines)
+    assert len(lines.find(GroupSettled)) == 1
