Do without a look at a rank after each order

Change: what an answered order does is derived; only copies are looked for. Test: tests/rebalance/test_effects.py.

--- /dev/null
+++ b/src/ospreyford/rebalance/effects.py
@@ -0,0 +1,41 @@
+"""What orders do to a rank."""
+
+from __future__ import annotations
+
+from ospreyford.rebalance.group import (
+    Arm,
+    Armed,
+    Disarm,
+    Go,
+    Hold,
+    Order,
+    RankState,
+)
+
+
+def tell_after(state: RankState, order: Order, *, is_new: bool) -> RankState:
+    """Tell what a rank shows after an order that it has answered.
+
+    :param state: before the order.
+    :param order: anything but a copy, which takes time.
+    :param is_new: whether the order was accepted; otherwise the state held
+        already.
+    :returns: the state after it.
+    """
+    sequence = state.sequence + 1 if is_new else state.sequence
+    after = state._replace(sequence=sequence)
+    match order:
+        case Hold(step=step):
+            return after._replace(held=step)
+        case Arm(version=version, step=step):
+            return after._replace(armed=Armed(version, step))
+        case Go(step=step) if state.held == step:
+            return after._replace(held=None)
+        case Disarm(version=version) if _is_armed(state, version):
+            return after._replace(armed=None)
+        case _:
+            return after
+
+
+def _is_armed(state: RankState, version: int) -> bool:
+    return state.armed is not None and state.armed.version == version
--- a/src/ospreyford/rebalance/member.py
+++ b/src/ospreyford/rebalance/member.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ospreyford.rebalance.effects import tell_after
 from ospreyford.rebalance.group import (
     Disarm,
     Done,
@@ -78,8 +79,8 @@
         match await self._engine.give(order, guard):
             case Reply.fenced:
                 return Fenced()
-            case Reply.begun | Reply.holds:
-                return await self._finish(order, state)
+            case Reply.begun | Reply.holds as reply:
+                return await self._finish(order, state, reply)
             case Reply.unfit:
                 return await self._judge_unfit(order, state)
         return None
@@ -92,16 +93,20 @@
             return False
         return holds_already(state, order)
 
-    async def _finish(self, order: Order, before: RankState) -> Outcome:
-        """Wait until the rank shows what it accepted."""
-        if not self._is_near and not isinstance(order, Prepare):
-            return Done(before)
+    async def _finish(
+        self, order: Order, before: RankState, reply: Reply
+    ) -> Outcome:
+        """Wait until the rank has done what it accepted.
+
+        Only copying takes time. Everything else is done with the answer: read
+        back, each order would keep a held group standing for a third longer.
+        """
+        if not isinstance(order, Prepare):
+            return Done(tell_after(before, order, is_new=reply is Reply.begun))
         for _ in range(COPY_LOOKS):
             state = await self._engine.read_state()
             if state is not None and holds_already(state, order):
                 return Done(state)
-            if state is not None and not isinstance(order, Prepare):
-                return Rejected(state)
             await self._clock.sleep(COPY_POLL)
         return Silent()
 
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from ospreyford.rebalance.effects import tell_after
 from ospreyford.rebalance.far import FarRanks
 from ospreyford.rebalance.frames import pack_order, unpack_outcome
 from ospreyford.rebalance.group import (
@@ -245,11 +246,10 @@
         if engine is None or known is None:
             return await self._ask(rank, order, term)
         match await self._far.give(engine, order, Guard(*term, known.sequence)):
-            case Reply.begun:
-                sequence = known.sequence + 1
-                return Done(known._replace(held=order.step, sequence=sequence))
-            case Reply.holds:
-                return Done(known._replace(held=order.step))
+            case Reply.begun | Reply.holds as reply:
+                return Done(
+                    tell_after(known, order, is_new=reply is Reply.begun)
+                )
             case Reply.fenced:
                 return Fenced()
         # What is known of the rank may be too old, or the order is on its way
--- /dev/null
+++ b/tests/rebalance/test_effects.py
@@ -0,0 +1,41 @@
+"""What an answered order did to a rank."""
+
+from __future__ import annotations
+
+import pytest
+
+from ospreyford.rebalance.effects import tell_after
+from ospreyford.rebalance.group import (
+    Arm,
+    Armed,
+    Disarm,
+    Go,
+    Hold,
+    Order,
+    RankState,
+)
+from tests.rebalance.test_ranks import make_state
+
+ARMED = make_state()._replace(armed=Armed(9, 50))
+HELD = make_state()._replace(held=50)
+
+
+@pytest.mark.parametrize(
+    ('before', 'order', 'armed', 'held'),
+    [
+        (make_state(), Hold(50), None, 50),
+        (make_state(), Arm(9, 50), Armed(9, 50), None),
+        (HELD, Go(50), None, None),
+        (ARMED, Disarm(9, None), None, None),
+        # Of another change: it is still there.
+        (HELD, Go(49), None, 50),
+        (ARMED, Disarm(8, None), Armed(9, 50), None),
+    ],
+)
+def test_an_order_changes_what_it_names(
+    before: RankState, order: Order, armed: Armed | None, held: int | None
+) -> None:
+    after = tell_after(before, order, is_new=True)
+    assert (after.armed, after.held) == (armed, held)
+    assert after.sequence == before.sequence + 1
+    assert tell_after(before, order, is_new=False).sequence == before.sequence
