--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,10 @@
 from typing import Any
 
 import curio
+import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from ospreyford.direct.changes import Changes
 from ospreyford.direct.decisions import (
@@ -19,6 +22,7 @@
 from ospreyford.platform.errors import (
     BadRecord,
     HistoryGone,
+    PlatformError,
     StoreUnavailable,
 )
 from ospreyford.platform.feed import WATCH_PART, StoreFeed
@@ -279,3 +283,40 @@
     followed = curio.run(compact, fake)
     assert followed.world.fleet.find('0') is None
     assert followed.world.fleet.find('8') is not None
+
+
+NAMES = st.sampled_from(('events', 'At', 'Items', 'Key', 'Value', 'HasMore'))
+LEAVES = st.none() | st.booleans() | st.integers() | st.text(max_size=8)
+
+
+def nest(parts: st.SearchStrategy[Any]) -> st.SearchStrategy[Any]:
+    lists = st.lists(parts, max_size=3)
+    return lists | st.dictionaries(NAMES, parts, max_size=4)
+
+
+JSON = st.recursive(LEAVES, nest, max_leaves=8)
+
+
+async def read_anything(raw: bytes) -> list[str]:
+    store = Store(await FakeStore(faults=[raw] * 3).open())
+    outcomes = []
+    for call in (
+        store.get('op/config'),
+        store.list_prefix('servers/'),
+        store.watch('', 5, 0.01),
+    ):
+        try:
+            outcomes.append(type(await call).__name__)
+        except PlatformError as error:
+            outcomes.append(type(error).__name__)
+    # The next call finds a client that works.
+    outcomes.append(type(await store.get('op/none')).__name__)
+    return outcomes
+
+
+@settings(derandomize=True, deadline=None, max_examples=80)
+@given(raw=st.binary(max_size=40) | JSON.map(msgspec.json.encode))
+def test_any_answer_of_the_store_is_read_or_refused(raw: bytes) -> None:
+    outcomes = curio.run(read_anything, raw)
+    assert set(outcomes[:3]) <= {'Reading', 'BadRecord'}
+    assert outcomes[3] == 'Reading'
