--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -286,7 +286,7 @@
 
 
 NAMES = st.sampled_from(('events', 'At', 'Items', 'Key', 'Value', 'HasMore'))
-LEAVES = st.none() | st.booleans() | st.integers() | st.text(max_size=8)
+LEAVES = st.one_of(st.none(), st.booleans(), st.integers(), st.text(max_size=8))
 
 
 def nest(parts: st.SearchStrategy[Any]) -> st.SearchStrategy[Any]:
