Look for a refuge only for streams of slow ranks

Cause: found on reading the change again: after each event of each stream the list of all back ends was made, before the check that nearly always says no. Change: the cheap checks go first; what is decided stays.

--- a/src/ospreyford/direct/choosing.py
+++ b/src/ospreyford/direct/choosing.py
@@ -74,6 +74,15 @@
     )
 
 
+def is_slow(member: Member) -> bool:
+    """Tell whether a rank is so slow that its streams leave it.
+
+    :param member: the rank.
+    :returns: whether they do.
+    """
+    return member.pace >= LEAVE_PACE
+
+
 def find_refuge(members: Sequence[Member], slow: Member) -> Member | None:
     """Find where the streams of a slow rank may go on.
 
@@ -87,7 +96,7 @@
     :returns: a rank at its usual pace with room, or ``None`` if there is none
         or the rank is not slow enough.
     """
-    if slow.pace < LEAVE_PACE:
+    if not is_slow(slow):
         return None
     for member in members:
         has_room = member.count_load() < member.server.slots
--- a/src/ospreyford/direct/moving.py
+++ b/src/ospreyford/direct/moving.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from ospreyford.direct.choosing import find_refuge
+from ospreyford.direct.choosing import find_refuge, is_slow
 from ospreyford.direct.decisions import StreamMoved
 
 if TYPE_CHECKING:
@@ -37,10 +37,14 @@
         :returns: whether it does; the next sending is then paid for. Left
             without that, it might find the shared budget empty and be cut.
         """
+        # Asked after each event of each stream: the list of back ends is made
+        # only where there is something to look for.
+        if not is_slow(member) or not self._may_move():
+            return False
         world = self._world
         now = time.monotonic()
         members = world.fleet.list_service(self._call.service)
-        if find_refuge(members, member) is None or not self._may_move():
+        if find_refuge(members, member) is None:
             return False
         if not world.budget.spend(self._call.service, now):
             return False
