Refuse a page of the store that does not go on

Cause: the store decides when reading pages ends; one that says HasMore with the same last key would be read for ever. Found by reading, not seen. Change: a page whose last key is not after the one asked for is a bad record.

--- a/src/ospreyford/platform/store.py
+++ b/src/ospreyford/platform/store.py
@@ -128,7 +128,7 @@
             revision = page.at if revision is None else revision
             if not page.has_more or not page.items:
                 return Reading(tuple(items), revision)
-            query = {'Prefix': prefix, 'After': page.items[-1].key}
+            query = _continue(query, page.items[-1].key)
 
     async def watch(self, prefix: str, after: int, seconds: float) -> Reading:
         """Wait for changes.
@@ -191,6 +191,22 @@
             raise StoreUnavailable(type(error).__name__) from None
 
 
+def _continue(query: Mapping[str, str], last_key: str) -> dict[str, str]:
+    """Ask for what follows the last key of a page.
+
+    A store that promises more and gives the same page again would be read
+    for ever, at everybody's cost and with all of it kept in memory.
+
+    :param query: of the page that was read.
+    :param last_key: the last key on it.
+    :returns: the query of the next page.
+    :raises BadRecord: the page did not go on.
+    """
+    if last_key <= query.get('After', ''):
+        raise BadRecord(last_key, 'a page that does not go on')
+    return {**query, 'After': last_key}
+
+
 def _make_item(found: _Item) -> Item:
     if found.deleted:
         return Item(found.key, None, found.revision)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -106,6 +106,29 @@
         curio.run(watch, fake, 5)
 
 
+#: A page that promises more and would be the next one too.
+SAME_PAGE = (
+    b'{"Items":[{"Key":"servers/1","Revision":1,"Value":""}],'
+    b'"HasMore":true,"At":3}'
+)
+
+
+def test_a_page_that_does_not_go_on_is_refused() -> None:
+    """Symptom: an agent's memory and the store's load grow without an end.
+
+    Sequence: the store answers each question for a next page with the last
+    one again. Cause: only the store decides when the reading ends.
+    """
+    fake = FakeStore(faults=[SAME_PAGE] * 50)
+    with pytest.raises(BadRecord):
+        curio.run(read_pages, fake)
+    assert len(fake.calls) == 2
+
+
+async def read_pages(fake: FakeStore) -> Any:
+    return await Store(await fake.open()).list_prefix('servers/')
+
+
 async def call_after_silence(fake: FakeStore) -> Any:
     store = Store(await fake.open())
     with pytest.raises(StoreUnavailable):
