A request's story and a process's beliefs from the logs of all hosts

Cause: a failure was traced with grep over the logs of a dozen hosts, and what an entry knew when it chose had to be put together by hand. Change: ospreyfordctl story and believed read piles of lines (files or standard input, any order, what collectors add before a line is passed over) and answer as text or JSON. A refused registration now tells its revision, the one line of all kinds that told neither age nor version.

--- a/src/ospreyford/console/ctl.py
+++ b/src/ospreyford/console/ctl.py
@@ -7,6 +7,7 @@
 from itertools import chain
 from typing import Any, Never
 
+from ospreyford.console.beliefs import tell_beliefs
 from ospreyford.console.codes import ExitCode
 from ospreyford.console.commandline import run_fire
 from ospreyford.console.entries import (
@@ -17,7 +18,9 @@
 )
 from ospreyford.console.failures import BadArgument, CommandError
 from ospreyford.console.offline import FileReport, check_files, explain_files
+from ospreyford.console.pile import read_pile
 from ospreyford.console.render import render_json, render_text, render_trace
+from ospreyford.console.story import tell_story
 from ospreyford.settings.errors import SettingsError, make_printable
 
 NAME = 'ospreyfordctl'
@@ -37,6 +40,8 @@
       drain-progress                      hosts that drain, what they wait for
       plan                                what the placement policy would move
       trace REQUEST_ID                    the hops of one request
+      story REQUEST_ID [LOG...]           a request's way, from logs
+      believed HOST [LOG...]              what a process believed, from logs
 
     Any entry answers for the whole system. Entries are named by --entry, by
     --settings FILE (key ``entries``) or by OSPREYFORD_ENTRIES.
@@ -164,6 +169,36 @@
             self._finish(spans)
         self._write(self._attempt(render_trace, spans), ExitCode.ok)
 
+    def story(self, request_id: str, *logs: str) -> Never:
+        """Tell what became of a request and why, from the logs of all hosts.
+
+        Examples:
+          ospreyfordctl story 79f8774bda09223d entry-*.log agent-*.log
+          cat *.log | ospreyfordctl --output json story 79f8774bda09223d
+
+        :param request_id: the request's id, as the entries' lines have it.
+        :param logs: files; standard input if none is named.
+
+        """
+        pile = self._attempt(read_pile, logs)
+        self._finish(self._attempt(tell_story, pile, request_id))
+
+    def believed(self, host: str, *logs: str, at: str = '') -> Never:
+        """Show what a process believed at a moment, from its log lines.
+
+        Examples:
+          ospreyfordctl believed entry-1 entry-1.log
+          cat *.log | ospreyfordctl believed entry-1 --at 2026-08-16T16:20:22Z
+
+        :param host: the process's host, as its lines name it.
+        :param logs: files; standard input if none is named.
+        :param at: seconds since the Unix epoch or ISO 8601; the last line's
+            moment if it is left out.
+
+        """
+        pile = self._attempt(read_pile, logs)
+        self._finish(self._attempt(tell_beliefs, pile, host, at))
+
     def _ask(self, question: Question) -> Any:
         settings = self._attempt(find_entries, self._entry, self._settings)
         return self._attempt(ask_any, settings, question)
--- a/src/ospreyford/console/failures.py
+++ b/src/ospreyford/console/failures.py
@@ -84,3 +84,23 @@
         :returns: one line.
         """
         return self.detail
+
+
+@dataclass(unsafe_hash=True)
+class NotInLogs(CommandError):
+    """No line says anything of what was asked.
+
+    :param asked: what was looked for.
+    :param lines: number of log lines that were read.
+    """
+
+    asked: str
+    lines: int
+    code = ExitCode.findings
+
+    def __str__(self) -> str:
+        """Tell what was looked for.
+
+        :returns: one line.
+        """
+        return f'{self.asked}: nothing in {self.lines} log lines'
--- a/src/ospreyford/direct/decisions.py
+++ b/src/ospreyford/direct/decisions.py
@@ -114,10 +114,12 @@
 
     :param backend: its id.
     :param reason: what is wrong with it.
+    :param revision: of the store, that of the change refused.
     """
 
     backend: str
     reason: str
+    revision: int
 
 
 @dataclass(frozen=True)
--- a/src/ospreyford/platform/feed.py
+++ b/src/ospreyford/platform/feed.py
@@ -161,7 +161,7 @@
             return decode_registration(item.key, item.raw or b'', item.revision)
         except BadRecord as error:
             self._world.log.log_change(
-                RegistrationRefused(item.key, error.reason)
+                RegistrationRefused(item.key, error.reason, item.revision)
             )
             return None
 
