A rank that holds the pass proves nothing of one out of reach

A coordinator arms all ranks and is killed; its successor on the same host disarms the holder, the first step of settling, and freezes with the rank beside it, which is armed still. Whoever took over next saw a rank not armed, concluded that the missing one, armed last, could not be, disarmed the rest and let the pass go. Change: only ranks that hold nothing are evidence, and the holder is armed first, so that the window in which only a frozen host can tell does not grow. Ruled out: disarming the author's rank first; the earlier coordinator's go could then come in between, with one rank unarmed.

--- a/src/ospreyford/rebalance/coordinator.py
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -12,6 +12,8 @@
 the pass is held at another rank, and the ranks are armed in three steps: all
 but one, that one, the coordinator's own. Whoever takes over and finds a rank
 that is not armed knows without asking that the one out of reach is not either.
+The rank that holds the pass proves nothing: it is the first to be armed, and
+the first from which a change is taken back.
 """
 
 from __future__ import annotations
@@ -127,7 +129,7 @@
         step = await self._hold(group, holder)
         if step is None:
             return self._explain(Change.not_held)
-        if not await self._arm(group, Arm(version, step)):
+        if not await self._arm(group, holder, Arm(version, step)):
             return self._explain(Change.not_armed)
         if not await self._one_done(group, holder, Go(step), ARM_TRIES):
             return self._explain(Change.not_released)
@@ -163,9 +165,9 @@
         holders = [rank for rank, step in held.items() if step is not None]
         if not holders:
             return not any(_is_armed(states, one) for one in group.ranks)
-        if not _is_missing_rank_unarmed(group, states):
-            return False
         others = [rank for rank, step in held.items() if step is None]
+        if not _is_missing_rank_unarmed(group, states, others):
+            return False
         prepare = Prepare(version, experts)
         for holder in holders:
             if not await self._clear(group, holder, prepare):
@@ -212,8 +214,10 @@
                 return False
         return await self._all_done(group, ranks, prepare, CLEAR_TRIES)
 
-    async def _arm(self, group: Group, arm: Arm) -> bool:
+    async def _arm(self, group: Group, holder: int, arm: Arm) -> bool:
         others = [rank for rank in group.ranks if rank != self._me]
+        # Only the armed ranks besides the holder tell whoever takes over.
+        others.sort(key=lambda rank: (rank != holder, rank))
         if not await self._all_done(group, others[:-1], arm, ARM_TRIES):
             return False
         # One more is armed by itself, before the coordinator's own. Asked
@@ -290,14 +294,19 @@
 
 
 def _is_missing_rank_unarmed(
-    group: Group, states: Mapping[int, RankState]
+    group: Group, states: Mapping[int, RankState], others: Sequence[int]
 ) -> bool:
     """Tell whether a rank out of reach is certainly not armed.
 
     The change under way must be that of the coordinator beside the missing
     rank: had that one taken over from yet another and not settled the group,
-    its rank might be armed before others.
+    its rank might be armed before others. A holder that is not armed tells
+    nothing: a coordinator that settled the group begins with it, and may have
+    ended before the holder was prepared anew, with the missing rank armed.
 
+    :param group: the group.
+    :param states: of the ranks in reach.
+    :param others: those of them that hold nothing.
     :returns: also true if no rank is missing.
     """
     if group.missing is None:
@@ -306,4 +315,4 @@
     version = prepared.pop()
     if prepared or version is None or find_author(version) != group.missing:
         return False
-    return not all(_is_armed(states, rank) for rank in group.ranks)
+    return not all(_is_armed(states, rank) for rank in others)
