--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.placement
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.routing
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.limits
+	$(SOURCE) $(BIN)/python -m ospreyford.measure.mapdrift
 
 measure-times: setup
 	$(SOURCE) $(BIN)/python -m ospreyford.measure.placement_timing
