--- a/src/ospreyford/console/story.py
+++ b/src/ospreyford/console/story.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from itertools import islice
 from typing import Final, NamedTuple
 
 from ospreyford.console.beliefs import (
@@ -14,7 +15,6 @@
     Belief,
     list_beliefs,
     list_own,
-    make_belief,
     name_subject,
     show_fields,
 )
@@ -152,6 +152,7 @@
     began_at = answer.at - took_ms / MILLISECONDS
     sendings = list(_list_sendings(pile, answer, began_at))
     known = list_beliefs(pile.lines, answer.host, began_at)
+    meanwhile = _list_meanwhile(pile, answer, began_at)
     return Telling(
         entry=answer.host,
         began_at=round(began_at, SECOND_DIGITS),
@@ -160,9 +161,7 @@
         decided=list_own(answer.fields, SENDINGS),
         sendings=sendings,
         believed=[belief for belief in known if belief.about in GROUNDS],
-        meanwhile=list(_list_meanwhile(pile, answer, began_at))[
-            :MOST_MEANWHILE
-        ],
+        meanwhile=list(islice(meanwhile, MOST_MEANWHILE)),
     )
 
 
@@ -192,12 +191,8 @@
     pile: Pile, host: str, backend: str, moment: float
 ) -> Belief | None:
     about = f'{BACKEND.label} {backend}'
-    latest: LogLine | None = None
-    for line in pile.lines:
-        if line.host == host and line.at <= moment:
-            if name_subject(line) == about:
-                latest = line
-    return None if latest is None else make_belief(about, latest, moment)
+    known = list_beliefs(pile.lines, host, moment)
+    return next((belief for belief in known if belief.about == about), None)
 
 
 def _list_meanwhile(
