--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -144,11 +144,8 @@
 
     def __init__(self, max_gap: float) -> None:
         self.pass_seconds: float = 0
-        # After a loss of all hosts every caller is back before the first
-        # figures: admitted without a bound, their streams made each pass of
-        # the group so long that all were late for three seconds.
-        self.easy: float = USUAL_PLACES
-        self.full: float = USUAL_PLACES
+        self.easy = float('inf')
+        self.full = float('inf')
         self.places: float = USUAL_PLACES
         self._max_gap = max_gap
         self._cost: float | None = None
