--- a/src/ospreyford/console/failures.py
+++ b/src/ospreyford/console/failures.py
@@ -49,6 +49,17 @@
         return f'{self.name} = {self.found}: allowed: {self.allowed}'
 
 
+def explain_unreadable(path: str, error: Exception) -> BadArgument:
+    """Tell why a file named on the command line cannot be read.
+
+    :param path: the file.
+    :param error: what reading it raised.
+    :returns: the failure to raise.
+    """
+    reason = getattr(error, 'strerror', None) or str(error)
+    return BadArgument('PATH', path, f'a readable file ({reason})')
+
+
 @dataclass(unsafe_hash=True)
 class NoEntryAnswered(CommandError):
     """All entries were asked in vain.
--- a/src/ospreyford/console/offline.py
+++ b/src/ospreyford/console/offline.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ospreyford.console.entries import CtlSettings
-from ospreyford.console.failures import BadArgument
+from ospreyford.console.failures import BadArgument, explain_unreadable
 from ospreyford.documents.checking import CheckReport, check_documents
 from ospreyford.documents.explanation import Explanation, explain
 from ospreyford.documents.history import DocumentEntry
@@ -119,9 +119,7 @@
         with path.open('rb') as stream:
             return stream.read(MAX_BYTES + 1)
     except (OSError, ValueError) as error:
-        reason = getattr(error, 'strerror', None) or str(error)
-        allowed = f'a readable file ({reason})'
-        raise BadArgument('PATH', str(path), allowed) from None
+        raise explain_unreadable(str(path), error) from None
 
 
 def _recognise(text: bytes) -> type[msgspec.Struct] | None:
--- a/src/ospreyford/console/pile.py
+++ b/src/ospreyford/console/pile.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ospreyford.console.failures import BadArgument
+from ospreyford.console.failures import explain_unreadable
 
 #: A longer line is none of ours: the longest are of some kilobytes, with each
 #: sending of a request. Without a bound one file without line ends would be
@@ -106,9 +106,7 @@
         with Path(path).open('rb') as stream:
             yield from _read_stream(stream)
     except (OSError, ValueError) as error:
-        reason = getattr(error, 'strerror', None) or str(error)
-        allowed = f'a readable file ({reason})'
-        raise BadArgument('PATH', path, allowed) from None
+        raise explain_unreadable(path, error) from None
 
 
 def _read_stream(stream: IO[bytes]) -> Iterator[bytes]:
