Tell a restarted back end from the process that had its id before

Cause: a back end may start again under the id that it had; id alone was taken for one start. Failure memory, pace, requests in flight and kept connections of the earlier process went on counting, states of a rank that began at zero looked older than those of its past, and counts of two lives were subtracted. And what other programs write under the back ends' prefix counted where it could be decoded: unknown states as draining, negative slots as the least load, ids that no header field can carry.

Change: registrations and reports tell the start (born), BackendServer and RankState hold it, and each of these places compares it. Registrations are checked by type and bounds; one that cannot be used takes the back end under that key out of use and is logged once for each reason.

--- a/src/ospreyford/direct/changes.py
+++ b/src/ospreyford/direct/changes.py
@@ -47,14 +47,22 @@
             )
         )
 
-    def take_server(self, server: BackendServer) -> None:
+    async def take_server(self, server: BackendServer) -> None:
         """Take over a back end's registration.
 
         :param server: as registered.
         """
+        known = self._world.fleet.find(server.id)
+        is_restarted = known is not None and not server.is_incarnation_of(
+            known.server
+        )
         if self._world.fleet.put(server):
             change = 'draining' if server.is_draining else 'ready'
             self._log(server, change, server.revision)
+        if is_restarted:
+            # Connections to the earlier start go nowhere; a request written to
+            # one is lost, and may not be repeated if it must run only once.
+            await self._world.pool.forget(server.id)
 
     async def lose_server(
         self, server_id: str, revision: int, may_return: bool
@@ -93,7 +101,7 @@
             the store was away.
         """
         for server in servers:
-            self.take_server(server)
+            await self.take_server(server)
         registered = {one.id for one in servers}
         for server_id in self._world.fleet.ids():
             if server_id not in registered:
--- a/src/ospreyford/direct/connections.py
+++ b/src/ospreyford/direct/connections.py
@@ -26,6 +26,10 @@
 KEPT = 8
 
 
+#: Id and start of a back end.
+_Incarnation = tuple[str, int]
+
+
 class _Resting(NamedTuple):
     connection: ClientConnection
     until: float
@@ -34,13 +38,14 @@
 class ConnectionPool:
     """Opens connections to back ends and keeps them between requests.
 
-    Connections are kept by instance: an address may be used again by another
-    one, whose answers must not be taken for the first one's.
+    Connections are kept by incarnation: an address may be used again by another
+    back end, and an id by the same one after its restart. A request written to
+    a connection of before is lost.
     """
 
     def __init__(self) -> None:
         self.opened = 0
-        self._resting: dict[str, list[_Resting]] = {}
+        self._resting: dict[_Incarnation, list[_Resting]] = {}
 
     async def take(self, server: BackendServer) -> ClientConnection:
         """Take a connection that rests, or open one.
@@ -49,7 +54,7 @@
         :returns: a connection for one request.
         :raises ConnectionRefused: no connection; nothing was sent.
         """
-        resting = self._resting.get(server.id, [])
+        resting = self._resting.get(_name_incarnation(server), [])
         while resting:
             kept = resting.pop()
             if kept.until > time.monotonic() and kept.connection.is_quiet():
@@ -72,7 +77,7 @@
         :param connection: the connection.
         :param head: the answer that was read from it.
         """
-        resting = self._resting.setdefault(server.id, [])
+        resting = self._resting.setdefault(_name_incarnation(server), [])
         seconds = read_idle_seconds(head)
         if (
             len(resting) < KEPT
@@ -89,21 +94,25 @@
 
         :param server_id: its id.
         """
-        for kept in self._resting.pop(server_id, []):
-            await kept.connection.close()
+        ended = [name for name in self._resting if name[0] == server_id]
+        for name in ended:
+            for kept in self._resting.pop(name):
+                await kept.connection.close()
 
     async def close_expired(self) -> None:
         """Close the connections that have rested for too long."""
         now = time.monotonic()
-        for server_id, resting in tuple(self._resting.items()):
+        for name, resting in tuple(self._resting.items()):
             late = [kept for kept in resting if kept.until <= now]
-            self._resting[server_id] = [
-                kept for kept in resting if kept.until > now
-            ]
+            self._resting[name] = [kept for kept in resting if kept.until > now]
             for kept in late:
                 await kept.connection.close()
 
 
+def _name_incarnation(server: BackendServer) -> _Incarnation:
+    return server.id, server.born_ms
+
+
 def read_idle_seconds(head: Response) -> float:
     """Read how long a connection may rest.
 
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -15,7 +15,7 @@
 class BackendServer(NamedTuple):
     """One instance of a back end, as it registered itself.
 
-    :param id: unique for each start of the process.
+    :param id: its name; a process that starts again may have the same one.
     :param service: the service that it belongs to.
     :param host: its IP number.
     :param port: its port.
@@ -23,6 +23,8 @@
     :param slots: requests that it runs at once.
     :param is_draining: whether it takes no new work.
     :param revision: of the registration, in the platform's store.
+    :param born_ms: when the process started, in Unix milliseconds; 0 if the
+        registration does not tell.
     """
 
     id: str
@@ -33,6 +35,15 @@
     slots: int
     is_draining: bool
     revision: int
+    born_ms: int = 0
+
+    def is_incarnation_of(self, other: BackendServer) -> bool:
+        """Tell whether two registrations are of one start of a process.
+
+        :param other: the other registration.
+        :returns: whether id and start are the same.
+        """
+        return (self.id, self.born_ms) == (other.id, other.born_ms)
 
 
 class Member:
@@ -146,7 +157,10 @@
         :returns: whether anything but the revision changed.
         """
         member = self._members.get(server.id)
-        if member is None:
+        if member is None or not server.is_incarnation_of(member.server):
+            # What was seen of an earlier start (failures, load, pace) says
+            # nothing of this one: a restarted back end would stay avoided, or
+            # look full of requests that ended with its predecessor.
             self._members[server.id] = Member(server)
             return True
         member.gone_by = None
--- a/src/ospreyford/measure/mappolicies.py
+++ b/src/ospreyford/measure/mappolicies.py
@@ -8,7 +8,7 @@
 
 from ospreyford.measure.demand import Passes, Scene
 from ospreyford.rebalance.group import ExpertMap
-from ospreyford.rebalance.loads import Shares, ShareTracker, add_up
+from ospreyford.rebalance.loads import Life, Shares, ShareTracker, add_up
 from ospreyford.rebalance.planner import Plan, PlanLimits, Planner
 from ospreyford.rebalance.settings import Pace
 
@@ -109,7 +109,9 @@
                 start = number * self.scene.experts
                 for expert, times in counter.items():
                     counts[start + expert] += times
-            tracker.take(tuple(counts), 1, self._step, self._tell_writing())
+            tracker.take(
+                tuple(counts), Life(1), self._step, self._tell_writing()
+            )
 
     def plan(self, at: float, experts: ExpertMap) -> Plan | None:
         """Plan under the limits of a change."""
--- a/src/ospreyford/platform/feed.py
+++ b/src/ospreyford/platform/feed.py
@@ -25,6 +25,7 @@
     decode_catalog,
     decode_registration,
 )
+from ospreyford.platform.refusals import Refusals
 
 if TYPE_CHECKING:
     from ospreyford.direct.changes import Changes
@@ -66,6 +67,7 @@
         self._lost_at: float | None = None
         self._answered_at = time.monotonic()
         self._is_lost = False
+        self._refusals = Refusals()
 
     async def run(self) -> None:
         """Follow the store for as long as the process lives."""
@@ -154,15 +156,21 @@
             return
         server = self._decode_server(item)
         if server is not None:
-            self._changes.take_server(server)
+            await self._changes.take_server(server)
+            return
+        # The registration that stood there before is gone, and what stands
+        # there now names no back end: kept, an id that another program took
+        # over would go on getting requests.
+        server_id = item.key.removeprefix(SERVERS_PREFIX)
+        await self._changes.lose_server(server_id, item.revision, False)
 
     def _decode_server(self, item: Item) -> BackendServer | None:
         try:
             return decode_registration(item.key, item.raw or b'', item.revision)
         except BadRecord as error:
-            self._world.log.log_change(
-                RegistrationRefused(item.key, error.reason, item.revision)
-            )
+            refusal = RegistrationRefused(item.key, error.reason, item.revision)
+            if self._refusals.note(refusal):
+                self._world.log.log_change(refusal)
             return None
 
     def _choose_wait(self) -> float:
--- a/src/ospreyford/platform/nodefile.py
+++ b/src/ospreyford/platform/nodefile.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from ipaddress import AddressValueError, IPv4Address
 from pathlib import Path
 from typing import TYPE_CHECKING, Final, NamedTuple
 
@@ -16,6 +17,7 @@
 MILLISECONDS = 1000
 MAX_BYTES = 1_048_576
 MAX_PORT = 65_535
+PORT_DIGITS = 5
 
 
 class Node(NamedTuple):
@@ -145,9 +147,14 @@
     :returns: both parts, or ``None`` if it is no address.
     """
     host, _, port = text.rpartition(':')
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    is_number = port.isascii() and port.isdigit()
+    if not is_number or len(port) > PORT_DIGITS:
         return None
-    return host, int(port)
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return None
+    return (host, int(port)) if 0 < int(port) <= MAX_PORT else None
 
 
 def read_node() -> Node:
--- a/src/ospreyford/platform/records.py
+++ b/src/ospreyford/platform/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from types import MappingProxyType
 from typing import Final
 
@@ -38,6 +39,9 @@
 MEGABIT_PER_MEGABYTE = 8
 
 
+#: Ids go to back ends in a header field: a control character in one would fail
+#: every request that is sent there.
+_IDS: Final = re.compile('[!-~]+')
 _configs = msgspec.json.Decoder(StoredConfig)
 _registrations = msgspec.json.Decoder(StoredRegistration)
 
@@ -60,7 +64,7 @@
     """
     try:
         config = _configs.decode(raw)
-    except (msgspec.DecodeError, UnicodeError) as error:
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise BadRecord(CATALOG_KEY, str(error)) from None
     routes: dict[str, list[Route]] = {}
     for route in config.routes:
@@ -88,13 +92,16 @@
     """
     try:
         found = _registrations.decode(raw)
-    except (msgspec.DecodeError, UnicodeError) as error:
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise BadRecord(key, str(error)) from None
     address = parse_address(found.address)
     if address is None:
         raise BadRecord(key, f'no address: {found.address}')
+    server_id = key.removeprefix(SERVERS_PREFIX)
+    if not _IDS.fullmatch(server_id):
+        raise BadRecord(key, 'the id cannot be sent as a header field')
     return BackendServer(
-        id=key.removeprefix(SERVERS_PREFIX),
+        id=server_id,
         service=found.service,
         host=address[0],
         port=address[1],
@@ -102,6 +109,7 @@
         slots=found.slots,
         is_draining=found.state != 'ready',
         revision=revision,
+        born_ms=found.born,
     )
 
 
--- a/src/ospreyford/platform/replica.py
+++ b/src/ospreyford/platform/replica.py
@@ -61,6 +61,8 @@
     active: int = msgspec.field(name='Active', default=0)
     queued: int = msgspec.field(name='Queued', default=0)
     pace: float = 1
+    # Unix milliseconds of the process's start.
+    born: int = 0
 
 
 class _Picked(msgspec.Struct, frozen=True):
@@ -175,6 +177,7 @@
             active=report.active,
             queued=report.queued,
             pace=report.pace,
+            born_ms=report.born,
         )
 
 
--- a/src/ospreyford/platform/schema.py
+++ b/src/ospreyford/platform/schema.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
-from typing import Final
+import sys
+from typing import Annotated, Final, Literal
 
 import msgspec
 
 #: How the platform writes names of fields.
 PASCAL: Final = 'pascal'
 ONE_ATTEMPT = 1
+#: Requests that one back end can run at once; more is no figure of a server.
+MOST_SLOTS: Final = 1_000_000
+#: Unix milliseconds that fit a signed 64-bit number.
+LAST_BIRTH: Final = sys.maxsize
+#: Characters of a service, an address or a zone: a key of the store has 200.
+MOST_CHARACTERS: Final = 200
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_CHARACTERS)]
 
 
 class StoredBackend(msgspec.Struct, frozen=True, rename=PASCAL):
@@ -89,10 +97,18 @@
 
 
 class StoredRegistration(msgspec.Struct, frozen=True, rename=PASCAL):
-    """A back end's registration."""
-
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int = 1
+    """A back end's registration.
+
+    Other programs can write under the same prefix, so figures are bounded
+    here: a negative number of slots would make a back end look idle for ever.
+    """
+
+    service: Name
+    address: Name
+    zone: Name
+    state: Literal['ready', 'draining']
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)] = 1
+    # Unix milliseconds of the process's start; older platforms leave it out.
+    born: Annotated[int, msgspec.Meta(ge=0, le=LAST_BIRTH)] = msgspec.field(
+        name='born', default=0
+    )
--- a/src/ospreyford/rebalance/group.py
+++ b/src/ospreyford/rebalance/group.py
@@ -40,6 +40,9 @@
     :param active: requests that run.
     :param queued: requests that wait at the rank.
     :param pace: above 1 the rank is slower than usual.
+    :param born_ms: when its process started, in Unix milliseconds; 0 if it
+        does not tell. A rank that started again may have the same id and
+        address; it holds nothing, and its counts begin anew.
     """
 
     group: str
@@ -56,6 +59,7 @@
     active: int
     queued: int
     pace: float
+    born_ms: int = 0
 
 
 class Term(NamedTuple):
--- a/src/ospreyford/rebalance/loads.py
+++ b/src/ospreyford/rebalance/loads.py
@@ -26,6 +26,22 @@
 LEARNING_GROWTH = 1.01
 
 
+class Life(NamedTuple):
+    """What a rank's counts belong to.
+
+    The counts of a rank that started again may have passed the old ones when
+    they are read next: taken as one row, their difference would be a load that
+    no request makes.
+
+    :param epoch: of its group.
+    :param born_ms: when its process started, in Unix milliseconds; 0 if it
+        does not tell.
+    """
+
+    epoch: int
+    born_ms: int = 0
+
+
 class Shares(NamedTuple):
     """A rank's part of the load.
 
@@ -43,28 +59,28 @@
     def __init__(self) -> None:
         self._counts: Sequence[int] = ()
         self._step = 0
-        self._epoch = -1
+        self._life: Life | None = None
         self._shares: list[float] = []
         self._usual: float | None = None
 
     def take(
-        self, counts: Sequence[int], epoch: int, step: int, writing: int
+        self, counts: Sequence[int], life: Life, step: int, writing: int
     ) -> None:
         """Take the newest counts.
 
         :param counts: since the rank's start, set by set.
-        :param epoch: of the group.
+        :param life: in which of the rank's lives they were counted.
         :param step: the last pass that was begun.
         :param writing: requests that run at the rank.
         """
         before = self._counts
         passes = step - self._step
-        is_same = self._epoch == epoch and len(before) == len(counts)
+        is_same = self._life == life and len(before) == len(counts)
         if passes < 1 and is_same:
             return
         self._counts = counts
         self._step = step
-        self._epoch = epoch
+        self._life = life
         if not is_same or passes < 1:
             return
         window = [new - old for new, old in zip(counts, before, strict=True)]
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -161,12 +161,7 @@
         :param state: its state.
         """
         known = self._states.get(state.rank)
-        # Datagrams overtake each other: a rank never goes back in an epoch.
-        if known is not None and (known.epoch, known.sequence, known.step) > (
-            state.epoch,
-            state.sequence,
-            state.step,
-        ):
+        if known is not None and _tell_order(known) > _tell_order(state):
             return
         self._states[state.rank] = state
 
@@ -295,3 +290,13 @@
             await self._post.send_bytes(question, address)
             tries += 1
             await curio.ignore_after(REPEAT_SECONDS, waiting.done.wait())
+
+
+def _tell_order(state: RankState) -> tuple[int, int, int, int]:
+    """Tell which of two states of one rank is newer.
+
+    Datagrams overtake each other. Within an epoch a rank goes back only when
+    its process starts again: its numbers begin at zero, and without its start
+    the old ones would stand until they were passed.
+    """
+    return (state.epoch, state.born_ms, state.sequence, state.step)
--- a/src/ospreyford/rebalance/watcher.py
+++ b/src/ospreyford/rebalance/watcher.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ospreyford.rebalance.decisions import RankChanged
-from ospreyford.rebalance.loads import ShareTracker
+from ospreyford.rebalance.loads import Life, ShareTracker
 from ospreyford.rebalance.messages import Counts
 
 if TYPE_CHECKING:
@@ -78,7 +78,8 @@
     async def _learn_shares(self, state: RankState) -> None:
         counts = await self._engine.read_counts()
         if counts is not None:
-            self._shares.take(counts, state.epoch, state.step, state.active)
+            life = Life(state.epoch, state.born_ms)
+            self._shares.take(counts, life, state.step, state.active)
 
     async def _learn_experts(self, state: RankState) -> bool:
         if self._experts_of == (state.epoch, state.version):
