Open an entry's gate with the group; count free places apart from waiting ones

Cause: after all hosts were lost an entry found out with single requests, one pause after the other, that its group was open: callers waited 0.2 to 0.65 s at an open group.

Change: a coordinator's news tell the epoch and come as the group opens; a gate that is closed opens with the news of another epoch than the one in which a rank refused. Before a stream's cost is known the room is what the ranks run at once, shared by the entries (no bound before); free places count for late callers.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -33,8 +33,6 @@
 #: Requests for which there is room in any case: the figures of an idle group
 #: say little.
 LEAST_ROOM = 8
-#: Streams that an entry runs at once, until it knows its part of a group.
-USUAL_PLACES = 10
 #: Requests that wait although they will be late, as a part of those that run:
 #: about what the rest of a wave leaves room for before their deadlines.
 LATE_PART = 1.5
@@ -62,6 +60,8 @@
     :param pass_seconds: mean time of the last passes; 0 if there were none.
     :param base_seconds: time of a pass without any request.
     :param is_open: whether the group takes requests.
+    :param epoch: grows each time the group opens anew.
+    :param slots: requests that its ranks run at once, all together.
     """
 
     running: int
@@ -69,6 +69,8 @@
     pass_seconds: float
     base_seconds: float
     is_open: bool = True
+    epoch: int = 0
+    slots: int = 0
 
 
 class Waiter(NamedTuple):
@@ -146,11 +148,29 @@
         self.pass_seconds: float = 0
         self.easy = float('inf')
         self.full = float('inf')
-        self.places: float = USUAL_PLACES
+        self.places: float = 1
         self._max_gap = max_gap
         self._cost: float | None = None
         self._dearest: float = 0
 
+    def take_slots(self, slots: int, entries: int) -> None:
+        """Take over what the group's ranks run at once at most.
+
+        Load pattern: all hosts were lost and are back; nothing has been
+        measured yet, and the callers of the outage come at once. Unbounded,
+        they fill the queues of the ranks, where the newest are the first to
+        be read; what the ranks run at once is the bound until a pass has shown
+        what a stream costs.
+
+        :param slots: of all ranks.
+        :param entries: entries that send to the group.
+        """
+        if self._cost is None:
+            part = max(slots / max(entries, 1), 1)
+            self.easy = part
+            self.full = part
+            self.places = part
+
     def take_load(self, load: GroupLoad, mine: int, entries: int) -> None:
         """Take over the group's newest figures.
 
@@ -170,6 +190,8 @@
         if load.is_open and self.easy < float('inf'):
             self.places = max(self.easy, 1)
         self.full = mine + min(full, shifted) * part
+        if load.slots:
+            self.take_slots(load.slots, entries)
 
     def _learn(self, cost: float) -> None:
         if self._cost is None:
@@ -236,13 +258,21 @@
         )
 
     def list_hopeless(
-        self, now: float, first_event: float, places: float
+        self, now: float, first_event: float, places: float, free: float = 0
     ) -> list[Waiter]:
         """List the requests that will not be served any more.
 
+        Load pattern: all hosts, or a whole group, were lost; the callers of
+        the outage wait for the group to open, and all of them are late by
+        then. Nothing runs, so the next ``free`` of them go at once and are not
+        among those that must wait for a place to be given back. Counted among
+        them, most callers were refused a tenth of a second before the group
+        could have served them, and had no try left.
+
         :param now: seconds on the monotonic clock.
         :param first_event: expected time to the first event, in seconds.
         :param places: streams that this entry runs at once.
+        :param free: how many of these places nobody has.
         :returns: those without enough time, and the newest of the late ones
             beyond the bound.
         """
@@ -254,7 +284,7 @@
         out_of_time = [
             waiter for waiter in late if is_hopeless(waiter, now, first_event)
         ]
-        bound = max(int(LATE_PART * places), 1)
+        bound = max(int(LATE_PART * places + max(free, 0)), 1)
         rest = [waiter for waiter in late if waiter not in out_of_time]
         rest.sort(key=lambda waiter: waiter.number)
         return out_of_time + rest[bound:]
--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -119,5 +119,6 @@
                 pass_seconds=news.pass_seconds,
                 base_seconds=0,
                 is_open=news.is_open,
+                epoch=news.epoch,
             ),
         )
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -137,6 +137,14 @@
             if member.server.service == service
         ]
 
+    def count_slots(self, service: str) -> int:
+        """Count the requests that the back ends of a service run at once.
+
+        :param service: the service's name.
+        :returns: the slots of those that take new work, all together.
+        """
+        return sum(one.server.slots for one in self.list_service(service))
+
     def find_host(self, service: str, host: str) -> list[Member]:
         """Find the back ends of a service on a host.
 
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -36,23 +36,33 @@
 #: The same while the group is closed: back ends that crashed take some seconds
 #: to start, and their group then opens within one.
 CLOSED_SECONDS = 2.0
+#: Before anything was told of a group.
+NO_EPOCH = -1
 
 
 class StreamGate:
     """Admits the streams of one service.
 
     :param max_gap: pause between events that callers bear, in seconds.
+    :param slots: requests that the service's ranks run at once, all together.
+    :param entries: entries that send to them.
     """
 
-    def __init__(self, max_gap: float) -> None:
+    def __init__(
+        self, max_gap: float, slots: int = 0, entries: int = 1
+    ) -> None:
         self.running = 0
         self.limit = StreamLimit(max_gap)
+        if slots:
+            self.limit.take_slots(slots, entries)
         self._queue = AdmissionQueue()
         self._numbers = itertools.count()
         self._turns: dict[int, curio.Event] = {}
         self._refused: set[int] = set()
         self._paused_until: float = 0
         self._is_closed = False
+        self._epoch = NO_EPOCH
+        self._closed_epoch = NO_EPOCH
         self._told_at: float | None = None
 
     async def enter(self, call: Call) -> bool:
@@ -88,6 +98,7 @@
         long before its deadline.
         """
         self._is_closed = True
+        self._closed_epoch = self._epoch
         self._paused_until = time.monotonic() + PAUSE_SECONDS
 
     def note_start(self) -> None:
@@ -101,17 +112,27 @@
         :param entries: entries that send to the group.
         """
         self._told_at = time.monotonic()
+        self._epoch = load.epoch
         self.limit.take_load(load, self.running, entries)
         if not load.is_open:
             self.note_refusal()
+        elif self._is_closed and load.epoch != self._closed_epoch:
+            # It has opened since a rank refused. Found out by single requests
+            # alone, each of them refused with the group still closed, the
+            # callers of an outage waited for 0.2 to 0.6 s at an open group.
+            self._is_closed = False
         await self.look()
 
     async def look(self) -> None:
         """Admit and refuse as far as there is reason to."""
         now = time.monotonic()
         first_event = FIRST_EVENT_PASSES * self.limit.pass_seconds
+        places = self.limit.places
         for waiter in self._queue.list_hopeless(
-            now, first_event, max(self.running + 1, self.limit.places)
+            now,
+            first_event,
+            max(self.running + 1, places),
+            places - self.running,
         ):
             self._queue.remove(waiter.number)
             self._refused.add(waiter.number)
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -80,7 +80,11 @@
             return None
         gate = self.gates.get(call.service)
         if gate is None:
-            gate = StreamGate(call.route.max_gap)
+            gate = StreamGate(
+                call.route.max_gap,
+                self.fleet.count_slots(call.service),
+                self.budget.entries,
+            )
             self.gates[call.service] = gate
         return gate
 
@@ -95,10 +99,11 @@
         known = self.catalog.services.get(service) if self.catalog else None
         if gate is None or known is None or known.engine is None:
             return
-        base = known.engine.pass_seconds
-        await gate.take_load(
-            load._replace(base_seconds=base), self.budget.entries
+        told = load._replace(
+            base_seconds=known.engine.pass_seconds,
+            slots=self.fleet.count_slots(service),
         )
+        await gate.take_load(told, self.budget.entries)
 
     def take_settings(self, settings: DirectSettings) -> None:
         """Put changed bounds and another retry budget in force.
--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -89,11 +89,15 @@
 
     async def _look_often(self) -> None:
         while True:
+            before = self._watcher.state
             if await self._watcher.look():
                 await self._report()
             state = self._watcher.state
             if state is not None and self._leader is not None:
                 self._leader.note_pass(state)
+                if before is None or before.is_open != state.is_open:
+                    # Callers wait at every entry for the group to open.
+                    await self._beat()
             await curio.sleep(self._settings.pace.poll)
 
     async def _report_often(self) -> None:
@@ -120,21 +124,25 @@
                 continue
             if self._election.stand(members, state.rank):
                 self._begin_leading(state)
-            token = self._election.token
-            if token is not None and self._leader is not None:
-                await self._beat(Lead(state.group, token), self._leader)
+            await self._beat()
 
-    async def _beat(self, beat: Lead, leader: GroupLeader) -> None:
+    async def _beat(self) -> None:
+        state = self._watcher.state
+        token = self._election.token
+        leader = self._leader
+        if state is None or token is None or leader is None:
+            return
+        beat = Lead(state.group, token)
         for address in self._audience.members:
             if address != self._settings.datagrams:
                 await self.post.send(beat, address)
-        state = self._watcher.state
         news = GroupNews(
             service=self._audience.service,
-            token=beat.token,
-            is_open=state is not None and state.is_open,
+            token=token,
+            is_open=state.is_open,
             pass_seconds=leader.passes.tell_mean(),
             ranks=leader.ranks.list_loads(),
+            epoch=state.epoch,
         )
         await self._audience.tell_all(news)
 
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -80,6 +80,7 @@
     :param is_open: whether the group takes requests.
     :param pass_seconds: mean time of the last passes; 0 if there were none.
     :param ranks: the load of each rank.
+    :param epoch: of the group; grows each time it opens anew.
     """
 
     service: str
@@ -87,6 +88,7 @@
     is_open: bool
     pass_seconds: float
     ranks: tuple[RankLoad, ...]
+    epoch: int = 0
 
 
 class Lead(msgspec.Struct, frozen=True, tag='d', array_like=True):
