Leave room for callers in time where those of an outage wait

Change: a request that will be late is admitted only while the group runs 0.6 of what the limits allow, and as many such requests wait as can come to that.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -33,8 +33,11 @@
 #: Requests for which there is room in any case: the figures of an idle group
 #: say little.
 LEAST_ROOM = 8
-#: Requests that wait although they will be late, as a part of those that run:
-#: about what the rest of a wave leaves room for before their deadlines.
+#: Part of the easy room in which requests are admitted that will be late
+#: anyway; the rest is kept for those that can still be in time.
+LATE_ROOM = 0.6
+#: Requests that wait although they will be late, as a part of the places that
+#: they may take: about what a wave leaves room for before they are out of time.
 LATE_PART = 1.5
 #: Part of a request's time that must be left when it is admitted late: a
 #: stream takes two to three seconds under high load, of eight.
@@ -117,7 +120,9 @@
 
     :param running: streams that this entry has in the group.
     :param waiting: requests that wait at this entry.
-    :param easy: streams that it admits, or -1 for any number.
+    :param late: streams up to which it admits one that will be late anyway,
+        or -1 for any number.
+    :param easy: the same where one can be in time and still wait.
     :param full: the same where one can wait no longer.
     :param pass_ms: mean time of the group's last passes.
     :param age_ms: age of the group's figures, or -1 before the first ones.
@@ -125,6 +130,7 @@
 
     running: int
     waiting: int
+    late: float
     easy: float
     full: float
     pass_ms: int
@@ -146,6 +152,7 @@
 
     def __init__(self, max_gap: float) -> None:
         self.pass_seconds: float = 0
+        self.late = float('inf')
         self.easy = float('inf')
         self.full = float('inf')
         self.places: float = 1
@@ -167,6 +174,7 @@
         """
         if self._cost is None:
             part = max(slots / max(entries, 1), 1)
+            self.late = LATE_ROOM * part
             self.easy = part
             self.full = part
             self.places = part
@@ -187,6 +195,9 @@
         easy = self._tell_room(load, EASY_PART, self._cost)
         full = self._tell_room(load, FULL_PART, self._cost)
         self.easy = mine + min(easy, shifted) * part
+        taken = load.running + load.queued
+        late = LATE_ROOM * (min(easy, shifted) + taken) - taken
+        self.late = mine + late * part
         if load.is_open and self.easy < float('inf'):
             self.places = max(self.easy, 1)
         self.full = mine + min(full, shifted) * part
@@ -214,9 +225,12 @@
     """Requests that wait for a place in a group.
 
     Those that can still be in time go first, the oldest first. The others
-    have until their deadline: they fill what the waves leave free. Served in
-    the order of arrival alone, a queue longer than the objective would make
-    every request behind it late, although there is room for most of them.
+    have until their deadline: they fill what the waves leave free, and no more
+    than a part of the room. Served in the order of arrival alone, a queue
+    longer than the objective would make every request behind it late, although
+    there is room for most of them; and a group that opens after an outage, full
+    of the outage's callers at once, would make all those late who come in the
+    next seconds.
     """
 
     def __init__(self) -> None:
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -11,10 +11,12 @@
 
 from ospreyford.direct.admission import (
     FIRST_EVENT_PASSES,
+    LATE_ROOM,
     AdmissionQueue,
     GateView,
     StreamLimit,
     Waiter,
+    is_late,
     is_urgent,
     tell_patience,
 )
@@ -127,12 +129,9 @@
         """Admit and refuse as far as there is reason to."""
         now = time.monotonic()
         first_event = FIRST_EVENT_PASSES * self.limit.pass_seconds
-        places = self.limit.places
+        places = LATE_ROOM * self.limit.places
         for waiter in self._queue.list_hopeless(
-            now,
-            first_event,
-            max(self.running + 1, places),
-            places - self.running,
+            now, first_event, places, places - self.running
         ):
             self._queue.remove(waiter.number)
             self._refused.add(waiter.number)
@@ -141,9 +140,7 @@
             chosen = self._queue.choose(now, first_event)
             if chosen is None:
                 return
-            is_pressing = is_urgent(chosen, now, first_event)
-            limit = self.limit.full if is_pressing else self.limit.easy
-            if self.running >= limit:
+            if self.running >= self._choose_limit(chosen, now, first_event):
                 return
             self._queue.remove(chosen.number)
             self.running += 1
@@ -152,6 +149,15 @@
                 self._paused_until = now + PROBE_SECONDS
             await self._turns[chosen.number].set()
 
+    def _choose_limit(
+        self, waiter: Waiter, now: float, first_event: float
+    ) -> float:
+        if is_late(waiter, now, first_event):
+            return self.limit.late
+        if is_urgent(waiter, now, first_event):
+            return self.limit.full
+        return self.limit.easy
+
     async def _decide(self, call: Call) -> bool:
         now = time.monotonic()
         is_free = not self._queue and not self._is_waiting(now)
@@ -182,6 +188,7 @@
         return GateView(
             running=self.running,
             waiting=len(self._queue),
+            late=_round(self.limit.late),
             easy=_round(self.limit.easy),
             full=_round(self.limit.full),
             pass_ms=round(self.limit.pass_seconds * MILLISECONDS),
