--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -26,6 +26,9 @@
 
 #: Time between two greetings of one agent, in seconds.
 GREETING_SECONDS = 0.5
+#: The same after this entry's start, in seconds: hosts that are back together
+#: must have counted each other before the group opens, 0.6 s later.
+FIRST_GREETING_SECONDS = 0.1
 
 
 class AgentLink:
@@ -53,7 +56,10 @@
         while True:
             if self._world.catalog is not None:
                 await self._greet_all(self._world.catalog)
-            await curio.sleep(GREETING_SECONDS)
+            is_new = self._world.is_new()
+            await curio.sleep(
+                FIRST_GREETING_SECONDS if is_new else GREETING_SECONDS
+            )
 
     async def _greet_all(self, catalog: Catalog) -> None:
         for name, service in catalog.services.items():
@@ -99,7 +105,7 @@
 
     def _take_load(self, message: Load) -> None:
         self._digests[message.host, message.port] = message.digest
-        self._world.budget.entries = max(message.entries, 1)
+        self._world.note_entries(message.entries)
 
     async def _take_news(self, news: GroupNews) -> None:
         # Two coordinators may tell of one group; the newer one is right.
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -141,9 +141,15 @@
         """Count the requests that the back ends of a service run at once.
 
         :param service: the service's name.
-        :returns: the slots of those that take new work, all together.
+        :returns: the slots of those that take new work, all together. One that
+            died and the one that runs at its address now count once: a dead
+            one stays registered for some seconds.
         """
-        return sum(one.server.slots for one in self.list_service(service))
+        slots = {
+            (one.server.host, one.server.port): one.server.slots
+            for one in self.list_service(service)
+        }
+        return sum(slots.values())
 
     def find_host(self, service: str, host: str) -> list[Member]:
         """Find the back ends of a service on a host.
--- a/src/ospreyford/direct/world.py
+++ b/src/ospreyford/direct/world.py
@@ -12,6 +12,7 @@
 from ospreyford.direct.admission import GroupLoad
 from ospreyford.direct.budget import RetryBudget
 from ospreyford.direct.connections import ConnectionPool
+from ospreyford.direct.deadlines import DeadlineMemory
 from ospreyford.direct.fleet import Fleet
 from ospreyford.direct.gate import StreamGate
 from ospreyford.direct.knowledge import Knowledge
@@ -31,6 +32,9 @@
 #: callers leave a request alone that was not read for a second.
 LEARNING_SECONDS = 0.8
 LEARNING_POLL = 0.02
+#: Time after the start in which agents may not have heard of all entries yet,
+#: in seconds: three greetings at their usual pace.
+COUNTING_SECONDS = 1.5
 
 
 @dataclass
@@ -65,7 +69,9 @@
             'opened',
         )
         self.started_at = time.monotonic()
+        self._counted = 1
         self.gates: dict[str, StreamGate] = {}
+        self.deadlines = DeadlineMemory()
         self.tools = Tools(self.pool, self.dialect)
 
     def find_gate(self, call: Call) -> StreamGate | None:
@@ -105,6 +111,26 @@
         )
         await gate.take_load(told, self.budget.entries)
 
+    def note_entries(self, entries: int) -> None:
+        """Note how many entries share what all have.
+
+        Load pattern: all hosts were lost and are back. Agents have heard of one
+        or two of the entries only; divided by these, each entry took all of the
+        group's room for itself, and three together filled it twice. At first
+        the highest count is right.
+
+        :param entries: as an agent has counted them.
+        """
+        self._counted = max(entries, self._counted if self.is_new() else 1)
+        self.budget.entries = self._counted
+
+    def is_new(self) -> bool:
+        """Tell whether this entry and others may just have started.
+
+        :returns: whether agents may not have heard of all entries yet.
+        """
+        return time.monotonic() - self.started_at < COUNTING_SECONDS
+
     def take_settings(self, settings: DirectSettings) -> None:
         """Put changed bounds and another retry budget in force.
 
--- a/tests/direct/test_incarnations.py
+++ b/tests/direct/test_incarnations.py
@@ -105,3 +105,44 @@
 def test_a_renewed_registration_keeps_its_connections() -> None:
     pool, _ = curio.run(take_all, FIRST, FIRST._replace(revision=2))
     assert not pool.forgotten
+
+
+def test_one_that_died_and_its_successor_count_once() -> None:
+    """An entry let twice the streams in that a group runs at once.
+
+    Sequence: all back ends die and start again at their addresses under new
+    ids; the dead ones stay registered for three heartbeats. Cause: the slots
+    of both were added up.
+    """
+    fleet = Fleet()
+    fleet.put(FIRST)
+    fleet.put(FIRST._replace(id='i-2'))
+    assert fleet.count_slots('s') == FIRST.slots
+
+
+#: Age of the entry, what agents tell one after the other, and what counts.
+COUNTED = (
+    (0, (1, 3, 2), 3),
+    (0, (1,), 1),
+    (60, (3, 1), 1),
+)
+
+
+@pytest.mark.parametrize(
+    ('age', 'counted', 'entries'),
+    COUNTED,
+)
+def test_entries_are_not_undercounted_at_the_start(
+    age: float, counted: tuple[int, ...], entries: int
+) -> None:
+    """Three entries each took the whole room of a group that had just opened.
+
+    Sequence: all hosts are back; the first answers of agents come from some
+    that have heard of one entry only. Cause: the count was used at once.
+    """
+    lines = Lines()
+    world = World(SETTINGS, DIALECT, lines)  # type: ignore[arg-type]
+    world.started_at -= age
+    for count in counted:
+        world.note_entries(count)
+    assert world.budget.entries == entries
