--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -30,17 +30,12 @@
 #: Longest wait for a first event with which a request still counts as being
 #: in time, as a part of the objective; the rest is the way through the network.
 IN_TIME_PART = 0.9
-#: Part of the requests that a group's ranks run at once which is admitted
-#: before a pass has shown what one costs: with experts spread evenly, as they
-#: are when a group opens, a stream costs two to three times what it does with a
-#: map that fits.
-UNKNOWN_PART = 0.75
 #: Requests for which there is room in any case: the figures of an idle group
 #: say little.
 LEAST_ROOM = 8
-#: Part of an entry's places that requests may have which will be late anyway;
-#: the rest is kept for those that can still be in time.
-LATE_ROOM = 0.5
+#: Part of the easy room in which requests are admitted that will be late
+#: anyway; the rest is kept for those that can still be in time.
+LATE_ROOM = 0.6
 #: Requests that wait although they will be late, as a part of the places that
 #: they may take: about what a wave leaves room for before they are out of time.
 LATE_PART = 1.5
@@ -90,7 +85,6 @@
     :param deadline: when it ends at the latest, on that clock.
     :param priority: 0 goes first.
     :param patience: how long its caller waits for the first event, in seconds.
-    :param is_repeat: whether its caller has asked before, and is late already.
     """
 
     number: int
@@ -99,7 +93,6 @@
     deadline: float
     priority: int
     patience: float = PATIENCE_SECONDS
-    is_repeat: bool = False
 
 
 @dataclass(frozen=True)
@@ -127,22 +120,21 @@
 
     :param running: streams that this entry has in the group.
     :param waiting: requests that wait at this entry.
-    :param late: streams that it has which were late when they were admitted.
-    :param easy: streams that it admits, or -1 for any number.
+    :param late: streams up to which it admits one that will be late anyway,
+        or -1 for any number.
+    :param easy: the same where one can be in time and still wait.
     :param full: the same where one can wait no longer.
     :param pass_ms: mean time of the group's last passes.
     :param age_ms: age of the group's figures, or -1 before the first ones.
-    :param is_repeat: whether the caller had asked before.
     """
 
     running: int
     waiting: int
-    late: int
+    late: float
     easy: float
     full: float
     pass_ms: int
     age_ms: int
-    is_repeat: bool
 
 
 class StreamLimit:
@@ -160,6 +152,7 @@
 
     def __init__(self, max_gap: float) -> None:
         self.pass_seconds: float = 0
+        self.late = float('inf')
         self.easy = float('inf')
         self.full = float('inf')
         self.places: float = 1
@@ -180,7 +173,8 @@
         :param entries: entries that send to the group.
         """
         if self._cost is None:
-            part = max(UNKNOWN_PART * slots / max(entries, 1), 1)
+            part = max(slots / max(entries, 1), 1)
+            self.late = LATE_ROOM * part
             self.easy = part
             self.full = part
             self.places = part
@@ -201,25 +195,15 @@
         easy = self._tell_room(load, EASY_PART, self._cost)
         full = self._tell_room(load, FULL_PART, self._cost)
         self.easy = mine + min(easy, shifted) * part
+        taken = load.running + load.queued
+        late = LATE_ROOM * (min(easy, shifted) + taken) - taken
+        self.late = mine + late * part
         if load.is_open and self.easy < float('inf'):
             self.places = max(self.easy, 1)
         self.full = mine + min(full, shifted) * part
         if load.slots:
             self.take_slots(load.slots, entries)
 
-    def tell_late_places(self) -> float:
-        """Tell how many streams may run that were late when admitted.
-
-        Load pattern: a group opens after an outage, or a wave is over; those
-        who have waited are late, and those who come now can be in time. With
-        all places given to the first, a new caller finds none for as long as a
-        stream takes, and is late as well; with none, who has waited is refused
-        although the group could serve both.
-
-        :returns: their number at this entry.
-        """
-        return LATE_ROOM * self.places
-
     def _learn(self, cost: float) -> None:
         if self._cost is None:
             self._cost = cost
@@ -378,5 +362,4 @@
     :returns: whether it is late.
     """
     waited = now - waiter.started_at
-    is_over = waited + first_event > IN_TIME_PART * waiter.objective
-    return waiter.is_repeat or is_over
+    return waited + first_event > IN_TIME_PART * waiter.objective
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -42,7 +42,6 @@
     :param started_at: when it was read, on the monotonic clock.
     :param deadline: when the caller or the route gives up, on that clock.
     :param cursor: id of the last event that the caller has.
-    :param is_repeat: whether its caller has asked before, and is late already.
     """
 
     id: str
@@ -54,12 +53,10 @@
     started_at: float
     deadline: float
     cursor: int | None = None
-    is_repeat: bool = False
     body: bytes = b''
     attempts: list[Attempt] = field(default_factory=list)
     may_have_run: bool = False
     gate: GateView | None = None
-    has_late_place: bool = False
     admitted_at: float | None = None
     first_event_at: float | None = None
     last_event_at: float | None = None
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -11,6 +11,7 @@
 
 from ospreyford.direct.admission import (
     FIRST_EVENT_PASSES,
+    LATE_ROOM,
     AdmissionQueue,
     GateView,
     StreamLimit,
@@ -60,9 +61,6 @@
         self._numbers = itertools.count()
         self._turns: dict[int, curio.Event] = {}
         self._refused: set[int] = set()
-        # Streams that were late when admitted, and waiters told so just now.
-        self._late = 0
-        self._admitted_late: set[int] = set()
         self._paused_until: float = 0
         self._is_closed = False
         self._epoch = NO_EPOCH
@@ -77,18 +75,12 @@
             should be refused now.
         """
         has_place = await self._decide(call)
-        call.gate = self._tell_view(call)
+        call.gate = self._tell_view()
         return has_place
 
-    async def leave(self, call: Call) -> None:
-        """Free a place.
-
-        :param call: the request that had it.
-        """
+    async def leave(self) -> None:
+        """Free a place."""
         self.running -= 1
-        if call.has_late_place:
-            self._late -= 1
-            call.has_late_place = False
         await self.look()
 
     def tell_retry(self) -> float:
@@ -137,9 +129,9 @@
         """Admit and refuse as far as there is reason to."""
         now = time.monotonic()
         first_event = FIRST_EVENT_PASSES * self.limit.pass_seconds
-        places = self.limit.tell_late_places()
+        places = LATE_ROOM * self.limit.places
         for waiter in self._queue.list_hopeless(
-            now, first_event, places, places - self._late
+            now, first_event, places, places - self.running
         ):
             self._queue.remove(waiter.number)
             self._refused.add(waiter.number)
@@ -148,32 +140,28 @@
             chosen = self._queue.choose(now, first_event)
             if chosen is None:
                 return
-            if not self._has_place(chosen, now, first_event):
+            if self.running >= self._choose_limit(chosen, now, first_event):
                 return
             self._queue.remove(chosen.number)
             self.running += 1
-            if is_late(chosen, now, first_event):
-                self._late += 1
-                self._admitted_late.add(chosen.number)
             if self._is_closed:
                 # One request finds out whether the group is open again.
                 self._paused_until = now + PROBE_SECONDS
             await self._turns[chosen.number].set()
 
-    def _has_place(
+    def _choose_limit(
         self, waiter: Waiter, now: float, first_event: float
-    ) -> bool:
+    ) -> float:
         if is_late(waiter, now, first_event):
-            is_in_part = self._late < self.limit.tell_late_places()
-            return is_in_part and self.running < self.limit.full
+            return self.limit.late
         if is_urgent(waiter, now, first_event):
-            return self.running < self.limit.full
-        return self.running < self.limit.easy
+            return self.limit.full
+        return self.limit.easy
 
     async def _decide(self, call: Call) -> bool:
         now = time.monotonic()
         is_free = not self._queue and not self._is_waiting(now)
-        if is_free and not call.is_repeat and self.running < self.limit.easy:
+        if is_free and self.running < self.limit.easy:
             self.running += 1
             return True
         waiter = Waiter(
@@ -185,30 +173,26 @@
             call.tell_quiet_since()
             - call.started_at
             + tell_patience(call.route.objective, call.route.max_gap),
-            call.is_repeat,
         )
         self._queue.add(waiter)
         self._turns[waiter.number] = curio.Event()
         try:
-            has_place = await self._wait(waiter)
-            call.has_late_place = waiter.number in self._admitted_late
-            return has_place
+            return await self._wait(waiter)
         finally:
             self._forget(waiter.number)
 
-    def _tell_view(self, call: Call) -> GateView:
+    def _tell_view(self) -> GateView:
         age: float = -1
         if self._told_at is not None:
             age = (time.monotonic() - self._told_at) * MILLISECONDS
         return GateView(
             running=self.running,
             waiting=len(self._queue),
-            late=self._late,
+            late=_round(self.limit.late),
             easy=_round(self.limit.easy),
             full=_round(self.limit.full),
             pass_ms=round(self.limit.pass_seconds * MILLISECONDS),
             age_ms=int(age),
-            is_repeat=call.is_repeat,
         )
 
     def _is_waiting(self, now: float) -> bool:
@@ -218,7 +202,6 @@
         self._queue.remove(number)
         self._turns.pop(number, None)
         self._refused.discard(number)
-        self._admitted_late.discard(number)
 
     async def _wait(self, waiter: Waiter) -> bool:
         turn = self._turns[waiter.number]
@@ -229,7 +212,6 @@
             # The caller left, or time is up, just as the place was given.
             if turn.is_set() and waiter.number not in self._refused:
                 self.running -= 1
-                self._late -= waiter.number in self._admitted_late
             raise
         return waiter.number not in self._refused
 
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -117,10 +117,6 @@
         wanted = read_number(find_header(request.headers, dialect.deadline))
         seconds = DEFAULT_SECONDS if wanted is None else wanted / MILLISECONDS
         request_id = find_header(request.headers, dialect.request_id) or b''
-        cursor = read_number(find_header(request.headers, dialect.last_event))
-        is_second = self._world.deadlines.take(
-            route.name, customer.name if customer else '', seconds
-        )
         return Call(
             id=request_id.decode('latin-1'),
             request=request,
@@ -130,8 +126,9 @@
             customer=customer,
             started_at=now,
             deadline=now + min(seconds, route.timeout),
-            cursor=cursor,
-            is_repeat=is_second or cursor is not None,
+            cursor=read_number(
+                find_header(request.headers, dialect.last_event)
+            ),
         )
 
     async def _relay(self, call: Call, exchange: Exchange) -> Verdict:
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -96,7 +96,7 @@
         try:
             return await self._send_often()
         finally:
-            await gate.leave(self._call)
+            await gate.leave()
 
     async def _send_often(self) -> Verdict | None:
         """Send until the request is answered, or its group is closed.
