--- a/src/ospreyford/direct/connections.py
+++ b/src/ospreyford/direct/connections.py
@@ -26,10 +26,6 @@
 KEPT = 8
 
 
-#: Id and start of a back end.
-_Incarnation = tuple[str, int]
-
-
 class _Resting(NamedTuple):
     connection: ClientConnection
     until: float
@@ -45,7 +41,8 @@
 
     def __init__(self) -> None:
         self.opened = 0
-        self._resting: dict[_Incarnation, list[_Resting]] = {}
+        # By id and start.
+        self._resting: dict[tuple[str, int], list[_Resting]] = {}
 
     async def take(self, server: BackendServer) -> ClientConnection:
         """Take a connection that rests, or open one.
@@ -54,7 +51,7 @@
         :returns: a connection for one request.
         :raises ConnectionRefused: no connection; nothing was sent.
         """
-        resting = self._resting.get(_name_incarnation(server), [])
+        resting = self._resting.get(server.name_incarnation(), [])
         while resting:
             kept = resting.pop()
             if kept.until > time.monotonic() and kept.connection.is_quiet():
@@ -77,7 +74,7 @@
         :param connection: the connection.
         :param head: the answer that was read from it.
         """
-        resting = self._resting.setdefault(_name_incarnation(server), [])
+        resting = self._resting.setdefault(server.name_incarnation(), [])
         seconds = read_idle_seconds(head)
         if (
             len(resting) < KEPT
@@ -109,10 +106,6 @@
                 await kept.connection.close()
 
 
-def _name_incarnation(server: BackendServer) -> _Incarnation:
-    return server.id, server.born_ms
-
-
 def read_idle_seconds(head: Response) -> float:
     """Read how long a connection may rest.
 
--- a/src/ospreyford/direct/fleet.py
+++ b/src/ospreyford/direct/fleet.py
@@ -43,7 +43,14 @@
         :param other: the other registration.
         :returns: whether id and start are the same.
         """
-        return (self.id, self.born_ms) == (other.id, other.born_ms)
+        return self.name_incarnation() == other.name_incarnation()
+
+    def name_incarnation(self) -> tuple[str, int]:
+        """Name this start of the process.
+
+        :returns: id and start.
+        """
+        return self.id, self.born_ms
 
 
 class Member:
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -12,11 +12,7 @@
 from ospreyford.console.allocator import hand_back_memory
 from ospreyford.console.stopping import Stop
 from ospreyford.direct.program import EntryServer, Listeners
-from ospreyford.direct.settings import (
-    Bounds,
-    DirectSettings,
-    RetrySettings,
-)
+from ospreyford.direct.settings import Bounds, DirectSettings, RetrySettings
 from ospreyford.direct.world import World
 from ospreyford.observability.events import Started
 from ospreyford.observability.lines import DescriptorSink
@@ -53,9 +49,7 @@
         metrics_port=METRICS_PORT,
         agent_port=node.first_port,
         retries=RetrySettings(
-            node.retry_ratio,
-            node.retry_slack,
-            node.retry_window,
+            node.retry_ratio, node.retry_slack, node.retry_window
         ),
         bounds=Bounds(
             node.drain_seconds, node.grace_seconds, node.revoke_seconds
