Hold what the link carries in one place

The agent set it on its datagram socket and on the ranks, which have that socket. Behaviour unchanged: tests/rebalance pass, linters and types clean.

--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -55,8 +55,7 @@
     def __init__(self, settings: AgentSettings, outside: Outside) -> None:
         self._settings = settings
         self._outside = outside
-        self.post = Post(settings.datagrams)
-        self.post.link_bytes = settings.link_bytes
+        self.post = Post(settings.datagrams, settings.link_bytes)
         self._member = RankMember(outside.engine, outside.clock)
         self.metrics = AgentMetrics()
         self._desk = OrderDesk(
@@ -170,7 +169,6 @@
             self._reach,
             outside.clock,
         )
-        ranks.link_bytes = self._settings.link_bytes
         self._leader = GroupLeader(
             ranks,
             self._desk.maps,
--- a/src/ospreyford/rebalance/post.py
+++ b/src/ospreyford/rebalance/post.py
@@ -9,7 +9,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import curio
 from curio import socket as curio_socket
@@ -20,6 +20,8 @@
     from curio.io import Socket
 
 Address = tuple[str, int]
+#: The link of a host whose settings do not tell what it carries.
+UNBOUNDED: Final = float('inf')
 #: Messages of more bytes than one packet holds go one after the other, and
 #: take so much of the host's link.
 PACKET_BYTES = 1400
@@ -31,14 +33,13 @@
 class Post:
     """Sends and receives datagrams.
 
-    What the host's link carries is ``link_bytes``, in bytes a second.
-
     :param address: IP number and port to bind.
+    :param link_bytes: what the host's link carries, in bytes a second.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, link_bytes: float = UNBOUNDED) -> None:
         self.sent = 0
-        self.link_bytes = float('inf')
+        self.link_bytes = link_bytes
         self._large = curio.Lock()
         self.malformed = 0
         self._sock: Socket = curio_socket.socket(
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -98,7 +98,6 @@
     ) -> None:
         self.agents: dict[int, Address] = {}
         self.maps = KnownMaps()
-        self.link_bytes = float('inf')
         self.me = me
         self._my_host = my_host
         self._member = member
@@ -316,7 +315,7 @@
     ) -> None:
         until = self._clock.monotonic() + limit
         tries = 0
-        link_bytes = self.link_bytes
+        link_bytes = self._post.link_bytes
         while waiting.outcome is None and self._clock.monotonic() < until:
             if tries >= SIGNLESS_TRIES and not waiting.seen:
                 return
--- a/tests/rebalance/test_narrow.py
+++ b/tests/rebalance/test_narrow.py
@@ -131,6 +131,7 @@
     """Carries questions to an agent's desk and its answers back."""
 
     def __init__(self) -> None:
+        self.link_bytes = float('inf')
         self.questions: list[bytes] = []
         self.ranks: Any = None
         self.desk: Any = None
--- a/tests/rebalance/test_ranks.py
+++ b/tests/rebalance/test_ranks.py
@@ -65,6 +65,7 @@
     """The agent beside the rank: it refuses whatever it is asked."""
 
     ranks: Any = None
+    link_bytes: float = float('inf')
     asked: list[Ask] = field(default_factory=list)
 
     async def send_paced(self, datagram: bytes, address: Any) -> None:
