Tell how each request came, and which ones an entry's end cuts

What callers saw: a request taken 4.3 s after its entry got SIGTERM was reset by the entry's end. Its line could not say how it came: on a new connection, on one that had rested, or on one whose last answer was under way; and there was no line, since lines were written only as requests ended by themselves.

RequestEnded tells which request of its connection it was, the connection's age and its rest before, and for how long the entry had been stopping; an entry that ends writes one line for each request that it cuts. No decision changes.

--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from ospreyford.direct.admission import GateView
     from ospreyford.direct.catalog import Customer, Route
+    from ospreyford.http.connections import Origin
     from ospreyford.http.message import Request
 
 
@@ -42,6 +43,7 @@
     :param started_at: when it was read, on the monotonic clock.
     :param deadline: when the caller or the route gives up, on that clock.
     :param cursor: id of the last event that the caller has.
+    :param origin: how it came, for the log.
     """
 
     id: str
@@ -53,6 +55,7 @@
     started_at: float
     deadline: float
     cursor: int | None = None
+    origin: Origin | None = None
     body: bytes = b''
     attempts: list[Attempt] = field(default_factory=list)
     may_have_run: bool = False
--- a/src/ospreyford/direct/decisions.py
+++ b/src/ospreyford/direct/decisions.py
@@ -24,6 +24,9 @@
     :param first_event_ms: until a stream's first event, or -1.
     :param longest_gap_ms: between two of its events.
     :param gate: what its admission or refusal rested on, for streams.
+    :param connection: how it came: which request of its connection, the
+        connection's age and rest before it, and for how long the entry had been
+        stopping by then.
     """
 
     request_id: str
@@ -40,6 +43,7 @@
     first_event_ms: int
     longest_gap_ms: int
     gate: dict[str, Any]
+    connection: dict[str, int]
 
 
 @dataclass(frozen=True)
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -60,6 +60,8 @@
 
     def __init__(self, world: World) -> None:
         self._world = world
+        # By identity: nothing else is sure to differ between two requests.
+        self._under_way: dict[int, Call] = {}
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve a request.
@@ -74,12 +76,23 @@
             self._log_denial(exchange, admitted)
             return
         admitted.body = body
+        admitted.origin = exchange.origin
         self._world.budget.count_request(admitted.service, admitted.started_at)
         age_ms = self._world.tell_age_ms()
-        verdict = await self._relay(admitted, exchange)
+        self._under_way[id(admitted)] = admitted
+        try:
+            verdict = await self._relay(admitted, exchange)
+        finally:
+            self._under_way.pop(id(admitted))
         self._log_end(admitted, verdict, age_ms)
         await self._answer(exchange, verdict, admitted.id)
 
+    def log_cut(self) -> None:
+        """Log the requests that the end of the process cuts, one line each."""
+        age_ms = self._world.tell_age_ms()
+        for call in self._under_way.values():
+            self._log_end(call, Cut(Cause.stopping, call.cursor), age_ms)
+
     def _admit(self, request: Request) -> Call | Denied | NotRun:
         catalog = self._world.catalog
         if catalog is None:
@@ -221,6 +234,7 @@
                 first_event_ms=tell_ms(call.started_at, call.first_event_at),
                 longest_gap_ms=int(call.longest_gap * MILLISECONDS),
                 gate=call.gate._asdict() if call.gate else {},
+                connection=call.origin._asdict() if call.origin else {},
             )
         )
 
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -105,7 +105,7 @@
         grace = world.settings.bounds.grace_seconds
         started = time.monotonic()
         world.is_stopping = True
-        self._open.closing = True
+        self._open.start_closing()
         world.log.log_change(Draining('signal', self._open.count_busy()))
         await curio.sleep(grace * ACCEPT_PART)
         await accepting.cancel()
@@ -114,6 +114,7 @@
         while time.monotonic() - started < grace * FINISH_PART and quiet < 3:
             await curio.sleep(FINISH_POLL)
             quiet = 0 if self._open.count_busy() else quiet + 1
+        self._handler.log_cut()
         world.log.log_change(Stopped(self._open.count_busy()))
 
     async def _accept_callers(self, sock: Socket) -> None:
--- a/src/ospreyford/direct/verdicts.py
+++ b/src/ospreyford/direct/verdicts.py
@@ -26,6 +26,7 @@
     garbled = 'answer of the back end unusable'
     out_of_time = 'time is up'
     left = 'caller left'
+    stopping = 'the process ends'
 
 
 @dataclass(frozen=True)
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -146,7 +146,7 @@
 
     async def _drain(self, accepting: curio.Task) -> None:
         self.stopping = True
-        self._open.closing = True
+        self._open.start_closing()
         self._program.changes.log_change(
             Draining('signal', self._open.count_busy()),
         )
--- a/src/ospreyford/http/connections.py
+++ b/src/ospreyford/http/connections.py
@@ -2,11 +2,29 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import time
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from ospreyford.http.server import ServerConnection
 
+MILLISECONDS = 1000
+
+
+class Origin(NamedTuple):
+    """How a request came, for the log; all as its head was read.
+
+    :param number: of the request on its connection, from 1.
+    :param open_ms: age of the connection.
+    :param rest_ms: time for which the connection had carried nothing.
+    :param closing_ms: time since the server began to close, or -1.
+    """
+
+    number: int
+    open_ms: int
+    rest_ms: int
+    closing_ms: int
+
 
 class OpenConnections:
     """Counts connections, and lets them end well in a planned stop.
@@ -20,6 +38,7 @@
 
     def __init__(self, limit: int) -> None:
         self.closing = False
+        self._closing_since: float | None = None
         self._limit = limit
         self._open: set[ServerConnection] = set()
 
@@ -33,6 +52,20 @@
         """
         return len(self._open) >= self._limit
 
+    def start_closing(self) -> None:
+        """Have each answer that begins from now on be its connection's last."""
+        self.closing = True
+        self._closing_since = time.monotonic()
+
+    def tell_closing_ms(self) -> int:
+        """Tell for how long the server has been closing.
+
+        :returns: milliseconds, or -1 if it is not.
+        """
+        if self._closing_since is None:
+            return -1
+        return int((time.monotonic() - self._closing_since) * MILLISECONDS)
+
     def count_busy(self) -> int:
         """Count the connections with a request under way.
 
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
@@ -12,6 +13,7 @@
 import h11
 
 from ospreyford.http.body import IncomingBody
+from ospreyford.http.connections import MILLISECONDS, Origin
 from ospreyford.http.errors import (
     BadMessage,
     ConnectionLost,
@@ -45,6 +47,7 @@
 
     def __init__(self, connection: ServerConnection, request: Request) -> None:
         self.request = request
+        self.origin = connection.tell_origin()
         self.started = False
         self._connection = connection
 
@@ -163,6 +166,9 @@
         siblings: OpenConnections | None = None,
     ) -> None:
         self.busy = False
+        self._opened_at = time.monotonic()
+        self._resting_since = self._opened_at
+        self._requests = 0
         self._siblings = siblings
         self._sock = sock
         # A token that waits for the acknowledgement of the one before it
@@ -189,6 +195,7 @@
         if not isinstance(event, h11.Request):
             return None
         self.outgoing.encoder.may_have_body = event.method != HEAD
+        self._requests += 1
         return Exchange(self, decode_head(event, self._limits))
 
     async def read_body(self) -> bytes:
@@ -268,6 +275,23 @@
         """
         return self._siblings is not None and self._siblings.closing
 
+    def tell_origin(self) -> Origin:
+        """Tell what is known of the connection as a request comes on it.
+
+        :returns: the connection's age, rest and requests.
+        """
+        now = time.monotonic()
+        return Origin(
+            number=self._requests,
+            open_ms=int((now - self._opened_at) * MILLISECONDS),
+            rest_ms=int((now - self._resting_since) * MILLISECONDS),
+            closing_ms=(
+                -1
+                if self._siblings is None
+                else self._siblings.tell_closing_ms()
+            ),
+        )
+
     def start_next_cycle(self) -> bool:
         """Make ready for another request.
 
@@ -287,6 +311,7 @@
         )
         if reusable:
             self._parser.start_next_cycle()
+            self._resting_since = time.monotonic()
             self.busy = bool(self._parser.trailing_data[0])
         return reusable
 
--- a/tests/console/test_story.py
+++ b/tests/console/test_story.py
@@ -59,6 +59,7 @@
     first_event_ms=10,
     longest_gap_ms=900,
     gate={'running': 3},
+    connection={'number': 1},
 )
 
 
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -113,6 +113,10 @@
     await exchange.respond(421, b'', ())
 
 
+async def never_answer(exchange: Exchange) -> None:
+    await curio.sleep(60)
+
+
 async def hang_up(exchange: Exchange) -> None:
     raise curio.CancelledError
 
--- a/tests/direct/test_program.py
+++ b/tests/direct/test_program.py
@@ -9,8 +9,10 @@
 import pytest
 
 from ospreyford.direct.catalog import Repetition
+from ospreyford.direct.decisions import RequestEnded
 from ospreyford.direct.knowledge import read_boot_clock
 from ospreyford.direct.program import ACCEPT_PART, EntryServer, Listeners
+from ospreyford.direct.verdicts import Cause
 from ospreyford.direct.world import World
 from ospreyford.http.client import ClientConnection, fetch
 from ospreyford.http.errors import ConnectionRefused
@@ -22,6 +24,11 @@
 ONCE = be.make_route(Repetition.once)
 GRACE = 1.5
 READY = Request('GET', '/ready', ())
+ASKED = Request(
+    'POST',
+    '/a/x',
+    ((b'host', b'host'), (b'x-id', b'mine'), (b'x-key', b'good-key')),
+)
 
 
 class FakeStop:
@@ -36,6 +43,7 @@
     """An entry with one back end."""
 
     def __init__(self, site: be.Site) -> None:
+        self.site = site
         host = next_address()
         front = listen(host, 0)
         ready = listen(host, 0)
@@ -64,12 +72,7 @@
 
     async def ask(self) -> ClientConnection:
         connection = await ClientConnection.open(*self.front, 1)
-        fields = (
-            (b'host', b'host'),
-            (b'x-id', b'mine'),
-            (b'x-key', b'good-key'),
-        )
-        await connection.send(Request('POST', '/a/x', fields))
+        await connection.send(ASKED)
         return connection
 
     async def is_ready(self) -> bool:
@@ -162,3 +165,54 @@
     Cause: only new connections were turned away.
     """
     assert not curio.run(rest_while_stopping)
+
+
+async def ask_twice_on_one_connection() -> list[dict[str, int]]:
+    entry = Entry(await be.open_site(ONCE, be.answer))
+    await entry.start()
+    connection = await entry.ask()
+    await connection.read_head()
+    await connection.read_body()
+    connection.start_next_cycle()
+    await entry.stop.requested.set()
+    await curio.sleep(0.1)
+    await connection.send(ASKED)
+    await connection.read_head()
+    # The line follows the answer.
+    await curio.sleep(0.05)
+    await connection.close()
+    lines = entry.site.lines.find(RequestEnded)
+    return [line.connection for line in lines]
+
+
+def test_each_request_tells_how_it_came() -> None:
+    """Nothing told how a request could come to a stopping entry.
+
+    A new connection, one that had rested, and one whose last answer had
+    begun before the stop looked the same in the logs.
+    """
+    first, second = curio.run(ask_twice_on_one_connection)
+    assert (first['number'], first['closing_ms']) == (1, -1)
+    assert second['number'] == 2
+    assert 0 <= second['closing_ms'] <= second['open_ms']
+    assert 0 <= second['rest_ms'] <= second['open_ms']
+
+
+async def stop_before_an_answer() -> list[RequestEnded]:
+    entry = Entry(await be.open_site(ONCE, be.never_answer))
+    running = await entry.start()
+    caller = await entry.ask()
+    await entry.stop.requested.set()
+    await running.join()
+    await caller.close()
+    return entry.site.lines.find(RequestEnded)
+
+
+def test_what_the_end_of_an_entry_cuts_has_a_line() -> None:
+    """A caller's request was cut, and no log knew of it.
+
+    Lines were written as requests ended; the entry's own end came first.
+    """
+    (line,) = curio.run(stop_before_an_answer)
+    assert line.request_id == 'mine'
+    assert line.detail['cause'] == Cause.stopping
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -188,7 +188,7 @@
     async def main() -> tuple[bytes | None, int]:
         async with Server(ignore_body) as server:
             connection = await server.open()
-            server.siblings.closing = True
+            server.siblings.start_closing()
             await connection.send(GET)
             head = await connection.read_head()
             await connection.read_body()
--- a/tests/observability/test_kinds.py
+++ b/tests/observability/test_kinds.py
@@ -32,7 +32,15 @@
     Kind(
         entry.RequestEnded,
         'request_id',
-        ('customer', 'route', 'service', 'attempts', 'waited_ms', 'gate'),
+        (
+            'customer',
+            'route',
+            'service',
+            'attempts',
+            'waited_ms',
+            'gate',
+            'connection',
+        ),
         ('version', 'age_ms'),
         'verdict',
     ),
