Red: a stopping entry takes work on busy connections, and its end answers nobody

What callers saw: a request taken 4.3 s after its entry got SIGTERM (grace 8 s) was reset by the entry's end, 7.47 s after it, in the middle of its answer.

--- /dev/null
+++ b/tests/direct/test_stopping.py
@@ -0,0 +1,128 @@
+"""An entry that stops: what it still takes, and what its end leaves."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import curio
+import pytest
+
+from ospreyford.direct.catalog import Engine, Repetition, Service
+from ospreyford.direct.program import ACCEPT_PART
+from ospreyford.http.client import ClientConnection
+from ospreyford.http.errors import HttpError
+from ospreyford.http.message import find_header
+from tests.direct import backends as be
+from tests.direct.test_program import ASKED, GRACE, Entry
+
+STREAM = be.make_route(
+    Repetition.resumable, streams=True, max_gap=0.12, timeout=8.0
+)
+ONCE = be.make_route(Repetition.once)
+ENGINE = Engine(6, 1, 4, 4, 1, 0.1, 0.02)
+#: A stream lasts so long that it ends after the time for new work.
+OUTLASTING = GRACE * ACCEPT_PART + 0.2
+#: Time for what was written before the end, in seconds.
+ON_ITS_WAY = 0.1
+#: What a request that was cut leaves its caller.
+NOTHING = 0
+
+
+async def stream_for_long(exchange: Any) -> None:
+    await exchange.start(200, be.sealed(exchange))
+    await exchange.write(be.make_event(1))
+    await curio.sleep(OUTLASTING)
+    await exchange.write(be.make_event(2))
+    await exchange.finish()
+
+
+async def stream_for_ever(exchange: Any) -> None:
+    await exchange.start(200, be.sealed(exchange))
+    await exchange.write(be.make_event(1))
+    await curio.sleep(60)
+
+
+async def ask_after_a_long_stream() -> tuple[int, int]:
+    entry = Entry(await be.open_site(STREAM, stream_for_long))
+    await entry.start()
+    connection = await entry.ask()
+    await connection.read_head()
+    await entry.stop.requested.set()
+    await connection.read_body()
+    connection.start_next_cycle()
+    status = await ask_again(connection)
+    await connection.close()
+    return status, entry.site.count_runs()[0]
+
+
+async def ask_again(connection: ClientConnection) -> int:
+    try:
+        await connection.send(ASKED)
+        head = await connection.read_head()
+    except HttpError:
+        return NOTHING
+    return head.status
+
+
+def test_a_busy_connection_takes_nothing_after_the_time_for_new_work() -> None:
+    """A request was taken 4.3 s after SIGTERM, of eight, and cut at 7.5 s.
+
+    Connections at rest were ended once, 2.8 s after the signal.
+    """
+    status, runs = curio.run(ask_after_a_long_stream)
+    assert runs == 1
+    assert status in {NOTHING, 503}
+
+
+class Ending(NamedTuple):
+    """What the end of an entry leaves a caller.
+
+    :param status: of the answer.
+    :param retry_after: when the caller was told to come back.
+    """
+
+    status: int
+    retry_after: bytes | None
+
+
+async def wait_for_the_end(
+    route: Any, script: be.Script, *, is_full: bool
+) -> Ending:
+    entry = Entry(await be.open_site(route, script))
+    entry.world.catalog = be.make_catalog(route)._replace(
+        services={'service': Service('service', 10, ENGINE)}
+    )
+    running = await entry.start()
+    if is_full:
+        entry.fill_gate()
+    caller = await entry.ask()
+    await entry.stop.requested.set()
+    await running.join()
+    # The process would be gone by now, and with it what it had not written.
+    try:
+        head = await curio.timeout_after(ON_ITS_WAY, caller.read_head())
+    except (HttpError, curio.TaskTimeout):
+        return Ending(NOTHING, None)
+    finally:
+        await caller.close()
+    return Ending(head.status, find_header(head.headers, b'retry-after'))
+
+
+ENDINGS = (
+    # It was sent, so nobody knows whether it ran.
+    (ONCE, be.never_answer, False, Ending(502, None)),
+    # It waited at the gate: not run, and another entry serves at once.
+    (STREAM, stream_for_ever, True, Ending(503, b'0.05')),
+)
+
+
+@pytest.mark.parametrize(('route', 'script', 'is_full', 'expected'), ENDINGS)
+def test_the_end_of_an_entry_answers_what_it_leaves(
+    route: Any, script: be.Script, is_full: bool, expected: Ending
+) -> None:
+    """Callers whose answers had not begun saw their connections reset.
+
+    An entry that had waited as long as it may ended without a word.
+    """
+    ran = curio.run(lambda: wait_for_the_end(route, script, is_full=is_full))
+    assert ran == expected
