Split the lines of requests from the handler; a server always counts its connections

direct/requestlog.py holds the line and the counts of each request; a connection asks its server's OpenConnections itself, which is there always.

--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from itertools import takewhile
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from ospreyford.direct.catalog import Repetition
 
@@ -14,6 +14,9 @@
     from ospreyford.http.connections import Origin
     from ospreyford.http.message import Request
 
+#: Outcome of a sending that has none yet.
+UNDER_WAY: Final = 'under way'
+
 
 @dataclass
 class Attempt:
@@ -26,7 +29,7 @@
 
     backend: str
     at: int
-    outcome: str = 'under way'
+    outcome: str = UNDER_WAY
 
 
 @dataclass
@@ -110,6 +113,13 @@
         """
         return {attempt.backend for attempt in self.attempts}
 
+    def is_sent(self) -> bool:
+        """Tell whether the fate of its last sending is unknown.
+
+        :returns: whether it is still under way.
+        """
+        return bool(self.attempts) and self.attempts[-1].outcome == UNDER_WAY
+
     def has_runs_left(self) -> bool:
         """Tell whether its route lets it run at a further back end.
 
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Final
 from urllib.parse import urlsplit
 
@@ -12,13 +11,14 @@
 from ospreyford.direct.call import Call
 from ospreyford.direct.catalog import find_route
 from ospreyford.direct.choosing import choose_service
-from ospreyford.direct.decisions import RequestDenied, RequestEnded
+from ospreyford.direct.headers import read_text
 from ospreyford.direct.messages import (
     CONTENT_TYPE,
     make_problem,
     make_retry_header,
 )
 from ospreyford.direct.relay import Relay
+from ospreyford.direct.requestlog import RequestLog
 from ospreyford.direct.verdicts import (
     Cause,
     Cut,
@@ -60,6 +60,7 @@
 
     def __init__(self, world: World) -> None:
         self._world = world
+        self._log = RequestLog(world)
         # By identity: nothing else is sure to differ between two requests.
         self._under_way: dict[int, Call] = {}
 
@@ -72,8 +73,10 @@
         await self._world.wait_until_known()
         admitted = self._admit(exchange.request)
         if not isinstance(admitted, Call):
-            await self._answer(exchange, admitted, self._read_id(exchange))
-            self._log_denial(exchange, admitted)
+            name = self._world.dialect.request_id
+            request_id = read_text(exchange.request.headers, name) or ''
+            await self._answer(exchange, admitted, request_id)
+            self._log.log_denial(exchange, admitted)
             return
         admitted.body = body
         admitted.origin = exchange.origin
@@ -84,14 +87,14 @@
             verdict = await self._relay(admitted, exchange)
         finally:
             self._under_way.pop(id(admitted))
-        self._log_end(admitted, verdict, age_ms)
+        self._log.log_end(admitted, verdict, age_ms)
         await self._answer(exchange, verdict, admitted.id)
 
     def log_cut(self) -> None:
         """Log the requests that the end of the process cuts, one line each."""
         age_ms = self._world.tell_age_ms()
         for call in self._under_way.values():
-            self._log_end(call, Cut(Cause.stopping, call.cursor), age_ms)
+            self._log.log_end(call, Cut(Cause.stopping, call.cursor), age_ms)
 
     def _admit(self, request: Request) -> Call | Denied | NotRun:
         catalog = self._world.catalog
@@ -113,8 +116,8 @@
         return self._make_call(request, route, service, customer)
 
     def _find_route(self, catalog: Catalog, request: Request) -> Route | None:
-        host = find_header(request.headers, b'host') or b''
-        name = host.decode('latin-1').rsplit(':', 1)[0].lower()
+        host = read_text(request.headers, b'host') or ''
+        name = host.rsplit(':', 1)[0].lower()
         path = urlsplit(request.target).path
         return find_route(catalog, name, path)
 
@@ -129,9 +132,8 @@
         now = time.monotonic()
         wanted = read_number(find_header(request.headers, dialect.deadline))
         seconds = DEFAULT_SECONDS if wanted is None else wanted / MILLISECONDS
-        request_id = find_header(request.headers, dialect.request_id) or b''
         return Call(
-            id=request_id.decode('latin-1'),
+            id=read_text(request.headers, dialect.request_id) or '',
             request=request,
             route=route,
             service=service,
@@ -144,6 +146,9 @@
             ),
         )
 
+    def _read_key(self, request: Request) -> str | None:
+        return read_text(request.headers, self._world.dialect.key)
+
     async def _relay(self, call: Call, exchange: Exchange) -> Verdict:
         relay = Relay(call, exchange, self._world)
         group = curio.TaskGroup(wait=any)
@@ -181,79 +186,12 @@
                 # must not look like a whole answer.
                 raise ConnectionLost
 
-    def _read_id(self, exchange: Exchange) -> str:
-        name = self._world.dialect.request_id
-        found = find_header(exchange.request.headers, name) or b''
-        return found.decode('latin-1')
-
-    def _read_key(self, request: Request) -> str | None:
-        key = find_header(request.headers, self._world.dialect.key)
-        return None if key is None else key.decode('latin-1')
-
-    def _log_denial(self, exchange: Exchange, verdict: Denied | NotRun) -> None:
-        world = self._world
-        headers = exchange.request.headers
-        status = verdict.status if isinstance(verdict, Denied) else UNAVAILABLE
-        host = find_header(headers, b'host') or b''
-        world.log.log_change(
-            RequestDenied(
-                request_id=self._read_id(exchange),
-                asked_host=host.decode('latin-1'),
-                path=exchange.request.target,
-                cause=verdict.cause.value,
-                status=status,
-                version=world.catalog.version if world.catalog else -1,
-                age_ms=world.tell_age_ms(),
-            )
-        )
-
-    def _log_end(self, call: Call, verdict: Verdict, age_ms: int) -> None:
-        catalog = self._world.catalog
-        took = time.monotonic() - call.started_at
-        metrics = self._world.metrics
-        metrics.requests.labels(call.service, type(verdict).__name__).inc()
-        metrics.seconds.labels(call.service).observe(took)
-        for attempt in call.attempts:
-            metrics.sendings.labels(call.service, attempt.outcome).inc()
-        self._world.log.log_change(
-            RequestEnded(
-                request_id=call.id,
-                customer=call.customer.name if call.customer else '',
-                route=call.route.name,
-                service=call.service,
-                version=catalog.version if catalog else -1,
-                age_ms=age_ms,
-                attempts=[
-                    f'{one.backend} {one.at} {one.outcome}'
-                    for one in call.attempts
-                ],
-                verdict=type(verdict).__name__,
-                detail=asdict(verdict),
-                took_ms=int(took * MILLISECONDS),
-                waited_ms=tell_ms(call.started_at, call.admitted_at),
-                first_event_ms=tell_ms(call.started_at, call.first_event_at),
-                longest_gap_ms=int(call.longest_gap * MILLISECONDS),
-                gate=call.gate._asdict() if call.gate else {},
-                connection=call.origin._asdict() if call.origin else {},
-            )
-        )
-
 
 async def _watch_caller(exchange: Exchange) -> Verdict:
     await exchange.wait_for_hangup()
     return Left()
 
 
-def tell_ms(began: float, ended: float | None) -> int:
-    """Tell the time between two moments.
-
-    :param began: seconds on the monotonic clock.
-    :param ended: the same, or ``None`` if it never came.
-    :returns: milliseconds, or -1.
-    """
-    return -1 if ended is None else int((ended - began) * MILLISECONDS)
-
-
 def read_number(text: bytes | None) -> int | None:
     """Read a whole number of a header field.
 
--- a/src/ospreyford/direct/headers.py
+++ b/src/ospreyford/direct/headers.py
@@ -35,6 +35,17 @@
 )
 
 
+def read_text(headers: Headers, name: bytes) -> str | None:
+    """Read a field as text.
+
+    :param headers: the fields.
+    :param name: the field's name, in lower case.
+    :returns: its text, or ``None`` if it is missing.
+    """
+    found = find_header(headers, name)
+    return None if found is None else found.decode('latin-1')
+
+
 def keep_end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Drop the fields that concern one connection only.
 
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -237,16 +237,8 @@
     def _give_up(self, cause: Cause, status: int) -> Verdict:
         if self._exchange.started:
             return Cut(cause, self._call.cursor)
-        if self._call.may_have_run or self._is_sent():
+        if self._call.may_have_run or self._call.is_sent():
             return Unknown(cause, status)
         if self._gate is None:
             return NotRun(cause, RETRY_SECONDS)
         return NotRun(cause, self._gate.tell_retry())
-
-    def _is_sent(self) -> bool:
-        """Tell whether the last sending's fate is unknown.
-
-        :returns: whether it was still under way.
-        """
-        attempts = self._call.attempts
-        return bool(attempts) and attempts[-1].outcome == 'under way'
--- /dev/null
+++ b/src/ospreyford/direct/requestlog.py
@@ -0,0 +1,98 @@
+"""Lines and counts of the requests that an entry answers."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Final
+
+from ospreyford.direct.decisions import RequestDenied, RequestEnded
+from ospreyford.direct.headers import read_text
+from ospreyford.direct.verdicts import Denied
+
+if TYPE_CHECKING:
+    from ospreyford.direct.call import Call
+    from ospreyford.direct.verdicts import NotRun, Verdict
+    from ospreyford.direct.world import World
+    from ospreyford.http.server import Exchange
+
+UNAVAILABLE: Final = 503
+MILLISECONDS = 1000
+
+
+class RequestLog:
+    """Tells of each request how it ended and what that rested on.
+
+    :param world: what the entry knows and uses.
+    """
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    def log_denial(self, exchange: Exchange, verdict: Denied | NotRun) -> None:
+        """Log a request that is answered without being sent.
+
+        :param exchange: the request.
+        :param verdict: the answer.
+        """
+        world = self._world
+        headers = exchange.request.headers
+        status = verdict.status if isinstance(verdict, Denied) else UNAVAILABLE
+        world.log.log_change(
+            RequestDenied(
+                request_id=read_text(headers, world.dialect.request_id) or '',
+                asked_host=read_text(headers, b'host') or '',
+                path=exchange.request.target,
+                cause=verdict.cause.value,
+                status=status,
+                version=world.catalog.version if world.catalog else -1,
+                age_ms=world.tell_age_ms(),
+            )
+        )
+
+    def log_end(self, call: Call, verdict: Verdict, age_ms: int) -> None:
+        """Count and log a request that ended.
+
+        :param call: the request.
+        :param verdict: how it ended.
+        :param age_ms: age of the catalog when it was read, in milliseconds.
+        """
+        catalog = self._world.catalog
+        took = time.monotonic() - call.started_at
+        metrics = self._world.metrics
+        metrics.requests.labels(call.service, type(verdict).__name__).inc()
+        metrics.seconds.labels(call.service).observe(took)
+        for attempt in call.attempts:
+            metrics.sendings.labels(call.service, attempt.outcome).inc()
+        self._world.log.log_change(
+            RequestEnded(
+                request_id=call.id,
+                customer=call.customer.name if call.customer else '',
+                route=call.route.name,
+                service=call.service,
+                version=catalog.version if catalog else -1,
+                age_ms=age_ms,
+                attempts=[
+                    f'{one.backend} {one.at} {one.outcome}'
+                    for one in call.attempts
+                ],
+                verdict=type(verdict).__name__,
+                detail=asdict(verdict),
+                took_ms=int(took * MILLISECONDS),
+                waited_ms=tell_ms(call.started_at, call.admitted_at),
+                first_event_ms=tell_ms(call.started_at, call.first_event_at),
+                longest_gap_ms=int(call.longest_gap * MILLISECONDS),
+                gate=call.gate._asdict() if call.gate else {},
+                connection=call.origin._asdict() if call.origin else {},
+            )
+        )
+
+
+def tell_ms(began: float, ended: float | None) -> int:
+    """Tell the time between two moments.
+
+    :param began: seconds on the monotonic clock.
+    :param ended: the same, or ``None`` if it never came.
+    :returns: milliseconds, or -1.
+    """
+    return -1 if ended is None else int((ended - began) * MILLISECONDS)
--- a/src/ospreyford/http/connections.py
+++ b/src/ospreyford/http/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -36,7 +37,7 @@
     :param limit: connections open at once.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: float = math.inf) -> None:
         self.closing = False
         self._closing_since: float | None = None
         self._limit = limit
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -13,7 +13,11 @@
 import h11
 
 from ospreyford.http.body import IncomingBody
-from ospreyford.http.connections import MILLISECONDS, Origin
+from ospreyford.http.connections import (
+    MILLISECONDS,
+    OpenConnections,
+    Origin,
+)
 from ospreyford.http.errors import (
     BadMessage,
     ConnectionLost,
@@ -28,8 +32,6 @@
 if TYPE_CHECKING:
     from curio.io import Socket
 
-    from ospreyford.http.connections import OpenConnections
-
 READ_BYTES = 65_536
 BACKLOG = 512
 #: ``struct linger``: on, zero seconds.
@@ -97,7 +99,7 @@
         """
         self.started = True
         fields = list(headers)
-        if self._connection.is_closing():
+        if self._connection.siblings.closing:
             fields.append((b'connection', b'close'))
         return h11.Response(status_code=status, headers=fields)
 
@@ -156,7 +158,8 @@
 
     :param sock: the accepted curio socket.
     :param limits: what the connection may cost.
-    :param siblings: the server's open connections, if it keeps count.
+    :param siblings: the server's open connections; ``None`` where it keeps
+        no count and stops without waiting for them.
     """
 
     def __init__(
@@ -169,7 +172,7 @@
         self._opened_at = time.monotonic()
         self._resting_since = self._opened_at
         self._requests = 0
-        self._siblings = siblings
+        self.siblings = OpenConnections() if siblings is None else siblings
         self._sock = sock
         # A token that waits for the acknowledgement of the one before it
         # comes up to 40 ms late.
@@ -268,13 +271,6 @@
                 RESET_ON_CLOSE,
             )
 
-    def is_closing(self) -> bool:
-        """Tell whether the next answer is the connection's last.
-
-        :returns: whether the server is closing.
-        """
-        return self._siblings is not None and self._siblings.closing
-
     def tell_origin(self) -> Origin:
         """Tell what is known of the connection as a request comes on it.
 
@@ -285,11 +281,7 @@
             number=self._requests,
             open_ms=int((now - self._opened_at) * MILLISECONDS),
             rest_ms=int((now - self._resting_since) * MILLISECONDS),
-            closing_ms=(
-                -1
-                if self._siblings is None
-                else self._siblings.tell_closing_ms()
-            ),
+            closing_ms=self.siblings.tell_closing_ms(),
         )
 
     def start_next_cycle(self) -> bool:
@@ -382,8 +374,7 @@
     :param siblings: the server's open connections, if it keeps count.
     """
     connection = ServerConnection(sock, limits, siblings)
-    if siblings is not None:
-        siblings.add(connection)
+    connection.siblings.add(connection)
     async with sock:
         try:
             await _serve_exchanges(connection, handler)
@@ -392,8 +383,7 @@
                 await on_error(error, connection)
         finally:
             connection.reset_if_cut()
-            if siblings is not None:
-                siblings.discard(connection)
+            connection.siblings.discard(connection)
 
 
 async def _serve_exchanges(
