End each connection of a stopping entry as soon as it carries nothing

What callers saw: a request sent 4.3 s after its entry got SIGTERM (grace 8 s) was taken, waited 0.9 s for a place, ran, and was reset by the entry's end 7.47 s after the signal.

Cause: 2.8 s after the signal connections at rest were ended, once. A connection that was busy then was left out; if its answer had begun before the signal, it had not said that it is the connection's last either. When that answer ended the connection rested and took the next request, up to the entry's end.

Mend: to take no more is a state of all connections, looked at wherever one waits for a request, and no act on those at rest. What was read by then is refused with when to come back, since another entry serves it at once.

--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -71,7 +71,7 @@
         """
         body = await exchange.read_body()
         await self._world.wait_until_known()
-        admitted = self._admit(exchange.request)
+        admitted = self._admit(exchange)
         if not isinstance(admitted, Call):
             name = self._world.dialect.request_id
             request_id = read_text(exchange.request.headers, name) or ''
@@ -96,7 +96,12 @@
         for call in self._under_way.values():
             self._log.log_end(call, Cut(Cause.stopping, call.cursor), age_ms)
 
-    def _admit(self, request: Request) -> Call | Denied | NotRun:
+    def _admit(self, exchange: Exchange) -> Call | Denied | NotRun:
+        if exchange.is_too_late:
+            return NotRun(Cause.stopping, ELSEWHERE_SECONDS)
+        return self._admit_in_time(exchange.request)
+
+    def _admit_in_time(self, request: Request) -> Call | Denied | NotRun:
         catalog = self._world.catalog
         if catalog is None:
             return NotRun(Cause.no_configuration, LEARNING_SECONDS)
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -109,7 +109,7 @@
         world.log.log_change(Draining('signal', self._open.count_busy()))
         await curio.sleep(grace * ACCEPT_PART)
         await accepting.cancel()
-        self._open.end_idle()
+        self._open.stop_taking()
         quiet = 0
         while time.monotonic() - started < grace * FINISH_PART and quiet < 3:
             await curio.sleep(FINISH_POLL)
--- a/src/ospreyford/http/connections.py
+++ b/src/ospreyford/http/connections.py
@@ -31,14 +31,16 @@
     """Counts connections, and lets them end well in a planned stop.
 
     A connection is busy from the first byte of a request to the last of its
-    answer. While the server closes, each answer tells the caller that it is
-    the connection's last.
+    answer. A stop has two steps: :meth:`start_closing`, from which each answer
+    that begins tells the caller that it is the connection's last, and
+    :meth:`stop_taking`, from which no connection carries another request.
 
     :param limit: connections open at once.
     """
 
     def __init__(self, limit: float = math.inf) -> None:
         self.closing = False
+        self.taking = True
         self._closing_since: float | None = None
         self._limit = limit
         self._open: set[ServerConnection] = set()
@@ -74,13 +76,16 @@
         """
         return sum(connection.busy for connection in self._open)
 
-    def end_idle(self) -> None:
-        """End the connections that carry no request.
+    def stop_taking(self) -> None:
+        """End each connection as soon as it carries no request.
 
         A process that stops waits for the last answers, for seconds perhaps. A
         request that came on a kept connection meanwhile would be cut by the
-        process's end.
+        process's end. It is not enough to end those at rest: an answer that
+        began before the stop did not say that it is the last, and its
+        connection would rest, and be used, after this.
         """
+        self.taking = False
         for connection in tuple(self._open):
             if not connection.busy:
                 connection.hangup.stop_reading()
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -43,6 +43,9 @@
 class Exchange:
     """One request on a connection, and the answer to it.
 
+    ``is_too_late`` tells that the server had stopped taking requests as this
+    one was read: it is to be refused.
+
     :param connection: the connection that the request came on.
     :param request: the request's head.
     """
@@ -50,6 +53,7 @@
     def __init__(self, connection: ServerConnection, request: Request) -> None:
         self.request = request
         self.origin = connection.tell_origin()
+        self.is_too_late = not connection.siblings.taking
         self.started = False
         self._connection = connection
 
@@ -310,6 +314,9 @@
     async def _wait_for_start(self) -> bool:
         if self._parser.trailing_data[0]:
             return True
+        if not self.siblings.taking:
+            # What is here already is read, and refused; nothing more comes.
+            self.hangup.stop_reading()
         try:
             async with curio.timeout_after(self._limits.idle_seconds):
                 return await self._feed()
--- a/tests/direct/test_stopping.py
+++ b/tests/direct/test_stopping.py
@@ -22,6 +22,12 @@
 ENGINE = Engine(6, 1, 4, 4, 1, 0.1, 0.02)
 #: A stream lasts so long that it ends after the time for new work.
 OUTLASTING = GRACE * ACCEPT_PART + 0.2
+RAW = (
+    b'POST /a/x HTTP/1.1\r\nhost: host\r\nx-id: mine\r\n'
+    b'x-key: good-key\r\ncontent-length: 0\r\n\r\n'
+)
+#: How the lines begin by which answers are told apart.
+NAMED = (b'HTTP/1.1', b'retry-after', b'connection')
 #: Time for what was written before the end, in seconds.
 ON_ITS_WAY = 0.1
 #: What a request that was cut leaves its caller.
@@ -67,13 +73,50 @@
 def test_a_busy_connection_takes_nothing_after_the_time_for_new_work() -> None:
     """A request was taken 4.3 s after SIGTERM, of eight, and cut at 7.5 s.
 
-    Connections at rest were ended once, 2.8 s after the signal.
+    Connections at rest were ended once, 2.8 s after the signal. One that then
+    carried an answer which had begun before the signal was left out, and that
+    answer had not said that it is the connection's last: when it ended, the
+    connection rested, and its caller used it. The line of such a request,
+    {'number': 3, 'open_ms': 6216, 'rest_ms': 40, 'closing_ms': 2951}, shows an
+    answer that ended 2,911 ms after the signal and a request 40 ms later.
     """
     status, runs = curio.run(ask_after_a_long_stream)
     assert runs == 1
     assert status in {NOTHING, 503}
 
 
+async def ask_twice_at_once() -> tuple[list[bytes], int]:
+    entry = Entry(await be.open_site(STREAM, stream_for_long))
+    await entry.start()
+    caller = await curio.open_connection(*entry.front)
+    await caller.sendall(RAW * 2)
+    received: bytes = await caller.recv(65_536)
+    await entry.stop.requested.set()
+    async with caller:
+        while piece := await caller.recv(65_536):
+            received += piece
+    # A reset would have raised: what was left unread was nothing.
+    lines = received.split(b'\r\n')
+    fields = [line for line in lines if line.startswith(NAMED)]
+    return fields, entry.site.count_runs()[0]
+
+
+def test_what_was_read_after_the_time_for_new_work_is_refused() -> None:
+    """A request that is here already must have an answer.
+
+    Its caller sent it behind the one whose answer outlasts the time for new
+    work. Unread, it would reset the connection under the answer before it.
+    """
+    answers, runs = curio.run(ask_twice_at_once)
+    assert answers == [
+        b'HTTP/1.1 200 ',
+        b'HTTP/1.1 503 ',
+        b'retry-after: 0.05',
+        b'connection: close',
+    ]
+    assert runs == 1
+
+
 class Ending(NamedTuple):
     """What the end of an entry leaves a caller.
 
