Answer at the end of an entry what has no answer yet

What callers saw: the end of a stopping entry closed connections on which no answer had begun, with requests that waited for a place, or whose back end was silent. Nobody told their callers whether they had run, nor that another entry serves at once.

Cause: an entry that had waited as long as it may ended its process, and with it the tasks of those requests.

Mend: at that moment each request in flight gets the answer that can still be given: not run, with when to come back, where nothing was sent; of unknown fate where it was; a reset only where an answer has begun. Each has its line.

--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -61,8 +61,7 @@
     def __init__(self, world: World) -> None:
         self._world = world
         self._log = RequestLog(world)
-        # By identity: nothing else is sure to differ between two requests.
-        self._under_way: dict[int, Call] = {}
+        self._ending = curio.Event()
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve a request.
@@ -82,19 +81,18 @@
         admitted.origin = exchange.origin
         self._world.budget.count_request(admitted.service, admitted.started_at)
         age_ms = self._world.tell_age_ms()
-        self._under_way[id(admitted)] = admitted
-        try:
-            verdict = await self._relay(admitted, exchange)
-        finally:
-            self._under_way.pop(id(admitted))
+        verdict = await self._relay(admitted, exchange)
         self._log.log_end(admitted, verdict, age_ms)
         await self._answer(exchange, verdict, admitted.id)
 
-    def log_cut(self) -> None:
-        """Log the requests that the end of the process cuts, one line each."""
-        age_ms = self._world.tell_age_ms()
-        for call in self._under_way.values():
-            self._log.log_end(call, Cut(Cause.stopping, call.cursor), age_ms)
+    async def end_all(self) -> None:
+        """Give each request in flight the last answer that can be given.
+
+        What goes wrong without it: the end of the process closes connections
+        on which no answer has begun, and nobody tells the callers whether
+        their requests have run, and where to turn.
+        """
+        await self._ending.set()
 
     def _admit(self, exchange: Exchange) -> Call | Denied | NotRun:
         if exchange.is_too_late:
@@ -160,6 +158,7 @@
         async with group:
             await group.spawn(self._run_relay, relay)
             await group.spawn(_watch_caller, exchange)
+            await group.spawn(self._end, relay)
         verdict: Verdict = group.result
         return verdict
 
@@ -169,6 +168,10 @@
         except ConnectionLost:
             return Left()
 
+    async def _end(self, relay: Relay) -> Verdict:
+        await self._ending.wait()
+        return relay.end(ELSEWHERE_SECONDS)
+
     async def _answer(
         self, exchange: Exchange, verdict: Verdict, request_id: str
     ) -> None:
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -47,8 +47,10 @@
 #: asks once a second and needs two refusals before it stops sending them. Then
 #: connections at rest are ended too.
 ACCEPT_PART = 0.35
-#: Part of the grace after which the process ends whatever is in flight.
+#: Part of the grace after which whatever is in flight gets its last answer.
 FINISH_PART = 0.93
+#: Time for the answers to what is in flight at the end, in seconds.
+LAST_ANSWERS_SECONDS = 0.2
 #: How often a stopping entry looks whether all answers are out, in seconds.
 FINISH_POLL = 0.05
 
@@ -114,9 +116,15 @@
         while time.monotonic() - started < grace * FINISH_PART and quiet < 3:
             await curio.sleep(FINISH_POLL)
             quiet = 0 if self._open.count_busy() else quiet + 1
-        self._handler.log_cut()
+        await self._handler.end_all()
+        await self._wait_for_answers()
         world.log.log_change(Stopped(self._open.count_busy()))
 
+    async def _wait_for_answers(self) -> None:
+        async with curio.ignore_after(LAST_ANSWERS_SECONDS):
+            while self._open.count_busy():
+                await curio.sleep(FINISH_POLL)
+
     async def _accept_callers(self, sock: Socket) -> None:
         async with sock:
             while True:
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -80,6 +80,19 @@
             return self._give_up(Cause.out_of_time, GATEWAY_TIMEOUT)
         return verdict
 
+    def end(self, retry_after: float) -> Verdict:
+        """Tell how the request ends if this process does nothing more for it.
+
+        :param retry_after: when its caller should come back if it has not
+            run, in seconds: another process can serve it.
+        :returns: how it ends.
+        """
+        match self._give_up(Cause.stopping, BAD_GATEWAY):
+            case NotRun(cause=cause):
+                return NotRun(cause, retry_after)
+            case verdict:
+                return verdict
+
     async def _send_until_final(self) -> Verdict:
         verdict: Verdict | None = None
         while verdict is None:
--- a/tests/direct/test_stopping.py
+++ b/tests/direct/test_stopping.py
@@ -165,7 +165,10 @@
 ) -> None:
     """Callers whose answers had not begun saw their connections reset.
 
-    An entry that had waited as long as it may ended without a word.
+    An entry that had waited as long as it may ended without a word: neither a
+    request that waited for a place nor one whose back end was silent was told
+    whether it had run. Their connections closed with status 0 in this test, in
+    place of the 503 and the 502.
     """
     ran = curio.run(lambda: wait_for_the_end(route, script, is_full=is_full))
     assert ran == expected
