Red: the loopback entry takes work on kept connections as well while it stops

What callers see: an entry that turns new connections away answers a request on a connection whose long answer began before the stop; it would take the next ones up to the moment at which it is cut.

--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -12,7 +12,12 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
 from enum import StrEnum
-from http.client import HTTPConnection, HTTPException, IncompleteRead
+from http.client import (
+    HTTPConnection,
+    HTTPException,
+    HTTPResponse,
+    IncompleteRead,
+)
 from itertools import count
 from socket import SO_RCVBUF, SOL_SOCKET
 from threading import Event
@@ -177,6 +182,46 @@
         return told
 
 
+class KeptConnection:
+    """A caller that sends one request after the other on one connection.
+
+    :param entry: the entry's name.
+    :param address: its data address.
+    """
+
+    def __init__(self, entry: str, address: str) -> None:
+        self._entry = entry
+        self._connection = HTTPConnection(
+            *split_address(address), timeout=CALLER_SECONDS
+        )
+
+    def __enter__(self) -> Self:
+        self._connection.connect()
+        # A second connection, opened unseen, would not be the kept one.
+        self._connection.auto_open = 0
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._connection.close()
+
+    def begin(self, ask: Ask) -> HTTPResponse:
+        """Send a request and read the head of its answer."""
+        headers = _make_headers(ask)
+        self._connection.request(*_address(ask), headers=headers)
+        return self._connection.getresponse()
+
+    def send(self, ask: Ask) -> Told:
+        """Send a request and read its whole answer."""
+        began = time.monotonic()
+        told = Told(ask, self._entry, 'lost', began, began)
+        try:
+            _exchange(self._connection, ask, told)
+        except (OSError, HTTPException):
+            told.outcome = 'lost'
+        told.ended = time.monotonic()
+        return told
+
+
 def _exchange(caller: HTTPConnection, ask: Ask, told: Told) -> None:
     caller.request(*_address(ask), headers=_make_headers(ask))
     _read_answer(caller, told)
--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -16,6 +16,7 @@
 from ospreyford.standins.fleet import ask, is_ready
 from tests.processes.callers import (
     Ask,
+    KeptConnection,
     Kind,
     SlowReader,
     Told,
@@ -58,6 +59,8 @@
 #: An answer of 12 MB: more than is read while its caller takes nothing in.
 #: Its tokens are wide, or its run would be a test of the machine's speed.
 LONG_TOKENS = 6_000
+#: An answer that ends long after a stopping entry turns connections away.
+OUTLASTING_TOKENS = 400
 FAST_STEP_MS = 0.001
 STEP_MS = 5
 #: Longer than both signals take, shorter than the callers' deadline.
@@ -238,6 +241,36 @@
     return finding
 
 
+def stop_entry_with_kept_connection(rig: Deployment) -> Finding:
+    """Stop an entry while a kept connection carries a long answer.
+
+    Symptom looked for: a stopping entry takes new work for as long as its
+    connections bring some, up to the moment that it is cut. Sequence: the
+    answer began before the stop and so did not say that it is the connection's
+    last; it ends when new connections are turned away already, and its caller
+    asks again. Cause: only an answer that begins after the stop ends its
+    connection.
+    """
+    name = ENTRIES[0]
+    process = rig.find(name).process
+    broken = []
+    with KeptConnection(name, rig.crowd.entries[name]) as caller:
+        answer = caller.begin(make_ask(Kind.stream, OUTLASTING_TOKENS))
+        process.signal(signal.SIGTERM)
+        rig.wait_for(lambda: '"Draining"' in process.errors, f'{name} drains')
+        if not answer.read().strip():
+            broken.append('the answer was cut')
+        told = caller.send(make_ask(Kind.rate))
+        if told.outcome == 'answered':
+            broken.append('new work on a kept connection')
+    if process.wait(STOP_SECONDS):
+        broken.append(f'{name} did not end well')
+    rig.restart(name)
+    finding = Finding('entry SIGTERM, kept connection', Counter(), broken, {})
+    _wait_until_whole(rig)
+    return finding
+
+
 def signal_entry_twice(rig: Deployment) -> Finding:
     """Stop an entry, and stop it again before its answers are there."""
     return signal_twice(rig, ENTRIES[0])
@@ -401,6 +434,7 @@
     drain_while_silent,
     leave_while_silent,
     stop_under_slow_reader,
+    stop_entry_with_kept_connection,
     roll_everything,
     kill_under_load,
     signal_entry_twice,
@@ -415,6 +449,7 @@
 KNOWN_RED: tuple[Scenario, ...] = ()
 QUICK_SCENARIOS: tuple[Scenario, ...] = (
     drain_by_signal,
+    stop_entry_with_kept_connection,
     notice_silence,
     start_entry_without_platform,
     race_operators,
