One planned stop for both entries: no kept connection takes work when new ones do not

What callers saw (a run of real processes): the loopback entry, stopping, answered a request on a connection whose long answer had begun before SIGTERM; it would have cut it at the end of its drain.

Cause: the one of the platform's entry; this one ended no kept connection at all.

Mend: http/closing.py holds the steps of a planned stop, and both entries take them from there; a request that was read too late is refused as draining.

--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
@@ -12,6 +11,7 @@
 from ospreyford.direct.handler import RequestHandler
 from ospreyford.direct.messages import CONTENT_TYPE, make_problem
 from ospreyford.direct.verdicts import Cause
+from ospreyford.http.closing import POLL_SECONDS, ClosingPace, close_server
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.errors import (
     BadMessage,
@@ -51,8 +51,8 @@
 FINISH_PART = 0.93
 #: Time for the answers to what is in flight at the end, in seconds.
 LAST_ANSWERS_SECONDS = 0.2
-#: How often a stopping entry looks whether all answers are out, in seconds.
-FINISH_POLL = 0.05
+#: An entry ends when nothing was under way for so long, in seconds.
+QUIET_SECONDS = 0.15
 
 
 class Listeners(NamedTuple):
@@ -105,17 +105,14 @@
     async def _finish(self, accepting: curio.Task) -> None:
         world = self._world
         grace = world.settings.bounds.grace_seconds
-        started = time.monotonic()
         world.is_stopping = True
-        self._open.start_closing()
         world.log.log_change(Draining('signal', self._open.count_busy()))
-        await curio.sleep(grace * ACCEPT_PART)
-        await accepting.cancel()
-        self._open.stop_taking()
-        quiet = 0
-        while time.monotonic() - started < grace * FINISH_PART and quiet < 3:
-            await curio.sleep(FINISH_POLL)
-            quiet = 0 if self._open.count_busy() else quiet + 1
+        pace = ClosingPace(
+            accept=grace * ACCEPT_PART,
+            quiet=QUIET_SECONDS,
+            most=grace * FINISH_PART,
+        )
+        await close_server(self._open, accepting, pace)
         await self._handler.end_all()
         await self._wait_for_answers()
         world.log.log_change(Stopped(self._open.count_busy()))
@@ -123,7 +120,7 @@
     async def _wait_for_answers(self) -> None:
         async with curio.ignore_after(LAST_ANSWERS_SECONDS):
             while self._open.count_busy():
-                await curio.sleep(FINISH_POLL)
+                await curio.sleep(POLL_SECONDS)
 
     async def _accept_callers(self, sock: Socket) -> None:
         async with sock:
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -10,6 +10,7 @@
 from ospreyford.entry.factory import make_parts
 from ospreyford.entry.returns import ReturnWatch
 from ospreyford.entry.views import Views
+from ospreyford.http.closing import ClosingPace, close_server
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.server import listen, serve_connection
 from ospreyford.membership.member import MemberState
@@ -26,7 +27,6 @@
     from ospreyford.ports.fleet import Host
     from ospreyford.settings.programs import EntrySettings
 
-DRAIN_POLL_SECONDS = 0.05
 READY_POLL_SECONDS = 0.1
 #: A balancer in front may send for so long after it is told to stop.
 LINGER_SECONDS = 0.5
@@ -146,17 +146,9 @@
 
     async def _drain(self, accepting: curio.Task) -> None:
         self.stopping = True
-        self._open.start_closing()
         self._program.changes.log_change(
             Draining('signal', self._open.count_busy()),
         )
-        # The balancer learns of the stop with a lag: what it still sends on
-        # new connections and old ones is served, until nothing comes any more.
-        await curio.sleep(LINGER_SECONDS)
-        await accepting.cancel()
-        quiet_since = self._node.clock.monotonic()
-        while self._node.clock.monotonic() - quiet_since < LINGER_SECONDS:
-            await curio.sleep(DRAIN_POLL_SECONDS)
-            if self._open.count_busy():
-                quiet_since = self._node.clock.monotonic()
+        pace = ClosingPace(accept=LINGER_SECONDS, quiet=LINGER_SECONDS)
+        await close_server(self._open, accepting, pace)
         await self._process.stop()
--- a/src/ospreyford/entry/service.py
+++ b/src/ospreyford/entry/service.py
@@ -90,7 +90,10 @@
         """
         self.in_flight += 1
         try:
-            await self._admit(exchange)
+            if exchange.is_too_late:
+                await _refuse_late(exchange)
+            else:
+                await self._admit(exchange)
         finally:
             self.in_flight -= 1
 
@@ -277,6 +280,12 @@
     )
 
 
+async def _refuse_late(exchange: Exchange) -> None:
+    # Served, it would be cut if it outlasts the stop of this process.
+    await exchange.read_body()
+    await _tell(exchange, NotRun(Cause.draining, 0), make_id())
+
+
 async def _tell(
     exchange: Exchange,
     outcome: NotRun | Unknown,
--- a/tests/entry/front.py
+++ b/tests/entry/front.py
@@ -93,7 +93,7 @@
         self.directory = OneCustomer()
         self.gate = LimitGate(GateSettings())
         self._tasks: list[Any] = []
-        self._open = OpenConnections(100)
+        self.open = OpenConnections(100)
 
     async def __aenter__(self) -> Front:
         port = await self._serve_on(self._run_backend)
@@ -166,7 +166,7 @@
     async def _serve(self, sock: Any) -> None:
         service = self.service
         await serve_connection(
-            sock, LIMITS, service.serve, service.refuse, self._open
+            sock, LIMITS, service.serve, service.refuse, self.open
         )
 
     async def _run_backend(self, sock: Any) -> None:
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -350,3 +350,26 @@
             return front.metrics.render()
 
     assert b'service="svc"' not in curio.run(main)
+
+
+def test_what_comes_to_an_entry_that_takes_no_more_is_refused() -> None:
+    """A stopping entry took requests up to the moment that it was cut.
+
+    They came on connections whose last answer had begun before the stop.
+    """
+
+    async def main() -> tuple[bytes, int]:
+        async with Front(delay=0.3) as front:
+            sock = await front.connect()
+            async with sock:
+                await curio.sleep(0.02)
+                await sock.sendall(make_request() * 2)
+                await curio.sleep(0.1)
+                front.open.stop_taking()
+                received = await read_to_end(sock, 1)
+            return received, len(front.seen)
+
+    answer, runs = curio.run(main)
+    assert runs == 1
+    assert b'HTTP/1.1 503' in answer
+    assert b'"draining"' in answer
