Tell how much time a request was given

Whether a caller has asked before shows in the time that it has left; its line did not say it, so refused first tries and refused second ones looked alike.

--- a/src/ospreyford/direct/decisions.py
+++ b/src/ospreyford/direct/decisions.py
@@ -19,6 +19,7 @@
     :param attempts: back end, moment and outcome of each sending.
     :param verdict: type of the outcome.
     :param detail: its fields.
+    :param given_ms: time that its caller or its route gave it.
     :param took_ms: from the request's end to its answer's.
     :param waited_ms: of these, in the queue.
     :param first_event_ms: until a stream's first event, or -1.
@@ -38,6 +39,7 @@
     attempts: list[str]
     verdict: str
     detail: dict[str, Any]
+    given_ms: int
     took_ms: int
     waited_ms: int
     first_event_ms: int
--- a/src/ospreyford/direct/requestlog.py
+++ b/src/ospreyford/direct/requestlog.py
@@ -78,6 +78,7 @@
                 ],
                 verdict=type(verdict).__name__,
                 detail=asdict(verdict),
+                given_ms=tell_ms(call.started_at, call.deadline),
                 took_ms=int(took * MILLISECONDS),
                 waited_ms=tell_ms(call.started_at, call.admitted_at),
                 first_event_ms=tell_ms(call.started_at, call.first_event_at),
--- a/tests/console/test_story.py
+++ b/tests/console/test_story.py
@@ -54,6 +54,7 @@
     attempts=['b1 0 Refused', 'b2 5 connection lost'],
     verdict='Cut',
     detail={'event': 3},
+    given_ms=8000,
     took_ms=1000,
     waited_ms=0,
     first_event_ms=10,
--- a/tests/observability/test_kinds.py
+++ b/tests/observability/test_kinds.py
@@ -37,6 +37,7 @@
             'route',
             'service',
             'attempts',
+            'given_ms',
             'waited_ms',
             'gate',
             'connection',
