--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -102,6 +102,13 @@
         await self._stop.requested.wait()
         await self._finish(accepting)
 
+    async def end_requests(self) -> None:
+        """Give each request in flight its last answer, and wait for it."""
+        await self._handler.end_all()
+        async with curio.ignore_after(LAST_ANSWERS_SECONDS):
+            while self._open.count_busy():
+                await curio.sleep(POLL_SECONDS)
+
     async def _finish(self, accepting: curio.Task) -> None:
         world = self._world
         grace = world.settings.bounds.grace_seconds
@@ -113,15 +120,9 @@
             most=grace * FINISH_PART,
         )
         await close_server(self._open, accepting, pace)
-        await self._handler.end_all()
-        await self._wait_for_answers()
+        await self.end_requests()
         world.log.log_change(Stopped(self._open.count_busy()))
 
-    async def _wait_for_answers(self) -> None:
-        async with curio.ignore_after(LAST_ANSWERS_SECONDS):
-            while self._open.count_busy():
-                await curio.sleep(POLL_SECONDS)
-
     async def _accept_callers(self, sock: Socket) -> None:
         async with sock:
             while True:
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -60,3 +60,36 @@
     took, seen = curio.run(close_under_a_request, pace)
     assert seen == status
     assert took >= pace.accept + pace.quiet
+
+
+async def tell_lateness(exchange: Exchange) -> None:
+    await exchange.read_body()
+    await exchange.respond(503 if exchange.is_too_late else 200, b'')
+
+
+async def stop_taking_within(first: bytes, rest: bytes) -> bytes:
+    async with Server(tell_lateness) as server:
+        caller = await curio.open_connection('127.0.0.1', server.port)
+        async with caller:
+            await curio.sleep(0.05)
+            # No other task runs between these: what was sent lies unread.
+            await caller.sendall(first)
+            server.siblings.stop_taking()
+            await curio.sleep(0.02)
+            await caller.sendall(rest)
+            received: bytes = await caller.recv(65_536)
+    return received
+
+
+REQUEST = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbody'
+
+
+@pytest.mark.parametrize('sent', [20, len(REQUEST) - 2, len(REQUEST)])
+def test_a_request_that_is_arriving_is_refused_as_a_whole(sent: int) -> None:
+    """A proper request was called malformed.
+
+    Its first bytes had come, unread, when the server stopped taking requests;
+    the rest of it was never read.
+    """
+    received = curio.run(stop_taking_within, REQUEST[:sent], REQUEST[sent:])
+    assert received.startswith(b'HTTP/1.1 503')
