Shut a TLS connection's reading side without taking its TLS away

What callers saw: an entry that stopped taking requests answered in plain bytes within their TLS streams. Cause: SSLSocket.shutdown() drops the TLS state, so the request still to be refused was read encrypted, as malformed. The socket's own shutdown leaves it.

--- a/src/ospreyford/http/hangup.py
+++ b/src/ospreyford/http/hangup.py
@@ -38,9 +38,10 @@
 
     def stop_reading(self) -> None:
         """Have whoever waits for the peer's bytes find the connection ended."""
-        # The peer may have closed it just now.
+        # The peer may have closed it just now. A TLS socket's own method would
+        # take its TLS away, and what is still read or written would be plain.
         with suppress(OSError), self._sock.blocking() as raw:
-            raw.shutdown(socket.SHUT_RD)
+            socket.socket.shutdown(raw, socket.SHUT_RD)
 
     async def wait(self) -> None:
         """Wait until the peer has closed its side; no other task may read."""
--- a/tests/security/test_closing.py
+++ b/tests/security/test_closing.py
@@ -24,8 +24,13 @@
 
 async def answer(exchange: Exchange) -> None:
     await exchange.read_body()
+    if exchange.is_too_late:
+        await exchange.respond(503, b'')
+        return
+    await exchange.start(200, ((b'content-length', b'5'),))
     await curio.sleep(0.1)
-    await exchange.respond(503 if exchange.is_too_late else 200, b'')
+    await exchange.write(b'whole')
+    await exchange.finish()
 
 
 @asynccontextmanager
@@ -61,6 +66,7 @@
         await caller.sendall(RAW)
         if is_busy:
             await curio.sleep(0.05)
+        siblings.start_closing()
         siblings.stop_taking()
         if is_busy:
             await caller.sendall(RAW)
