Refuse as a whole a request that is arriving when no more are taken

What callers saw: a proper request answered 400. Cause: the first of its bytes lay unread when the reading side was shut, and what had come so far was taken for all of it. Where bytes are here the side stays open: the request is read whole and refused with when to come back. A connection whose answer ends later is closed unless bytes are here.

--- a/src/ospreyford/http/connections.py
+++ b/src/ospreyford/http/connections.py
@@ -87,6 +87,7 @@
         """
         self.taking = False
         for connection in tuple(self._open):
+            # What is arriving at one of these is read, and refused.
             if not connection.busy:
                 connection.hangup.stop_reading()
 
--- a/src/ospreyford/http/hangup.py
+++ b/src/ospreyford/http/hangup.py
@@ -9,6 +9,8 @@
 
 import curio
 
+from ospreyford.http.polling import has_news
+
 if TYPE_CHECKING:
     from curio.io import Socket
 
@@ -37,7 +39,13 @@
         return bool(poller.poll(0))
 
     def stop_reading(self) -> None:
-        """Have whoever waits for the peer's bytes find the connection ended."""
+        """Have whoever waits for the peer's bytes find the connection ended.
+
+        Not where some are here already: shut under a request that is arriving,
+        its first part would be read as the whole, and called malformed.
+        """
+        if has_news(self._sock):
+            return
         # The peer may have closed it just now. A TLS socket's own method would
         # take its TLS away, and what is still read or written would be plain.
         with suppress(OSError), self._sock.blocking() as raw:
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -28,6 +28,7 @@
 from ospreyford.http.head import decode_head
 from ospreyford.http.message import Headers, Limits, Request
 from ospreyford.http.outgoing import Outgoing
+from ospreyford.http.polling import has_news
 
 if TYPE_CHECKING:
     from curio.io import Socket
@@ -314,9 +315,9 @@
     async def _wait_for_start(self) -> bool:
         if self._parser.trailing_data[0]:
             return True
-        if not self.siblings.taking:
-            # What is here already is read, and refused; nothing more comes.
-            self.hangup.stop_reading()
+        if not self.siblings.taking and not has_news(self._sock):
+            # Only what is arriving already is read, and refused.
+            return False
         try:
             async with curio.timeout_after(self._limits.idle_seconds):
                 return await self._feed()
