Say what becomes of a request at the end once nothing of it is under way

Mend: the last answer is judged once all tasks of the request have ended, from what has happened by then; gates give no more places from the end on; what becomes whole later is refused.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -204,6 +204,22 @@
         if load.slots:
             self.take_slots(load.slots, entries)
 
+    def tell_most(
+        self, waiter: Waiter, now: float, first_event: float
+    ) -> float:
+        """Tell up to how many streams a request is admitted.
+
+        :param waiter: the request.
+        :param now: seconds on the monotonic clock.
+        :param first_event: expected time to the first event, in seconds.
+        :returns: the number.
+        """
+        if is_late(waiter, now, first_event):
+            return self.late
+        if is_urgent(waiter, now, first_event):
+            return self.full
+        return self.easy
+
     def _learn(self, cost: float) -> None:
         if self._cost is None:
             self._cost = cost
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -16,8 +16,6 @@
     GateView,
     StreamLimit,
     Waiter,
-    is_late,
-    is_urgent,
     tell_patience,
 )
 
@@ -63,6 +61,7 @@
         self._refused: set[int] = set()
         self._paused_until: float = 0
         self._is_closed = False
+        self._is_ending = False
         self._epoch = NO_EPOCH
         self._closed_epoch = NO_EPOCH
         self._told_at: float | None = None
@@ -125,8 +124,14 @@
             self._is_closed = False
         await self.look()
 
+    def stop_admitting(self) -> None:
+        """Give no more places; who waits is answered by whoever ends this."""
+        self._is_ending = True
+
     async def look(self) -> None:
         """Admit and refuse as far as there is reason to."""
+        if self._is_ending:
+            return
         now = time.monotonic()
         first_event = FIRST_EVENT_PASSES * self.limit.pass_seconds
         places = LATE_ROOM * self.limit.places
@@ -140,7 +145,7 @@
             chosen = self._queue.choose(now, first_event)
             if chosen is None:
                 return
-            if self.running >= self._choose_limit(chosen, now, first_event):
+            if self.running >= self.limit.tell_most(chosen, now, first_event):
                 return
             self._queue.remove(chosen.number)
             self.running += 1
@@ -149,15 +154,6 @@
                 self._paused_until = now + PROBE_SECONDS
             await self._turns[chosen.number].set()
 
-    def _choose_limit(
-        self, waiter: Waiter, now: float, first_event: float
-    ) -> float:
-        if is_late(waiter, now, first_event):
-            return self.limit.late
-        if is_urgent(waiter, now, first_event):
-            return self.limit.full
-        return self.limit.easy
-
     async def _decide(self, call: Call) -> bool:
         now = time.monotonic()
         is_free = not self._queue and not self._is_waiting(now)
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -92,10 +92,13 @@
         on which no answer has begun, and nobody tells the callers whether
         their requests have run, and where to turn.
         """
+        # The places of streams that are cut here are for nobody.
+        for gate in self._world.gates.values():
+            gate.stop_admitting()
         await self._ending.set()
 
     def _admit(self, exchange: Exchange) -> Call | Denied | NotRun:
-        if exchange.is_too_late:
+        if exchange.is_too_late or self._ending.is_set():
             return NotRun(Cause.stopping, ELSEWHERE_SECONDS)
         return self._admit_in_time(exchange.request)
 
@@ -156,11 +159,16 @@
         relay = Relay(call, exchange, self._world)
         group = curio.TaskGroup(wait=any)
         async with group:
-            await group.spawn(self._run_relay, relay)
+            running = await group.spawn(self._run_relay, relay)
             await group.spawn(_watch_caller, exchange)
-            await group.spawn(self._end, relay)
-        verdict: Verdict = group.result
-        return verdict
+            await group.spawn(self._ending.wait)
+        # Judged only now that nothing of it is under way any more: until then
+        # it may be sent, or answered, against what was settled.
+        if running.exception is None:
+            verdict: Verdict = running.result
+            return verdict
+        left: Verdict | None = group.result
+        return left or relay.end(ELSEWHERE_SECONDS)
 
     async def _run_relay(self, relay: Relay) -> Verdict:
         try:
@@ -168,10 +176,6 @@
         except ConnectionLost:
             return Left()
 
-    async def _end(self, relay: Relay) -> Verdict:
-        await self._ending.wait()
-        return relay.end(ELSEWHERE_SECONDS)
-
     async def _answer(
         self, exchange: Exchange, verdict: Verdict, request_id: str
     ) -> None:
