Red: a stopping agent leaves a pass held, or an order without an answer

What callers would see: all streams of a group stand still. An agent ends at once on SIGTERM, with 8 s of grace unused.

--- /dev/null
+++ b/tests/rebalance/runningagents.py
@@ -0,0 +1,192 @@
+"""Agents of one fake group, each running as its process would."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from threading import Event, RLock, Thread
+from typing import Any
+
+import curio
+
+from ospreyford.direct.catalog import Engine as Figures
+from ospreyford.ports.clock import SystemClock
+from ospreyford.rebalance.agent import RankAgent
+from ospreyford.rebalance.group import Guard, Order, RankExperts, RankState
+from ospreyford.rebalance.messages import Hello, encode
+from ospreyford.rebalance.outside import Outside
+from ospreyford.rebalance.ports import Reply
+from ospreyford.rebalance.settings import AgentSettings
+from tests.direct.backends import Lines
+from tests.rebalance.fakegroup import FakeGroup
+
+SIZE = 3
+PASS_SECONDS = 0.01
+ORDER_SECONDS = 0.01
+#: Longer than anything takes here; reached only by a failure.
+WAIT_SECONDS = 20.0
+FIGURES = Figures(8, 1, SIZE, 2, 1, 0.01, 0.01)
+Watch = Callable[[int, Order], None]
+
+
+def wait_until(condition: Callable[[], bool]) -> bool:
+    """Wait for a condition of agents that run in threads of their own."""
+    until = time.monotonic() + WAIT_SECONDS
+    while not condition() and time.monotonic() < until:
+        time.sleep(0.005)
+    return condition()
+
+
+def ignore(rank: int, order: Order) -> None:
+    """Watch nothing."""
+
+
+@dataclass
+class Engine:
+    """A rank as an agent reaches it; all requests choose the first expert."""
+
+    cluster: Cluster
+    rank: int
+    is_near: bool = True
+
+    async def read_state(self) -> RankState | None:
+        with self.cluster.lock:
+            return self.cluster.group.show(self.rank)._replace(active=4)
+
+    async def read_counts(self) -> tuple[int, ...] | None:
+        step = self.cluster.group.step
+        return (step * 100, step * 10, step * 10)
+
+    async def read_experts(self) -> RankExperts | None:
+        with self.cluster.lock:
+            experts = self.cluster.group.ranks[self.rank].experts
+        return tuple(of_set[self.rank] for of_set in experts)
+
+    async def give(self, order: Order, guard: Guard) -> Reply:
+        self.cluster.given.append((self.rank, order, self.is_near))
+        with self.cluster.lock:
+            reply = self.cluster.group.take(self.rank, order, guard)
+        self.cluster.watch(self.rank, order)
+        # Accepted; the answer is on its way.
+        await curio.sleep(ORDER_SECONDS)
+        return reply
+
+
+class Stop:
+    """A planned stop, ordered from another thread."""
+
+    def __init__(self) -> None:
+        self.requested = curio.UniversalEvent()
+        self.deadline = 8.0
+
+
+@dataclass
+class Cluster:
+    """A group that makes passes, and an agent beside each rank."""
+
+    group: FakeGroup = field(default_factory=lambda: FakeGroup(SIZE))
+    lock: Any = field(default_factory=RLock)
+    given: list[tuple[int, Order, bool]] = field(default_factory=list)
+    watch: Watch = ignore
+    lines: list[Lines] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
+    agents: list[RankAgent] = field(default_factory=list)
+    threads: list[Thread] = field(default_factory=list)
+    failures: list[Exception] = field(default_factory=list)
+    over: Event = field(default_factory=Event)
+    port: int = 0
+
+    def start(self) -> None:
+        """Start the passes, the agents, and an entry that greets them."""
+        self.port = find_port()
+        for rank in range(SIZE):
+            self._start_agent(rank)
+        Thread(target=self._make_passes, daemon=True).start()
+        Thread(target=self._greet, daemon=True).start()
+
+    def stop(self, rank: int) -> None:
+        """Order an agent to stop; returns at once."""
+        self.stops[rank].requested.set()
+
+    def end(self) -> None:
+        """End all that runs."""
+        self.watch = ignore
+        for rank, thread in enumerate(self.threads):
+            self.stop(rank)
+            thread.join(WAIT_SECONDS)
+        self.over.set()
+
+    def list_held(self) -> list[int]:
+        """List the ranks that hold a pass."""
+        with self.lock:
+            return [
+                one.number for one in self.group.ranks if one.held is not None
+            ]
+
+    def list_armed(self) -> list[int]:
+        """List the ranks that are armed."""
+        with self.lock:
+            return [one.number for one in self.group.ranks if one.armed]
+
+    def _start_agent(self, rank: int) -> None:
+        address = (f'127.0.0.{rank + 1}', self.port)
+        settings = AgentSettings(
+            f'n{rank}', 'z', 'r', (address[0], 1), address, 0, 8
+        )
+        lines, stop = Lines(), Stop()
+        outside = Outside(Engine(self, rank), self._reach, lines, SystemClock())  # type: ignore[arg-type]
+        agent = RankAgent(settings, outside)
+        thread = Thread(target=curio.run, args=(agent.run, stop), daemon=True)
+        self.lines.append(lines)
+        self.stops.append(stop)
+        self.agents.append(agent)
+        self.threads.append(thread)
+        thread.start()
+
+    def _reach(self, address: tuple[str, int]) -> Engine:
+        rank = int(address[0].rpartition('.')[2]) - 1
+        return Engine(self, rank, is_near=False)
+
+    def _make_passes(self) -> None:
+        while not self.over.wait(PASS_SECONDS):
+            try:
+                with self.lock:
+                    self.group.begin_pass()
+            except Exception as error:
+                self.failures.append(error)
+                return
+
+    def _greet(self) -> None:
+        members = tuple((f'127.0.0.{rank + 1}', 1) for rank in range(SIZE))
+        hello = encode(Hello('e', 's', 1, members, FIGURES, 0.01))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as entry:
+            while not self.over.wait(0.05):
+                for host, _ in members:
+                    entry.sendto(hello, (host, self.port))
+
+
+def find_port() -> int:
+    """Find a port that is free now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(('127.0.0.1', 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+@contextmanager
+def run_cluster(watch: Callable[[Cluster], Watch]) -> Iterator[Cluster]:
+    """Run a group and its agents.
+
+    :param watch: makes what is called with each order that a rank was given.
+    """
+    cluster = Cluster()
+    cluster.watch = watch(cluster)
+    cluster.start()
+    try:
+        yield cluster
+    finally:
+        cluster.end()
+    assert not cluster.failures
