End an agent only when nothing is held and no order lacks its answer

What callers would see: all streams of a group stand still around the planned stop of an agent.

A coordinator left a pass held until its successor had waited 0.45 s for silence and settled the group; a member left an order accepted and unanswered, so that the coordinator asked five times in vain, once for each later order, with the pass held, before it reached past it.

Mend (rebalance/leaving.py): a coordinator plans nothing more and holds no pass any more (also for a change whose maps are being prepared), lets the change under way end or settles it, waits until the group looks at rest for 0.2 s, then tells the others, which need not wait for silence. Another agent asks its coordinator; that begins no change for 0.6 s from then on, and answers when none is under way. Both end when no question has come for 0.15 s, at half of the grace at the latest. An agent that was told to stop stands no more.

Why it holds: no order, fence or precondition is changed; an agent may still be killed at any step, as before, and an early or lost message only brings back the wait for silence. A coordinator gives up its token before it says so, and only the one that is followed, with the newest token, makes room; the next token is higher. A late farewell, for an earlier process or from a replaced coordinator, allows nothing.

--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -14,20 +14,23 @@
 from ospreyford.rebalance.decisions import CoordinatorChanged
 from ospreyford.rebalance.election import BEAT_SECONDS, Election
 from ospreyford.rebalance.leader import GroupLeader
+from ospreyford.rebalance.leaving import Leaving
 from ospreyford.rebalance.member import RankMember
 from ospreyford.rebalance.messages import (
     Ask,
     Counts,
+    Farewell,
     GroupNews,
     Hello,
     Lead,
+    Leave,
     Message,
     Tell,
     encode,
 )
 from ospreyford.rebalance.metrics import AgentMetrics
 from ospreyford.rebalance.orderdesk import OrderDesk
-from ospreyford.rebalance.post import Post
+from ospreyford.rebalance.post import Address, Post
 from ospreyford.rebalance.ranks import GroupRanks
 from ospreyford.rebalance.watcher import RankWatcher
 
@@ -36,13 +39,14 @@
     from ospreyford.rebalance.group import RankState
     from ospreyford.rebalance.outside import Outside
     from ospreyford.rebalance.ports import EnginePort
-    from ospreyford.rebalance.post import Address
     from ospreyford.rebalance.settings import AgentSettings
 
 
 #: Part of the coordinator's link that the reports of all ranks may take; orders
 #: and their answers need the rest. Links of one group's hosts are alike.
 REPORT_PART = 0.4
+#: Part of the grace after which a stopping agent ends, whatever is under way.
+LEAVE_PART = 0.5
 
 
 class RankAgent:
@@ -69,6 +73,13 @@
         self._election = Election(settings.datagrams, outside.clock)
         self._leader: GroupLeader | None = None
         self._report_bytes = 0
+        self._leaving = Leaving(
+            settings.datagrams,
+            self.post,
+            self._election,
+            self._audience,
+            self._desk,
+        )
 
     async def run(self, stop: Stop) -> None:
         """Work until the process is told to stop.
@@ -89,6 +100,10 @@
         )
         await stop.requested.wait()
         log.log_change(Draining('signal', 0))
+        # Ended at once, a coordinator left a pass held until its successor
+        # had waited for silence, and a member an order without an answer.
+        until = time.monotonic() + LEAVE_PART * stop.deadline
+        await self._leaving.leave(self._leader, until)
         log.log_change(Stopped(0))
 
     async def _receive(self) -> None:
@@ -119,7 +134,7 @@
     async def _report(self) -> None:
         report = self._watcher.make_report()
         address = self._election.leader
-        if report is None or address is None:
+        if report is None or address is None or self._leaving.may_end:
             return
         datagram = encode(report)
         self._report_bytes = len(datagram)
@@ -206,6 +221,10 @@
                 await self._leader.ranks.note_answer(message)
             case Lead():
                 self._follow(message, address)
+            case Leave():
+                await self._leaving.answer(message, address, self._leader)
+            case Farewell():
+                self._leaving.note_farewell(message)
             case Hello():
                 await self._audience.greet(
                     message, address, self._watcher.state
--- a/src/ospreyford/rebalance/coordinator.py
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -93,6 +93,8 @@
     :param fan_out: runs the same for several ranks at once.
     :param clock: source of time.
     :param tempo: tells which pass to hold; learns how long arming takes.
+
+    ``is_leaving`` is set when no pass may be held any more.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         tempo: Tempo,
     ) -> None:
         self.is_fenced = False
+        self.is_leaving = False
         self._tempo = tempo
         self._me = me
         self._token = token
@@ -238,6 +241,10 @@
             state = await self._ranks.watch_pass(self._tempo.tell_watch())
             if state is None or state.epoch != group.epoch:
                 return None
+            # A process that was told to stop holds no pass any more: it might
+            # end before it has let it go.
+            if self.is_leaving:
+                return None
             step = state.step + self._tempo.choose_ahead()
             if await self._one_done(group, holder, Hold(step), 1):
                 return step
--- a/src/ospreyford/rebalance/election.py
+++ b/src/ospreyford/rebalance/election.py
@@ -31,16 +31,21 @@
 
     :param me: this agent's address.
     :param clock: source of time.
+
+    ``is_vacant`` tells that nobody is known to coordinate, ``is_retired`` that
+    this agent never will again.
     """
 
     def __init__(self, me: Address, clock: Clock) -> None:
         self.token: int | None = None
         self.leader: Address | None = None
         self.lost: str | None = None
+        self.is_vacant = True
         self._me = me
         self._clock = clock
         self.highest = 0
         self._heard_at = clock.monotonic()
+        self.is_retired = False
 
     def is_leading(self) -> bool:
         """Tell whether this agent coordinates.
@@ -62,6 +67,7 @@
         self.highest = token
         self._heard_at = self._clock.monotonic()
         self.leader = address
+        self.is_vacant = False
         if address != self._me:
             self.token = None
         return changed
@@ -70,10 +76,29 @@
         """Stop coordinating: a rank has refused the token."""
         self.token = None
         self.leader = None
+        self.is_vacant = True
         # What shut this agent out holds a higher token; it is heard of soon,
         # or else it is gone and the next candidate needs a higher one still.
         self._heard_at = self._clock.monotonic()
 
+    def hear_leaving(self, token: int, address: Address) -> None:
+        """Note that a coordinator has stopped and left its group at rest.
+
+        :param token: its token.
+        :param address: its address.
+        """
+        if token < self.highest or address != self.leader or self.is_vacant:
+            return
+        # Waited for, its silence kept a group without a coordinator for half
+        # a second that nobody needed: it has said that it gives no orders.
+        self.is_vacant = True
+        self._heard_at = self._clock.monotonic() - SILENCE_SECONDS
+
+    def retire(self) -> None:
+        """Coordinate no more, for as long as the process lives."""
+        self.token = None
+        self.is_retired = True
+
     def stand(self, members: Sequence[Address], rank: int) -> bool:
         """Become the coordinator if there is none and it is this one's turn.
 
@@ -81,7 +106,7 @@
         :param rank: the rank beside this agent.
         :returns: whether it has become the coordinator now.
         """
-        if self.is_leading() or self._me not in members:
+        if self.is_leading() or self.is_retired or self._me not in members:
             return False
         turn = list(members).index(self._me)
         wait = SILENCE_SECONDS + TURN_SECONDS * turn
@@ -93,4 +118,5 @@
         self.highest = self.token
         self.lost = None if self.leader is None else self.leader[0]
         self.leader = self._me
+        self.is_vacant = False
         return True
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -9,6 +9,7 @@
 from ospreyford.rebalance.fanout import run_together
 from ospreyford.rebalance.passes import PassTimer
 from ospreyford.rebalance.planner import Plan, PlanLimits, Planner
+from ospreyford.rebalance.silence import SILENT_SECONDS
 from ospreyford.rebalance.tempo import Tempo
 from ospreyford.rebalance.versions import NOBODY, make_version
 from ospreyford.rebalance.view import GroupView
@@ -23,6 +24,9 @@
     from ospreyford.rebalance.settings import Pace
 
 MILLISECONDS = 1000
+#: No change begins for so long after an agent has asked to end, in seconds:
+#: until it counts as silent, so that its rank is reached without it.
+LEAVE_SECONDS = SILENT_SECONDS + 0.1
 
 
 class GroupLeader:
@@ -62,6 +66,9 @@
         self._log = outside.log
         self._clock = clock
         self._last_settled: GroupSettled | None = None
+        self._coordinator: Coordinator | None = None
+        self._is_leaving = False
+        self._plans_from: float = 0
 
     def note_pass(self, state: RankState) -> None:
         """Take over a look at the rank beside this agent.
@@ -71,6 +78,31 @@
         self.ranks.note_state(state)
         self.passes.add(state.step, self._clock.monotonic())
 
+    def leave(self) -> None:
+        """Begin no new change, and hold no pass for the one under way."""
+        self._is_leaving = True
+        if self._coordinator is not None:
+            self._coordinator.is_leaving = True
+
+    def is_busy(self) -> bool:
+        """Tell whether a change is under way or a pass is held.
+
+        :returns: whether the group is not at rest.
+        """
+        group = self.view.find_group(self._lost)
+        is_held = group is not None and bool(self.view.list_held(group))
+        return is_held or self._coordinator is not None
+
+    def let_leave(self) -> bool:
+        """Tell whether an agent may end now; no change begins for a while.
+
+        :returns: whether no change is under way.
+        """
+        # Begun just then, a change would ask the agent in vain, with a pass
+        # held, before it reached past it.
+        self._plans_from = self._clock.monotonic() + LEAVE_SECONDS
+        return not self.is_busy()
+
     async def work(self, token: int, engine: Engine, max_gap: float) -> bool:
         """Look at the group once, and change its map if that pays.
 
@@ -91,13 +123,30 @@
             self._clock,
             self._tempo,
         )
+        self._coordinator = coordinator
+        try:
+            await self._bring_on(coordinator, group, engine, max_gap)
+        finally:
+            self._coordinator = None
+        return not coordinator.is_fenced
+
+    async def _bring_on(
+        self,
+        coordinator: Coordinator,
+        group: Group,
+        engine: Engine,
+        max_gap: float,
+    ) -> None:
         if self.view.list_held(group) or self.view.list_armed(group):
             await self._settle(coordinator, group)
-        elif group.missing is None:
+        elif group.missing is None and self._may_plan():
             plan = self._plan(group, engine, max_gap)
             if plan is not None:
                 await self._change(coordinator, group, plan)
-        return not coordinator.is_fenced
+
+    def _may_plan(self) -> bool:
+        is_early = self._clock.monotonic() < self._plans_from
+        return not (self._is_leaving or is_early)
 
     def _plan(
         self, group: Group, engine: Engine, max_gap: float
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -106,6 +106,28 @@
     token: int
 
 
+class Leave(msgspec.Struct, frozen=True, tag='e', array_like=True):
+    """An agent is about to end: its process was told to stop.
+
+    A coordinator tells all agents when its group is at rest, and gives no
+    order any more. Another one asks its coordinator, and ends when that has
+    answered with :class:`Farewell`.
+
+    :param token: the highest fencing token that it knows.
+    """
+
+    token: int
+
+
+class Farewell(msgspec.Struct, frozen=True, tag='f', array_like=True):
+    """A coordinator's answer: no change is under way, the agent may end.
+
+    :param token: the coordinator's fencing token.
+    """
+
+    token: int
+
+
 class Counts(msgspec.Struct, frozen=True, tag='c', array_like=True):
     """What an agent reports to the coordinator.
 
@@ -172,7 +194,9 @@
     parts: tuple[MapPart, ...] = ()
 
 
-Message = Hello | Load | GroupNews | Lead | Counts | Ask | Tell
+Question = Ask | Tell
+Parting = Leave | Farewell
+Message = Hello | Load | GroupNews | Lead | Parting | Counts | Question
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/src/ospreyford/rebalance/orderdesk.py
+++ b/src/ospreyford/rebalance/orderdesk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING
@@ -23,6 +24,9 @@
 MILLISECONDS = 1000
 #: Answers kept for questions that are repeated: more than one change asks.
 ANSWERS_KEPT = 64
+#: Time without a question after which no answer is missed, in seconds: some
+#: sendings of one question.
+QUIET_SECONDS = 0.15
 
 
 class OrderDesk:
@@ -46,14 +50,26 @@
         self._member = member
         self._post = post
         self._log = log
+        self._under_way = 0
+        self._asked_at = -math.inf
         self._answers: OrderedDict[tuple[Address, int], Tell] = OrderedDict()
 
+    def is_busy(self) -> bool:
+        """Tell whether an order is under way, or its answer may be missed.
+
+        :returns: whether the end of this process would leave a coordinator
+            without an answer.
+        """
+        rested = time.monotonic() - self._asked_at
+        return self._under_way > 0 or rested < QUIET_SECONDS
+
     async def take(self, ask: Ask, address: Address) -> None:
         """Take a question; its answer is sent when it is there.
 
         :param ask: the question.
         :param address: of the coordinator.
         """
+        self._asked_at = time.monotonic()
         key = (address, ask.number)
         known = self._answers.get(key)
         if known is not None:
@@ -69,7 +85,16 @@
         while len(self._answers) > ANSWERS_KEPT:
             self._answers.popitem(last=False)
         whole = Ask(ask.number, ask.token, ask.epoch, frame)
-        await curio.spawn(self._carry_out, whole, address, daemon=True)
+        self._under_way += 1
+        await curio.spawn(self._serve, whole, address, daemon=True)
+
+    async def _serve(self, ask: Ask, address: Address) -> None:
+        try:
+            await self._carry_out(ask, address)
+        finally:
+            self._under_way -= 1
+            # The answer may be lost on its way: it is asked for again.
+            self._asked_at = time.monotonic()
 
     async def _carry_out(self, ask: Ask, address: Address) -> None:
         began = time.monotonic()
--- a/tests/rebalance/coordinators.py
+++ b/tests/rebalance/coordinators.py
@@ -116,6 +116,7 @@
     token: int = 0
     version: int = 0
     homes: dict[str, int] = field(default_factory=dict)
+    coordinators: dict[str, Coordinator] = field(default_factory=dict)
     #: Passes ahead of the one under way that a change is held.
     ahead: int = 1
 
@@ -136,6 +137,7 @@
         coordinator = Coordinator(
             me, token, ranks, run_in_turn, self.clock, tempo
         )
+        self.coordinators[f'coordinator {token}'] = coordinator
         for turn in range(4):
             group = ranks.look()
             experts = MAPS[(kind + turn) % len(MAPS)]
--- a/tests/rebalance/test_crossing.py
+++ b/tests/rebalance/test_crossing.py
@@ -163,3 +163,37 @@
     had never been armed, and let the pass begin.
     """
     check({17: Fault.killed, 22: Fault.frozen}, 17, 13)
+
+
+def count_holds_after(step: int, rhythm: int, ahead: int) -> int:
+    """Tell a coordinator to stop at a step; count the passes held from then."""
+    world = World(FakeGroup(), ahead=ahead)
+    world.start(0)
+    number = 0
+    holds = 0
+    while world.list_tasks():
+        number += 1
+        if number == step:
+            for one in world.coordinators.values():
+                one.is_leaving = True
+        before = {rank.held for rank in world.group.ranks}
+        world.resume(world.list_tasks()[0], 0)
+        after = {rank.held for rank in world.group.ranks}
+        holds += number >= step and bool(after - before - {None})
+        if number % rhythm == 0:
+            world.group.begin_pass()
+    assert all(rank.held is None for rank in world.group.ranks)
+    return holds
+
+
+@pytest.mark.parametrize('rhythm', RHYTHMS)
+@pytest.mark.parametrize('ahead', [1, 2, 4])
+def test_a_coordinator_that_is_told_to_stop_begins_nothing(
+    rhythm: int, ahead: int
+) -> None:
+    """At each step it ends what is under way, and no pass is left held.
+
+    The one hold whose order is on its way already may still be accepted.
+    """
+    for step in range(2, STEPS):
+        assert count_holds_after(step, rhythm, ahead) <= 1
--- a/tests/rebalance/test_election.py
+++ b/tests/rebalance/test_election.py
@@ -64,3 +64,45 @@
     assert second.stand(AGENTS, 1)
     assert second.token is not None
     assert second.token > first.token
+
+
+def test_a_coordinator_that_says_it_stops_is_replaced_at_once() -> None:
+    """A group had no coordinator for half a second after each planned stop.
+
+    The others waited for silence, though the one that stopped could have told
+    them. What it says counts once, also where it arrives again later.
+    """
+    clock = FakeClock()
+    first, second, third = make(clock)
+    clock.advance(0.5)
+    first.stand(AGENTS, 0)
+    assert first.token is not None
+    for other in (second, third):
+        other.hear(first.token, AGENTS[0])
+    token = first.token
+    first.retire()
+    for _ in range(3):
+        second.hear_leaving(token, AGENTS[0])
+        third.hear_leaving(token, AGENTS[0])
+        clock.advance(0.05)
+    assert not third.stand(AGENTS, 2)
+    assert second.stand(AGENTS, 1)
+    assert second.lost == AGENTS[0][0]
+    assert second.token is not None
+    assert second.token > token
+    clock.advance(5)
+    assert not first.stand(AGENTS, 0)
+
+
+def test_only_the_coordinator_that_is_followed_can_leave_its_place() -> None:
+    clock = FakeClock()
+    first, second, third = make(clock)
+    clock.advance(0.5)
+    first.stand(AGENTS, 0)
+    assert first.token is not None
+    second.hear(first.token, AGENTS[0])
+    second.hear_leaving(first.token - 1, AGENTS[0])
+    second.hear_leaving(first.token, AGENTS[2])
+    clock.advance(0.2)
+    assert not second.is_vacant
+    assert not second.stand(AGENTS, 1)
--- a/tests/rebalance/test_leader.py
+++ b/tests/rebalance/test_leader.py
@@ -12,14 +12,16 @@
 from ospreyford.rebalance.leader import GroupLeader
 from ospreyford.rebalance.metrics import AgentMetrics
 from ospreyford.rebalance.outside import Outside
+from ospreyford.rebalance.ranks import GroupRanks
 from ospreyford.rebalance.settings import Pace
 from tests.direct.backends import Lines
 from tests.fakes.clock import FakeClock
 from tests.rebalance.test_ranks import AGENT, make_ranks, make_state
 
 
-async def look_often(lines: Lines) -> None:
-    clock = FakeClock()
+def make_leader(
+    lines: Lines, clock: FakeClock
+) -> tuple[GroupLeader, GroupRanks]:
     ranks = make_ranks(clock)
     maps = KnownMaps()
     maps.note(make_state().version, (((0,), (1,)),))
@@ -32,6 +34,12 @@
         AgentMetrics(),
         Outside(nothing, nothing, lines, clock),  # type: ignore[arg-type]
     )
+    return leader, ranks
+
+
+async def look_often(lines: Lines) -> None:
+    leader, ranks = make_leader(lines, FakeClock())
+    nothing: Any = None
     ranks.note_state(make_state(0)._replace(armed=Armed(9, 50)))
     ranks.note_report(make_state(1), AGENT)
     for _ in range(5):
@@ -47,3 +55,13 @@
     lines = Lines()
     curio.run(look_often, lines)
     assert len(lines.find(GroupSettled)) == 1
+
+
+def test_an_agent_may_end_when_no_pass_is_held() -> None:
+    """A coordinator asked an agent that had ended, with a pass held."""
+    leader, ranks = make_leader(Lines(), FakeClock())
+    ranks.note_state(make_state(0))
+    ranks.note_report(make_state(1)._replace(held=50), AGENT)
+    assert not leader.let_leave()
+    ranks.note_report(make_state(1)._replace(sequence=7), AGENT)
+    assert leader.let_leave()
--- a/tests/rebalance/test_stopping.py
+++ b/tests/rebalance/test_stopping.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from ospreyford.rebalance.decisions import OrderCarriedOut
+from ospreyford.rebalance.election import Election
 from ospreyford.rebalance.group import Arm, Hold, Order, Prepare
+from ospreyford.rebalance.leaving import Leaving
+from ospreyford.rebalance.messages import Farewell
+from tests.fakes.clock import FakeClock
 from tests.rebalance.runningagents import (
+    SIZE,
     WAIT_SECONDS,
     Cluster,
     Watch,
@@ -18,16 +24,18 @@
 #: The first agent of a group stands first.
 LEADER = 0
 MEMBER = 2
+ME, OTHER = ('10.0.0.1', 7), ('10.0.0.2', 7)
 HELD = ((Hold, 1), (Arm, 1), (Arm, 2))
 
 
-def stop_at(kind: type, rank: int, agent: int) -> Callable[[Cluster], Watch]:
-    """Stop an agent when a rank has accepted an order of some kind."""
+def stop_at(kind: type, rank: int, *agents: int) -> Callable[[Cluster], Watch]:
+    """Stop agents when a rank has accepted an order of some kind."""
 
     def watch(cluster: Cluster) -> Watch:
         def stop(given: int, order: Order) -> None:
             if isinstance(order, kind) and given == rank:
-                cluster.stop(agent)
+                for agent in agents:
+                    cluster.stop(agent)
 
         return stop
 
@@ -72,3 +80,33 @@
         answered = [line.order for line in lines]
     assert kind.__name__ in near
     assert answered == near
+
+
+@pytest.mark.parametrize('kind', [Prepare, Hold, Arm])
+def test_agents_that_stop_together_leave_the_group_at_rest(kind: type) -> None:
+    """Nobody is left to let a pass begin that is held as the last one ends."""
+    everyone = range(SIZE)
+    with run_cluster(stop_at(kind, 1, *everyone)) as cluster:
+        for thread in cluster.threads:
+            thread.join(WAIT_SECONDS)
+        held = cluster.list_held()
+        assert not any(thread.is_alive() for thread in cluster.threads)
+    assert not held
+
+
+@pytest.mark.parametrize(('is_retired', 'token'), [(False, 9), (True, 8)])
+def test_a_farewell_that_is_not_meant_for_it_does_not_end_an_agent(
+    token: int, *, is_retired: bool
+) -> None:
+    """It is late, for an earlier process, or of a replaced coordinator."""
+    nothing: Any = None
+    election = Election(ME, FakeClock())
+    election.hear(9, OTHER)
+    if is_retired:
+        election.retire()
+    leaving = Leaving(ME, nothing, election, nothing, nothing)
+    leaving.note_farewell(Farewell(token))
+    assert not leaving.may_end
+    election.retire()
+    leaving.note_farewell(Farewell(9))
+    assert leaving.may_end
