--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -19,11 +19,11 @@
 from ospreyford.rebalance.messages import (
     Ask,
     Counts,
-    Farewell,
     GroupNews,
     Hello,
     Lead,
     Leave,
+    LeaveGranted,
     Message,
     Tell,
     encode,
@@ -223,8 +223,8 @@
                 self._follow(message, address)
             case Leave():
                 await self._leaving.answer(message, address, self._leader)
-            case Farewell():
-                self._leaving.note_farewell(message)
+            case LeaveGranted():
+                self._leaving.note_grant(message)
             case Hello():
                 await self._audience.greet(
                     message, address, self._watcher.state
--- a/src/ospreyford/rebalance/leaving.py
+++ b/src/ospreyford/rebalance/leaving.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from ospreyford.rebalance.messages import Farewell, Leave
+from ospreyford.rebalance.messages import Leave, LeaveGranted
 
 if TYPE_CHECKING:
     from ospreyford.rebalance.audience import Audience
@@ -86,17 +86,17 @@
         if token is None or leader is None:
             self._election.hear_leaving(leave.token, address)
         elif leader.let_leave():
-            await self._post.send(Farewell(token), address)
+            await self._post.send(LeaveGranted(token), address)
 
-    def note_farewell(self, farewell: Farewell) -> None:
+    def note_grant(self, grant: LeaveGranted) -> None:
         """Take over the coordinator's answer.
 
-        :param farewell: the answer.
+        :param grant: the answer.
         """
         # One that was meant for an earlier process at this address, or comes
         # from a coordinator that was replaced, allows nothing.
         is_mine = self._election.is_retired
-        if is_mine and farewell.token >= self._election.highest:
+        if is_mine and grant.token >= self._election.highest:
             self.may_end = True
 
     async def _tell_members(self, leave: Leave) -> None:
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -111,7 +111,7 @@
 
     A coordinator tells all agents when its group is at rest, and gives no
     order any more. Another one asks its coordinator, and ends when that has
-    answered with :class:`Farewell`.
+    answered with :class:`LeaveGranted`.
 
     :param token: the highest fencing token that it knows.
     """
@@ -119,7 +119,7 @@
     token: int
 
 
-class Farewell(msgspec.Struct, frozen=True, tag='f', array_like=True):
+class LeaveGranted(msgspec.Struct, frozen=True, tag='f', array_like=True):
     """A coordinator's answer: no change is under way, the agent may end.
 
     :param token: the coordinator's fencing token.
@@ -195,8 +195,8 @@
 
 
 Question = Ask | Tell
-Parting = Leave | Farewell
-Message = Hello | Load | GroupNews | Lead | Parting | Counts | Question
+LeaveMessage = Leave | LeaveGranted
+Message = Hello | Load | GroupNews | Lead | LeaveMessage | Counts | Question
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/tests/rebalance/test_stopping.py
+++ b/tests/rebalance/test_stopping.py
@@ -11,7 +11,7 @@
 from ospreyford.rebalance.election import Election
 from ospreyford.rebalance.group import Arm, Hold, Order, Prepare
 from ospreyford.rebalance.leaving import Leaving
-from ospreyford.rebalance.messages import Farewell
+from ospreyford.rebalance.messages import LeaveGranted
 from tests.fakes.clock import FakeClock
 from tests.rebalance.runningagents import (
     SIZE,
@@ -95,7 +95,7 @@
 
 
 @pytest.mark.parametrize(('is_retired', 'token'), [(False, 9), (True, 8)])
-def test_a_farewell_that_is_not_meant_for_it_does_not_end_an_agent(
+def test_a_grant_that_is_not_meant_for_it_does_not_end_an_agent(
     token: int, *, is_retired: bool
 ) -> None:
     """It is late, for an earlier process, or of a replaced coordinator."""
@@ -105,8 +105,8 @@
     if is_retired:
         election.retire()
     leaving = Leaving(ME, nothing, election, nothing, nothing)
-    leaving.note_farewell(Farewell(token))
+    leaving.note_grant(LeaveGranted(token))
     assert not leaving.may_end
     election.retire()
-    leaving.note_farewell(Farewell(9))
+    leaving.note_grant(LeaveGranted(9))
     assert leaving.may_end
