Keep the hand-over of a stopping agent within bounds

Mend: the delay ends after 1.2 s of asking without a pause; an agent stands no more from the signal on, and one that is replaced asks its successor; a token that has left is not followed again; rest lasts two reports of a rank.

--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -103,7 +103,10 @@
         # Ended at once, a coordinator left a pass held until its successor
         # had waited for silence, and a member an order without an answer.
         until = time.monotonic() + LEAVE_PART * stop.deadline
-        await self._leaving.leave(self._leader, until)
+        pause = tell_report_pause(
+            self._settings, self._watcher.count_ranks(), self._report_bytes
+        )
+        await self._leaving.leave(self._leader, until, pause)
         log.log_change(Stopped(0))
 
     async def _receive(self) -> None:
@@ -124,8 +127,7 @@
 
     async def _report_often(self) -> None:
         while True:
-            state = self._watcher.state
-            ranks = 1 if state is None else state.size
+            ranks = self._watcher.count_ranks()
             await curio.sleep(
                 tell_report_pause(self._settings, ranks, self._report_bytes)
             )
--- a/src/ospreyford/rebalance/election.py
+++ b/src/ospreyford/rebalance/election.py
@@ -33,7 +33,7 @@
     :param clock: source of time.
 
     ``is_vacant`` tells that nobody is known to coordinate, ``is_retired`` that
-    this agent never will again.
+    this agent never will stand again.
     """
 
     def __init__(self, me: Address, clock: Clock) -> None:
@@ -45,6 +45,7 @@
         self._clock = clock
         self.highest = 0
         self._heard_at = clock.monotonic()
+        self._left: int | None = None
         self.is_retired = False
 
     def is_leading(self) -> bool:
@@ -61,7 +62,8 @@
         :param address: its address.
         :returns: whether this agent follows another one than before.
         """
-        if token < self.highest:
+        # A late heartbeat of one that has left does not bring it back.
+        if token < self.highest or token == self._left:
             return False
         changed = address != self.leader
         self.highest = token
@@ -92,13 +94,17 @@
         # Waited for, its silence kept a group without a coordinator for half
         # a second that nobody needed: it has said that it gives no orders.
         self.is_vacant = True
+        self._left = token
         self._heard_at = self._clock.monotonic() - SILENCE_SECONDS
 
     def retire(self) -> None:
-        """Coordinate no more, for as long as the process lives."""
-        self.token = None
+        """Stand no more, for as long as the process lives."""
         self.is_retired = True
 
+    def resign(self) -> None:
+        """Give the token up."""
+        self.token = None
+
     def stand(self, members: Sequence[Address], rank: int) -> bool:
         """Become the coordinator if there is none and it is this one's turn.
 
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -27,6 +27,8 @@
 #: No change begins for so long after an agent has asked to end, in seconds:
 #: until it counts as silent, so that its rank is reached without it.
 LEAVE_SECONDS = SILENT_SECONDS + 0.1
+#: No change begins for so long at most while agents ask one after the other.
+MOST_PAUSE_SECONDS = 2 * LEAVE_SECONDS
 
 
 class GroupLeader:
@@ -69,6 +71,7 @@
         self._coordinator: Coordinator | None = None
         self._is_leaving = False
         self._plans_from: float = 0
+        self._paused_since: float = 0
 
     def note_pass(self, state: RankState) -> None:
         """Take over a look at the rank beside this agent.
@@ -93,6 +96,19 @@
         is_held = group is not None and bool(self.view.list_held(group))
         return is_held or self._coordinator is not None
 
+    def may_plan(self) -> bool:
+        """Tell whether a change may begin.
+
+        :returns: whether no agent that is about to end counts on none.
+        """
+        # Where agents are stopped one after the other, waiting for the last of
+        # them would keep the map as it is for as long as that takes.
+        paused_until = min(
+            self._plans_from, self._paused_since + MOST_PAUSE_SECONDS
+        )
+        is_early = self._clock.monotonic() < paused_until
+        return not (self._is_leaving or is_early)
+
     def let_leave(self) -> bool:
         """Tell whether an agent may end now; no change begins for a while.
 
@@ -100,7 +116,10 @@
         """
         # Begun just then, a change would ask the agent in vain, with a pass
         # held, before it reached past it.
-        self._plans_from = self._clock.monotonic() + LEAVE_SECONDS
+        now = self._clock.monotonic()
+        if now >= self._plans_from:
+            self._paused_since = now
+        self._plans_from = now + LEAVE_SECONDS
         return not self.is_busy()
 
     async def work(self, token: int, engine: Engine, max_gap: float) -> bool:
@@ -139,15 +158,11 @@
     ) -> None:
         if self.view.list_held(group) or self.view.list_armed(group):
             await self._settle(coordinator, group)
-        elif group.missing is None and self._may_plan():
+        elif group.missing is None and self.may_plan():
             plan = self._plan(group, engine, max_gap)
             if plan is not None:
                 await self._change(coordinator, group, plan)
 
-    def _may_plan(self) -> bool:
-        is_early = self._clock.monotonic() < self._plans_from
-        return not (self._is_leaving or is_early)
-
     def _plan(
         self, group: Group, engine: Engine, max_gap: float
     ) -> Plan | None:
--- a/src/ospreyford/rebalance/leaving.py
+++ b/src/ospreyford/rebalance/leaving.py
@@ -22,8 +22,9 @@
 #: Sendings of a message that nobody answers.
 SENDINGS = 3
 #: Time for which a group must look at rest before its coordinator ends, in
-#: seconds: two reports.
+#: seconds, and in reports of a rank.
 REST_SECONDS = 0.2
+REPORTS = 2
 
 
 class Leaving:
@@ -53,22 +54,28 @@
         self._audience = audience
         self._desk = desk
 
-    async def leave(self, leader: GroupLeader | None, until: float) -> None:
+    async def leave(
+        self, leader: GroupLeader | None, until: float, rest: float
+    ) -> None:
         """Return when this agent can end without leaving anything behind.
 
         :param leader: of the group, if this agent has ever coordinated.
         :param until: ends then whatever is under way; seconds on the
             monotonic clock.
+        :param rest: time between two reports of a rank, in seconds.
         """
+        # From now on: one that is replaced while it waits must not stand anew.
+        self._election.retire()
         if leader is not None and self._election.is_leading():
             leader.leave()
-            await _wait_for_rest(leader, until)
+            await self._wait_for_rest(
+                leader, until, max(REST_SECONDS, REPORTS * rest)
+            )
         if self._election.is_leading():
-            self._election.retire()
+            self._election.resign()
             self.may_end = True
             await self._tell_members(Leave(self._election.highest))
         else:
-            self._election.retire()
             await self._ask_coordinator(until)
         while self._desk.is_busy() and time.monotonic() < until:
             await curio.sleep(POLL_SECONDS)
@@ -115,13 +122,17 @@
             await self._post.send(Leave(self._election.highest), address)
             await curio.sleep(POLL_SECONDS)
 
-
-async def _wait_for_rest(leader: GroupLeader, until: float) -> None:
-    # What the others report is some looks old.
-    now = time.monotonic()
-    rest_since = now
-    while now < min(until, rest_since + REST_SECONDS):
-        await curio.sleep(POLL_SECONDS)
+    async def _wait_for_rest(
+        self, leader: GroupLeader, until: float, rest: float
+    ) -> None:
+        # What the others report is some looks old.
         now = time.monotonic()
-        if leader.is_busy():
-            rest_since = now
+        rest_since = now
+        while now < min(until, rest_since + rest):
+            await curio.sleep(POLL_SECONDS)
+            now = time.monotonic()
+            # Once it is replaced, what it knows of the group is not kept up.
+            if not self._election.is_leading():
+                return
+            if leader.is_busy():
+                rest_since = now
--- a/src/ospreyford/rebalance/watcher.py
+++ b/src/ospreyford/rebalance/watcher.py
@@ -50,6 +50,13 @@
             await self._learn_shares(state)
         return await self._learn_experts(state)
 
+    def count_ranks(self) -> int:
+        """Count the ranks of the group.
+
+        :returns: how many there are; 1 where that is not known yet.
+        """
+        return 1 if self.state is None else self.state.size
+
     def make_report(self) -> Counts | None:
         """Make a report for the coordinator.
 
--- a/tests/rebalance/test_election.py
+++ b/tests/rebalance/test_election.py
@@ -81,6 +81,7 @@
         other.hear(first.token, AGENTS[0])
     token = first.token
     first.retire()
+    first.resign()
     for _ in range(3):
         second.hear_leaving(token, AGENTS[0])
         third.hear_leaving(token, AGENTS[0])
@@ -106,3 +107,16 @@
     clock.advance(0.2)
     assert not second.is_vacant
     assert not second.stand(AGENTS, 1)
+
+
+def test_a_late_heartbeat_does_not_undo_a_leave() -> None:
+    clock = FakeClock()
+    first, second, _ = make(clock)
+    clock.advance(0.5)
+    first.stand(AGENTS, 0)
+    assert first.token is not None
+    for _ in range(2):
+        second.hear(first.token, AGENTS[0])
+        second.hear_leaving(first.token, AGENTS[0])
+    second.hear(first.token, AGENTS[0])
+    assert second.is_vacant
--- a/tests/rebalance/test_leader.py
+++ b/tests/rebalance/test_leader.py
@@ -65,3 +65,22 @@
     assert not leader.let_leave()
     ranks.note_report(make_state(1)._replace(sequence=7), AGENT)
     assert leader.let_leave()
+
+
+def test_stops_in_series_do_not_stop_changes_of_maps() -> None:
+    """Passes grew long while agents were stopped one after the other.
+
+    Each that asks to leave delays the next change, and each came before the
+    delay of the one before had passed: 72 of them, one each half second, left
+    no moment for a change in 36 s.
+    """
+    clock = FakeClock()
+    leader, ranks = make_leader(Lines(), clock)
+    ranks.note_state(make_state(0))
+    ranks.note_report(make_state(1), AGENT)
+    moments = 0
+    for _ in range(72):
+        leader.let_leave()
+        clock.advance(0.5)
+        moments += leader.may_plan()
+    assert moments > 36
--- /dev/null
+++ b/tests/rebalance/test_leaving.py
@@ -0,0 +1,76 @@
+"""A coordinator that is replaced while it stops."""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+from typing import Any, NamedTuple
+
+import curio
+import pytest
+
+from ospreyford.rebalance.election import Election
+from ospreyford.rebalance.leaving import Leaving
+from tests.fakes.clock import FakeClock
+
+ME = ('10.0.0.1', 7)
+OTHER = ('10.0.0.2', 7)
+#: Longest stop, in seconds.
+MOST = 1.0
+REPORT_SECONDS = 0.1
+
+
+class FakePost:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    async def send(self, message: Any, address: Any) -> None:
+        self.sent.append((message, address))
+
+
+class Stopped(NamedTuple):
+    """What a stopped agent did."""
+
+    took: float
+    asked: int
+    stood: bool
+
+
+async def replace_while_stopping(*, is_busy: bool) -> Stopped:
+    clock = FakeClock()
+    election = Election(ME, clock)
+    clock.advance(0.5)
+    assert election.stand((ME, OTHER), 0)
+    post: Any = FakePost()
+    audience: Any = SimpleNamespace(members=(ME, OTHER))
+    desk: Any = SimpleNamespace(is_busy=bool)
+    leaving = Leaving(ME, post, election, audience, desk)
+    leader: Any = SimpleNamespace(leave=int, is_busy=lambda: is_busy)
+    began = time.monotonic()
+    task = await curio.spawn(
+        leaving.leave, leader, began + MOST, REPORT_SECONDS
+    )
+    await curio.sleep(0.05)
+    election.hear(election.highest + 128, OTHER)
+    await curio.sleep(0.05)
+    asked = sum(address == OTHER for _, address in post.sent)
+    clock.advance(1)
+    stood = election.stand((ME, OTHER), 0)
+    await task.join()
+    return Stopped(time.monotonic() - began, asked, stood)
+
+
+@pytest.mark.parametrize('is_busy', [False, True])
+def test_a_coordinator_that_is_replaced_asks_the_next_one(
+    is_busy: bool,
+) -> None:
+    """It waited for a pass that its old view showed as held, and then ended.
+
+    Replaced, it hears no reports any more. It also stood anew after a silence,
+    as a coordinator that had not been told to stop.
+    """
+    stopped = curio.run(lambda: replace_while_stopping(is_busy=is_busy))
+    assert stopped.asked > 0
+    assert not stopped.stood
