Tell the usual time by many callers, and pass nobody over for good

Mend: the usual time is what nineteen in twenty of the last 64 callers do not exceed, never above the route's timeout, and without those that say nothing; four classes (due, in time, turned away, late) in place of two; every eighth place is due to those turned away. A resumed stream is one with a part of an answer. A number of more than 15 digits in a header field is none; it ended the connection's task.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import IntEnum
 from typing import NamedTuple
 
 #: Parts of the pause that callers bear which a pass may take on average. Right
@@ -51,10 +52,26 @@
 #: Part of that time within which the first event must be expected: the rest is
 #: the way through the network, and what a pass takes longer than the last ones.
 PATIENCE_PART = 0.85
+#: Places given to others in a row while callers wait that were turned away
+#: before; the next one is theirs.
+MOST_PASSED_OVER = 7
 #: Weight of the newest figure in what a request adds to a pass.
 COST_WEIGHT = 0.3
 
 
+class Order(IntEnum):
+    """In which order requests go that wait for a place."""
+
+    #: Turned away before, and passed over often enough.
+    due = 0
+    #: Can still be in time.
+    in_time = 1
+    #: Turned away before.
+    repeat = 2
+    #: Has waited here for longer than it may.
+    late = 3
+
+
 class GroupLoad(NamedTuple):
     """What a group's coordinator tells of it.
 
@@ -258,6 +275,7 @@
 
     def __init__(self) -> None:
         self._waiters: dict[int, Waiter] = {}
+        self._passed_over = 0
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -288,12 +306,20 @@
         return min(
             self._waiters.values(),
             key=lambda waiter: (
-                waiter.is_repeat or is_late(waiter, now, first_event),
+                self._tell_order(waiter, now, first_event),
                 waiter.priority,
                 waiter.number,
             ),
         )
 
+    def admit(self, waiter: Waiter) -> None:
+        """Take out a request that goes now.
+
+        :param waiter: the request.
+        """
+        self.remove(waiter.number)
+        self._passed_over = 0 if waiter.is_repeat else self._passed_over + 1
+
     def list_hopeless(
         self, now: float, first_event: float, places: float, free: float = 0
     ) -> list[Waiter]:
@@ -326,6 +352,18 @@
         rest.sort(key=lambda waiter: waiter.number)
         return out_of_time + rest[bound:]
 
+    def _tell_order(
+        self, waiter: Waiter, now: float, first_event: float
+    ) -> Order:
+        if is_late(waiter, now, first_event):
+            return Order.late
+        if not waiter.is_repeat:
+            return Order.in_time
+        # Callers that always give less time than others look turned away.
+        # Under a load that lasts they would never have a place.
+        is_due = self._passed_over >= MOST_PASSED_OVER
+        return Order.due if is_due else Order.repeat
+
 
 def is_urgent(waiter: Waiter, now: float, first_event: float) -> bool:
     """Tell whether a request will soon be late, and is not yet.
--- a/src/ospreyford/direct/deadlines.py
+++ b/src/ospreyford/direct/deadlines.py
@@ -2,32 +2,34 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from dataclasses import dataclass
+from collections import OrderedDict, deque
 
-#: A caller with less than this part of the longest time that callers have on
-#: its route has spent the rest: on a host that was gone, or on a refusal. Whole
-#: times differ by a sixth from caller to caller.
+#: Part of callers that give less than what counts as the usual time. Of those
+#: who come under high load a third may come for the second time, so it must lie
+#: well above that; the longest time would be one caller's whim.
+USUAL_PART = 0.95
+#: Requests of a route, or of a customer on it, that its usual time follows.
+RECENT = 64
+#: A caller with less than this part of the usual time has spent the rest: on a
+#: host that was gone, or on a refusal. Whole times differ by a sixth.
 REPEAT_PART = 0.85
-#: What is left of the longest time seen with each request: of several hundred
-#: requests without it, it is forgotten.
-MEMORY_PART = 0.998
-#: Requests of one customer on one route after which its own longest time counts
+#: Requests of one customer on one route after which its own usual time counts
 #: and not that of all customers: one whose callers always have little time
 #: would else be taken for one that asks again and again.
-OWN_REQUESTS = 8
+OWN_REQUESTS = 4
 #: Pairs of customer and route that are remembered; the longest unused goes.
-KEPT = 4096
+KEPT = 1024
 
 
-@dataclass
-class _Longest:
-    seconds: float = 0
-    seen: int = 0
+class _Given(deque[float]):
+    """The times that the last callers gave, in seconds."""
 
-    def note(self, seconds: float) -> None:
-        self.seconds = max(seconds, self.seconds * MEMORY_PART)
-        self.seen += 1
+    def __init__(self) -> None:
+        super().__init__(maxlen=RECENT)
+
+    def tell_usual(self) -> float:
+        """Tell the time that few callers exceed; 0 before the first one."""
+        return sorted(self)[int(USUAL_PART * len(self))] if self else 0
 
 
 class DeadlineMemory:
@@ -40,7 +42,7 @@
     """
 
     def __init__(self) -> None:
-        self._longest: OrderedDict[tuple[str, str], _Longest] = OrderedDict()
+        self._given: OrderedDict[tuple[str, str], _Given] = OrderedDict()
 
     def take(self, route: str, customer: str, seconds: float) -> bool:
         """Take a request, and tell whether it is a second try.
@@ -52,24 +54,24 @@
         """
         of_all = self._find(route, '')
         of_one = self._find(route, customer)
-        is_own = of_one.seen >= OWN_REQUESTS
-        known = of_one.seconds if is_own else of_all.seconds
-        of_all.note(seconds)
+        known = of_one if len(of_one) >= OWN_REQUESTS else of_all
+        usual = known.tell_usual()
+        of_all.append(seconds)
         if of_one is not of_all:
-            of_one.note(seconds)
-        return seconds < REPEAT_PART * known
+            of_one.append(seconds)
+        return seconds < REPEAT_PART * usual
 
     def count(self) -> int:
         """Count the pairs of route and customer that are remembered.
 
         :returns: their number.
         """
-        return len(self._longest)
+        return len(self._given)
 
-    def _find(self, route: str, customer: str) -> _Longest:
+    def _find(self, route: str, customer: str) -> _Given:
         key = (route, customer)
-        found = self._longest.setdefault(key, _Longest())
-        self._longest.move_to_end(key)
-        if len(self._longest) > KEPT:
-            self._longest.popitem(last=False)
+        found = self._given.setdefault(key, _Given())
+        self._given.move_to_end(key)
+        if len(self._given) > KEPT:
+            self._given.popitem(last=False)
         return found
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -147,7 +147,7 @@
                 return
             if self.running >= self.limit.tell_most(chosen, now, first_event):
                 return
-            self._queue.remove(chosen.number)
+            self._queue.admit(chosen)
             self.running += 1
             if self._is_closed:
                 # One request finds out whether the group is open again.
@@ -156,6 +156,8 @@
 
     async def _decide(self, call: Call) -> bool:
         now = time.monotonic()
+        if self._is_ending:
+            return False
         is_free = not self._queue and not self._is_waiting(now)
         if is_free and not call.is_repeat and self.running < self.limit.easy:
             self.running += 1
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -41,6 +41,8 @@
 NOT_FOUND: Final = 404
 UNAVAILABLE: Final = 503
 MILLISECONDS = 1000
+#: Digits of a number in a header field at most; milliseconds need ten.
+MOST_DIGITS = 15
 #: Time that a request without a deadline has, in seconds; its route's timeout
 #: is nearly always shorter.
 DEFAULT_SECONDS = 30.0
@@ -138,10 +140,13 @@
         now = time.monotonic()
         wanted = read_number(find_header(request.headers, dialect.deadline))
         seconds = DEFAULT_SECONDS if wanted is None else wanted / MILLISECONDS
+        given = min(seconds, route.timeout)
         cursor = read_number(find_header(request.headers, dialect.last_event))
-        is_second = self._world.deadlines.take(
-            route.name, customer.name if customer else '', seconds
-        )
+        name = customer.name if customer else ''
+        is_second = False
+        # What is given to all that do not say says nothing of a caller.
+        if wanted is not None:
+            is_second = self._world.deadlines.take(route.name, name, given)
         return Call(
             id=read_text(request.headers, dialect.request_id) or '',
             request=request,
@@ -150,10 +155,10 @@
             key=self._read_key(request),
             customer=customer,
             started_at=now,
-            deadline=now + min(seconds, route.timeout),
+            deadline=now + given,
             cursor=cursor,
             # Who has a part of the answer was not turned away.
-            is_repeat=is_second and cursor is None,
+            is_repeat=is_second and not cursor,
         )
 
     def _read_key(self, request: Request) -> str | None:
@@ -214,6 +219,8 @@
     :param text: the raw value.
     :returns: the number, or ``None`` if there is none.
     """
-    if text is None or not text.strip().isdigit():
+    digits = b'' if text is None else text.strip()
+    # As a part of a second, more of them would be no number any more.
+    if not digits.isdigit() or len(digits) > MOST_DIGITS:
         return None
-    return int(text)
+    return int(digits)
--- a/tests/direct/test_deadlines.py
+++ b/tests/direct/test_deadlines.py
@@ -54,6 +54,27 @@
     assert memory.take('r', 'patient', 4)
 
 
+#: How often one caller in so many gives another time, and which, in seconds.
+OUTLIERS = ((5000, 3600.0), (500, 60.0), (100, 30.0))
+
+
+@pytest.mark.parametrize(('every', 'seconds'), OUTLIERS)
+def test_single_callers_with_much_time_change_nothing(
+    every: int, seconds: float
+) -> None:
+    """One caller that gave an hour made all others look turned away.
+
+    The longest time on the route was what theirs was measured by.
+    """
+    memory = DeadlineMemory()
+    told = 0
+    for number in range(5000):
+        if number % every == every // 2:
+            memory.take('r', '', seconds)
+        told += memory.take('r', '', 8)
+    assert told < 50
+
+
 def test_longer_times_of_long_ago_are_forgotten() -> None:
     memory = DeadlineMemory()
     memory.take('r', 'c', 60)
--- a/tests/direct/test_gate.py
+++ b/tests/direct/test_gate.py
@@ -5,6 +5,7 @@
 import time
 
 import curio
+import pytest
 
 from ospreyford.direct.admission import GroupLoad
 from ospreyford.direct.call import Call
@@ -154,3 +155,33 @@
     view = curio.run(admit).gate
     assert view is not None
     assert (view.easy, view.full, view.age_ms) == (-1, -1, -1)
+
+
+async def enter_behind_a_late_one(*, is_repeat: bool) -> int:
+    gate = StreamGate(0.12)
+    gate.running = 7
+    gate.limit.late = 6
+    gate.limit.easy = 0
+    late = make_call()
+    late.started_at -= 1
+    back = make_call(5)
+    back.is_repeat = is_repeat
+    await curio.spawn(gate.enter, late, daemon=True)
+    await curio.sleep(0.02)
+    gate.limit.easy = 10
+    await curio.spawn(gate.enter, back, daemon=True)
+    await curio.sleep(0.02)
+    return gate.running
+
+
+@pytest.mark.parametrize('is_repeat', [False, True])
+def test_one_that_must_wait_keeps_nobody_else_from_a_place(
+    is_repeat: bool,
+) -> None:
+    """Callers that had been turned away were again, beside free places.
+
+    One that had waited for too long stood before them, and for it there is
+    less room.
+    """
+    ran = curio.run(lambda: enter_behind_a_late_one(is_repeat=is_repeat))
+    assert ran == 8
--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -9,6 +9,7 @@
 
 from ospreyford.direct.catalog import Repetition, Route
 from ospreyford.direct.decisions import RequestDenied, RequestEnded
+from ospreyford.direct.handler import read_number
 from ospreyford.http.errors import ConnectionLost
 from ospreyford.http.message import Headers
 from tests.direct import backends as be
@@ -277,3 +278,12 @@
     request was sent on it, and the extra answer taken for its own.
     """
     assert run(meet_extra_answer) == [b'whole'] * 3
+
+
+@pytest.mark.parametrize(
+    ('text', 'number'),
+    [(b'8000', 8000), (b'', None), (b'-1', None), (b'9' * 400, None)],
+)
+def test_numbers_of_header_fields(text: bytes, number: int | None) -> None:
+    """A deadline of 400 digits ended its connection without an answer."""
+    assert read_number(text) == number
