--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -52,8 +52,8 @@
 #: Part of that time within which the first event must be expected: the rest is
 #: the way through the network, and what a pass takes longer than the last ones.
 PATIENCE_PART = 0.85
-#: Places given to others in a row while callers wait that were turned away
-#: before; the next one is theirs.
+#: Places given in a row to callers that were not turned away before; the next
+#: one is due to one that was, as soon as one waits.
 MOST_PASSED_OVER = 7
 #: Weight of the newest figure in what a request adds to a pass.
 COST_WEIGHT = 0.3
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -44,8 +44,8 @@
 #: How often resting connections and missing back ends are looked at, seconds.
 SWEEP_SECONDS = 0.1
 #: Part of the grace in which new connections are still taken: the balancer
-#: asks once a second and needs two refusals before it stops sending them. Then
-#: connections at rest are ended too.
+#: asks once a second and needs two refusals before it stops sending them. From
+#: then on kept connections take no more requests either.
 ACCEPT_PART = 0.35
 #: Part of the grace after which whatever is in flight gets its last answer.
 FINISH_PART = 0.93
--- a/tests/rebalance/test_election.py
+++ b/tests/rebalance/test_election.py
@@ -66,6 +66,19 @@
     assert second.token > first.token
 
 
+def make_following(
+    clock: FakeClock,
+) -> tuple[int, Election, Election, Election]:
+    """Make three agents of which the first coordinates; tell its token."""
+    first, second, third = make(clock)
+    clock.advance(0.5)
+    first.stand(AGENTS, 0)
+    assert first.token is not None
+    for other in (second, third):
+        other.hear(first.token, AGENTS[0])
+    return first.token, first, second, third
+
+
 def test_a_coordinator_that_says_it_stops_is_replaced_at_once() -> None:
     """A group had no coordinator for half a second after each planned stop.
 
@@ -73,13 +86,7 @@
     them. What it says counts once, also where it arrives again later.
     """
     clock = FakeClock()
-    first, second, third = make(clock)
-    clock.advance(0.5)
-    first.stand(AGENTS, 0)
-    assert first.token is not None
-    for other in (second, third):
-        other.hear(first.token, AGENTS[0])
-    token = first.token
+    token, first, second, third = make_following(clock)
     first.retire()
     first.resign()
     for _ in range(3):
@@ -97,13 +104,9 @@
 
 def test_only_the_coordinator_that_is_followed_can_leave_its_place() -> None:
     clock = FakeClock()
-    first, second, third = make(clock)
-    clock.advance(0.5)
-    first.stand(AGENTS, 0)
-    assert first.token is not None
-    second.hear(first.token, AGENTS[0])
-    second.hear_leaving(first.token - 1, AGENTS[0])
-    second.hear_leaving(first.token, AGENTS[2])
+    token, _, second, _ = make_following(clock)
+    second.hear_leaving(token - 1, AGENTS[0])
+    second.hear_leaving(token, AGENTS[2])
     clock.advance(0.2)
     assert not second.is_vacant
     assert not second.stand(AGENTS, 1)
@@ -111,12 +114,9 @@
 
 def test_a_late_heartbeat_does_not_undo_a_leave() -> None:
     clock = FakeClock()
-    first, second, _ = make(clock)
-    clock.advance(0.5)
-    first.stand(AGENTS, 0)
-    assert first.token is not None
+    token, _, second, _ = make_following(clock)
     for _ in range(2):
-        second.hear(first.token, AGENTS[0])
-        second.hear_leaving(first.token, AGENTS[0])
-    second.hear(first.token, AGENTS[0])
+        second.hear(token, AGENTS[0])
+        second.hear_leaving(token, AGENTS[0])
+    second.hear(token, AGENTS[0])
     assert second.is_vacant
