Give each rank of a group above 127 tokens and versions of its own

Cause: fencing tokens and map versions hold 128 numbers in a millisecond, one for each rank. In a group of 129, rank 127 was the author 'nobody', whose maps only shut ranks off, and rank 128 shared tokens and versions with rank 0 of the next millisecond: ranks refuse neither of two coordinators with one token, and a coordinator that takes over reads the wrong author of a change from its version, which decides whether a rank out of reach can be armed. Found by reading.

Change: 1,024 numbers in a millisecond, the last one for nobody; a rank without a number does not stand.

--- a/src/ospreyford/rebalance/election.py
+++ b/src/ospreyford/rebalance/election.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from ospreyford.rebalance.versions import NOBODY, RANKS_MOST
+
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
     from ospreyford.rebalance.post import Address
@@ -18,8 +20,6 @@
 #: to arrive, so that the first one is heard before the second one begins.
 TURN_SECONDS = 0.12
 MILLISECONDS = 1000
-#: Numbers of tokens within one millisecond, one for each rank.
-RANKS = 128
 
 
 class Election:
@@ -114,13 +114,17 @@
         """
         if self.is_leading() or self.is_retired or self._me not in members:
             return False
+        if rank >= NOBODY:
+            # Its tokens would be those of another rank.
+            return False
         turn = list(members).index(self._me)
         wait = SILENCE_SECONDS + TURN_SECONDS * turn
         if self._clock.monotonic() - self._heard_at < wait:
             return False
-        now = int(self._clock.wall() * MILLISECONDS) * RANKS
+        now = int(self._clock.wall() * MILLISECONDS) * RANKS_MOST
         # Clocks of hosts differ: the highest token heard of counts as well.
-        self.token = max(now, self.highest + RANKS) // RANKS * RANKS + rank
+        least = max(now, self.highest + RANKS_MOST)
+        self.token = least // RANKS_MOST * RANKS_MOST + rank
         self.highest = self.token
         self.lost = None if self.leader is None else self.leader[0]
         self.leader = self._me
--- a/src/ospreyford/rebalance/versions.py
+++ b/src/ospreyford/rebalance/versions.py
@@ -4,10 +4,12 @@
 
 from typing import Final
 
-#: Numbers of map versions within one millisecond, one for each rank.
-VERSIONS: Final = 128
+#: Numbers of map versions, and of fencing tokens, within one millisecond: one
+#: for each rank of the largest group, and one for nobody. Milliseconds since
+#: 1970 times this number stay below 2**53, up to which JSON numbers are exact.
+RANKS_MOST: Final = 1024
 #: Author of versions that only shut ranks off from an earlier coordinator.
-NOBODY: Final = 127
+NOBODY: Final = RANKS_MOST - 1
 
 
 def make_version(milliseconds: int, author: int) -> int:
@@ -18,7 +20,7 @@
     :param author: the rank beside the coordinator that plans the map.
     :returns: the version.
     """
-    return milliseconds * VERSIONS + author
+    return milliseconds * RANKS_MOST + author
 
 
 def find_author(version: int) -> int:
@@ -27,4 +29,4 @@
     :param version: the version.
     :returns: the rank beside the coordinator that planned it.
     """
-    return version % VERSIONS
+    return version % RANKS_MOST
--- a/tests/rebalance/test_election.py
+++ b/tests/rebalance/test_election.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
+import pytest
+
 from ospreyford.rebalance.election import Election
+from ospreyford.rebalance.versions import NOBODY, RANKS_MOST
 from tests.fakes.clock import FakeClock
 
 AGENTS = (('10.0.0.1', 7), ('10.0.0.2', 7), ('10.0.0.3', 7))
@@ -120,3 +123,31 @@
         second.hear_leaving(token, AGENTS[0])
     second.hear(token, AGENTS[0])
     assert second.is_vacant
+
+
+PAIRS_OF_RANKS = ((0, 127), (0, 128), (1, 129), (0, 515))
+
+
+@pytest.mark.parametrize(('low', 'high'), PAIRS_OF_RANKS)
+def test_tokens_of_two_ranks_always_differ(low: int, high: int) -> None:
+    """Two coordinators with one token, of which ranks refuse neither."""
+    tokens: dict[int, set[int]] = {low: set(), high: set()}
+    for rank, seen in tokens.items():
+        clock = FakeClock()
+        for _ in range(4):
+            election = Election(AGENTS[0], clock)
+            clock.advance(0.5)
+            assert election.stand(AGENTS, rank)
+            assert election.token is not None
+            # Clocks of hosts differ by some milliseconds.
+            seen.update(
+                election.token + step * RANKS_MOST for step in range(-3, 4)
+            )
+    assert not tokens[low] & tokens[high]
+
+
+def test_a_rank_without_a_number_of_its_own_does_not_stand() -> None:
+    clock = FakeClock()
+    election = Election(AGENTS[0], clock)
+    clock.advance(0.5)
+    assert not election.stand(AGENTS, NOBODY)
--- a/tests/rebalance/test_known.py
+++ b/tests/rebalance/test_known.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from ospreyford.rebalance.knownmaps import KEPT, KnownMaps
 from ospreyford.rebalance.passes import PassTimer
 from ospreyford.rebalance.silence import SilentAgents
@@ -49,8 +51,20 @@
     assert agents.take_look('a')
 
 
-def test_a_version_tells_its_author() -> None:
-    assert find_author(make_version(1_800_000_000_123, 7)) == 7
+RANK_CASES = (0, 7, 126, 127, 128, 515)
+
+
+@pytest.mark.parametrize('rank', RANK_CASES)
+def test_a_version_tells_its_author(rank: int) -> None:
+    """Two maps in one pass: a rank taken for nobody, or for another rank."""
+    version = make_version(1_800_000_000_123, rank)
+    assert find_author(version) == rank
+    assert find_author(version) != NOBODY
+    # JSON numbers are exact up to here.
+    assert version < 2**53
+
+
+def test_versions_of_one_millisecond_end_with_nobody() -> None:
     assert find_author(make_version(1, NOBODY)) == NOBODY
     assert make_version(2, 0) > make_version(1, NOBODY)
 
