Have one watch of the store take many changes

Change: the next watch begins no sooner than a tenth of the drain bound after the last one. A watch that lasted is followed at once, as ever.

Tests that follow changes 50 ms apart use a drain bound of 0.05 s in place of 2 s, so that they look at the same moments.

--- a/src/ospreyford/platform/feed.py
+++ b/src/ospreyford/platform/feed.py
@@ -19,6 +19,7 @@
     HistoryGone,
     PlatformError,
 )
+from ospreyford.platform.pace import WatchPace
 from ospreyford.platform.records import (
     CATALOG_KEY,
     SERVERS_PREFIX,
@@ -65,7 +66,7 @@
         self._world = world
         self._revision: int | None = None
         self._lost_at: float | None = None
-        self._answered_at = time.monotonic()
+        self._pace = WatchPace()
         self._is_lost = False
         self._refusals = Refusals()
 
@@ -97,6 +98,7 @@
         :returns: until when the picture holds all that was published, by
             :func:`~ospreyford.direct.knowledge.read_boot_clock`.
         """
+        await self._pace.wait(self._world.settings.bounds)
         seconds = self._choose_wait()
         asked_at = read_boot_clock()
         reading = await self._store.watch(EVERYTHING, revision, seconds)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -145,13 +145,19 @@
     assert curio.run(call_after_silence, FakeStore(faults=[None])).revision == 5
 
 
+#: Watches are paced by it: ten times faster than what the changes here take.
+DRAIN_SECONDS = 0.05
+
+
 class Followed:
     """A feed and what it made of the store."""
 
     def __init__(self, fake: FakeStore) -> None:
         self.fake = fake
         self.lines = Lines()
-        self.world = World(SETTINGS, DIALECT, self.lines)  # type: ignore[arg-type]
+        bounds = SETTINGS.bounds._replace(drain_seconds=DRAIN_SECONDS)
+        settings = SETTINGS._replace(bounds=bounds)
+        self.world = World(settings, DIALECT, self.lines)  # type: ignore[arg-type]
 
     async def start(self) -> None:
         store = Store(await self.fake.open())
@@ -368,3 +374,23 @@
     outcomes = curio.run(read_anything, raw)
     assert set(outcomes[:3]) <= {'Reading', 'BadRecord'}
     assert outcomes[3] == 'Reading'
+
+
+async def register_many(fake: FakeStore, drain_seconds: float) -> int:
+    fake.put('op/config', make_config(3))
+    bounds = SETTINGS.bounds._replace(drain_seconds=drain_seconds)
+    world = World(SETTINGS._replace(bounds=bounds), DIALECT, Lines())  # type: ignore[arg-type]
+    feed = StoreFeed(Store(await fake.open()), Changes(world), world)
+    await curio.spawn(feed.run, daemon=True)
+    await curio.sleep(0.1)
+    for number in range(40):
+        fake.put(f'servers/{number}', make_registration())
+        await curio.sleep(0.01)
+    while len(world.fleet) < 40:
+        await curio.sleep(0.01)
+    return len(fake.calls)
+
+
+def test_one_watch_takes_many_changes() -> None:
+    """An entry asked the store 135 times while as many back ends registered."""
+    assert curio.run(register_many, FakeStore(), 4.0) < 10
