Let what a group tells and is told grow with a tree, not with its ranks

Change: agents form a tree of degree twelve in the order of their addresses. Heartbeats and the order to prepare a map go down through it, each time through another one, and what is not answered is asked for directly; arming, go and taking back stay direct, so that there is no new way to be armed or released. Loads are summed up on the way up, in another tree once some are missing. Agents work out the first map by themselves and compare digests of the one that is meant. The state of a rank goes to the coordinator in a small datagram. Totals go to the entries with each heartbeat, loads of the ranks as a byte each. An entry greets the coordinator and four others in turn, all as soon as news are missing; one entry is asked for the members. Silence counts from the meeting, and an agent asks who coordinates before it stands; hearsay keeps no lost one alive. Silent ranks are looked at at once, not one after the other. What reads a rank's counts does so in proportion to their number.

Tests: the tree, what it costs links at 12, 63, 129 and 516 ranks with the real encoders, relays with lost agents, sums, greetings, news by digest, elections. Two replaced: a count of entries (now the highest of the last 1.5 s at any time, not only after the entry's own start, since a new coordinator undercounts as well); the reports of all ranks (their bound is part of the test of links). The first candidate stands after 0.3 s in place of 0.45 s where nobody was ever heard of, and its test says so.

--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -1,42 +1,36 @@
-"""What an entry tells the agents beside back ends, and learns from them."""
+"""What an entry learns from the agents beside back ends."""
 
 from __future__ import annotations
 
 import time
-from itertools import chain
 from typing import TYPE_CHECKING
 
 import curio
-import xxhash
 
 from ospreyford.direct.admission import GroupLoad
-from ospreyford.rebalance.messages import (
+from ospreyford.direct.greetings import (
+    FIRST_GREETING_SECONDS,
+    GREETING_SECONDS,
+    Greetings,
+)
+from ospreyford.rebalance.news import (
+    NOT_KNOWN,
     GroupNews,
     Hello,
     Load,
-    Message,
-    encode,
+    OddRank,
+    RankDetails,
 )
 from ospreyford.rebalance.post import Post
 
 if TYPE_CHECKING:
-    from ospreyford.direct.catalog import Catalog, Engine
     from ospreyford.direct.world import World
+    from ospreyford.rebalance.messages import Message
     from ospreyford.rebalance.post import Address
 
-#: Time between two greetings of one agent, in seconds.
-GREETING_SECONDS = 0.5
-#: The same after this entry's start, in seconds: hosts that are back together
-#: must have counted each other before the group opens, 0.6 s later.
-FIRST_GREETING_SECONDS = 0.1
-
 
 class AgentLink:
-    """Greets the agents of all model services and takes their answers.
-
-    Agents read nothing from the platform: which other agents there are they
-    learn from the entries. An agent that shows another digest than the
-    entry's is told the whole list.
+    """Greets the agents of all model services and takes what they tell.
 
     :param world: what the entry knows.
     """
@@ -44,87 +38,85 @@
     def __init__(self, world: World) -> None:
         self._world = world
         self._post = Post(world.settings.datagrams)
-        self._digests: dict[Address, int] = {}
+        self.greetings = Greetings(world, self._post)
         self._tokens: dict[str, int] = {}
 
     async def run(self) -> None:
         """Listen for as long as the process lives."""
-        await self._post.receive(self._take)
+        await self._post.receive(self.take)
 
     async def greet_often(self) -> None:
         """Greet for as long as the process lives."""
         while True:
-            if self._world.catalog is not None:
-                await self._greet_all(self._world.catalog)
-            is_new = self._world.is_new()
-            await curio.sleep(
-                FIRST_GREETING_SECONDS if is_new else GREETING_SECONDS
-            )
-
-    async def _greet_all(self, catalog: Catalog) -> None:
-        for name, service in catalog.services.items():
-            if service.engine is not None:
-                await self._greet(self._make_hello(name, service.engine))
-
-    def _make_hello(self, service: str, engine: Engine) -> Hello:
-        members = self._world.fleet.list_all(service)
-        addresses = tuple(
-            sorted((one.server.host, one.server.port) for one in members)
-        )
-        known = (addresses, engine, self._find_max_gap(service))
-        digest = xxhash.xxh32_intdigest(repr(known).encode())
-        return Hello(self._world.settings.name, service, digest, *known)
-
-    async def _greet(self, hello: Hello) -> None:
-        whole = encode(hello)
-        short = encode(Hello(hello.entry, hello.service, hello.digest))
-        port = self._world.settings.agent_port
-        for address in hello.members or ():
-            knows = self._digests.get(address) == hello.digest
-            await self._post.send_bytes(
-                short if knows else whole, (address[0], port)
-            )
-
-    def _find_max_gap(self, service: str) -> float:
-        catalog = self._world.catalog
-        if catalog is None:
-            return 0
-        gaps = [
-            route.max_gap
-            for route in chain.from_iterable(catalog.routes.values())
-            if route.max_gap > 0 and route.splits[0].service == service
-        ]
-        return min(gaps, default=0)
-
-    async def _take(self, message: Message, address: Address) -> None:
+            await self.greetings.greet_due()
+            await curio.sleep(FIRST_GREETING_SECONDS)
+
+    async def take(self, message: Message, address: Address) -> None:
+        """Take over what an agent says.
+
+        :param message: the message.
+        :param address: the agent's address.
+        """
         match message:
             case Load():
-                self._take_load(message)
+                await self._take_load(message, address)
             case GroupNews():
-                await self._take_news(message)
-
-    def _take_load(self, message: Load) -> None:
-        self._digests[message.host, message.port] = message.digest
-        self._world.note_entries(message.entries)
+                await self._take_news(message, address)
 
-    async def _take_news(self, news: GroupNews) -> None:
+    async def _take_load(self, load: Load, address: Address) -> None:
+        hello = self._find_hello(load)
+        if hello is None:
+            return
+        if load.asks_members:
+            await self._post.send(hello, address)
+        if self.greetings.tell_silence(hello.service) > GREETING_SECONDS:
+            # An agent that does not coordinate hears of few entries while one
+            # that does is there.
+            self._world.note_entries(load.entries)
+
+    def _find_hello(self, load: Load) -> Hello | None:
+        for hello in self.greetings.hellos.values():
+            if (load.host, load.port) in (hello.members or ()):
+                return hello
+        return None
+
+    async def _take_news(self, news: GroupNews, address: Address) -> None:
         # Two coordinators may tell of one group; the newer one is right.
         if news.token < self._tokens.get(news.service, 0):
             return
         self._tokens[news.service] = news.token
         now = time.monotonic()
-        for load in news.ranks:
-            for member in self._world.fleet.find_host(news.service, load.host):
-                member.take_figures(load.active + load.queued, load.pace, now)
-                member.is_silent = load.is_silent
+        self.greetings.note_coordinator(news.service, address)
+        self._world.note_entries(news.entries)
+        if news.details is not None:
+            self._take_details(news.service, news.details, now)
         await self._world.take_group_load(
             news.service,
             GroupLoad(
-                running=sum(one.active for one in news.ranks),
-                queued=sum(one.queued for one in news.ranks),
+                running=news.running,
+                queued=news.queued,
                 pass_seconds=news.pass_seconds,
                 base_seconds=0,
                 is_open=news.is_open,
                 epoch=news.epoch,
             ),
         )
+
+    def _take_details(
+        self, service: str, details: RankDetails, now: float
+    ) -> None:
+        hello = self.greetings.hellos.get(service)
+        odd = {one.host: one for one in details.odd}
+        requests: dict[str, int] = {}
+        if hello is not None and hello.digest == details.digest:
+            hosts = (host for host, _ in hello.members or ())
+            requests = dict(zip(hosts, details.requests, strict=False))
+        for member in self._world.fleet.list_all(service):
+            host = member.server.host
+            strange = odd.get(host, OddRank(host, 1, is_silent=False))
+            member.is_silent = strange.is_silent
+            told = requests.get(host, NOT_KNOWN)
+            if told == NOT_KNOWN:
+                member.pace = max(strange.pace, 1)
+            else:
+                member.take_figures(told, strange.pace, now)
--- a/src/ospreyford/measure/mappolicies.py
+++ b/src/ospreyford/measure/mappolicies.py
@@ -120,7 +120,7 @@
             shares = tracker.pack(self._tell_writing())
             if shares is not None:
                 parts[rank] = shares
-        loads = add_up(parts, self.scene.sets)
+        loads = add_up(parts.values(), self.scene.sets)
         if not loads or not any(loads[0]):
             return None
         limits = PlanLimits(
--- a/src/ospreyford/rebalance/coordinator.py
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -127,6 +127,7 @@
             settled before the next change.
         """
         prepare = Prepare(version, experts)
+        await self._ranks.spread(prepare, Term(self._token, group.epoch))
         if not await self._all_done(group, group.ranks, prepare):
             return self._explain(Change.not_prepared)
         holder = self._ranks.choose_holder(group.ranks)
--- a/src/ospreyford/rebalance/decisions.py
+++ b/src/ospreyford/rebalance/decisions.py
@@ -35,7 +35,7 @@
     :param step: the last pass that was begun as it was planned.
     :param running: requests that ran in the group then.
     :param queued: requests that waited at its ranks then.
-    :param age_ms: age of the newest counts as it was planned.
+    :param age_ms: age of the oldest counts that it rests on.
     :param took_ms: from the plan to the end of the change.
     """
 
--- a/src/ospreyford/rebalance/election.py
+++ b/src/ospreyford/rebalance/election.py
@@ -19,6 +19,12 @@
 #: Further wait of each next candidate, in seconds: more than a heartbeat takes
 #: to arrive, so that the first one is heard before the second one begins.
 TURN_SECONDS = 0.12
+#: A candidate that has never heard of a coordinator waits for so long, in
+#: seconds: three heartbeats of one that may be there.
+FIRST_SECONDS = 0.3
+#: An agent that has heard nothing for so long asks whether the coordinator is
+#: there, in seconds: more than two heartbeats.
+ASK_SECONDS = 0.25
 MILLISECONDS = 1000
 
 
@@ -45,6 +51,7 @@
         self._clock = clock
         self.highest = 0
         self._heard_at = clock.monotonic()
+        self._met_members = False
         self._left: int | None = None
         self.is_retired = False
 
@@ -55,19 +62,52 @@
         """
         return self.token is not None
 
-    def hear(self, token: int, address: Address) -> bool:
+    def is_in_touch(self) -> bool:
+        """Tell whether a coordinator was heard of just now.
+
+        :returns: whether this agent can tell others who coordinates.
+        """
+        if self.is_leading():
+            return True
+        silence = self._clock.monotonic() - self._heard_at
+        return not self.is_vacant and silence < ASK_SECONDS
+
+    def meet(self, members: Sequence[Address]) -> None:
+        """Note the agents of the group, before the first of them is heard.
+
+        Load pattern: all hosts start together, and one list after the other
+        names the agents that have registered. Their silence counted from the
+        start of each process, all 129 of them were due to stand at the moment
+        at which they met the others.
+
+        :param members: the agents of the group.
+        """
+        if self._met_members or not members:
+            return
+        self._met_members = True
+        self._heard_at = self._clock.monotonic()
+
+    def hear(
+        self, token: int, address: Address, *, is_hearsay: bool = False
+    ) -> bool:
         """Take over a coordinator's heartbeat.
 
         :param token: its token.
         :param address: its address.
+        :param is_hearsay: whether another agent tells of it.
         :returns: whether this agent follows another one than before.
         """
         # A late heartbeat of one that has left does not bring it back.
         if token < self.highest or token == self._left:
             return False
         changed = address != self.leader
+        if is_hearsay and not changed:
+            # Two agents would keep one alive for each other that is gone.
+            return False
         self.highest = token
         self._heard_at = self._clock.monotonic()
+        if is_hearsay:
+            self._heard_at -= ASK_SECONDS
         self.leader = address
         self.is_vacant = False
         if address != self._me:
@@ -118,7 +158,9 @@
             # Its tokens would be those of another rank.
             return False
         turn = list(members).index(self._me)
-        wait = SILENCE_SECONDS + TURN_SECONDS * turn
+        is_first = self.highest == 0
+        silence = FIRST_SECONDS if is_first else SILENCE_SECONDS
+        wait = silence + TURN_SECONDS * turn
         if self._clock.monotonic() - self._heard_at < wait:
             return False
         now = int(self._clock.wall() * MILLISECONDS) * RANKS_MOST
--- /dev/null
+++ b/src/ospreyford/rebalance/following.py
@@ -0,0 +1,110 @@
+"""Which coordinator an agent follows, and how it finds one."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from ospreyford.rebalance.decisions import CoordinatorChanged
+from ospreyford.rebalance.messages import FindLead, Lead
+
+if TYPE_CHECKING:
+    from ospreyford.observability.logs import ChangeLog
+    from ospreyford.rebalance.election import Election
+    from ospreyford.rebalance.post import Address, Post
+    from ospreyford.rebalance.reporter import Reporter
+    from ospreyford.rebalance.watcher import RankWatcher
+
+#: Agents beside the last coordinator that one asks which hears of none.
+ASKED = 2
+
+
+class Following:
+    """Takes heartbeats, and asks who coordinates where none arrive.
+
+    :param me: this agent's address.
+    :param post: the process's datagrams.
+    :param election: who coordinates.
+    :param watcher: looks at the rank beside this agent.
+    :param reporter: reports that rank's load.
+    :param log: where changes go.
+    """
+
+    def __init__(
+        self,
+        me: Address,
+        post: Post,
+        election: Election,
+        watcher: RankWatcher,
+        reporter: Reporter,
+        log: ChangeLog,
+    ) -> None:
+        self._me = me
+        self._post = post
+        self._election = election
+        self._watcher = watcher
+        self._reporter = reporter
+        self._log = log
+
+    def take(self, beat: Lead, sender: Address) -> None:
+        """Take a coordinator's heartbeat.
+
+        :param beat: the heartbeat.
+        :param sender: who sent it first.
+        """
+        if not self._is_of_mine(beat.group):
+            return
+        is_other = self._election.hear(
+            beat.token, beat.address, is_hearsay=sender != beat.address
+        )
+        if self._election.highest == beat.token:
+            self._reporter.sums.follow(beat.turn)
+        if is_other:
+            self.log_leader(beat.group, beat.address[0])
+
+    async def find(self, group: str, members: Sequence[Address]) -> None:
+        """Ask who coordinates, before this agent stands itself.
+
+        The coordinator's heartbeats may be lost on their way: an agent between
+        it and this one has ended, or this one is not among the members that it
+        was told of.
+
+        :param group: the group's name.
+        :param members: its agents.
+        """
+        asked = {self._election.leader}
+        asked.update(random.sample(members, min(ASKED, len(members))))
+        for address in asked.difference((None, self._me)):
+            if address is not None:
+                await self._post.send(FindLead(group), address)
+
+    async def tell(self, find: FindLead, address: Address) -> None:
+        """Tell another agent who coordinates, if that is known for certain.
+
+        :param find: its question.
+        :param address: its address.
+        """
+        leader = self._election.leader
+        is_known = self._is_of_mine(find.group) and self._election.is_in_touch()
+        if is_known and leader is not None:
+            turn = self._reporter.sums.turn
+            beat = Lead(find.group, self._election.highest, leader, turn)
+            await self._post.send(beat, address)
+
+    def log_leader(self, group: str, host: str) -> None:
+        """Log who coordinates from now on.
+
+        :param group: the group's name.
+        :param host: IP number of the coordinator's host.
+        """
+        self._log.log_change(
+            CoordinatorChanged(
+                group, host, self._election.highest, int(time.time())
+            )
+        )
+
+    def _is_of_mine(self, group: str) -> bool:
+        state = self._watcher.state
+        return state is not None and state.group == group
--- a/src/ospreyford/rebalance/frames.py
+++ b/src/ospreyford/rebalance/frames.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ospreyford.rebalance.group import (
     Arm,
     Disarm,
@@ -17,7 +19,11 @@
     Rejected,
     Silent,
 )
-from ospreyford.rebalance.mapparts import apply_parts, find_parts
+from ospreyford.rebalance.mapparts import (
+    apply_parts,
+    find_parts,
+    tell_digest,
+)
 from ospreyford.rebalance.messages import NO_MAP, OrderFrame, Tell
 
 if TYPE_CHECKING:
@@ -60,8 +66,9 @@
         whole = pack_order(order)
         return whole, whole
     parts = find_parts(before, order.experts)
-    short = OrderFrame('Prepare', order.version, 0, (), base, parts)
-    return short, OrderFrame('Prepare', order.version, 0, before, base, parts)
+    digest = tell_digest(order.experts)
+    short = OrderFrame('Prepare', order.version, 0, (), base, parts, digest)
+    return short, msgspec.structs.replace(short, experts=before)
 
 
 def read_map(frame: OrderFrame, maps: KnownMaps) -> OrderFrame | None:
@@ -71,7 +78,7 @@
     :param maps: the maps that are known here; a base that comes along is one
         of them from now on.
     :returns: the frame with its map, or ``None`` if the map that it changes is
-        not known.
+        not known, or is another one here.
     """
     if frame.base == NO_MAP:
         return frame
@@ -81,6 +88,10 @@
     experts = None if before is None else apply_parts(before, frame.parts)
     if experts is None:
         return None
+    # Ranks do not compare maps: one made from another base would be in force
+    # beside the one that is meant, under the same version.
+    if frame.digest and tell_digest(experts) != frame.digest:
+        return None
     return OrderFrame(frame.kind, frame.version, frame.step, experts)
 
 
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -9,6 +9,7 @@
 from ospreyford.rebalance.fanout import run_together
 from ospreyford.rebalance.passes import PassTimer
 from ospreyford.rebalance.planner import Plan, PlanLimits, Planner
+from ospreyford.rebalance.rankloads import count_heard
 from ospreyford.rebalance.silence import SILENT_SECONDS
 from ospreyford.rebalance.tempo import Tempo
 from ospreyford.rebalance.versions import NOBODY, make_version
@@ -24,6 +25,12 @@
     from ospreyford.rebalance.settings import Pace
 
 MILLISECONDS = 1000
+#: Part of the ranks whose load must be known for a plan. Right after the start
+#: of a coordinator, and when its tree of agents changes, few of them are.
+COUNTED_PART = 0.5
+#: Time for which loads of ranks that report may be missing, in seconds, before
+#: they are summed up in another tree: an inner agent is lost.
+INCOMPLETE_SECONDS = 1.0
 #: No change begins for so long after an agent has asked to end, in seconds:
 #: until it counts as silent, so that its rank is reached without it.
 LEAVE_SECONDS = SILENT_SECONDS + 0.1
@@ -70,9 +77,24 @@
         self._last_settled: GroupSettled | None = None
         self._coordinator: Coordinator | None = None
         self._is_leaving = False
+        self._complete_at = clock.monotonic()
         self._plans_from: float = 0
         self._paused_since: float = 0
 
+    def choose_turn(self) -> int:
+        """Choose the tree in which the loads of the ranks are summed up.
+
+        :returns: its turn: another one than before if loads are missing.
+        """
+        sums = self.view.sums
+        now = self._clock.monotonic()
+        if sums.count_ranks() >= count_heard(self.ranks):
+            self._complete_at = now
+        elif now - self._complete_at > INCOMPLETE_SECONDS:
+            self._complete_at = now
+            sums.follow(sums.turn + 1)
+        return sums.turn
+
     def note_pass(self, state: RankState) -> None:
         """Take over a look at the rank beside this agent.
 
@@ -169,6 +191,9 @@
         experts = self.view.find_map(group)
         if experts is None:
             return None
+        counted = self.view.sums.count_ranks()
+        if counted < COUNTED_PART * len(group.ranks):
+            return None
         loads = self.view.find_loads(len(experts))
         if not loads or not any(loads[0]):
             return None
@@ -209,7 +234,7 @@
     ) -> None:
         self._last_settled = None
         began = self._clock.monotonic()
-        age = began - self.view.counted_at
+        age = self.view.sums.tell_age()
         states = dict(self.ranks.read_states())
         mine = states[self.ranks.me]
         version = self._next_version(self.ranks.me)
--- a/src/ospreyford/rebalance/loads.py
+++ b/src/ospreyford/rebalance/loads.py
@@ -11,19 +11,16 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
 BYTE_MAX = 255
 #: Shares of fewer bytes go as they are: they fit a packet.
 LARGE_BYTES: Final = 1000
-#: Step of large shares, of 255: sixteen values in all.
+#: Step of large shares, of 255: sixteen values in all, and a third of that for
+#: sums, whose rounding is not lost among as many others.
 COARSE_STEP: Final = 17
-COARSE_STEPS: Final = bytes(
-    round(value / COARSE_STEP) * COARSE_STEP for value in range(BYTE_MAX + 1)
-)
-#: Level of compression: planning needs the processor more.
-FASTEST: Final = 1
+SUM_STEP: Final = 5
 #: Weight of one pass in a rank's shares: those of the last two to three passes
 #: count, in which a request's choices hardly change. Averaged over ten, a
 #: change of demand was seen half a second later.
@@ -36,6 +33,15 @@
 LEARNING_GROWTH = 1.01
 
 
+def _round_steps(step: int) -> bytes:
+    values = range(BYTE_MAX + 1)
+    return bytes(step * round(value / step) for value in values)
+
+
+COARSE_STEPS: Final = _round_steps(COARSE_STEP)
+SUM_STEPS: Final = _round_steps(SUM_STEP)
+
+
 class Life(NamedTuple):
     """What a rank's counts belong to.
 
@@ -64,19 +70,21 @@
     chosen: bytes
     is_packed: bool = False
 
-    def pack_large(self) -> Shares:
+    def pack_large(self, *, is_sum: bool = False) -> Shares:
         """Make large shares smaller for the way to the coordinator.
 
         Reports of 72 ranks with 12 sets of 144 experts need three times what a
         link of 4 Mbit/s carries. In sixteen steps and compressed they need a
         third to a quarter; the rounding of single ranks is lost in the sum.
 
+        :param is_sum: whether they are of several ranks already.
         :returns: these shares, packed if they are large.
         """
         if len(self.chosen) < LARGE_BYTES:
             return self
-        coarse = self.chosen.translate(COARSE_STEPS)
-        return Shares(self.scale, zlib.compress(coarse, FASTEST), True)
+        steps = SUM_STEPS if is_sum else COARSE_STEPS
+        coarse = self.chosen.translate(steps)
+        return Shares(self.scale, zlib.compress(coarse), True)
 
     def unpack(self) -> Shares | None:
         """Undo what :meth:`pack_large` did.
@@ -163,21 +171,46 @@
         ]
 
 
-def add_up(parts: Mapping[int, Shares], sets: int) -> list[list[float]]:
+def add_up(parts: Iterable[Shares], sets: int) -> list[list[float]]:
     """Add up the load of each expert over the ranks.
 
-    :param parts: the newest shares of each rank.
+    :param parts: the newest shares of all ranks.
     :param sets: the number of sets.
     :returns: for each set, the load of each expert; empty without any.
     """
-    longest = max((len(part.chosen) for part in parts.values()), default=0)
+    sums = add_shares(parts)
+    size = len(sums) // max(sets, 1)
+    starts = range(0, size * sets, max(size, 1))
+    return [sums[start : start + size] for start in starts]
+
+
+def add_shares(parts: Iterable[Shares]) -> list[float]:
+    """Add up shares of the same experts.
+
+    :param parts: the shares, none of them packed.
+    :returns: a load for each set and expert, set by set; empty without any.
+    """
+    known = list(parts)
+    longest = max((len(part.chosen) for part in known), default=0)
     sums: list[float] = [0 for _ in range(longest)]
-    for part in parts.values():
+    for part in known:
         if len(part.chosen) == longest and part.scale:
             sums = _add(sums, part)
-    size = longest // max(sets, 1)
-    starts = range(0, size * sets, max(size, 1))
-    return [sums[start : start + size] for start in starts]
+    return sums
+
+
+def pack_sum(sums: Sequence[float]) -> Shares:
+    """Pack the sum of several ranks' loads for a message.
+
+    :param sums: a load for each set and expert.
+    :returns: the same as shares.
+    """
+    peak = max(sums, default=0)
+    if peak <= 0:
+        return Shares(0, bytes(len(sums)))
+    factor = BYTE_MAX / peak
+    chosen = bytes([round(load * factor) for load in sums])
+    return Shares(peak / BYTE_MAX, chosen)
 
 
 def _add(sums: Iterable[float], part: Shares) -> list[float]:
--- a/src/ospreyford/rebalance/mapparts.py
+++ b/src/ospreyford/rebalance/mapparts.py
@@ -10,6 +10,9 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+import xxhash
+
 if TYPE_CHECKING:
     from ospreyford.rebalance.group import ExpertMap
     from ospreyford.rebalance.messages import MapPart
@@ -46,3 +49,24 @@
             return None
         changed[number][rank] = held
     return tuple(map(tuple, changed))
+
+
+def tell_digest(experts: ExpertMap) -> int:
+    """Tell a number that two maps share only if they are the same.
+
+    :param experts: the map.
+    :returns: its digest.
+    """
+    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(experts))
+
+
+def make_first_map(sets: int, experts: int, ranks: int) -> ExpertMap:
+    """Make the map of a group that has just opened: experts in turn.
+
+    :param sets: sets of layers.
+    :param experts: experts of a set.
+    :param ranks: ranks of the group.
+    :returns: the map. Whoever uses it as a base compares digests.
+    """
+    of_set = tuple(tuple(range(rank, experts, ranks)) for rank in range(ranks))
+    return (of_set,) * sets
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -1,17 +1,15 @@
-"""Datagrams between agents, and between entries and agents."""
+"""Datagrams between agents, and all that a datagram may be."""
 
 from __future__ import annotations
 
-from typing import Final, NamedTuple
+from typing import Final
 
 import msgspec
 
-from ospreyford.direct.catalog import Engine
 from ospreyford.rebalance.group import ExpertMap, RankState
 from ospreyford.rebalance.loads import Shares
+from ospreyford.rebalance.news import GroupNews, Hello, Load, Place
 
-#: IP number and port.
-Place = tuple[str, int]
 #: Datagrams up to this size cross every link in one packet.
 MAX_BYTES: Final = 60_000
 #: An agent's answer to an order whose map changes one that it does not know.
@@ -20,90 +18,50 @@
 NO_MAP: Final = -1
 
 
-class Hello(msgspec.Struct, frozen=True, tag='h', array_like=True):
-    """An entry asks an agent for its load and tells it the members.
-
-    :param entry: the entry's name.
-    :param service: the service that the members serve.
-    :param digest: of the members.
-    :param members: IP number and port of each back end of the service, sorted;
-        left out where the agent has shown the digest.
-    :param engine: published figures of the service's engine, with the members.
-    :param max_gap: pause between events that callers of the service bear, in
-        seconds; 0 if none is published.
-    """
-
-    entry: str
-    service: str
-    digest: int
-    members: tuple[Place, ...] | None = None
-    engine: Engine | None = None
-    max_gap: float = 0
-
-
-class Load(msgspec.Struct, frozen=True, tag='l', array_like=True):
-    """An agent's answer to an entry.
+class Lead(msgspec.Struct, frozen=True, tag='d', array_like=True):
+    """A coordinator's heartbeat to the agents of its group.
 
-    :param host: IP number of the agent's back end.
-    :param port: its port.
-    :param digest: of the members that the agent knows.
-    :param entries: entries that ask this agent.
-    :param is_open: whether the group takes requests.
+    :param group: the group's name.
+    :param token: the coordinator's fencing token.
+    :param address: the coordinator's; another agent may pass this on.
+    :param turn: of the tree in which the loads of the ranks are summed up.
     """
 
-    host: str
-    port: int
-    digest: int
-    entries: int
-    is_open: bool
-
-
-class RankLoad(NamedTuple):
-    """What runs and waits at a rank.
-
-    :param host: IP number of the rank's host.
-    :param active: requests that run.
-    :param queued: requests that wait.
-    :param pace: above 1 the rank is slower than usual.
-    :param is_silent: whether the agent beside it is not heard of; the other
-        figures are then the last ones that were told.
-    """
+    group: str
+    token: int
+    address: Place
+    turn: int = 0
 
-    host: str
-    active: int
-    queued: int
-    pace: float
-    is_silent: bool = False
 
+class FindLead(msgspec.Struct, frozen=True, tag='w', array_like=True):
+    """An agent that hears of no coordinator asks who coordinates its group.
 
-class GroupNews(msgspec.Struct, frozen=True, tag='g', array_like=True):
-    """What a coordinator tells the entries of its group.
+    The coordinator answers, or another agent that has heard of one just now.
 
-    :param service: the service that the group serves.
-    :param token: the coordinator's fencing token.
-    :param is_open: whether the group takes requests.
-    :param pass_seconds: mean time of the last passes; 0 if there were none.
-    :param ranks: the load of each rank.
-    :param epoch: of the group; grows each time it opens anew.
+    :param group: the group's name.
     """
 
-    service: str
-    token: int
-    is_open: bool
-    pass_seconds: float
-    ranks: tuple[RankLoad, ...]
-    epoch: int = 0
+    group: str
 
 
-class Lead(msgspec.Struct, frozen=True, tag='d', array_like=True):
-    """A coordinator's heartbeat to the agents of its group.
+class Passed(msgspec.Struct, frozen=True, tag='p', array_like=True):
+    """A message for all agents of a group, on its way through their tree.
 
-    :param group: the group's name.
-    :param token: the coordinator's fencing token.
+    :param origin: the agent that sent it first.
+    :param turn: of the tree.
+    :param first: position of the first agent to which the receiver passes it
+        on, in the tree's order.
+    :param end: position after the last of them.
+    :param inner: the message, encoded, and compressed if it is large.
+    :param is_packed: whether it is compressed.
     """
 
-    group: str
-    token: int
+    origin: Place
+    turn: int
+    first: int
+    end: int
+    inner: bytes
+    is_packed: bool = False
 
 
 class Leave(msgspec.Struct, frozen=True, tag='e', array_like=True):
@@ -132,13 +90,30 @@
     """What an agent reports to the coordinator.
 
     :param state: the rank's.
-    :param experts: for each set, the experts that the rank holds.
-    :param shares: the rank's part of the load, or ``None`` if it is not known.
+    :param experts: for each set, the experts that the rank holds; left out of
+        most reports.
+    :param part: the load of this rank and of those that report through its
+        agent; left out by agents that report their load to another one.
     """
 
     state: RankState
-    experts: tuple[tuple[int, ...], ...]
-    shares: Shares | None
+    experts: tuple[tuple[int, ...], ...] = ()
+    part: LoadPart | None = None
+
+
+class LoadPart(msgspec.Struct, frozen=True, tag='s', array_like=True):
+    """The load of some ranks, on its way to the coordinator.
+
+    :param turn: of the tree in which it is summed up.
+    :param ranks: ranks that it is the sum of.
+    :param shares: their part of the load.
+    :param age_ms: how long ago the oldest of it was counted.
+    """
+
+    turn: int
+    ranks: int
+    shares: Shares
+    age_ms: int = 0
 
 
 class Ask(msgspec.Struct, frozen=True, tag='a', array_like=True):
@@ -184,6 +159,7 @@
     :param experts: the map, where the order has one; with a base, that map.
     :param base: version of the map that ``parts`` change, or -1.
     :param parts: what the map differs from that one in.
+    :param digest: of the map that is meant; 0 if it is not told.
     """
 
     kind: str
@@ -192,11 +168,22 @@
     experts: ExpertMap = ()
     base: int = NO_MAP
     parts: tuple[MapPart, ...] = ()
+    digest: int = 0
 
 
 Question = Ask | Tell
 LeaveMessage = Leave | LeaveGranted
-Message = Hello | Load | GroupNews | Lead | LeaveMessage | Counts | Question
+LeadMessage = Lead | FindLead | Passed
+ReportMessage = Counts | LoadPart
+Message = (
+    Hello
+    | Load
+    | GroupNews
+    | LeadMessage
+    | LeaveMessage
+    | ReportMessage
+    | Question
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/src/ospreyford/rebalance/ports.py
+++ b/src/ospreyford/rebalance/ports.py
@@ -10,6 +10,7 @@
     Guard,
     Order,
     Outcome,
+    Prepare,
     RankExperts,
     RankState,
     Term,
@@ -80,6 +81,13 @@
             coordinator's own if there is one.
         """
 
+    async def spread(self, order: Prepare, term: Term) -> None:
+        """Send an order to all ranks; its outcomes are asked for afterwards.
+
+        :param order: the order.
+        :param term: whose order it is, and for which epoch.
+        """
+
     async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
         """Have a rank carry out an order.
 
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
@@ -13,7 +12,6 @@
 from ospreyford.rebalance.frames import (
     pack_change,
     pack_order,
-    unpack_outcome,
 )
 from ospreyford.rebalance.group import (
     Done,
@@ -31,49 +29,17 @@
 from ospreyford.rebalance.member import RankMember
 from ospreyford.rebalance.messages import (
     NO_MAP,
-    UNKNOWN_BASE,
-    Ask,
     OrderFrame,
-    RankLoad,
-    Tell,
-    encode,
 )
 from ospreyford.rebalance.ports import Reply
+from ospreyford.rebalance.questions import Questions
 from ospreyford.rebalance.silence import SilentAgents
 
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
     from ospreyford.rebalance.ports import EnginePort
     from ospreyford.rebalance.post import Address, Post
-
-#: Time between two sendings of one question, in seconds: some round trips
-#: between zones and the rank's own answer.
-REPEAT_SECONDS = 0.03
-#: Time between two sendings, as a part of what one round of questions to all
-#: ranks takes on this host's link.
-ROUND_PART = 1.5
-#: An agent that has shown no sign of life after so many sendings is passed
-#: over, and the rank itself is reached.
-SIGNLESS_TRIES = 5
-#: How long an order other than a copy may take, in seconds.
-ORDER_SECONDS = 0.6
-#: How long copying may take beyond the time of the copies, in seconds.
-COPY_SECONDS = 3.0
-
-
-class _Waiting:
-    """A question that waits for its answer.
-
-    :param short: the question, with what the map changes only.
-    :param whole: the same with the map that is changed.
-    """
-
-    def __init__(self, short: Ask, whole: OrderFrame) -> None:
-        self.question = encode(short)
-        self.whole = encode(Ask(short.number, short.token, short.epoch, whole))
-        self.seen = False
-        self.outcome: Outcome | None = None
-        self.done = curio.Event()
+    from ospreyford.rebalance.relays import Relays
 
 
 class GroupRanks:
@@ -85,6 +51,7 @@
     :param post: the process's datagrams.
     :param reach: reaches a rank by its IP number, without an agent.
     :param clock: source of time.
+    :param relays: sends a message to all agents.
     """
 
     def __init__(
@@ -95,19 +62,18 @@
         post: Post,
         reach: Callable[[str], EnginePort | None],
         clock: Clock,
+        relays: Relays,
     ) -> None:
         self.agents: dict[int, Address] = {}
         self.maps = KnownMaps()
         self.me = me
-        self._my_host = my_host
+        self.my_host = my_host
         self._member = member
-        self._post = post
         self._far = FarRanks(reach, clock)
         self._clock = clock
         self._states: dict[int, RankState] = {}
         self.silent = SilentAgents(clock)
-        self._numbers = itertools.count(int(clock.wall() * 1000) << 8)
-        self._waiting: dict[int, _Waiting] = {}
+        self.questions = Questions(post, relays, clock)
 
     def read_states(self) -> Mapping[int, RankState]:
         """Read the newest known state of each rank.
@@ -116,26 +82,6 @@
         """
         return self._states
 
-    def list_loads(self) -> tuple[RankLoad, ...]:
-        """List what runs and waits at each rank.
-
-        :returns: the load of each rank that is known.
-        """
-        hosts = {rank: address[0] for rank, address in self.agents.items()}
-        hosts[self.me] = self._my_host
-        return tuple(
-            RankLoad(
-                host=hosts[rank],
-                active=state.active,
-                queued=state.queued,
-                pace=state.pace,
-                is_silent=rank != self.me
-                and self.silent.is_silent(hosts[rank]),
-            )
-            for rank, state in self._states.items()
-            if rank in hosts
-        )
-
     def note_report(self, state: RankState, agent: Address) -> None:
         """Take over an agent's report.
 
@@ -158,17 +104,16 @@
         :param members: the agents of the group.
         :returns: the ranks that were looked at, and how they are reached.
         """
-        seen = []
-        for address in members:
-            host = address[0]
-            if host != self._my_host and self.silent.take_look(host):
-                engine = self._far.find(host)
-                state = None if engine is None else await engine.read_state()
-                if engine is not None and state is not None:
-                    self.agents[state.rank] = address
-                    self.note_state(state)
-                    seen.append((state.rank, engine))
-        return seen
+        silent = [
+            address
+            for address in members
+            if address[0] != self.my_host and self.silent.take_look(address[0])
+        ]
+        # One after the other, the hosts of an availability zone that is cut
+        # off would hold up all plans for as many time limits.
+        async with curio.TaskGroup() as group:
+            looks = [await group.spawn(self._look, one) for one in silent]
+        return [look.result for look in looks if look.result is not None]
 
     def note_state(self, state: RankState) -> None:
         """Take over what a rank shows.
@@ -194,21 +139,6 @@
                     version=version, prepared=None, armed=None
                 )
 
-    async def note_answer(self, answer: Tell) -> None:
-        """Take over an agent's answer.
-
-        :param answer: the answer.
-        """
-        waiting = self._waiting.get(answer.number)
-        if waiting is None:
-            return
-        waiting.seen = True
-        if answer.outcome == UNKNOWN_BASE:
-            waiting.question = waiting.whole
-        elif answer.outcome is not None:
-            waiting.outcome = unpack_outcome(answer)
-            await waiting.done.set()
-
     async def watch_pass(self, seconds: float) -> RankState | None:
         """Look at the rank beside this agent until a pass begins.
 
@@ -235,6 +165,18 @@
                     return rank
         return self.me
 
+    async def spread(self, order: Prepare, term: Term) -> None:
+        """Send an order to all ranks, through the tree of their agents.
+
+        Each rank is asked for its outcome, as ever, by :meth:`carry_out`, which
+        sends the order directly to those that have not answered in time.
+
+        :param order: the order.
+        :param term: whose order it is, and for which epoch.
+        """
+        short, _ = self._pack(self.me, order)
+        await self.questions.spread(order, term, short, len(self.agents) + 1)
+
     async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
         """Have a rank carry out an order.
 
@@ -254,6 +196,15 @@
             self.note_state(state)
         return outcome
 
+    async def _look(self, address: Address) -> tuple[int, EnginePort] | None:
+        engine = self._far.find(address[0])
+        state = None if engine is None else await engine.read_state()
+        if engine is None or state is None:
+            return None
+        self.agents[state.rank] = address
+        self.note_state(state)
+        return state.rank, engine
+
     async def _hold(self, rank: int, order: Hold, term: Term) -> Outcome:
         """Hold a pass at a rank from here, without the agent beside it.
 
@@ -286,46 +237,21 @@
             return Silent()
         if self.silent.is_silent(address[0]):
             return await self._far.carry_out(address[0], order, term)
-        number = next(self._numbers)
-        short = pack_order(order)
-        whole = short
-        limit = ORDER_SECONDS
-        if isinstance(order, Prepare):
-            limit = COPY_SECONDS
-            known = self._states.get(rank)
-            base = NO_MAP if known is None else known.version
-            short, whole = pack_change(order, base, self.maps)
-        waiting = _Waiting(Ask(number, *term, short), whole)
-        self._waiting[number] = waiting
-        try:
-            await self._repeat(waiting, address, limit)
-        finally:
-            self._waiting.pop(number)
+        waiting = await self.questions.ask(
+            address, order, term, self._pack(rank, order)
+        )
         if waiting.outcome is not None:
             return waiting.outcome
         if waiting.seen:
             return Silent()
         return await self._far.carry_out(address[0], order, term)
 
-    async def _repeat(
-        self,
-        waiting: _Waiting,
-        address: Address,
-        limit: float,
-    ) -> None:
-        until = self._clock.monotonic() + limit
-        tries = 0
-        link_bytes = self._post.link_bytes
-        while waiting.outcome is None and self._clock.monotonic() < until:
-            if tries >= SIGNLESS_TRIES and not waiting.seen:
-                return
-            await self._post.send_paced(waiting.question, address)
-            tries += 1
-            # All ranks are asked at once: repeated before the link has carried
-            # the first round, large questions would never arrive.
-            round_bytes = len(waiting.question) * max(len(self.agents), 1)
-            pause = max(REPEAT_SECONDS, ROUND_PART * round_bytes / link_bytes)
-            await curio.ignore_after(pause, waiting.done.wait())
+    def _pack(self, rank: int, order: Order) -> tuple[OrderFrame, ...]:
+        if not isinstance(order, Prepare):
+            return (pack_order(order),)
+        known = self._states.get(rank)
+        base = NO_MAP if known is None else known.version
+        return pack_change(order, base, self.maps)
 
 
 def _tell_order(state: RankState) -> tuple[int, int, int, int]:
--- a/src/ospreyford/rebalance/view.py
+++ b/src/ospreyford/rebalance/view.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from ospreyford.rebalance.coordinator import Group
-from ospreyford.rebalance.loads import Shares, add_up
+from ospreyford.rebalance.loads import add_up
+from ospreyford.rebalance.loadsums import LoadSums
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -31,26 +32,23 @@
         self, ranks: GroupRanks, maps: KnownMaps, clock: Clock
     ) -> None:
         self._maps = maps
-        self.counted_at = clock.monotonic()
+        self.sums = LoadSums(clock)
         self._ranks = ranks
-        self._clock = clock
-        self._parts: dict[int, Shares] = {}
         self._experts: dict[int, RankExperts] = {}
         self._experts_of: dict[int, tuple[int, int] | None] = {}
 
-    def note_counts(self, counts: Counts) -> None:
+    def note_counts(self, counts: Counts, host: str) -> None:
         """Take over a rank's report.
 
         :param counts: the report.
+        :param host: IP number of the agent's host.
         """
         self._ranks.note_state(counts.state)
         rank = counts.state.rank
         if counts.experts:
             self._note_experts(rank, counts.experts)
-        shares = None if counts.shares is None else counts.shares.unpack()
-        if shares is not None:
-            self.counted_at = self._clock.monotonic()
-            self._parts[rank] = shares
+        if counts.part is not None:
+            self.sums.note(host, counts.part)
 
     async def look_past_agents(self, members: Sequence[Address]) -> None:
         """Look directly at the ranks whose agents are silent.
@@ -127,7 +125,7 @@
         :param sets: the number of sets.
         :returns: for each set, the load of each expert; empty if not known.
         """
-        return add_up(self._parts, sets)
+        return add_up(self.sums.list_shares(), sets)
 
     def list_paces(self, group: Group) -> list[float]:
         """List by how much each rank is slower than usual.
--- a/src/ospreyford/rebalance/watcher.py
+++ b/src/ospreyford/rebalance/watcher.py
@@ -5,16 +5,22 @@
 from typing import TYPE_CHECKING
 
 from ospreyford.rebalance.decisions import RankChanged
-from ospreyford.rebalance.loads import Life, ShareTracker
-from ospreyford.rebalance.messages import Counts
+from ospreyford.rebalance.loads import Life, Shares, ShareTracker
+from ospreyford.rebalance.mapparts import make_first_map
 
 if TYPE_CHECKING:
     from ospreyford.observability.logs import ChangeLog
-    from ospreyford.rebalance.group import RankExperts, RankState
+    from ospreyford.ports.clock import Clock
+    from ospreyford.rebalance.group import ExpertMap, RankExperts, RankState
     from ospreyford.rebalance.ports import EnginePort
 
 #: Looks in a row without an answer after which the rank counts as gone.
 LOST_LOOKS = 4
+#: Time between two readings of a rank's counts, in seconds for each count.
+#: 4,128 of them are read ten times a second, 288 with each pass.
+COUNT_SECONDS = 0.000025
+#: Of a rank that has counted nothing yet.
+NO_SHARES = Shares(0, b'')
 
 
 class RankWatcher:
@@ -22,9 +28,18 @@
 
     :param engine: the rank.
     :param log: where changes go.
+    :param clock: source of time.
+
+    ``counted_at`` tells when the newest counts were read.
     """
 
-    def __init__(self, engine: EnginePort, log: ChangeLog) -> None:
+    def __init__(
+        self, engine: EnginePort, log: ChangeLog, clock: Clock
+    ) -> None:
+        self.counted_at = clock.monotonic()
+        self._clock = clock
+        self._counted = 0
+        self._counted_step: int | None = None
         self.state: RankState | None = None
         self._engine = engine
         self._log = log
@@ -48,6 +63,9 @@
         self._log_difference(before, state)
         if before is None or before.step != state.step:
             await self._learn_shares(state)
+        elif self._counted_step == state.step:
+            # Without a pass nothing is counted: what is known is the newest.
+            self.counted_at = self._clock.monotonic()
         return await self._learn_experts(state)
 
     def count_ranks(self) -> int:
@@ -57,20 +75,38 @@
         """
         return 1 if self.state is None else self.state.size
 
-    def make_report(self) -> Counts | None:
-        """Make a report for the coordinator.
+    def pack_shares(self) -> Shares:
+        """Pack the rank's part of the load.
+
+        :returns: its shares; without any before the first counts.
+        """
+        writing = 0 if self.state is None else self.state.active
+        return self._shares.pack(writing) or NO_SHARES
+
+    def list_experts(self) -> RankExperts:
+        """List the experts that the rank holds.
 
-        :returns: the report, or ``None`` if the rank does not answer.
+        :returns: the experts of each set; empty if they are not known.
         """
-        if self.state is None:
+        state = self.state
+        if state is None or self._experts_of != (state.epoch, state.version):
+            return ()
+        return self._experts
+
+    def make_first_map(self) -> ExpertMap | None:
+        """Make the map that the group opened with, from what its rank shows.
+
+        :returns: the map, or ``None`` if what is known of the rank does not
+            tell it or does not fit it.
+        """
+        state = self.state
+        sets = len(self._experts)
+        if state is None or not sets or not self._counted:
             return None
-        shares = self._shares.pack(self.state.active)
-        is_known = self._experts_of == (self.state.epoch, self.state.version)
-        return Counts(
-            self.state,
-            self._experts if is_known else (),
-            None if shares is None else shares.pack_large(),
-        )
+        first = make_first_map(sets, self._counted // sets, state.size)
+        shown = tuple(of_set[state.rank] for of_set in first)
+        is_shown = state.version != 0 or shown == self.list_experts()
+        return first if is_shown else None
 
     def _note_miss(self) -> None:
         self._missed += 1
@@ -87,8 +123,14 @@
             self._log_change(state, 'open' if state.is_open else 'broken')
 
     async def _learn_shares(self, state: RankState) -> None:
+        now = self._clock.monotonic()
+        if now < self.counted_at + COUNT_SECONDS * self._counted:
+            return
         counts = await self._engine.read_counts()
         if counts is not None:
+            self.counted_at = now
+            self._counted = len(counts)
+            self._counted_step = state.step
             life = Life(state.epoch, state.born_ms)
             self._shares.take(counts, life, state.step, state.active)
 
--- a/tests/rebalance/coordinators.py
+++ b/tests/rebalance/coordinators.py
@@ -12,6 +12,7 @@
     Guard,
     Order,
     Outcome,
+    Prepare,
     RankExperts,
     RankState,
     Term,
@@ -82,6 +83,9 @@
         others = [rank for rank in ranks if rank != self.me]
         return others[0] if others else self.me
 
+    async def spread(self, order: Prepare, term: Term) -> None:
+        """Send nothing ahead."""
+
     async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
         member = RankMember(Engine(self.group, rank), self.clock)
         outcome = await member.carry_out(order, term)
--- a/tests/rebalance/test_arming.py
+++ b/tests/rebalance/test_arming.py
@@ -17,6 +17,7 @@
     Hold,
     Order,
     Outcome,
+    Prepare,
     RankState,
     Term,
 )
@@ -53,6 +54,9 @@
     def choose_holder(self, ranks: Sequence[int]) -> int:
         return 0
 
+    async def spread(self, order: Prepare, term: Term) -> None:
+        """Send nothing ahead."""
+
     async def carry_out(self, rank: int, order: Order, term: Term) -> Outcome:
         self._apply(rank, order)
         return Done(self.states[rank])
--- a/tests/rebalance/test_election.py
+++ b/tests/rebalance/test_election.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from ospreyford.rebalance.election import Election
+from ospreyford.rebalance.election import (
+    ASK_SECONDS,
+    FIRST_SECONDS,
+    TURN_SECONDS,
+    Election,
+)
 from ospreyford.rebalance.versions import NOBODY, RANKS_MOST
 from tests.fakes.clock import FakeClock
 
@@ -16,7 +21,7 @@
 def test_the_first_agent_stands_first() -> None:
     clock = FakeClock()
     elections = make(clock)
-    clock.advance(0.5)
+    clock.advance(FIRST_SECONDS + TURN_SECONDS / 2)
     stood = [one.stand(AGENTS, rank) for rank, one in enumerate(elections)]
     assert stood == [True, False, False]
 
@@ -151,3 +156,39 @@
     election = Election(AGENTS[0], clock)
     clock.advance(0.5)
     assert not election.stand(AGENTS, NOBODY)
+
+
+def test_agents_that_meet_late_stand_in_turn() -> None:
+    """Nine coordinators within half a second, and no fault anywhere.
+
+    Sequence: processes start, and learn of each other some seconds later.
+    Cause: all had heard of no coordinator for longer than their turn.
+    """
+    clock = FakeClock()
+    elections = make(clock)
+    clock.advance(10)
+    for one in elections:
+        one.meet(AGENTS)
+    stood = [one.stand(AGENTS, rank) for rank, one in enumerate(elections)]
+    assert stood == [False, False, False]
+    clock.advance(FIRST_SECONDS + TURN_SECONDS / 2)
+    stood = [one.stand(AGENTS, rank) for rank, one in enumerate(elections)]
+    assert stood == [True, False, False]
+
+
+def test_hearsay_keeps_no_lost_coordinator_alive() -> None:
+    """Two agents told each other for ever of a coordinator that was gone."""
+    clock = FakeClock()
+    first, second, third = make(clock)
+    clock.advance(0.5)
+    first.stand(AGENTS, 0)
+    assert first.token is not None
+    second.hear(first.token, AGENTS[0])
+    third.hear(first.token, AGENTS[0], is_hearsay=True)
+    assert second.is_in_touch()
+    assert not third.is_in_touch()
+    for _ in range(6):
+        clock.advance(ASK_SECONDS / 2)
+        second.hear(first.token, AGENTS[0], is_hearsay=True)
+    assert not second.is_in_touch()
+    assert second.stand(AGENTS, 1)
