Price a copy of an expert by the number of ranks that gain from it

Cause: a copy had to lower the mean skew of all sets by 0.005 to 0.02, whatever the group. Where sixteen sets make the mean, that is 0.3 of one set; a shorter pass serves ten times as many streams with 129 ranks as with twelve.

Change: the price is of one copy on each rank, 0.06, as before with twelve ranks.

Test over 12, 72 and 129 ranks, the two larger ones red before.

--- a/src/ospreyford/measure/mappolicies.py
+++ b/src/ospreyford/measure/mappolicies.py
@@ -128,7 +128,7 @@
             spare=self.scene.spare,
             copies=self._pace.copies,
             least_gain=self._pace.least_gain,
-            copy_cost=self._pace.copy_cost,
+            copy_cost=self._pace.copy_cost / self.scene.ranks,
         )
         return Planner(loads, experts, limits).plan()
 
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -197,12 +197,13 @@
         loads = self.view.find_loads(len(experts))
         if not loads or not any(loads[0]):
             return None
+        copy_cost = self._pace.copy_cost * self._tell_ease(max_gap)
         limits = PlanLimits(
             places=engine.places,
             spare=engine.spare,
             copies=self._pace.copies,
             least_gain=self._pace.least_gain,
-            copy_cost=self._pace.copy_cost * self._tell_ease(max_gap),
+            copy_cost=copy_cost / len(group.ranks),
         )
         paces = self.view.list_paces(group)
         until = self._clock.monotonic() + self._pace.plan
--- a/src/ospreyford/rebalance/settings.py
+++ b/src/ospreyford/rebalance/settings.py
@@ -13,8 +13,10 @@
     :param copies: experts that one plan may add to a rank.
     :param least_gain: what a move must lower the peak of a set by, as a part
         of a rank's mean load.
-    :param copy_cost: what a copy must lower the mean skew of all sets by where
-        a pass takes ``pass_part`` of the pause that callers bear.
+    :param copy_cost: what one copy on each rank must lower the mean skew of
+        all sets by where a pass takes ``pass_part`` of the pause that callers
+        bear. A shorter pass serves as many more streams as there are ranks, so
+        that a single copy in a larger group may gain less.
     :param pass_part: see ``copy_cost``; in shorter passes a copy must gain
         more.
     :param ease: how fast that grows as passes get shorter.
@@ -27,7 +29,7 @@
     report: float = 0.09
     copies: int = 2
     least_gain: float = 0.03
-    copy_cost: float = 0.005
+    copy_cost: float = 0.06
     pass_part: float = 0.5
     ease: float = 3
     plan: float = 0.03
--- a/tests/rebalance/test_planner.py
+++ b/tests/rebalance/test_planner.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Sequence
 from random import Random
+from typing import NamedTuple
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ospreyford.rebalance.group import ExpertMap
+from ospreyford.rebalance.mapparts import make_first_map
 from ospreyford.rebalance.planner import Plan, PlanLimits, Planner
+from ospreyford.rebalance.settings import Pace
 
 RANKS = 12
 EXPERTS = 72
@@ -153,3 +156,51 @@
     assert plan is not None
     assert plan.copies == 0
     assert plan.experts[0][0] == ()
+
+
+class Shape(NamedTuple):
+    """Ranks, sets, experts of a set, and places of a rank."""
+
+    ranks: int
+    sets: int
+    experts: int
+    places: int
+
+
+SHAPES = (
+    Shape(12, 4, 72, 8),
+    Shape(72, 12, 144, 3),
+    Shape(129, 16, 258, 3),
+)
+PLANS = 6
+
+
+def draw_heavy(shape: Shape) -> list[list[float]]:
+    random = Random(7)
+    sets, experts = range(shape.sets), range(shape.experts)
+    return [[random.paretovariate(2) for _ in experts] for _ in sets]
+
+
+def fit(shape: Shape, copy_cost: float) -> float:
+    """Plan until nothing pays any more, and tell the skew."""
+    loads = draw_heavy(shape)
+    in_force = make_first_map(shape.sets, shape.experts, shape.ranks)
+    limits = PlanLimits(shape.places, 2, 2, 0.03, copy_cost)
+    skew: float = 0
+    for _ in range(PLANS):
+        plan = Planner(loads, in_force, limits).plan()
+        if plan is None:
+            break
+        in_force, skew = plan.experts, plan.after
+    return skew
+
+
+@pytest.mark.parametrize('shape', SHAPES, ids=str)
+def test_maps_fit_the_load_in_groups_of_any_size(shape: Shape) -> None:
+    """129 ranks waited for one with 2.15 times the mean load.
+
+    Cause: a copy had to gain as much of the mean skew of sixteen sets for 129
+    ranks as of four sets for twelve.
+    """
+    copy_cost = Pace().copy_cost / shape.ranks
+    assert fit(shape, copy_cost) < 1.1 * fit(shape, 0)
