Measure the silence of agents in reports

Cause: agents counted as silent after 0.5 s. With 129 ranks a report comes in 0.24 s on a link of 3 Mbit/s, so that one lost report made a rank look silent; with 516 it comes in 0.95 s, and all of them would have. Found by reading.

Change: the limit is 2.5 times the usual time between two reports, and 0.5 s at least; a stopping agent is given as long. Two of five cases red before.

--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -10,7 +10,6 @@
 from ospreyford.rebalance.passes import PassTimer
 from ospreyford.rebalance.planner import Plan, PlanLimits, Planner
 from ospreyford.rebalance.rankloads import count_heard
-from ospreyford.rebalance.silence import SILENT_SECONDS
 from ospreyford.rebalance.tempo import Tempo
 from ospreyford.rebalance.versions import NOBODY, make_version
 from ospreyford.rebalance.view import GroupView
@@ -31,11 +30,12 @@
 #: Time for which loads of ranks that report may be missing, in seconds, before
 #: they are summed up in another tree: an inner agent is lost.
 INCOMPLETE_SECONDS = 1.0
-#: No change begins for so long after an agent has asked to end, in seconds:
-#: until it counts as silent, so that its rank is reached without it.
-LEAVE_SECONDS = SILENT_SECONDS + 0.1
-#: No change begins for so long at most while agents ask one after the other.
-MOST_PAUSE_SECONDS = 2 * LEAVE_SECONDS
+#: No change begins until an agent that has asked to end counts as silent, and
+#: for so long after it, in seconds: its rank is then reached without it.
+LEAVE_SECONDS = 0.1
+#: How many times as long no change begins at most while agents ask one after
+#: the other.
+MOST_PAUSES = 2
 
 
 class GroupLeader:
@@ -126,7 +126,8 @@
         # Where agents are stopped one after the other, waiting for the last of
         # them would keep the map as it is for as long as that takes.
         paused_until = min(
-            self._plans_from, self._paused_since + MOST_PAUSE_SECONDS
+            self._plans_from,
+            self._paused_since + MOST_PAUSES * self._tell_pause(),
         )
         is_early = self._clock.monotonic() < paused_until
         return not (self._is_leaving or is_early)
@@ -141,9 +142,12 @@
         now = self._clock.monotonic()
         if now >= self._plans_from:
             self._paused_since = now
-        self._plans_from = now + LEAVE_SECONDS
+        self._plans_from = now + self._tell_pause()
         return not self.is_busy()
 
+    def _tell_pause(self) -> float:
+        return self.ranks.silent.tell_limit() + LEAVE_SECONDS
+
     async def work(self, token: int, engine: Engine, max_gap: float) -> bool:
         """Look at the group once, and change its map if that pays.
 
--- a/src/ospreyford/rebalance/silence.py
+++ b/src/ospreyford/rebalance/silence.py
@@ -8,8 +8,14 @@
     from ospreyford.ports.clock import Clock
 
 #: An agent that has not reported for so long is passed over, and its rank is
-#: looked at directly, in seconds: five reports.
+#: looked at directly, in seconds, and in usual times between two reports: those
+#: of a large group come as its coordinator's link bears them.
 SILENT_SECONDS = 0.5
+SILENT_REPORTS = 2.5
+#: Weight of the newest time between two reports in the usual one.
+INTERVAL_WEIGHT = 0.02
+#: Longer times, in seconds, are those of an agent that was away.
+LONGEST_INTERVAL = 3.0
 #: Time between two such looks at one rank, in seconds; each one costs, and what
 #: it shows is older than that anyway.
 LOOK_SECONDS = 0.25
@@ -24,6 +30,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._began = clock.monotonic()
+        self._usual: float = 0
         self._reported: dict[str, float] = {}
         self._looked: dict[str, float] = {}
 
@@ -32,7 +39,18 @@
 
         :param host: IP number of its host.
         """
-        self._reported[host] = self._clock.monotonic()
+        now = self._clock.monotonic()
+        interval = now - self._reported.get(host, now)
+        if 0 < interval < LONGEST_INTERVAL:
+            self._usual += INTERVAL_WEIGHT * (interval - self._usual)
+        self._reported[host] = now
+
+    def tell_limit(self) -> float:
+        """Tell how long an agent may be silent.
+
+        :returns: seconds.
+        """
+        return max(SILENT_SECONDS, SILENT_REPORTS * self._usual)
 
     def note_lost(self, host: str) -> None:
         """Note that an agent has been silent for long enough already.
@@ -48,7 +66,7 @@
         :returns: whether it is passed over.
         """
         reported = self._reported.get(host, self._began)
-        return self._clock.monotonic() - reported > SILENT_SECONDS
+        return self._clock.monotonic() - reported > self.tell_limit()
 
     def take_look(self, host: str) -> bool:
         """Tell whether to look past an agent now, and count the look.
--- a/tests/rebalance/test_known.py
+++ b/tests/rebalance/test_known.py
@@ -51,6 +51,27 @@
     assert agents.take_look('a')
 
 
+#: Time between two reports, and what silence makes an agent silent, in seconds.
+INTERVALS = ((0.09, 0.4, False), (0.09, 0.6, True), (0.24, 0.55, False))
+LONG_INTERVALS = ((0.95, 1.9, False), (0.95, 2.6, True))
+
+
+@pytest.mark.parametrize(
+    ('interval', 'silence', 'is_silent'), INTERVALS + LONG_INTERVALS
+)
+def test_silence_is_measured_in_reports(
+    interval: float, silence: float, *, is_silent: bool
+) -> None:
+    """All agents of a large group counted as silent between two reports."""
+    clock = FakeClock()
+    agents = SilentAgents(clock)
+    for _ in range(400):
+        clock.advance(interval)
+        agents.note_report('a')
+    clock.advance(silence)
+    assert agents.is_silent('a') is is_silent
+
+
 RANK_CASES = (0, 7, 126, 127, 128, 515)
 
 
