--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -8,6 +8,7 @@
 from ospreyford.rebalance.decisions import GroupSettled, MapChanged
 from ospreyford.rebalance.fanout import run_together
 from ospreyford.rebalance.passes import PassTimer
+from ospreyford.rebalance.pauses import PlanPause
 from ospreyford.rebalance.planner import Plan, PlanLimits, Planner
 from ospreyford.rebalance.rankloads import count_heard
 from ospreyford.rebalance.tempo import Tempo
@@ -30,12 +31,6 @@
 #: Time for which loads of ranks that report may be missing, in seconds, before
 #: they are summed up in another tree: an inner agent is lost.
 INCOMPLETE_SECONDS = 1.0
-#: No change begins until an agent that has asked to end counts as silent, and
-#: for so long after it, in seconds: its rank is then reached without it.
-LEAVE_SECONDS = 0.1
-#: How many times as long no change begins at most while agents ask one after
-#: the other.
-MOST_PAUSES = 2
 
 
 class GroupLeader:
@@ -78,8 +73,7 @@
         self._coordinator: Coordinator | None = None
         self._is_leaving = False
         self._complete_at = clock.monotonic()
-        self._plans_from: float = 0
-        self._paused_since: float = 0
+        self._pause = PlanPause(ranks.silent, clock)
 
     def choose_turn(self) -> int:
         """Choose the tree in which the loads of the ranks are summed up.
@@ -123,14 +117,7 @@
 
         :returns: whether no agent that is about to end counts on none.
         """
-        # Where agents are stopped one after the other, waiting for the last of
-        # them would keep the map as it is for as long as that takes.
-        paused_until = min(
-            self._plans_from,
-            self._paused_since + MOST_PAUSES * self._tell_pause(),
-        )
-        is_early = self._clock.monotonic() < paused_until
-        return not (self._is_leaving or is_early)
+        return self._pause.is_over() and not self._is_leaving
 
     def let_leave(self) -> bool:
         """Tell whether an agent may end now; no change begins for a while.
@@ -139,15 +126,9 @@
         """
         # Begun just then, a change would ask the agent in vain, with a pass
         # held, before it reached past it.
-        now = self._clock.monotonic()
-        if now >= self._plans_from:
-            self._paused_since = now
-        self._plans_from = now + self._tell_pause()
+        self._pause.extend()
         return not self.is_busy()
 
-    def _tell_pause(self) -> float:
-        return self.ranks.silent.tell_limit() + LEAVE_SECONDS
-
     async def work(self, token: int, engine: Engine, max_gap: float) -> bool:
         """Look at the group once, and change its map if that pays.
 
