Pack an order once for all ranks, and encode a question when it is sent

Cause: each of 129 ranks had the change of a map worked out and its digest made, 18.9 ms together, and both its forms encoded, whole ones included, before any of them was needed.

--- a/src/ospreyford/rebalance/questions.py
+++ b/src/ospreyford/rebalance/questions.py
@@ -52,17 +52,19 @@
     def __init__(
         self, number: int, term: Term, frames: Sequence[OrderFrame]
     ) -> None:
-        self._questions = [
-            encode(Ask(number, *term, frame)) for frame in frames
-        ]
+        self._number = number
+        self._term = term
+        self._frames = list(frames)
         self.seen = False
         self.outcome: Outcome | None = None
         self.done = curio.Event()
 
-    @property
-    def question(self) -> bytes:
-        """The question as it is sent now, encoded."""
-        return self._questions[0]
+    def make_question(self) -> bytes:
+        """Make the question as it is sent now.
+
+        :returns: the datagram's bytes.
+        """
+        return encode(Ask(self._number, *self._term, self._frames[0]))
 
     async def take(self, answer: Tell) -> None:
         """Take over an answer.
@@ -71,8 +73,8 @@
         """
         self.seen = True
         if answer.outcome == UNKNOWN_BASE:
-            if len(self._questions) > 1:
-                self._questions.pop(0)
+            if len(self._frames) > 1:
+                self._frames.pop(0)
         elif answer.outcome is not None:
             self.outcome = unpack_outcome(answer)
             await self.done.set()
@@ -203,11 +205,12 @@
         while waiting.outcome is None and self._clock.monotonic() < until:
             if tries >= SIGNLESS_TRIES and not waiting.seen:
                 return
-            await self._post.send_paced(waiting.question, address)
+            question = waiting.make_question()
+            await self._post.send_paced(question, address)
             tries += 1
             # Many ranks are asked at once: repeated before the link has carried
             # the first round, large questions would never arrive.
-            round_bytes = len(waiting.question) * max(len(self._waiting), 1)
+            round_bytes = len(question) * max(len(self._waiting), 1)
             pause = max(REPEAT_SECONDS, ROUND_PART * round_bytes / link_bytes)
             await curio.ignore_after(pause, waiting.done.wait())
 
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import curio
 
@@ -42,6 +42,19 @@
     from ospreyford.rebalance.relays import Relays
 
 
+class _Packed(NamedTuple):
+    """An order as it is sent to all ranks that use the same map.
+
+    :param order: the order.
+    :param base: version of the map that they use.
+    :param frames: the order in several forms, the shortest first.
+    """
+
+    order: Prepare
+    base: int
+    frames: tuple[OrderFrame, ...]
+
+
 class GroupRanks:
     """Reaches each rank through its agent, or directly if that is silent.
 
@@ -72,6 +85,7 @@
         self._far = FarRanks(reach, clock)
         self._clock = clock
         self._states: dict[int, RankState] = {}
+        self._packed: _Packed | None = None
         self.silent = SilentAgents(clock)
         self.questions = Questions(post, relays, clock)
 
@@ -251,7 +265,12 @@
             return (pack_order(order),)
         known = self._states.get(rank)
         base = NO_MAP if known is None else known.version
-        return pack_change(order, base, self.maps)
+        packed = self._packed
+        if packed is None or packed.order is not order or packed.base != base:
+            frames = pack_change(order, base, self.maps)
+            packed = _Packed(order, base, frames)
+            self._packed = packed
+        return packed.frames
 
 
 def _tell_order(state: RankState) -> tuple[int, int, int, int]:
