--- a/src/ospreyford/console/ctl.py
+++ b/src/ospreyford/console/ctl.py
@@ -19,6 +19,7 @@
 from ospreyford.console.failures import BadArgument, CommandError
 from ospreyford.console.offline import FileReport, check_files, explain_files
 from ospreyford.console.pile import read_pile
+from ospreyford.console.refusals import list_refusals
 from ospreyford.console.render import render_json, render_text, render_trace
 from ospreyford.console.story import tell_story
 from ospreyford.settings.errors import SettingsError, make_printable
@@ -42,6 +43,7 @@
       trace REQUEST_ID                    the hops of one request
       story REQUEST_ID [LOG...]           a request's way, from logs
       believed HOST [LOG...]              what a process believed, from logs
+      refusals [LOG...]                   refused streams and room elsewhere
 
     Any entry answers for the whole system. Entries are named by --entry, by
     --settings FILE (key ``entries``) or by OSPREYFORD_ENTRIES.
@@ -183,6 +185,22 @@
         pile = self._attempt(read_pile, logs)
         self._finish(self._attempt(tell_story, pile, request_id))
 
+    def refusals(self, *logs: str) -> Never:
+        """List refused streams and the room that other entries had.
+
+        A refusal comes with the age of the figures behind it, and with the
+        places that other entries had left at that moment.
+
+        Examples:
+          ospreyfordctl refusals entry-*.log
+          cat *.log | ospreyfordctl --output json refusals
+
+        :param logs: files; standard input if none is named.
+
+        """
+        pile = self._attempt(read_pile, logs)
+        self._finish(self._attempt(list_refusals, pile))
+
     def believed(self, host: str, *logs: str, at: str = '') -> Never:
         """Show what a process believed at a moment, from its log lines.
 
