--- a/src/ospreyford/console/refusals.py
+++ b/src/ospreyford/console/refusals.py
@@ -90,7 +90,8 @@
     took = line.fields.get('took_ms', waited)
     if line.fields.get('verdict') == NotRun.__name__:
         return line.at
-    return line.at - (took - waited) / MILLISECONDS
+    served: float = took - waited
+    return line.at - served / MILLISECONDS
 
 
 def _explain(refused: _Decision, decisions: list[_Decision]) -> Refusal:
