Find the agent above once a report, and count a datagram's headers in one place

Found while reading the whole change: each report worked out the tree's order twice, the bytes of headers stood in two modules, and the bytes of the last load were kept although nothing reads them.

--- a/src/ospreyford/rebalance/audience.py
+++ b/src/ospreyford/rebalance/audience.py
@@ -17,6 +17,7 @@
     OddRank,
     RankDetails,
 )
+from ospreyford.rebalance.post import HEADER_BYTES
 
 if TYPE_CHECKING:
     from ospreyford.direct.catalog import Engine
@@ -32,8 +33,6 @@
 #: the news that also tell what each rank has to do.
 NEWS_PART = 0.1
 DETAILS_PART = 0.15
-#: Bytes of a datagram beside its content.
-HEADER_BYTES = 28
 #: Time between two questions for the list of members, in seconds. One entry is
 #: asked, not each that greets with the same list meanwhile.
 ASK_SECONDS = 0.15
--- a/src/ospreyford/rebalance/post.py
+++ b/src/ospreyford/rebalance/post.py
@@ -25,6 +25,8 @@
 #: Messages of more bytes than one packet holds go one after the other, and
 #: take so much of the host's link.
 PACKET_BYTES = 1400
+#: Bytes of a datagram beside its content.
+HEADER_BYTES: Final = 28
 LARGE_PART = 0.5
 #: Handles one message and its sender's address.
 MessageHandler = Callable[[Message, Address], Awaitable[None]]
--- a/src/ospreyford/rebalance/reporter.py
+++ b/src/ospreyford/rebalance/reporter.py
@@ -6,6 +6,7 @@
 
 from ospreyford.rebalance.loadsums import LoadSums
 from ospreyford.rebalance.messages import Counts, LoadPart, encode
+from ospreyford.rebalance.post import HEADER_BYTES
 from ospreyford.rebalance.tree import DEGREE, find_parent, order_members
 
 if TYPE_CHECKING:
@@ -21,8 +22,6 @@
 #: rest. Links of one group's hosts are alike.
 STATE_PART: Final = 0.15
 LOAD_PART: Final = 0.3
-#: Bytes of a datagram beside its content.
-HEADER_BYTES: Final = 28
 #: Time between two reports that tell which experts a rank holds, in seconds:
 #: only a coordinator that does not know the map in force needs that.
 EXPERTS_SECONDS: Final = 0.5
@@ -57,7 +56,6 @@
         self._watcher = watcher
         self._clock = clock
         self._state_bytes = 0
-        self._load_bytes = 0
         self._load_due: float = 0
         self._experts_due: float = 0
         self._experts_to: Address | None = None
@@ -76,31 +74,35 @@
         :param leader: the coordinator's address.
         :returns: the report, or ``None`` if the rank does not answer.
         """
-        state = self._watcher.state
-        if state is None:
-            return None
-        is_below = self._find_parent(leader) is None
-        part = self._take_due_part() if is_below else None
-        return Counts(state, self._take_due_experts(leader), part)
+        return self._make_report(leader, self._find_parent(leader))
 
     async def report(self, leader: Address) -> None:
         """Report to the coordinator, and to the agent above if that is due.
 
         :param leader: the coordinator's address.
         """
-        report = self.make_report(leader)
+        parent = self._find_parent(leader)
+        report = self._make_report(leader, parent)
         if report is None:
             return
         datagram = encode(report)
         if report.part is None and not report.experts:
             self._state_bytes = len(datagram)
         await self._post.send_bytes(datagram, leader)
-        parent = self._find_parent(leader)
         if parent is not None:
             part = self._take_due_part()
             if part is not None:
                 await self._post.send(part, parent)
 
+    def _make_report(
+        self, leader: Address, parent: Address | None
+    ) -> Counts | None:
+        state = self._watcher.state
+        if state is None:
+            return None
+        part = self._take_due_part() if parent is None else None
+        return Counts(state, self._take_due_experts(leader), part)
+
     def _find_parent(self, leader: Address) -> Address | None:
         ordered = order_members(self.members, leader, self.sums.turn)
         return find_parent(ordered, self._me)
@@ -112,9 +114,10 @@
         part = self.sums.add_to(
             self._watcher.pack_shares(), self._watcher.counted_at
         )
-        self._load_bytes = len(part.shares.chosen)
         self._load_due = now + tell_load_pause(
-            self._settings, self._watcher.count_ranks(), self._load_bytes
+            self._settings,
+            self._watcher.count_ranks(),
+            len(part.shares.chosen),
         )
         return part
 
--- a/tests/rebalance/test_tree.py
+++ b/tests/rebalance/test_tree.py
@@ -9,14 +9,13 @@
 
 from ospreyford.rebalance.audience import (
     DETAILS_PART,
-    HEADER_BYTES,
     NEWS_PART,
 )
 from ospreyford.rebalance.election import BEAT_SECONDS
 from ospreyford.rebalance.loads import Shares, pack_sum
 from ospreyford.rebalance.messages import Counts, Lead, LoadPart, Passed, encode
 from ospreyford.rebalance.news import GroupNews, RankDetails
-from ospreyford.rebalance.post import Address
+from ospreyford.rebalance.post import HEADER_BYTES, Address
 from ospreyford.rebalance.reporter import (
     LOAD_PART,
     STATE_PART,
