Log the request rates that backends declare

A backend in need declares in its responses how many requests a second it takes from all entries together. No entry read the field, and no line or metric told which entry had passed on which value when, so that a rank that is sent its usual load could not be told from one that is preferred in need.

Each entry now keeps the declared rate by incarnation, apart from the registrations, and logs BackendLimited, BackendUnlimited and LimitUnreadable; ospreyford_backends_limited counts them. Nothing is decided by it yet. A response to a request that was sent before the latest declaration arrived may be older than it and neither ends nor raises a limit. A value that is no decimal number changes nothing. A response of another backend at the same address (421) says nothing of this one.

The sliding maximum of entry counts moves out of the context into a module of its own; no change there.

--- /dev/null
+++ b/src/ospreyford/direct/backendlimits.py
@@ -0,0 +1,159 @@
+"""Request rates that backends declare in their responses."""
+
+from __future__ import annotations
+
+import re
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from ospreyford.direct.limitdecisions import (
+    BackendLimited,
+    BackendUnlimited,
+    LimitUnreadable,
+)
+from ospreyford.http.message import find_header
+
+if TYPE_CHECKING:
+    from ospreyford.direct.registry import BackendRegistry, BackendServer
+    from ospreyford.http.message import Headers
+    from ospreyford.observability.logs import ChangeLog
+
+#: Longer values are refused before they are matched.
+MAX_LIMIT_CHARACTERS: Final = 32
+DECIMAL_NUMBER: Final = re.compile(rb'\d+(?:\.\d*)?|\.\d+')
+#: A registration may lapse for this long while its process goes on.
+LIMIT_MEMORY_SECONDS: Final = 600.0
+
+
+@dataclass
+class BackendLimit:
+    """The request rate that one backend process declares.
+
+    :param rate: requests per second from all entries together; ``None`` if it
+        declares none.
+    :param declared_at: when it last declared one, or no longer did, in seconds
+        on the monotonic clock.
+    :param is_unreadable: whether it declared something unreadable.
+    """
+
+    rate: float | None = None
+    declared_at: float = 0
+    is_unreadable: bool = False
+
+    def apply(self, rate: float | None, sent_at: float, now: float) -> None:
+        """Apply what a response declares.
+
+        Responses on different connections overtake each other. One to a request
+        that was sent before the latest declaration arrived may be older than
+        it, and must not raise the limit.
+
+        :param rate: requests per second; ``None`` if it declares none.
+        :param sent_at: when the request was sent, in seconds on the monotonic
+            clock.
+        :param now: seconds on that clock.
+        """
+        is_newer = sent_at > self.declared_at
+        if is_newer or self.rate is None:
+            self.rate = rate
+        elif rate is not None:
+            self.rate = min(rate, self.rate)
+        if is_newer or rate is not None:
+            self.declared_at = now
+
+
+class BackendLimits:
+    """The declared request rates of all backends.
+
+    They are kept apart from the registrations: a registration that lapses
+    and returns does not end the limit of a process.
+
+    :param field_name: name of the header field, in lower case.
+    :param log: receives log events.
+    """
+
+    def __init__(self, field_name: bytes, log: ChangeLog) -> None:
+        self._field_name = field_name
+        self._log = log
+        #: By incarnation.
+        self._limits: dict[tuple[str, int], BackendLimit] = {}
+
+    @property
+    def limited_count(self) -> int:
+        """Number of backends that declare a limit."""
+        return sum(one.rate is not None for one in self._limits.values())
+
+    def find(self, server: BackendServer) -> BackendLimit | None:
+        """Find the limit of a backend.
+
+        :param server: its registration.
+        :returns: the limit, or ``None`` if it never declared one.
+        """
+        return self._limits.get(server.get_incarnation())
+
+    def record_response(
+        self, server: BackendServer, headers: Headers, sent_at: float
+    ) -> None:
+        """Record what a backend's response declares.
+
+        :param server: the backend that sent the response.
+        :param headers: the response's header fields.
+        :param sent_at: when the request was sent, in seconds on the monotonic
+            clock.
+        """
+        text = find_header(headers, self._field_name)
+        incarnation = server.get_incarnation()
+        if text is None and incarnation not in self._limits:
+            return
+        limit = self._limits.setdefault(incarnation, BackendLimit())
+        rate = None if text is None else parse_limit(text)
+        if text is not None and rate is None:
+            self._record_unreadable(server, limit, text)
+            return
+        previous = limit.rate
+        limit.apply(rate, sent_at, time.monotonic())
+        if limit.rate != previous:
+            self._log_change(server, limit.rate)
+
+    def forget_ended(self, backends: BackendRegistry) -> None:
+        """Forget the limits of backends that ended long ago.
+
+        :param backends: the registered backends.
+        """
+        oldest = time.monotonic() - LIMIT_MEMORY_SECONDS
+        self._limits = {
+            incarnation: limit
+            for incarnation, limit in self._limits.items()
+            if limit.declared_at > oldest or backends.find(incarnation[0])
+        }
+
+    def _log_change(self, server: BackendServer, rate: float | None) -> None:
+        if rate is None:
+            self._log.log_change(BackendUnlimited(server.id, server.service))
+        else:
+            self._log.log_change(
+                BackendLimited(server.id, server.service, rate)
+            )
+
+    def _record_unreadable(
+        self, server: BackendServer, limit: BackendLimit, text: bytes
+    ) -> None:
+        if limit.is_unreadable:
+            return
+        limit.is_unreadable = True
+        shown = text[:MAX_LIMIT_CHARACTERS].decode('latin-1')
+        self._log.log_change(LimitUnreadable(server.id, server.service, shown))
+
+
+def parse_limit(text: bytes) -> float | None:
+    """Parse a declared limit.
+
+    :param text: the raw value.
+    :returns: requests per second, 0 or greater; ``None`` if it is not a decimal
+        number.
+    """
+    digits = text.strip()
+    is_short = len(digits) <= MAX_LIMIT_CHARACTERS
+    if not is_short or DECIMAL_NUMBER.fullmatch(digits) is None:
+        return None
+    return float(digits)
--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
+    from ospreyford.direct.backendlimits import BackendLimits
     from ospreyford.direct.call import Call
     from ospreyford.direct.connections import ConnectionPool
     from ospreyford.direct.headernames import HeaderNames
@@ -43,10 +44,12 @@
 
     :param pool: connections to backends.
     :param header_names: names of the header fields.
+    :param limits: request rates that backends declare.
     """
 
     pool: ConnectionPool
     header_names: HeaderNames
+    limits: BackendLimits
 
 
 class BackendRequest:
@@ -69,6 +72,7 @@
         self._connection: ClientConnection | None = None
         self._head: Response | None = None
         self._is_complete = False
+        self._sent_at: float = 0
 
     async def __aenter__(self) -> BackendRequest:
         """Enter the context.
@@ -119,7 +123,8 @@
 
     async def _exchange(self, connection: ClientConnection) -> AttemptOutcome:
         call = self._call
-        remaining = call.compute_remaining(time.monotonic())
+        self._sent_at = time.monotonic()
+        remaining = call.compute_remaining(self._sent_at)
         headers = make_backend_headers(
             call, self.server, self._resources.header_names, remaining
         )
@@ -135,12 +140,19 @@
         self, connection: ClientConnection, head: Response
     ) -> AttemptOutcome:
         header_names = self._resources.header_names
-        refused = find_header(head.headers, header_names.refused) is not None
-        if refused or head.status == MISDIRECTED:
+        if head.status == MISDIRECTED:
+            # Another backend at the same address.
             await self._drain_refusal(connection)
             return Refused(head)
-        if not self._is_valid_response(head):
+        refused = find_header(head.headers, header_names.refused) is not None
+        if not refused and not self._is_valid_response(head):
             return Lost(Cause.garbled)
+        self._resources.limits.record_response(
+            self.server, head.headers, self._sent_at
+        )
+        if refused:
+            await self._drain_refusal(connection)
+            return Refused(head)
         if self._call.route.streams and head.status == OK:
             return Streaming(head)
         body = await connection.read_body()
--- a/src/ospreyford/direct/budget.py
+++ b/src/ospreyford/direct/budget.py
@@ -5,11 +5,15 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from ospreyford.direct.slidingmaximum import SlidingMaximum
+
 if TYPE_CHECKING:
     from ospreyford.direct.settings import RetrySettings
 
 #: Margin, since the sliding windows differ between entries.
 USABLE_FRACTION = 0.8
+#: Time until a new agent or coordinator has heard of all entries.
+ENTRY_COUNT_WINDOW_SECONDS = 1.5
 
 
 class RetryBudget:
@@ -25,9 +29,23 @@
     def __init__(self, settings: RetrySettings) -> None:
         self.entries = settings.assumed_entries
         self.settings = settings
+        self._entry_counts = SlidingMaximum(ENTRY_COUNT_WINDOW_SECONDS)
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
 
+    def record_entry_count(self, entries: int, now: float) -> None:
+        """Record the number of entries that an agent reported.
+
+        An agent that started recently has heard of few entries, and dividing by
+        too small a number overfills groups, so the maximum of the last reports
+        counts.
+
+        :param entries: as counted by the agent.
+        :param now: seconds on the monotonic clock.
+        """
+        self._entry_counts.record(entries, now)
+        self.entries = max(self._entry_counts.get() or 0, 1)
+
     def record_request(self, service: str, now: float) -> None:
         """Record a caller's request.
 
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import time
-from collections import deque
 from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
 from ospreyford.direct.admission import GroupLoad
+from ospreyford.direct.backendlimits import BackendLimits
 from ospreyford.direct.backendrequest import RequestResources
-from ospreyford.direct.budget import RetryBudget
+from ospreyford.direct.budget import (
+    ENTRY_COUNT_WINDOW_SECONDS,
+    RetryBudget,
+)
 from ospreyford.direct.connections import ConnectionPool
 from ospreyford.direct.freshness import StateFreshness
 from ospreyford.direct.gate import StreamGate
@@ -30,10 +33,6 @@
     from ospreyford.observability.logs import ChangeLog
 
 
-#: Time until a new agent or coordinator has heard of all entries.
-ENTRY_COUNT_WINDOW_SECONDS = 1.5
-
-
 @dataclass
 class EntryContext:
     """State shared by the components of an entry.
@@ -65,14 +64,15 @@
         self.suspects = CrashSuspects(self.log, self.settings.identity_salt)
         self.suspect_sharing = SuspectSharing(self.suspects)
         self.pool = ConnectionPool()
+        self.limits = BackendLimits(self.header_names.limit, self.log)
         self.metrics = EntryMetrics()
         serve_tallies(self)
         self.started_at = time.monotonic()
-        #: Time and value of reported entry counts, in decreasing order.
-        self._entry_counts: deque[tuple[float, int]] = deque()
         self.gates: dict[str, StreamGate] = {}
         self.retry_detector = RetryDetector()
-        self.resources = RequestResources(self.pool, self.header_names)
+        self.resources = RequestResources(
+            self.pool, self.header_names, self.limits
+        )
 
     def find_gate(self, call: Call) -> StreamGate | None:
         """Find the admission gate of a request.
@@ -113,19 +113,9 @@
     def record_entry_count(self, entries: int) -> None:
         """Record the number of entries that an agent reported.
 
-        An agent that started recently has heard of few entries, and dividing by
-        too small a number overfills groups, so the maximum of the last reports
-        counts.
-
         :param entries: as counted by the agent.
         """
-        now = time.monotonic()
-        while self._entry_counts and self._entry_counts[-1][1] <= entries:
-            self._entry_counts.pop()
-        self._entry_counts.append((now, entries))
-        while self._entry_counts[0][0] < now - ENTRY_COUNT_WINDOW_SECONDS:
-            self._entry_counts.popleft()
-        self.budget.entries = max(self._entry_counts[0][1], 1)
+        self.budget.record_entry_count(entries, time.monotonic())
 
     def is_starting(self) -> bool:
         """Check whether this entry started recently.
--- a/src/ospreyford/direct/headernames.py
+++ b/src/ospreyford/direct/headernames.py
@@ -16,6 +16,8 @@
     :param refused: marks a response of a backend that has not run the request.
     :param signature: the backend's signature of a successful response.
     :param last_event: id of the event after which a stream resumes.
+    :param limit: requests per second that a backend takes from all entries
+        together, in its responses.
     """
 
     request_id: bytes
@@ -26,3 +28,4 @@
     refused: bytes
     signature: bytes
     last_event: bytes
+    limit: bytes
--- a/src/ospreyford/direct/metrics.py
+++ b/src/ospreyford/direct/metrics.py
@@ -74,6 +74,12 @@
             context.pool,
             'opened',
         ),
+        (
+            'backends_limited',
+            'Back ends that declare how many requests they take.',
+            context.limits,
+            'limited_count',
+        ),
         (
             'crash_checks',
             'Connections opened to see whether a back end is down.',
--- a/src/ospreyford/measure/direct_timing.py
+++ b/src/ospreyford/measure/direct_timing.py
@@ -65,6 +65,7 @@
     refused=b'x-refused',
     signature=b'x-seal',
     last_event=b'last-event-id',
+    limit=b'x-limit',
 )
 SEALED: Final = ((b'x-id', b'mine'), (b'x-seal', b's'))
 ASKED: Final = Request(
--- a/src/ospreyford/observability/loggedevents.py
+++ b/src/ospreyford/observability/loggedevents.py
@@ -7,6 +7,7 @@
 
 from ospreyford.direct.crashdecisions import CrashDecision
 from ospreyford.direct.decisions import Decision as EntryDecision
+from ospreyford.direct.limitdecisions import LimitDecision
 from ospreyford.direct.restoredecisions import RestoreDecision
 from ospreyford.observability.events import (
     BackendEjected,
@@ -56,6 +57,7 @@
     | EntryDecision
     | RestoreDecision
     | CrashDecision
+    | LimitDecision
     | AgentDecision
     | TaskFailed
 )
--- a/src/ospreyford/platform/headernames.py
+++ b/src/ospreyford/platform/headernames.py
@@ -16,6 +16,7 @@
     refused=b'x-not-executed',
     signature=b'x-response-seal',
     last_event=b'last-event-id',
+    limit=b'server-limit',
 )
 
 #: Generation of the store, in each of its responses.
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -44,6 +44,7 @@
     refused=b'x-refused',
     signature=b'x-seal',
     last_event=b'last-event-id',
+    limit=b'x-limit',
 )
 SETTINGS = DirectSettings(
     name='entry',
