--- a/src/ospreyford/platform/standins/rankgroup.py
+++ b/src/ospreyford/platform/standins/rankgroup.py
@@ -15,7 +15,6 @@
     Arrivals,
     Replica,
     ReplicaOptions,
-    sign_answer,
 )
 
 if TYPE_CHECKING:
@@ -146,7 +145,7 @@
         options = group.options
         epoch = group.epoch
         last = find_header(exchange.request.headers, HEADER_NAMES.last_event)
-        await exchange.start(HTTPStatus.OK, sign_answer(request_id))
+        await exchange.start(HTTPStatus.OK, self.sign_answer(request_id))
         self._active += 1
         try:
             for event in range(int(last or 0) + 1, EVENTS + 1):
--- a/src/ospreyford/platform/standins/replicas.py
+++ b/src/ospreyford/platform/standins/replicas.py
@@ -83,7 +83,7 @@
     Each start is a new process with another id at the same address.
 
     ``is_leaving`` is set by a drill that has announced its end: a crash is then
-    its end.
+    its end. ``limit`` is the request rate that its responses declare.
 
     :param options: how it behaves.
     :param store: the state of the store.
@@ -96,6 +96,7 @@
         self.id = ''
         self.address = ('', 0)
         self.is_leaving = False
+        self.limit: bytes | None = None
         self._options = options
         self._store = store
         self._arrivals = arrivals
@@ -178,6 +179,20 @@
         """
         return False
 
+    def sign_answer(self, request_id: bytes) -> Headers:
+        """Make the header fields of an answer.
+
+        :param request_id: the caller's request id.
+        :returns: the fields that mark it as this replica's answer.
+        """
+        fields = (
+            (HEADER_NAMES.request_id, request_id),
+            (HEADER_NAMES.signature, b'seal'),
+        )
+        if self.limit is None:
+            return fields
+        return (*fields, (HEADER_NAMES.limit, self.limit))
+
     async def come_back(self) -> None:
         """Start again as another process, some time after a crash."""
         await curio.sleep(self._options.back_seconds)
@@ -234,17 +249,5 @@
         :param request_id: the caller's request id.
         """
         await curio.sleep(self._options.work_seconds)
-        fields = sign_answer(request_id)
+        fields = self.sign_answer(request_id)
         await exchange.respond(HTTPStatus.OK, b'answer', fields)
-
-
-def sign_answer(request_id: bytes) -> Headers:
-    """Make the header fields of an answer.
-
-    :param request_id: the caller's request id.
-    :returns: the fields that mark it as a replica's answer.
-    """
-    return (
-        (HEADER_NAMES.request_id, request_id),
-        (HEADER_NAMES.signature, b'seal'),
-    )
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -157,7 +157,9 @@
 class Fleet:
     """Entries, one agent, a store and plain replicas on loopback."""
 
-    def __init__(self, route_type: str = 'idempotent') -> None:
+    def __init__(
+        self, route_type: str = 'idempotent', *, has_agent: bool = True
+    ) -> None:
         self.state = StoreState(generation=3)
         self.store = StoreServer(self.state)
         self.arrivals = Arrivals()
@@ -165,6 +167,7 @@
         self.entries: list[FleetEntry] = []
         self._ids = itertools.count()
         self._route_type = route_type
+        self._has_agent = has_agent
         self._store_address = ('', 0)
         self._agent_port = 0
 
@@ -221,8 +224,9 @@
         # The agents' port must be free on all hosts; each has its own address.
         self._agent_port = probe._socket.getsockname()[1]  # noqa: SLF001
         await probe._socket.close()  # noqa: SLF001
-        agent = AgentStandIn(host, self._agent_port)
-        await curio.spawn(agent.run, daemon=True)
+        if self._has_agent:
+            agent = AgentStandIn(host, self._agent_port)
+            await curio.spawn(agent.run, daemon=True)
         return host
 
 
