Stay within the request rate that a backend declares

Callers saw nothing of it at first: a backend in need that asked for one request a second from all entries together got its usual two to three, and 12 in 4 s by the luck of the draw (allowed 11), so that it could not recover.

Cause: entries did not know the declaration at all. Class: a bound that holds for the sum over all entries, of which each entry sees only its own part.

Each entry now sends to such a backend in slots of its own: entries share a cycle of (number of entries / rate) seconds on the wall clock, ordered by name as agents tell, and backends are spread over the cycle by their ids. An unused slot lapses, since 35 entries that each saved one request up in a lull would send 35 in a burst. The time since an entry's last request bounds its rate also while limit, position or number of entries change. The number of entries is the highest of the last 5 s; without any agent's word it is 32.

Every attempt passes the same selection: first attempts, resends, resumed and migrated streams. A request goes to a backend that takes it at once, else waits up to 1 s and a quarter of its time for a slot, and is checked again then (key, crashes, backend draining or gone, a pause of the process). What all backends together do not take is rejected at once, with the time to the next free slot as Retry-After. A backend whose declaration is older than 4 s is tried first when its slot opens, as only a request shows that its need has ended; a rate of 0 is tried once in 4 s by all entries together.

--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -75,6 +75,7 @@
 
     async def _handle_load(self, load: HelloReply, address: Address) -> None:
         self._record_told_state(load)
+        self._context.limits.shares.record_position(load.position, load.entries)
         hello = self._find_hello(load)
         if hello is None:
             return
--- a/src/ospreyford/direct/backendlimits.py
+++ b/src/ospreyford/direct/backendlimits.py
@@ -7,15 +7,21 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from ospreyford.direct.entryshare import ShareTracker
 from ospreyford.direct.limitdecisions import (
     BackendLimited,
     BackendUnlimited,
     LimitUnreadable,
 )
+from ospreyford.direct.requestslots import Moment, RequestSlots
 from ospreyford.http.message import find_header
 
 if TYPE_CHECKING:
-    from ospreyford.direct.registry import BackendRegistry, BackendServer
+    from ospreyford.direct.registry import (
+        BackendRegistry,
+        BackendServer,
+        BackendState,
+    )
     from ospreyford.http.message import Headers
     from ospreyford.observability.logs import ChangeLog
 
@@ -24,12 +30,15 @@
 DECIMAL_NUMBER: Final = re.compile(rb'\d+(?:\.\d*)?|\.\d+')
 #: A registration may lapse for this long while its process goes on.
 LIMIT_MEMORY_SECONDS: Final = 600.0
+#: A limit that was not declared for this long may have ended.
+OVERDUE_SECONDS: Final = 4.0
 
 
 @dataclass
 class BackendLimit:
     """The request rate that one backend process declares.
 
+    :param slots: when this entry may send requests to it.
     :param rate: requests per second from all entries together; ``None`` if it
         declares none.
     :param declared_at: when it last declared one, or no longer did, in seconds
@@ -37,6 +46,7 @@
     :param is_unreadable: whether it declared something unreadable.
     """
 
+    slots: RequestSlots
     rate: float | None = None
     declared_at: float = 0
     is_unreadable: bool = False
@@ -69,10 +79,12 @@
     and returns does not end the limit of a process.
 
     :param field_name: name of the header field, in lower case.
+    :param entry: the entry's name.
     :param log: receives log events.
     """
 
-    def __init__(self, field_name: bytes, log: ChangeLog) -> None:
+    def __init__(self, field_name: bytes, entry: str, log: ChangeLog) -> None:
+        self.shares = ShareTracker(entry, time.monotonic())
         self._field_name = field_name
         self._log = log
         #: By incarnation.
@@ -83,13 +95,57 @@
         """Number of backends that declare a limit."""
         return sum(one.rate is not None for one in self._limits.values())
 
-    def find(self, server: BackendServer) -> BackendLimit | None:
-        """Find the limit of a backend.
+    def has_any(self) -> bool:
+        """Check whether any backend has declared a limit.
+
+        :returns: whether one has, even if it no longer does.
+        """
+        return bool(self._limits)
+
+    def get_rate(self, server: BackendServer) -> float | None:
+        """Return the rate that a backend declares.
+
+        :param server: its registration.
+        :returns: requests per second; ``None`` if it declares none.
+        """
+        limit = self._limits.get(server.get_incarnation())
+        return None if limit is None else limit.rate
+
+    def find_slot(self, server: BackendServer, now: float) -> float:
+        """Find when the next request may be sent to a backend.
 
         :param server: its registration.
-        :returns: the limit, or ``None`` if it never declared one.
+        :param now: seconds on the monotonic clock.
+        :returns: time on that clock; now if a request may be sent.
+        """
+        limit = self._limits.get(server.get_incarnation())
+        if limit is None or limit.rate is None:
+            return now
+        share = self.shares.get_share(now)
+        moment = Moment(now, time.time())
+        return limit.slots.find_next(limit.rate, share, moment)
+
+    def take_slot(self, server: BackendServer, at: float) -> None:
+        """Take a slot of a backend for a request.
+
+        :param server: its registration.
+        :param at: when the request is sent, in seconds on the monotonic clock.
+        """
+        limit = self._limits.get(server.get_incarnation())
+        if limit is not None:
+            limit.slots.take(at)
+
+    def is_overdue(self, backend: BackendState, now: float) -> bool:
+        """Check whether a limit may have ended without this entry's notice.
+
+        :param backend: the backend.
+        :param now: seconds on the monotonic clock.
+        :returns: whether it declared a limit, but not recently.
         """
-        return self._limits.get(server.get_incarnation())
+        limit = self._limits.get(backend.server.get_incarnation())
+        if limit is None or limit.rate is None:
+            return False
+        return now - limit.declared_at > OVERDUE_SECONDS
 
     def record_response(
         self, server: BackendServer, headers: Headers, sent_at: float
@@ -105,7 +161,9 @@
         incarnation = server.get_incarnation()
         if text is None and incarnation not in self._limits:
             return
-        limit = self._limits.setdefault(incarnation, BackendLimit())
+        limit = self._limits.setdefault(
+            incarnation, BackendLimit(RequestSlots(server.id))
+        )
         rate = None if text is None else parse_limit(text)
         if text is not None and rate is None:
             self._record_unreadable(server, limit, text)
--- /dev/null
+++ b/src/ospreyford/direct/backendselector.py
@@ -0,0 +1,161 @@
+"""Selection of the backend for each attempt of a request."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+
+from ospreyford.direct.selection import SelectionCriteria, find_selectable
+from ospreyford.direct.slotselection import (
+    NoSlot,
+    SendLater,
+    SendNow,
+    SlotSelector,
+)
+from ospreyford.direct.verdicts import Cause
+
+if TYPE_CHECKING:
+    from ospreyford.direct.call import Call
+    from ospreyford.direct.context import EntryContext
+    from ospreyford.direct.migration import StreamMigrator
+    from ospreyford.direct.registry import BackendState
+
+#: Maximum number of attempts per request, including refused ones.
+MAX_ATTEMPTS = 6
+#: Bounds of the retry time of requests without a slot; another entry may have
+#: one sooner than this one.
+MIN_RETRY_AFTER_SECONDS = 0.3
+MAX_RETRY_AFTER_SECONDS = 2.0
+#: A slot lapses if the process was paused for longer.
+MAX_SLOT_DELAY_SECONDS = 0.25
+
+
+@dataclass(frozen=True)
+class Unavailable:
+    """The request cannot be sent now.
+
+    :param cause: the reason; ``None`` if it is that of the last attempt.
+    :param retry_after: retry time in seconds; ``None`` if nothing is known.
+    """
+
+    cause: Cause | None = None
+    retry_after: float | None = None
+
+
+class BackendSelector:
+    """Selects the backends of one request.
+
+    :param call: the request.
+    :param context: shared state of the entry.
+    :param migrator: holds the retry that is reserved for a migration.
+    :param in_group: whether the backends are ranks of a group.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        context: EntryContext,
+        migrator: StreamMigrator,
+        *,
+        in_group: bool,
+    ) -> None:
+        self._call = call
+        self._context = context
+        self._migrator = migrator
+        self._in_group = in_group
+        self._slots = SlotSelector(context.limits, context.random)
+
+    async def select(self) -> BackendState | Unavailable:
+        """Select the backend of the next attempt, and wait for its slot.
+
+        :returns: the backend; the request must be sent to it at once.
+        """
+        barrier = self._find_barrier()
+        if barrier is not None:
+            return Unavailable(barrier)
+        if self._call.attempts and not self._may_retry(time.monotonic()):
+            return Unavailable()
+        selected: BackendState | Unavailable | None = None
+        while selected is None:
+            selected = await self._select_once()
+        return selected
+
+    async def _select_once(self) -> BackendState | Unavailable | None:
+        """Select a backend or wait for one.
+
+        :returns: ``None`` if the wait was in vain.
+        """
+        now = time.monotonic()
+        backends, criteria = self._list_selectable(now)
+        remaining = self._call.compute_remaining(now)
+        match self._slots.select(backends, criteria, remaining):
+            case SendNow(backend=backend):
+                self._context.limits.take_slot(backend.server, now)
+                return backend
+            case SendLater(backend=backend, at=at):
+                return await self._wait_for_slot(backend, at)
+            case NoSlot(wait_seconds=seconds):
+                seconds = max(seconds, MIN_RETRY_AFTER_SECONDS)
+                return Unavailable(
+                    Cause.limited, min(seconds, MAX_RETRY_AFTER_SECONDS)
+                )
+        return Unavailable()
+
+    async def _wait_for_slot(
+        self, backend: BackendState, at: float
+    ) -> BackendState | Unavailable | None:
+        limits = self._context.limits
+        rate = limits.get_rate(backend.server)
+        limits.take_slot(backend.server, at)
+        await curio.sleep(max(at - time.monotonic(), 0))
+        # What allowed the request to be sent may have changed meanwhile.
+        barrier = self._find_barrier()
+        if barrier is not None:
+            return Unavailable(barrier)
+        is_late = time.monotonic() - at > MAX_SLOT_DELAY_SECONDS
+        is_leaving = backend.is_gone or backend.server.is_draining
+        is_changed = limits.get_rate(backend.server) != rate
+        return None if is_late or is_leaving or is_changed else backend
+
+    def _find_barrier(self) -> Cause | None:
+        if not self._context.may_serve(self._call):
+            return Cause.key_withdrawn
+        if not self._context.suspects.may_send(self._call):
+            return Cause.crashes_backends
+        return None
+
+    def _may_retry(self, now: float) -> bool:
+        call = self._call
+        if len(call.attempts) >= MAX_ATTEMPTS:
+            return False
+        if not call.has_attempts_left():
+            return False
+        if self._migrator.consume_reserved_retry():
+            return True
+        return self._context.budget.spend(call.service, now)
+
+    def _list_selectable(
+        self, now: float
+    ) -> tuple[list[BackendState], SelectionCriteria]:
+        call = self._call
+        backends = self._context.backends.list_preferred(call.service)
+        excluded = call.list_tried_backends()
+        selectable = find_selectable(
+            backends,
+            excluded,
+            call.list_reached_backends(),
+            call.route.attempts,
+        )
+        if selectable is not None:
+            # Only ranks that were tried may get it again.
+            backends = [
+                one
+                for one in backends
+                if self._in_group and one.server.id in selectable
+            ]
+            excluded = set()
+        zone = self._context.settings.zone
+        return backends, SelectionCriteria(zone, excluded, now)
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -64,7 +64,9 @@
         self.suspects = CrashSuspects(self.log, self.settings.identity_salt)
         self.suspect_sharing = SuspectSharing(self.suspects)
         self.pool = ConnectionPool()
-        self.limits = BackendLimits(self.header_names.limit, self.log)
+        self.limits = BackendLimits(
+            self.header_names.limit, self.settings.name, self.log
+        )
         self.metrics = EntryMetrics()
         serve_tallies(self)
         self.started_at = time.monotonic()
@@ -115,7 +117,9 @@
 
         :param entries: as counted by the agent.
         """
-        self.budget.record_entry_count(entries, time.monotonic())
+        now = time.monotonic()
+        self.budget.record_entry_count(entries, now)
+        self.limits.shares.record_count(entries, now)
 
     def is_starting(self) -> bool:
         """Check whether this entry started recently.
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -9,14 +9,14 @@
 import curio
 
 from ospreyford.direct.backendrequest import BackendRequest
+from ospreyford.direct.backendselector import (
+    MAX_ATTEMPTS,
+    BackendSelector,
+    Unavailable,
+)
 from ospreyford.direct.call import Attempt
 from ospreyford.direct.headers import drop_hop_by_hop
 from ospreyford.direct.migration import StreamMigrator
-from ospreyford.direct.selection import (
-    SelectionCriteria,
-    find_selectable,
-    select_backend,
-)
 from ospreyford.direct.streaming import StreamResult, forward_stream
 from ospreyford.direct.verdicts import (
     BLOCKED,
@@ -45,8 +45,6 @@
 GATEWAY_TIMEOUT: Final = 504
 SERVER_ERROR: Final = 500
 MILLISECONDS = 1000
-#: Maximum number of attempts per request, including refused ones.
-MAX_ATTEMPTS = 6
 #: Consecutive refusals after which a group counts as closed.
 CLOSED_REFUSALS = 2
 #: Events after which a stream has begun for long.
@@ -72,7 +70,11 @@
         self._suspects = context.suspects
         self._gate = context.find_gate(call)
         self._cause = Cause.no_backend
+        self._retry_after: float | None = None
         self._migrator = StreamMigrator(call, context, MAX_ATTEMPTS)
+        self._selector = BackendSelector(
+            call, context, self._migrator, in_group=self._gate is not None
+        )
 
     async def run(self) -> Verdict:
         """Relay the request within its deadline.
@@ -125,10 +127,10 @@
         """
         verdict: Verdict | None = None
         while verdict is None:
-            backend = self._select_backend()
-            if backend is None:
-                return self._make_failure(self._cause, BAD_GATEWAY)
-            verdict = await self._attempt(backend)
+            selected = await self._selector.select()
+            if isinstance(selected, Unavailable):
+                return self._handle_unavailable(selected)
+            verdict = await self._attempt(selected)
             refusals = self._call.count_trailing_refusals()
             is_closed = verdict is None and refusals >= CLOSED_REFUSALS
             if self._gate is not None and is_closed:
@@ -136,42 +138,10 @@
                 break
         return verdict
 
-    def _select_backend(self) -> BackendState | None:
-        call = self._call
-        context = self._context
-        now = time.monotonic()
-        if not context.may_serve(call):
-            self._cause = Cause.key_withdrawn
-            return None
-        if not self._suspects.may_send(call):
-            self._cause = Cause.crashes_backends
-            return None
-        if call.attempts and not self._may_retry(now):
-            return None
-        backends = context.backends.list_preferred(call.service)
-        tried = call.list_tried_backends()
-        excluded = tried
-        selectable = find_selectable(
-            backends, tried, call.list_reached_backends(), call.route.attempts
-        )
-        if selectable is not None:
-            if self._gate is None:
-                return None
-            # Only backends that were tried may get it again.
-            backends = [one for one in backends if one.server.id in selectable]
-            excluded = set()
-        criteria = SelectionCriteria(context.settings.zone, excluded, now)
-        return select_backend(backends, criteria, context.random)
-
-    def _may_retry(self, now: float) -> bool:
-        call = self._call
-        if len(call.attempts) >= MAX_ATTEMPTS:
-            return False
-        if not call.has_attempts_left():
-            return False
-        if self._migrator.consume_reserved_retry():
-            return True
-        return self._context.budget.spend(call.service, now)
+    def _handle_unavailable(self, unavailable: Unavailable) -> Verdict:
+        self._cause = unavailable.cause or self._cause
+        self._retry_after = unavailable.retry_after
+        return self._make_failure(self._cause, BAD_GATEWAY)
 
     async def _attempt(self, backend: BackendState) -> Verdict | None:
         call = self._call
@@ -290,6 +260,8 @@
             return BLOCKED
         if self._call.may_have_run or self._call.is_in_flight():
             return Unknown(cause, status)
+        if self._retry_after is not None:
+            return NotRun(cause, self._retry_after)
         if self._gate is None:
             return NotRun(cause, DEFAULT_RETRY_AFTER_SECONDS)
         return NotRun(cause, self._gate.compute_retry_after())
--- a/src/ospreyford/direct/verdicts.py
+++ b/src/ospreyford/direct/verdicts.py
@@ -23,6 +23,7 @@
     refused = 'refused by back ends'
     unreachable = 'back ends unreachable'
     overloaded = 'no place in time'
+    limited = 'back ends take no more requests now'
     lost = 'connection to the back end lost'
     garbled = 'answer of the back end unusable'
     out_of_time = 'time is up'
--- a/src/ospreyford/rebalance/entrymessages.py
+++ b/src/ospreyford/rebalance/entrymessages.py
@@ -56,6 +56,8 @@
     :param version: newest version of the configuration that any entry held.
     :param settling_ms: time for which some entry doubts readings of a restored
         store, in milliseconds; 0 if none does.
+    :param position: index of the receiver among those entries, in the order of
+        their names; -1 if the agent does not tell it.
     """
 
     host: str
@@ -66,6 +68,7 @@
     needs_members: bool = False
     version: int = 0
     settling_ms: int = 0
+    position: int = -1
 
 
 class ImpairedRank(NamedTuple):
--- a/src/ospreyford/rebalance/entryregistry.py
+++ b/src/ospreyford/rebalance/entryregistry.py
@@ -89,6 +89,7 @@
             needs_members=self._should_request_members(hello),
             version=self._newest_version,
             settling_ms=max(int((self._settles_at - now) * MS_PER_SECOND), 0),
+            position=sorted(self._entries).index(hello.entry),
         )
         await self._datagram_socket.send(reply, address)
 
--- a/tests/direct/test_agents.py
+++ b/tests/direct/test_agents.py
@@ -251,3 +251,13 @@
     entry.receive(make_reply(**told))
     assert entry.context.may_serve_keys() is may_serve
     assert entry.context.is_informed
+
+
+def test_share_follows_the_coordinator(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An entry that knows too few others would send too much."""
+    entry = Entry(monkeypatch)
+    entry.receive(make_report(entries=35))
+    entry.receive(make_reply(position=7))
+    entry.receive(HelloReply('10.0.0.8', 80, 9, 3, True, position=0))
+    share = entry.context.limits.shares.get_share(entry.now)
+    assert share == (35, 7 / 35)
--- a/tests/direct/test_backendlimits.py
+++ b/tests/direct/test_backendlimits.py
@@ -19,6 +19,7 @@
     LimitUnreadable,
 )
 from ospreyford.direct.registry import BackendRegistry, BackendServer
+from ospreyford.direct.requestslots import RequestSlots
 from tests.direct.backends import RecordingLog
 
 SERVER = BackendServer('b', 's', '10.0.0.1', 80, 'a', 6, False, 1, 100)
@@ -78,7 +79,7 @@
     arrivals: list[Arrival], rate: Rate
 ) -> None:
     """Responses on different connections may overtake each other."""
-    limit = BackendLimit()
+    limit = BackendLimit(RequestSlots('b'))
     for number, (declared, sent_at) in enumerate(arrivals):
         limit.apply(declared, sent_at, 11.0 + number)
     assert limit.rate == rate
@@ -91,7 +92,7 @@
         self.now = 100.0
         monkeypatch.setattr(time, 'monotonic', lambda: self.now)
         self.log = RecordingLog()
-        self.limits = BackendLimits(b'x-limit', self.log)  # type: ignore[arg-type]
+        self.limits = BackendLimits(b'x-limit', 'entry', self.log)  # type: ignore[arg-type]
 
     def respond(
         self, text: bytes | None, server: BackendServer = SERVER
@@ -101,8 +102,7 @@
         self.limits.record_response(server, fields, self.now - 0.5)
 
     def get_rate(self, server: BackendServer = SERVER) -> float | None:
-        limit = self.limits.find(server)
-        return None if limit is None else limit.rate
+        return self.limits.get_rate(server)
 
 
 ONE = BackendLimited('b', 's', 1)
--- /dev/null
+++ b/tests/direct/test_limited_backends.py
@@ -0,0 +1,258 @@
+"""Requests while backends declare how many they take."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+from typing import Any
+
+import curio
+import pytest
+
+from ospreyford.direct.backendlimits import OVERDUE_SECONDS, BackendLimits
+from ospreyford.direct.backendselector import (
+    MAX_RETRY_AFTER_SECONDS,
+    MIN_RETRY_AFTER_SECONDS,
+)
+from ospreyford.direct.catalog import RetryMode
+from ospreyford.direct.decisions import RequestEnded
+from ospreyford.direct.entryshare import ShareTracker
+from ospreyford.direct.registry import BackendServer, BackendState
+from ospreyford.direct.selection import SelectionCriteria
+from ospreyford.direct.slotselection import (
+    NoSlot,
+    SendLater,
+    SendNow,
+    SlotSelector,
+)
+from ospreyford.direct.verdicts import Cause
+from ospreyford.http.message import Headers
+from ospreyford.http.server import Exchange
+from tests.direct import backends as be
+
+ROUTE = be.make_route(RetryMode.idempotent, timeout=8.0)
+LONG: Headers = ((b'x-deadline', b'8000'),)
+NOW = 1000.0
+
+
+def make_backend(name: str) -> BackendState:
+    return BackendState(
+        BackendServer(name, 's', '10.0.0.1', 80, 'a', 6, False, 1)
+    )
+
+
+class Selection:
+    """Three backends and an entry that is alone."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = NOW
+        monkeypatch.setattr(time, 'monotonic', lambda: self.now)
+        monkeypatch.setattr(time, 'time', lambda: self.now)
+        log: Any = be.RecordingLog()
+        self.limits = BackendLimits(b'x-limit', 'entry', log)
+        self.limits.shares.record_count(1, NOW)
+        self.backends = [make_backend(name) for name in 'abc']
+        self.now += 60
+
+    def declare(self, rates: str) -> None:
+        """Declare a rate for each backend; ``-`` for none."""
+        each = zip(self.backends, rates.split(), strict=True)
+        for backend, text in each:
+            fields = () if text == '-' else ((b'x-limit', text.encode()),)
+            self.limits.record_response(backend.server, fields, self.now)
+            self.limits.take_slot(backend.server, self.now)
+
+    def select(self, tried: str = '') -> Any:
+        criteria = SelectionCriteria('a', set(tried), self.now)
+        selector = SlotSelector(self.limits, Random(1))
+        selection = selector.select(self.backends, criteria, 8)
+        if isinstance(selection, SendNow | SendLater):
+            return type(selection), selection.backend.server.id
+        return type(selection), None
+
+
+#: Rates that a, b and c declare after a request to each, backends that the
+#: request was sent to, and what is selected.
+SELECTIONS = (
+    ('0 - 0', '', (SendNow, 'b')),
+    ('0 0 -', 'b', (SendNow, 'c')),
+    # Another backend that takes it soon goes before one that has failed.
+    ('0 - 2', 'b', (SendLater, 'c')),
+    ('0 - 0', 'b', (SendNow, 'b')),
+    ('0 2 0', '', (SendLater, 'b')),
+    ('1.6 2 1', '', (SendLater, 'b')),
+    ('0 0 0', '', (NoSlot, None)),
+    ('0.5 0.5 0.5', 'a', (NoSlot, None)),
+)
+
+
+@pytest.mark.parametrize(('rates', 'tried', 'selected'), SELECTIONS)
+def test_requests_go_where_they_are_taken(
+    monkeypatch: pytest.MonkeyPatch, rates: str, tried: str, selected: Any
+) -> None:
+    """Backends in need must not make their callers worse off than others."""
+    selection = Selection(monkeypatch)
+    selection.declare(rates)
+    assert selection.select(tried) == selected
+
+
+def test_backend_whose_need_may_have_ended_goes_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Only a request shows that a backend no longer declares a limit."""
+    selection = Selection(monkeypatch)
+    selection.declare('- - 100')
+    selection.now += OVERDUE_SECONDS + 1
+    chosen = set()
+    for _ in range(8):
+        selection.now += 0.0013
+        chosen.add(selection.select())
+    assert (SendNow, 'c') in chosen
+    selection.limits.record_response(
+        selection.backends[2].server, (), selection.now
+    )
+    assert not selection.limits.is_overdue(selection.backends[2], selection.now)
+
+
+def limit(rate: bytes, script: be.Script = be.answer) -> be.Script:
+    """Declare a rate in the responses of a script."""
+
+    async def run(exchange: Exchange) -> None:
+        respond = exchange.respond
+
+        async def respond_limited(
+            status: int, body: bytes, headers: Headers = ()
+        ) -> None:
+            await respond(status, body, (*headers, (b'x-limit', rate)))
+
+        exchange.respond = respond_limited  # type: ignore[method-assign]
+        await script(exchange)
+
+    return run
+
+
+async def open_site(*scripts: be.Script) -> be.Site:
+    """Open an entry that knows that it is alone."""
+    site = await be.open_site(ROUTE, *scripts)
+    site.context.limits.shares = ShareTracker('entry', 0)
+    site.context.record_entry_count(1)
+    return site
+
+
+async def ask_often(site: be.Site, count: int) -> list[int]:
+    return [(await site.ask(headers=LONG))[0].status for _ in range(count)]
+
+
+async def press(*scripts: be.Script) -> tuple[list[int], list[int]]:
+    site = await open_site(*scripts)
+    statuses = await ask_often(site, 30)
+    return statuses, site.count_runs()
+
+
+#: Backend scripts, statuses of 30 requests, and the most that the first backend
+#: may see: one before it has declared its rate, and one in an open slot.
+PRESSES = (
+    ((limit(b'0'), be.answer), {200}, 2),
+    ((limit(b'0', be.refuse), be.answer), {200}, 2),
+    ((limit(b'0', be.fail), be.answer), {200}, 2),
+    ((limit(b'nan'), be.answer), {200}, 30),
+    ((limit(b'0'),), {200, 503}, 2),
+    ((limit(b'50'),), {200}, 30),
+)
+
+
+@pytest.mark.parametrize(('scripts', 'statuses', 'most'), PRESSES)
+def test_limited_backends_are_left_alone(
+    scripts: tuple[be.Script, ...], statuses: set[int], most: int
+) -> None:
+    """Answers, failures and refusals all tell of a limit."""
+    seen, runs = curio.run(press, *scripts)
+    assert set(seen) == statuses
+    assert runs[0] <= most
+
+
+async def exceed() -> tuple[dict[bytes, bytes], be.Site]:
+    site = await open_site(limit(b'0'))
+    await ask_often(site, 3)
+    head, _ = await site.ask(headers=LONG)
+    assert head.status == 503
+    return dict(head.headers), site
+
+
+def test_excess_is_rejected_at_once_with_a_retry_time() -> None:
+    """Waiting for a slot that comes too late would only move the excess."""
+    fields, site = curio.run(exceed)
+    retry_after = float(fields[b'retry-after'])
+    assert MIN_RETRY_AFTER_SECONDS <= retry_after <= MAX_RETRY_AFTER_SECONDS
+    ended = site.log.find(RequestEnded)[-1]
+    assert ended.detail['cause'] == Cause.limited
+    assert not ended.attempts
+
+
+def withdraw_key(site: be.Site) -> None:
+    assert site.context.catalog is not None
+    site.context.catalog = site.context.catalog._replace(
+        version=2, customers={}
+    )
+
+
+def drain_backend(site: be.Site) -> None:
+    state = site.context.backends.find('b0')
+    assert state is not None
+    site.context.backends.put(state.server._replace(is_draining=True))
+
+
+def remove_backend(site: be.Site) -> None:
+    site.context.backends.remove('b0')
+
+
+def change_nothing(site: be.Site) -> None:
+    assert site.context.catalog is not None
+
+
+class SlotWatch:
+    """Counts the slots that an entry takes."""
+
+    def __init__(self, limits: BackendLimits) -> None:
+        self.taken = 0
+        self._take_slot = limits.take_slot
+        limits.take_slot = self._count  # type: ignore[method-assign]
+
+    def _count(self, server: BackendServer, at: float) -> None:
+        self.taken += 1
+        self._take_slot(server, at)
+
+
+async def change_while_waiting(change: Any) -> tuple[int, list[int]]:
+    # The next slot is 0.45 to 0.9 s after the last one.
+    site = await open_site(limit(b'1.6667'))
+    await ask_often(site, 1)
+    limits = site.context.limits
+    state = site.context.backends.find('b0')
+    assert state is not None
+    limits.take_slot(state.server, time.monotonic())
+    watch = SlotWatch(limits)
+    asking = await curio.spawn(site.ask, 'POST', LONG)
+    while not watch.taken:
+        await curio.sleep(0.005)
+    change(site)
+    head, _ = await asking.join()
+    return head.status, site.count_runs()
+
+
+#: What changes while a request waits for a slot, its status, and the requests
+#: that the backend has seen then.
+CHANGES = (
+    (change_nothing, 200, [2]),
+    (withdraw_key, 503, [1]),
+    (drain_backend, 503, [1]),
+    (remove_backend, 503, [1]),
+)
+
+
+@pytest.mark.parametrize(('change', 'status', 'runs'), CHANGES)
+def test_request_is_checked_again_after_waiting(
+    change: Any, status: int, runs: list[int]
+) -> None:
+    """A key or a backend may be withdrawn while a request waits."""
+    assert curio.run(change_while_waiting, change) == (status, runs)
--- a/tests/rebalance/test_entryregistry.py
+++ b/tests/rebalance/test_entryregistry.py
@@ -77,3 +77,14 @@
 def test_older_hellos_are_understood(monkeypatch: pytest.MonkeyPatch) -> None:
     """Entries and agents are replaced one after the other."""
     assert Agent(monkeypatch).greet('first').version == 0
+
+
+def test_entries_learn_their_position(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Entries that send in turn must not all take the same turn."""
+    agent = Agent(monkeypatch)
+    assert agent.greet('c').position == 0
+    assert agent.greet('a').position == 0
+    reply = agent.greet('c')
+    assert (reply.position, reply.entries) == (1, 2)
+    agent.now += 60
+    assert agent.greet('c').position == 0
