Share the retry budget safely before agents are heard

Until an agent told the number of entries, each divided the fixed part of the retry budget by eight, however many there were: 35 entries that hear of no agent could retry 315 times where 90 are allowed (worked out in the new test, which failed: 315 > 90).

The fixed part is now divided by 32 at least until a count was heard; room in a rank group goes on from eight, which no rule bounds. The fixture of an entry in front of scripted backends now hears of the eight entries that it assumed, so that the tests of attempts keep their budget; the tests of the budget itself record a count in place of setting it.

tests/direct and tests/platform pass.

--- a/src/ospreyford/direct/budget.py
+++ b/src/ospreyford/direct/budget.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from ospreyford.direct.entryshare import ASSUMED_ENTRIES
 from ospreyford.direct.slidingmaximum import SlidingMaximum
 
 if TYPE_CHECKING:
@@ -66,7 +67,7 @@
         retries = self._retries.setdefault(service, deque())
         self._drop_expired(requests, now)
         self._drop_expired(retries, now)
-        fixed = self.settings.slack / max(self.entries, 1)
+        fixed = self.settings.slack / self._count_sharing()
         allowed = USABLE_FRACTION * (
             self.settings.ratio * len(requests) + fixed
         )
@@ -75,6 +76,15 @@
         retries.append(now)
         return True
 
+    def _count_sharing(self) -> int:
+        """Count the entries that share the fixed part.
+
+        Too small a number would let retries exceed the common budget.
+        """
+        if self._entry_counts.get() is None:
+            return max(self.entries, ASSUMED_ENTRIES)
+        return self.entries
+
     def _drop_expired(self, timestamps: deque[float], now: float) -> None:
         oldest = now - self.settings.window
         while timestamps and timestamps[0] < oldest:
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -236,6 +236,8 @@
     context = EntryContext(SETTINGS, DIALECT, lines)  # type: ignore[arg-type]
     context.catalog = make_catalog(route)
     context.started_at = 0
+    # An agent has told of other entries.
+    context.record_entry_count(SETTINGS.retries.assumed_entries)
     context.freshness.confirm(read_boot_clock())
     backends = []
     names = itertools.count()
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -117,16 +117,25 @@
     ]
     retries = 0
     for entry in entries:
-        entry.entries = 4
+        entry.record_entry_count(4, 0)
         for number in range(1000):
             entry.record_request('s', number / 100)
             retries += entry.spend('s', number / 100)
     assert 400 < retries <= 0.2 * 4000 + 90
 
 
+def test_entries_without_agents_keep_the_retry_budget() -> None:
+    """Entries that never heard of each other must not take a full share."""
+    retries = 0
+    for _ in range(35):
+        entry = RetryBudget(RetrySettings(ratio=0, slack=90, window=10))
+        retries += sum(entry.spend('s', 1) for _ in range(90))
+    assert 0 < retries <= 90
+
+
 def test_the_retry_budget_is_replenished() -> None:
     budget = RetryBudget(RetrySettings(ratio=0, slack=10, window=10))
-    budget.entries = 1
+    budget.record_entry_count(1, 0)
     spent = [budget.spend('s', 1) for _ in range(20)]
     assert sum(spent) == 8
     assert budget.spend('s', 11.5)
