--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -27,6 +27,8 @@
 #: Time of the load after the declaration.
 LOAD_SECONDS = STABLE_SECONDS + WINDOW_SECONDS + 1
 REQUEST_INTERVAL_SECONDS = 0.08
+#: Time from the first load to the start of late entries.
+LATE_SECONDS = 2.0
 OK = 200
 UNAVAILABLE = 503
 
@@ -38,12 +40,14 @@
     :param limited: number of replicas that declare a limit.
     :param text: the declared value.
     :param has_agent: whether the entries hear of each other.
+    :param late: entries that start under the load.
     """
 
     entries: int
     limited: int
     text: bytes
     has_agent: bool = True
+    late: int = 0
 
 
 class Asked(NamedTuple):
@@ -98,7 +102,13 @@
     for replica in fleet.replicas[: need.limited]:
         replica.limit = need.text
     load = Load(fleet)
-    await load.run(LOAD_SECONDS)
+    loading = await curio.spawn(load.run, LOAD_SECONDS)
+    if need.late:
+        await curio.sleep(LATE_SECONDS)
+        for _ in range(need.late):
+            await fleet.add_entry()
+        await load.run(LOAD_SECONDS)
+    await loading.join()
     return load
 
 
@@ -147,6 +157,7 @@
     pytest.param(Need(5, 1, b'0'), id='none_taken'),
     pytest.param(Need(12, 3, b'2.5'), id='many_entries'),
     pytest.param(Need(12, 1, b'1', has_agent=False), id='no_agent'),
+    pytest.param(Need(3, 3, b'1', late=4), id='late_entries'),
 )
 
 
@@ -161,3 +172,63 @@
         for replica in load.fleet.replicas[: need.limited]
     ]
     assert max(worst) <= compute_allowed(need.text)
+
+
+class End(NamedTuple):
+    """A load while a replica is in need, and after.
+
+    :param in_need: requests that the replica got in the last second of need.
+    :param after: the same some seconds after its end.
+    :param statuses: of all replies.
+    """
+
+    in_need: int
+    after: int
+    statuses: set[int]
+
+
+async def end_need() -> End:
+    fleet = Fleet()
+    await fleet.start(3, 3, OPTIONS)
+    replica = fleet.replicas[0]
+    replica.limit = b'1'
+    load = Load(fleet)
+    await load.run(4)
+    in_need = count_last_second(fleet, replica.id)
+    replica.limit = None
+    await load.run(8)
+    after = count_last_second(fleet, replica.id)
+    return End(in_need, after, {one.reply.status for one in load.asked})
+
+
+def count_last_second(fleet: Fleet, replica: str) -> int:
+    now = time.time()
+    return sum(
+        one.replica == replica and one.at > now - 1
+        for one in fleet.arrivals.requests
+    )
+
+
+def test_load_returns_after_the_need() -> None:
+    """Callers must not be worse off once a replica takes requests again."""
+    end = curio.run(end_need)
+    assert end.statuses == {OK}
+    assert end.in_need <= 3
+    assert end.after > 3
+
+
+async def press_on_a_service_in_need() -> Load:
+    return await press(Need(3, 3, b'5'))
+
+
+def test_excess_is_rejected_and_the_limit_used() -> None:
+    """What a whole service in need does not take is rejected, no more."""
+    load = curio.run(press_on_a_service_in_need)
+    replies = [one.reply for one in load.asked]
+    served = sum(reply.status == OK for reply in replies)
+    rejected = [reply for reply in replies if reply.status == UNAVAILABLE]
+    assert served + len(rejected) == len(replies)
+    assert all(reply.retry_after for reply in rejected)
+    assert rejected
+    # Three replicas take five requests a second each.
+    assert served >= LOAD_SECONDS * 3 * 5 / 2
