--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -6,35 +6,46 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-#: Target mean pass time, as a fraction of the maximum gap between events.
+#: Target mean pass time, as a fraction of the maximum gap between events. Right
+#: after a shift of expert demand a pass takes twice its usual time, since all
+#: ranks wait for the most loaded one; no stream is late even then.
 REGULAR_PASS_FRACTION = 0.47
 #: The same for requests that would miss their objective if they waited longer.
 URGENT_PASS_FRACTION = 0.62
-#: The same right after a shift of expert demand, at the peak cost.
+#: The same right after a shift of expert demand, at the peak cost. The rest is
+#: the way of an event through the network and the entry.
 SHIFT_PASS_FRACTION = 0.85
-#: Decay of the peak stream cost per group report (ten reports a second).
+#: Decay of the peak stream cost per group report (ten reports a second): half
+#: after twenty seconds without a shift.
 PEAK_COST_DECAY = 0.9965
-#: Upper bound of the peak cost, relative to the mean cost.
+#: Upper bound of the peak cost, relative to the mean cost. A group that was
+#: held or waited for a returning rank says nothing about its next passes.
 MAX_PEAK_COST_RATIO = 2.6
-#: A request that misses its objective within this time is urgent.
+#: A request that misses its objective within this time, two load reports of the
+#: group, is urgent.
 URGENT_SECONDS = 0.2
-#: Passes from the admission of a request to its first event.
+#: Passes from the admission of a request to its first event: the rest of the
+#: current one, one or two for the prompt, one for the event.
 FIRST_EVENT_PASSES = 3
-#: Fraction of the objective available to the entry and the group.
+#: Fraction of the objective available to the entry and the group; the rest is
+#: the network.
 ON_TIME_FRACTION = 0.9
 #: Streams always admitted; an idle group's reports say little.
 MIN_CAPACITY_STREAMS = 8
-#: Fraction of the regular capacity open to requests that are already late.
+#: Fraction of the regular capacity open to requests that are already late; the
+#: rest is kept for those that can still meet their objective.
 LATE_CAPACITY_FRACTION = 0.6
 #: Maximum number of queued late requests, relative to their capacity.
 LATE_QUEUE_RATIO = 1.5
-#: Fraction of its total time that a request must have left to be admitted late.
+#: Fraction of its total time that a request must have left to be admitted late:
+#: a stream takes two to three of eight seconds under high load.
 MIN_REMAINING_FRACTION = 0.35
 #: A caller disconnects after the longest of these times without an event.
 MIN_CALLER_TIMEOUT_SECONDS = 2.0
 CALLER_TIMEOUT_OBJECTIVES = 4
 CALLER_TIMEOUT_GAPS = 8
-#: Fraction of that time within which the first event must be expected.
+#: Fraction of that time within which the first event must be expected; the rest
+#: covers the network, and passes that take longer than the last ones.
 CALLER_TIMEOUT_FRACTION = 0.85
 #: First tries admitted in a row before a queued retry goes next.
 MAX_CONSECUTIVE_FIRST_TRIES = 7
--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -23,7 +23,8 @@
     from ospreyford.direct.migration import StreamMigrator
     from ospreyford.direct.registry import BackendState
 
-#: Maximum number of attempts per request, including refused ones.
+#: Maximum number of attempts per request, including refused ones: a closed
+#: group refuses for some seconds, and each attempt spends the shared budget.
 MAX_ATTEMPTS = 6
 #: Bounds of the retry time of requests without a slot; another entry may have
 #: one sooner than this one.
--- a/src/ospreyford/direct/budget.py
+++ b/src/ospreyford/direct/budget.py
@@ -11,7 +11,8 @@
 if TYPE_CHECKING:
     from ospreyford.direct.settings import RetrySettings
 
-#: Margin, since the sliding windows differ between entries.
+#: Margin for requests that are in one entry's sliding window and not yet in
+#: another's.
 USABLE_FRACTION = 0.8
 #: Time until a new agent or coordinator has heard of all entries.
 ENTRY_COUNT_WINDOW_SECONDS = 1.5
--- a/src/ospreyford/direct/connections.py
+++ b/src/ospreyford/direct/connections.py
@@ -12,11 +12,12 @@
     from ospreyford.direct.registry import BackendServer
     from ospreyford.http.message import Response
 
-#: If SYNs are lost between zones, another backend is faster.
+#: Two lost SYNs between zones take longer; another backend answers sooner.
 CONNECT_TIMEOUT_SECONDS = 0.5
 #: Idle timeout where the backend announces none.
 DEFAULT_IDLE_SECONDS = 3.0
-#: Margin, so that no request meets the backend's close.
+#: Margin, so that no request meets the backend's close: it may or may not have
+#: run.
 IDLE_MARGIN_SECONDS = 0.7
 #: Maximum number of idle connections per backend.
 MAX_IDLE_CONNECTIONS = 8
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -24,13 +24,17 @@
     from ospreyford.direct.call import Call
 
 MILLISECONDS = 1000
-#: Pause after a refusal: two load reports.
+#: Pause after a refusal: what ranks report of their group is as old as two load
+#: reports.
 REFUSAL_PAUSE_SECONDS = 0.2
-#: Pause between probes of a closed group.
+#: Pause between probes of a closed group; a probe is refused at once, or starts
+#: with the next passes.
 PROBE_INTERVAL_SECONDS = 0.15
-#: Retry time of refused requests: a burst lasts some seconds.
+#: Retry time of refused requests: a burst lasts some seconds, and a caller has
+#: one or two more tries.
 BUSY_RETRY_AFTER_SECONDS = 1.0
-#: The same while the group is closed and its backends restart.
+#: The same while the group is closed: crashed backends take some seconds to
+#: start, and their group opens within one more.
 CLOSED_RETRY_AFTER_SECONDS = 2.0
 #: Epoch before the first load report.
 NO_EPOCH = -1
@@ -117,7 +121,8 @@
         if not load.is_open:
             self.record_refusal()
         elif self._is_closed and load.epoch != self._closed_epoch:
-            # The group reopened after the refusal; don't wait for probes.
+            # The group reopened after the refusal. By probes alone, callers
+            # would wait 0.2 to 0.6 s more for it.
             self._is_closed = False
         await self.process_queue()
 
--- a/src/ospreyford/direct/handler.py
+++ b/src/ospreyford/direct/handler.py
@@ -48,9 +48,10 @@
 MAX_DIGITS = 15
 #: Deadline of requests that set none; the route's timeout is usually shorter.
 DEFAULT_DEADLINE_SECONDS = 30.0
-#: Retry time before the configuration is loaded.
+#: Retry time before the configuration is loaded; a little longer than loading.
 STARTUP_RETRY_AFTER_SECONDS = 0.5
-#: Retry time if only this entry cannot serve: retries reach other entries.
+#: Retry time if only this entry cannot serve: retries reach other entries,
+#: where a stream would be late after half a second.
 OTHER_ENTRY_RETRY_AFTER_SECONDS = 0.05
 
 
--- a/src/ospreyford/direct/hello.py
+++ b/src/ospreyford/direct/hello.py
@@ -22,11 +22,13 @@
 MS_PER_SECOND = 1000
 #: Interval between hellos.
 HELLO_INTERVAL_SECONDS = 0.5
-#: The same after the start, so that entries are counted before groups open.
+#: The same after the start: entries that return together must have counted each
+#: other before the group opens 0.6 s later.
 STARTUP_HELLO_INTERVAL_SECONDS = 0.1
 #: Agents, besides the coordinator, that receive each hello in rotation.
 HELLO_FANOUT = 4
-#: Silence of the coordinator after which hellos go to all agents.
+#: Silence of the coordinator after which hellos go to all agents: any of them
+#: may be elected, after 0.45 s at the earliest, and must know the entries.
 COORDINATOR_TIMEOUT_SECONDS = 0.3
 #: Rate limit of an entry that sends hellos to all agents.
 MAX_HELLOS_PER_SECOND = 500
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -43,7 +43,9 @@
 MAX_CONNECTIONS = 1800
 #: Interval of the checks for expired connections and missing backends.
 SWEEP_INTERVAL_SECONDS = 0.1
-#: Fraction of the grace period in which new connections are accepted.
+#: Fraction of the grace period in which new connections are accepted. The
+#: upstream balancer asks once a second, and stops sending them after two
+#: refusals.
 ACCEPT_FRACTION = 0.35
 #: Fraction of the grace period after which requests in flight are answered.
 DRAIN_FRACTION = 0.93
--- a/src/ospreyford/direct/registry.py
+++ b/src/ospreyford/direct/registry.py
@@ -7,7 +7,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-#: Weight of the newest outcome in a backend's failure rate.
+#: Weight of the newest outcome in a backend's failure rate: five failures in a
+#: row take it to 0.67, five successes from there back to 0.22.
 FAILURE_EWMA_WEIGHT = 0.2
 
 
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -45,7 +45,8 @@
 GATEWAY_TIMEOUT: Final = 504
 SERVER_ERROR: Final = 500
 MILLISECONDS = 1000
-#: Consecutive refusals after which a group counts as closed.
+#: Consecutive refusals after which a group counts as closed; a single rank may
+#: be full or leaving.
 CLOSED_REFUSALS = 2
 #: Events after which a stream has begun for long.
 FEW_EVENTS = 2
--- a/src/ospreyford/direct/retrydetection.py
+++ b/src/ospreyford/direct/retrydetection.py
@@ -4,13 +4,16 @@
 
 from collections import OrderedDict, deque
 
-#: Above the share of retries, below single outliers.
+#: Above the share of retries, a third of the requests under high load; below
+#: single outliers.
 TYPICAL_QUANTILE = 0.95
 #: Recent requests considered, per route and per customer on it.
 WINDOW_REQUESTS = 64
 #: A request with less than this fraction of the typical timeout is a retry.
+#: Timeouts of first tries differ by a sixth.
 RETRY_FRACTION = 0.85
-#: Requests before a customer's own typical timeout is used.
+#: Requests before a customer's own typical timeout is used; one whose callers
+#: always have little time would otherwise look like one that retries.
 MIN_CUSTOMER_REQUESTS = 4
 #: Maximum number of tracked pairs of route and customer (LRU).
 MAX_TRACKED_PAIRS = 1024
--- a/src/ospreyford/direct/selection.py
+++ b/src/ospreyford/direct/selection.py
@@ -11,18 +11,25 @@
     from ospreyford.direct.catalog import Split
     from ospreyford.direct.registry import BackendState
 
-#: Load score of a failure rate of 1, in requests per slot.
+#: Load score of a failure rate of 1, in requests per slot: a backend that fails
+#: everything is selected only when the others hold twice their slots more.
 FAILURE_WEIGHT = 2.0
-#: Load score of another availability zone, in requests of a backend.
+#: Load score of another availability zone, in requests of a backend: traffic
+#: stays in the zone unless a backend there has more to do than one elsewhere.
 ZONE_WEIGHT = 1.0
 #: Backends sampled in the entry's own zone and in other zones.
 SAME_ZONE_SAMPLE = 4
 OTHER_ZONE_SAMPLE = 2
-#: Slowdown above which a rank gets no new requests while others have room.
+#: Slowdown above which a rank gets no new requests while others have room: all
+#: ranks wait in each pass for the work of its own requests.
 SLOW_FACTOR = 1.25
-#: Penalty in requests per slot: the reported load is stale.
+#: Penalty in requests per slot: the reported load is stale. The host may be
+#: frozen or cut off with its backend, and requests sent there hang until their
+#: callers disconnect.
 UNREACHABLE_AGENT_WEIGHT = 2.0
-#: Slowdown from which streams are migrated away from a rank.
+#: Slowdown from which streams are migrated away from a rank. Its own requests
+#: are a small part of a pass; at twice their time they take longer than what
+#: balanced experts leave for all others.
 MIGRATION_FACTOR = 2.0
 #: Failures older than this are ignored, so that the backend is tried again.
 FAILURE_MEMORY_SECONDS = 4.0
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -20,7 +20,8 @@
     from ospreyford.direct.events import StreamEvent
     from ospreyford.http.server import Exchange
 
-#: Silence after which a stream counts as lost.
+#: Silence after which a stream counts as lost; callers disconnect after two
+#: seconds of it.
 STALL_SECONDS = 1.2
 
 
--- a/src/ospreyford/rebalance/coordinator.py
+++ b/src/ospreyford/rebalance/coordinator.py
@@ -222,8 +222,9 @@
             group, others[:-1], arm, MAX_ARM_ATTEMPTS
         ):
             return False
-        # Were all armed at once and this host failed, a successor could not
-        # tell whether this host's rank is armed.
+        # Were all armed at once and this host froze, a successor could not tell
+        # whether this host's rank is armed: the group would stand still until
+        # the host is back.
         if not await self._execute_on_all(
             group, others[-1:], arm, MAX_ARM_ATTEMPTS
         ):
@@ -234,7 +235,8 @@
 
     async def _hold(self, group: Group, holder: int) -> int | None:
         for _ in range(MAX_HOLD_ATTEMPTS):
-            # A hold sent as a pass begins arrives before the next one.
+            # A hold sent as a pass begins arrives before the next one. Sent at
+            # any moment, half of the holds would come too late and be refused.
             state = await self._ranks.wait_for_pass(
                 self._scheduler.compute_watch_seconds()
             )
--- a/src/ospreyford/rebalance/election.py
+++ b/src/ospreyford/rebalance/election.py
@@ -13,7 +13,8 @@
 
 #: Interval of a coordinator's heartbeats.
 HEARTBEAT_INTERVAL_SECONDS = 0.1
-#: Time without a heartbeat after which a coordinator is replaced.
+#: Time without a heartbeat after which a coordinator is replaced: four
+#: heartbeats, of which single ones may be lost.
 ELECTION_TIMEOUT_SECONDS = 0.45
 #: Additional wait per candidate, longer than a heartbeat takes to arrive.
 CANDIDATE_STAGGER_SECONDS = 0.12
@@ -127,7 +128,8 @@
             or self.is_vacant
         ):
             return
-        # Start the next election without waiting for the timeout.
+        # It gives no more orders: waiting for the timeout would leave the group
+        # without a coordinator for half a second.
         self.is_vacant = True
         self._released_token = token
         self._last_heartbeat_at = (
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -25,7 +25,8 @@
     from ospreyford.rebalance.settings import RebalanceSettings
 
 MILLISECONDS_PER_SECOND = 1000
-#: Fraction of the ranks whose load must be known before a plan is made.
+#: Fraction of the ranks whose load must be known before a plan is made; few of
+#: them are after the start of a coordinator or a change of its tree.
 MIN_REPORTED_FRACTION = 0.5
 #: Time that load reports may be incomplete before the tree is rebuilt.
 MAX_INCOMPLETE_SECONDS = 1.0
@@ -58,7 +59,8 @@
         self._maps = maps
         self._previous_host = previous_host
         if previous_host is not None:
-            # The missing heartbeats already prove that the host has failed.
+            # The missing heartbeats already prove that the host has failed; a
+            # group that it left held would stand still for another timeout.
             ranks.failure_detector.mark_failed(previous_host)
         self.pass_timer = PassTimer()
         self._scheduler = HoldScheduler()
--- a/src/ospreyford/rebalance/loads.py
+++ b/src/ospreyford/rebalance/loads.py
@@ -16,7 +16,8 @@
 #: Sums are quantized more finely: fewer rounding errors cancel out.
 RANK_QUANTIZATION_STEP: Final = 17
 SUM_QUANTIZATION_STEP: Final = 5
-#: Smoothing factor of the moving average, per pass.
+#: Smoothing factor of the moving average, per pass: the last two to three
+#: passes count, in which a request's choices hardly change.
 PASS_WEIGHT = 0.4
 #: A window with more than this multiple of the decoding baseline has a prefill.
 PREFILL_RATIO = 1.6
--- a/src/ospreyford/rebalance/ordercodec.py
+++ b/src/ospreyford/rebalance/ordercodec.py
@@ -94,7 +94,8 @@
     )
     if experts is None:
         return None
-    # Ranks compare versions only, so a map from a wrong base would diverge.
+    # Ranks do not compare maps: one made from a wrong base would be in force
+    # beside the right one, under the same version.
     if encoded.digest and compute_digest(experts) != encoded.digest:
         return None
     return EncodedOrder(encoded.kind, encoded.version, encoded.step, experts)
