Do not prefer a limited backend that gives no responses

By reading: a backend whose declaration is older than 4 s is tried first when its slot opens. One that hangs or is dark would have got one caller in every slot, since no response renews its declaration. A failure in the last 4 s now ends the preference. The new row of the test fails without the check.

--- a/src/ospreyford/direct/selection.py
+++ b/src/ospreyford/direct/selection.py
@@ -148,13 +148,23 @@
         weight += backend.slowdown
     if backend.is_agent_unreachable:
         weight += UNREACHABLE_AGENT_WEIGHT
-    if criteria.now - backend.failed_at < FAILURE_MEMORY_SECONDS:
+    if has_failed_recently(backend, criteria.now):
         weight += FAILURE_WEIGHT * backend.failure_rate
     if backend.server.zone != criteria.zone:
         weight += ZONE_WEIGHT / slots
     return weight
 
 
+def has_failed_recently(backend: BackendState, now: float) -> bool:
+    """Check whether a backend's failures count against it.
+
+    :param backend: the backend.
+    :param now: seconds on the monotonic clock.
+    :returns: whether its last failure is remembered.
+    """
+    return now - backend.failed_at < FAILURE_MEMORY_SECONDS
+
+
 def _is_healthy(backend: BackendState) -> bool:
     return backend.slowdown <= SLOW_FACTOR and not backend.is_agent_unreachable
 
--- a/src/ospreyford/direct/slotselection.py
+++ b/src/ospreyford/direct/slotselection.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ospreyford.direct.selection import select_backend
+from ospreyford.direct.selection import has_failed_recently, select_backend
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -111,7 +111,7 @@
             for one in backends
         }
         ready = [one for one in backends if slots[one.server.id] <= now]
-        overdue = [one for one in ready if self._limits.is_overdue(one, now)]
+        overdue = [one for one in ready if self._is_overdue(one, now)]
         backend = select_backend(overdue or ready, criteria, self._random)
         if backend is not None:
             return SendNow(backend)
@@ -121,3 +121,8 @@
         if slot - now > max_wait:
             return NoSlot(slot - now)
         return SendLater(backend, slot)
+
+    def _is_overdue(self, backend: BackendState, now: float) -> bool:
+        # One that gives no responses would be asked in vain in every slot.
+        is_overdue = self._limits.is_overdue(backend, now)
+        return is_overdue and not has_failed_recently(backend, now)
--- a/tests/direct/test_limited_backends.py
+++ b/tests/direct/test_limited_backends.py
@@ -101,22 +101,24 @@
     assert selection.select(tried) == selected
 
 
+@pytest.mark.parametrize('has_failed', [False, True])
 def test_backend_whose_need_may_have_ended_goes_first(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, has_failed: bool
 ) -> None:
     """Only a request shows that a backend no longer declares a limit."""
     selection = Selection(monkeypatch)
     selection.declare('- - 100')
     selection.now += OVERDUE_SECONDS + 1
+    limited = selection.backends[2]
+    if has_failed:
+        limited.record_failure(selection.now)
     chosen = set()
     for _ in range(8):
         selection.now += 0.0013
         chosen.add(selection.select())
-    assert (SendNow, 'c') in chosen
-    selection.limits.record_response(
-        selection.backends[2].server, (), selection.now
-    )
-    assert not selection.limits.is_overdue(selection.backends[2], selection.now)
+    assert ((SendNow, 'c') in chosen) is not has_failed
+    selection.limits.record_response(limited.server, (), selection.now)
+    assert not selection.limits.is_overdue(limited, selection.now)
 
 
 def limit(rate: bytes, script: be.Script = be.answer) -> be.Script:
