--- a/tests/direct/test_limited_backends.py
+++ b/tests/direct/test_limited_backends.py
@@ -38,6 +38,7 @@
 ENGINE = Engine(6, 4, 72, 8, 3, 0.01, 0.02)
 LONG: Headers = ((b'x-deadline', b'8000'),)
 NOW = 1000.0
+HANG_SECONDS = 10.0
 
 
 def make_backend(name: str) -> BackendState:
@@ -56,6 +57,7 @@
         log: Any = be.RecordingLog()
         self.limits = BackendLimits(b'x-limit', 'entry', log)
         self.limits.shares.record_count(1, NOW)
+        self.limits.shares.record_position(0, 1)
         self.backends = [make_backend(name) for name in 'abc']
         self.now += 60
 
@@ -101,22 +103,24 @@
     assert selection.select(tried) == selected
 
 
+@pytest.mark.parametrize('has_failed', [False, True])
 def test_backend_whose_need_may_have_ended_goes_first(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, has_failed: bool
 ) -> None:
     """Only a request shows that a backend no longer declares a limit."""
     selection = Selection(monkeypatch)
     selection.declare('- - 100')
     selection.now += OVERDUE_SECONDS + 1
+    limited = selection.backends[2]
+    if has_failed:
+        limited.record_failure(selection.now)
     chosen = set()
     for _ in range(8):
         selection.now += 0.0013
         chosen.add(selection.select())
-    assert (SendNow, 'c') in chosen
-    selection.limits.record_response(
-        selection.backends[2].server, (), selection.now
-    )
-    assert not selection.limits.is_overdue(selection.backends[2], selection.now)
+    assert ((SendNow, 'c') in chosen) is not has_failed
+    selection.limits.record_response(limited.server, (), selection.now)
+    assert not selection.limits.is_overdue(limited, selection.now)
 
 
 def limit(rate: bytes, script: be.Script = be.answer) -> be.Script:
@@ -144,6 +148,7 @@
         )
     site.context.limits.shares = ShareTracker('entry', 0)
     site.context.record_entry_count(1)
+    site.context.limits.shares.record_position(0, 1)
     return site
 
 
@@ -293,8 +298,9 @@
     take_slot(site)
     watch = SlotWatch(site.context.limits)
     asking = await curio.spawn(site.ask, 'POST', LONG)
-    while not watch.taken:
-        await curio.sleep(0.005)
+    async with curio.timeout_after(HANG_SECONDS):
+        while not watch.taken:
+            await curio.sleep(0.005)
     change(site)
     head, _ = await asking.join()
     return head.status, site.count_runs()
