Log how the retry budget is used and counted

Logs told the attempts of requests, but not on how many entries an entry's share rested, nor when it had none left: a process that takes its share anew could not be told from one that divides by too few.

RetryBudgetExhausted (at most once a window and service) and EntryCountChanged tell both, ospreyford_retries_spent and ospreyford_retries_denied count.

--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -77,7 +77,7 @@
         barrier = self._find_barrier()
         if barrier is not None:
             return Unavailable(barrier)
-        if self._call.attempts and not self._may_retry(time.monotonic()):
+        if self._call.attempts and not self._may_retry():
             return Unavailable()
         selected: BackendState | Unavailable | None = None
         while selected is None:
@@ -128,7 +128,7 @@
             return Cause.crashes_backends
         return None
 
-    def _may_retry(self, now: float) -> bool:
+    def _may_retry(self) -> bool:
         call = self._call
         if len(call.attempts) >= MAX_ATTEMPTS:
             return False
@@ -136,7 +136,7 @@
             return False
         if self._migrator.consume_reserved_retry():
             return True
-        return self._context.budget.spend(call.service, now)
+        return self._context.retries.spend(call.service)
 
     def _list_selectable(
         self, now: float
--- a/src/ospreyford/direct/budget.py
+++ b/src/ospreyford/direct/budget.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from ospreyford.direct.entryshare import ASSUMED_ENTRIES
 from ospreyford.direct.slidingmaximum import SlidingMaximum
@@ -18,6 +18,21 @@
 ENTRY_COUNT_WINDOW_SECONDS = 1.5
 
 
+class BudgetUsage(NamedTuple):
+    """Use of the budget by this entry for one service.
+
+    :param requests: callers' requests in the sliding window.
+    :param retries: retries in that window.
+    :param entries: number of entries that share the budget.
+    :param window: length of the window, in seconds.
+    """
+
+    requests: int
+    retries: int
+    entries: int
+    window: float
+
+
 class RetryBudget:
     """One entry's share of the common retry budget.
 
@@ -77,6 +92,19 @@
         retries.append(now)
         return True
 
+    def get_usage(self, service: str) -> BudgetUsage:
+        """Return the use of the budget, as of the last call for a service.
+
+        :param service: the service.
+        :returns: its use.
+        """
+        return BudgetUsage(
+            len(self._requests.get(service, ())),
+            len(self._retries.get(service, ())),
+            self._count_sharing(),
+            self.settings.window,
+        )
+
     def _count_sharing(self) -> int:
         """Count the entries that share the fixed part.
 
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -10,10 +10,6 @@
 from ospreyford.direct.admission import GroupLoad
 from ospreyford.direct.backendlimits import BackendLimits
 from ospreyford.direct.backendrequest import RequestResources
-from ospreyford.direct.budget import (
-    ENTRY_COUNT_WINDOW_SECONDS,
-    RetryBudget,
-)
 from ospreyford.direct.connections import ConnectionPool
 from ospreyford.direct.freshness import StateFreshness
 from ospreyford.direct.gate import StreamGate
@@ -21,6 +17,7 @@
 from ospreyford.direct.metrics import EntryMetrics, serve_tallies
 from ospreyford.direct.registrationguard import RegistrationGuard
 from ospreyford.direct.registry import BackendRegistry
+from ospreyford.direct.retries import RetryMeter
 from ospreyford.direct.retrydetection import RetryDetector
 from ospreyford.direct.suspects import CrashSuspects
 from ospreyford.direct.suspectsharing import SuspectSharing
@@ -32,6 +29,9 @@
     from ospreyford.direct.settings import DirectSettings
     from ospreyford.observability.logs import ChangeLog
 
+#: Time after the start in which agents may not have heard of all entries.
+STARTUP_SECONDS = 1.5
+
 
 @dataclass
 class EntryContext:
@@ -53,7 +53,8 @@
     def __post_init__(self) -> None:
         """Create the components."""
         self.backends = BackendRegistry()
-        self.budget = RetryBudget(self.settings.retries)
+        self.retries = RetryMeter(self.settings.retries, self.log)
+        self.budget = self.retries.budget
         self.freshness = StateFreshness(self.settings.bounds)
         self.registration_guard = RegistrationGuard()
         self.key_guard = KeyGuard(self.settings.bounds)
@@ -118,7 +119,7 @@
         :param entries: as counted by the agent.
         """
         now = time.monotonic()
-        self.budget.record_entry_count(entries, now)
+        self.retries.record_entry_count(entries, now)
         self.limits.shares.record_count(entries, now)
 
     def is_starting(self) -> bool:
@@ -126,7 +127,7 @@
 
         :returns: whether agents may not have heard of all entries yet.
         """
-        return time.monotonic() - self.started_at < ENTRY_COUNT_WINDOW_SECONDS
+        return time.monotonic() - self.started_at < STARTUP_SECONDS
 
     def apply_settings(self, settings: DirectSettings) -> None:
         """Apply changed bounds and retry settings.
--- a/src/ospreyford/direct/metrics.py
+++ b/src/ospreyford/direct/metrics.py
@@ -80,6 +80,18 @@
             context.limits,
             'limited_count',
         ),
+        (
+            'retries_spent',
+            'Retries taken from the shared budget.',
+            context.retries,
+            'spent_count',
+        ),
+        (
+            'retries_denied',
+            'Retries that the shared budget did not allow.',
+            context.retries,
+            'denied_count',
+        ),
         (
             'crash_checks',
             'Connections opened to see whether a back end is down.',
--- a/src/ospreyford/direct/migration.py
+++ b/src/ospreyford/direct/migration.py
@@ -47,7 +47,7 @@
         backends = context.backends.list_available(self._call.service)
         if find_migration_target(backends, backend) is None:
             return False
-        if not context.budget.spend(self._call.service, now):
+        if not context.retries.spend(self._call.service):
             return False
         self._has_reserved_retry = True
         context.log.log_change(
--- a/src/ospreyford/observability/loggedevents.py
+++ b/src/ospreyford/observability/loggedevents.py
@@ -9,6 +9,7 @@
 from ospreyford.direct.decisions import Decision as EntryDecision
 from ospreyford.direct.limitdecisions import LimitDecision
 from ospreyford.direct.restoredecisions import RestoreDecision
+from ospreyford.direct.retrydecisions import RetryDecision
 from ospreyford.observability.events import (
     BackendEjected,
     BackendReturned,
@@ -58,6 +59,7 @@
     | RestoreDecision
     | CrashDecision
     | LimitDecision
+    | RetryDecision
     | AgentDecision
     | TaskFailed
 )
