Do not spend the retry budget on backends that no request reached

Callers were refused after a crash of backends: each connection that a dead backend does not accept spent a retry of the shared budget, though no backend received the request.

The new test fails before in 3 of 4 cases (a retry is spent), and passes now.

--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -136,6 +136,9 @@
             return False
         if self._migrator.consume_reserved_retry():
             return True
+        if not call.list_reached_backends():
+            # No backend has received it yet.
+            return True
         return self._context.retries.spend(call.service)
 
     def _list_selectable(
--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -119,6 +119,25 @@
     assert len(site.log.find(RequestEnded)[0].attempts) == attempts
 
 
+#: Backend scripts (``None``: accepts no connection), status and retries taken.
+UNCHARGED = (
+    ((None, be.answer), 200, 0),
+    ((be.hang_up, be.answer), 200, 1),
+    ((None, be.hang_up, be.answer), 200, 1),
+    ((None, None), 503, 0),
+)
+
+
+@pytest.mark.parametrize(('scripts', 'status', 'spent'), UNCHARGED)
+def test_unreachable_backends_do_not_spend_the_retry_budget(
+    scripts: tuple[be.Script | None, ...], status: int, spent: int
+) -> None:
+    """A crash of backends must not use up retries that no backend sees."""
+    got, _, _, site = run(ask, IDEMPOTENT, scripts)
+    assert got == status
+    assert site.context.retries.spent_count == spent
+
+
 def test_header_fields_sent_to_a_backend() -> None:
     forged = (
         (b'x-customer', b'forged'),
