Keep the retry budget while entries start, wake or are miscounted

Cause, a bound on the sum over all processes in a window, of which each process remembers its own part only: - An entry that started had an empty window and took its part anew, though the retries of its predecessor were still in the window of the backends. - The fixed part was divided by the highest count of 1.5 s. Entries took the part of one that died, froze or was cut off at once, and divided by one when a new coordinator had heard of one entry only. - An entry without contact to the agents kept its part for good while others started.

Now an entry uses 0.15 of its part until a window and 2 s have passed since its start (0.8 later; together at most 0.95, whenever its predecessor ended), the highest count of a minute divides the fixed part, and an entry without contact for 2 s, or until 1.5 s after it is back, divides by four times that count, 32 at least. Gates still divide groups by the highest count of 1.5 s (ShareTracker.get_recent_count).

Ways weighed: a token bucket that starts empty keeps the budget too and leaves a new entry more, but bounds both bursts and lasting retries of all others to about half; retries told to the agents are unknown for the time since the last message, in which all of a part can be used.

--- a/src/ospreyford/direct/budget.py
+++ b/src/ospreyford/direct/budget.py
@@ -5,17 +5,17 @@
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
-from ospreyford.direct.entryshare import ASSUMED_ENTRIES
-from ospreyford.direct.slidingmaximum import SlidingMaximum
+from ospreyford.direct.retryshare import CONTACT_SECONDS, RetryShare
 
 if TYPE_CHECKING:
     from ospreyford.direct.settings import RetrySettings
 
-#: Margin for requests that are in one entry's sliding window and not yet in
-#: another's.
+#: Part of the budget that entries use, with a margin for requests that are in
+#: one entry's sliding window and not yet in another's.
 USABLE_FRACTION = 0.8
-#: Time until a new agent or coordinator has heard of all entries.
-ENTRY_COUNT_WINDOW_SECONDS = 1.5
+#: The same for entries that started recently. Their predecessors may have used
+#: all of the other part, and ended just before.
+STARTUP_FRACTION = 0.15
 
 
 class BudgetUsage(NamedTuple):
@@ -41,27 +41,32 @@
     sliding window; the fixed part is divided by the number of entries.
 
     :param settings: ratio, window and fixed part.
+    :param started_at: when the entry started, in seconds on the monotonic
+        clock.
     """
 
-    def __init__(self, settings: RetrySettings) -> None:
-        self.entries = settings.assumed_entries
+    def __init__(self, settings: RetrySettings, started_at: float) -> None:
         self.settings = settings
-        self._entry_counts = SlidingMaximum(ENTRY_COUNT_WINDOW_SECONDS)
+        self.started_at = started_at
+        self._share = RetryShare(settings.assumed_entries)
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
 
     def record_entry_count(self, entries: int, now: float) -> None:
         """Record the number of entries that an agent reported.
 
-        An agent that started recently has heard of few entries, and dividing by
-        too small a number overfills groups, so the maximum of the last reports
-        counts.
-
         :param entries: as counted by the agent.
         :param now: seconds on the monotonic clock.
         """
-        self._entry_counts.record(entries, now)
-        self.entries = max(self._entry_counts.get() or 0, 1)
+        self._share.record_count(entries, now)
+
+    def count_entries(self, now: float) -> int:
+        """Count the entries that share the budget.
+
+        :param now: seconds on the monotonic clock.
+        :returns: number of entries.
+        """
+        return self._share.count_entries(now)
 
     def record_request(self, service: str, now: float) -> None:
         """Record a caller's request.
@@ -83,36 +88,41 @@
         retries = self._retries.setdefault(service, deque())
         self._drop_expired(requests, now)
         self._drop_expired(retries, now)
-        fixed = self.settings.slack / self._count_sharing()
-        allowed = USABLE_FRACTION * (
-            self.settings.ratio * len(requests) + fixed
-        )
-        if len(retries) + 1 > allowed:
+        if len(retries) + 1 > self._compute_allowed(len(requests), now):
             return False
         retries.append(now)
         return True
 
-    def get_usage(self, service: str) -> BudgetUsage:
+    def get_usage(self, service: str, now: float) -> BudgetUsage:
         """Return the use of the budget, as of the last call for a service.
 
         :param service: the service.
+        :param now: seconds on the monotonic clock.
         :returns: its use.
         """
         return BudgetUsage(
             len(self._requests.get(service, ())),
             len(self._retries.get(service, ())),
-            self._count_sharing(),
+            self.count_entries(now),
             self.settings.window,
         )
 
-    def _count_sharing(self) -> int:
-        """Count the entries that share the fixed part.
+    def _compute_allowed(self, requests: int, now: float) -> float:
+        """Compute how many retries a sliding window may hold.
 
-        Too small a number would let retries exceed the common budget.
+        :param requests: callers' requests in the window.
+        :param now: seconds on the monotonic clock.
+        :returns: number of retries.
         """
-        if self._entry_counts.get() is None:
-            return max(self.entries, ASSUMED_ENTRIES)
-        return self.entries
+        window = self.settings.window
+        earned = self.settings.ratio * requests
+        fixed = self.settings.slack / self.count_entries(now)
+        age = now - self.started_at
+        # Entries that do not hear of this one yet may use its part until they
+        # lose contact.
+        if age < window + CONTACT_SECONDS:
+            return STARTUP_FRACTION * (earned + fixed * min(age / window, 1))
+        return USABLE_FRACTION * (earned + fixed)
 
     def _drop_expired(self, timestamps: deque[float], now: float) -> None:
         oldest = now - self.settings.window
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -92,7 +92,7 @@
             gate = StreamGate(
                 call.route.max_gap,
                 self.backends.count_slots(call.service),
-                self.budget.entries,
+                self.count_entries(),
             )
             self.gates[call.service] = gate
         return gate
@@ -111,7 +111,7 @@
             base_seconds=known.engine.pass_seconds,
             slots=self.backends.count_slots(service),
         )
-        await gate.update_load(reported, self.budget.entries)
+        await gate.update_load(reported, self.count_entries())
 
     def record_entry_count(self, entries: int) -> None:
         """Record the number of entries that an agent reported.
@@ -122,6 +122,16 @@
         self.retries.record_entry_count(entries, now)
         self.limits.shares.record_count(entries, now)
 
+    def count_entries(self) -> int:
+        """Count the entries that share a group.
+
+        :returns: number of entries, as assumed until an agent has told it.
+        """
+        counted = self.limits.shares.get_recent_count()
+        if counted is None:
+            return self.settings.retries.assumed_entries
+        return max(counted, 1)
+
     def is_starting(self) -> bool:
         """Check whether this entry started recently.
 
--- a/src/ospreyford/direct/entryshare.py
+++ b/src/ospreyford/direct/entryshare.py
@@ -15,6 +15,8 @@
 UNPLACED_MARGIN: Final = 1.5
 #: Time for which an entry that is no longer counted keeps its share.
 COUNT_WINDOW_SECONDS: Final = 5.0
+#: Time until a new agent or coordinator has heard of all entries.
+RECENT_SECONDS: Final = 1.5
 #: Time after the start in which agents may not have heard of all entries.
 STARTUP_SECONDS: Final = 1.5
 HASH_BITS: Final = 32
@@ -44,6 +46,7 @@
     def __init__(self, name: str, started_at: float) -> None:
         self._started_at = started_at
         self._counts = SlidingMaximum(COUNT_WINDOW_SECONDS)
+        self._recent_counts = SlidingMaximum(RECENT_SECONDS)
         self._position = compute_fraction(name)
         self._is_placed = False
 
@@ -54,6 +57,18 @@
         :param now: seconds on the monotonic clock.
         """
         self._counts.record(entries, now)
+        self._recent_counts.record(entries, now)
+
+    def get_recent_count(self) -> int | None:
+        """Return the number of entries that agents counted recently.
+
+        An agent that started recently has heard of few entries, and dividing by
+        too small a number overfills groups, so the maximum of the last reports
+        counts.
+
+        :returns: number of entries; ``None`` before the first report.
+        """
+        return self._recent_counts.get()
 
     def record_position(self, position: int, entries: int) -> None:
         """Record this entry's position among the entries that an agent knows.
--- a/src/ospreyford/direct/retries.py
+++ b/src/ospreyford/direct/retries.py
@@ -24,10 +24,11 @@
     """
 
     def __init__(self, settings: RetrySettings, log: ChangeLog) -> None:
-        self.budget = RetryBudget(settings)
+        self.budget = RetryBudget(settings, time.monotonic())
         self.spent_count = 0
         self.denied_count = 0
         self._log = log
+        self._sharing = 0
         #: Time of the last line, by service.
         self._logged_at: dict[str, float] = {}
 
@@ -37,10 +38,11 @@
         :param entries: as counted by the agent.
         :param now: seconds on the monotonic clock.
         """
-        previous = self.budget.entries
         self.budget.record_entry_count(entries, now)
-        if self.budget.entries != previous:
-            self._log.log_change(EntryCountChanged(self.budget.entries))
+        sharing = self.budget.count_entries(now)
+        if sharing != self._sharing:
+            self._sharing = sharing
+            self._log.log_change(EntryCountChanged(sharing))
 
     def spend(self, service: str) -> bool:
         """Take one retry from the budget.
@@ -59,7 +61,7 @@
 
     def _log_exhausted(self, service: str, now: float) -> None:
         """Log it at most once in each sliding window."""
-        usage = self.budget.get_usage(service)
+        usage = self.budget.get_usage(service, now)
         logged_at = self._logged_at.get(service)
         if logged_at is not None and now - logged_at < usage.window:
             return
--- a/src/ospreyford/direct/retrydecisions.py
+++ b/src/ospreyford/direct/retrydecisions.py
@@ -23,9 +23,9 @@
 
 @dataclass(frozen=True)
 class EntryCountChanged:
-    """Agents count another number of entries.
+    """Another number of entries shares the retry budget.
 
-    :param entries: number of entries.
+    :param entries: number of entries, with those assumed.
     """
 
     entries: int
--- a/src/ospreyford/direct/settings.py
+++ b/src/ospreyford/direct/settings.py
@@ -11,7 +11,8 @@
     :param ratio: retries per request.
     :param slack: additional retries of all entries together.
     :param window: sliding window, in seconds.
-    :param assumed_entries: number of entries assumed until it is known.
+    :param assumed_entries: number of entries that share a group until it is
+        known; the budget is divided by more.
     """
 
     ratio: float
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import itertools
+import math
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -24,6 +26,7 @@
 from ospreyford.direct.headernames import HeaderNames
 from ospreyford.direct.program import respond_to_error
 from ospreyford.direct.registry import BackendServer
+from ospreyford.direct.retryshare import SETTLING_SECONDS
 from ospreyford.direct.settings import Bounds, DirectSettings, RetrySettings
 from ospreyford.http.client import ClientConnection
 from ospreyford.http.message import Headers, Limits, Request, Response
@@ -236,8 +239,7 @@
     context = EntryContext(SETTINGS, DIALECT, lines)  # type: ignore[arg-type]
     context.catalog = make_catalog(route)
     context.started_at = 0
-    # An agent has told of other entries.
-    context.record_entry_count(SETTINGS.retries.assumed_entries)
+    _let_run(context)
     context.freshness.confirm(read_boot_clock())
     backends = []
     names = itertools.count()
@@ -252,6 +254,16 @@
     return Site(context, lines, backends, address)
 
 
+def _let_run(context: EntryContext) -> None:
+    """Let an entry have run for long, in contact with the agents."""
+    entries = SETTINGS.retries.assumed_entries
+    context.budget.started_at = -math.inf
+    context.budget.record_entry_count(
+        entries, time.monotonic() - SETTLING_SECONDS
+    )
+    context.record_entry_count(entries)
+
+
 async def _serve(handler: Script) -> tuple[str, int]:
     host = next_address()
     sock = listen(host, 0)
--- a/tests/direct/retryfleet.py
+++ b/tests/direct/retryfleet.py
@@ -65,7 +65,7 @@
 
     def start(self, name: str) -> None:
         """Start an entry, in place of the one on its host."""
-        self.entries[name] = Entry(name, RetryBudget(SETTINGS))
+        self.entries[name] = Entry(name, RetryBudget(SETTINGS, self.now))
 
     def run_until(self, end: float) -> None:
         """Let time pass."""
--- a/tests/direct/test_agents.py
+++ b/tests/direct/test_agents.py
@@ -195,9 +195,9 @@
 ) -> None:
     entry = Entry(monkeypatch)
     entry.receive(make_report(entries=35))
-    assert entry.context.budget.entries == 35
+    assert entry.context.count_entries() == 35
     entry.receive(make_report(token=4, entries=70))
-    assert entry.context.budget.entries == 35
+    assert entry.context.count_entries() == 35
 
 
 def make_reply(**told: int) -> HelloReply:
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -112,13 +112,14 @@
 def test_entries_share_the_retry_budget() -> None:
     """All entries together must keep to the shared budget."""
     entries = [
-        RetryBudget(RetrySettings(ratio=0.2, slack=90, window=10))
+        RetryBudget(RetrySettings(ratio=0.2, slack=90, window=10), -60)
         for _ in range(4)
     ]
     retries = 0
     for entry in entries:
-        entry.record_entry_count(4, 0)
+        entry.record_entry_count(4, -1.5)
         for number in range(1000):
+            entry.record_entry_count(4, number / 100)
             entry.record_request('s', number / 100)
             retries += entry.spend('s', number / 100)
     assert 400 < retries <= 0.2 * 4000 + 90
@@ -128,14 +129,15 @@
     """Entries that never heard of each other must not take a full share."""
     retries = 0
     for _ in range(35):
-        entry = RetryBudget(RetrySettings(ratio=0, slack=90, window=10))
+        entry = RetryBudget(RetrySettings(ratio=0, slack=90, window=10), -60)
         retries += sum(entry.spend('s', 1) for _ in range(90))
     assert 0 < retries <= 90
 
 
 def test_the_retry_budget_is_replenished() -> None:
-    budget = RetryBudget(RetrySettings(ratio=0, slack=10, window=10))
-    budget.record_entry_count(1, 0)
+    budget = RetryBudget(RetrySettings(ratio=0, slack=10, window=10), -60)
+    for second in range(-1, 12):
+        budget.record_entry_count(1, second)
     spent = [budget.spend('s', 1) for _ in range(20)]
     assert sum(spent) == 8
     assert budget.spend('s', 11.5)
--- a/tests/direct/test_incarnations.py
+++ b/tests/direct/test_incarnations.py
@@ -130,4 +130,4 @@
     for seconds, count in reported:
         monkeypatch.setattr(time, 'monotonic', lambda now=seconds: now)
         context.record_entry_count(count)
-    assert context.budget.entries == entries
+    assert context.count_entries() == entries
--- a/tests/direct/test_retries.py
+++ b/tests/direct/test_retries.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ospreyford.direct.entryshare import ASSUMED_ENTRIES
 from ospreyford.direct.retries import RetryMeter
 from ospreyford.direct.retrydecisions import (
     EntryCountChanged,
@@ -35,6 +36,11 @@
 def test_changes_of_the_number_of_entries_are_logged() -> None:
     log: Any = RecordingLog()
     meter = RetryMeter(SETTINGS, log)
-    for entries in (3, 3, 4):
-        meter.record_entry_count(entries, 1)
-    assert log.events == [EntryCountChanged(3), EntryCountChanged(4)]
+    for second, entries in enumerate((3, 3, 3, 4, 3)):
+        meter.record_entry_count(entries, second)
+    # The first count is settled after 1.5 s.
+    assert log.events == [
+        EntryCountChanged(ASSUMED_ENTRIES),
+        EntryCountChanged(3),
+        EntryCountChanged(4),
+    ]
--- a/tests/platform/test_crashers.py
+++ b/tests/platform/test_crashers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import NamedTuple
 
@@ -86,6 +87,9 @@
 async def serve_beside_a_crasher() -> tuple[Fleet, list[Reply]]:
     fleet = Fleet()
     await fleet.start(2, 4, OPTIONS)
+    for entry in fleet.entries:
+        # Entries that started recently have few retries.
+        entry.context.budget.started_at = -math.inf
     crashing = await curio.spawn(fleet.ask_in_turn, CRASHER, 12, 0.3)
     replies = []
     until = time.monotonic() + 5
