--- a/tests/direct/test_budget.py
+++ b/tests/direct/test_budget.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.direct.retryfleet import Fleet
 
@@ -131,3 +133,66 @@
     fleet.run_until(END_SECONDS)
     assert fleet.retries
     assert fleet.compute_excess() <= 0
+
+
+def restart(fleet: Fleet, name: str, _seconds: float) -> None:
+    """Restart an entry."""
+    fleet.start(name)
+
+
+def lose(fleet: Fleet, name: str, _seconds: float) -> None:
+    """Lose a host for good."""
+    fleet.entries.pop(name)
+
+
+def freeze(fleet: Fleet, name: str, seconds: float) -> None:
+    """Freeze a host."""
+    fleet.entries[name].frozen_until = fleet.now + seconds
+
+
+def cut_off(fleet: Fleet, name: str, seconds: float) -> None:
+    """Cut a host off from the agents."""
+    fleet.entries[name].cut_until = fleet.now + seconds
+
+
+def add(fleet: Fleet, _name: str, _seconds: float) -> None:
+    """Add a host."""
+    fleet.add(1)
+
+
+def miscount_for(fleet: Fleet, _name: str, seconds: float) -> None:
+    """Let a new coordinator hear of one entry only."""
+    fleet.miscounts_until = fleet.now + min(seconds, 3)
+
+
+#: What happens, to which host, after and for how many seconds.
+Event = tuple[Callable[[Fleet, str, float], None], int, float, float]
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from((restart, lose, freeze, cut_off, add, miscount_for)),
+        st.integers(0, 20),
+        st.floats(0.2, 12),
+        st.floats(1, 30),
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(EVENTS, st.integers(1, 8), st.sampled_from((1, 20)))
+def test_no_series_of_faults_renews_the_retry_budget(
+    events: list[Event],
+    size: int,
+    rate: float,
+) -> None:
+    """Faults that follow each other must not add up their parts."""
+    fleet = Fleet(size, rate, FAULTS_FROM_SECONDS)
+    fleet.run_until(FAULTS_FROM_SECONDS - 15)
+    for cause_fault, index, after, seconds in events:
+        fleet.run_until(fleet.now + after)
+        names = sorted(fleet.entries)
+        if names:
+            cause_fault(fleet, names[index % len(names)], seconds)
+    fleet.run_until(max(fleet.now, FAULTS_FROM_SECONDS) + 30)
+    assert not fleet.retries or fleet.compute_excess() <= 0
