Keep within the connections that a backend accepts from all entries

What callers would see: a backend resets the connections that all entries open beyond its MaxConnections, also those of requests that it could run.

Each entry now holds at most 0.8 of the connections divided by the number of entries at one backend, one at least, idle or in use: the selection passes over a backend at which it has that many requests, and the pool keeps no more idle ones. As a new connection opens only when none is idle, requests and idle connections together never exceed the most requests at a time. A request for which no backend is left is rejected at once.

The catalog of tests/direct names 1,000 connections in place of 10, which nothing read until now.

--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -91,8 +91,11 @@
         """
         now = time.monotonic()
         backends, criteria = self._list_selectable(now)
+        connectable = self._list_connectable(backends)
+        if backends and not connectable:
+            return Unavailable(Cause.limited, MIN_RETRY_AFTER_SECONDS)
         remaining = self._call.compute_remaining(now)
-        match self._slots.select(backends, criteria, remaining):
+        match self._slots.select(connectable, criteria, remaining):
             case SendNow(backend=backend):
                 self._context.limits.take_slot(backend.server, now)
                 return backend
@@ -118,8 +121,11 @@
             return Unavailable(barrier)
         is_late = time.monotonic() - at > MAX_SLOT_DELAY_SECONDS
         is_leaving = backend.is_gone or backend.server.is_draining
+        is_full = not self._list_connectable([backend])
         is_changed = limits.get_rate(backend.server) != rate
-        return None if is_late or is_leaving or is_changed else backend
+        if is_late or is_leaving or is_full or is_changed:
+            return None
+        return backend
 
     def _find_barrier(self) -> Cause | None:
         if not self._context.may_serve(self._call):
@@ -141,6 +147,16 @@
             return True
         return self._context.retries.spend(call.service)
 
+    def _list_connectable(
+        self, backends: list[BackendState]
+    ) -> list[BackendState]:
+        """List the backends to which this entry may open a connection.
+
+        Backends reset the connections that all entries open beyond a maximum.
+        """
+        share = self._context.compute_connection_share(self._call.service)
+        return [one for one in backends if one.in_flight < share]
+
     def _list_selectable(
         self, now: float
     ) -> tuple[list[BackendState], SelectionCriteria]:
--- a/src/ospreyford/direct/connections.py
+++ b/src/ospreyford/direct/connections.py
@@ -9,6 +9,8 @@
 from ospreyford.http.message import find_header
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ospreyford.direct.registry import BackendServer
     from ospreyford.http.message import Response
 
@@ -21,6 +23,9 @@
 IDLE_MARGIN_SECONDS = 0.7
 #: Maximum number of idle connections per backend.
 MAX_IDLE_CONNECTIONS = 8
+#: Part of a backend's connections that entries use, with a margin for entries
+#: that are not counted yet and for connections of other processes.
+USABLE_FRACTION = 0.8
 
 
 class _IdleConnection(NamedTuple):
@@ -33,10 +38,14 @@
 
     Connections are pooled by incarnation: after a restart, or when an address
     is reused, connections to the earlier process are useless.
+
+    :param compute_share: computes how many connections this entry may hold at
+        one backend of a service.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, compute_share: Callable[[str], int]) -> None:
         self.opened = 0
+        self._compute_share = compute_share
         # By incarnation.
         self._idle: dict[tuple[str, int], list[_IdleConnection]] = {}
 
@@ -77,8 +86,9 @@
         """
         idle = self._idle.setdefault(server.get_incarnation(), [])
         seconds = read_idle_timeout(head)
+        share = self._compute_share(server.service)
         if (
-            len(idle) < MAX_IDLE_CONNECTIONS
+            len(idle) < min(MAX_IDLE_CONNECTIONS, share)
             and seconds > 0
             and connection.start_next_cycle()
             and connection.is_quiet()
@@ -107,6 +117,17 @@
                 await kept.connection.close()
 
 
+def compute_connection_share(max_connections: int, entries: int) -> int:
+    """Compute how many connections one entry may hold at one backend.
+
+    :param max_connections: connections that the backend accepts from all
+        callers together.
+    :param entries: number of entries.
+    :returns: number of connections, idle or in use.
+    """
+    return max(int(USABLE_FRACTION * max_connections / entries), 1)
+
+
 def read_idle_timeout(head: Response) -> float:
     """Read the idle timeout from a ``Keep-Alive`` header field.
 
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -10,7 +10,10 @@
 from ospreyford.direct.admission import GroupLoad
 from ospreyford.direct.backendlimits import BackendLimits
 from ospreyford.direct.backendrequest import RequestResources
-from ospreyford.direct.connections import ConnectionPool
+from ospreyford.direct.connections import (
+    ConnectionPool,
+    compute_connection_share,
+)
 from ospreyford.direct.freshness import StateFreshness
 from ospreyford.direct.gate import StreamGate
 from ospreyford.direct.keyguard import KeyGuard
@@ -64,7 +67,7 @@
         self.is_informed = False
         self.suspects = CrashSuspects(self.log, self.settings.identity_salt)
         self.suspect_sharing = SuspectSharing(self.suspects)
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(self.compute_connection_share)
         self.limits = BackendLimits(
             self.header_names.limit, self.settings.name, self.log
         )
@@ -132,6 +135,19 @@
             return self.settings.retries.assumed_entries
         return max(counted, 1)
 
+    def compute_connection_share(self, service: str) -> int:
+        """Compute how many connections this entry may hold at one backend.
+
+        :param service: the backend's service.
+        :returns: number of connections.
+        """
+        known = self.catalog.services.get(service) if self.catalog else None
+        if known is None:
+            return 1
+        return compute_connection_share(
+            known.max_connections, self.count_entries()
+        )
+
     def is_starting(self) -> bool:
         """Check whether this entry started recently.
 
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -181,7 +181,7 @@
     return Catalog(
         version=version,
         routes={'host': (route,)},
-        services={'service': Service('service', 10, None)},
+        services={'service': Service('service', 1000, None)},
         customers={'good-key': Customer('customer', None)},
         limits=Limits(),
     )
