--- a/src/ospreyford/direct/connections.py
+++ b/src/ospreyford/direct/connections.py
@@ -49,6 +49,11 @@
         # By incarnation.
         self._idle: dict[tuple[str, int], list[_IdleConnection]] = {}
 
+    @property
+    def idle_count(self) -> int:
+        """Number of idle connections."""
+        return sum(len(idle) for idle in self._idle.values())
+
     async def acquire(self, server: BackendServer) -> ClientConnection:
         """Return an idle connection, or open one.
 
--- a/src/ospreyford/direct/metrics.py
+++ b/src/ospreyford/direct/metrics.py
@@ -74,6 +74,12 @@
             context.pool,
             'opened',
         ),
+        (
+            'connections_idle',
+            'Idle connections to back ends.',
+            context.pool,
+            'idle_count',
+        ),
         (
             'backends_limited',
             'Back ends that declare how many requests they take.',
--- a/tests/direct/test_connectionshare.py
+++ b/tests/direct/test_connectionshare.py
@@ -77,6 +77,25 @@
     assert all(got.retry_times)
 
 
+async def ask_while_entries_start() -> tuple[int, int]:
+    site = await be.open_site(ROUTE, CountingBackend().serve)
+    tasks = [await curio.spawn(site.ask) for _ in range(CALLERS)]
+    for task in tasks:
+        await task.join()
+    idle = site.context.pool.idle_count
+    site.context.record_entry_count(1000)
+    for _ in range(idle):
+        await site.ask()
+    return idle, site.context.pool.idle_count
+
+
+def test_idle_connections_are_closed_as_entries_start() -> None:
+    """Idle connections of many entries must not exceed the maximum."""
+    idle, later = curio.run(ask_while_entries_start)
+    assert idle > 1
+    assert later == 1
+
+
 def test_a_large_maximum_refuses_nobody() -> None:
     got = curio.run(ask_at_once, 1000)
     assert got.statuses == [200] * CALLERS
