Show that requests with one crashing part of their prompts are not blocked

Callers saw all streams of a rank group fail for as long as such requests came: each ended a rank, and so closed the group for all.

--- a/src/ospreyford/platform/standins/replicas.py
+++ b/src/ospreyford/platform/standins/replicas.py
@@ -25,6 +25,8 @@
 
 #: Requests with these bytes in their body crash the replica that begins them.
 CRASH_MARK: Final = b'crash'
+#: Parts of the prompt, in order, as ID:TOKENS.
+PROMPT_FIELD: Final = b'x-prompt-prefix'
 SLOTS: Final = 6
 PORT: Final = 9300
 
@@ -39,6 +41,10 @@
     :param work_seconds: time that a request runs.
     :param back_seconds: time from a crash to the next start.
     :param expiry_seconds: time from a crash to the end of its registration.
+    :param crash_part: id of a prompt part that crashes the replica that begins
+        an answer on it, except as the last part; ``None`` if there is none.
+    :param crash_events: events of that answer before the crash; ``None`` if it
+        ends before its head.
     """
 
     service: str
@@ -46,6 +52,8 @@
     work_seconds: float = 0.01
     back_seconds: float = 2.0
     expiry_seconds: float = 3.6
+    crash_part: bytes | None = None
+    crash_events: int | None = None
 
 
 class Arrival(NamedTuple):
@@ -56,6 +64,7 @@
     :param body: the whole body.
     :param at: seconds since the Unix epoch.
     :param backoff: time without requests that the refusal asks for.
+    :param parts: ids of the prompt parts that it shares with others.
     """
 
     replica: str
@@ -63,6 +72,7 @@
     body: bytes
     at: float
     backoff: bytes | None = None
+    parts: tuple[bytes, ...] = ()
 
 
 @dataclass
@@ -253,15 +263,27 @@
             return
         request_id = find_header(headers, HEADER_NAMES.request_id) or b''
         arrival = Arrival(
-            self.id, request_id.decode(), body, time.time(), self.backoff
+            self.id,
+            request_id.decode(),
+            body,
+            time.time(),
+            self.backoff,
+            read_shared_parts(headers),
         )
         self._arrivals.requests.append(arrival)
         if await self._shed(exchange) or await self.refuse(exchange):
             return
         self._arrivals.runs.append(arrival)
-        if CRASH_MARK not in body:
+        is_crasher = self._options.crash_part in arrival.parts
+        if CRASH_MARK not in body and not is_crasher:
             await self.run_request(exchange, request_id)
             return
+        if is_crasher and self._options.crash_events is not None:
+            await begin_answer(
+                exchange,
+                self.sign_answer(request_id),
+                self._options.crash_events,
+            )
         self._arrivals.crashes.append(arrival)
         # A task of its own: the crash cancels this one.
         await curio.spawn(self.crash, daemon=True)
@@ -280,3 +302,28 @@
         await curio.sleep(self._options.work_seconds)
         fields = self.sign_answer(request_id)
         await exchange.respond(HTTPStatus.OK, b'answer', fields)
+
+
+def read_shared_parts(headers: Headers) -> tuple[bytes, ...]:
+    """Read the prompt parts that a request shares with others.
+
+    :param headers: its header fields.
+    :returns: ids of all parts but the last.
+    """
+    field = find_header(headers, PROMPT_FIELD) or b''
+    parts = field.split(b',')[:-1]
+    return tuple(part.partition(b':')[0].strip() for part in parts)
+
+
+async def begin_answer(
+    exchange: Exchange, fields: Headers, events: int
+) -> None:
+    """Begin the answer to a request that then crashes the replica.
+
+    :param exchange: the request.
+    :param fields: header fields of the answer.
+    :param events: events of the answer before the crash.
+    """
+    await exchange.start(HTTPStatus.OK, fields)
+    for event in range(1, events + 1):
+        await exchange.write(b'id: %d\ndata: x\n\n' % event)
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -18,7 +18,13 @@
 from ospreyford.http.server import listen, port_of
 from ospreyford.platform.feed import StoreFeed
 from ospreyford.platform.headernames import HEADER_NAMES
+from ospreyford.platform.standins.rankgroup import (
+    GroupOptions,
+    Rank,
+    RankGroup,
+)
 from ospreyford.platform.standins.replicas import (
+    PROMPT_FIELD,
     Arrivals,
     PlainReplica,
     ReplicaOptions,
@@ -40,6 +46,9 @@
 #: Plain service of the stand-in configuration.
 SERVICE = 's2'
 PATH = '/a/b/x'
+#: Service of a rank group.
+GROUP_SERVICE = 's1'
+STREAM_PATH = '/a/s/x'
 DRAIN_SECONDS = 2.0
 STABLE_SECONDS = 3.0
 BOUNDS = Bounds(DRAIN_SECONDS, 8, 5)
@@ -122,13 +131,20 @@
             self.server.run, self.feed.run, daemon=True
         )
 
+    async def stop(self) -> None:
+        """End at once, as a killed process does."""
+        if self._task is not None:
+            await self._task.cancel()
+
     async def ask(
         self,
         body: bytes,
         request_id: str,
         key: bytes = b'k1',
         path: str = PATH,
+        prompt: bytes | None = None,
     ) -> Reply:
+        parts = () if prompt is None else ((PROMPT_FIELD, prompt),)
         request = Request(
             'POST',
             path,
@@ -137,6 +153,7 @@
                 (HEADER_NAMES.request_id, request_id.encode()),
                 (HEADER_NAMES.key, key),
                 (HEADER_NAMES.deadline, b'2000'),
+                *parts,
             ),
         )
         try:
@@ -167,6 +184,7 @@
         self.arrivals = Arrivals()
         self.replicas: list[PlainReplica] = []
         self.entries: list[FleetEntry] = []
+        self.group: RankGroup | None = None
         self._ids = itertools.count()
         self._route_type = route_type
         self._has_agent = has_agent
@@ -189,6 +207,36 @@
             await self.add_entry()
         await curio.sleep(0.5)
 
+    async def start_group(
+        self, entries: int, group: GroupOptions, options: ReplicaOptions
+    ) -> None:
+        """Start entries in front of a rank group, with an agent at its first.
+
+        :param entries: number of entries.
+        :param group: how the group behaves.
+        :param options: how each rank behaves.
+        """
+        self._store_address = await self.store.open(next_address())
+        host = await self._start_agent()
+        self.state.put('op/config', self.make_config(3))
+        self.group = RankGroup(group)
+        for number in range(group.ranks):
+            rank = Rank(number, self.group, options, self.state, self.arrivals)
+            await rank.start(next_address() if number else host)
+        for _ in range(entries):
+            await self.add_entry()
+        await curio.sleep(0.5)
+
+    async def restart_entry(self, number: int) -> None:
+        """Replace an entry by one that knows nothing yet.
+
+        :param number: of the entry.
+        """
+        await self.entries[number].stop()
+        entry = await self.add_entry()
+        self.entries.remove(entry)
+        self.entries[number] = entry
+
     async def add_entry(self) -> FleetEntry:
         entry = FleetEntry(self._store_address, self._agent_port)
         await entry.start()
@@ -206,7 +254,17 @@
             'MaxAttempts': 2,
             'Service': SERVICE,
         }
-        return make_config(version, Routes=[route], **other)
+        streams = {
+            **route,
+            'Name': 'streams',
+            'Prefix': '/a/s/',
+            'RouteType': 'streaming',
+            'TimeoutMs': 2000,
+            'TargetGapMs': 120,
+            'CanResume': True,
+            'Service': GROUP_SERVICE,
+        }
+        return make_config(version, Routes=[route, streams], **other)
 
     async def ask_in_turn(
         self, body: bytes, count: int, interval: float
