Block the prompt part that crashes replicas, not only the whole request

Cause: a crash was remembered against customer, target and body, so requests that only share a part never added up.

Now every part that a lost request shares with others (all but the last) is a suspect beside the request itself, in the same table and messages, so crashes add up over requests and entries. A whole answer, or a stream that has well begun, clears all parts of its request, at all entries; an entry that has answered a part lately also speaks for it where others saw its crash. A trial now reaches one backend, is told to the other entries, and their own are spread over time.

--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -56,6 +56,9 @@
     :param cursor: id of the last event that the caller has received.
     :param origin: connection details, for the log.
     :param is_retry: whether it is a retry of a refused request.
+    :param identities: its own and those of the prompt parts that it shares,
+        once they are needed.
+    :param trial_from: number of attempts before it was sent as a trial.
     """
 
     id: str
@@ -77,8 +80,8 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_gap: float = 0
-    identity: bytes | None = None
-    trial_strikes: int | None = None
+    identities: tuple[bytes, ...] = ()
+    trial_from: int | None = None
 
     def record_event(self, now: float) -> None:
         """Record that events were forwarded.
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -65,7 +65,9 @@
         self.store_restores = 0
         #: Whether an agent has told what other entries know.
         self.is_informed = False
-        self.suspects = CrashSuspects(self.log, self.settings.identity_salt)
+        self.suspects = CrashSuspects(
+            self.log, self.settings, self.header_names
+        )
         self.suspect_sharing = SuspectSharing(self.suspects)
         self.pool = ConnectionPool(self.compute_connection_share)
         self.declarations = BackendDeclarations(
--- a/src/ospreyford/direct/headernames.py
+++ b/src/ospreyford/direct/headernames.py
@@ -19,6 +19,8 @@
     :param limit: requests per second that a backend takes from all entries
         together, in its responses.
     :param leaving: marks the responses of a backend that is leaving.
+    :param prompt_parts: parts of the prompt in order, as comma-separated
+        ID:TOKENS entries; requests share all parts but the last.
     """
 
     request_id: bytes
@@ -31,3 +33,4 @@
     last_event: bytes
     limit: bytes
     leaving: bytes
+    prompt_parts: bytes
--- a/src/ospreyford/direct/losses.py
+++ b/src/ospreyford/direct/losses.py
@@ -19,13 +19,14 @@
 class Loss(NamedTuple):
     """A request that a backend broke off.
 
-    :param suspect: the request; its strikes are not considered.
+    :param suspects: the request and the parts of its prompt; their strikes are
+        not considered.
     :param request_id: the caller's request id.
     :param server: the backend's registration.
     :param lost_at: when, in seconds on the monotonic clock.
     """
 
-    suspect: Suspect
+    suspects: tuple[Suspect, ...]
     request_id: str
     server: BackendServer
     lost_at: float
--- a/src/ospreyford/direct/operatorport.py
+++ b/src/ospreyford/direct/operatorport.py
@@ -24,11 +24,11 @@
 
 
 class SuspectRow(NamedTuple):
-    """A suspected request, as shown to operators.
+    """A suspect, as shown to operators.
 
     :param identity: its identity, as hexadecimal digits.
-    :param customer: name of its customer.
-    :param path: beginning of its path.
+    :param customer: name of the request's customer; empty for a prompt part.
+    :param path: beginning of its path, or id of the prompt part.
     :param state: ``blocked``, ``suspected`` or ``cleared``.
     :param crashes: crashes that it is suspected of.
     :param limit: crashes at which it is blocked.
@@ -70,9 +70,13 @@
         :returns: one row each, those with the most crashes first.
         """
         now = time.monotonic()
-        table = self._context.suspects.table
-        table.expire(now)
-        rows = [make_row(suspect, now) for suspect in table.list_all()]
+        suspects = self._context.suspects
+        suspects.table.expire(now)
+        blamed = suspects.decisions.find_blamed()
+        rows = [
+            make_row(suspect, suspect.identity in blamed, now)
+            for suspect in suspects.table.list_all()
+        ]
         return sorted(rows, key=_get_crashes, reverse=True)
 
     async def _answer(self, exchange: Exchange) -> None:
@@ -98,7 +102,7 @@
             detail = {'detail': f'identity: not hexadecimal digits: {digits}'}
             await _respond(exchange, HTTPStatus.BAD_REQUEST, detail)
             return
-        if self._context.suspects.clear(identity, 'lifted'):
+        if self._context.suspects.clear(identity, 'lifted', time.monotonic()):
             await _respond(exchange, HTTPStatus.OK, {'lifted': digits})
             return
         shown = digits or '(missing)'
@@ -111,10 +115,11 @@
         return context.metrics.render()
 
 
-def make_row(suspect: Suspect, now: float) -> SuspectRow:
-    """Describe a suspected request.
+def make_row(suspect: Suspect, is_blocked: bool, now: float) -> SuspectRow:
+    """Describe a suspect.
 
-    :param suspect: the request.
+    :param suspect: the request or prompt part.
+    :param is_blocked: whether it is blocked.
     :param now: seconds on the monotonic clock.
     :returns: its row.
     """
@@ -125,7 +130,7 @@
         suspect.identity.hex(),
         suspect.customer,
         suspect.path,
-        'blocked' if suspect.is_blocked() else state,
+        'blocked' if is_blocked else state,
         len(active),
         suspect.limit,
         round(now - latest, 1),
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -14,6 +14,7 @@
     BackendSelector,
     Unavailable,
 )
+from ospreyford.direct.beginnings import AnswerBeginning
 from ospreyford.direct.call import SHED, Attempt
 from ospreyford.direct.headers import drop_hop_by_hop
 from ospreyford.direct.migration import StreamMigrator
@@ -49,8 +50,6 @@
 #: Consecutive refusals after which a group counts as closed; a single rank may
 #: be full or leaving.
 CLOSED_REFUSALS = 2
-#: Events after which a stream has begun for long.
-FEW_EVENTS = 2
 #: Retry time where nothing better is known.
 DEFAULT_RETRY_AFTER_SECONDS = 0.3
 
@@ -248,11 +247,15 @@
         if not self._exchange.started:
             fields = tuple(drop_hop_by_hop(head.headers))
             self._exchange.add((self._exchange.make_head(head.status, fields),))
-        first_event = self._call.cursor or 0
+        beginning = AnswerBeginning(
+            self._call.cursor,
+            partial(self._suspects.record_answer, self._call),
+        )
         stream_result = await forward_stream(
             self._call,
             backend_request,
             self._exchange,
+            beginning,
             partial(self._migrator.should_migrate, backend),
         )
         match stream_result:
@@ -266,7 +269,7 @@
                 return None
         backend.record_failure(time.monotonic())
         self._cause = Cause.lost
-        if (self._call.cursor or 0) - first_event <= FEW_EVENTS:
+        if not beginning.is_over:
             await self._suspects.record_loss(
                 self._call, backend, in_group=self._gate is not None
             )
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from ospreyford.direct.backendrequest import BackendRequest
+    from ospreyford.direct.beginnings import AnswerBeginning
     from ospreyford.direct.call import Call
     from ospreyford.direct.events import StreamEvent
     from ospreyford.http.server import Exchange
@@ -40,6 +41,7 @@
     call: Call,
     backend_request: BackendRequest,
     exchange: Exchange,
+    beginning: AnswerBeginning,
     should_migrate: Callable[[], bool],
 ) -> StreamResult:
     """Forward complete events as they arrive.
@@ -47,18 +49,22 @@
     :param call: the request; its cursor is advanced.
     :param backend_request: the request to the backend.
     :param exchange: the caller's response channel.
+    :param beginning: is told of the events.
     :param should_migrate: called after each chunk to decide on a migration.
     :returns: how the stream ended.
     :raises ConnectionLost: the caller disconnected.
     """
     async with aclosing(backend_request.read_pieces()) as pieces:
-        return await _forward_events(pieces, call, exchange, should_migrate)
+        return await _forward_events(
+            pieces, call, exchange, beginning, should_migrate
+        )
 
 
 async def _forward_events(
     pieces: AsyncGenerator[bytes, None],
     call: Call,
     exchange: Exchange,
+    beginning: AnswerBeginning,
     should_migrate: Callable[[], bool],
 ) -> StreamResult:
     splitter = EventSplitter()
@@ -74,6 +80,7 @@
         except (HttpError, curio.TaskTimeout):
             return StreamResult.broken
         is_in_order = _forward_all(splitter.add(piece), call, exchange)
+        beginning.record_events(call.cursor)
         await exchange.push(STALL_SECONDS)
         if not is_in_order:
             return StreamResult.broken
--- a/src/ospreyford/direct/suspects.py
+++ b/src/ospreyford/direct/suspects.py
@@ -1,4 +1,4 @@
-"""Requests that an entry suspects of crashing backends."""
+"""Requests and prompt parts that an entry suspects of crashing backends."""
 
 from __future__ import annotations
 
@@ -14,24 +14,21 @@
     RequestCleared,
 )
 from ospreyford.direct.losses import Loss, RecentLosses
+from ospreyford.direct.suspectdecisions import SuspectDecisions
+from ospreyford.direct.suspectidentities import SuspectIdentifier
 from ospreyford.suspects.bursts import BurstDetector, Crash
-from ospreyford.suspects.decisions import (
-    GROUP_LIMIT,
-    PLAIN_LIMIT,
-    Decision,
-    decide,
-)
-from ospreyford.suspects.identities import compute_identity, compute_strike_id
-from ospreyford.suspects.table import (
-    MAX_TEXT_CHARACTERS,
-    Suspect,
-    SuspectTable,
-)
+from ospreyford.suspects.decisions import GROUP_LIMIT, PLAIN_LIMIT, Decision
+from ospreyford.suspects.identities import compute_strike_id
+from ospreyford.suspects.table import Suspect, SuspectTable
 from ospreyford.suspects.times import LatestTimes
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ospreyford.direct.call import Call
+    from ospreyford.direct.headernames import HeaderNames
     from ospreyford.direct.registry import BackendServer, BackendState
+    from ospreyford.direct.settings import DirectSettings
     from ospreyford.observability.logs import ChangeLog
 
 
@@ -45,20 +42,30 @@
 class CrashSuspects:
     """Counts the backends that went down as a request had just begun on them.
 
-    ``changed`` holds the identities of which other processes are to be told.
+    The request and all parts of its prompt that it shares with others are
+    suspected. ``changed`` holds the identities of which other processes are to
+    be told.
 
     :param log: receives log events.
-    :param salt: key of the identities, the same in all entries.
+    :param settings: settings of the entry.
+    :param header_names: names of header fields.
     """
 
-    def __init__(self, log: ChangeLog, salt: bytes) -> None:
+    def __init__(
+        self,
+        log: ChangeLog,
+        settings: DirectSettings,
+        header_names: HeaderNames,
+    ) -> None:
         self.table = SuspectTable()
+        self.decisions = SuspectDecisions(self.table, settings.name)
         self.checker = CrashChecker()
         self.changed: set[bytes] = set()
         self._log = log
-        self._salt = salt
+        self._identifier = SuspectIdentifier(
+            settings.identity_salt, header_names.prompt_parts
+        )
         self._bursts = BurstDetector()
-        self._trials = LatestTimes()
         self._answers = LatestTimes()
         self._losses = RecentLosses()
 
@@ -73,23 +80,22 @@
     def may_send(self, call: Call) -> bool:
         """Decide whether a request is sent to a backend now.
 
-        A trial may be sent until its outcome is known.
+        A trial is sent until one backend has received it.
 
         :param call: the request.
         :returns: whether to send it.
         """
         decision = self._decide(call)
+        if decision is Decision.send:
+            return True
+        if call.trial_from is not None:
+            attempts = call.attempts[call.trial_from :]
+            return not any(one.is_connected for one in attempts)
         if decision is Decision.trial:
-            identity = self.identify(call)
-            suspect = self.table.find(identity)
-            call.trial_strikes = len(suspect.list_active()) if suspect else 0
-            self._trials.record(identity, time.monotonic())
-        if decision is Decision.block and call.trial_strikes is not None:
-            suspect = self.table.find(self.identify(call))
-            return suspect is None or (
-                len(suspect.list_active()) <= call.trial_strikes
-            )
-        return decision is not Decision.block
+            call.trial_from = len(call.attempts)
+            identities = self._identifier.identify(call)
+            self.changed.update(self.decisions.record_trial(identities))
+        return decision is Decision.trial
 
     async def record_loss(
         self, call: Call, backend: BackendState, *, in_group: bool
@@ -104,13 +110,13 @@
         if server.is_draining or backend.is_gone:
             # It was about to end.
             return
-        suspect = Suspect(
-            self.identify(call),
-            call.customer.name if call.customer else '',
-            call.request.target[:MAX_TEXT_CHARACTERS],
-            GROUP_LIMIT if in_group else PLAIN_LIMIT,
+        limit = GROUP_LIMIT if in_group else PLAIN_LIMIT
+        loss = Loss(
+            tuple(self._identifier.list_suspects(call, limit)),
+            call.id,
+            server,
+            time.monotonic(),
         )
-        loss = Loss(suspect, call.id, server, time.monotonic())
         # The check goes on where the caller leaves, or a lost host is silent.
         checking = await curio.spawn(self._check, loss, daemon=True)
         async with curio.ignore_after(MAX_CHECK_WAIT_SECONDS):
@@ -122,118 +128,124 @@
         :param server: its registration.
         """
         for loss in self._losses.take_replaced(server):
-            self._add_strike(loss)
+            self._add_strikes(loss)
 
     def record_answer(self, call: Call) -> None:
-        """Record that a backend has answered a request whole.
+        """Record that a backend has answered a request, or well begun to.
 
         :param call: the request.
         """
-        identity = self.identify(call)
-        self._answers.record(identity, time.monotonic())
-        self.clear(identity, 'answered')
+        now = time.monotonic()
+        for identity in self._identifier.identify(call):
+            self._answers.record(identity, now)
+            self.clear(identity, 'answered', now)
 
-    def clear(self, identity: bytes, reason: str) -> bool:
-        """Clear a request of all crashes.
+    def clear(self, identity: bytes, reason: str, now: float) -> bool:
+        """Clear a suspect of all crashes.
 
         :param identity: its identity.
         :param reason: ``answered`` by a backend, or ``lifted`` by an operator.
+        :param now: seconds on the monotonic clock.
         :returns: whether it was suspected.
         """
-        if not self.table.clear(identity, time.monotonic()):
+        if not self.table.clear(identity, now):
             return False
-        self._trials.forget(identity)
         self.changed.add(identity)
         self._log.log_change(RequestCleared(identity.hex(), reason))
         return True
 
     @property
     def blocked_count(self) -> int:
-        """Number of blocked requests."""
-        return sum(one.is_blocked() for one in self.table.list_all())
+        """Number of requests and prompt parts that are blocked."""
+        return len(self.decisions.find_blamed())
 
-    def log_blocked(self, suspect: Suspect, reason: str) -> None:
-        """Log that a request is blocked from now on.
+    def log_blocked(self, before: Collection[bytes], reason: str) -> None:
+        """Log what is blocked from now on.
 
-        :param suspect: the request.
+        :param before: identities of what was blocked before.
         :param reason: ``crashes`` if seen here, ``told`` if by another process.
         """
-        self._log.log_change(
-            RequestBlocked(
-                suspect.identity.hex(),
-                suspect.customer,
-                suspect.path,
-                len(suspect.list_active()),
-                reason,
+        for identity in self.decisions.find_blamed():
+            suspect = self.table.find(identity)
+            if suspect is None or identity in before:
+                continue
+            self._log.log_change(
+                RequestBlocked(
+                    identity.hex(),
+                    suspect.customer,
+                    suspect.path,
+                    len(suspect.list_active()),
+                    reason,
+                )
             )
-        )
 
-    def identify(self, call: Call) -> bytes:
-        """Return the identity of a request.
+    def spare_answered(self, identity: bytes, now: float) -> None:
+        """Clear a suspect of crashes that answers at this entry speak against.
 
-        :param call: the request.
-        :returns: its identity, computed when it is first needed.
+        These are all crashes before its latest answer, and the only one since:
+        what has much of the traffic runs beside many crashes.
+
+        :param identity: its identity.
+        :param now: seconds on the monotonic clock.
         """
-        if call.identity is None:
-            call.identity = compute_identity(
-                self._salt,
-                call.customer.name if call.customer else '',
-                call.request.target,
-                call.body,
-            )
-        return call.identity
+        suspect = self.table.find(identity)
+        answered_at = self._answers.find(identity)
+        if suspect is None or answered_at is None:
+            return
+        if now - answered_at > ANSWER_MEMORY_SECONDS:
+            return
+        since = [
+            strike_id
+            for strike_id, one in suspect.strikes.items()
+            if one.changed_at > answered_at
+        ]
+        spared = set(suspect.strikes)
+        if len(since) > 1:
+            spared.difference_update(since)
+        for strike_id in spared:
+            if self.table.clear_strike(identity, strike_id, now):
+                self.changed.add(identity)
 
     async def _check(self, loss: Loss) -> None:
         match await self.checker.check(loss.server):
             case Finding.down:
-                self._add_strike(loss)
+                self._add_strikes(loss)
             case Finding.listening:
                 self._losses.add(loss)
 
     def _decide(self, call: Call) -> Decision:
         if not len(self.table):
             return Decision.send
-        identity = self.identify(call)
-        now = time.monotonic()
-        return decide(
-            self.table.find(identity), self._trials.find(identity), now
-        )
+        return self.decisions.decide(self._identifier.identify(call))
 
-    def _add_strike(self, loss: Loss) -> None:
+    def _add_strikes(self, loss: Loss) -> None:
         now = time.monotonic()
+        before = set(self.decisions.find_blamed())
         server = loss.server
         strike_id = compute_strike_id(server.id, server.started_ms)
-        identity = loss.suspect.identity
-        is_spared = self._is_answered(identity, now)
-        suspect = self.table.add_strike(loss.suspect, strike_id, now)
-        if suspect is None:
-            return
-        self.changed.add(identity)
-        if is_spared:
-            self.table.clear_strike(identity, strike_id, now)
-        self._log.log_change(
-            BackendCrashed(
-                server.id,
-                server.service,
-                loss.request_id,
-                identity.hex(),
-                len(suspect.list_active()),
+        is_new = [
+            self._add_strike(one, strike_id, now) for one in loss.suspects
+        ]
+        own = self.table.find(loss.suspects[0].identity)
+        if own is not None and any(is_new):
+            self._log.log_change(
+                BackendCrashed(
+                    server.id,
+                    server.service,
+                    loss.request_id,
+                    own.identity.hex(),
+                    len(own.list_active()),
+                )
             )
-        )
+        self.log_blocked(before, 'crashes')
+
+    def _add_strike(self, suspect: Suspect, strike_id: int, now: float) -> bool:
+        identity = suspect.identity
+        if self.table.add_strike(suspect, strike_id, now) is None:
+            return False
+        self.changed.add(identity)
+        self.spare_answered(identity, now)
         for crash in self._bursts.record(Crash(identity, strike_id, now)):
             if self.table.clear_strike(crash.identity, crash.strike_id, now):
                 self.changed.add(crash.identity)
-        if suspect.is_blocked():
-            self.log_blocked(suspect, 'crashes')
-
-    def _is_answered(self, identity: bytes, now: float) -> bool:
-        """Check whether a request was answered since its latest crash.
-
-        A request with much of the traffic runs beside many crashes.
-        """
-        answered_at = self._answers.find(identity)
-        if answered_at is None or now - answered_at > ANSWER_MEMORY_SECONDS:
-            return False
-        suspect = self.table.find(identity)
-        strikes = suspect.strikes.values() if suspect else ()
-        return all(one.changed_at < answered_at for one in strikes)
+        return True
--- a/src/ospreyford/direct/suspectsharing.py
+++ b/src/ospreyford/direct/suspectsharing.py
@@ -48,12 +48,12 @@
         :param report: its suspected requests.
         :returns: all that is known, if that process does not know it.
         """
-        table = self._suspects.table
-        before = {one.identity for one in table.list_all() if one.is_blocked()}
-        table.merge(report.suspects, time.monotonic())
-        for suspect in table.list_all():
-            if suspect.is_blocked() and suspect.identity not in before:
-                self._suspects.log_blocked(suspect, 'told')
+        suspects = self._suspects
+        before = set(suspects.decisions.find_blamed())
+        now = time.monotonic()
+        for identity in suspects.table.merge(report.suspects, now):
+            suspects.spare_answered(identity, now)
+        suspects.log_blocked(before, 'told')
         if self.compute_digest() == report.digest:
             return None
         return self._make_report(None)
--- a/src/ospreyford/measure/direct_timing.py
+++ b/src/ospreyford/measure/direct_timing.py
@@ -67,6 +67,7 @@
     last_event=b'last-event-id',
     limit=b'x-limit',
     leaving=b'x-leaving',
+    prompt_parts=b'x-prompt',
 )
 SEALED: Final = ((b'x-id', b'mine'), (b'x-seal', b's'))
 ASKED: Final = Request(
--- a/src/ospreyford/platform/headernames.py
+++ b/src/ospreyford/platform/headernames.py
@@ -18,6 +18,7 @@
     last_event=b'last-event-id',
     limit=b'server-limit',
     leaving=b'server-leaving',
+    prompt_parts=b'x-prompt-prefix',
 )
 
 #: Generation of the store, in each of its responses.
--- a/src/ospreyford/platform/standins/replicas.py
+++ b/src/ospreyford/platform/standins/replicas.py
@@ -25,8 +25,6 @@
 
 #: Requests with these bytes in their body crash the replica that begins them.
 CRASH_MARK: Final = b'crash'
-#: Parts of the prompt, in order, as ID:TOKENS.
-PROMPT_FIELD: Final = b'x-prompt-prefix'
 SLOTS: Final = 6
 PORT: Final = 9300
 
@@ -310,7 +308,7 @@
     :param headers: its header fields.
     :returns: ids of all parts but the last.
     """
-    field = find_header(headers, PROMPT_FIELD) or b''
+    field = find_header(headers, HEADER_NAMES.prompt_parts) or b''
     parts = field.split(b',')[:-1]
     return tuple(part.partition(b':')[0].strip() for part in parts)
 
--- a/src/ospreyford/suspects/identities.py
+++ b/src/ospreyford/suspects/identities.py
@@ -1,4 +1,4 @@
-"""Identity of a request that a caller may send again."""
+"""Identities of requests that callers may send again, and of prompt parts."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 IDENTITY_BYTES: Final = 16
 #: Length prefixes keep neighbouring fields apart.
 PREFIX_BYTES = 8
+#: Keeps hashes of prompt parts apart from those of requests.
+PART_PERSON: Final = b'prompt part'
 
 
 def compute_identity(
@@ -31,6 +33,18 @@
     return digest.digest()
 
 
+def compute_part_identity(salt: bytes, part: bytes) -> bytes:
+    """Compute the identity of a part of a prompt.
+
+    :param salt: key of the hash, up to 64 bytes, the same in all entries.
+    :param part: id of the part, the same in all requests that share it.
+    :returns: a keyed hash of 128 bits, never that of a request.
+    """
+    return blake2b(
+        part, key=salt, person=PART_PERSON, digest_size=IDENTITY_BYTES
+    ).digest()
+
+
 def compute_strike_id(backend: str, started_ms: int) -> int:
     """Compute the id of a crash from the process that crashed.
 
@@ -40,3 +54,13 @@
     """
     name = f'{backend} {started_ms}'.encode()
     return int.from_bytes(blake2b(name, digest_size=8).digest()) >> 1
+
+
+def compute_turn(name: str) -> float:
+    """Compute an entry's place among all that might try a suspect.
+
+    :param name: name of the entry.
+    :returns: 0 or more and below 1, spread evenly over names.
+    """
+    digest = blake2b(name.encode(), digest_size=PREFIX_BYTES).digest()
+    return int.from_bytes(digest) / (1 << (8 * PREFIX_BYTES))
--- a/src/ospreyford/suspects/messages.py
+++ b/src/ospreyford/suspects/messages.py
@@ -1,11 +1,14 @@
-"""Messages in which processes tell each other of suspected requests."""
+"""Messages in which processes tell each other of suspects."""
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import msgspec
 
+#: Age of a trial that has not been.
+NO_TRIAL: Final = -1
+
 
 class ToldStrike(NamedTuple):
     """A crash while a request had just begun, or its clearance.
@@ -21,13 +24,16 @@
 
 
 class ToldSuspect(msgspec.Struct, frozen=True, array_like=True):
-    """A suspected request and all crashes that it is suspected of.
+    """A suspect and all crashes that it is suspected of.
 
-    :param identity: identity of the request.
-    :param customer: name of its customer.
-    :param path: beginning of its path, for operators.
+    :param identity: identity of the request or prompt part.
+    :param customer: name of the request's customer.
+    :param path: beginning of its path, or id of the part, for operators.
     :param limit: number of crashes at which it is blocked.
     :param strikes: the crashes.
+    :param is_part: whether it is a prompt part that requests share.
+    :param trial_age_ms: time since its latest trial; negative if there was
+        none.
     """
 
     identity: bytes
@@ -35,10 +41,12 @@
     path: str
     limit: int
     strikes: tuple[ToldStrike, ...]
+    is_part: bool = False
+    trial_age_ms: int = NO_TRIAL
 
 
 class SuspectReport(msgspec.Struct, frozen=True, tag='x', array_like=True):
-    """Suspected requests that the sender knows of.
+    """Suspects that the sender knows of.
 
     :param suspects: all of them, or those that have changed.
     :param digest: digest of all that the sender knows.
--- a/src/ospreyford/suspects/table.py
+++ b/src/ospreyford/suspects/table.py
@@ -1,9 +1,9 @@
-"""Table of suspected requests, merged between processes without a store.
+"""Table of suspects, merged between processes without a store.
 
-The crashes of a request form a set that only grows, and so do those of them
-that are cleared. Merging takes the union of both, so repeated, reordered and
-lost messages do no harm: processes that have exchanged what they know are
-equal.
+A suspect is a request, or a prompt part that requests share. Its crashes form a
+set that only grows, and so do those of them that are cleared. Merging takes the
+union of both, so repeated, reordered and lost messages do no harm: processes
+that have exchanged what they know are equal.
 """
 
 from __future__ import annotations
@@ -15,11 +15,11 @@
 import xxhash
 
 from ospreyford.suspects.identities import IDENTITY_BYTES
-from ospreyford.suspects.messages import ToldStrike, ToldSuspect
+from ospreyford.suspects.messages import NO_TRIAL, ToldStrike, ToldSuspect
 
 MS_PER_SECOND = 1000
 SECONDS_PER_HOUR = 3600.0
-#: Suspected requests remembered; those with the fewest crashes go first.
+#: Suspects remembered; those with the fewest crashes go first.
 MAX_SUSPECTS: Final = 256
 #: Crashes remembered of each; the oldest cleared ones go first.
 MAX_STRIKES: Final = 12
@@ -28,6 +28,8 @@
 STRIKE_RETENTION_SECONDS = SECONDS_PER_HOUR
 #: Long enough to reach all processes.
 CLEARED_RETENTION_SECONDS = 120.0
+#: Transmission makes a trial look younger; by less than this it is no news.
+MIN_TRIAL_STEP_SECONDS = 1.0
 
 
 class Strike(NamedTuple):
@@ -46,13 +48,16 @@
 
 @dataclass
 class Suspect:
-    """A suspected request.
+    """A request or prompt part that is suspected of crashes.
 
-    :param identity: identity of the request.
-    :param customer: name of its customer.
-    :param path: beginning of its path.
+    :param identity: its identity.
+    :param customer: name of the request's customer.
+    :param path: beginning of its path, or id of the part.
     :param limit: number of crashes at which it is blocked.
     :param strikes: crashes by id.
+    :param is_part: whether it is a prompt part that requests share.
+    :param trial_at: its latest trial at any process, in seconds on the
+        monotonic clock.
     """
 
     identity: bytes
@@ -60,6 +65,8 @@
     path: str
     limit: int
     strikes: dict[int, Strike] = field(default_factory=dict)
+    is_part: bool = False
+    trial_at: float | None = None
 
     def list_active(self) -> list[Strike]:
         """List the crashes that are not cleared.
@@ -69,10 +76,22 @@
         active = (one for one in self.strikes.values() if not one.is_cleared)
         return sorted(active, key=_get_changed_at)
 
-    def is_blocked(self) -> bool:
-        """Check whether the request has reached its limit.
+    def list_active_ids(self) -> list[int]:
+        """List the ids of the crashes that are not cleared.
+
+        :returns: the ids, in no order.
+        """
+        return [
+            strike_id
+            for strike_id, one in self.strikes.items()
+            if not one.is_cleared
+        ]
+
+    def is_at_limit(self) -> bool:
+        """Check whether it has reached its limit.
 
-        :returns: whether it is not to be sent as a matter of course.
+        :returns: whether it is blocked, unless another suspect explains its
+            crashes.
         """
         return len(self.list_active()) >= self.limit
 
@@ -90,22 +109,37 @@
             )
             for strike_id, one in sorted(self.strikes.items())
         )
+        trial_age_ms = (
+            NO_TRIAL
+            if self.trial_at is None
+            else int(max(now - self.trial_at, 0) * MS_PER_SECOND)
+        )
         return ToldSuspect(
-            self.identity, self.customer, self.path, self.limit, strikes
+            self.identity,
+            self.customer,
+            self.path,
+            self.limit,
+            strikes,
+            self.is_part,
+            trial_age_ms,
         )
 
 
 class SuspectTable:
-    """Suspected requests by identity; bounded."""
+    """Suspects by identity; bounded.
+
+    ``revision`` grows with each change of a crash or clearance.
+    """
 
     def __init__(self) -> None:
+        self.revision = 0
         self._suspects: dict[bytes, Suspect] = {}
 
     def __len__(self) -> int:
         return len(self._suspects)
 
     def find(self, identity: bytes) -> Suspect | None:
-        """Find a suspected request.
+        """Find a suspect.
 
         :param identity: its identity.
         :returns: the suspect, or ``None``.
@@ -113,7 +147,7 @@
         return self._suspects.get(identity)
 
     def list_all(self) -> list[Suspect]:
-        """List all suspected requests.
+        """List all suspects.
 
         :returns: the suspects, ordered by identity.
         """
@@ -135,6 +169,7 @@
         if strike_id in known.strikes:
             return None
         known.strikes[strike_id] = Strike(False, now, is_own=True)
+        self.revision += 1
         self.expire(now)
         return known
 
@@ -151,6 +186,7 @@
         for strike_id, strike in known.strikes.items():
             if not strike.is_cleared:
                 known.strikes[strike_id] = Strike(True, now)
+        self.revision += 1
         return True
 
     def clear_strike(self, identity: bytes, strike_id: int, now: float) -> bool:
@@ -166,25 +202,37 @@
         if known is None or strike is None or strike.is_cleared:
             return False
         known.strikes[strike_id] = Strike(True, now)
+        self.revision += 1
         return True
 
+    def record_trial(self, identity: bytes, now: float) -> None:
+        """Record that a suspect is tried.
+
+        :param identity: its identity.
+        :param now: seconds on the monotonic clock.
+        """
+        known = self._suspects.get(identity)
+        if known is not None:
+            known.trial_at = now
+
     def merge(self, told: Iterable[ToldSuspect], now: float) -> set[bytes]:
         """Merge what another process knows.
 
-        :param told: its suspected requests.
+        :param told: its suspects.
         :param now: seconds on the monotonic clock.
-        :returns: identities of the requests of which something is new.
+        :returns: identities of the suspects of which something is new.
         """
         changed = {
             one.identity for one in told if self._merge_suspect(one, now)
         }
+        self.revision += len(changed)
         self.expire(now)
         return changed
 
     def encode(
         self, now: float, identities: Iterable[bytes] | None = None
     ) -> tuple[ToldSuspect, ...]:
-        """Encode suspected requests for other processes.
+        """Encode suspects for other processes.
 
         :param now: seconds on the monotonic clock.
         :param identities: those to encode; ``None`` for all.
@@ -220,9 +268,11 @@
             _expire_strikes(suspect, now)
             if not suspect.strikes:
                 self._suspects.pop(suspect.identity)
+                self.revision += 1
         while len(self._suspects) > MAX_SUSPECTS:
             least = min(self._suspects.values(), key=_rank)
             self._suspects.pop(least.identity)
+            self.revision += 1
 
     def _merge_suspect(self, told: ToldSuspect, now: float) -> bool:
         if len(told.identity) != IDENTITY_BYTES or told.limit < 1:
@@ -234,11 +284,12 @@
                 told.customer[:MAX_TEXT_CHARACTERS],
                 told.path[:MAX_TEXT_CHARACTERS],
                 told.limit,
+                is_part=told.is_part,
             ),
         )
         known.limit = min(known.limit, told.limit)
         news = [_merge_strike(known, strike, now) for strike in told.strikes]
-        return any(news)
+        return any([*news, _merge_trial(known, told.trial_age_ms, now)])
 
 
 def _merge_strike(known: Suspect, told: ToldStrike, now: float) -> bool:
@@ -257,12 +308,23 @@
     return False
 
 
+def _merge_trial(known: Suspect, age_ms: int, now: float) -> bool:
+    if age_ms < 0:
+        return False
+    trial_at = now - age_ms / MS_PER_SECOND
+    earlier = known.trial_at
+    if earlier is not None and trial_at < earlier + MIN_TRIAL_STEP_SECONDS:
+        return False
+    known.trial_at = trial_at
+    return True
+
+
 def _expire_strikes(suspect: Suspect, now: float) -> None:
     retention_seconds = {
         True: CLEARED_RETENTION_SECONDS,
         False: (
             BLOCKED_RETENTION_SECONDS
-            if suspect.is_blocked()
+            if suspect.is_at_limit()
             else STRIKE_RETENTION_SECONDS
         ),
     }
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -49,6 +49,7 @@
     last_event=b'last-event-id',
     limit=b'x-limit',
     leaving=b'x-leaving',
+    prompt_parts=b'x-prompt',
 )
 SETTINGS = DirectSettings(
     name='entry',
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -24,7 +24,6 @@
     RankGroup,
 )
 from ospreyford.platform.standins.replicas import (
-    PROMPT_FIELD,
     Arrivals,
     PlainReplica,
     ReplicaOptions,
@@ -144,7 +143,7 @@
         path: str = PATH,
         prompt: bytes | None = None,
     ) -> Reply:
-        parts = () if prompt is None else ((PROMPT_FIELD, prompt),)
+        parts = () if prompt is None else ((HEADER_NAMES.prompt_parts, prompt),)
         request = Request(
             'POST',
             path,
--- a/tests/platform/test_crashers.py
+++ b/tests/platform/test_crashers.py
@@ -9,7 +9,7 @@
 import curio
 import pytest
 
-from ospreyford.direct import suspects
+from ospreyford.direct import suspectdecisions
 from ospreyford.direct.crashdecisions import RequestBlocked
 from ospreyford.platform.standins.replicas import ReplicaOptions
 from ospreyford.suspects.decisions import Decision
@@ -62,7 +62,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Shows that the check above would notice an unbounded crasher."""
-    monkeypatch.setattr(suspects, 'decide', lambda *_: Decision.send)
+    monkeypatch.setattr(suspectdecisions, 'decide', lambda *_: Decision.send)
     fleet, _ = curio.run(repeat_a_crasher, 4, 'idempotent')
     assert len(fleet.arrivals.crashes) > MAX_CRASHES + MAX_EXTRA
 
--- a/tests/suspects/test_decisions.py
+++ b/tests/suspects/test_decisions.py
@@ -194,7 +194,7 @@
         if decision is not Decision.block:
             table.clear(IDENTITY, now + FIRST)
     blocked = table.find(IDENTITY)
-    is_blocked = blocked is not None and blocked.is_blocked()
+    is_blocked = blocked is not None and blocked.is_at_limit()
     later = decide(blocked, None, now + FIRST)
     assert not is_blocked or later is Decision.trial
 
