--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -36,6 +36,8 @@
 #: First number that is not an HTTP status.
 MAX_STATUS_EXCLUSIVE: Final = 600
 MISDIRECTED: Final = 421
+#: Fields that tell where a response ends.
+FRAMING_FIELDS: Final = frozenset((b'content-length', b'transfer-encoding'))
 #: Time to read the body of a refusal, so that the connection can be reused.
 REFUSAL_BODY_SECONDS = 0.05
 
@@ -114,6 +116,14 @@
         except HttpError:
             return Lost(Cause.lost)
 
+    def ends_with_connection(self) -> bool:
+        """Check whether only the end of the connection ends the response.
+
+        :returns: whether it has neither a length nor chunks.
+        """
+        headers = self._head.headers if self._head else ()
+        return not any(name in FRAMING_FIELDS for name, _ in headers)
+
     async def read_pieces(self) -> AsyncGenerator[bytes, None]:
         """Read the body of a stream.
 
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -55,9 +55,14 @@
     :raises ConnectionLost: the caller disconnected.
     """
     async with aclosing(backend_request.read_pieces()) as pieces:
-        return await _forward_events(
+        outcome = await _forward_events(
             pieces, call, exchange, beginning, should_migrate
         )
+    # A backend that ends before its first event closes the connection as well.
+    is_empty = backend_request.ends_with_connection() and not call.cursor
+    if outcome is StreamResult.whole and is_empty:
+        return StreamResult.broken
+    return outcome
 
 
 async def _forward_events(
