Tell callers at once whose requests are blocked while they wait

A request that waited for admission as its prompt part was blocked was told so only once it was admitted, up to the time that the crashed group needs to open again. What the gate knows of waiting requests moves to a class of its own.

--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -18,8 +18,11 @@
     StreamLimit,
     compute_caller_timeout,
 )
+from ospreyford.direct.waitingcalls import WaitingCalls
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ospreyford.direct.admission import GroupLoad
     from ospreyford.direct.call import Call
 
@@ -57,8 +60,7 @@
             self.limit.update_slots(slots, entries)
         self._queue = AdmissionQueue()
         self._sequence = itertools.count()
-        self._decisions: dict[int, curio.Event] = {}
-        self._refused: set[int] = set()
+        self._waiting = WaitingCalls()
         self._paused_until: float = 0
         self._is_closed = False
         self._is_stopping = False
@@ -130,6 +132,15 @@
         """Stop admitting; queued requests are answered by the shutdown."""
         self._is_stopping = True
 
+    async def refuse_blocked(self, is_blocked: Callable[[Call], bool]) -> None:
+        """Refuse the queued requests that are blocked since they came.
+
+        :param is_blocked: checks one request.
+        """
+        for number in self._waiting.list_undecided(is_blocked):
+            self._queue.remove(number)
+            await self._waiting.refuse(number)
+
     async def process_queue(self, *, is_accepting: bool = True) -> None:
         """Admit and refuse queued requests as the current limits allow.
 
@@ -149,8 +160,7 @@
             else self._queue.list_all()
         ):
             self._queue.remove(rejected.number)
-            self._refused.add(rejected.number)
-            await self._decisions[rejected.number].set()
+            await self._waiting.refuse(rejected.number)
         while not self._is_paused(now):
             request = self._queue.select_next(now, first_event)
             if request is None:
@@ -164,7 +174,7 @@
             if self._is_closed:
                 # A single request probes whether the group has reopened.
                 self._paused_until = now + PROBE_INTERVAL_SECONDS
-            await self._decisions[request.number].set()
+            await self._waiting.admit(request.number)
 
     async def _admit(self, call: Call) -> bool:
         now = time.monotonic()
@@ -186,11 +196,12 @@
             call.is_retry,
         )
         self._queue.add(request)
-        self._decisions[request.number] = curio.Event()
+        self._waiting.add(request.number, call)
         try:
             return await self._wait(request)
         finally:
-            self._remove(request.number)
+            self._queue.remove(request.number)
+            self._waiting.remove(request.number)
 
     def _make_view(self, call: Call) -> GateView:
         age: float = -1
@@ -210,22 +221,16 @@
     def _is_paused(self, now: float) -> bool:
         return self._is_closed and now < self._paused_until
 
-    def _remove(self, number: int) -> None:
-        self._queue.remove(number)
-        self._decisions.pop(number, None)
-        self._refused.discard(number)
-
     async def _wait(self, request: QueuedRequest) -> bool:
-        decision = self._decisions[request.number]
         await self.process_queue()
         try:
-            await decision.wait()
+            await self._waiting.wait(request.number)
         except curio.CancelledError:
             # Cancelled just after admission: release the slot.
-            if decision.is_set() and request.number not in self._refused:
+            if self._waiting.is_admitted(request.number):
                 self.running -= 1
             raise
-        return request.number not in self._refused
+        return self._waiting.is_admitted(request.number)
 
 
 def _round_limit(limit: float) -> float:
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -164,6 +164,8 @@
     async def _process_queues(self) -> None:
         context = self._context
         for service, gate in context.gates.items():
+            if context.suspects.blocked_count:
+                await gate.refuse_blocked(context.suspects.is_blocked)
             resume_at = context.declarations.find_resume_time(
                 context.backends.list_preferred(service)
             )
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -117,6 +117,8 @@
         if unavailable is not None:
             return self._handle_unavailable(unavailable)
         if not await gate.acquire(self._call):
+            if self._suspects.is_blocked(self._call):
+                return self._make_failure(Cause.crashes_backends, BAD_GATEWAY)
             unavailable = self._selector.find_unavailable()
             return self._handle_unavailable(
                 unavailable or Unavailable(Cause.overloaded)
--- a/src/ospreyford/direct/suspectdecisions.py
+++ b/src/ospreyford/direct/suspectdecisions.py
@@ -5,9 +5,9 @@
 import time
 from typing import TYPE_CHECKING
 
+from ospreyford.direct.entryshare import compute_fraction
 from ospreyford.suspects.blame import find_blamed
 from ospreyford.suspects.decisions import Decision, Delays, decide
-from ospreyford.suspects.identities import compute_turn
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -24,7 +24,7 @@
 
     def __init__(self, table: SuspectTable, name: str) -> None:
         self._table = table
-        self._turn = compute_turn(name)
+        self._turn = compute_fraction(name)
         self._blamed: dict[bytes, frozenset[bytes]] = {}
         self._revision = 0
 
--- a/src/ospreyford/suspects/identities.py
+++ b/src/ospreyford/suspects/identities.py
@@ -54,13 +54,3 @@
     """
     name = f'{backend} {started_ms}'.encode()
     return int.from_bytes(blake2b(name, digest_size=8).digest()) >> 1
-
-
-def compute_turn(name: str) -> float:
-    """Compute an entry's place among all that might try a suspect.
-
-    :param name: name of the entry.
-    :returns: 0 or more and below 1, spread evenly over names.
-    """
-    digest = blake2b(name.encode(), digest_size=PREFIX_BYTES).digest()
-    return int.from_bytes(digest) / (1 << (8 * PREFIX_BYTES))
--- a/tests/direct/test_gate.py
+++ b/tests/direct/test_gate.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import operator
 import time
+from functools import partial
 
 import curio
 import pytest
@@ -60,6 +62,30 @@
     assert waited >= REFUSAL_PAUSE_SECONDS
 
 
+async def block_while_queued() -> tuple[list[bool], int]:
+    gate = StreamGate(0.12)
+    gate.record_refusal()
+    blocked, other = make_call(), make_call()
+    entered = []
+
+    async def enter(call: Call) -> None:
+        entered.append(await gate.acquire(call))
+
+    for call in (blocked, other):
+        await curio.spawn(enter, call, daemon=True)
+    await curio.sleep(0)
+    is_blocked = partial(operator.is_, blocked)
+    for _ in range(2):
+        await gate.refuse_blocked(is_blocked)
+    await curio.sleep(0)
+    return entered, gate.running
+
+
+def test_requests_blocked_while_they_wait_are_refused() -> None:
+    """A caller must not wait for what it will not be given."""
+    assert curio.run(block_while_queued) == ([False], 0)
+
+
 async def probe_closed() -> list[int]:
     gate = StreamGate(0.12)
     gate.record_refusal()
--- a/tests/direct/test_unframed_streams.py
+++ b/tests/direct/test_unframed_streams.py
@@ -17,9 +17,8 @@
 HEAD = b'HTTP/1.1 200 OK\r\n%b\r\n' % SEALED
 FIRST = be.make_event(1)
 ALL = FIRST + be.make_event(2)
-#: Bytes of the second event, which is the last one.
 INSIDE = ALL[:-4]
-RESUMED = b''.join(map(be.make_event, (1, 2)))
+CUT = b'(cut)'
 
 
 async def ask(raw: bytes, ending: str, retry_mode: RetryMode) -> Any:
@@ -41,34 +40,39 @@
         async for piece in connection.read_pieces():
             pieces.append(piece)
     except HttpError:
-        pieces.append(b'cut')
+        pieces.append(CUT)
     await connection.close()
     return b''.join(pieces), site
 
 
+#: Bytes after the head, how the connection ends, whether another backend may
+#: go on, and what the caller gets.
 CASES = (
-    (HEAD + ALL, 'closed', RetryMode.once, ALL),
-    (HEAD + ALL, 'closed', RetryMode.resumable, ALL),
+    (ALL, 'closed', RetryMode.once, (ALL,)),
+    (ALL, 'closed', RetryMode.resumable, (ALL,)),
     # Broken off inside an event, at its end mark, or before the first one.
-    (HEAD + INSIDE, 'closed', RetryMode.once, FIRST + b'cut'),
-    (HEAD + INSIDE, 'closed', RetryMode.resumable, RESUMED),
-    (HEAD + ALL[:-1], 'closed', RetryMode.resumable, RESUMED),
-    (HEAD, 'closed', RetryMode.resumable, RESUMED),
-    (HEAD, 'closed', RetryMode.once, b'cut'),
+    (INSIDE, 'closed', RetryMode.once, (FIRST, CUT)),
+    (INSIDE, 'closed', RetryMode.resumable, (ALL,)),
+    (ALL[:-1], 'closed', RetryMode.resumable, (ALL,)),
+    (b'', 'closed', RetryMode.once, (CUT,)),
+    (b'', 'closed', RetryMode.resumable, (ALL,)),
     # A reset is no end.
-    (HEAD + ALL, 'reset', RetryMode.once, ALL + b'cut'),
-    (HEAD + FIRST, 'reset', RetryMode.resumable, RESUMED),
+    (ALL, 'reset', RetryMode.once, (ALL, CUT)),
+    (FIRST, 'reset', RetryMode.resumable, (ALL,)),
 )
 
 
 @pytest.mark.parametrize(('raw', 'ending', 'retry_mode', 'expected'), CASES)
 def test_streams_that_end_with_their_connection(
-    raw: bytes, ending: str, retry_mode: RetryMode, expected: bytes
+    raw: bytes,
+    ending: str,
+    retry_mode: RetryMode,
+    expected: tuple[bytes, ...],
 ) -> None:
     """A stream that was broken off must not look complete."""
-    forwarded, site = curio.run(ask, raw, ending, retry_mode)
-    assert forwarded == expected
-    (ended,) = site.log.find(RequestEnded)
-    assert ended.verdict == ('Cut' if expected.endswith(b'cut') else 'Answered')
+    forwarded, site = curio.run(ask, HEAD + raw, ending, retry_mode)
+    assert forwarded == b''.join(expected)
+    verdict = 'Cut' if CUT in expected else 'Answered'
+    assert [one.verdict for one in site.log.find(RequestEnded)] == [verdict]
     # Only connections to the other backend may be used again.
     assert site.context.pool.idle_count == sum(site.count_runs())
