--- a/src/ospreyford/suspects/blame.py
+++ b/src/ospreyford/suspects/blame.py
@@ -68,11 +68,9 @@
     )
     while candidates:
         top = _find_top(candidates)
-        for found in top:
-            blamed[found.suspect.identity] = _list_equal(found, top)
-        explained: frozenset[int] = frozenset().union(
-            *(cause.strike_ids for cause in top)
-        )
+        for equal in top.values():
+            blamed.update(dict.fromkeys(equal, frozenset(equal)))
+        explained: frozenset[int] = frozenset().union(*top)
         candidates = _drop_few(
             other.remove(explained)
             for other in candidates
@@ -107,16 +105,17 @@
     return [one for one in candidates if one.is_at_limit()]
 
 
-def _find_top(candidates: Sequence[Candidate]) -> list[Candidate]:
-    most = max(one.count_crashes() for one in candidates)
-    return [one for one in candidates if one.count_crashes() == most]
-
+def _find_top(
+    candidates: Sequence[Candidate],
+) -> dict[frozenset[int], list[bytes]]:
+    """Find the candidates with the most crashes.
 
-def _list_equal(
-    candidate: Candidate, others: Iterable[Candidate]
-) -> frozenset[bytes]:
-    return frozenset(
-        one.suspect.identity
-        for one in others
-        if one.strike_ids == candidate.strike_ids
-    )
+    :returns: their identities, by the crashes at which they were.
+    """
+    most = max(one.count_crashes() for one in candidates)
+    top: dict[frozenset[int], list[bytes]] = {}
+    for candidate in candidates:
+        if candidate.count_crashes() == most:
+            same = top.setdefault(candidate.strike_ids, [])
+            same.append(candidate.suspect.identity)
+    return top
