Let failures of a backend not speak for a prompt part

A 500 of a backend that fails part of its requests cleared the request and its parts of all crashes, so a part at fault among such backends would have been counted anew each time. Only whole successes, and answers that do not blame the backend, speak for them now. The test was red before.

--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -223,7 +223,6 @@
         self, head: Response, body: bytes, backend: BackendState
     ) -> Verdict | None:
         call = self._call
-        self._suspects.record_answer(call)
         if head.status >= SERVER_ERROR:
             backend.record_failure(time.monotonic())
             call.may_have_run = True
@@ -232,6 +231,7 @@
                 return None
         else:
             backend.record_success()
+            self._suspects.record_answer(call)
         await self._exchange.respond(
             head.status, body, tuple(drop_hop_by_hop(head.headers))
         )
--- a/tests/direct/test_suspected_parts.py
+++ b/tests/direct/test_suspected_parts.py
@@ -10,6 +10,7 @@
 
 from ospreyford.direct.beginnings import BEGINNING_SECONDS, AnswerBeginning
 from ospreyford.direct.call import Attempt, Call
+from ospreyford.direct.catalog import RetryMode
 from ospreyford.direct.crashdecisions import RequestBlocked
 from ospreyford.direct.prompts import MAX_PARTS, read_shared_parts
 from ospreyford.direct.registry import BackendServer, BackendState
@@ -215,6 +216,26 @@
     assert not other.is_blocked('bad')
 
 
+async def answer_a_suspect(script: be.Script) -> int:
+    site = await be.open_site(be.make_route(RetryMode.once), script)
+    suspects = site.context.suspects
+    suspects.checker = single.Checker()  # type: ignore[assignment]
+    server = single.SERVER._replace(id='i-9')
+    call = make_call('bad')
+    await suspects.record_loss(call, BackendState(server), in_group=True)
+    await site.ask(headers=call.request.headers)
+    part = suspects.table.list_all()
+    return sum(len(one.list_active()) for one in part if one.is_part)
+
+
+@pytest.mark.parametrize(('script', 'active'), [(be.answer, 0), (be.fail, 1)])
+def test_failures_do_not_speak_for_a_part(
+    script: be.Script, active: int
+) -> None:
+    """A backend that fails has not begun an answer on the part."""
+    assert curio.run(answer_a_suspect, script) == active
+
+
 #: Events of a stream, seconds since its first, and whether it well began.
 BEGINNINGS = (
     ((), False),
