Reset the connection of a request that is given up

Cause: a request was on its way to a host that was frozen; the entry gave up and closed the connection in order, so the kernel went on sending what had not been received, and the host read it as it woke.

The test was red before.

--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -58,8 +58,8 @@
 class BackendRequest:
     """A request sent to a backend, and its response.
 
-    Leaving the context closes a connection whose response was not read
-    completely, so that the backend stops its work.
+    Leaving the context resets a connection whose response was not read
+    completely, so that the backend stops its work, or never receives it.
 
     :param call: the request.
     :param server: the backend.
@@ -85,7 +85,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        """Release the connection, or close it if the response is incomplete."""
+        """Release the connection, or reset it if the response is incomplete."""
         connection = self._connection
         self._connection = None
         if connection is None:
@@ -95,7 +95,8 @@
                 self.server, connection, self._head
             )
         else:
-            await connection.close()
+            # A host that does not respond must not receive it later.
+            await connection.close(resets=True)
 
     async def start(self) -> AttemptOutcome:
         """Send the request and wait for the response head.
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -17,6 +17,7 @@
 )
 from ospreyford.http.message import Request, Response
 from ospreyford.http.polling import has_news
+from ospreyford.http.resets import reset_on_close
 
 if TYPE_CHECKING:
     from curio.io import Socket
@@ -123,8 +124,14 @@
         """
         return not (self._parser.trailing_data[0] or has_news(self._sock))
 
-    async def close(self) -> None:
-        """Close the connection."""
+    async def close(self, *, resets: bool = False) -> None:
+        """Close the connection.
+
+        :param resets: whether to reset it, and to drop what the server has not
+            received.
+        """
+        if resets:
+            reset_on_close(self._sock)
         await self._sock.close()
 
     def _encode(self, request: Request, body: bytes) -> bytes:
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
@@ -29,14 +28,13 @@
 from ospreyford.http.message import Headers, Limits, Request
 from ospreyford.http.outgoing import Outgoing
 from ospreyford.http.polling import has_news
+from ospreyford.http.resets import reset_on_close
 
 if TYPE_CHECKING:
     from curio.io import Socket
 
 READ_BYTES = 65_536
 BACKLOG = 512
-#: ``struct linger``: on, zero seconds.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 GO_ON = h11.InformationalResponse(status_code=100, headers=[])
 HEAD = b'HEAD'
 
@@ -276,11 +274,7 @@
         """
         cut = self._parser.our_state in {h11.SEND_BODY, h11.ERROR}
         if cut or not self.outgoing.is_whole():
-            self._sock.setsockopt(
-                socket.SOL_SOCKET,
-                socket.SO_LINGER,
-                RESET_ON_CLOSE,
-            )
+            reset_on_close(self._sock)
 
     def tell_origin(self) -> Origin:
         """Tell what is known of the connection as a request comes on it.
--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import errno
 from typing import Any
 
 import curio
 import pytest
+from curio import socket
 
 from ospreyford.direct.catalog import RetryMode, Route
 from ospreyford.direct.decisions import RequestDenied, RequestEnded
 from ospreyford.direct.handler import parse_number
+from ospreyford.direct.registry import BackendServer
 from ospreyford.http.errors import ConnectionLost
 from ospreyford.http.message import Headers
+from ospreyford.http.server import listen, port_of
 from tests.direct import backends as be
+from tests.fakes.loopback import next_address
 
 #: Nothing listens there on the backends' addresses.
 CLOSED_PORT = 9
@@ -288,6 +293,29 @@
     assert stopped == ['stopped']
 
 
+async def leave_before_a_host_wakes() -> int:
+    host = next_address()
+    backend = listen(host, 0)
+    site = await be.open_site(IDEMPOTENT)
+    address = (host, port_of(backend))
+    site.context.backends.put(
+        BackendServer('frozen', 'service', *address, 'a', 6, False, 1)
+    )
+    connection = await site.send()
+    accepted, _ = await backend.accept()
+    await curio.sleep(0.1)
+    await connection.close()
+    await curio.sleep(0.3)
+    async with accepted, backend:
+        error: int = accepted.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return error
+
+
+def test_a_request_that_is_given_up_resets_its_connection() -> None:
+    """A host that froze must not receive it once it wakes."""
+    assert run(leave_before_a_host_wakes) == errno.ECONNRESET
+
+
 async def wait_for_timeout(route: Route) -> tuple[int, int]:
     async def be_silent(exchange: Any) -> None:
         await exchange.wait_for_hangup()
