--- a/src/ospreyford/direct/losses.py
+++ b/src/ospreyford/direct/losses.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from ospreyford.direct.registry import BackendServer
-    from ospreyford.suspects.table import Suspect
+    from ospreyford.suspects.suspect import Suspect
 
 #: Time in which a backend that broke off requests and listens again may
 #: register as another process.
--- a/src/ospreyford/direct/operatorport.py
+++ b/src/ospreyford/direct/operatorport.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from ospreyford.direct.context import EntryContext
     from ospreyford.http.server import Exchange
-    from ospreyford.suspects.table import Suspect
+    from ospreyford.suspects.suspect import Suspect
 
 JSON_TYPE: Final = (b'content-type', b'application/json')
 SUSPECTS_PATH: Final = '/suspects'
--- a/src/ospreyford/direct/suspectidentities.py
+++ b/src/ospreyford/direct/suspectidentities.py
@@ -9,7 +9,8 @@
     compute_identity,
     compute_part_identity,
 )
-from ospreyford.suspects.table import MAX_TEXT_CHARACTERS, Suspect
+from ospreyford.suspects.suspect import Suspect
+from ospreyford.suspects.table import MAX_TEXT_CHARACTERS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/ospreyford/direct/suspects.py
+++ b/src/ospreyford/direct/suspects.py
@@ -19,7 +19,8 @@
 from ospreyford.suspects.bursts import BurstDetector, Crash
 from ospreyford.suspects.decisions import GROUP_LIMIT, PLAIN_LIMIT, Decision
 from ospreyford.suspects.identities import compute_strike_id
-from ospreyford.suspects.table import Suspect, SuspectTable
+from ospreyford.suspects.suspect import Suspect
+from ospreyford.suspects.table import SuspectTable
 from ospreyford.suspects.times import LatestTimes
 
 if TYPE_CHECKING:
--- a/src/ospreyford/platform/standins/replicas.py
+++ b/src/ospreyford/platform/standins/replicas.py
@@ -11,6 +11,7 @@
 import curio
 import msgspec
 
+from ospreyford.direct.prompts import read_shared_parts
 from ospreyford.http.message import Limits, find_header
 from ospreyford.http.server import listen, port_of, serve_connection
 from ospreyford.platform.headernames import HEADER_NAMES
@@ -266,7 +267,7 @@
             body,
             time.time(),
             self.backoff,
-            read_shared_parts(headers),
+            tuple(read_shared_parts(headers, HEADER_NAMES.prompt_parts)),
         )
         self._arrivals.requests.append(arrival)
         if await self._shed(exchange) or await self.refuse(exchange):
@@ -302,17 +303,6 @@
         await exchange.respond(HTTPStatus.OK, b'answer', fields)
 
 
-def read_shared_parts(headers: Headers) -> tuple[bytes, ...]:
-    """Read the prompt parts that a request shares with others.
-
-    :param headers: its header fields.
-    :returns: ids of all parts but the last.
-    """
-    field = find_header(headers, HEADER_NAMES.prompt_parts) or b''
-    parts = field.split(b',')[:-1]
-    return tuple(part.partition(b':')[0].strip() for part in parts)
-
-
 async def begin_answer(
     exchange: Exchange, fields: Headers, events: int
 ) -> None:
--- a/src/ospreyford/suspects/blame.py
+++ b/src/ospreyford/suspects/blame.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ospreyford.suspects.table import Suspect
+    from ospreyford.suspects.suspect import Suspect
 
 
 class Candidate(NamedTuple):
--- a/src/ospreyford/suspects/decisions.py
+++ b/src/ospreyford/suspects/decisions.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ospreyford.suspects.table import Strike, Suspect
+    from ospreyford.suspects.suspect import Strike, Suspect
 
 #: Crashes at which a request or part is blocked.
 PLAIN_LIMIT: Final = 3
--- a/tests/suspects/test_blame.py
+++ b/tests/suspects/test_blame.py
@@ -10,7 +10,7 @@
 
 from ospreyford.suspects.blame import find_blamed
 from ospreyford.suspects.bursts import WINDOW_SECONDS
-from ospreyford.suspects.table import Strike, Suspect
+from ospreyford.suspects.suspect import Strike, Suspect
 
 LIMIT = 2
 GAP_SECONDS = 5.0
--- a/tests/suspects/test_decisions.py
+++ b/tests/suspects/test_decisions.py
@@ -26,7 +26,8 @@
     decide,
 )
 from ospreyford.suspects.identities import compute_identity, compute_strike_id
-from ospreyford.suspects.table import Strike, Suspect, SuspectTable
+from ospreyford.suspects.suspect import Strike, Suspect
+from ospreyford.suspects.table import SuspectTable
 
 IDENTITY = bytes(16)
 #: Trials allowed after the third crash.
--- a/tests/suspects/test_table.py
+++ b/tests/suspects/test_table.py
@@ -13,6 +13,7 @@
     ToldStrike,
     ToldSuspect,
 )
+from ospreyford.suspects.suspect import Suspect
 from ospreyford.suspects.table import (
     BLOCKED_RETENTION_SECONDS,
     CLEARED_RETENTION_SECONDS,
@@ -20,7 +21,6 @@
     MAX_SUSPECTS,
     MAX_TEXT_CHARACTERS,
     STRIKE_RETENTION_SECONDS,
-    Suspect,
     SuspectTable,
 )
 from ospreyford.suspects.times import MAX_REQUESTS, LatestTimes
