--- a/src/ospreyford/rebalance/datagrams.py
+++ b/src/ospreyford/rebalance/datagrams.py
@@ -11,9 +11,12 @@
 
 from ospreyford.rebalance.messages import (
     MAX_DATAGRAM_BYTES,
+    EntryMessage,
+    GroupDatagram,
     Message,
     decode,
     encode,
+    split_group,
 )
 
 if TYPE_CHECKING:
@@ -26,7 +29,16 @@
 #: IPv4 and UDP headers.
 DATAGRAM_HEADER_BYTES: Final = 28
 LARGE_MESSAGE_LINK_FRACTION = 0.5
-MessageHandler = Callable[[Message, Address], Awaitable[None]]
+MessageHandler = Callable[[EntryMessage, Address], Awaitable[None]]
+GroupHandler = Callable[[GroupDatagram, Address], Awaitable[None]]
+
+
+async def ignore_group(datagram: GroupDatagram, address: Address) -> None:
+    """Ignore a message between members of a group.
+
+    :param datagram: the message with its group.
+    :param address: the sender's address.
+    """
 
 
 class DatagramSocket:
@@ -86,10 +98,14 @@
                 len(datagram) / (LARGE_MESSAGE_LINK_FRACTION * self.link_bytes)
             )
 
-    async def receive(self, handler: MessageHandler) -> None:
+    async def receive(
+        self, handler: MessageHandler, handle_group: GroupHandler = ignore_group
+    ) -> None:
         """Receive messages until cancelled.
 
-        :param handler: awaited for each message, one at a time.
+        :param handler: awaited for each message that is meant for no group, one
+            at a time.
+        :param handle_group: the same for messages between members of a group.
         """
         while True:
             try:
@@ -99,6 +115,10 @@
             except OSError:
                 # ICMP error for a datagram sent earlier to a closed port.
                 continue
+            in_group = split_group(datagram)
+            if in_group is not None:
+                await handle_group(in_group, address)
+                continue
             message = decode(datagram)
             if message is None:
                 self.malformed += 1
--- a/src/ospreyford/rebalance/entrymessages.py
+++ b/src/ospreyford/rebalance/entrymessages.py
@@ -15,12 +15,13 @@
 
 
 class Hello(msgspec.Struct, frozen=True, tag='h', array_like=True):
-    """Registration of an entry at an agent, with the members of a service.
+    """Registration of an entry at an agent, with the members of its group.
 
     :param entry: the entry's name.
     :param service: name of the service.
-    :param digest: digest of the members, ``engine`` and ``max_gap``.
-    :param members: IP address and port of each backend of the service, sorted;
+    :param digest: digest of ``members``, ``unassigned``, ``engine`` and
+        ``max_gap``.
+    :param members: IP address and port of each backend of ``group``, sorted;
         ``None`` if the agent has not requested them.
     :param engine: published parameters of the service's engine, sent with the
         members.
@@ -31,6 +32,11 @@
         store, in milliseconds; 0 if it does not.
     :param suspects: digest of the requests that it suspects of crashing
         backends; 0 if there are none.
+    :param group: name of the group of the receiver's rank, as known to the
+        entry; empty if it is not known.
+    :param unassigned: IP address and port of each backend of the service that
+        no group is known of, sorted; sent with the members.
+    :param groups: number of groups whose coordinators report to the entry.
     """
 
     entry: str
@@ -42,6 +48,9 @@
     version: int = 0
     settling_ms: int = 0
     suspects: int = 0
+    group: str = ''
+    unassigned: tuple[Address, ...] = ()
+    groups: int = 1
 
 
 class HelloReply(msgspec.Struct, frozen=True, tag='l', array_like=True):
@@ -58,6 +67,8 @@
         store, in milliseconds; 0 if none does.
     :param position: index of the receiver among those entries, in the order of
         their names; -1 if the agent does not tell it.
+    :param group: name of the group that the rank reports; empty while the rank
+        does not respond.
     """
 
     host: str
@@ -69,6 +80,7 @@
     version: int = 0
     settling_ms: int = 0
     position: int = -1
+    group: str = ''
 
 
 class ImpairedRank(NamedTuple):
@@ -102,7 +114,7 @@
 class GroupStatus(msgspec.Struct, frozen=True, tag='g', array_like=True):
     """Status of a group, sent by its coordinator to the entries.
 
-    :param service: name of the service.
+    :param tag: short form of the group's key.
     :param token: the coordinator's fencing token.
     :param is_open: whether the group accepts requests.
     :param pass_seconds: mean duration of recent passes in seconds; 0 if none.
@@ -113,7 +125,7 @@
     :param details: load of each rank, included at a lower rate.
     """
 
-    service: str
+    tag: int
     token: int
     is_open: bool
     pass_seconds: float
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Final
+from struct import Struct
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -28,25 +29,18 @@
 ):
     """Coordinator's heartbeat to the agents of its group.
 
-    :param group: the group's name.
     :param token: the coordinator's fencing token.
     :param address: the coordinator's address, which may differ from the sender.
     :param rotation: rotation of the tree in which loads are aggregated.
     """
 
-    group: str
     token: int
     address: Address
     rotation: int = 0
 
 
 class FindCoordinator(msgspec.Struct, frozen=True, tag='w', array_like=True):
-    """Request for the coordinator's address, answered by any agent in touch.
-
-    :param group: the group's name.
-    """
-
-    group: str
+    """Request for the coordinator's address, answered by any agent in touch."""
 
 
 class RelayedMessage(msgspec.Struct, frozen=True, tag='p', array_like=True):
@@ -173,23 +167,37 @@
     digest: int = 0
 
 
+#: Messages that are meant for no group.
+EntryMessage = Hello | HelloReply | GroupStatus | SuspectReport
 OrderMessage = OrderRequest | OrderResponse
 LeaveMessage = Leave | LeaveGranted
 CoordinatorMessage = CoordinatorHeartbeat | FindCoordinator | RelayedMessage
 ReportMessage = RankReport | PartialLoad
-Message = (
-    Hello
-    | HelloReply
-    | GroupStatus
-    | CoordinatorMessage
-    | LeaveMessage
-    | ReportMessage
-    | OrderMessage
-    | SuspectReport
-)
+#: Messages between the agents of one group.
+MemberMessage = CoordinatorMessage | LeaveMessage | ReportMessage | OrderMessage
+Message = EntryMessage | MemberMessage
 
+#: First byte of a datagram between members of a group; msgpack has none such.
+GROUP_MARK: Final = 0xC1
+_GROUP_PREFIX: Final = Struct('!BI')
 _encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+_entry_decoder: msgspec.msgpack.Decoder[EntryMessage] = msgspec.msgpack.Decoder(
+    EntryMessage
+)
+_member_decoder: msgspec.msgpack.Decoder[MemberMessage] = (
+    msgspec.msgpack.Decoder(MemberMessage)
+)
+
+
+class GroupDatagram(NamedTuple):
+    """A received datagram of a group's member.
+
+    :param tag: short form of the key of the sender's group.
+    :param payload: the encoded message.
+    """
+
+    tag: int
+    payload: bytes
 
 
 def encode(message: Message) -> bytes:
@@ -201,13 +209,48 @@
     return _encoder.encode(message)
 
 
-def decode(datagram: bytes) -> Message | None:
-    """Decode a datagram.
+def decode(datagram: bytes) -> EntryMessage | None:
+    """Decode a datagram that is meant for no group.
 
     :param datagram: the received bytes.
     :returns: the message, or ``None`` if the datagram is malformed.
     """
     try:
-        return _decoder.decode(datagram)
+        return _entry_decoder.decode(datagram)
     except (msgspec.DecodeError, UnicodeError, RecursionError):
         return None
+
+
+def decode_member(payload: bytes) -> MemberMessage | None:
+    """Decode a message between members of a group.
+
+    :param payload: the bytes after the group's prefix.
+    :returns: the message, or ``None`` if it is malformed.
+    """
+    try:
+        return _member_decoder.decode(payload)
+    except (msgspec.DecodeError, UnicodeError, RecursionError):
+        return None
+
+
+def add_group(tag: int, payload: bytes) -> bytes:
+    """Address an encoded message to the members of a group.
+
+    :param tag: short form of the group's key.
+    :param payload: the encoded message.
+    :returns: the datagram.
+    """
+    return _GROUP_PREFIX.pack(GROUP_MARK, tag) + payload
+
+
+def split_group(datagram: bytes) -> GroupDatagram | None:
+    """Split a datagram between members of a group.
+
+    :param datagram: the received bytes.
+    :returns: tag and payload; ``None`` if it is meant for no group.
+    """
+    size = _GROUP_PREFIX.size
+    if len(datagram) <= size or datagram[0] != GROUP_MARK:
+        return None
+    _, tag = _GROUP_PREFIX.unpack_from(datagram)
+    return GroupDatagram(tag, datagram[size:])
