works: Agents keep a session for the group of their rank

Everything that concerns one group is now made for its key (GroupSession) and sends tagged datagrams; GroupSessions polls the rank and replaces the session when the rank reports another group. Ranks read without their agent are read through GroupEngine, which gives no state of another group.

--- a/src/ospreyford/observability/levels.py
+++ b/src/ospreyford/observability/levels.py
@@ -13,6 +13,7 @@
     PauseNoticed,
     Stopped,
 )
+from ospreyford.rebalance.decisions import OrderRefused, TermFenced
 from ospreyford.security.events import SecretRefused
 
 if TYPE_CHECKING:
@@ -30,6 +31,8 @@
     PauseNoticed,
     LinesDropped,
     SecretRefused,
+    OrderRefused,
+    TermFenced,
 )
 
 
--- a/src/ospreyford/rebalance/broadcast.py
+++ b/src/ospreyford/rebalance/broadcast.py
@@ -8,15 +8,16 @@
 
 from ospreyford.rebalance.messages import (
     MAX_DATAGRAM_BYTES,
-    Message,
+    MemberMessage,
     RelayedMessage,
-    decode,
+    decode_member,
     encode,
 )
 from ospreyford.rebalance.tree import Subtree, order_members, split_subtree
 
 if TYPE_CHECKING:
-    from ospreyford.rebalance.datagrams import Address, DatagramSocket
+    from ospreyford.rebalance.datagrams import Address
+    from ospreyford.rebalance.groupsocket import GroupSocket
 
 COMPRESSION_THRESHOLD_BYTES: Final = 600
 
@@ -28,19 +29,19 @@
     coordinator's heartbeats. Delivery isn't guaranteed on any level.
 
     :param own_address: this agent's address.
-    :param datagram_socket: the process's socket.
+    :param datagram_socket: sends messages to the group's agents.
 
     ``members`` are the addresses of all agents of the group, sorted.
     """
 
     def __init__(
-        self, own_address: Address, datagram_socket: DatagramSocket
+        self, own_address: Address, datagram_socket: GroupSocket
     ) -> None:
         self.members: Sequence[Address] = ()
         self._own_address = own_address
         self._datagram_socket = datagram_socket
 
-    async def broadcast(self, message: Message, rotation: int) -> None:
+    async def broadcast(self, message: MemberMessage, rotation: int) -> None:
         """Send a message to all other agents.
 
         :param message: the message.
@@ -81,7 +82,7 @@
             )
 
 
-def decode_relayed(relayed: RelayedMessage) -> Message | None:
+def decode_relayed(relayed: RelayedMessage) -> MemberMessage | None:
     """Decode the payload of a broadcast message.
 
     :param relayed: the received message.
@@ -94,5 +95,5 @@
             payload = decompressor.decompress(payload, MAX_DATAGRAM_BYTES)
         except zlib.error:
             return None
-    message = decode(payload)
+    message = decode_member(payload)
     return None if isinstance(message, RelayedMessage) else message
--- a/src/ospreyford/rebalance/decisions.py
+++ b/src/ospreyford/rebalance/decisions.py
@@ -111,10 +111,84 @@
     change: str
 
 
+@dataclass(frozen=True)
+class OrderRefused:
+    """A rank has refused a coordinator's order as not possible.
+
+    :param group: the group's name.
+    :param rank: the rank's number.
+    :param order: the order's type.
+    :param token: the coordinator's fencing token.
+    :param epoch: that the order is meant for.
+    :param known_epoch: that the rank reports.
+    :param step: the last pass that the rank has begun.
+    :param version: of the rank's map.
+    :param cause: what speaks against the order.
+    """
+
+    group: str
+    rank: int
+    order: str
+    token: int
+    epoch: int
+    known_epoch: int
+    step: int
+    version: int
+    cause: str
+
+
+@dataclass(frozen=True)
+class TermFenced:
+    """A coordinator's term has ended, as a rank has seen a higher token.
+
+    :param group: the group's name.
+    :param token: the coordinator's fencing token.
+    :param rank: the rank that has refused the token.
+    :param order: type of the order that it was given.
+    """
+
+    group: str
+    token: int
+    rank: int
+    order: str
+
+
+@dataclass(frozen=True)
+class SessionStarted:
+    """An agent begins to take part in the group that its rank reports.
+
+    :param service: the service's name.
+    :param group: the group's name.
+    :param rank: the rank's number.
+    :param epoch: of the group.
+    """
+
+    service: str
+    group: str
+    rank: int
+    epoch: int
+
+
+@dataclass(frozen=True)
+class SessionEnded:
+    """An agent takes part in a group no more, since its rank has left it.
+
+    :param service: the service's name.
+    :param group: the group's name.
+    """
+
+    service: str
+    group: str
+
+
 Decision = (
     CoordinatorChanged
     | MapChanged
     | GroupSettled
     | OrderCarriedOut
     | RankChanged
+    | OrderRefused
+    | TermFenced
+    | SessionStarted
+    | SessionEnded
 )
--- a/src/ospreyford/rebalance/dispatcher.py
+++ b/src/ospreyford/rebalance/dispatcher.py
@@ -1,4 +1,4 @@
-"""Dispatch of received messages to an agent's components."""
+"""Dispatch of received messages to the components of a group's session."""
 
 from __future__ import annotations
 
@@ -8,98 +8,84 @@
 import curio
 
 from ospreyford.rebalance.broadcast import decode_relayed
-from ospreyford.rebalance.entrymessages import Hello
+from ospreyford.rebalance.memberstates import fill_group
 from ospreyford.rebalance.messages import (
     CoordinatorHeartbeat,
     FindCoordinator,
     Leave,
     LeaveGranted,
-    Message,
+    MemberMessage,
     OrderRequest,
     OrderResponse,
     PartialLoad,
     RankReport,
     RelayedMessage,
 )
-from ospreyford.suspects.messages import SuspectReport
 
 if TYPE_CHECKING:
     from ospreyford.rebalance.broadcast import TreeBroadcast
     from ospreyford.rebalance.datagrams import Address
-    from ospreyford.rebalance.entryregistry import EntryRegistry
     from ospreyford.rebalance.follower import Follower
     from ospreyford.rebalance.leader import GroupLeader
     from ospreyford.rebalance.orderexecutor import OrderExecutor
     from ospreyford.rebalance.reporter import Reporter
     from ospreyford.rebalance.shutdown import GracefulShutdown
-    from ospreyford.rebalance.suspectrelay import SuspectRelay
-    from ospreyford.rebalance.watcher import RankWatcher
 
 
 @dataclass
 class MessageDispatcher:
-    """Dispatches each received message to its handler.
+    """Dispatches each message of a group's member to its handler.
 
+    :param group: the group's name.
     :param broadcast: forwards broadcast messages.
     :param reporter: aggregates the loads of other ranks.
     :param order_executor: carries out orders.
-    :param entries: replies to entries.
     :param follower: follows the coordinator.
-    :param shutdown: shuts this agent down.
-    :param watcher: polls the rank beside this agent.
-    :param suspect_relay: relays suspected requests between entries.
+    :param shutdown: ends this agent's part in the group.
     :param leader: the group's leader, once this agent has coordinated.
     """
 
+    group: str
     broadcast: TreeBroadcast
     reporter: Reporter
     order_executor: OrderExecutor
-    entries: EntryRegistry
     follower: Follower
     shutdown: GracefulShutdown
-    watcher: RankWatcher
-    suspect_relay: SuspectRelay
     leader: GroupLeader | None = None
 
-    async def dispatch(self, message: Message, address: Address) -> None:
+    async def dispatch(self, message: MemberMessage, address: Address) -> None:
         """Dispatch a message.
 
         :param message: the message.
         :param address: address of its original sender.
         """
-        match message:
-            case RankReport():
-                self._handle_report(message, address)
-            case PartialLoad():
-                self.reporter.sums.record(address[0], message)
-            case OrderRequest():
-                await self.order_executor.handle_request(message, address)
-            case OrderResponse() if self.leader is not None:
+        match fill_group(message, self.group):
+            case RankReport() as report:
+                self._handle_report(report, address)
+            case PartialLoad() as load:
+                self.reporter.sums.record(address[0], load)
+            case OrderRequest() as request:
+                await self.order_executor.handle_request(request, address)
+            case OrderResponse() as response if self.leader is not None:
                 order_client = self.leader.ranks.order_client
-                await order_client.handle_response(message, address[0])
-            case RelayedMessage():
-                await self._handle_relayed(message)
-            case Hello():
-                state = self.watcher.state
-                await self.entries.handle_hello(message, address, state)
-                await self.suspect_relay.handle_hello(message, address)
+                await order_client.handle_response(response, address[0])
+            case RelayedMessage() as relayed:
+                await self._handle_relayed(relayed)
             case _:
                 await self._dispatch_coordination(message, address)
 
     async def _dispatch_coordination(
-        self, message: Message, address: Address
+        self, message: MemberMessage, address: Address
     ) -> None:
         match message:
             case CoordinatorHeartbeat():
                 self.follower.handle_heartbeat(message, address)
             case FindCoordinator():
-                await self.follower.answer_query(message, address)
+                await self.follower.answer_query(address)
             case Leave():
                 await self.shutdown.handle_leave(message, address, self.leader)
             case LeaveGranted():
                 self.shutdown.handle_leave_granted(message)
-            case SuspectReport():
-                await self.suspect_relay.handle_report(message, address)
 
     def _handle_report(self, report: RankReport, address: Address) -> None:
         if self.leader is not None:
--- a/src/ospreyford/rebalance/election.py
+++ b/src/ospreyford/rebalance/election.py
@@ -20,6 +20,9 @@
 CANDIDATE_STAGGER_SECONDS = 0.12
 #: Time without a heartbeat before the first election.
 INITIAL_TIMEOUT_SECONDS = 0.3
+#: The same while agents of some ranks aren't known: it is likely that others
+#: know more and are about to campaign.
+INCOMPLETE_TIMEOUT_SECONDS = 0.9
 #: Time without a heartbeat after which an agent asks for the coordinator.
 HEARTBEAT_STALE_SECONDS = 0.25
 MILLISECONDS_PER_SECOND = 1000
@@ -48,6 +51,7 @@
         self.highest_token = 0
         self._last_heartbeat_at = clock.monotonic()
         self._has_members = False
+        self._has_all_members = False
         self._released_token: int | None = None
         self.is_withdrawn = False
 
@@ -68,17 +72,25 @@
         silence = self._clock.monotonic() - self._last_heartbeat_at
         return not self.is_vacant and silence < HEARTBEAT_STALE_SECONDS
 
-    def record_members(self, members: Sequence[Address]) -> None:
+    def record_members(
+        self, members: Sequence[Address], *, is_complete: bool = True
+    ) -> None:
         """Record the group's agents, and start the election timeout.
 
         Measured from the process start, the timeouts of all agents would expire
         together when they learn of each other.
 
         :param members: the agents of the group.
+        :param is_complete: whether there is one for each rank; the timeout is
+            started anew when the list first is.
         """
-        if self._has_members or not members:
+        is_known = self._has_members and (
+            self._has_all_members or not is_complete or self.highest_token
+        )
+        if is_known or not members:
             return
         self._has_members = True
+        self._has_all_members = is_complete
         self._last_heartbeat_at = self._clock.monotonic()
 
     def handle_heartbeat(
@@ -144,11 +156,20 @@
         """Give up the token."""
         self.token = None
 
-    def campaign(self, members: Sequence[Address], rank: int) -> bool:
+    def campaign(
+        self,
+        members: Sequence[Address],
+        rank: int,
+        *,
+        unassigned: Sequence[Address] = (),
+        size: int = 0,
+    ) -> bool:
         """Become the coordinator if there is none and it is this agent's turn.
 
         :param members: the agents of the group, sorted.
         :param rank: the rank on this agent's host.
+        :param unassigned: agents that may belong to the group as well.
+        :param size: number of ranks of the group.
         :returns: whether it has become the coordinator.
         """
         if (
@@ -160,10 +181,14 @@
         if rank >= FENCE_AUTHOR:
             # Its tokens would collide with those of another rank.
             return False
-        position = list(members).index(self._own_address)
-        is_initial = self.highest_token == 0
-        timeout = (
-            INITIAL_TIMEOUT_SECONDS if is_initial else ELECTION_TIMEOUT_SECONDS
+        if self.highest_token:
+            timeout = ELECTION_TIMEOUT_SECONDS
+        elif len(members) < size:
+            timeout = INCOMPLETE_TIMEOUT_SECONDS
+        else:
+            timeout = INITIAL_TIMEOUT_SECONDS
+        position = compute_position(
+            self._own_address, members, unassigned, size
         )
         wait = timeout + CANDIDATE_STAGGER_SECONDS * position
         if self._clock.monotonic() - self._last_heartbeat_at < wait:
@@ -177,3 +202,23 @@
         self.leader = self._own_address
         self.is_vacant = False
         return True
+
+
+def compute_position(
+    own_address: Address,
+    members: Sequence[Address],
+    unassigned: Sequence[Address],
+    size: int,
+) -> int:
+    """Compute how many agents campaign before this one.
+
+    :param own_address: this agent's address.
+    :param members: the known agents of the group.
+    :param unassigned: agents that may belong to it as well.
+    :param size: number of ranks of the group.
+    :returns: the number; of the unassigned agents, no more are counted than
+        ranks of the group have no known agent.
+    """
+    missing = max(size - len(members), 0)
+    possible = sum(one < own_address for one in unassigned)
+    return sum(one < own_address for one in members) + min(possible, missing)
--- a/src/ospreyford/rebalance/entryregistry.py
+++ b/src/ospreyford/rebalance/entryregistry.py
@@ -3,27 +3,24 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
 from ospreyford.rebalance.datagrams import DATAGRAM_HEADER_BYTES
 from ospreyford.rebalance.entrymessages import (
-    UNKNOWN_REQUESTS,
     GroupStatus,
     Hello,
     HelloReply,
-    ImpairedRank,
     RankDetails,
 )
+from ospreyford.rebalance.groupkey import GroupKey
 from ospreyford.rebalance.messages import encode
+from ospreyford.rebalance.roster import Roster, make_roster
 
 if TYPE_CHECKING:
-    from ospreyford.direct.catalog import Engine
     from ospreyford.rebalance.datagrams import Address, DatagramSocket
     from ospreyford.rebalance.group import RankState
-    from ospreyford.rebalance.rankloads import RankLoad
     from ospreyford.rebalance.settings import AgentSettings
 
 MS_PER_SECOND = 1000
@@ -34,31 +31,49 @@
 DETAILS_LINK_FRACTION = 0.15
 #: Limits requests for the same list to one entry at a time.
 MEMBERS_REQUEST_INTERVAL_SECONDS = 0.15
+#: Status messages that the coordinators of all groups may send to one entry.
+MAX_STATUS_PER_SECOND = 40
+#: Groups up to which each heartbeat of a coordinator comes with a status.
+MAX_UNSLOWED_GROUPS = 4
+
+
+class _Entry(NamedTuple):
+    """An entry, as last heard from.
+
+    :param address: its address.
+    :param heard_at: time of its last hello, in seconds on the monotonic clock.
+    :param groups: number of groups that it hears.
+    """
+
+    address: Address
+    heard_at: float
+    groups: int
 
 
 class EntryRegistry:
-    """Tracks entries and learns the members of the service from them.
+    """Tracks entries and learns service and members of the group from them.
 
     :param settings: the agent's settings.
     :param datagram_socket: the process's socket.
+
+    ``service`` is empty until the first hello. ``group`` is the one that the
+    rank reported last.
     """
 
     def __init__(
         self, settings: AgentSettings, datagram_socket: DatagramSocket
     ) -> None:
-        self.members: tuple[Address, ...] = ()
-        self.engine: Engine | None = None
-        self.max_gap: float = 0
-        self._backends: tuple[Address, ...] = ()
+        self.service = ''
+        self.group = ''
+        self._service_heard_at: float = 0
+        self._roster: Roster | None = None
         self._settings = settings
         self._datagram_socket = datagram_socket
-        self._digest = 0
-        self.service = ''
-        self._entries: dict[str, tuple[Address, float]] = {}
+        self._entries: dict[str, _Entry] = {}
         self._next_status_at: float = 0
         self._next_details_at: float = 0
         self._next_members_request_at: float = 0
-        self._last_published: tuple[bool, int] | None = None
+        self._last_published: tuple[int, bool, int] | None = None
         self._newest_version = 0
         self._settles_at: float = 0
 
@@ -72,27 +87,56 @@
         :param state: state of the rank, or ``None`` if it does not respond.
         """
         now = time.monotonic()
-        self._entries[hello.entry] = (address, now)
-        self.service = hello.service
+        self._entries[hello.entry] = _Entry(address, now, hello.groups)
+        self._record_service(hello.service, now)
+        if state is not None:
+            self.record_group(state.group)
         self._newest_version = max(self._newest_version, hello.version)
         self._settles_at = max(
             self._settles_at, now + hello.settling_ms / MS_PER_SECOND
         )
-        if hello.members is not None:
-            self._record_members(hello, hello.members)
-        reply = HelloReply(
-            host=self._settings.backend[0],
-            port=self._settings.backend[1],
-            digest=self._digest,
-            entries=len(self.list_entries()),
-            is_open=state is not None and state.is_open,
-            needs_members=self._should_request_members(hello),
-            version=self._newest_version,
-            settling_ms=max(int((self._settles_at - now) * MS_PER_SECOND), 0),
-            position=sorted(self._entries).index(hello.entry),
+        is_own = self._is_own_group(hello)
+        if is_own and hello.members is not None:
+            self._roster = make_roster(hello, self._settings.datagrams[1])
+        reply = self._make_reply(
+            hello.entry,
+            state,
+            needs_members=is_own and self._should_request_members(hello),
         )
         await self._datagram_socket.send(reply, address)
 
+    def record_group(self, group: str) -> bool:
+        """Record the group that the rank reports.
+
+        :param group: its name; may be empty.
+        :returns: whether it has changed.
+        """
+        if group == self.group:
+            return False
+        self.group = group
+        self._forget_roster()
+        return True
+
+    async def announce_group(self, state: RankState) -> None:
+        """Tell all entries the group of the rank at once.
+
+        :param state: the rank's state.
+        """
+        self.list_entries()
+        for name, entry in tuple(self._entries.items()):
+            reply = self._make_reply(name, state, needs_members=False)
+            await self._datagram_socket.send(reply, entry.address)
+
+    def find_roster(self, key: GroupKey) -> Roster | None:
+        """Find the members of a group.
+
+        :param key: the group.
+        :returns: its members; ``None`` if they aren't known, or if it isn't the
+            group of the rank.
+        """
+        roster = self._roster
+        return roster if roster is not None and roster.key == key else None
+
     async def publish_status(
         self, status: GroupStatus, details: RankDetails
     ) -> None:
@@ -105,15 +149,18 @@
         :param details: load of each rank.
         """
         now = time.monotonic()
-        is_changed = (status.is_open, status.epoch) != self._last_published
-        if now < self._next_status_at and not is_changed:
+        condition = (status.tag, status.is_open, status.epoch)
+        if now < self._next_status_at and condition == self._last_published:
             return
-        self._last_published = (status.is_open, status.epoch)
+        self._last_published = condition
         entries = self.list_entries()
         published = msgspec.structs.replace(status, entries=len(entries))
         datagram = encode(published)
-        self._next_status_at = now + self._compute_interval(
-            datagram, len(entries), STATUS_LINK_FRACTION
+        self._next_status_at = now + max(
+            self._compute_interval(
+                datagram, len(entries), STATUS_LINK_FRACTION
+            ),
+            self._compute_group_interval(),
         )
         if now >= self._next_details_at:
             datagram = encode(
@@ -125,37 +172,6 @@
         for address in entries:
             await self._datagram_socket.send_bytes(datagram, address)
 
-    def build_details(self, loads: Iterable[RankLoad]) -> RankDetails:
-        """Build the details of a group's status.
-
-        :param loads: the known loads of ranks.
-        :returns: the loads in the order of the members.
-        """
-        load_by_host = {load.host: load for load in loads}
-        requests = bytes(
-            min(load_by_host[host].requests, UNKNOWN_REQUESTS - 1)
-            if host in load_by_host
-            else UNKNOWN_REQUESTS
-            for host, _ in self._backends
-        )
-        impaired = tuple(
-            ImpairedRank(load.host, load.pace, load.is_silent)
-            for load in load_by_host.values()
-            if load.is_silent or load.pace > 1
-        )
-        return RankDetails(self._digest, requests, impaired)
-
-    def find_backend(self, host: str) -> Address | None:
-        """Find the backend on a host.
-
-        :param host: IP address of the host.
-        :returns: IP address and port, or ``None`` if there is no such backend.
-        """
-        for address in self._backends:
-            if address[0] == host:
-                return address
-        return None
-
     def list_entries(self) -> list[Address]:
         """List the entries in contact with this agent.
 
@@ -165,9 +181,9 @@
         self._entries = {
             name: entry
             for name, entry in self._entries.items()
-            if entry[1] > oldest
+            if entry.heard_at > oldest
         }
-        return [address for address, _ in self._entries.values()]
+        return [entry.address for entry in self._entries.values()]
 
     def _compute_interval(
         self, datagram: bytes, entry_count: int, link_fraction: float
@@ -175,23 +191,60 @@
         bytes_per_round = (len(datagram) + DATAGRAM_HEADER_BYTES) * entry_count
         return bytes_per_round / (link_fraction * self._settings.link_bytes)
 
+    def _compute_group_interval(self) -> float:
+        """Compute the interval at which an entry can hear all its groups."""
+        groups = max((one.groups for one in self._entries.values()), default=1)
+        if groups <= MAX_UNSLOWED_GROUPS:
+            return 0
+        return groups / MAX_STATUS_PER_SECOND
+
+    def _record_service(self, service: str, now: float) -> None:
+        # A backend listed in two services must not change over with each hello.
+        is_unconfirmed = now - self._service_heard_at > ENTRY_TIMEOUT_SECONDS
+        if service != self.service:
+            if self.service and not is_unconfirmed:
+                return
+            self.service = service
+            self._forget_roster()
+        self._service_heard_at = now
+
+    def _forget_roster(self) -> None:
+        self._roster = None
+        self._next_members_request_at = 0
+
+    def _is_own_group(self, hello: Hello) -> bool:
+        key = GroupKey(hello.service, hello.group)
+        return key.is_named() and key == GroupKey(self.service, self.group)
+
     def _should_request_members(self, hello: Hello) -> bool:
         """Decide whether to request the list of members from an entry.
 
         Lists from all entries at once would saturate the link at startup.
         """
         now = time.monotonic()
-        if hello.digest == self._digest or now < self._next_members_request_at:
+        if hello.digest == self._get_digest():
+            return False
+        if now < self._next_members_request_at:
             return False
         self._next_members_request_at = now + MEMBERS_REQUEST_INTERVAL_SECONDS
         return True
 
-    def _record_members(
-        self, hello: Hello, members: tuple[Address, ...]
-    ) -> None:
-        port = self._settings.datagrams[1]
-        self._digest = hello.digest
-        self._backends = members
-        self.engine = hello.engine
-        self.max_gap = hello.max_gap
-        self.members = tuple(sorted({(host, port) for host, _ in members}))
+    def _get_digest(self) -> int:
+        return 0 if self._roster is None else self._roster.digest
+
+    def _make_reply(
+        self, entry: str, state: RankState | None, *, needs_members: bool
+    ) -> HelloReply:
+        remaining = self._settles_at - time.monotonic()
+        return HelloReply(
+            host=self._settings.backend[0],
+            port=self._settings.backend[1],
+            digest=self._get_digest(),
+            entries=len(self.list_entries()),
+            is_open=state is not None and state.is_open,
+            needs_members=needs_members,
+            version=self._newest_version,
+            settling_ms=max(int(remaining * MS_PER_SECOND), 0),
+            position=sorted(self._entries).index(entry),
+            group='' if state is None else state.group,
+        )
--- a/src/ospreyford/rebalance/failuredetector.py
+++ b/src/ospreyford/rebalance/failuredetector.py
@@ -81,3 +81,12 @@
             return False
         self._last_probe_at[host] = now
         return True
+
+    def postpone_probe(self, host: str, seconds: float) -> None:
+        """Leave an agent's rank alone for some time.
+
+        :param host: IP address of its host.
+        :param seconds: the time.
+        """
+        latest = self._clock.monotonic() + seconds
+        self._last_probe_at[host] = latest - PROBE_INTERVAL_SECONDS
--- a/src/ospreyford/rebalance/groupsocket.py
+++ b/src/ospreyford/rebalance/groupsocket.py
@@ -18,11 +18,14 @@
 
     :param datagram_socket: the process's socket.
     :param key: the group.
+
+    ``link_bytes`` is the bandwidth of the host's link, in bytes per second.
     """
 
     def __init__(self, datagram_socket: DatagramSocket, key: GroupKey) -> None:
         self._datagram_socket = datagram_socket
         self._tag = key.compute_tag()
+        self.link_bytes = datagram_socket.link_bytes
 
     async def send(self, message: MemberMessage, address: Address) -> None:
         """Send a message without delivery guarantee.
--- a/src/ospreyford/rebalance/heartbeat.py
+++ b/src/ospreyford/rebalance/heartbeat.py
@@ -13,14 +13,17 @@
     from ospreyford.rebalance.datagrams import Address
     from ospreyford.rebalance.entryregistry import EntryRegistry
     from ospreyford.rebalance.group import RankState
+    from ospreyford.rebalance.groupkey import GroupKey
     from ospreyford.rebalance.leader import GroupLeader
     from ospreyford.rebalance.reporter import Reporter
+    from ospreyford.rebalance.roster import Roster
 
 
 class HeartbeatSender:
     """Sends heartbeats to agents and publishes the group's status to entries.
 
     :param own_address: this agent's address.
+    :param key: the group.
     :param broadcast: sends a message to all agents.
     :param entries: publishes the status to entries.
     :param reporter: reports the load of this agent's rank.
@@ -29,22 +32,21 @@
     def __init__(
         self,
         own_address: Address,
+        key: GroupKey,
         broadcast: TreeBroadcast,
         entries: EntryRegistry,
         reporter: Reporter,
     ) -> None:
         self._own_address = own_address
+        self._tag = key.compute_tag()
         self._broadcast = broadcast
         self._entries = entries
         self._reporter = reporter
         self._sent = 0
 
-    async def send(
-        self, state: RankState, token: int, leader: GroupLeader
-    ) -> None:
-        """Send a heartbeat and the group's status.
+    async def send(self, token: int, leader: GroupLeader) -> None:
+        """Send a heartbeat to the group's agents.
 
-        :param state: state of the rank beside this agent.
         :param token: the coordinator's fencing token.
         :param leader: the group's leader.
         """
@@ -53,14 +55,23 @@
         # Rotate the tree, so that a failed agent blocks few heartbeats.
         self._sent += 1
         await self._broadcast.broadcast(
-            CoordinatorHeartbeat(
-                state.group, token, self._own_address, rotation
-            ),
+            CoordinatorHeartbeat(token, self._own_address, rotation),
             self._sent,
         )
+
+    async def publish(
+        self, state: RankState, token: int, leader: GroupLeader, roster: Roster
+    ) -> None:
+        """Publish the group's status to entries.
+
+        :param state: state of the rank beside this agent.
+        :param token: the coordinator's fencing token.
+        :param leader: the group's leader.
+        :param roster: the group's members, as told by entries.
+        """
         states = leader.ranks.read_states().values()
         status = GroupStatus(
-            service=self._entries.service,
+            tag=self._tag,
             token=token,
             is_open=state.is_open,
             pass_seconds=leader.pass_timer.compute_mean_seconds(),
@@ -69,5 +80,5 @@
             queued=sum(one.queued for one in states),
             entries=0,
         )
-        details = self._entries.build_details(list_rank_loads(leader.ranks))
+        details = roster.build_details(list_rank_loads(leader.ranks))
         await self._entries.publish_status(status, details)
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -111,6 +111,13 @@
         is_held = group is not None and bool(self.view.list_held(group))
         return is_held or self._coordinator is not None
 
+    def is_changing(self) -> bool:
+        """Return whether a change or a recovery is in progress.
+
+        :returns: whether orders are still sent.
+        """
+        return self._coordinator is not None
+
     def may_plan(self) -> bool:
         """Return whether a change may start.
 
--- a/src/ospreyford/rebalance/mapcache.py
+++ b/src/ospreyford/rebalance/mapcache.py
@@ -44,3 +44,7 @@
             # Keep the current map while many changes fail.
             self._maps.move_to_end(version)
         return found
+
+    def clear(self) -> None:
+        """Forget all maps, since those of another group size don't fit."""
+        self._maps.clear()
--- a/src/ospreyford/rebalance/orderclient.py
+++ b/src/ospreyford/rebalance/orderclient.py
@@ -23,7 +23,8 @@
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
     from ospreyford.rebalance.broadcast import TreeBroadcast
-    from ospreyford.rebalance.datagrams import Address, DatagramSocket
+    from ospreyford.rebalance.datagrams import Address
+    from ospreyford.rebalance.groupsocket import GroupSocket
 
 #: Several round trips between zones.
 RETRANSMIT_SECONDS: Final = 0.03
@@ -99,14 +100,14 @@
 class OrderClient:
     """Requests orders from agents and retransmits until they respond.
 
-    :param datagram_socket: the process's socket.
+    :param datagram_socket: sends messages to the group's agents.
     :param tree_broadcast: sends a message to all agents.
     :param clock: source of time.
     """
 
     def __init__(
         self,
-        datagram_socket: DatagramSocket,
+        datagram_socket: GroupSocket,
         tree_broadcast: TreeBroadcast,
         clock: Clock,
     ) -> None:
--- a/src/ospreyford/rebalance/ordercodec.py
+++ b/src/ospreyford/rebalance/ordercodec.py
@@ -24,6 +24,7 @@
     compute_digest,
     compute_map_delta,
 )
+from ospreyford.rebalance.memberstates import strip_group
 from ospreyford.rebalance.messages import (
     NO_MAP_VERSION,
     EncodedOrder,
@@ -130,7 +131,9 @@
     """
     match outcome:
         case Done(state=state) | Rejected(state=state):
-            return OrderResponse(request_id, type(outcome).__name__, state)
+            return OrderResponse(
+                request_id, type(outcome).__name__, strip_group(state)
+            )
         case _:
             return OrderResponse(request_id, type(outcome).__name__)
 
--- a/src/ospreyford/rebalance/orderexecutor.py
+++ b/src/ospreyford/rebalance/orderexecutor.py
@@ -25,7 +25,8 @@
 
 if TYPE_CHECKING:
     from ospreyford.observability.logs import ChangeLog
-    from ospreyford.rebalance.datagrams import Address, DatagramSocket
+    from ospreyford.rebalance.datagrams import Address
+    from ospreyford.rebalance.groupsocket import GroupSocket
     from ospreyford.rebalance.metrics import AgentMetrics
     from ospreyford.rebalance.participant import RankParticipant
 
@@ -40,7 +41,7 @@
     """Executes each request once and replays the response to retransmissions.
 
     :param participant: carries out orders on the rank.
-    :param datagram_socket: the process's socket.
+    :param datagram_socket: sends messages to the group's agents.
     :param metrics: counts outcomes.
     :param log: logs outcomes.
     """
@@ -48,7 +49,7 @@
     def __init__(
         self,
         participant: RankParticipant,
-        datagram_socket: DatagramSocket,
+        datagram_socket: GroupSocket,
         metrics: AgentMetrics,
         log: ChangeLog,
     ) -> None:
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
 
@@ -32,8 +32,13 @@
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
     from ospreyford.rebalance.broadcast import TreeBroadcast
-    from ospreyford.rebalance.datagrams import Address, DatagramSocket
-    from ospreyford.rebalance.ports import EnginePort
+    from ospreyford.rebalance.datagrams import Address
+    from ospreyford.rebalance.groupengine import GroupEngine
+    from ospreyford.rebalance.groupsocket import GroupSocket
+    from ospreyford.rebalance.incidents import GroupIncidents
+
+#: Time for which a rank of another group is not read again.
+FOREIGN_SECONDS: Final = 3.0
 
 
 class _CachedEncoding(NamedTuple):
@@ -55,10 +60,13 @@
     :param own_rank: the rank beside this agent.
     :param own_host: IP address of this agent's host.
     :param participant: carries out orders on this agent's rank.
-    :param datagram_socket: the process's socket.
-    :param connect: returns the engine on a host, by its IP address.
+    :param datagram_socket: sends messages to the group's agents.
+    :param connect: returns the engine on a host as a member of the group, by
+        its IP address.
     :param clock: source of time.
     :param tree_broadcast: sends a message to all agents.
+
+    ``incidents`` records refused orders and foreign ranks, if set.
     """
 
     def __init__(
@@ -66,8 +74,8 @@
         own_rank: int,
         own_host: str,
         participant: RankParticipant,
-        datagram_socket: DatagramSocket,
-        connect: Callable[[str], EnginePort | None],
+        datagram_socket: GroupSocket,
+        connect: Callable[[str], GroupEngine | None],
         clock: Clock,
         tree_broadcast: TreeBroadcast,
     ) -> None:
@@ -75,10 +83,13 @@
         self.maps = MapCache()
         self.own_rank = own_rank
         self.own_host = own_host
+        self.incidents: GroupIncidents | None = None
         self._participant = participant
         self._remote_ranks = RemoteRanks(connect, clock)
         self._clock = clock
         self._states: dict[int, RankState] = {}
+        self._newest_epoch = -1
+        self._size = 0
         self._cached_encoding: _CachedEncoding | None = None
         self.failure_detector = FailureDetector(clock)
         self.order_client = OrderClient(datagram_socket, tree_broadcast, clock)
@@ -96,23 +107,25 @@
         :param state: state of the rank beside the agent.
         :param agent: the agent's address.
         """
-        self.agents[state.rank] = agent
         self.failure_detector.record_report(agent[0])
-        self.record_state(state)
+        self._record_member(state, agent)
 
     async def probe_silent_ranks(
-        self, members: Sequence[Address]
-    ) -> list[tuple[int, EnginePort]]:
+        self, members: Sequence[Address], unassigned: Sequence[Address] = ()
+    ) -> list[tuple[int, GroupEngine]]:
         """Read the states of ranks whose agents are silent.
 
         Without them, no map change could start and no held pass be released.
 
         :param members: addresses of the group's agents.
+        :param unassigned: addresses of agents that no group is known of; read
+            as well while ranks are missing.
         :returns: the ranks that responded, with their engines.
         """
+        asked = (*members, *unassigned) if self._lacks_ranks() else members
         silent_agents = [
             address
-            for address in members
+            for address in asked
             if address[0] != self.own_host
             and self.failure_detector.try_probe(address[0])
         ]
@@ -129,6 +142,9 @@
 
         :param state: the state.
         """
+        self._record_size(state)
+        if state.rank >= self._size:
+            return
         known = self._states.get(state.rank)
         if known is not None and _get_recency_key(known) > _get_recency_key(
             state
@@ -208,16 +224,61 @@
         state = getattr(outcome, 'state', None)
         if state is not None:
             self.record_state(state)
+        if self.incidents is not None:
+            self.incidents.record_outcome(rank, order, term, outcome)
         return outcome
 
-    async def _probe(self, address: Address) -> tuple[int, EnginePort] | None:
+    async def _probe(self, address: Address) -> tuple[int, GroupEngine] | None:
         engine = self._remote_ranks.find_engine(address[0])
-        state = None if engine is None else await engine.read_state()
-        if engine is None or state is None:
+        if engine is None:
             return None
-        self.agents[state.rank] = address
+        reading = await engine.read_member()
+        if reading.is_foreign:
+            self._forget_foreign(address)
+        if reading.state is None:
+            return None
+        self._record_member(reading.state, address)
+        return reading.state.rank, engine
+
+    def _record_member(self, state: RankState, agent: Address) -> None:
+        self._forget(agent, except_rank=state.rank)
         self.record_state(state)
-        return state.rank, engine
+        if state.rank < self._size:
+            self.agents[state.rank] = agent
+
+    def _record_size(self, state: RankState) -> None:
+        is_own = state.rank == self.own_rank
+        is_known = state.epoch == self._newest_epoch
+        if state.epoch > self._newest_epoch or (is_own and is_known):
+            self._newest_epoch = state.epoch
+            self._size = state.size
+            for rank in (*self._states, *self.agents):
+                if rank >= self._size:
+                    self._forget_rank(rank)
+
+    def _forget_foreign(self, agent: Address) -> None:
+        self.failure_detector.postpone_probe(agent[0], FOREIGN_SECONDS)
+        self._forget(agent)
+        if self.incidents is not None:
+            self.incidents.record_foreign()
+
+    def _forget(self, agent: Address, except_rank: int | None = None) -> None:
+        """Forget the ranks that an agent was beside before."""
+        for rank, known in tuple(self.agents.items()):
+            if known == agent and rank != except_rank:
+                self._forget_rank(rank)
+
+    def _forget_rank(self, rank: int) -> None:
+        self.agents.pop(rank, None)
+        self._states.pop(rank, None)
+
+    def _lacks_ranks(self) -> bool:
+        current = [
+            state
+            for state in self._states.values()
+            if state.epoch == self._newest_epoch
+        ]
+        return len(current) < self._size
 
     async def _hold(self, rank: int, order: Hold, term: Term) -> Outcome:
         """Hold a pass at a rank directly, bypassing its agent.
--- a/src/ospreyford/rebalance/remoteranks.py
+++ b/src/ospreyford/rebalance/remoteranks.py
@@ -16,24 +16,26 @@
 
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
-    from ospreyford.rebalance.ports import EnginePort, Reply
+    from ospreyford.rebalance.groupengine import GroupEngine
+    from ospreyford.rebalance.ports import Reply
 
 
 class RemoteRanks:
     """Gives orders to ranks on other hosts.
 
-    :param connect: returns the engine on a host, by its IP address.
+    :param connect: returns the engine on a host as a member of the group, by
+        its IP address.
     :param clock: source of time.
     """
 
     def __init__(
-        self, connect: Callable[[str], EnginePort | None], clock: Clock
+        self, connect: Callable[[str], GroupEngine | None], clock: Clock
     ) -> None:
         self._connect = connect
         self._clock = clock
-        self._engines: dict[str, EnginePort] = {}
+        self._engines: dict[str, GroupEngine] = {}
 
-    def find_engine(self, host: str) -> EnginePort | None:
+    def find_engine(self, host: str) -> GroupEngine | None:
         """Find the engine of a rank.
 
         :param host: IP address of the rank's host.
@@ -45,7 +47,7 @@
         return engine
 
     async def give(
-        self, engine: EnginePort, order: Order, guard: Guard
+        self, engine: GroupEngine, order: Order, guard: Guard
     ) -> Reply:
         """Give a rank an order once, without reading its state first.
 
--- a/src/ospreyford/rebalance/reporter.py
+++ b/src/ospreyford/rebalance/reporter.py
@@ -6,6 +6,7 @@
 
 from ospreyford.rebalance.datagrams import DATAGRAM_HEADER_BYTES
 from ospreyford.rebalance.loadaggregator import LoadAggregator
+from ospreyford.rebalance.memberstates import strip_group
 from ospreyford.rebalance.messages import PartialLoad, RankReport, encode
 from ospreyford.rebalance.tree import TREE_DEGREE, find_parent, order_members
 
@@ -13,7 +14,8 @@
     from collections.abc import Sequence
 
     from ospreyford.ports.clock import Clock
-    from ospreyford.rebalance.datagrams import Address, DatagramSocket
+    from ospreyford.rebalance.datagrams import Address
+    from ospreyford.rebalance.groupsocket import GroupSocket
     from ospreyford.rebalance.settings import AgentSettings
     from ospreyford.rebalance.watcher import RankWatcher
 
@@ -31,7 +33,7 @@
     the tree of agents.
 
     :param settings: the agent's settings.
-    :param datagram_socket: the process's socket.
+    :param datagram_socket: sends messages to the group's agents.
     :param watcher: polls the rank.
     :param clock: source of time.
 
@@ -41,7 +43,7 @@
     def __init__(
         self,
         settings: AgentSettings,
-        datagram_socket: DatagramSocket,
+        datagram_socket: GroupSocket,
         watcher: RankWatcher,
         clock: Clock,
     ) -> None:
@@ -98,7 +100,9 @@
         if state is None:
             return None
         load = self._build_due_load() if parent is None else None
-        return RankReport(state, self._select_due_experts(leader), load)
+        return RankReport(
+            strip_group(state), self._select_due_experts(leader), load
+        )
 
     def _find_parent(self, leader: Address) -> Address | None:
         ordered = order_members(self.members, leader, self.sums.rotation)
--- a/src/ospreyford/rebalance/shutdown.py
+++ b/src/ospreyford/rebalance/shutdown.py
@@ -10,9 +10,10 @@
 from ospreyford.rebalance.messages import Leave, LeaveGranted
 
 if TYPE_CHECKING:
-    from ospreyford.rebalance.datagrams import Address, DatagramSocket
+    from ospreyford.rebalance.broadcast import TreeBroadcast
+    from ospreyford.rebalance.datagrams import Address
     from ospreyford.rebalance.election import Election
-    from ospreyford.rebalance.entryregistry import EntryRegistry
+    from ospreyford.rebalance.groupsocket import GroupSocket
     from ospreyford.rebalance.leader import GroupLeader
     from ospreyford.rebalance.orderexecutor import OrderExecutor
 
@@ -27,9 +28,9 @@
     """Completes running orders and hands over coordination.
 
     :param own_address: this agent's address.
-    :param datagram_socket: the process's socket.
+    :param datagram_socket: sends messages to the group's agents.
     :param election: the election of the coordinator.
-    :param entries: knows the other agents.
+    :param broadcast: knows the other agents.
     :param order_executor: the orders running at this agent's rank.
 
     ``may_end`` is set once no coordinator depends on this agent.
@@ -38,16 +39,16 @@
     def __init__(
         self,
         own_address: Address,
-        datagram_socket: DatagramSocket,
+        datagram_socket: GroupSocket,
         election: Election,
-        entries: EntryRegistry,
+        broadcast: TreeBroadcast,
         order_executor: OrderExecutor,
     ) -> None:
         self.may_end = False
         self._own_address = own_address
         self._datagram_socket = datagram_socket
         self._election = election
-        self._entries = entries
+        self._broadcast = broadcast
         self._order_executor = order_executor
 
     async def run(
@@ -59,26 +60,25 @@
         :param deadline: latest return, in seconds on the monotonic clock.
         :param report_seconds: interval between two reports of a rank.
         """
-        # A coordinator replaced during shutdown must not stand again.
-        self._election.withdraw()
-        if leader is not None and self._election.is_leading():
-            leader.leave()
-            await self._wait_for_quiescence(
-                leader,
-                deadline,
-                max(
-                    MIN_QUIESCENT_SECONDS,
-                    QUIESCENT_REPORT_COUNT * report_seconds,
-                ),
-            )
-        if self._election.is_leading():
-            self._election.resign()
-            self.may_end = True
-            await self._announce_leave(Leave(self._election.highest_token))
-        else:
+        was_leading = await self._hand_over(leader, deadline, report_seconds)
+        if not was_leading:
             await self._request_leave(deadline)
-        while self._order_executor.is_busy() and time.monotonic() < deadline:
-            await curio.sleep(POLL_SECONDS)
+        await self._wait_for_orders(deadline)
+
+    async def leave(
+        self, leader: GroupLeader | None, deadline: float, report_seconds: float
+    ) -> None:
+        """Leave a group that the rank beside this agent belongs to no more.
+
+        Its coordinator needs no orders answered here, so it isn't asked.
+
+        :param leader: the group's leader, if this agent has coordinated.
+        :param deadline: latest return, in seconds on the monotonic clock.
+        :param report_seconds: interval between two reports of a rank.
+        """
+        self.may_end = True
+        await self._hand_over(leader, deadline, report_seconds)
+        await self._wait_for_orders(deadline)
 
     async def handle_leave(
         self, leave: Leave, address: Address, leader: GroupLeader | None
@@ -105,9 +105,36 @@
         if is_requested and grant.token >= self._election.highest_token:
             self.may_end = True
 
+    async def _hand_over(
+        self, leader: GroupLeader | None, deadline: float, report_seconds: float
+    ) -> bool:
+        """Give up the term, if there is one, once the group is quiet."""
+        # A coordinator replaced during shutdown must not stand again.
+        self._election.withdraw()
+        if leader is not None and self._election.is_leading():
+            leader.leave()
+            await self._wait_for_quiescence(
+                leader,
+                deadline,
+                max(
+                    MIN_QUIESCENT_SECONDS,
+                    QUIESCENT_REPORT_COUNT * report_seconds,
+                ),
+            )
+        if not self._election.is_leading():
+            return False
+        self._election.resign()
+        self.may_end = True
+        await self._announce_leave(Leave(self._election.highest_token))
+        return True
+
+    async def _wait_for_orders(self, deadline: float) -> None:
+        while self._order_executor.is_busy() and time.monotonic() < deadline:
+            await curio.sleep(POLL_SECONDS)
+
     async def _announce_leave(self, leave: Leave) -> None:
         for _ in range(ANNOUNCEMENT_COUNT):
-            for address in self._entries.members:
+            for address in self._broadcast.members:
                 if address != self._own_address:
                     await self._datagram_socket.send(leave, address)
             await curio.sleep(POLL_SECONDS)
--- a/src/ospreyford/rebalance/view.py
+++ b/src/ospreyford/rebalance/view.py
@@ -48,12 +48,17 @@
         if report.partial_load is not None:
             self.sums.record(host, report.partial_load)
 
-    async def probe_silent_ranks(self, members: Sequence[Address]) -> None:
+    async def probe_silent_ranks(
+        self, members: Sequence[Address], unassigned: Sequence[Address]
+    ) -> None:
         """Read the states of ranks whose agents are silent.
 
         :param members: addresses of the group's agents.
+        :param unassigned: addresses of agents that no group is known of.
         """
-        for rank, engine in await self._ranks.probe_silent_ranks(members):
+        for rank, engine in await self._ranks.probe_silent_ranks(
+            members, unassigned
+        ):
             await self._read_experts(rank, engine)
 
     def find_mine(self) -> RankState | None:
--- a/src/ospreyford/rebalance/watcher.py
+++ b/src/ospreyford/rebalance/watcher.py
@@ -1,64 +1,50 @@
-"""Polling of the rank on an agent's host."""
+"""State, experts and load of the rank on an agent's host."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from ospreyford.rebalance.decisions import RankChanged
 from ospreyford.rebalance.loads import Incarnation, QuantizedLoad, ShareTracker
 from ospreyford.rebalance.mapdelta import build_initial_map
 
 if TYPE_CHECKING:
-    from ospreyford.observability.logs import ChangeLog
     from ospreyford.ports.clock import Clock
     from ospreyford.rebalance.group import ExpertMap, RankExperts, RankState
     from ospreyford.rebalance.ports import EnginePort
 
-#: Consecutive failed polls after which the rank is considered lost.
-MAX_MISSED_POLLS = 4
 #: Minimum interval of count reads, per count, to bound their cost.
 READ_SECONDS_PER_COUNT = 0.000025
 EMPTY_SHARES = QuantizedLoad(0, b'')
 
 
 class RankWatcher:
-    """Polls a rank's state, experts and selection counts.
+    """Follows a rank's state, and reads its experts and selection counts.
 
     :param engine: the rank.
-    :param log: event log.
     :param clock: source of time.
 
     ``counted_at`` is the time at which the newest counts were read.
     """
 
-    def __init__(
-        self, engine: EnginePort, log: ChangeLog, clock: Clock
-    ) -> None:
+    def __init__(self, engine: EnginePort, clock: Clock) -> None:
         self.counted_at = clock.monotonic()
         self._clock = clock
         self._count_total = 0
         self._counts_step: int | None = None
         self.state: RankState | None = None
         self._engine = engine
-        self._log = log
         self._shares = ShareTracker()
         self._experts: RankExperts = ()
         self._experts_version: tuple[int, int] | None = None
-        self._missed_polls = 0
 
-    async def poll(self) -> bool:
-        """Poll the rank once.
+    async def update(self, state: RankState) -> bool:
+        """Record a state of the rank, and read what changes with it.
 
-        :returns: whether the rank has changed its map since the last poll.
+        :param state: its state, just read.
+        :returns: whether the rank has changed its map since the last state.
         """
-        state = await self._engine.read_state()
-        if state is None:
-            self._record_miss()
-            return False
-        self._missed_polls = 0
         previous = self.state
         self.state = state
-        self._log_difference(previous, state)
         if previous is None or previous.step != state.step:
             await self._update_shares(state)
         elif self._counts_step == state.step:
@@ -111,20 +97,6 @@
         is_consistent = state.version != 0 or expected == self.list_experts()
         return initial_map if is_consistent else None
 
-    def _record_miss(self) -> None:
-        self._missed_polls += 1
-        if self._missed_polls == MAX_MISSED_POLLS and self.state is not None:
-            self._log_change(self.state, 'lost')
-            self.state = None
-
-    def _log_difference(
-        self, previous: RankState | None, state: RankState
-    ) -> None:
-        if previous is None or previous.epoch != state.epoch:
-            self._log_change(state, 'seen')
-        elif previous.is_open != state.is_open:
-            self._log_change(state, 'open' if state.is_open else 'broken')
-
     async def _update_shares(self, state: RankState) -> None:
         now = self._clock.monotonic()
         if now < self.counted_at + READ_SECONDS_PER_COUNT * self._count_total:
@@ -146,10 +118,3 @@
         self._experts = experts
         self._experts_version = (state.epoch, state.version)
         return True
-
-    def _log_change(self, state: RankState, change: str) -> None:
-        self._log.log_change(
-            RankChanged(
-                state.group, state.rank, state.epoch, state.is_open, change
-            )
-        )
--- a/tests/rebalance/runningagents.py
+++ b/tests/rebalance/runningagents.py
@@ -167,7 +167,7 @@
 
     def _send_hellos(self) -> None:
         members = tuple((f'127.0.0.{rank + 1}', 1) for rank in range(SIZE))
-        hello = encode(Hello('e', 's', 1, members, FIGURES, 0.01))
+        hello = encode(Hello('e', 's', 1, members, FIGURES, 0.01, group='g'))
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as entry:
             while not self.finished.wait(0.05):
                 for host, _ in members:
--- a/tests/rebalance/test_broadcast.py
+++ b/tests/rebalance/test_broadcast.py
@@ -23,7 +23,7 @@
     OrderResponse,
     PartialLoad,
     RelayedMessage,
-    decode,
+    decode_member,
 )
 from ospreyford.rebalance.ordercodec import encode_map_change, resolve_map
 from ospreyford.rebalance.ranks import GroupRanks
@@ -31,7 +31,7 @@
 from tests.rebalance.test_ranks import TERM, make_state
 from tests.rebalance.test_tree import make_members
 
-HEARTBEAT = CoordinatorHeartbeat('g', 1, ('10.1.0.30', 7340), 0)
+HEARTBEAT = CoordinatorHeartbeat(1, ('10.1.0.30', 7340), 0)
 
 
 class Network:
@@ -50,7 +50,7 @@
         self.sent += 1
         if address in self.lost:
             return
-        passed = decode(datagram)
+        passed = decode_member(datagram)
         assert isinstance(passed, RelayedMessage)
         self.received.append((address, decode_relayed(passed)))
         await self.agents[address].forward(passed)
@@ -171,7 +171,7 @@
         self.ranks: Any = None
 
     async def send_paced(self, datagram: bytes, address: Address) -> None:
-        message = decode(datagram)
+        message = decode_member(datagram)
         is_spread = isinstance(message, RelayedMessage)
         if isinstance(message, RelayedMessage):
             request = decode_relayed(message)
@@ -185,7 +185,9 @@
             self.direct_requests.append((address, request))
         is_known = is_spread or bool(request.order.deltas)
         outcome = 'Done' if is_known else 'UnknownBase'
-        state = make_state(rank)._replace(prepared=9) if is_known else None
+        state = (
+            make_state(rank)._replace(size=6, prepared=9) if is_known else None
+        )
         await self.ranks.order_client.handle_response(
             OrderResponse(request.request_id, outcome, state), address[0]
         )
@@ -208,7 +210,7 @@
     first = build_initial_map(2, 12, 6)
     ranks.maps.put(make_state().version, first)
     for rank, address in enumerate(agents.members):
-        ranks.record_report(make_state(rank), address)
+        ranks.record_report(make_state(rank)._replace(size=6), address)
     changed = tuple(reversed(first[0]))
     order = Prepare(9, (changed, first[1]))
     await ranks.broadcast(order, TERM)
--- a/tests/rebalance/test_large_group.py
+++ b/tests/rebalance/test_large_group.py
@@ -23,7 +23,7 @@
     OrderRequest,
     OrderResponse,
     RelayedMessage,
-    decode,
+    decode_member,
     encode,
 )
 from ospreyford.rebalance.orderexecutor import OrderExecutor
@@ -148,7 +148,7 @@
         await self._network.deliver(datagram, self._address, address)
 
     async def receive(self, datagram: bytes, sender: Address) -> None:
-        message = decode(datagram)
+        message = decode_member(datagram)
         match message:
             case RelayedMessage():
                 await self.broadcast.forward(message)
--- a/tests/rebalance/test_narrow_links.py
+++ b/tests/rebalance/test_narrow_links.py
@@ -21,7 +21,7 @@
     EncodedOrder,
     OrderRequest,
     OrderResponse,
-    decode,
+    decode_member,
     encode,
 )
 from ospreyford.rebalance.ordercodec import (
@@ -137,7 +137,7 @@
 
     async def send_bytes(self, datagram: bytes, _: Any) -> None:
         self.sent.append(datagram)
-        request = decode(datagram)
+        request = decode_member(datagram)
         assert isinstance(request, OrderRequest)
         await self.order_executor.handle_request(request, ADDRESS)
 
--- a/tests/rebalance/test_ranks.py
+++ b/tests/rebalance/test_ranks.py
@@ -19,7 +19,7 @@
     Rejected,
     Term,
 )
-from ospreyford.rebalance.messages import OrderRequest, decode
+from ospreyford.rebalance.messages import OrderRequest, decode_member
 from ospreyford.rebalance.ordercodec import encode_outcome
 from ospreyford.rebalance.ports import Reply
 from ospreyford.rebalance.rankloads import list_rank_loads
@@ -73,7 +73,7 @@
     requests: list[OrderRequest] = field(default_factory=list)
 
     async def send_paced(self, datagram: bytes, address: Any) -> None:
-        message = decode(datagram)
+        message = decode_member(datagram)
         assert isinstance(message, OrderRequest)
         assert address == AGENT_ADDRESS
         self.requests.append(message)
--- a/tests/rebalance/test_tree.py
+++ b/tests/rebalance/test_tree.py
@@ -102,9 +102,9 @@
 
 def measure_status_bytes(ranks: int) -> tuple[int, int]:
     details = RankDetails(1 << 31, bytes(2 for _ in range(ranks)))
-    news = GroupStatus('service', 1 << 50, True, 0.08, 3, 300, 20, ENTRY_COUNT)
+    news = GroupStatus(1 << 31, 1 << 50, True, 0.08, 3, 300, 20, ENTRY_COUNT)
     whole = GroupStatus(
-        'service', 1 << 50, True, 0.08, 3, 300, 20, ENTRY_COUNT, details
+        1 << 31, 1 << 50, True, 0.08, 3, 300, 20, ENTRY_COUNT, details
     )
     return len(encode(news)), len(encode(whole))
 
@@ -131,7 +131,7 @@
     ) * (load_bytes + DATAGRAM_HEADER_BYTES) / compute_load_interval(
         node, ranks, load_bytes
     )
-    beat = encode(CoordinatorHeartbeat('group', 1 << 50, node.datagrams, 1))
+    beat = encode(CoordinatorHeartbeat(1 << 50, node.datagrams, 1))
     passed = encode(RelayedMessage(node.datagrams, 9, 1, ranks, beat))
     sent = (
         min(ranks - 1, TREE_DEGREE)
