--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -10,12 +10,12 @@
 from ospreyford.observability.events import Draining, Stopped
 from ospreyford.observability.exposition import FigureServer
 from ospreyford.observability.supervision import keep_running
+from ospreyford.rebalance.agentcontext import AgentContext
 from ospreyford.rebalance.datagrams import DatagramSocket
 from ospreyford.rebalance.entrymessages import Hello
 from ospreyford.rebalance.entryregistry import EntryRegistry
 from ospreyford.rebalance.groupsessions import GroupSessions
 from ospreyford.rebalance.metrics import AgentMetrics
-from ospreyford.rebalance.sessioncomponents import AgentContext
 from ospreyford.rebalance.suspectrelay import SuspectRelay
 from ospreyford.suspects.messages import SuspectReport
 
@@ -76,7 +76,7 @@
 
     async def _receive_datagrams(self) -> None:
         await self.datagram_socket.receive(
-            self._handle_entry_message, self._sessions.handle
+            self._handle_entry_message, self._sessions.handle_datagram
         )
 
     async def _handle_entry_message(
--- a/src/ospreyford/rebalance/datagrams.py
+++ b/src/ospreyford/rebalance/datagrams.py
@@ -9,14 +9,13 @@
 import curio
 from curio import socket as curio_socket
 
+from ospreyford.rebalance.groupprefix import GroupDatagram, split_group
 from ospreyford.rebalance.messages import (
     MAX_DATAGRAM_BYTES,
     EntryMessage,
-    GroupDatagram,
     Message,
     decode,
     encode,
-    split_group,
 )
 
 if TYPE_CHECKING:
--- a/src/ospreyford/rebalance/entryregistry.py
+++ b/src/ospreyford/rebalance/entryregistry.py
@@ -5,17 +5,8 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
-import msgspec
-
-from ospreyford.rebalance.datagrams import DATAGRAM_HEADER_BYTES
-from ospreyford.rebalance.entrymessages import (
-    GroupStatus,
-    Hello,
-    HelloReply,
-    RankDetails,
-)
+from ospreyford.rebalance.entrymessages import Hello, HelloReply
 from ospreyford.rebalance.groupkey import GroupKey
-from ospreyford.rebalance.messages import encode
 from ospreyford.rebalance.roster import Roster, make_roster
 
 if TYPE_CHECKING:
@@ -26,15 +17,8 @@
 MS_PER_SECOND = 1000
 #: Six intervals between two hellos.
 ENTRY_TIMEOUT_SECONDS = 3.0
-#: Limits on the share of the link used for status without and with details.
-STATUS_LINK_FRACTION = 0.1
-DETAILS_LINK_FRACTION = 0.15
 #: Limits requests for the same list to one entry at a time.
 MEMBERS_REQUEST_INTERVAL_SECONDS = 0.15
-#: Status messages that the coordinators of all groups may send to one entry.
-MAX_STATUS_PER_SECOND = 40
-#: Groups up to which each heartbeat of a coordinator comes with a status.
-MAX_UNSLOWED_GROUPS = 4
 
 
 class _Entry(NamedTuple):
@@ -70,10 +54,7 @@
         self._settings = settings
         self._datagram_socket = datagram_socket
         self._entries: dict[str, _Entry] = {}
-        self._next_status_at: float = 0
-        self._next_details_at: float = 0
         self._next_members_request_at: float = 0
-        self._last_published: tuple[int, bool, int] | None = None
         self._newest_version = 0
         self._settles_at: float = 0
 
@@ -137,41 +118,6 @@
         roster = self._roster
         return roster if roster is not None and roster.key == key else None
 
-    async def publish_status(
-        self, status: GroupStatus, details: RankDetails
-    ) -> None:
-        """Publish a group's status to all entries, within bandwidth limits.
-
-        Details are included at a lower rate than totals. A change of epoch or
-        of openness is published immediately.
-
-        :param status: the status without details.
-        :param details: load of each rank.
-        """
-        now = time.monotonic()
-        condition = (status.tag, status.is_open, status.epoch)
-        if now < self._next_status_at and condition == self._last_published:
-            return
-        self._last_published = condition
-        entries = self.list_entries()
-        published = msgspec.structs.replace(status, entries=len(entries))
-        datagram = encode(published)
-        self._next_status_at = now + max(
-            self._compute_interval(
-                datagram, len(entries), STATUS_LINK_FRACTION
-            ),
-            self._compute_group_interval(),
-        )
-        if now >= self._next_details_at:
-            datagram = encode(
-                msgspec.structs.replace(published, details=details)
-            )
-            self._next_details_at = now + self._compute_interval(
-                datagram, len(entries), DETAILS_LINK_FRACTION
-            )
-        for address in entries:
-            await self._datagram_socket.send_bytes(datagram, address)
-
     def list_entries(self) -> list[Address]:
         """List the entries in contact with this agent.
 
@@ -185,18 +131,12 @@
         }
         return [entry.address for entry in self._entries.values()]
 
-    def _compute_interval(
-        self, datagram: bytes, entry_count: int, link_fraction: float
-    ) -> float:
-        bytes_per_round = (len(datagram) + DATAGRAM_HEADER_BYTES) * entry_count
-        return bytes_per_round / (link_fraction * self._settings.link_bytes)
-
-    def _compute_group_interval(self) -> float:
-        """Compute the interval at which an entry can hear all its groups."""
-        groups = max((one.groups for one in self._entries.values()), default=1)
-        if groups <= MAX_UNSLOWED_GROUPS:
-            return 0
-        return groups / MAX_STATUS_PER_SECOND
+    def count_groups(self) -> int:
+        """Count the groups whose coordinators report to the same entry.
+
+        :returns: the largest number that an entry has told.
+        """
+        return max((one.groups for one in self._entries.values()), default=1)
 
     def _record_service(self, service: str, now: float) -> None:
         # A backend listed in two services must not change over with each hello.
--- a/src/ospreyford/rebalance/groupsession.py
+++ b/src/ospreyford/rebalance/groupsession.py
@@ -11,13 +11,11 @@
 from ospreyford.rebalance.election import HEARTBEAT_INTERVAL_SECONDS
 from ospreyford.rebalance.memberstates import fill_group
 from ospreyford.rebalance.messages import MemberMessage, RankReport
-from ospreyford.rebalance.sessioncomponents import (
-    AgentContext,
-    SessionComponents,
-)
+from ospreyford.rebalance.sessioncomponents import SessionComponents
 from ospreyford.rebalance.shutdown import POLL_SECONDS
 
 if TYPE_CHECKING:
+    from ospreyford.rebalance.agentcontext import AgentContext
     from ospreyford.rebalance.datagrams import Address
     from ospreyford.rebalance.group import RankState
     from ospreyford.rebalance.groupkey import GroupKey
@@ -56,7 +54,9 @@
                 )
             )
 
-    async def handle(self, message: MemberMessage, address: Address) -> None:
+    async def handle_message(
+        self, message: MemberMessage, address: Address
+    ) -> None:
         """Handle a message of another member.
 
         :param message: the message.
--- a/src/ospreyford/rebalance/groupsessions.py
+++ b/src/ospreyford/rebalance/groupsessions.py
@@ -13,11 +13,11 @@
 from ospreyford.rebalance.sessiondecisions import select_group
 
 if TYPE_CHECKING:
+    from ospreyford.rebalance.agentcontext import AgentContext
     from ospreyford.rebalance.datagrams import Address
     from ospreyford.rebalance.group import RankState
     from ospreyford.rebalance.groupkey import GroupKey
-    from ospreyford.rebalance.messages import GroupDatagram
-    from ospreyford.rebalance.sessioncomponents import AgentContext
+    from ospreyford.rebalance.groupprefix import GroupDatagram
 
 
 class GroupSessions:
@@ -60,7 +60,9 @@
         elif self._poller.state is None:
             session.record_loss()
 
-    async def handle(self, datagram: GroupDatagram, address: Address) -> None:
+    async def handle_datagram(
+        self, datagram: GroupDatagram, address: Address
+    ) -> None:
         """Pass a datagram on to the session of its group, if there is one.
 
         :param datagram: the datagram of a group's member.
@@ -74,7 +76,7 @@
         if message is None:
             self._context.datagram_socket.malformed += 1
             return
-        await session.handle(message, address)
+        await session.handle_message(message, address)
 
     async def shut_down(self, deadline: float) -> None:
         """Leave the group before the process ends.
@@ -86,10 +88,11 @@
             await self._current.shut_down(deadline)
 
     def _find_session(self, tag: int) -> GroupSession | None:
-        sessions = [*self._leaving]
-        if self._current is not None:
-            sessions.append(self._current)
-        return next((one for one in sessions if one.tag == tag), None)
+        sessions = (self._current, *self._leaving)
+        for session in sessions:
+            if session is not None and session.tag == tag:
+                return session
+        return None
 
     async def _select_session(self, state: RankState | None) -> None:
         session = self._current
--- a/src/ospreyford/rebalance/groupsocket.py
+++ b/src/ospreyford/rebalance/groupsocket.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from ospreyford.rebalance.messages import MemberMessage, add_group, encode
+from ospreyford.rebalance.groupprefix import add_group
+from ospreyford.rebalance.messages import MemberMessage, encode
 
 if TYPE_CHECKING:
     from ospreyford.rebalance.datagrams import Address, DatagramSocket
--- a/src/ospreyford/rebalance/heartbeat.py
+++ b/src/ospreyford/rebalance/heartbeat.py
@@ -11,12 +11,12 @@
 if TYPE_CHECKING:
     from ospreyford.rebalance.broadcast import TreeBroadcast
     from ospreyford.rebalance.datagrams import Address
-    from ospreyford.rebalance.entryregistry import EntryRegistry
     from ospreyford.rebalance.group import RankState
     from ospreyford.rebalance.groupkey import GroupKey
     from ospreyford.rebalance.leader import GroupLeader
     from ospreyford.rebalance.reporter import Reporter
     from ospreyford.rebalance.roster import Roster
+    from ospreyford.rebalance.statuspublisher import StatusPublisher
 
 
 class HeartbeatSender:
@@ -25,7 +25,7 @@
     :param own_address: this agent's address.
     :param key: the group.
     :param broadcast: sends a message to all agents.
-    :param entries: publishes the status to entries.
+    :param publisher: publishes the status to entries.
     :param reporter: reports the load of this agent's rank.
     """
 
@@ -34,13 +34,13 @@
         own_address: Address,
         key: GroupKey,
         broadcast: TreeBroadcast,
-        entries: EntryRegistry,
+        publisher: StatusPublisher,
         reporter: Reporter,
     ) -> None:
         self._own_address = own_address
         self._tag = key.compute_tag()
         self._broadcast = broadcast
-        self._entries = entries
+        self._publisher = publisher
         self._reporter = reporter
         self._sent = 0
 
@@ -81,4 +81,4 @@
             entries=0,
         )
         details = roster.build_details(list_rank_loads(leader.ranks))
-        await self._entries.publish_status(status, details)
+        await self._publisher.publish(status, details)
--- a/src/ospreyford/rebalance/leader.py
+++ b/src/ospreyford/rebalance/leader.py
@@ -189,7 +189,9 @@
         loads = self.view.find_loads(len(experts))
         if not loads or not any(loads[0]):
             return None
-        copy_cost = self._pace.copy_cost * self._compute_cost_factor(max_gap)
+        copy_cost = self._pace.copy_cost * compute_cost_factor(
+            self._pace, self.pass_timer.compute_mean_seconds(), max_gap
+        )
         limits = PlanLimits(
             places=engine.places,
             spare=engine.spare,
@@ -207,20 +209,6 @@
             lambda: self._clock.monotonic() >= deadline,
         ).plan()
 
-    def _compute_cost_factor(self, max_gap: float) -> float:
-        """Compute how much more a copy must gain than under high load.
-
-        The cost of a copy is constant, while imbalance only matters as passes
-        approach the longest acceptable gap.
-        """
-        pace = self._pace
-        mean = self.pass_timer.compute_mean_seconds()
-        limit = pace.pass_part * max_gap
-        if mean <= 0 or limit <= 0:
-            return 1
-        factor: float = max(limit / mean, 1) ** pace.ease
-        return factor
-
     async def _change(
         self, coordinator: Coordinator, group: Group, plan: Plan
     ) -> None:
@@ -276,3 +264,23 @@
     def _make_version(self, author: int) -> int:
         now = int(self._clock.wall() * MILLISECONDS_PER_SECOND)
         return encode_version(now, author)
+
+
+def compute_cost_factor(
+    pace: RebalanceSettings, mean: float, max_gap: float
+) -> float:
+    """Compute how much more a copy must gain than under high load.
+
+    The cost of a copy is constant, while imbalance only matters as passes
+    approach the longest acceptable gap.
+
+    :param pace: how fast maps follow the load.
+    :param mean: mean pass time, in seconds; 0 if unknown.
+    :param max_gap: longest acceptable gap between events, in seconds.
+    :returns: the factor, 1 or more.
+    """
+    limit = pace.pass_part * max_gap
+    if mean <= 0 or limit <= 0:
+        return 1
+    factor: float = max(limit / mean, 1) ** pace.ease
+    return factor
--- a/src/ospreyford/rebalance/memberstates.py
+++ b/src/ospreyford/rebalance/memberstates.py
@@ -32,9 +32,8 @@
     :param group: the group's name.
     :returns: the message; its state, if any, has the name.
     """
-    match message:
-        case RankReport(state=state) | OrderResponse(state=state):
-            if state is not None:
-                named = state._replace(group=group)
-                return msgspec.structs.replace(message, state=named)
+    if isinstance(message, RankReport | OrderResponse):
+        if message.state is not None:
+            named = message.state._replace(group=group)
+            return msgspec.structs.replace(message, state=named)
     return message
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from struct import Struct
-from typing import Final, NamedTuple
+from typing import Final
 
 import msgspec
 
@@ -177,9 +176,6 @@
 MemberMessage = CoordinatorMessage | LeaveMessage | ReportMessage | OrderMessage
 Message = EntryMessage | MemberMessage
 
-#: First byte of a datagram between members of a group; msgpack has none such.
-GROUP_MARK: Final = 0xC1
-_GROUP_PREFIX: Final = Struct('!BI')
 _encoder = msgspec.msgpack.Encoder()
 _entry_decoder: msgspec.msgpack.Decoder[EntryMessage] = msgspec.msgpack.Decoder(
     EntryMessage
@@ -189,17 +185,6 @@
 )
 
 
-class GroupDatagram(NamedTuple):
-    """A received datagram of a group's member.
-
-    :param tag: short form of the key of the sender's group.
-    :param payload: the encoded message.
-    """
-
-    tag: int
-    payload: bytes
-
-
 def encode(message: Message) -> bytes:
     """Encode a message.
 
@@ -231,26 +216,3 @@
         return _member_decoder.decode(payload)
     except (msgspec.DecodeError, UnicodeError, RecursionError):
         return None
-
-
-def add_group(tag: int, payload: bytes) -> bytes:
-    """Address an encoded message to the members of a group.
-
-    :param tag: short form of the group's key.
-    :param payload: the encoded message.
-    :returns: the datagram.
-    """
-    return _GROUP_PREFIX.pack(GROUP_MARK, tag) + payload
-
-
-def split_group(datagram: bytes) -> GroupDatagram | None:
-    """Split a datagram between members of a group.
-
-    :param datagram: the received bytes.
-    :returns: tag and payload; ``None`` if it is meant for no group.
-    """
-    size = _GROUP_PREFIX.size
-    if len(datagram) <= size or datagram[0] != GROUP_MARK:
-        return None
-    _, tag = _GROUP_PREFIX.unpack_from(datagram)
-    return GroupDatagram(tag, datagram[size:])
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -27,6 +27,7 @@
 from ospreyford.rebalance.ordercodec import encode_map_change, encode_order
 from ospreyford.rebalance.participant import RankParticipant
 from ospreyford.rebalance.ports import Reply
+from ospreyford.rebalance.rankstates import RankStates
 from ospreyford.rebalance.remoteranks import RemoteRanks
 
 if TYPE_CHECKING:
@@ -79,7 +80,8 @@
         clock: Clock,
         tree_broadcast: TreeBroadcast,
     ) -> None:
-        self.agents: dict[int, Address] = {}
+        self._states = RankStates(own_rank)
+        self.agents = self._states.agents
         self.maps = MapCache()
         self.own_rank = own_rank
         self.own_host = own_host
@@ -87,9 +89,6 @@
         self._participant = participant
         self._remote_ranks = RemoteRanks(connect, clock)
         self._clock = clock
-        self._states: dict[int, RankState] = {}
-        self._newest_epoch = -1
-        self._size = 0
         self._cached_encoding: _CachedEncoding | None = None
         self.failure_detector = FailureDetector(clock)
         self.order_client = OrderClient(datagram_socket, tree_broadcast, clock)
@@ -99,7 +98,7 @@
 
         :returns: states by rank.
         """
-        return self._states
+        return self._states.by_rank
 
     def record_report(self, state: RankState, agent: Address) -> None:
         """Record an agent's report.
@@ -108,7 +107,7 @@
         :param agent: the agent's address.
         """
         self.failure_detector.record_report(agent[0])
-        self._record_member(state, agent)
+        self._states.record_agent(state, agent)
 
     async def probe_silent_ranks(
         self, members: Sequence[Address], unassigned: Sequence[Address] = ()
@@ -122,7 +121,11 @@
             as well while ranks are missing.
         :returns: the ranks that responded, with their engines.
         """
-        asked = (*members, *unassigned) if self._lacks_ranks() else members
+        asked = (
+            (*members, *unassigned)
+            if self._states.is_missing_any()
+            else members
+        )
         silent_agents = [
             address
             for address in asked
@@ -142,15 +145,7 @@
 
         :param state: the state.
         """
-        self._record_size(state)
-        if state.rank >= self._size:
-            return
-        known = self._states.get(state.rank)
-        if known is not None and _get_recency_key(known) > _get_recency_key(
-            state
-        ):
-            return
-        self._states[state.rank] = state
+        self._states.record(state)
 
     def record_map_switch(self, version: int) -> None:
         """Record that the armed map has become active.
@@ -159,11 +154,7 @@
 
         :param version: version of the active map.
         """
-        for rank, state in tuple(self._states.items()):
-            if state.armed is not None and state.armed.version == version:
-                self._states[rank] = state._replace(
-                    version=version, prepared=None, armed=None
-                )
+        self._states.record_map_switch(version)
 
     async def wait_for_pass(self, seconds: float) -> RankState | None:
         """Poll the rank beside this agent until a pass starts.
@@ -234,52 +225,15 @@
             return None
         reading = await engine.read_member()
         if reading.is_foreign:
-            self._forget_foreign(address)
+            self.failure_detector.postpone_probe(address[0], FOREIGN_SECONDS)
+            self._states.forget_agent(address)
+            if self.incidents is not None:
+                self.incidents.record_foreign()
         if reading.state is None:
             return None
-        self._record_member(reading.state, address)
+        self._states.record_agent(reading.state, address)
         return reading.state.rank, engine
 
-    def _record_member(self, state: RankState, agent: Address) -> None:
-        self._forget(agent, except_rank=state.rank)
-        self.record_state(state)
-        if state.rank < self._size:
-            self.agents[state.rank] = agent
-
-    def _record_size(self, state: RankState) -> None:
-        is_own = state.rank == self.own_rank
-        is_known = state.epoch == self._newest_epoch
-        if state.epoch > self._newest_epoch or (is_own and is_known):
-            self._newest_epoch = state.epoch
-            self._size = state.size
-            for rank in (*self._states, *self.agents):
-                if rank >= self._size:
-                    self._forget_rank(rank)
-
-    def _forget_foreign(self, agent: Address) -> None:
-        self.failure_detector.postpone_probe(agent[0], FOREIGN_SECONDS)
-        self._forget(agent)
-        if self.incidents is not None:
-            self.incidents.record_foreign()
-
-    def _forget(self, agent: Address, except_rank: int | None = None) -> None:
-        """Forget the ranks that an agent was beside before."""
-        for rank, known in tuple(self.agents.items()):
-            if known == agent and rank != except_rank:
-                self._forget_rank(rank)
-
-    def _forget_rank(self, rank: int) -> None:
-        self.agents.pop(rank, None)
-        self._states.pop(rank, None)
-
-    def _lacks_ranks(self) -> bool:
-        current = [
-            state
-            for state in self._states.values()
-            if state.epoch == self._newest_epoch
-        ]
-        return len(current) < self._size
-
     async def _hold(self, rank: int, order: Hold, term: Term) -> Outcome:
         """Hold a pass at a rank directly, bypassing its agent.
 
@@ -287,7 +241,7 @@
         unreachable for the other agents.
         """
         agent = self.agents.get(rank)
-        known = self._states.get(rank)
+        known = self._states.by_rank.get(rank)
         engine = (
             None if agent is None else self._remote_ranks.find_engine(agent[0])
         )
@@ -326,7 +280,7 @@
     def _encode(self, rank: int, order: Order) -> tuple[EncodedOrder, ...]:
         if not isinstance(order, Prepare):
             return (encode_order(order),)
-        known = self._states.get(rank)
+        known = self._states.by_rank.get(rank)
         base_version = NO_MAP_VERSION if known is None else known.version
         cached = self._cached_encoding
         if (
@@ -338,11 +292,3 @@
             cached = _CachedEncoding(order, base_version, encodings)
             self._cached_encoding = cached
         return cached.encodings
-
-
-def _get_recency_key(state: RankState) -> tuple[int, int, int, int]:
-    """Return a key that orders the states of one rank by age.
-
-    Includes the start time, since a restarted rank's numbers begin at zero.
-    """
-    return (state.epoch, state.born_ms, state.sequence, state.step)
--- a/src/ospreyford/rebalance/sessioncomponents.py
+++ b/src/ospreyford/rebalance/sessioncomponents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from ospreyford.rebalance.broadcast import TreeBroadcast
 from ospreyford.rebalance.dispatcher import MessageDispatcher
@@ -19,33 +19,13 @@
 from ospreyford.rebalance.reporter import Reporter
 from ospreyford.rebalance.roster import Roster
 from ospreyford.rebalance.shutdown import GracefulShutdown
+from ospreyford.rebalance.statuspublisher import StatusPublisher
 from ospreyford.rebalance.watcher import RankWatcher
 
 if TYPE_CHECKING:
-    from ospreyford.rebalance.agentports import AgentPorts
-    from ospreyford.rebalance.datagrams import DatagramSocket
-    from ospreyford.rebalance.entryregistry import EntryRegistry
+    from ospreyford.rebalance.agentcontext import AgentContext
     from ospreyford.rebalance.group import RankState
     from ospreyford.rebalance.groupkey import GroupKey
-    from ospreyford.rebalance.metrics import AgentMetrics
-    from ospreyford.rebalance.settings import AgentSettings
-
-
-class AgentContext(NamedTuple):
-    """What all sessions of an agent share.
-
-    :param settings: the agent's settings.
-    :param ports: the agent's external dependencies.
-    :param datagram_socket: the process's socket.
-    :param entries: the entries in contact with this agent.
-    :param metrics: metrics of the agent.
-    """
-
-    settings: AgentSettings
-    ports: AgentPorts
-    datagram_socket: DatagramSocket
-    entries: EntryRegistry
-    metrics: AgentMetrics
 
 
 class SessionComponents:
@@ -76,7 +56,11 @@
             settings, self._socket, self.watcher, ports.clock
         )
         self.heartbeat = HeartbeatSender(
-            own_address, key, self._broadcast, entries, self.reporter
+            own_address,
+            key,
+            self._broadcast,
+            StatusPublisher(entries, datagram_socket),
+            self.reporter,
         )
         self.follower = Follower(
             own_address,
--- a/tests/observability/test_kinds.py
+++ b/tests/observability/test_kinds.py
@@ -100,6 +100,16 @@
         'outcome',
     ),
     Kind(agent.RankChanged, 'group', ('rank', 'is_open'), ('epoch',), 'change'),
+    Kind(
+        agent.OrderRefused,
+        'group',
+        ('rank', 'order', 'step', 'version'),
+        ('token', 'epoch', 'known_epoch'),
+        'cause',
+    ),
+    Kind(agent.TermFenced, 'group', ('rank', 'order'), ('token',), 'rank'),
+    Kind(agent.SessionStarted, 'service', ('rank',), ('epoch',), 'group'),
+    Kind(agent.SessionEnded, 'service', (), (), 'group'),
     # A settings file has neither version nor date: its contents are told.
     Kind(settings.SettingsReloaded, 'applied', ('deferred',), (), 'applied'),
     Kind(settings.SettingsRefused, 'key', ('reason',), (), 'reason'),
--- a/tests/rebalance/test_tree.py
+++ b/tests/rebalance/test_tree.py
@@ -10,10 +10,6 @@
 from ospreyford.rebalance.datagrams import DATAGRAM_HEADER_BYTES, Address
 from ospreyford.rebalance.election import HEARTBEAT_INTERVAL_SECONDS
 from ospreyford.rebalance.entrymessages import GroupStatus, RankDetails
-from ospreyford.rebalance.entryregistry import (
-    DETAILS_LINK_FRACTION,
-    STATUS_LINK_FRACTION,
-)
 from ospreyford.rebalance.loads import QuantizedLoad, quantize_sum
 from ospreyford.rebalance.messages import (
     CoordinatorHeartbeat,
@@ -29,6 +25,10 @@
     compute_state_interval,
 )
 from ospreyford.rebalance.settings import AgentSettings
+from ospreyford.rebalance.statuspublisher import (
+    DETAILS_LINK_FRACTION,
+    STATUS_LINK_FRACTION,
+)
 from ospreyford.rebalance.tree import (
     TREE_DEGREE,
     compute_depth,
