--- a/src/ospreyford/platform/replica.py
+++ b/src/ospreyford/platform/replica.py
@@ -39,8 +39,9 @@
 JSON_HEADER: Final = (b'content-type', b'application/json')
 
 
-class _Group(msgspec.Struct, frozen=True):
-    name: str = msgspec.field(name='Name')
+class _Group(msgspec.Struct, frozen=True, kw_only=True):
+    # A rank without the name of a group belongs to none.
+    name: str = msgspec.field(name='Name', default='')
     epoch: int
     rank: int
     state: str = msgspec.field(name='State')
--- a/tests/rebalance/fakegroup.py
+++ b/tests/rebalance/fakegroup.py
@@ -16,6 +16,7 @@
     Prepare,
     RankState,
 )
+from ospreyford.rebalance.mapdelta import build_initial_map
 from ospreyford.rebalance.ports import Reply
 
 FIRST_MAP: ExpertMap = (((0,), (1,), (2,)),)
@@ -46,11 +47,6 @@
         self.version = version
         self.experts = experts
 
-    def reset(self) -> None:
-        """Reset to the state at the start of the group."""
-        number = self.number
-        self.__init__(number)  # type: ignore[misc]
-
 
 @dataclass
 class FakeGroup:
@@ -62,9 +58,10 @@
     ranks: list[FakeRank] = field(default_factory=list)
     disabled_guards: frozenset[str] = frozenset()
     unreachable: set[int] = field(default_factory=set)
+    name: str = 'g'
 
     def __post_init__(self) -> None:
-        self.ranks = [FakeRank(number) for number in range(self.size)]
+        self.ranks = self._make_ranks()
 
     def begin_pass(self) -> bool:
         """Begin the next pass, unless a rank holds it."""
@@ -82,17 +79,17 @@
             raise InconsistentMaps(self.step, maps)
         return True
 
-    def reopen(self) -> None:
+    def reopen(self, size: int | None = None) -> None:
         """Restart the group in a new epoch with the initial map."""
         self.epoch += 1
-        for rank in self.ranks:
-            rank.reset()
+        self.size = self.size if size is None else size
+        self.ranks = self._make_ranks()
 
     def read_state(self, number: int) -> RankState:
         """Return the state that a rank reports."""
         rank = self.ranks[number]
         return RankState(
-            group='g',
+            group=self.name,
             epoch=self.epoch,
             rank=number,
             size=self.size,
@@ -108,6 +105,12 @@
             pace=1,
         )
 
+    def _make_ranks(self) -> list[FakeRank]:
+        experts = build_initial_map(1, self.size, self.size)
+        return [
+            FakeRank(number, experts=experts) for number in range(self.size)
+        ]
+
     def execute(self, number: int, order: Order, guard: Guard) -> Reply:
         """Accept or reject an order as an engine does."""
         rank = self.ranks[number]
--- a/tests/rebalance/runningagents.py
+++ b/tests/rebalance/runningagents.py
@@ -1,4 +1,4 @@
-"""Agents of a fake group, each running in its own thread."""
+"""Agents of fake groups, each running in its own thread."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from threading import Event, RLock, Thread
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 
@@ -16,12 +16,12 @@
 from ospreyford.ports.clock import SystemClock
 from ospreyford.rebalance.agent import RankAgent
 from ospreyford.rebalance.agentports import AgentPorts
-from ospreyford.rebalance.entrymessages import Hello
+from ospreyford.rebalance.decisions import CoordinatorChanged
 from ospreyford.rebalance.group import Guard, Order, RankExperts, RankState
-from ospreyford.rebalance.messages import encode
 from ospreyford.rebalance.ports import Reply
 from ospreyford.rebalance.settings import AgentSettings
 from tests.direct.backends import RecordingLog
+from tests.rebalance.fakeentry import FakeEntry
 from tests.rebalance.fakegroup import FakeGroup
 
 SIZE = 3
@@ -45,53 +45,92 @@
     """Ignore the order."""
 
 
+class Seat(NamedTuple):
+    """The rank on a host."""
+
+    group: FakeGroup
+    rank: int
+
+
+class GivenOrder(NamedTuple):
+    """An order that a rank was given, with the group of the rank."""
+
+    group: str
+    rank: int
+    token: int
+    reply: Reply
+
+
 @dataclass
 class Engine:
     """Engine of a rank whose requests mostly choose the first expert."""
 
     cluster: Cluster
-    rank: int
+    host: str
     is_near: bool = True
 
     async def read_state(self) -> RankState | None:
         with self.cluster.lock:
-            return self.cluster.group.read_state(self.rank)._replace(active=4)
+            seat = self.cluster.seats.get(self.host)
+            if seat is None:
+                return None
+            return seat.group.read_state(seat.rank)._replace(active=4)
 
     async def read_counts(self) -> tuple[int, ...] | None:
-        step = self.cluster.group.step
-        return (step * 100, step * 10, step * 10)
+        with self.cluster.lock:
+            group, _ = self.cluster.seats[self.host]
+        step = group.step
+        return (step * 100, *(step * 10 for _ in range(group.size - 1)))
 
     async def read_experts(self) -> RankExperts | None:
         with self.cluster.lock:
-            experts = self.cluster.group.ranks[self.rank].experts
-        return tuple(of_set[self.rank] for of_set in experts)
+            group, rank = self.cluster.seats[self.host]
+            experts = group.ranks[rank].experts
+        return tuple(of_set[rank] for of_set in experts)
 
     async def send_order(self, order: Order, guard: Guard) -> Reply:
-        self.cluster.submitted.append((self.rank, order, self.is_near))
         with self.cluster.lock:
-            reply = self.cluster.group.execute(self.rank, order, guard)
-        self.cluster.observe_order(self.rank, order)
+            group, rank = self.cluster.seats[self.host]
+            self.cluster.submitted.append((rank, order, self.is_near))
+            reply = group.execute(rank, order, guard)
+            self.cluster.given.append(
+                GivenOrder(group.name, rank, guard.token, reply)
+            )
+        self.cluster.observe_order(rank, order)
         # The reply is in flight.
         await curio.sleep(ORDER_REPLY_SECONDS)
         return reply
 
 
 class Stop:
-    """Graceful stop, requested from another thread."""
+    """Graceful or sudden stop, requested from another thread."""
 
     def __init__(self) -> None:
         self.requested = curio.UniversalEvent()
+        self.killed = curio.UniversalEvent()
         self.deadline = 8.0
 
+    async def run(self, agent: RankAgent) -> None:
+        """Run an agent until it has stopped, or is killed."""
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(agent.run, self)
+            await tasks.spawn(self.killed.wait)
+
 
 @dataclass
 class Cluster:
-    """A group that runs passes, with an agent beside each rank."""
+    """Groups that run passes, with an agent beside each rank."""
 
-    group: FakeGroup = field(default_factory=lambda: FakeGroup(SIZE))
+    groups: list[FakeGroup] = field(default_factory=lambda: [FakeGroup(SIZE)])
+    #: Hosts whose agents don't run, as positions in the order of the groups.
+    absent: tuple[int, ...] = ()
+    #: Services by the position of the group.
+    services: tuple[str, ...] = ('s', 's', 's')
     lock: Any = field(default_factory=RLock)
     submitted: list[tuple[int, Order, bool]] = field(default_factory=list)
+    given: list[GivenOrder] = field(default_factory=list)
     observe_order: OrderObserver = ignore_order
+    seats: dict[str, Seat] = field(default_factory=dict)
     lines: list[RecordingLog] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
     agents: list[RankAgent] = field(default_factory=list)
@@ -100,78 +139,120 @@
     finished: Event = field(default_factory=Event)
     port: int = 0
 
+    def __post_init__(self) -> None:
+        services = {}
+        for group, service in zip(self.groups, self.services, strict=False):
+            for rank in range(group.size):
+                host = make_host(len(self.seats))
+                self.seats[host] = Seat(group, rank)
+                services[host] = service
+        self.entry = FakeEntry(services, FIGURES)
+
     def start(self) -> None:
         """Start the passes, the agents, and an entry that sends hellos."""
         self.port = find_port()
-        for rank in range(SIZE):
-            self._start_agent(rank)
+        for number, host in enumerate(self.seats):
+            self._start_agent(host, is_away=number in self.absent)
         Thread(target=self._run_passes, daemon=True).start()
-        Thread(target=self._send_hellos, daemon=True).start()
+        Thread(
+            target=self.entry.run, args=(self.finished, self.port), daemon=True
+        ).start()
 
-    def stop(self, rank: int) -> None:
+    def stop(self, number: int) -> None:
         """Request an agent to stop without waiting."""
-        self.stops[rank].requested.set()
+        self.stops[number].requested.set()
+
+    def kill(self, number: int) -> None:
+        """End an agent without a chance to leave."""
+        self.stops[number].killed.set()
 
     def shut_down(self) -> None:
         """Stop all threads."""
         self.observe_order = ignore_order
-        for rank, thread in enumerate(self.threads):
-            self.stop(rank)
-            thread.join(TIMEOUT_SECONDS)
+        for number, thread in enumerate(self.threads):
+            self.stop(number)
+            if thread.is_alive():
+                thread.join(TIMEOUT_SECONDS)
         self.finished.set()
 
+    def seat(self, *changes: tuple[FakeGroup, tuple[int, ...]]) -> None:
+        """Form groups anew.
+
+        :param changes: groups, and for each of its ranks the number of the
+            host.
+        """
+        with self.lock:
+            for group, hosts in changes:
+                group.reopen(len(hosts))
+                for rank, number in enumerate(hosts):
+                    self.seats[make_host(number)] = Seat(group, rank)
+                if hosts and group not in self.groups:
+                    self.groups.append(group)
+
     def list_held(self) -> list[int]:
         """List the ranks that hold a pass."""
         with self.lock:
-            return [
-                one.number for one in self.group.ranks if one.held is not None
-            ]
+            return [one.number for one in self._list_ranks() if one.held]
 
     def list_armed(self) -> list[int]:
         """List the ranks that are armed."""
         with self.lock:
-            return [one.number for one in self.group.ranks if one.armed]
-
-    def _start_agent(self, rank: int) -> None:
-        address = (f'127.0.0.{rank + 1}', self.port)
-        settings = AgentSettings(
-            f'n{rank}', 'z', 'r', (address[0], 1), address, 0, 8
-        )
+            return [one.number for one in self._list_ranks() if one.armed]
+
+    def find_lines(self, kind: type) -> list[Any]:
+        """Find the lines of a kind in the logs of all agents."""
+        return [one for log in self.lines for one in log.find(kind)]
+
+    def list_strayed_orders(self) -> list[GivenOrder]:
+        """List the orders that did not come from the rank's own group."""
+        groups: dict[int, set[str]] = {}
+        for line in self.find_lines(CoordinatorChanged):
+            groups.setdefault(line.token, set()).add(line.group)
+        return [
+            one
+            for one in tuple(self.given)
+            if one.group not in groups.get(one.token, ())
+        ]
+
+    def _list_ranks(self) -> list[Any]:
+        return [one for group in self.groups for one in group.ranks]
+
+    def _start_agent(self, host: str, *, is_away: bool) -> None:
+        address = (host, self.port)
+        settings = AgentSettings(host, 'z', 'r', (host, 1), address, 0, 8)
         lines, stop = RecordingLog(), Stop()
         outside = AgentPorts(
-            Engine(self, rank),
+            Engine(self, host),
             self._connect,
             lines,  # type: ignore[arg-type]
             SystemClock(),
         )
         agent = RankAgent(settings, outside)
-        thread = Thread(target=curio.run, args=(agent.run, stop), daemon=True)
+        thread = Thread(target=curio.run, args=(stop.run, agent), daemon=True)
         self.lines.append(lines)
         self.stops.append(stop)
         self.agents.append(agent)
         self.threads.append(thread)
-        thread.start()
+        if not is_away:
+            thread.start()
 
     def _connect(self, address: tuple[str, int]) -> Engine:
-        rank = int(address[0].rpartition('.')[2]) - 1
-        return Engine(self, rank, is_near=False)
+        return Engine(self, address[0], is_near=False)
 
     def _run_passes(self) -> None:
         while not self.finished.wait(PASS_INTERVAL_SECONDS):
             try:
                 with self.lock:
-                    self.group.begin_pass()
+                    for group in self.groups:
+                        group.begin_pass()
             except Exception as error:
                 self.failures.append(error)
                 return
 
-    def _send_hellos(self) -> None:
-        members = tuple((f'127.0.0.{rank + 1}', 1) for rank in range(SIZE))
-        hello = encode(Hello('e', 's', 1, members, FIGURES, 0.01, group='g'))
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as entry:
-            while not self.finished.wait(0.05):
-                for host, _ in members:
-                    entry.sendto(hello, (host, self.port))
+
+def make_host(number: int) -> str:
+    """Make the address of a host."""
+    return f'127.0.0.{number + 1}'
 
 
 def find_port() -> int:
@@ -184,14 +265,17 @@
 
 @contextmanager
 def run_cluster(
-    make_observer: Callable[[Cluster], OrderObserver],
+    make_observer: Callable[[Cluster], OrderObserver] | None = None,
+    cluster: Cluster | None = None,
 ) -> Iterator[Cluster]:
-    """Run a group and its agents.
+    """Run groups and their agents.
 
     :param make_observer: returns a callback for each order given to a rank.
+    :param cluster: the groups; by default one group.
     """
-    cluster = Cluster()
-    cluster.observe_order = make_observer(cluster)
+    cluster = cluster or Cluster()
+    if make_observer is not None:
+        cluster.observe_order = make_observer(cluster)
     cluster.start()
     try:
         yield cluster
