--- a/src/ospreyford/rebalance/groupsession.py
+++ b/src/ospreyford/rebalance/groupsession.py
@@ -76,6 +76,9 @@
         if await self._parts.watcher.update(state):
             self._parts.record_initial_map()
             await self._send_report()
+        if before is not None and before.rank != state.rank:
+            # A term is that of one rank; its token bears the rank's number.
+            self._parts.stop_coordinating()
         leader = self._parts.dispatcher.leader
         if leader is None:
             return
--- a/src/ospreyford/rebalance/groupsessions.py
+++ b/src/ospreyford/rebalance/groupsessions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import curio
@@ -11,6 +12,7 @@
 from ospreyford.rebalance.messages import decode_member
 from ospreyford.rebalance.rankpoller import RankPoller
 from ospreyford.rebalance.sessiondecisions import select_group
+from ospreyford.rebalance.shutdown import POLL_SECONDS
 
 if TYPE_CHECKING:
     from ospreyford.rebalance.agentcontext import AgentContext
@@ -86,6 +88,8 @@
         self._is_stopping = True
         if self._current is not None:
             await self._current.shut_down(deadline)
+        while self._leaving and time.monotonic() < deadline:
+            await curio.sleep(POLL_SECONDS)
 
     def _find_session(self, tag: int) -> GroupSession | None:
         sessions = (self._current, *self._leaving)
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import TYPE_CHECKING, Final, NamedTuple
-
-import curio
+from typing import TYPE_CHECKING, NamedTuple
 
 from ospreyford.rebalance.effects import compute_state_after
 from ospreyford.rebalance.failuredetector import FailureDetector
@@ -27,6 +25,7 @@
 from ospreyford.rebalance.ordercodec import encode_map_change, encode_order
 from ospreyford.rebalance.participant import RankParticipant
 from ospreyford.rebalance.ports import Reply
+from ospreyford.rebalance.rankprober import RankProber
 from ospreyford.rebalance.rankstates import RankStates
 from ospreyford.rebalance.remoteranks import RemoteRanks
 
@@ -38,9 +37,6 @@
     from ospreyford.rebalance.groupsocket import GroupSocket
     from ospreyford.rebalance.incidents import GroupIncidents
 
-#: Time for which a rank of another group is not read again.
-FOREIGN_SECONDS: Final = 3.0
-
 
 class _CachedEncoding(NamedTuple):
     """Encodings of an order for all ranks that use the same map.
@@ -91,6 +87,9 @@
         self._clock = clock
         self._cached_encoding: _CachedEncoding | None = None
         self.failure_detector = FailureDetector(clock)
+        self._prober = RankProber(
+            self._remote_ranks, self.failure_detector, self._states, own_host
+        )
         self.order_client = OrderClient(datagram_socket, tree_broadcast, clock)
 
     def read_states(self) -> Mapping[int, RankState]:
@@ -121,24 +120,8 @@
             as well while ranks are missing.
         :returns: the ranks that responded, with their engines.
         """
-        asked = (
-            (*members, *unassigned)
-            if self._states.is_missing_any()
-            else members
-        )
-        silent_agents = [
-            address
-            for address in asked
-            if address[0] != self.own_host
-            and self.failure_detector.try_probe(address[0])
-        ]
-        # Concurrently, so that the timeouts of a partitioned availability zone
-        # don't add up.
-        async with curio.TaskGroup() as group:
-            probes = [
-                await group.spawn(self._probe, one) for one in silent_agents
-            ]
-        return [look.result for look in probes if look.result is not None]
+        self._prober.incidents = self.incidents
+        return await self._prober.probe(members, unassigned)
 
     def record_state(self, state: RankState) -> None:
         """Record a rank's state unless a newer one is known.
@@ -219,21 +202,6 @@
             self.incidents.record_outcome(rank, order, term, outcome)
         return outcome
 
-    async def _probe(self, address: Address) -> tuple[int, GroupEngine] | None:
-        engine = self._remote_ranks.find_engine(address[0])
-        if engine is None:
-            return None
-        reading = await engine.read_member()
-        if reading.is_foreign:
-            self.failure_detector.postpone_probe(address[0], FOREIGN_SECONDS)
-            self._states.forget_agent(address)
-            if self.incidents is not None:
-                self.incidents.record_foreign()
-        if reading.state is None:
-            return None
-        self._states.record_agent(reading.state, address)
-        return reading.state.rank, engine
-
     async def _hold(self, rank: int, order: Hold, term: Term) -> Outcome:
         """Hold a pass at a rank directly, bypassing its agent.
 
--- a/src/ospreyford/rebalance/sessioncomponents.py
+++ b/src/ospreyford/rebalance/sessioncomponents.py
@@ -126,6 +126,16 @@
         )
         self.follower.log_coordinator(own_host)
 
+    def stop_coordinating(self) -> None:
+        """Give up the term, if there is one, without a successor."""
+        leader = self.dispatcher.leader
+        if leader is None:
+            return
+        leader.leave()
+        self.dispatcher.leader = None
+        if self.election.is_leading():
+            self.election.step_down()
+
     def record_initial_map(self) -> None:
         """Record the group's initial map once the rank's state implies it."""
         maps = self.order_executor.maps
--- a/tests/rebalance/runningagents.py
+++ b/tests/rebalance/runningagents.py
@@ -79,8 +79,8 @@
     async def read_counts(self) -> tuple[int, ...] | None:
         with self.cluster.lock:
             group, _ = self.cluster.seats[self.host]
-        step = group.step
-        return (step * 100, *(step * 10 for _ in range(group.size - 1)))
+        others = [group.step * 10] * (group.size - 1)
+        return (group.step * 100, *others)
 
     async def read_experts(self) -> RankExperts | None:
         with self.cluster.lock:
@@ -242,13 +242,16 @@
     def _run_passes(self) -> None:
         while not self.finished.wait(PASS_INTERVAL_SECONDS):
             try:
-                with self.lock:
-                    for group in self.groups:
-                        group.begin_pass()
+                self._begin_passes()
             except Exception as error:
                 self.failures.append(error)
                 return
 
+    def _begin_passes(self) -> None:
+        with self.lock:
+            for group in self.groups:
+                group.begin_pass()
+
 
 def make_host(number: int) -> str:
     """Make the address of a host."""
--- a/tests/rebalance/test_entryregistry.py
+++ b/tests/rebalance/test_entryregistry.py
@@ -9,9 +9,15 @@
 import pytest
 
 from ospreyford.rebalance.entrymessages import Hello, HelloReply
-from ospreyford.rebalance.entryregistry import EntryRegistry
+from ospreyford.rebalance.entryregistry import (
+    ENTRY_TIMEOUT_SECONDS,
+    EntryRegistry,
+)
+from ospreyford.rebalance.group import RankState
+from ospreyford.rebalance.groupkey import GroupKey
 from ospreyford.rebalance.messages import decode, encode
 from ospreyford.rebalance.settings import AgentSettings
+from tests.rebalance.test_ranks import make_state
 
 AGENT = AgentSettings(
     name='agent',
@@ -45,8 +51,10 @@
         self.registry = EntryRegistry(AGENT, self.socket)  # type: ignore[arg-type]
 
     def greet(self, name: str, **told: int) -> HelloReply:
-        hello = Hello(name, 's', 0, **told)  # type: ignore[arg-type]
-        curio.run(self.registry.handle_hello, hello, ENTRY, None)
+        return self.hear(Hello(name, 's', 0, **told), None)  # type: ignore[arg-type]
+
+    def hear(self, hello: Hello, state: RankState | None) -> HelloReply:
+        curio.run(self.registry.handle_hello, hello, ENTRY, state)
         reply = self.socket.replies[-1]
         assert isinstance(reply, HelloReply)
         return reply
@@ -88,3 +96,93 @@
     assert (reply.position, reply.entries) == (1, 2)
     agent.now += 60
     assert agent.greet('c').position == 0
+
+
+def make_hello(entry: str = 'e', **told: Any) -> Hello:
+    given: dict[str, Any] = {
+        'service': 's',
+        'digest': 5,
+        'members': (AGENT.backend,),
+        'group': 'g',
+    }
+    return Hello(entry, **(given | told))
+
+
+OWN_STATE = make_state()
+LISTS: tuple[tuple[dict[str, Any], RankState | None, bool], ...] = (
+    ({}, OWN_STATE, True),
+    ({'group': 'h'}, OWN_STATE, False),
+    ({'group': ''}, OWN_STATE, False),
+    ({'service': 't'}, OWN_STATE, False),
+    ({'group': ''}, OWN_STATE._replace(group=''), False),
+    ({}, None, False),
+)
+
+
+@pytest.mark.parametrize(('told', 'state', 'is_taken'), LISTS)
+def test_list_is_taken_from_an_entry_that_knows_the_group(
+    monkeypatch: pytest.MonkeyPatch,
+    told: dict[str, Any],
+    state: RankState | None,
+    *,
+    is_taken: bool,
+) -> None:
+    """Guards against members of another group or service."""
+    agent = Agent(monkeypatch)
+    agent.greet('first')
+    agent.hear(make_hello(**told), state)
+    key = GroupKey('s', 'g')
+    assert (agent.registry.find_roster(key) is not None) is is_taken
+    asked = agent.hear(make_hello(**told, digest=6, members=None), state)
+    assert asked.needs_members is is_taken
+    assert asked.group == (state.group if state else '')
+
+
+def test_list_of_the_old_group_is_not_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    agent = Agent(monkeypatch)
+    own, other = GroupKey('s', 'g'), GroupKey('s', 'h')
+    assert agent.hear(make_hello(), OWN_STATE).digest == 5
+    agent.registry.record_group('h')
+    assert agent.registry.find_roster(own) is None
+    moved = OWN_STATE._replace(group='h')
+    assert agent.hear(make_hello(members=None), moved).digest == 0
+    told = make_hello(group='h', unassigned=(('10.0.0.9', 80),))
+    agent.hear(told, moved)
+    roster = agent.registry.find_roster(other)
+    assert roster is not None
+    assert roster.unassigned == (('10.0.0.9', AGENT.datagrams[1]),)
+    assert roster.find_backend('10.0.0.9') == ('10.0.0.9', 80)
+    agent.registry.record_group('g')
+    assert agent.registry.find_roster(own) is None
+
+
+def test_service_does_not_flap(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a session for each hello of two lists in turn."""
+    agent = Agent(monkeypatch)
+    for _ in range(9):
+        agent.now += ENTRY_TIMEOUT_SECONDS / 2
+        agent.hear(make_hello(), OWN_STATE)
+        agent.hear(make_hello('other', service='t'), OWN_STATE)
+        assert agent.registry.service == 's'
+    agent.now += ENTRY_TIMEOUT_SECONDS + 0.1
+    agent.hear(make_hello('other', service='t'), OWN_STATE)
+    assert agent.registry.service == 't'
+    assert agent.registry.find_roster(GroupKey('s', 'g')) is None
+
+
+def test_entries_are_told_a_change_of_group_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    agent = Agent(monkeypatch)
+    agent.hear(make_hello('a'), OWN_STATE)
+    agent.hear(make_hello('b', groups=7), OWN_STATE)
+    assert agent.registry.count_groups() == 7
+    agent.socket.replies.clear()
+    assert agent.registry.record_group('h')
+    assert not agent.registry.record_group('h')
+    moved = OWN_STATE._replace(group='h')
+    curio.run(agent.registry.announce_group, moved)
+    told = [(one.group, one.position) for one in agent.socket.replies]
+    assert told == [('h', 0), ('h', 1)]
--- a/tests/rebalance/test_groups.py
+++ b/tests/rebalance/test_groups.py
@@ -98,18 +98,19 @@
 
 #: Hosts of the groups g0, g1 and g2 after a change; g0 has hosts 0 to 2 before
 #: and g1 has 3 and 4.
-CHANGES = {
-    'moved': ((0, 1), (3, 4, 2), ()),
-    'coordinator moved': ((1, 2), (3, 4, 0), ()),
-    'swapped': ((3, 1, 2), (0, 4), ()),
-    'merged': ((), (3, 4, 0, 1, 2), ()),
-    'split': ((0, 1), (3, 4), (2,)),
-    'split in two': ((0,), (3, 4), (1, 2)),
-    'joined': ((0, 1, 2, 3, 4), (), ()),
-}
-
-
-@pytest.mark.parametrize('hosts', CHANGES.values(), ids=CHANGES)
+CHANGES = (
+    pytest.param(((0, 1), (3, 4, 2), ()), id='moved'),
+    pytest.param(((2, 1, 0), (4, 3), ()), id='renumbered'),
+    pytest.param(((1, 2), (3, 4, 0), ()), id='coordinator moved'),
+    pytest.param(((3, 1, 2), (0, 4), ()), id='swapped'),
+    pytest.param(((), (3, 4, 0, 1, 2), ()), id='merged'),
+    pytest.param(((0, 1), (3, 4), (2,)), id='split'),
+    pytest.param(((0,), (3, 4), (1, 2)), id='split in two'),
+    pytest.param(((0, 1, 2, 3, 4), (), ()), id='joined'),
+)
+
+
+@pytest.mark.parametrize('hosts', CHANGES)
 def test_ranks_change_groups_with_the_same_addresses(
     hosts: tuple[tuple[int, ...], ...],
 ) -> None:
@@ -119,10 +120,8 @@
         groups = (*cluster.groups, FakeGroup(1, name='g2', epoch=1))
         formed = list(zip(groups, hosts, strict=True))
         cluster.seat(*formed)
-        for group, numbers in formed:
-            if len(numbers) > 1:
-                name = group.name
-                assert wait_until(lambda: has_changed(cluster, name, epoch=2))  # noqa: B023
+        names = [group.name for group, one in formed if len(one) > 1]
+        assert wait_until(lambda: has_changed(cluster, *names, epoch=2))
         time.sleep(WATCH_SECONDS)
         assert not cluster.list_strayed_orders()
         assert not cluster.list_held()
