--- a/src/ospreyford/rebalance/sessioncomponents.py
+++ b/src/ospreyford/rebalance/sessioncomponents.py
@@ -93,7 +93,7 @@
         :returns: the members; those told last while none are told.
         """
         roster = self._context.entries.find_roster(self._key)
-        if roster is not None and roster != self.roster:
+        if roster is not None and roster is not self.roster:
             self.roster = roster
             self._broadcast.members = roster.members
             self.reporter.members = roster.members
