Entries: rooms of groups in the gate of a service; one group as before

A gate held one limit, epoch and state (open or closed) a service, so a second group had none. These now lie in a GroupRoom; the gate keeps one queue and gives each stream to a group with free places, by chance in proportion to them (roomchoice.py). With one group the decisions are those of before, and no random number is drawn.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 #: Target mean pass time, as a fraction of the maximum gap between events. Right
 #: after a shift of expert demand a pass takes twice its usual time, since all
@@ -98,6 +101,7 @@
     :param caller_timeout: how long its caller waits for the first event, in
         seconds.
     :param is_retry: whether it is a retry of a refused request.
+    :param groups: names of the groups that may run it; ``None`` for all.
     """
 
     number: int
@@ -107,6 +111,7 @@
     priority: int
     caller_timeout: float = MIN_CALLER_TIMEOUT_SECONDS
     is_retry: bool = False
+    groups: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -141,6 +146,8 @@
     :param pass_ms: mean time of the group's last passes.
     :param age_ms: age of the group's load report, or -1 before the first one.
     :param is_repeat: whether the request is a retry.
+    :param group: name of the group; of a refused request, that of the group
+        with the most free places.
     """
 
     running: int
@@ -151,6 +158,7 @@
     pass_ms: int
     age_ms: int
     is_repeat: bool
+    group: str = ''
 
 
 class StreamLimit:
@@ -294,23 +302,30 @@
         self._requests.pop(number, None)
 
     def select_next(
-        self, now: float, first_event: float
+        self,
+        now: float,
+        first_event: float,
+        held: Collection[int] = frozenset(),
     ) -> QueuedRequest | None:
         """Select the request that is admitted next.
 
         :param now: seconds on the monotonic clock.
         :param first_event: expected time to the first event, in seconds.
-        :returns: the request, or ``None`` if the queue is empty.
+        :param held: numbers of requests that are passed over.
+        :returns: the request, or ``None`` if there is none.
         """
-        if not self._requests:
-            return None
         return min(
-            self._requests.values(),
+            (
+                request
+                for request in self._requests.values()
+                if request.number not in held
+            ),
             key=lambda request: (
                 self._compute_order(request, now, first_event),
                 request.priority,
                 request.number,
             ),
+            default=None,
         )
 
     def admit(self, request: QueuedRequest) -> None:
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from ospreyford.direct.admission import GateView
     from ospreyford.direct.catalog import Customer, Route
+    from ospreyford.direct.grouproom import GroupRoom
     from ospreyford.http.connections import Origin
     from ospreyford.http.message import Request
 
@@ -32,12 +33,14 @@
     :param sent_ms: milliseconds after the request was read.
     :param outcome: how it ended.
     :param is_connected: whether a connection could be opened.
+    :param room: room of the backend's group, for streams.
     """
 
     backend: str
     sent_ms: int
     outcome: str = IN_FLIGHT
     is_connected: bool = True
+    room: GroupRoom | None = None
 
 
 @dataclass
@@ -59,6 +62,8 @@
     :param identities: its own and those of the prompt parts that it shares,
         once they are needed.
     :param trial_from: number of attempts before it was sent as a trial.
+    :param room: room of the group that it is admitted to, for streams.
+    :param avoided: names of groups that had no backend for it.
     """
 
     id: str
@@ -82,6 +87,8 @@
     longest_gap: float = 0
     identities: tuple[bytes, ...] = ()
     trial_from: int | None = None
+    room: GroupRoom | None = None
+    avoided: set[str] = field(default_factory=set)
 
     def record_event(self, now: float) -> None:
         """Record that events were forwarded.
@@ -154,12 +161,14 @@
         """Count the refusals since the last attempt that ended otherwise.
 
         A backend that takes no further requests speaks for itself, not for its
-        group.
+        group; backends of another group say nothing of this one.
 
-        :returns: the number of consecutive refusals by others.
+        :returns: the number of consecutive refusals by others of the group that
+            was tried last.
         """
         refused = takewhile(_is_refused, reversed(self.attempts))
-        return len(list(refused))
+        rooms = [one.room for one in refused]
+        return sum(room is rooms[0] for room in rooms)
 
     def compute_remaining(self, now: float) -> float:
         """Compute the time left until the deadline.
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -1,132 +1,124 @@
-"""Admission queue of streams in front of a rank group."""
+"""Admission queue of streams in front of the rank groups of a service."""
 
 from __future__ import annotations
 
 import itertools
-import math
 import time
+from random import Random
 from typing import TYPE_CHECKING
 
 import curio
 
 from ospreyford.direct.admission import (
-    FIRST_EVENT_PASSES,
     LATE_CAPACITY_FRACTION,
     AdmissionQueue,
-    GateView,
     QueuedRequest,
-    StreamLimit,
     compute_caller_timeout,
+    is_late,
 )
+from ospreyford.direct.grouproom import NO_GROUP, GroupRoom
+from ospreyford.direct.grouprooms import GroupRooms
+from ospreyford.direct.roomchoice import RoomOption, choose_option
 from ospreyford.direct.waitingcalls import WaitingCalls
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from ospreyford.direct.admission import GroupLoad
     from ospreyford.direct.call import Call
 
-MILLISECONDS = 1000
-#: Pause after a refusal: what ranks report of their group is as old as two load
-#: reports.
-REFUSAL_PAUSE_SECONDS = 0.2
-#: Pause between probes of a closed group; a probe is refused at once, or starts
-#: with the next passes.
-PROBE_INTERVAL_SECONDS = 0.15
 #: Retry time of refused requests: a burst lasts some seconds, and a caller has
 #: one or two more tries.
 BUSY_RETRY_AFTER_SECONDS = 1.0
-#: The same while the group is closed: crashed backends take some seconds to
+#: The same while all groups are closed: crashed backends take some seconds to
 #: start, and their group opens within one more.
 CLOSED_RETRY_AFTER_SECONDS = 2.0
-#: Epoch before the first load report.
-NO_EPOCH = -1
 
 
 class StreamGate:
-    """Admits the streams of one service.
+    """Admits the streams of one service to its groups.
+
+    The queue is that of the service; each group has room of its own.
 
     :param max_gap: maximum gap between events, in seconds.
     :param slots: requests that the service's ranks run concurrently.
     :param entries: number of entries that share them.
+    :param random: source of the choice among groups.
     """
 
     def __init__(
-        self, max_gap: float, slots: int = 0, entries: int = 1
+        self,
+        max_gap: float,
+        slots: int = 0,
+        entries: int = 1,
+        random: Random | None = None,
     ) -> None:
-        self.running = 0
-        self.limit = StreamLimit(max_gap)
-        if slots:
-            self.limit.update_slots(slots, entries)
+        self.rooms = GroupRooms(max_gap, slots, entries)
+        self._random = random or Random()
         self._queue = AdmissionQueue()
         self._sequence = itertools.count()
         self._waiting = WaitingCalls()
-        self._paused_until: float = 0
-        self._is_closed = False
         self._is_stopping = False
-        self._epoch = NO_EPOCH
-        self._closed_epoch = NO_EPOCH
-        self._reported_at: float | None = None
 
-    async def acquire(self, call: Call) -> bool:
+    @property
+    def running(self) -> int:
+        """Streams of this entry in all groups."""
+        return sum(room.running for room in self.rooms.list_all())
+
+    @property
+    def waiting(self) -> int:
+        """Requests queued at this entry."""
+        return len(self._queue)
+
+    async def acquire(
+        self, call: Call, groups: frozenset[str] | None = None
+    ) -> bool:
         """Wait for admission; an admitted request must call ``release``.
 
-        :param call: the request; the inputs of the decision are stored in it.
+        :param call: the request; its room and the inputs of the decision are
+            stored in it.
+        :param groups: names of the groups that may run it; ``None`` for all.
         :returns: whether it is admitted; otherwise it has not been sent and
             should be refused.
         """
-        is_admitted = await self._admit(call)
-        call.gate = self._make_view(call)
+        is_admitted = await self._admit(call, groups)
+        room = call.room or self.rooms.find_freest()
+        call.gate = room.make_view(len(self._queue), is_repeat=call.is_retry)
         return is_admitted
 
-    async def release(self) -> None:
-        """Release the slot of a request that ended."""
-        self.running -= 1
+    async def release(self, call: Call) -> None:
+        """Release the place of a request that ended.
+
+        :param call: the request.
+        """
+        _leave_room(call)
         await self.process_queue()
 
     def compute_retry_after(self) -> float:
         """Compute when a refused request should be retried.
 
-        :returns: seconds until the burst has passed, or until a closed group
-            has most likely reopened.
+        :returns: seconds until the burst has passed, or until one of the closed
+            groups has most likely reopened.
         """
         return (
             CLOSED_RETRY_AFTER_SECONDS
-            if self._is_closed
+            if all(room.is_closed for room in self.rooms.list_served())
             else BUSY_RETRY_AFTER_SECONDS
         )
 
-    def record_refusal(self) -> None:
-        """Record that a rank refused a request: its group may be closed.
-
-        All ranks of a group refuse while one of them is down. Retrying at once
-        would use up the attempts of every queued request before the group
-        reopens.
-        """
-        self._is_closed = True
-        self._closed_epoch = self._epoch
-        self._paused_until = time.monotonic() + REFUSAL_PAUSE_SECONDS
-
-    def record_start(self) -> None:
-        """Record that a rank started a request: its group is open."""
-        self._is_closed = False
-
-    async def update_load(self, load: GroupLoad, entries: int) -> None:
-        """Apply the group's newest load report.
+    async def update_load(
+        self, load: GroupLoad, entries: int, group: str = NO_GROUP
+    ) -> None:
+        """Apply a group's newest load report.
 
         :param load: as reported by the coordinator.
         :param entries: number of entries that share the group.
+        :param group: name of the group.
         """
-        self._reported_at = time.monotonic()
-        self._epoch = load.epoch
-        self.limit.update_load(load, self.running, entries)
-        if not load.is_open:
-            self.record_refusal()
-        elif self._is_closed and load.epoch != self._closed_epoch:
-            # The group reopened after the refusal. By probes alone, callers
-            # would wait 0.2 to 0.6 s more for it.
-            self._is_closed = False
-        await self.process_queue()
+        room = self.rooms.find(group)
+        if room is not None:
+            room.update_load(load, entries)
+            await self.process_queue()
 
     def stop_admitting(self) -> None:
         """Stop admitting; queued requests are answered by the shutdown."""
@@ -147,43 +139,71 @@
         :param is_accepting: whether a backend takes requests; all are refused
             otherwise.
         """
-        if self._is_stopping:
+        if self._is_stopping or not self._queue:
             return
         now = time.monotonic()
-        first_event = FIRST_EVENT_PASSES * self.limit.pass_seconds
-        capacity = LATE_CAPACITY_FRACTION * self.limit.capacity
+        first_event = self.rooms.compute_first_event()
+        capacity = LATE_CAPACITY_FRACTION * self.rooms.compute_capacity()
         for rejected in (
             self._queue.list_unservable(
-                now, first_event, capacity, capacity - self.running
+                now,
+                first_event,
+                capacity,
+                capacity - self.rooms.count_open_running(),
             )
             if is_accepting
             else self._queue.list_all()
         ):
             self._queue.remove(rejected.number)
             await self._waiting.refuse(rejected.number)
-        while not self._is_paused(now):
-            request = self._queue.select_next(now, first_event)
+        await self._fill_rooms(now, first_event)
+
+    async def _fill_rooms(self, now: float, first_event: float) -> None:
+        """Admit queued requests, in their order, while a group has room.
+
+        A request that only certain groups may run doesn't hold up the others.
+        """
+        held: set[int] = set()
+        rooms = self.rooms.list_usable(now)
+        while rooms:
+            request = self._queue.select_next(now, first_event, held)
             if request is None:
                 return
-            if self.running >= self.limit.select_limit(
-                request, now, first_event
-            ):
+            room = self._choose_room(request, rooms, now)
+            if room is not None:
+                self._queue.admit(request)
+                room.admit(now)
+                await self._waiting.admit(request.number, room)
+                rooms = self.rooms.list_usable(now)
+            elif request.groups is None:
                 return
-            self._queue.admit(request)
-            self.running += 1
-            if self._is_closed:
-                # A single request probes whether the group has reopened.
-                self._paused_until = now + PROBE_INTERVAL_SECONDS
-            await self._waiting.admit(request.number)
-
-    async def _admit(self, call: Call) -> bool:
+            else:
+                held.add(request.number)
+
+    def _choose_room(
+        self, request: QueuedRequest, rooms: Sequence[GroupRoom], now: float
+    ) -> GroupRoom | None:
+        options = []
+        for room in self.rooms.restrict(rooms, request.groups):
+            first_event = room.first_event
+            limit = room.limit.select_limit(request, now, first_event)
+            if room.running < limit:
+                options.append(
+                    RoomOption(
+                        room.name,
+                        limit - room.running,
+                        room.is_closed,
+                        is_late(request, now, first_event),
+                        room.backends.is_local,
+                    )
+                )
+        chosen = choose_option(options, self._random)
+        return None if chosen is None else self.rooms.find(chosen.name)
+
+    async def _admit(self, call: Call, groups: frozenset[str] | None) -> bool:
         now = time.monotonic()
         if self._is_stopping:
             return False
-        is_idle = not self._queue and not self._is_paused(now)
-        if is_idle and not call.is_retry and self.running < self.limit.regular:
-            self.running += 1
-            return True
         request = QueuedRequest(
             next(self._sequence),
             call.started_at,
@@ -194,45 +214,58 @@
             - call.started_at
             + compute_caller_timeout(call.route.objective, call.route.max_gap),
             call.is_retry,
+            groups,
         )
+        if not self._queue and not call.is_retry:
+            room = self._choose_regular(request, now)
+            if room is not None:
+                room.running += 1
+                call.room = room
+                return True
         self._queue.add(request)
         self._waiting.add(request.number, call)
         try:
-            return await self._wait(request)
+            return await self._wait(request, call)
         finally:
             self._queue.remove(request.number)
             self._waiting.remove(request.number)
 
-    def _make_view(self, call: Call) -> GateView:
-        age: float = -1
-        if self._reported_at is not None:
-            age = (time.monotonic() - self._reported_at) * MILLISECONDS
-        return GateView(
-            running=self.running,
-            waiting=len(self._queue),
-            late=_round_limit(self.limit.late),
-            easy=_round_limit(self.limit.regular),
-            full=_round_limit(self.limit.urgent),
-            pass_ms=round(self.limit.pass_seconds * MILLISECONDS),
-            age_ms=int(age),
-            is_repeat=call.is_retry,
-        )
-
-    def _is_paused(self, now: float) -> bool:
-        return self._is_closed and now < self._paused_until
+    def _choose_regular(
+        self, request: QueuedRequest, now: float
+    ) -> GroupRoom | None:
+        """Choose a group whose regular limit has room for a new request."""
+        rooms = [
+            room
+            for room in self.rooms.list_usable(now)
+            if room.running < room.limit.regular
+        ]
+        # A request that comes to an empty queue may already be late.
+        options = [
+            RoomOption(
+                room.name,
+                room.limit.regular - room.running,
+                room.is_closed,
+                is_late(request, now, room.first_event),
+                room.backends.is_local,
+            )
+            for room in self.rooms.restrict(rooms, request.groups)
+        ]
+        chosen = choose_option(options, self._random)
+        return None if chosen is None else self.rooms.find(chosen.name)
 
-    async def _wait(self, request: QueuedRequest) -> bool:
+    async def _wait(self, request: QueuedRequest, call: Call) -> bool:
         await self.process_queue()
         try:
             await self._waiting.wait(request.number)
         except curio.CancelledError:
-            # Cancelled just after admission: release the slot.
+            # Cancelled just after admission: release the place.
             if self._waiting.is_admitted(request.number):
-                self.running -= 1
+                _leave_room(call)
             raise
         return self._waiting.is_admitted(request.number)
 
 
-def _round_limit(limit: float) -> float:
-    # JSON has no infinity.
-    return round(limit, 1) if math.isfinite(limit) else -1
+def _leave_room(call: Call) -> None:
+    if call.room is not None:
+        call.room.running -= 1
+        call.room = None
--- /dev/null
+++ b/src/ospreyford/direct/grouproom.py
@@ -0,0 +1,152 @@
+"""Room of one rank group at one entry."""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from ospreyford.direct.admission import (
+    FIRST_EVENT_PASSES,
+    GateView,
+    StreamLimit,
+)
+
+if TYPE_CHECKING:
+    from ospreyford.direct.admission import GroupLoad
+
+MILLISECONDS = 1000
+#: Pause after a refusal: what ranks report of their group is as old as two load
+#: reports.
+REFUSAL_PAUSE_SECONDS = 0.2
+#: Pause between probes of a closed group; a probe is refused at once, or starts
+#: with the next passes.
+PROBE_INTERVAL_SECONDS = 0.15
+#: Epoch before the first load report.
+NO_EPOCH = -1
+#: Name of the room of backends that no group is known of.
+NO_GROUP: Final = ''
+
+
+class GroupBackends(NamedTuple):
+    """What an entry knows of the backends of a group.
+
+    :param count: available backends.
+    :param slots: requests that they run concurrently.
+    :param is_local: whether some are in the entry's availability zone.
+    """
+
+    count: int
+    slots: int = 0
+    is_local: bool = False
+
+
+NO_BACKENDS: Final = GroupBackends(0)
+
+
+class GroupRoom:
+    """Streams that this entry runs in one group, and whether it is open.
+
+    :param name: name of the group; :data:`NO_GROUP` if none is known.
+    :param max_gap: maximum gap between events, in seconds.
+    :param slots: requests that the group's ranks run concurrently.
+    :param entries: number of entries that share them.
+    """
+
+    def __init__(
+        self, name: str, max_gap: float, slots: int = 0, entries: int = 1
+    ) -> None:
+        self.name = name
+        self.running = 0
+        self.limit = StreamLimit(max_gap)
+        if slots:
+            self.limit.update_slots(slots, entries)
+        self.backends = NO_BACKENDS
+        #: Whether backends of the group take requests.
+        self.is_accepting = True
+        self.is_closed = False
+        self.epoch = NO_EPOCH
+        self.reported_at: float | None = None
+        self._closed_epoch = NO_EPOCH
+        self._paused_until: float = 0
+
+    @property
+    def first_event(self) -> float:
+        """Expected time to the first event of a stream, in seconds."""
+        return FIRST_EVENT_PASSES * self.limit.pass_seconds
+
+    def is_paused(self, now: float) -> bool:
+        """Check whether the closed group is given nothing for the moment.
+
+        :param now: seconds on the monotonic clock.
+        :returns: whether it is.
+        """
+        return self.is_closed and now < self._paused_until
+
+    def admit(self, now: float) -> None:
+        """Take a place for a queued request.
+
+        :param now: seconds on the monotonic clock.
+        """
+        self.running += 1
+        if self.is_closed:
+            # A single request probes whether the group has reopened.
+            self._paused_until = now + PROBE_INTERVAL_SECONDS
+
+    def record_refusal(self) -> None:
+        """Record that a rank refused a request: its group may be closed.
+
+        All ranks of a group refuse while one of them is down. Retrying at once
+        would use up the attempts of every queued request before the group
+        reopens.
+        """
+        self.is_closed = True
+        self._closed_epoch = self.epoch
+        self._paused_until = time.monotonic() + REFUSAL_PAUSE_SECONDS
+
+    def record_start(self) -> None:
+        """Record that a rank started a request: its group is open."""
+        self.is_closed = False
+
+    def update_load(self, load: GroupLoad, entries: int) -> None:
+        """Apply the group's newest load report.
+
+        :param load: as reported by the coordinator.
+        :param entries: number of entries that share the group.
+        """
+        self.reported_at = time.monotonic()
+        self.epoch = load.epoch
+        self.limit.update_load(load, self.running, entries)
+        if not load.is_open:
+            self.record_refusal()
+        elif self.is_closed and load.epoch != self._closed_epoch:
+            # The group reopened after the refusal. By probes alone, callers
+            # would wait 0.2 to 0.6 s more for it.
+            self.is_closed = False
+
+    def make_view(self, waiting: int, *, is_repeat: bool) -> GateView:
+        """Collect the inputs of a decision.
+
+        :param waiting: requests queued at this entry.
+        :param is_repeat: whether the request is a retry.
+        :returns: the inputs.
+        """
+        age: float = -1
+        if self.reported_at is not None:
+            age = (time.monotonic() - self.reported_at) * MILLISECONDS
+        return GateView(
+            running=self.running,
+            waiting=waiting,
+            late=_round_limit(self.limit.late),
+            easy=_round_limit(self.limit.regular),
+            full=_round_limit(self.limit.urgent),
+            pass_ms=round(self.limit.pass_seconds * MILLISECONDS),
+            age_ms=int(age),
+            is_repeat=is_repeat,
+            group=self.name,
+        )
+
+
+def _round_limit(limit: float) -> float:
+    # JSON has no infinity.
+    return round(limit, 1) if math.isfinite(limit) else -1
--- /dev/null
+++ b/src/ospreyford/direct/grouprooms.py
@@ -0,0 +1,169 @@
+"""Rooms of the rank groups of one service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ospreyford.direct.grouproom import NO_BACKENDS, NO_GROUP, GroupRoom
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from ospreyford.direct.grouproom import GroupBackends
+
+
+class GroupRooms:
+    """Rooms by name of the group.
+
+    Before any group is known, there is one room for all backends.
+
+    :param max_gap: maximum gap between events, in seconds.
+    :param slots: requests that the service's ranks run concurrently.
+    :param entries: number of entries that share them.
+    """
+
+    def __init__(
+        self, max_gap: float, slots: int = 0, entries: int = 1
+    ) -> None:
+        self._max_gap = max_gap
+        self._rooms = {NO_GROUP: GroupRoom(NO_GROUP, max_gap, slots, entries)}
+
+    def find(self, name: str) -> GroupRoom | None:
+        """Find the room of a group.
+
+        :param name: name of the group.
+        :returns: the room, or ``None`` if the group is not known.
+        """
+        return self._rooms.get(name)
+
+    def list_all(self) -> list[GroupRoom]:
+        """List all rooms.
+
+        :returns: the rooms.
+        """
+        return list(self._rooms.values())
+
+    def has_several(self) -> bool:
+        """Check whether requests can go to more than one group.
+
+        :returns: whether there are several rooms.
+        """
+        return len(self._rooms) > 1
+
+    def update_backends(
+        self, groups: Mapping[str, GroupBackends], entries: int
+    ) -> None:
+        """Apply what is known of the groups' backends.
+
+        The room that a service had before its only group was known becomes the
+        room of that group. A room without backends lasts as long as streams
+        run in it.
+
+        :param groups: backends by name of the group.
+        :param entries: number of entries that share them.
+        """
+        if list(self._rooms) == [NO_GROUP] and len(groups) == 1:
+            self._rename_sole(next(iter(groups)))
+        for name, backends in groups.items():
+            if name not in self._rooms:
+                self._rooms[name] = GroupRoom(
+                    name, self._max_gap, backends.slots, entries
+                )
+        for name, room in tuple(self._rooms.items()):
+            room.backends = groups.get(name, NO_BACKENDS)
+            is_empty = not room.running and name not in groups
+            if groups and is_empty:
+                self._rooms.pop(name)
+            elif self.has_several() and room.reported_at is None:
+                room.limit.update_slots(room.backends.slots, entries)
+
+    def list_served(self) -> list[GroupRoom]:
+        """List the rooms of groups with available backends.
+
+        :returns: these rooms; all if there are no backends.
+        """
+        rooms = self.list_all()
+        if len(rooms) == 1:
+            return rooms
+        served = [room for room in rooms if room.backends.count]
+        return served or rooms
+
+    def list_usable(self, now: float) -> list[GroupRoom]:
+        """List the rooms that may be given requests now.
+
+        :param now: seconds on the monotonic clock.
+        :returns: the rooms whose groups have backends that take requests, and
+            that aren't paused.
+        """
+        served = self.list_served()
+        accepting = [room for room in served if room.is_accepting] or served
+        return [room for room in accepting if not room.is_paused(now)]
+
+    def restrict(
+        self, rooms: Sequence[GroupRoom], names: frozenset[str] | None
+    ) -> Sequence[GroupRoom]:
+        """Restrict rooms to those of certain groups.
+
+        :param rooms: the rooms.
+        :param names: names of the groups; ``None`` for all. Names of which none
+            has backends any more restrict nothing.
+        :returns: the rooms that remain.
+        """
+        if names is None or len(self._rooms) == 1:
+            return rooms
+        if names.isdisjoint(room.name for room in self.list_served()):
+            return rooms
+        return [room for room in rooms if room.name in names]
+
+    def has_other_open(self, room: GroupRoom) -> bool:
+        """Check whether another group is open.
+
+        :param room: the room of a group.
+        :returns: whether another one with backends isn't closed.
+        """
+        return self.has_several() and any(
+            other is not room and not other.is_closed
+            for other in self.list_served()
+        )
+
+    def compute_first_event(self) -> float:
+        """Compute the shortest expected time to a first event.
+
+        :returns: seconds; 0 before the first report.
+        """
+        rooms = self._list_open()
+        reported = [room for room in rooms if room.reported_at is not None]
+        return min(room.first_event for room in reported or rooms)
+
+    def compute_capacity(self) -> float:
+        """Compute how many streams this entry may run.
+
+        :returns: sum over the open groups; over all if none is open.
+        """
+        return sum(room.limit.capacity for room in self._list_open())
+
+    def count_open_running(self) -> int:
+        """Count the streams that run in these groups.
+
+        :returns: streams of this entry.
+        """
+        return sum(room.running for room in self._list_open())
+
+    def find_freest(self) -> GroupRoom:
+        """Find the room with the most free places.
+
+        :returns: the room.
+        """
+        return max(
+            self._list_open(),
+            key=lambda room: room.limit.regular - room.running,
+        )
+
+    def _list_open(self) -> list[GroupRoom]:
+        served = self.list_served()
+        return [room for room in served if not room.is_closed] or served
+
+    def _rename_sole(self, name: str) -> None:
+        room = self._rooms.pop(NO_GROUP)
+        room.name = name
+        self._rooms[name] = room
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -127,7 +127,7 @@
         try:
             return await self._send_with_retries()
         finally:
-            await gate.release()
+            await gate.release(self._call)
 
     async def _send_with_retries(self) -> Verdict | None:
         """Send until the request has an outcome or its group is closed.
@@ -140,13 +140,24 @@
             if isinstance(selected, Unavailable):
                 return self._handle_unavailable(selected)
             verdict = await self._attempt(selected)
-            refusals = self._call.count_trailing_refusals()
-            is_closed = verdict is None and refusals >= CLOSED_REFUSALS
-            if self._gate is not None and is_closed:
-                self._gate.record_refusal()
+            if verdict is None and self._should_queue_again():
                 break
         return verdict
 
+    def _should_queue_again(self) -> bool:
+        """Check whether the group of the last attempt is closed.
+
+        While another group is open, one that is known to be closed isn't asked
+        again.
+        """
+        room = self._call.room
+        if self._gate is None or room is None:
+            return False
+        if self._call.count_trailing_refusals() >= CLOSED_REFUSALS:
+            room.record_refusal()
+            return True
+        return room.is_closed and self._gate.rooms.has_other_open(room)
+
     def _handle_unavailable(self, unavailable: Unavailable) -> Verdict:
         self._cause = unavailable.cause or self._cause
         self._retry_after = unavailable.retry_after
@@ -156,7 +167,9 @@
         call = self._call
         now = time.monotonic()
         attempt = Attempt(
-            backend.server.id, int((now - call.started_at) * MILLISECONDS)
+            backend.server.id,
+            int((now - call.started_at) * MILLISECONDS),
+            room=call.room,
         )
         call.attempts.append(attempt)
         backend.in_flight += 1
@@ -244,8 +257,8 @@
         backend: BackendState,
     ) -> Verdict | None:
         self._call.may_have_run = True
-        if self._gate is not None:
-            self._gate.record_start()
+        if self._call.room is not None:
+            self._call.room.record_start()
         if not self._exchange.started:
             fields = tuple(drop_hop_by_hop(head.headers))
             self._exchange.add((self._exchange.make_head(head.status, fields),))
--- a/src/ospreyford/direct/waitingcalls.py
+++ b/src/ospreyford/direct/waitingcalls.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from ospreyford.direct.call import Call
+    from ospreyford.direct.grouproom import GroupRoom
 
 
 class WaitingCalls:
@@ -38,11 +39,13 @@
         self._decisions.pop(number, None)
         self._refused.discard(number)
 
-    async def admit(self, number: int) -> None:
+    async def admit(self, number: int, room: GroupRoom) -> None:
         """Decide that a request is admitted.
 
         :param number: of the request.
+        :param room: room of the group that it is admitted to.
         """
+        self._calls[number].room = room
         await self._decisions[number].set()
 
     async def refuse(self, number: int) -> None:
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -22,6 +22,8 @@
 )
 from ospreyford.direct.context import EntryContext
 from ospreyford.direct.freshness import read_boot_clock
+from ospreyford.direct.gate import StreamGate
+from ospreyford.direct.grouproom import GroupRoom
 from ospreyford.direct.handler import RequestHandler
 from ospreyford.direct.headernames import HeaderNames
 from ospreyford.direct.program import respond_to_error
@@ -285,3 +287,9 @@
         await serve_connection(client, Limits(), handler, respond_to_error)
     except (curio.CancelledError, h11.LocalProtocolError):
         return
+
+
+def get_room(gate: StreamGate) -> GroupRoom:
+    """Return the room of a gate with a single group."""
+    (room,) = gate.rooms.list_all()
+    return room
--- a/tests/direct/test_gate.py
+++ b/tests/direct/test_gate.py
@@ -12,9 +12,11 @@
 from ospreyford.direct.admission import GroupLoad
 from ospreyford.direct.call import Call
 from ospreyford.direct.catalog import RetryMode
-from ospreyford.direct.gate import REFUSAL_PAUSE_SECONDS, StreamGate
+from ospreyford.direct.gate import StreamGate
+from ospreyford.direct.grouproom import REFUSAL_PAUSE_SECONDS
 from ospreyford.http.message import Request
 from tests.direct import backends as be
+from tests.direct.backends import get_room
 
 ROUTE = be.make_route(RetryMode.resumable, streams=True, max_gap=0.12)
 #: A group whose passes are too long for another stream.
@@ -38,7 +40,7 @@
 
 async def enter_closed() -> tuple[int, float]:
     gate = StreamGate(0.12)
-    gate.record_refusal()
+    get_room(gate).record_refusal()
     began = time.monotonic()
     entered = []
 
@@ -64,7 +66,7 @@
 
 async def block_while_queued() -> tuple[list[bool], int]:
     gate = StreamGate(0.12)
-    gate.record_refusal()
+    get_room(gate).record_refusal()
     blocked, other = make_call(), make_call()
     entered = []
 
@@ -88,13 +90,13 @@
 
 async def probe_closed() -> list[int]:
     gate = StreamGate(0.12)
-    gate.record_refusal()
+    get_room(gate).record_refusal()
     for _ in range(5):
         await curio.spawn(gate.acquire, make_call(), daemon=True)
     await curio.sleep(REFUSAL_PAUSE_SECONDS + 0.02)
     await gate.process_queue()
     probing = gate.running
-    gate.record_start()
+    get_room(gate).record_start()
     await gate.process_queue()
     return [probing, gate.running]
 
@@ -105,12 +107,13 @@
 
 async def give_back() -> int:
     gate = StreamGate(0.12)
-    await gate.acquire(make_call())
+    first = make_call()
+    await gate.acquire(first)
     await gate.update_load(FULL, 1)
     waiting = await curio.spawn(gate.acquire, make_call())
     await curio.sleep(0.01)
     await waiting.cancel()
-    await gate.release()
+    await gate.release(first)
     return gate.running
 
 
@@ -134,9 +137,9 @@
 
 async def stay_open() -> bool:
     gate = StreamGate(0.12)
-    gate.record_refusal()
+    get_room(gate).record_refusal()
     await gate.update_load(EMPTY._replace(is_open=True), 1)
-    gate.record_start()
+    get_room(gate).record_start()
     return await gate.acquire(make_call())
 
 
@@ -146,7 +149,7 @@
 
 async def refuse_when_full() -> Call:
     gate = StreamGate(0.12)
-    gate.running = 12
+    get_room(gate).running = 12
     await gate.update_load(FULL, 4)
     call = make_call()
     call.started_at -= 3
@@ -176,16 +179,16 @@
 
 async def enter_behind_a_late_one(*, is_retry: bool) -> int:
     gate = StreamGate(0.12)
-    gate.running = 7
-    gate.limit.late = 6
-    gate.limit.regular = 0
+    get_room(gate).running = 7
+    get_room(gate).limit.late = 6
+    get_room(gate).limit.regular = 0
     late = make_call()
     late.started_at -= 1
     back = make_call(5)
     back.is_retry = is_retry
     await curio.spawn(gate.acquire, late, daemon=True)
     await curio.sleep(0.02)
-    gate.limit.regular = 10
+    get_room(gate).limit.regular = 10
     await curio.spawn(gate.acquire, back, daemon=True)
     await curio.sleep(0.02)
     return gate.running
--- a/tests/direct/test_program.py
+++ b/tests/direct/test_program.py
@@ -20,6 +20,7 @@
 from ospreyford.http.message import Request, find_header
 from ospreyford.http.server import listen, port_of
 from tests.direct import backends as be
+from tests.direct.backends import get_room
 from tests.fakes.loopback import next_address
 
 ONCE = be.make_route(RetryMode.once)
@@ -80,9 +81,10 @@
 
     def fill_gate(self) -> None:
         gate = StreamGate(max_gap=0.12)
-        gate.limit.regular = 0
-        gate.limit.urgent = 0
-        gate.limit.late = 0
+        limit = get_room(gate).limit
+        limit.regular = 0
+        limit.urgent = 0
+        limit.late = 0
         self.context.gates['service'] = gate
 
     async def is_ready(self) -> bool:
--- a/tests/direct/test_reopening.py
+++ b/tests/direct/test_reopening.py
@@ -9,7 +9,9 @@
 import pytest
 
 from ospreyford.direct.admission import LATE_CAPACITY_FRACTION, GroupLoad
-from ospreyford.direct.gate import REFUSAL_PAUSE_SECONDS, StreamGate
+from ospreyford.direct.gate import StreamGate
+from ospreyford.direct.grouproom import REFUSAL_PAUSE_SECONDS
+from tests.direct.backends import get_room
 from tests.direct.test_gate import make_call
 
 if TYPE_CHECKING:
@@ -89,7 +91,7 @@
 
 async def wait_for_report(epochs: list[tuple[bool, int]]) -> int:
     crowd = Crowd(StreamGate(MAX_GAP, SLOTS, ENTRIES))
-    crowd.gate.record_refusal()
+    get_room(crowd.gate).record_refusal()
     await crowd.add_callers(5)
     for is_open, epoch in epochs:
         reported = OPEN._replace(is_open=is_open, epoch=epoch)
@@ -117,7 +119,7 @@
 async def close_again() -> int:
     gate = StreamGate(MAX_GAP, SLOTS, ENTRIES)
     await gate.update_load(OPEN, ENTRIES)
-    gate.record_refusal()
+    get_room(gate).record_refusal()
     crowd = Crowd(gate)
     await crowd.add_callers(5)
     await gate.update_load(OPEN, ENTRIES)
--- a/tests/direct/test_shutdown.py
+++ b/tests/direct/test_shutdown.py
@@ -13,6 +13,7 @@
 from ospreyford.http.errors import HttpError
 from ospreyford.http.message import Request
 from tests.direct import backends as be
+from tests.direct.backends import get_room
 from tests.direct.test_draining import ENGINE
 from tests.direct.test_program import Entry
 
@@ -39,9 +40,10 @@
 
 
 def set_limits(gate: StreamGate, capacity: int) -> None:
-    gate.limit.regular = capacity
-    gate.limit.urgent = capacity
-    gate.limit.late = capacity
+    limit = get_room(gate).limit
+    limit.regular = capacity
+    limit.urgent = capacity
+    limit.late = capacity
 
 
 async def ask(entry: Entry, name: bytes) -> ClientConnection:
