Entries: groups as agents tell them, hellos and coordinators by group

A hello listed all backends of a service, and of two coordinators the one with the lower token wasn't heard. GroupDirectory keeps the group of each address; hellos list the members of one group and the unassigned backends; tokens, silence, details and load reports are kept by group.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -305,7 +305,7 @@
         self,
         now: float,
         first_event: float,
-        held: Collection[int] = frozenset(),
+        held: Collection[int] = (),
     ) -> QueuedRequest | None:
         """Select the request that is admitted next.
 
--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -8,9 +8,10 @@
 import curio
 
 from ospreyford.direct.admission import GroupLoad
+from ospreyford.direct.coordinators import HELLO_INTERVAL_SECONDS
 from ospreyford.direct.freshness import read_boot_clock
+from ospreyford.direct.gates import refresh_groups, update_group_load
 from ospreyford.direct.hello import (
-    HELLO_INTERVAL_SECONDS,
     MS_PER_SECOND,
     STARTUP_HELLO_INTERVAL_SECONDS,
     HelloSender,
@@ -24,6 +25,7 @@
     ImpairedRank,
     RankDetails,
 )
+from ospreyford.rebalance.groupkey import GroupKey
 from ospreyford.suspects.messages import SuspectReport
 
 if TYPE_CHECKING:
@@ -42,7 +44,6 @@
         self._context = context
         self._transport = DatagramSocket(context.settings.datagrams)
         self.hello_sender = HelloSender(context, self._transport)
-        self._tokens: dict[str, int] = {}
 
     async def run(self) -> None:
         """Receive datagrams until the process ends."""
@@ -76,15 +77,17 @@
     async def _handle_load(self, load: HelloReply, address: Address) -> None:
         self._record_told_state(load)
         self._context.limits.shares.record_position(load.position, load.entries)
+        self._context.groups.directory.record_name(
+            (load.host, load.port), load.group
+        )
         hello = self._find_hello(load)
         if hello is None:
             return
         if load.needs_members:
             await self._transport.send(hello, address)
-        if (
-            self.hello_sender.compute_silence(hello.service)
-            > HELLO_INTERVAL_SECONDS
-        ):
+        key = GroupKey(hello.service, hello.group)
+        silence = self.hello_sender.coordinators.compute_silence(key)
+        if silence > HELLO_INTERVAL_SECONDS:
             # While a coordinator reports, other agents hear from few entries.
             self._context.record_entry_count(load.entries)
 
@@ -100,25 +103,33 @@
         context.is_informed = True
 
     def _find_hello(self, load: HelloReply) -> Hello | None:
-        for hello in self.hello_sender.hellos.values():
-            if (load.host, load.port) in (hello.members or ()):
-                return hello
-        return None
+        """Find the hello that lists the members of a backend's own group."""
+        address = load.host, load.port
+        key = self._context.groups.directory.find(address)
+        hello = None if key is None else self.hello_sender.hellos.get(key)
+        if hello is None or address not in (hello.members or ()):
+            return None
+        return hello
 
     async def _handle_group_news(
         self, news: GroupStatus, address: Address
     ) -> None:
-        # A coordinator with a lower token has been replaced.
-        if news.token < self._tokens.get(news.service, 0):
+        context = self._context
+        key = context.groups.view.tags.get(news.tag)
+        if key is None:
+            # It may have been told since the last round of hellos.
+            refresh_groups(context)
+            key = context.groups.view.tags.get(news.tag)
+        if key is None:
             return
-        self._tokens[news.service] = news.token
-        now = time.monotonic()
-        self.hello_sender.record_coordinator(news.service, address)
-        self._context.record_entry_count(news.entries)
+        if not self.hello_sender.coordinators.record(key, address, news.token):
+            return
+        context.record_entry_count(news.entries)
         if news.details is not None:
-            self._update_ranks(news.service, news.details, now)
-        await self._context.update_group_load(
-            news.service,
+            self._update_ranks(key, news.details, time.monotonic())
+        await update_group_load(
+            context,
+            key,
             GroupLoad(
                 running=news.running,
                 queued=news.queued,
@@ -130,15 +141,14 @@
         )
 
     def _update_ranks(
-        self, service: str, details: RankDetails, now: float
+        self, key: GroupKey, details: RankDetails, now: float
     ) -> None:
-        hello = self.hello_sender.hellos.get(service)
+        groups = self._context.groups
         outliers = {one.host: one for one in details.impaired}
-        requests: dict[str, int] = {}
-        if hello is not None and hello.digest == details.digest:
-            hosts = (host for host, _ in hello.members or ())
-            requests = dict(zip(hosts, details.requests, strict=False))
-        for backend in self._context.backends.list_all(service):
+        groups.directory.record_ranks(key, outliers)
+        requests = self._match_requests(key, details)
+        backends = self._context.backends.list_all(key.service)
+        for backend in groups.select_members(backends, key.name):
             host = backend.server.host
             outlier = outliers.get(host, ImpairedRank(host, 1, is_silent=False))
             backend.is_agent_unreachable = outlier.is_silent
@@ -147,3 +157,12 @@
                 backend.slowdown = max(outlier.pace, 1)
             else:
                 backend.update_load(reported, outlier.pace, now)
+
+    def _match_requests(
+        self, key: GroupKey, details: RankDetails
+    ) -> dict[str, int]:
+        hello = self.hello_sender.hellos.get(key)
+        if hello is None or hello.digest != details.digest:
+            return {}
+        hosts = (host for host, _ in hello.members or ())
+        return dict(zip(hosts, details.requests, strict=False))
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -7,7 +7,6 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from ospreyford.direct.admission import GroupLoad
 from ospreyford.direct.backendrequest import RequestResources
 from ospreyford.direct.connections import (
     ConnectionPool,
@@ -15,9 +14,9 @@
 )
 from ospreyford.direct.declarations import BackendDeclarations
 from ospreyford.direct.freshness import StateFreshness
-from ospreyford.direct.gate import StreamGate
 from ospreyford.direct.keyguard import KeyGuard
 from ospreyford.direct.metrics import EntryMetrics, serve_tallies
+from ospreyford.direct.rankgroups import RankGroups
 from ospreyford.direct.registrationguard import RegistrationGuard
 from ospreyford.direct.registry import BackendRegistry
 from ospreyford.direct.retries import RetryMeter
@@ -28,6 +27,7 @@
 if TYPE_CHECKING:
     from ospreyford.direct.call import Call
     from ospreyford.direct.catalog import Catalog
+    from ospreyford.direct.gate import StreamGate
     from ospreyford.direct.headernames import HeaderNames
     from ospreyford.direct.settings import DirectSettings
     from ospreyford.observability.logs import ChangeLog
@@ -56,6 +56,7 @@
     def __post_init__(self) -> None:
         """Create the components."""
         self.backends = BackendRegistry()
+        self.groups = RankGroups(self.backends)
         self.retries = RetryMeter(self.settings.retries, self.log)
         self.budget = self.retries.budget
         self.freshness = StateFreshness(self.settings.bounds)
@@ -83,42 +84,6 @@
             self.pool, self.header_names, self.declarations
         )
 
-    def find_gate(self, call: Call) -> StreamGate | None:
-        """Find the admission gate of a request.
-
-        :param call: the request.
-        :returns: the gate, or ``None`` if its service has no rank groups.
-        """
-        catalog = self.catalog
-        service = catalog.services.get(call.service) if catalog else None
-        if service is None or service.engine is None or not call.route.max_gap:
-            return None
-        gate = self.gates.get(call.service)
-        if gate is None:
-            gate = StreamGate(
-                call.route.max_gap,
-                self.backends.count_slots(call.service),
-                self.count_entries(),
-            )
-            self.gates[call.service] = gate
-        return gate
-
-    async def update_group_load(self, service: str, load: GroupLoad) -> None:
-        """Apply a coordinator's load report.
-
-        :param service: service of the group.
-        :param load: the report, without the published base time.
-        """
-        gate = self.gates.get(service)
-        known = self.catalog.services.get(service) if self.catalog else None
-        if gate is None or known is None or known.engine is None:
-            return
-        reported = load._replace(
-            base_seconds=known.engine.pass_seconds,
-            slots=self.backends.count_slots(service),
-        )
-        await gate.update_load(reported, self.count_entries())
-
     def record_entry_count(self, entries: int) -> None:
         """Record the number of entries that an agent reported.
 
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -14,18 +14,18 @@
     AdmissionQueue,
     QueuedRequest,
     compute_caller_timeout,
-    is_late,
 )
-from ospreyford.direct.grouproom import NO_GROUP, GroupRoom
+from ospreyford.direct.grouproom import NO_GROUP
 from ospreyford.direct.grouprooms import GroupRooms
-from ospreyford.direct.roomchoice import RoomOption, choose_option
+from ospreyford.direct.roomchoice import choose_option
 from ospreyford.direct.waitingcalls import WaitingCalls
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable
 
     from ospreyford.direct.admission import GroupLoad
     from ospreyford.direct.call import Call
+    from ospreyford.direct.grouproom import GroupRoom
 
 #: Retry time of refused requests: a burst lasts some seconds, and a caller has
 #: one or two more tries.
@@ -142,21 +142,18 @@
         if self._is_stopping or not self._queue:
             return
         now = time.monotonic()
-        first_event = self.rooms.compute_first_event()
-        capacity = LATE_CAPACITY_FRACTION * self.rooms.compute_capacity()
+        totals = self.rooms.compute_totals()
+        capacity = LATE_CAPACITY_FRACTION * totals.capacity
         for rejected in (
             self._queue.list_unservable(
-                now,
-                first_event,
-                capacity,
-                capacity - self.rooms.count_open_running(),
+                now, totals.first_event, capacity, capacity - totals.running
             )
             if is_accepting
             else self._queue.list_all()
         ):
             self._queue.remove(rejected.number)
             await self._waiting.refuse(rejected.number)
-        await self._fill_rooms(now, first_event)
+        await self._fill_rooms(now, totals.first_event)
 
     async def _fill_rooms(self, now: float, first_event: float) -> None:
         """Admit queued requests, in their order, while a group has room.
@@ -164,39 +161,28 @@
         A request that only certain groups may run doesn't hold up the others.
         """
         held: set[int] = set()
-        rooms = self.rooms.list_usable(now)
-        while rooms:
+        while True:
             request = self._queue.select_next(now, first_event, held)
             if request is None:
                 return
-            room = self._choose_room(request, rooms, now)
-            if room is not None:
+            room = self._choose_room(request, now)
+            if room:
                 self._queue.admit(request)
                 room.admit(now)
                 await self._waiting.admit(request.number, room)
-                rooms = self.rooms.list_usable(now)
             elif request.groups is None:
                 return
             else:
                 held.add(request.number)
 
     def _choose_room(
-        self, request: QueuedRequest, rooms: Sequence[GroupRoom], now: float
+        self, request: QueuedRequest, now: float, *, is_first: bool = False
     ) -> GroupRoom | None:
-        options = []
-        for room in self.rooms.restrict(rooms, request.groups):
-            first_event = room.first_event
-            limit = room.limit.select_limit(request, now, first_event)
-            if room.running < limit:
-                options.append(
-                    RoomOption(
-                        room.name,
-                        limit - room.running,
-                        room.is_closed,
-                        is_late(request, now, first_event),
-                        room.backends.is_local,
-                    )
-                )
+        rooms = self.rooms.list_usable(now, request.groups)
+        offers = [
+            room.make_option(request, now, is_first=is_first) for room in rooms
+        ]
+        options = [one for one in offers if one is not None]
         chosen = choose_option(options, self._random)
         return None if chosen is None else self.rooms.find(chosen.name)
 
@@ -217,7 +203,7 @@
             groups,
         )
         if not self._queue and not call.is_retry:
-            room = self._choose_regular(request, now)
+            room = self._choose_room(request, now, is_first=True)
             if room is not None:
                 room.running += 1
                 call.room = room
@@ -230,29 +216,6 @@
             self._queue.remove(request.number)
             self._waiting.remove(request.number)
 
-    def _choose_regular(
-        self, request: QueuedRequest, now: float
-    ) -> GroupRoom | None:
-        """Choose a group whose regular limit has room for a new request."""
-        rooms = [
-            room
-            for room in self.rooms.list_usable(now)
-            if room.running < room.limit.regular
-        ]
-        # A request that comes to an empty queue may already be late.
-        options = [
-            RoomOption(
-                room.name,
-                room.limit.regular - room.running,
-                room.is_closed,
-                is_late(request, now, room.first_event),
-                room.backends.is_local,
-            )
-            for room in self.rooms.restrict(rooms, request.groups)
-        ]
-        chosen = choose_option(options, self._random)
-        return None if chosen is None else self.rooms.find(chosen.name)
-
     async def _wait(self, request: QueuedRequest, call: Call) -> bool:
         await self.process_queue()
         try:
--- a/src/ospreyford/direct/grouproom.py
+++ b/src/ospreyford/direct/grouproom.py
@@ -10,10 +10,12 @@
     FIRST_EVENT_PASSES,
     GateView,
     StreamLimit,
+    is_late,
 )
+from ospreyford.direct.roomchoice import RoomOption
 
 if TYPE_CHECKING:
-    from ospreyford.direct.admission import GroupLoad
+    from ospreyford.direct.admission import GroupLoad, QueuedRequest
 
 MILLISECONDS = 1000
 #: Pause after a refusal: what ranks report of their group is as old as two load
@@ -31,12 +33,12 @@
 class GroupBackends(NamedTuple):
     """What an entry knows of the backends of a group.
 
-    :param count: available backends.
+    :param size: number of available backends.
     :param slots: requests that they run concurrently.
     :param is_local: whether some are in the entry's availability zone.
     """
 
-    count: int
+    size: int
     slots: int = 0
     is_local: bool = False
 
@@ -93,6 +95,32 @@
             # A single request probes whether the group has reopened.
             self._paused_until = now + PROBE_INTERVAL_SECONDS
 
+    def make_option(
+        self, request: QueuedRequest, now: float, *, is_first: bool
+    ) -> RoomOption | None:
+        """Offer the group's free places to a request.
+
+        :param request: the request.
+        :param now: seconds on the monotonic clock.
+        :param is_first: whether it found an empty queue.
+        :returns: the offer; ``None`` if there is no place for it.
+        """
+        first_event = self.first_event
+        limit = (
+            self.limit.regular
+            if is_first
+            else self.limit.select_limit(request, now, first_event)
+        )
+        if self.running >= limit:
+            return None
+        return RoomOption(
+            self.name,
+            limit - self.running,
+            self.is_closed,
+            is_late(request, now, first_event),
+            self.backends.is_local,
+        )
+
     def record_refusal(self) -> None:
         """Record that a rank refused a request: its group may be closed.
 
--- a/src/ospreyford/direct/grouprooms.py
+++ b/src/ospreyford/direct/grouprooms.py
@@ -2,16 +2,30 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from ospreyford.direct.grouproom import NO_BACKENDS, NO_GROUP, GroupRoom
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Mapping
 
     from ospreyford.direct.grouproom import GroupBackends
 
 
+class RoomTotals(NamedTuple):
+    """Totals of the groups that a request may go to.
+
+    :param first_event: shortest expected time to a first event, in seconds; 0
+        before the first report.
+    :param capacity: streams that this entry may run.
+    :param running: streams that it runs.
+    """
+
+    first_event: float
+    capacity: float
+    running: int
+
+
 class GroupRooms:
     """Rooms by name of the group.
 
@@ -43,13 +57,6 @@
         """
         return list(self._rooms.values())
 
-    def has_several(self) -> bool:
-        """Check whether requests can go to more than one group.
-
-        :returns: whether there are several rooms.
-        """
-        return len(self._rooms) > 1
-
     def update_backends(
         self, groups: Mapping[str, GroupBackends], entries: int
     ) -> None:
@@ -69,12 +76,11 @@
                 self._rooms[name] = GroupRoom(
                     name, self._max_gap, backends.slots, entries
                 )
-        for name, room in tuple(self._rooms.items()):
-            room.backends = groups.get(name, NO_BACKENDS)
-            is_empty = not room.running and name not in groups
-            if groups and is_empty:
-                self._rooms.pop(name)
-            elif self.has_several() and room.reported_at is None:
+        if groups:
+            self._remove_unused(groups)
+        for room in self._rooms.values():
+            room.backends = groups.get(room.name, NO_BACKENDS)
+            if room.reported_at is None and len(self._rooms) > 1:
                 room.limit.update_slots(room.backends.slots, entries)
 
     def list_served(self) -> list[GroupRoom]:
@@ -85,35 +91,26 @@
         rooms = self.list_all()
         if len(rooms) == 1:
             return rooms
-        served = [room for room in rooms if room.backends.count]
+        served = [room for room in rooms if room.backends.size]
         return served or rooms
 
-    def list_usable(self, now: float) -> list[GroupRoom]:
-        """List the rooms that may be given requests now.
+    def list_usable(
+        self, now: float, names: frozenset[str] | None = None
+    ) -> list[GroupRoom]:
+        """List the rooms that may be given a request now.
 
         :param now: seconds on the monotonic clock.
+        :param names: names of the groups that may run it; ``None`` for all.
+            Names of which none has backends any more restrict nothing.
         :returns: the rooms whose groups have backends that take requests, and
             that aren't paused.
         """
-        served = self.list_served()
-        accepting = [room for room in served if room.is_accepting] or served
-        return [room for room in accepting if not room.is_paused(now)]
-
-    def restrict(
-        self, rooms: Sequence[GroupRoom], names: frozenset[str] | None
-    ) -> Sequence[GroupRoom]:
-        """Restrict rooms to those of certain groups.
-
-        :param rooms: the rooms.
-        :param names: names of the groups; ``None`` for all. Names of which none
-            has backends any more restrict nothing.
-        :returns: the rooms that remain.
-        """
-        if names is None or len(self._rooms) == 1:
-            return rooms
-        if names.isdisjoint(room.name for room in self.list_served()):
-            return rooms
-        return [room for room in rooms if room.name in names]
+        rooms = self.list_served()
+        if len(rooms) > 1:
+            allowed = names or frozenset()
+            rooms = [room for room in rooms if room.name in allowed] or rooms
+            rooms = [room for room in rooms if room.is_accepting] or rooms
+        return [room for room in rooms if not room.is_paused(now)]
 
     def has_other_open(self, room: GroupRoom) -> bool:
         """Check whether another group is open.
@@ -121,33 +118,23 @@
         :param room: the room of a group.
         :returns: whether another one with backends isn't closed.
         """
-        return self.has_several() and any(
+        return len(self._rooms) > 1 and any(
             other is not room and not other.is_closed
             for other in self.list_served()
         )
 
-    def compute_first_event(self) -> float:
-        """Compute the shortest expected time to a first event.
+    def compute_totals(self) -> RoomTotals:
+        """Sum up the rooms of the open groups; of all if none is open.
 
-        :returns: seconds; 0 before the first report.
+        :returns: the totals.
         """
         rooms = self._list_open()
         reported = [room for room in rooms if room.reported_at is not None]
-        return min(room.first_event for room in reported or rooms)
-
-    def compute_capacity(self) -> float:
-        """Compute how many streams this entry may run.
-
-        :returns: sum over the open groups; over all if none is open.
-        """
-        return sum(room.limit.capacity for room in self._list_open())
-
-    def count_open_running(self) -> int:
-        """Count the streams that run in these groups.
-
-        :returns: streams of this entry.
-        """
-        return sum(room.running for room in self._list_open())
+        return RoomTotals(
+            min(room.first_event for room in reported or rooms),
+            sum(room.limit.capacity for room in rooms),
+            sum(room.running for room in rooms),
+        )
 
     def find_freest(self) -> GroupRoom:
         """Find the room with the most free places.
@@ -167,3 +154,10 @@
         room = self._rooms.pop(NO_GROUP)
         room.name = name
         self._rooms[name] = room
+
+    def _remove_unused(self, groups: Mapping[str, GroupBackends]) -> None:
+        self._rooms = {
+            name: room
+            for name, room in self._rooms.items()
+            if room.running or name in groups
+        }
--- a/src/ospreyford/direct/hello.py
+++ b/src/ospreyford/direct/hello.py
@@ -2,75 +2,71 @@
 
 from __future__ import annotations
 
-import math
 import time
 from itertools import chain
 from typing import TYPE_CHECKING, Final, NamedTuple
 
+import msgspec
 import xxhash
 
+from ospreyford.direct.coordinators import KnownCoordinators
 from ospreyford.direct.freshness import read_boot_clock
+from ospreyford.direct.gates import refresh_groups
+from ospreyford.direct.grouproom import NO_GROUP
 from ospreyford.rebalance.entrymessages import Hello
+from ospreyford.rebalance.groupkey import GroupKey
 from ospreyford.rebalance.messages import encode
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ospreyford.direct.catalog import Engine
     from ospreyford.direct.context import EntryContext
-    from ospreyford.rebalance.datagrams import Address, DatagramSocket
+    from ospreyford.rebalance.datagrams import DatagramSocket
+    from ospreyford.rebalance.entrymessages import Address
     from ospreyford.suspects.messages import SuspectReport
 
 MS_PER_SECOND = 1000
-#: Interval between hellos.
-HELLO_INTERVAL_SECONDS = 0.5
-#: The same after the start: entries that return together must have counted each
-#: other before the group opens 0.6 s later.
+#: Interval between hellos after the start: entries that return together must
+#: have counted each other before the group opens 0.6 s later. Also the least
+#: time until agents are told that groups have changed.
 STARTUP_HELLO_INTERVAL_SECONDS = 0.1
-#: Agents, besides the coordinator, that receive each hello in rotation.
+#: Agents, besides the coordinators, that receive each hello in rotation.
 HELLO_FANOUT = 4
-#: Silence of the coordinator after which hellos go to all agents: any of them
-#: may be elected, after 0.45 s at the earliest, and must know the entries.
-COORDINATOR_TIMEOUT_SECONDS = 0.3
 #: Rate limit of an entry that sends hellos to all agents.
 MAX_HELLOS_PER_SECOND = 500
 
 
-class _Coordinator(NamedTuple):
-    """The agent that last reported on a group.
-
-    :param address: the agent's address.
-    :param reported_at: time of the report, in seconds on the monotonic clock.
-    """
-
-    address: Address
-    reported_at: float
-
-
 class _HelloSchedule(NamedTuple):
     """Schedule of the hellos of one service.
 
     :param next_at: time of the next hello, in seconds on the monotonic clock.
-    :param is_partial: whether the last one went to the coordinator and a few
-        others only.
+    :param news_at: the same if the groups have changed since the last one.
+    :param complete: groups of which all agents got the last one.
     :param restores: restores of the store that the last one told of.
+    :param groups: version of the groups that it told.
     """
 
     next_at: float
-    is_partial: bool
+    news_at: float = 0
+    complete: frozenset[GroupKey] = frozenset()
     restores: int = 0
+    groups: int = 0
 
 
-NO_HELLO: Final = _HelloSchedule(0, is_partial=False)
+NO_HELLO: Final = _HelloSchedule(0)
 
 
 class HelloSender:
     """Sends hellos to the agents of all model services.
 
     Agents learn the members of their group from hellos; an agent with another
-    digest requests the full list. While a coordinator reports, hellos go to it
+    digest requests the full list. While coordinators report, hellos go to them
     and a few agents in rotation: sent by every entry to every agent, they would
     grow with the product of both.
 
-    ``hellos`` holds the last hello with the full member list, by service.
+    ``hellos`` holds the last hello with the full member list, by group; that of
+    agents of no known group lists no members.
 
     :param context: shared state of the entry.
     :param transport: the process's datagram socket.
@@ -81,18 +77,19 @@
     ) -> None:
         self._context = context
         self._transport = transport
-        self.hellos: dict[str, Hello] = {}
-        self._coordinators: dict[str, _Coordinator] = {}
+        self.coordinators = KnownCoordinators()
+        self.hellos: dict[GroupKey, Hello] = {}
         self._schedules: dict[str, _HelloSchedule] = {}
         self._next_agent: dict[str, int] = {}
 
     async def send_due(self) -> None:
         """Send the hellos that are due."""
+        refresh_groups(self._context)
         catalog = self._context.catalog
         services = catalog.services if catalog else {}
         for name, service in services.items():
             if service.engine is not None and self._is_due(name):
-                await self._send_hello(name, service.engine)
+                await self._send_hellos(name, service.engine)
 
     async def send_suspects(self, report: SuspectReport) -> None:
         """Tell agents of suspected requests; they pass on what is new.
@@ -100,102 +97,144 @@
         :param report: what has changed.
         """
         encoded = encode(report)
-        for name, hello in self.hellos.items():
-            addresses = self._list_agents(hello)
-            if name in self._coordinators:
-                addresses = self._select_agents(name, addresses)
-            for address in addresses[: HELLO_FANOUT + 1]:
+        for service in sorted({key.service for key in self.hellos}):
+            targets = self._list_coordinators(service)
+            if targets:
+                targets.update(self._select_agents(service))
+            else:
+                agents = self._list_agents(self._list_keys(service))
+                targets = dict(agents[: HELLO_FANOUT + 1])
+            for address in targets:
                 await self._transport.send_bytes(encoded, address)
 
-    def record_coordinator(self, service: str, address: Address) -> None:
-        """Record the agent that reported on a group.
-
-        :param service: service of the group.
-        :param address: the agent's address.
-        """
-        self._coordinators[service] = _Coordinator(address, time.monotonic())
-
-    def compute_silence(self, service: str) -> float:
-        """Compute the time since the last report on a group.
-
-        :param service: service of the group.
-        :returns: seconds; infinite before the first report.
-        """
-        known = self._coordinators.get(service)
-        return (
-            math.inf if known is None else time.monotonic() - known.reported_at
-        )
-
     def _is_due(self, service: str) -> bool:
         now = time.monotonic()
         schedule = self._schedules.get(service, NO_HELLO)
-        is_lost = schedule.is_partial and self.compute_silence(service) > (
-            COORDINATOR_TIMEOUT_SECONDS
-        )
+        silent = self._list_silent(service)
         # An entry that starts now must hear of a restore.
-        is_news = schedule.restores != self._context.store_restores
-        return is_lost or is_news or now >= schedule.next_at
-
-    async def _send_hello(self, name: str, engine: Engine) -> None:
-        hello = self._make_hello(name, engine)
-        self.hellos[name] = hello
-        encoded = encode(
-            Hello(
-                hello.entry,
-                hello.service,
-                hello.digest,
-                version=hello.version,
-                settling_ms=hello.settling_ms,
-                suspects=hello.suspects,
-            )
+        is_restored = schedule.restores != self._context.store_restores
+        is_news = schedule.groups != self._context.groups.directory.version
+        return (
+            is_restored
+            or now >= schedule.next_at
+            or not schedule.complete.issuperset(silent)
+            or (is_news and now >= schedule.news_at)
         )
-        is_partial = self.compute_silence(name) <= COORDINATOR_TIMEOUT_SECONDS
-        addresses = self._list_agents(hello)
-        if is_partial:
-            addresses = self._select_agents(name, addresses)
-        is_new = self._context.is_starting()
-        interval = max(
+
+    async def _send_hellos(self, service: str, engine: Engine) -> None:
+        self._update_hellos(service, engine)
+        silent = self._list_silent(service)
+        targets = dict(self._list_agents(silent))
+        if len(silent) < len(self._list_keys(service)):
+            targets.update(self._list_coordinators(service))
+            targets.update(self._select_agents(service))
+        self._schedule_next(service, len(targets), silent)
+        encoded = {
+            key: encode(_shorten(self.hellos[key]))
+            for key in set(targets.values())
+        }
+        for address, receiver in targets.items():
+            await self._transport.send_bytes(encoded[receiver], address)
+
+    def _schedule_next(
+        self, service: str, sent: int, complete: Iterable[GroupKey]
+    ) -> None:
+        interval = (
             STARTUP_HELLO_INTERVAL_SECONDS
-            if is_new
-            else HELLO_INTERVAL_SECONDS,
-            len(addresses) / MAX_HELLOS_PER_SECOND,
+            if self._context.is_starting()
+            else self.coordinators.compute_hello_interval()
         )
-        self._schedules[name] = _HelloSchedule(
-            time.monotonic() + interval,
-            is_partial,
+        least = sent / MAX_HELLOS_PER_SECOND
+        now = time.monotonic()
+        self._schedules[service] = _HelloSchedule(
+            now + max(interval, least),
+            now + max(STARTUP_HELLO_INTERVAL_SECONDS, least),
+            frozenset(complete),
             self._context.store_restores,
+            self._context.groups.directory.version,
         )
-        for address in addresses:
-            await self._transport.send_bytes(encoded, address)
 
-    def _make_hello(self, service: str, engine: Engine) -> Hello:
-        backends = self._context.backends.list_all(service)
-        addresses = tuple(
-            sorted((one.server.host, one.server.port) for one in backends)
-        )
-        contents = (addresses, engine, self._find_max_gap(service))
-        digest = xxhash.xxh32_intdigest(repr(contents).encode())
-        settling_seconds = self._context.key_guard.compute_wait(
-            read_boot_clock()
+    def _update_hellos(self, service: str, engine: Engine) -> None:
+        """Make the hellos of a service's groups anew."""
+        others = {
+            key: hello
+            for key, hello in self.hellos.items()
+            if key.service != service
+        }
+        made = {
+            group: self._make_hello(group, engine)
+            for group in self._list_keys(service)
+        }
+        self.hellos = others | made
+        self.coordinators.forget_others(self._context.groups.view.members)
+
+    def _make_hello(self, key: GroupKey, engine: Engine) -> Hello:
+        context = self._context
+        view = context.groups.view
+        contents = (
+            view.list_members(key) if key.name else (),
+            engine,
+            self._find_max_gap(key.service),
         )
+        unassigned = view.list_members(GroupKey(key.service, NO_GROUP))
+        digested = repr((*contents, unassigned)).encode()
+        settling_seconds = context.key_guard.compute_wait(read_boot_clock())
         return Hello(
-            self._context.settings.name,
-            service,
-            digest,
+            context.settings.name,
+            key.service,
+            xxhash.xxh32_intdigest(digested),
             *contents,
-            version=self._context.get_version(),
+            version=context.get_version(),
             settling_ms=int(settling_seconds * MS_PER_SECOND),
-            suspects=self._context.suspect_sharing.compute_digest(),
+            suspects=context.suspect_sharing.compute_digest(),
+            group=key.name,
+            unassigned=unassigned,
+            groups=self.coordinators.count_heard(),
         )
 
-    def _list_agents(self, hello: Hello) -> list[Address]:
-        port = self._context.settings.agent_port
-        hosts = sorted({host for host, _ in hello.members or ()})
-        return [(host, port) for host in hosts]
+    def _list_keys(self, service: str) -> list[GroupKey]:
+        """List the groups of a service, and the key of unassigned agents."""
+        view = self._context.groups.view
+        unassigned = GroupKey(service, NO_GROUP)
+        keys = view.list_groups(service)
+        if unassigned in view.members or not keys:
+            keys.append(unassigned)
+        return keys
+
+    def _list_silent(self, service: str) -> list[GroupKey]:
+        """List the groups of which all agents must hear of this entry.
 
-    def _select_agents(
-        self, service: str, agents: list[Address]
-    ) -> list[Address]:
+        Agents of no known group tell it in their reply.
+        """
+        keys = self._list_keys(service)
+        named = [key for key in keys if key.name]
+        silent = [key for key in named if self.coordinators.is_silent(key)]
+        if not named or self._context.is_starting():
+            silent.extend(keys[len(named) :])
+        return silent
+
+    def _list_agents(
+        self, keys: Iterable[GroupKey]
+    ) -> list[tuple[Address, GroupKey]]:
+        """List the agents of groups with their groups, by address."""
+        port = self._context.settings.agent_port
+        view = self._context.groups.view
+        hosts = {
+            host: key for key in keys for host, _ in view.list_members(key)
+        }
+        return [((host, port), hosts[host]) for host in sorted(hosts)]
+
+    def _list_coordinators(self, service: str) -> dict[Address, GroupKey]:
+        """List the coordinators of a service with their groups."""
+        coordinators: dict[Address, GroupKey] = {}
+        for key in self._list_keys(service):
+            address = self.coordinators.find(key)
+            if address is not None:
+                coordinators[address] = key
+        return coordinators
+
+    def _select_agents(self, service: str) -> list[tuple[Address, GroupKey]]:
+        agents = self._list_agents(self._list_keys(service))
         # A random start keeps entries from picking the same agents.
         count = max(len(agents), 1)
         first = self._next_agent.get(
@@ -203,8 +242,7 @@
         )
         first %= count
         self._next_agent[service] = first + HELLO_FANOUT
-        following = (agents + agents)[first : first + HELLO_FANOUT]
-        return list({self._coordinators[service].address, *following})
+        return (agents + agents)[first : first + HELLO_FANOUT]
 
     def _find_max_gap(self, service: str) -> float:
         catalog = self._context.catalog
@@ -216,3 +254,10 @@
             if route.max_gap > 0 and route.splits[0].service == service
         ]
         return min(gaps, default=0)
+
+
+def _shorten(hello: Hello) -> Hello:
+    """Leave out what an agent gets on request."""
+    return msgspec.structs.replace(
+        hello, members=None, engine=None, max_gap=0, unassigned=()
+    )
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -8,6 +8,7 @@
 import curio
 
 from ospreyford.direct.agents import AgentLink
+from ospreyford.direct.gates import refresh_groups
 from ospreyford.direct.handler import RequestHandler
 from ospreyford.direct.messages import CONTENT_TYPE, encode_problem
 from ospreyford.direct.operatorport import OperatorPort
@@ -158,6 +159,7 @@
             await self._context.pool.close_expired()
             await self.updater.remove_expired()
             self._context.declarations.forget_ended(self._context.backends)
+            refresh_groups(self._context)
             await self._process_queues()
             self._log_readiness()
 
--- a/src/ospreyford/direct/registry.py
+++ b/src/ospreyford/direct/registry.py
@@ -109,6 +109,8 @@
     """All known backends by id."""
 
     def __init__(self) -> None:
+        #: Counts the registrations that came, changed or were removed.
+        self.version = 0
         self._backends: dict[str, BackendState] = {}
 
     def __len__(self) -> int:
@@ -199,11 +201,13 @@
         if backend is None or not server.is_same_incarnation(backend.server):
             # Statistics of an earlier process do not apply to this one.
             self._backends[server.id] = BackendState(server)
+            self.version += 1
             return True
         backend.expires_at = None
         backend.was_removed = False
         changed = backend.server._replace(revision=server.revision) != server
         backend.server = server
+        self.version += changed
         return changed
 
     def mark_missing(
@@ -240,6 +244,7 @@
         backend = self._backends.pop(server_id, None)
         if backend is not None:
             backend.is_gone = True
+            self.version += 1
         return backend is not None
 
     def remove_expired(self, now: float) -> list[BackendState]:
@@ -257,6 +262,13 @@
             self.remove(backend.server.id)
         return expired
 
+    def list_servers(self) -> list[BackendServer]:
+        """List the registrations of all services.
+
+        :returns: the registrations.
+        """
+        return [backend.server for backend in self._backends.values()]
+
     def list_ids(self) -> Iterable[str]:
         """List the ids of all backends.
 
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -16,6 +16,8 @@
 )
 from ospreyford.direct.beginnings import AnswerBeginning
 from ospreyford.direct.call import SHED, Attempt
+from ospreyford.direct.closedgroups import is_known_closed
+from ospreyford.direct.gates import find_gate
 from ospreyford.direct.headers import drop_hop_by_hop
 from ospreyford.direct.migration import StreamMigrator
 from ospreyford.direct.streaming import StreamResult, forward_stream
@@ -47,9 +49,6 @@
 GATEWAY_TIMEOUT: Final = 504
 SERVER_ERROR: Final = 500
 MILLISECONDS = 1000
-#: Consecutive refusals after which a group counts as closed; a single rank may
-#: be full or leaving.
-CLOSED_REFUSALS = 2
 #: Retry time where nothing better is known.
 DEFAULT_RETRY_AFTER_SECONDS = 0.3
 
@@ -69,7 +68,7 @@
         self._exchange = exchange
         self._context = context
         self._suspects = context.suspects
-        self._gate = context.find_gate(call)
+        self._gate = find_gate(context, call)
         self._cause = Cause.no_backend
         self._retry_after: float | None = None
         self._migrator = StreamMigrator(call, context, MAX_ATTEMPTS)
@@ -140,24 +139,11 @@
             if isinstance(selected, Unavailable):
                 return self._handle_unavailable(selected)
             verdict = await self._attempt(selected)
-            if verdict is None and self._should_queue_again():
-                break
+            if verdict is None and self._gate is not None:
+                if is_known_closed(self._call, self._gate.rooms):
+                    break
         return verdict
 
-    def _should_queue_again(self) -> bool:
-        """Check whether the group of the last attempt is closed.
-
-        While another group is open, one that is known to be closed isn't asked
-        again.
-        """
-        room = self._call.room
-        if self._gate is None or room is None:
-            return False
-        if self._call.count_trailing_refusals() >= CLOSED_REFUSALS:
-            room.record_refusal()
-            return True
-        return room.is_closed and self._gate.rooms.has_other_open(room)
-
     def _handle_unavailable(self, unavailable: Unavailable) -> Verdict:
         self._cause = unavailable.cause or self._cause
         self._retry_after = unavailable.retry_after
--- a/tests/direct/test_agents.py
+++ b/tests/direct/test_agents.py
@@ -13,10 +13,13 @@
 from ospreyford.direct.catalog import Catalog, Engine, Service
 from ospreyford.direct.context import EntryContext
 from ospreyford.direct.freshness import read_boot_clock
-from ospreyford.direct.hello import (
+from ospreyford.direct.coordinators import (
     COORDINATOR_TIMEOUT_SECONDS,
-    HELLO_FANOUT,
     HELLO_INTERVAL_SECONDS,
+)
+from ospreyford.direct.gates import refresh_groups
+from ospreyford.direct.hello import (
+    HELLO_FANOUT,
     STARTUP_HELLO_INTERVAL_SECONDS,
     HelloSender,
 )
@@ -31,11 +34,13 @@
     ImpairedRank,
     RankDetails,
 )
+from ospreyford.rebalance.groupkey import GroupKey
 from ospreyford.rebalance.messages import decode
 from tests.direct.backends import DIALECT, SETTINGS, RecordingLog
 
 RANKS = 129
 ENGINE = Engine(3, 16, 258, 3, 2, 0.01, 0.01)
+GROUP = GroupKey('s', 'g')
 COORDINATOR = ('10.0.0.7', SETTINGS.agent_port)
 
 
@@ -79,6 +84,12 @@
                     f'i{rank}', 's', f'10.0.0.{rank}', 80, 'a', 3, False, 1
                 )
             )
+        refresh_groups(self.context)
+        for rank in range(RANKS):
+            self.context.groups.directory.record_name(
+                (f'10.0.0.{rank}', 80), GROUP.name
+            )
+        refresh_groups(self.context)
         self.link = AgentLink(self.context)
         self.post = Post()
         self.link.hello_sender = HelloSender(self.context, self.post)  # type: ignore[arg-type]
@@ -101,7 +112,7 @@
 
 def make_report(**changed: Any) -> GroupStatus:
     reported: dict[str, Any] = {
-        'service': 's',
+        'tag': GROUP.compute_tag(),
         'token': 5,
         'is_open': True,
         'pass_seconds': 0.08,
@@ -165,7 +176,7 @@
 ) -> None:
     entry = Entry(monkeypatch)
     entry.count_hellos(0.1, with_reports=False)
-    hello = entry.link.hello_sender.hellos['s']
+    hello = entry.link.hello_sender.hellos[GROUP]
     hosts = [host for host, _ in hello.members or ()]
     requests = bytes(
         UNKNOWN_REQUESTS if host == '10.0.0.8' else int(host.rpartition('.')[2])
