Entries: a stream goes to backends of the group that admitted it

Candidates and targets of a move are the backends of the room's group. A request whose group has no backend for it waits for another one; with attempts left only for certain backends it waits for their groups. A group whose backends all decline gets no streams.

--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -5,11 +5,12 @@
 import math
 import time
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import curio
 
-from ospreyford.direct.selection import SelectionCriteria, find_selectable
+from ospreyford.direct.callgroups import CallGroups
+from ospreyford.direct.selection import SelectionCriteria
 from ospreyford.direct.slotselection import (
     NoSlot,
     SendLater,
@@ -35,6 +36,8 @@
 MAX_JITTER_SECONDS = 0.5
 #: A slot lapses if the process was paused for longer.
 MAX_SLOT_DELAY_SECONDS = 0.25
+#: Reasons that hold for all backends.
+BARRIERS: Final = frozenset((Cause.key_withdrawn, Cause.crashes_backends))
 
 
 @dataclass(frozen=True)
@@ -49,6 +52,11 @@
     retry_after: float | None = None
 
 
+@dataclass(frozen=True)
+class OtherGroup:
+    """The request's group has no backend for it, but another one may."""
+
+
 class BackendSelector:
     """Selects the backends of one request.
 
@@ -71,8 +79,9 @@
         self._migrator = migrator
         self._in_group = in_group
         self._slots = SlotSelector(context.limits, context.random)
+        self.groups = CallGroups(call, context)
 
-    async def select(self) -> BackendState | Unavailable:
+    async def select(self) -> BackendState | Unavailable | OtherGroup:
         """Select the backend of the next attempt, and wait for its slot.
 
         :returns: the backend; the request must be sent to it at once.
@@ -85,6 +94,8 @@
         selected: BackendState | Unavailable | None = None
         while selected is None:
             selected = await self._select_once()
+        if isinstance(selected, Unavailable) and self._may_leave(selected):
+            return OtherGroup()
         return selected
 
     def find_unavailable(self) -> Unavailable | None:
@@ -151,6 +162,10 @@
         is_leaving = backend.is_gone or backend.server.is_draining
         return bool(self._list_connectable(accepting)) and not is_leaving
 
+    def _may_leave(self, unavailable: Unavailable) -> bool:
+        """Check whether another group may run what this one doesn't take."""
+        return unavailable.cause not in BARRIERS and self.groups.leave()
+
     def _find_barrier(self) -> Cause | None:
         if not self._context.may_serve(self._call):
             return Cause.key_withdrawn
@@ -212,14 +227,11 @@
         self, now: float
     ) -> tuple[list[BackendState], SelectionCriteria]:
         call = self._call
-        backends = self._context.backends.list_preferred(call.service)
         excluded = call.list_tried_backends()
-        selectable = find_selectable(
-            backends,
-            excluded,
-            call.list_reached_backends(),
-            call.route.attempts,
+        selectable = self.groups.find_selectable(
+            self._context.backends.list_preferred(call.service)
         )
+        backends = self.groups.list_backends()
         if selectable is not None:
             # Only ranks that were tried may get it again.
             backends = [
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -63,7 +63,6 @@
         once they are needed.
     :param trial_from: number of attempts before it was sent as a trial.
     :param room: room of the group that it is admitted to, for streams.
-    :param avoided: names of groups that had no backend for it.
     """
 
     id: str
@@ -88,7 +87,6 @@
     identities: tuple[bytes, ...] = ()
     trial_from: int | None = None
     room: GroupRoom | None = None
-    avoided: set[str] = field(default_factory=set)
 
     def record_event(self, now: float) -> None:
         """Record that events were forwarded.
--- a/src/ospreyford/direct/gates.py
+++ b/src/ospreyford/direct/gates.py
@@ -48,6 +48,28 @@
             _update_rooms(context, service, gate)
 
 
+def update_accepting(
+    context: EntryContext, service: str, gate: StreamGate, now: float
+) -> bool:
+    """Apply which groups have backends that take requests.
+
+    :param context: shared state of the entry.
+    :param service: name of the service.
+    :param gate: its gate.
+    :param now: seconds on the monotonic clock.
+    :returns: whether any backend takes requests.
+    """
+    declarations = context.declarations
+    backends = context.backends.list_preferred(service)
+    if declarations.has_any() and not gate.rooms.is_sole():
+        accepting = declarations.list_accepting(backends, now)
+        names = context.groups.find_names(backends)
+        gate.rooms.update_declining(
+            names - context.groups.find_names(accepting)
+        )
+    return declarations.find_resume_time(backends) <= now
+
+
 async def update_group_load(
     context: EntryContext, key: GroupKey, load: GroupLoad
 ) -> None:
--- a/src/ospreyford/direct/grouprooms.py
+++ b/src/ospreyford/direct/grouprooms.py
@@ -7,7 +7,7 @@
 from ospreyford.direct.grouproom import NO_BACKENDS, NO_GROUP, GroupRoom
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from ospreyford.direct.grouproom import GroupBackends
 
@@ -57,6 +57,13 @@
         """
         return list(self._rooms.values())
 
+    def is_sole(self) -> bool:
+        """Check whether all requests go to the same group.
+
+        :returns: whether there is a single room.
+        """
+        return len(self._rooms) == 1
+
     def update_backends(
         self, groups: Mapping[str, GroupBackends], entries: int
     ) -> None:
@@ -80,16 +87,24 @@
             self._remove_unused(groups)
         for room in self._rooms.values():
             room.backends = groups.get(room.name, NO_BACKENDS)
-            if room.reported_at is None and len(self._rooms) > 1:
+            if room.reported_at is None and not self.is_sole():
                 room.limit.update_slots(room.backends.slots, entries)
 
+    def update_declining(self, names: Collection[str]) -> None:
+        """Apply which groups' backends want no requests for the moment.
+
+        :param names: names of the groups of which no backend takes requests.
+        """
+        for room in self._rooms.values():
+            room.is_accepting = room.name not in names
+
     def list_served(self) -> list[GroupRoom]:
         """List the rooms of groups with available backends.
 
         :returns: these rooms; all if there are no backends.
         """
         rooms = self.list_all()
-        if len(rooms) == 1:
+        if self.is_sole():
             return rooms
         served = [room for room in rooms if room.backends.size]
         return served or rooms
@@ -118,7 +133,7 @@
         :param room: the room of a group.
         :returns: whether another one with backends isn't closed.
         """
-        return len(self._rooms) > 1 and any(
+        return not self.is_sole() and any(
             other is not room and not other.is_closed
             for other in self.list_served()
         )
--- a/src/ospreyford/direct/migration.py
+++ b/src/ospreyford/direct/migration.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from ospreyford.direct.callgroups import CallGroups
 from ospreyford.direct.decisions import StreamMoved
 from ospreyford.direct.selection import find_migration_target, is_slow
 
@@ -44,9 +45,10 @@
             return False
         context = self._context
         now = time.monotonic()
-        backends = context.declarations.list_accepting(
-            context.backends.list_available(self._call.service), now
+        members = CallGroups(self._call, context).select_members(
+            context.backends.list_available(self._call.service)
         )
+        backends = context.declarations.list_accepting(members, now)
         if find_migration_target(backends, backend) is None:
             return False
         if not context.retries.spend(self._call.service):
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -8,7 +8,7 @@
 import curio
 
 from ospreyford.direct.agents import AgentLink
-from ospreyford.direct.gates import refresh_groups
+from ospreyford.direct.gates import refresh_groups, update_accepting
 from ospreyford.direct.handler import RequestHandler
 from ospreyford.direct.messages import CONTENT_TYPE, encode_problem
 from ospreyford.direct.operatorport import OperatorPort
@@ -168,10 +168,10 @@
         for service, gate in context.gates.items():
             if context.suspects.blocked_count:
                 await gate.refuse_blocked(context.suspects.is_blocked)
-            resume_at = context.declarations.find_resume_time(
-                context.backends.list_preferred(service)
+            is_accepting = update_accepting(
+                context, service, gate, time.monotonic()
             )
-            await gate.process_queue(is_accepting=resume_at <= time.monotonic())
+            await gate.process_queue(is_accepting=is_accepting)
 
     def _log_readiness(self) -> None:
         is_ready = self._context.is_ready()
--- a/src/ospreyford/direct/rankgroups.py
+++ b/src/ospreyford/direct/rankgroups.py
@@ -9,7 +9,7 @@
 from ospreyford.direct.grouproom import NO_GROUP, GroupBackends
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from ospreyford.direct.registry import BackendRegistry, BackendState
 
@@ -48,6 +48,14 @@
         server = backend.server
         return self.view.rooms.get((server.host, server.port), NO_GROUP)
 
+    def find_names(self, backends: Iterable[BackendState]) -> set[str]:
+        """Find the groups of backends.
+
+        :param backends: backends of one service.
+        :returns: names of their groups.
+        """
+        return {self.find_name(one) for one in backends}
+
     def select_members(
         self, backends: Sequence[BackendState], name: str
     ) -> list[BackendState]:
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -12,6 +12,7 @@
 from ospreyford.direct.backendselector import (
     MAX_ATTEMPTS,
     BackendSelector,
+    OtherGroup,
     Unavailable,
 )
 from ospreyford.direct.beginnings import AnswerBeginning
@@ -115,7 +116,9 @@
         unavailable = self._selector.find_unavailable()
         if unavailable is not None:
             return self._handle_unavailable(unavailable)
-        if not await gate.acquire(self._call):
+        if not await gate.acquire(
+            self._call, self._selector.groups.list_allowed()
+        ):
             if self._suspects.is_blocked(self._call):
                 return self._make_failure(Cause.crashes_backends, BAD_GATEWAY)
             unavailable = self._selector.find_unavailable()
@@ -138,6 +141,8 @@
             selected = await self._selector.select()
             if isinstance(selected, Unavailable):
                 return self._handle_unavailable(selected)
+            if isinstance(selected, OtherGroup):
+                return None
             verdict = await self._attempt(selected)
             if verdict is None and self._gate is not None:
                 if is_known_closed(self._call, self._gate.rooms):
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -291,5 +291,5 @@
 
 def get_room(gate: StreamGate) -> GroupRoom:
     """Return the room of a gate with a single group."""
-    (room,) = gate.rooms.list_all()
-    return room
+    assert gate.rooms.is_sole()
+    return gate.rooms.list_all()[0]
--- a/tests/direct/test_agents.py
+++ b/tests/direct/test_agents.py
@@ -12,11 +12,11 @@
 from ospreyford.direct.agents import AgentLink
 from ospreyford.direct.catalog import Catalog, Engine, Service
 from ospreyford.direct.context import EntryContext
-from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.coordinators import (
     COORDINATOR_TIMEOUT_SECONDS,
     HELLO_INTERVAL_SECONDS,
 )
+from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.gates import refresh_groups
 from ospreyford.direct.hello import (
     HELLO_FANOUT,
