Entries: count entries by replies of agents of no known group; tests of directory and choice

Found by tests/platform/test_limits.py (test_excess_is_rejected_and_the_limit_used): 22 of at least 60 requests served, since replies without a group's name didn't count.

--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -20,7 +20,6 @@
 from ospreyford.rebalance.entrymessages import (
     UNKNOWN_REQUESTS,
     GroupStatus,
-    Hello,
     HelloReply,
     ImpairedRank,
     RankDetails,
@@ -77,15 +76,15 @@
     async def _handle_load(self, load: HelloReply, address: Address) -> None:
         self._record_told_state(load)
         self._context.limits.shares.record_position(load.position, load.entries)
-        self._context.groups.directory.record_name(
-            (load.host, load.port), load.group
-        )
-        hello = self._find_hello(load)
-        if hello is None:
+        directory = self._context.groups.directory
+        backend = load.host, load.port
+        directory.record_name(backend, load.group)
+        key = directory.find(backend)
+        if key is None:
             return
-        if load.needs_members:
+        hello = self.hello_sender.hellos.get(key)
+        if load.needs_members and hello and backend in (hello.members or ()):
             await self._transport.send(hello, address)
-        key = GroupKey(hello.service, hello.group)
         silence = self.hello_sender.coordinators.compute_silence(key)
         if silence > HELLO_INTERVAL_SECONDS:
             # While a coordinator reports, other agents hear from few entries.
@@ -102,15 +101,6 @@
             )
         context.is_informed = True
 
-    def _find_hello(self, load: HelloReply) -> Hello | None:
-        """Find the hello that lists the members of a backend's own group."""
-        address = load.host, load.port
-        key = self._context.groups.directory.find(address)
-        hello = None if key is None else self.hello_sender.hellos.get(key)
-        if hello is None or address not in (hello.members or ()):
-            return None
-        return hello
-
     async def _handle_group_news(
         self, news: GroupStatus, address: Address
     ) -> None:
