--- a/tests/direct/test_agents.py
+++ b/tests/direct/test_agents.py
@@ -35,12 +35,15 @@
     RankDetails,
 )
 from ospreyford.rebalance.groupkey import GroupKey
-from ospreyford.rebalance.messages import decode
+from ospreyford.rebalance.messages import decode, encode
 from tests.direct.backends import DIALECT, SETTINGS, RecordingLog
 
 RANKS = 129
 ENGINE = Engine(3, 16, 258, 3, 2, 0.01, 0.01)
 GROUP = GroupKey('s', 'g')
+ONE = {GROUP.name: range(RANKS)}
+#: Of a hello without a list; the headers of the datagram are 28 more.
+MAX_HELLO_BYTES = 100
 COORDINATOR = ('10.0.0.7', SETTINGS.agent_port)
 
 
@@ -60,7 +63,11 @@
 class Entry:
     """An entry with a group of many ranks and its own clock."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        groups: dict[str, range] = ONE,
+    ) -> None:
         self.now = 1000.0
         monkeypatch.setattr(time, 'monotonic', lambda: self.now)
         lines = RecordingLog()
@@ -85,10 +92,11 @@
                 )
             )
         refresh_groups(self.context)
-        for rank in range(RANKS):
-            self.context.groups.directory.record_name(
-                (f'10.0.0.{rank}', 80), GROUP.name
-            )
+        for name, ranks in groups.items():
+            for rank in ranks:
+                self.context.groups.directory.record_name(
+                    (f'10.0.0.{rank}', 80), name
+                )
         refresh_groups(self.context)
         self.link = AgentLink(self.context)
         self.post = Post()
@@ -106,6 +114,13 @@
             self.now += 0.1
         return len(self.post.sent)
 
+    def report_all(self, groups: dict[str, range]) -> None:
+        """Let the first rank of each group report."""
+        for name, ranks in groups.items():
+            tag = GroupKey('s', name).compute_tag()
+            address = (f'10.0.0.{ranks[0]}', SETTINGS.agent_port)
+            curio.run(self.link.handle_message, make_report(tag=tag), address)
+
     def receive(self, message: Any) -> None:
         curio.run(self.link.handle_message, message, COORDINATOR)
 
@@ -272,3 +287,92 @@
     entry.receive(HelloReply('10.0.0.8', 80, 9, 3, True, position=0))
     share = entry.context.limits.shares.get_share(entry.now)
     assert share == (35, 7 / 35)
+
+
+def test_entries_are_counted_by_agents_of_no_known_group(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Replicas that form no group would get the part of too many entries."""
+    entry = Entry(monkeypatch, groups={})
+    entry.receive(make_reply())
+    assert entry.context.count_entries() == 35
+    entry.receive(HelloReply('10.9.0.7', 80, 9, 70, True))
+    assert entry.context.count_entries() == 35
+
+
+TWO = {'g': range(86), 'h': range(86, RANKS)}
+G, H = (GroupKey('s', name) for name in TWO)
+
+
+def test_coordinators_of_two_groups_are_heard(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A group whose coordinator has a lower token must not go unheard."""
+    entry = Entry(monkeypatch, groups=TWO)
+    coordinators = entry.link.hello_sender.coordinators
+    other = ('10.0.0.90', SETTINGS.agent_port)
+    entry.receive(make_report(tag=G.compute_tag(), token=9))
+    curio.run(
+        entry.link.handle_message,
+        make_report(tag=H.compute_tag(), token=4),
+        other,
+    )
+    entry.receive(make_report(tag=G.compute_tag(), token=8))
+    entry.receive(make_report(tag=7, token=99))
+    assert [coordinators.find(key) for key in (G, H)] == [COORDINATOR, other]
+    entry.count_hellos(0.1, with_reports=False)
+    groups = {address: hello.group for hello, address in entry.post.sent}
+    assert (groups[COORDINATOR], groups[other]) == ('g', 'h')
+
+
+def test_an_agent_gets_the_members_of_its_group(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A list with ranks of another group would let it give them orders."""
+    entry = Entry(monkeypatch, groups={'g': range(86), 'h': range(86, 100)})
+    entry.count_hellos(0.1, with_reports=False)
+    for name, host in (('g', '10.0.0.7'), ('', '10.0.0.110')):
+        entry.post.sent.clear()
+        entry.receive(
+            HelloReply(host, 80, 9, 35, True, needs_members=True, group=name)
+        )
+        members = [len(hello.members) for hello, _ in entry.post.sent]
+        assert members == ([86] if name else [])
+    # The unassigned one tells its group, and is listed there with the next.
+    entry.receive(HelloReply('10.0.0.110', 80, 9, 35, True, group='h'))
+    entry.now += 0.2
+    entry.count_hellos(0.1, with_reports=False)
+    hello = entry.link.hello_sender.hellos[H]
+    assert len(hello.members or ()) == 15
+    assert ('10.0.0.110', 80) not in hello.unassigned
+
+
+#: Groups, hellos a second while their coordinators report, and the longest time
+#: without one to a coordinator.
+RATES = ((1, 10, 0.6), (2, 12, 0.6), (37, 45, 1.1))
+
+
+@pytest.mark.parametrize(('groups', 'rate', 'longest'), RATES)
+def test_hellos_grow_less_than_groups(
+    monkeypatch: pytest.MonkeyPatch, groups: int, rate: float, longest: float
+) -> None:
+    """Agents forget an entry that they don't hear of for three seconds."""
+    names = {
+        f'g{number}': range(number, RANKS, groups) for number in range(groups)
+    }
+    entry = Entry(monkeypatch, groups=names)
+    entry.report_all(names)
+    entry.count_hellos(1, with_reports=False)
+    sent: list[float] = []
+    for _ in range(100):
+        entry.report_all(names)
+        sent.extend([entry.now] * entry.count_hellos(0.1, with_reports=False))
+    assert len(sent) / 10 <= rate
+    times = sorted(set(sent))
+    gaps = [
+        after - before for before, after in zip(times, times[1:], strict=False)
+    ]
+    assert max(gaps) <= longest + 0.01
+    assert all(
+        len(encode(hello)) <= MAX_HELLO_BYTES for hello, _ in entry.post.sent
+    )
--- a/tests/direct/test_gate.py
+++ b/tests/direct/test_gate.py
@@ -18,7 +18,8 @@
 from tests.direct import backends as be
 from tests.direct.backends import get_room
 
-ROUTE = be.make_route(RetryMode.resumable, streams=True, max_gap=0.12)
+MAX_GAP = 0.12
+ROUTE = be.make_route(RetryMode.resumable, streams=True, max_gap=MAX_GAP)
 #: A group whose passes are too long for another stream.
 FULL = GroupLoad(40, 0, 0.3, 0.018)
 EMPTY = GroupLoad(0, 0, 0, 0.018)
