--- a/src/ospreyford/console/beliefs.py
+++ b/src/ospreyford/console/beliefs.py
@@ -20,6 +20,7 @@
     StoreRegained,
 )
 from ospreyford.direct.restoredecisions import StoreRestored, StoreSettled
+from ospreyford.direct.roomdecisions import RoomClosed, RoomOpened
 from ospreyford.observability.events import (
     BackendEjected,
     BackendReturned,
@@ -74,6 +75,9 @@
 PROCESS: Final = Subject('process')
 CATALOG: Final = Subject('catalog')
 BACKEND: Final = Subject('backend', ('backend',))
+#: Field that names a group.
+GROUP: Final = ('group',)
+ROOM: Final = Subject('room', ('service', *GROUP))
 #: A later line about one thing replaces the earlier one.
 SUBJECTS: Final[Mapping[str, Subject]] = MappingProxyType(
     {
@@ -87,6 +91,8 @@
             (BackendEjected, Subject('ejection', ('backend',))),
             (BackendReturned, Subject('ejection', ('backend',))),
             (RegistrationRefused, Subject('registration', ('backend',))),
+            (RoomClosed, ROOM),
+            (RoomOpened, ROOM),
             (StoreLost, STORE),
             (StoreRegained, STORE),
             (StoreRestored, RESTORE),
@@ -99,11 +105,11 @@
             (Draining, PROCESS),
             (Stopped, PROCESS),
             (MemberChanged, Subject('member', ('member',))),
-            (ExpertMapInForce, Subject('map', ('group',))),
-            (GroupHalted, Subject('map', ('group',))),
-            (MapChanged, Subject('map', ('group',))),
-            (GroupSettled, Subject('settling', ('group',))),
-            (CoordinatorChanged, Subject('coordinator', ('group',))),
+            (ExpertMapInForce, Subject('map', GROUP)),
+            (GroupHalted, Subject('map', GROUP)),
+            (MapChanged, Subject('map', GROUP)),
+            (GroupSettled, Subject('settling', GROUP)),
+            (CoordinatorChanged, Subject('coordinator', GROUP)),
             (RankChanged, Subject('rank', ('group', 'rank'))),
             (SettingsReloaded, Subject('settings')),
             (SettingsRefused, Subject('refused settings')),
--- a/src/ospreyford/console/refusals.py
+++ b/src/ospreyford/console/refusals.py
@@ -23,6 +23,7 @@
     :param at: when, in ISO 8601, UTC.
     :param entry: that refused it.
     :param request_id: its id.
+    :param group: with the most places left at that entry.
     :param waited_ms: how long it had waited there.
     :param age_ms: of the group's figures behind the refusal; -1 without any.
     :param pass_ms: mean time of the group's passes by these figures.
@@ -37,6 +38,7 @@
     at: str
     entry: str
     request_id: str
+    group: str
     waited_ms: int
     age_ms: int
     pass_ms: int
@@ -104,6 +106,7 @@
         ),
         entry=refused.line.host,
         request_id=str(fields.get('request_id', '')),
+        group=gate.get('group', ''),
         waited_ms=fields.get('took_ms', 0),
         age_ms=gate.get('age_ms', -1),
         pass_ms=gate.get('pass_ms', 0),
@@ -111,23 +114,27 @@
         easy=gate.get('easy', 0),
         full=gate.get('full', 0),
         free_elsewhere=round(sum(map(_count_free, others)), 1),
-        entries=len(others),
+        entries=len({one.line.host for one in others}),
     )
 
 
 def _list_others(
     refused: _Decision, decisions: list[_Decision]
 ) -> list[_Decision]:
-    """List the newest decision of each other entry near a refusal."""
+    """List the newest decisions near a refusal.
+
+    :returns: one for each other entry and group.
+    """
     service = refused.line.fields.get('service')
-    nearest: dict[str, _Decision] = {}
+    nearest: dict[tuple[str, str], _Decision] = {}
     for one in decisions:
         host = one.line.host
         is_other = host != refused.line.host
         is_near = abs(one.at - refused.at) <= WINDOW_SECONDS
         if is_other and is_near and one.line.fields.get('service') == service:
-            known = nearest.get(host, one)
-            nearest[host] = max(known, one, key=lambda decision: decision.at)
+            place = host, str(one.gate.get('group', ''))
+            known = nearest.get(place, one)
+            nearest[place] = max(known, one, key=lambda decision: decision.at)
     return list(nearest.values())
 
 
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -75,10 +75,10 @@
             self.header_names, self.settings.name, self.log
         )
         self.limits = self.declarations.limits
+        self.gates: dict[str, StreamGate] = {}
         self.metrics = EntryMetrics()
         serve_tallies(self)
         self.started_at = time.monotonic()
-        self.gates: dict[str, StreamGate] = {}
         self.retry_detector = RetryDetector()
         self.resources = RequestResources(
             self.pool, self.header_names, self.declarations
--- a/src/ospreyford/direct/gates.py
+++ b/src/ospreyford/direct/gates.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from ospreyford.direct.gate import StreamGate
+from ospreyford.direct.roomreports import log_rooms
 
 if TYPE_CHECKING:
     from ospreyford.direct.admission import GroupLoad
@@ -48,26 +50,17 @@
             _update_rooms(context, service, gate)
 
 
-def update_accepting(
-    context: EntryContext, service: str, gate: StreamGate, now: float
-) -> bool:
-    """Apply which groups have backends that take requests.
+async def process_queues(context: EntryContext) -> None:
+    """Admit and refuse queued requests as time passes.
 
     :param context: shared state of the entry.
-    :param service: name of the service.
-    :param gate: its gate.
-    :param now: seconds on the monotonic clock.
-    :returns: whether any backend takes requests.
     """
-    declarations = context.declarations
-    backends = context.backends.list_preferred(service)
-    if declarations.has_any() and not gate.rooms.is_sole():
-        accepting = declarations.list_accepting(backends, now)
-        names = context.groups.find_names(backends)
-        gate.rooms.update_declining(
-            names - context.groups.find_names(accepting)
-        )
-    return declarations.find_resume_time(backends) <= now
+    for service, gate in context.gates.items():
+        if context.suspects.blocked_count:
+            await gate.refuse_blocked(context.suspects.is_blocked)
+        is_accepting = _update_accepting(context, service, gate)
+        await gate.process_queue(is_accepting=is_accepting)
+        log_rooms(service, gate, context.log)
 
 
 async def update_group_load(
@@ -100,3 +93,20 @@
     gate.rooms.update_backends(
         context.groups.list_backends(service, zone), context.count_entries()
     )
+
+
+def _update_accepting(
+    context: EntryContext, service: str, gate: StreamGate
+) -> bool:
+    """Apply which groups have backends that take requests.
+
+    :returns: whether any backend of the service does.
+    """
+    now = time.monotonic()
+    declarations = context.declarations
+    backends = context.backends.list_preferred(service)
+    if not gate.rooms.is_sole():
+        accepting = declarations.list_accepting(backends, now)
+        names = context.groups.find_names
+        gate.rooms.update_declining(names(backends) - names(accepting))
+    return declarations.find_resume_time(backends) <= now
--- a/src/ospreyford/direct/grouproom.py
+++ b/src/ospreyford/direct/grouproom.py
@@ -71,6 +71,7 @@
         self.reported_at: float | None = None
         self._closed_epoch = NO_EPOCH
         self._paused_until: float = 0
+        self._was_closed = False
 
     @property
     def first_event(self) -> float:
@@ -152,6 +153,15 @@
             # would wait 0.2 to 0.6 s more for it.
             self.is_closed = False
 
+    def take_change(self) -> bool:
+        """Check whether the group has closed or opened.
+
+        :returns: whether it has since the last call.
+        """
+        has_changed = self.is_closed is not self._was_closed
+        self._was_closed = self.is_closed
+        return has_changed
+
     def make_view(self, waiting: int, *, is_repeat: bool) -> GateView:
         """Collect the inputs of a decision.
 
--- a/src/ospreyford/direct/metrics.py
+++ b/src/ospreyford/direct/metrics.py
@@ -12,6 +12,7 @@
     generate_latest,
 )
 
+from ospreyford.direct.roomreports import RoomCollector
 from ospreyford.observability.tallies import serve_tally
 
 if TYPE_CHECKING:
@@ -130,5 +131,6 @@
         ),
     )
     registry = context.metrics.registry
+    registry.register(RoomCollector(context.gates))
     for name, text, owner, attribute in tallies:
         serve_tally(registry, f'ospreyford_{name}', text, owner, attribute)
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
 
 from ospreyford.direct.agents import AgentLink
-from ospreyford.direct.gates import refresh_groups, update_accepting
+from ospreyford.direct.gates import process_queues, refresh_groups
 from ospreyford.direct.handler import RequestHandler
 from ospreyford.direct.messages import CONTENT_TYPE, encode_problem
 from ospreyford.direct.operatorport import OperatorPort
@@ -160,19 +159,9 @@
             await self.updater.remove_expired()
             self._context.declarations.forget_ended(self._context.backends)
             refresh_groups(self._context)
-            await self._process_queues()
+            await process_queues(self._context)
             self._log_readiness()
 
-    async def _process_queues(self) -> None:
-        context = self._context
-        for service, gate in context.gates.items():
-            if context.suspects.blocked_count:
-                await gate.refuse_blocked(context.suspects.is_blocked)
-            is_accepting = update_accepting(
-                context, service, gate, time.monotonic()
-            )
-            await gate.process_queue(is_accepting=is_accepting)
-
     def _log_readiness(self) -> None:
         is_ready = self._context.is_ready()
         if is_ready is self._was_ready:
--- a/tests/console/test_refusals.py
+++ b/tests/console/test_refusals.py
@@ -98,6 +98,16 @@
     assert (refusal.free_elsewhere, refusal.entries) == (1.5, 1)
 
 
+def test_each_group_of_an_entry_counts() -> None:
+    """A service may have several groups, each with places of its own."""
+    lines = [make_line(10, 'e1', REFUSED)]
+    for group, running in (('g', 1), ('h', 4)):
+        gate = make_gate(running, 5.5) | {'group': group}
+        lines.append(make_line(11.9, 'e2', replace(ADMITTED, gate=gate)))
+    refusal = find_refusal(lines)
+    assert (refusal.free_elsewhere, refusal.entries) == (6, 1)
+
+
 def test_the_entry_itself_and_other_services_do_not_count() -> None:
     lines = (
         make_line(10, 'e1', REFUSED),
