--- a/src/ospreyford/direct/hello.py
+++ b/src/ospreyford/direct/hello.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ospreyford.direct.catalog import Engine
+    from ospreyford.direct.catalog import Catalog, Engine
     from ospreyford.direct.context import EntryContext
     from ospreyford.rebalance.datagrams import DatagramSocket
     from ospreyford.rebalance.entrymessages import Address
@@ -33,6 +33,8 @@
 STARTUP_HELLO_INTERVAL_SECONDS = 0.1
 #: Agents, besides the coordinators, that receive each hello in rotation.
 HELLO_FANOUT = 4
+#: Of these, agents of no known group, which tell it in their reply.
+UNASSIGNED_FANOUT = 2
 #: Rate limit of an entry that sends hellos to all agents.
 MAX_HELLOS_PER_SECOND = 500
 
@@ -80,7 +82,7 @@
         self.coordinators = KnownCoordinators()
         self.hellos: dict[GroupKey, Hello] = {}
         self._schedules: dict[str, _HelloSchedule] = {}
-        self._next_agent: dict[str, int] = {}
+        self._next_agent: dict[str | GroupKey, int] = {}
 
     async def send_due(self) -> None:
         """Send the hellos that are due."""
@@ -174,7 +176,7 @@
         contents = (
             view.list_members(key) if key.name else (),
             engine,
-            self._find_max_gap(key.service),
+            find_max_gap(context.catalog, key.service),
         )
         unassigned = view.list_members(GroupKey(key.service, NO_GROUP))
         digested = repr((*contents, unassigned)).encode()
@@ -234,26 +236,48 @@
         return coordinators
 
     def _select_agents(self, service: str) -> list[tuple[Address, GroupKey]]:
-        agents = self._list_agents(self._list_keys(service))
+        """Select agents in rotation; those of no known group come earlier."""
+        keys = self._list_keys(service)
+        unassigned = self._list_agents(key for key in keys if not key.name)
+        fanout = UNASSIGNED_FANOUT if unassigned else 0
+        return [
+            *self._rotate(GroupKey(service, NO_GROUP), unassigned, fanout),
+            *self._rotate(
+                service, self._list_agents(keys), HELLO_FANOUT - fanout
+            ),
+        ]
+
+    def _rotate(
+        self,
+        turn: str | GroupKey,
+        agents: list[tuple[Address, GroupKey]],
+        fanout: int,
+    ) -> list[tuple[Address, GroupKey]]:
+        if not agents:
+            return []
         # A random start keeps entries from picking the same agents.
-        count = max(len(agents), 1)
         first = self._next_agent.get(
-            service, self._context.random.randrange(count)
+            turn, self._context.random.randrange(len(agents))
         )
-        first %= count
-        self._next_agent[service] = first + HELLO_FANOUT
-        return (agents + agents)[first : first + HELLO_FANOUT]
+        first %= len(agents)
+        self._next_agent[turn] = first + fanout
+        return (agents + agents)[first : first + fanout]
 
-    def _find_max_gap(self, service: str) -> float:
-        catalog = self._context.catalog
-        if catalog is None:
-            return 0
-        gaps = [
-            route.max_gap
-            for route in chain.from_iterable(catalog.routes.values())
-            if route.max_gap > 0 and route.splits[0].service == service
-        ]
-        return min(gaps, default=0)
+
+def find_max_gap(catalog: Catalog | None, service: str) -> float:
+    """Find the shortest of the longest gaps that a service's routes allow.
+
+    :param catalog: the catalog in force.
+    :param service: name of the service.
+    :returns: seconds; 0 if none is published.
+    """
+    routes = catalog.routes.values() if catalog else ()
+    gaps = [
+        route.max_gap
+        for route in chain.from_iterable(routes)
+        if route.max_gap > 0 and route.splits[0].service == service
+    ]
+    return min(gaps, default=0)
 
 
 def _shorten(hello: Hello) -> Hello:
--- a/tests/direct/test_agents.py
+++ b/tests/direct/test_agents.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Mapping
 from random import Random
+from types import MappingProxyType
 from typing import Any
 
 import curio
@@ -41,7 +43,7 @@
 RANKS = 129
 ENGINE = Engine(3, 16, 258, 3, 2, 0.01, 0.01)
 GROUP = GroupKey('s', 'g')
-ONE = {GROUP.name: range(RANKS)}
+ONE = MappingProxyType({GROUP.name: range(RANKS)})
 #: Of a hello without a list; the headers of the datagram are 28 more.
 MAX_HELLO_BYTES = 100
 COORDINATOR = ('10.0.0.7', SETTINGS.agent_port)
@@ -66,7 +68,7 @@
     def __init__(
         self,
         monkeypatch: pytest.MonkeyPatch,
-        groups: dict[str, range] = ONE,
+        groups: Mapping[str, range] = ONE,
     ) -> None:
         self.now = 1000.0
         monkeypatch.setattr(time, 'monotonic', lambda: self.now)
@@ -114,7 +116,7 @@
             self.now += 0.1
         return len(self.post.sent)
 
-    def report_all(self, groups: dict[str, range]) -> None:
+    def report_all(self, groups: Mapping[str, range]) -> None:
         """Let the first rank of each group report."""
         for name, ranks in groups.items():
             tag = GroupKey('s', name).compute_tag()
@@ -300,7 +302,7 @@
     assert entry.context.count_entries() == 35
 
 
-TWO = {'g': range(86), 'h': range(86, RANKS)}
+TWO = MappingProxyType({'g': range(86), 'h': range(86, RANKS)})
 G, H = (GroupKey('s', name) for name in TWO)
 
 
@@ -337,7 +339,7 @@
             HelloReply(host, 80, 9, 35, True, needs_members=True, group=name)
         )
         members = [len(hello.members) for hello, _ in entry.post.sent]
-        assert members == ([86] if name else [])
+        assert members == [86] * bool(name)
     # The unassigned one tells its group, and is listed there with the next.
     entry.receive(HelloReply('10.0.0.110', 80, 9, 35, True, group='h'))
     entry.now += 0.2
@@ -347,6 +349,25 @@
     assert ('10.0.0.110', 80) not in hello.unassigned
 
 
+def test_agents_of_no_known_group_are_asked_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A new rank's coordinator would learn of it with the last rotation."""
+    entry = Entry(monkeypatch, groups={'g': range(86), 'h': range(86, 128)})
+    groups = {'g': range(7, 8), 'h': range(90, 91)}
+    for _ in range(10):
+        entry.report_all(groups)
+        entry.count_hellos(0.1, with_reports=False)
+    entry.post.sent.clear()
+    for _ in range(6):
+        entry.report_all(groups)
+        curio.run(entry.link.hello_sender.send_due)
+        entry.now += 0.1
+    receivers = [address for _, address in entry.post.sent]
+    assert ('10.0.0.128', SETTINGS.agent_port) in receivers
+    assert len(receivers) <= 2 * (HELLO_FANOUT + len(groups))
+
+
 #: Groups, hellos a second while their coordinators report, and the longest time
 #: without one to a coordinator.
 RATES = ((1, 10, 0.6), (2, 12, 0.6), (37, 45, 1.1))
--- a/tests/direct/test_groupdirectory.py
+++ b/tests/direct/test_groupdirectory.py
@@ -2,16 +2,31 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import NamedTuple
+
 import pytest
 
 from ospreyford.direct.groupdirectory import GroupDirectory
 from ospreyford.direct.registry import BackendServer
+from ospreyford.rebalance.entrymessages import Address
 from ospreyford.rebalance.groupkey import GroupKey
 
+#: What is told of an address, or of hosts by a coordinator.
+Told = tuple[tuple[Address | frozenset[str], str], ...]
+Registered = tuple[tuple[Address, str], ...]
+
 A, B, C = (('10.0.0.1', 80), ('10.0.0.2', 80), ('10.0.0.3', 80))
+AB = ((A, 's'), (B, 's'))
+ABC = (*AB, (C, 's'))
+TWO = ((A, 'g'), (B, 'h'))
+RENAMED = ((A, 'g'), (B, 'g'), (A, ''), (B, 'h'))
+NAMED = MappingProxyType({'g': (A, C), 'h': (B,)})
+SPLIT = MappingProxyType({'g': (A,), 'h': (B,)})
 
 
-def register(*places: tuple[tuple[str, int], str]) -> list[BackendServer]:
+def register(*places: tuple[Address, str]) -> list[BackendServer]:
     """Register addresses for services, the later ones with a newer revision."""
     return [
         BackendServer(
@@ -21,70 +36,63 @@
     ]
 
 
-#: Registrations, what is told in turn (by agents, or with a set of hosts by a
-#: coordinator), then the groups, and the rooms.
+#: Ranks that a coordinator names.
+RANKS = frozenset(('10.0.0.2', '10.0.0.3'))
+
+
+class Case(NamedTuple):
+    """What is registered and told in turn, then the groups, and the rooms.
+
+    A letter names the room of each address; a hyphen stands for no group.
+    """
+
+    registered: Registered
+    told: Told
+    groups: Mapping[str, tuple[Address, ...]]
+    rooms: str
+
+
 CASES = (
     # Nothing is known.
-    (((A, 's'), (B, 's')), (), {'': (A, B)}, ('', '')),
+    Case(AB, (), {'': (A, B)}, '--'),
     # The only group counts what is unknown.
-    (((A, 's'), (B, 's')), ((A, 'g'),), {'g': (A,), '': (B,)}, ('g', 'g')),
+    Case(AB, TWO[:1], {'g': (A,), '': (B,)}, 'gg'),
     # With two groups it is on its own.
-    (
-        ((A, 's'), (B, 's'), (C, 's')),
-        ((A, 'g'), (B, 'h')),
-        {'g': (A,), 'h': (B,), '': (C,)},
-        ('g', 'h', ''),
-    ),
+    Case(ABC, TWO, {**SPLIT, '': (C,)}, 'gh-'),
     # An empty name is no news, another one is.
-    (
-        ((A, 's'), (B, 's')),
-        ((A, 'g'), (B, 'g'), (A, ''), (B, 'h')),
-        {'g': (A,), 'h': (B,)},
-        ('g', 'h'),
-    ),
+    Case(AB, RENAMED, SPLIT, 'gh'),
     # A coordinator names its ranks, but agents know better.
-    (
-        ((A, 's'), (B, 's'), (C, 's')),
-        ((A, 'g'), (B, 'h'), ({'10.0.0.2', '10.0.0.3'}, 'g')),
-        {'g': (A, C), 'h': (B,)},
-        ('g', 'h', 'g'),
-    ),
+    Case(ABC, (*TWO, (RANKS, 'g')), NAMED, 'ghg'),
     # What isn't registered has no group.
-    (((A, 's'),), ((B, 'g'),), {'': (A,)}, ('',)),
+    Case(((A, 's'),), ((B, 'g'),), {'': (A,)}, '-'),
     # The newest registration tells the service.
-    (((A, 's'), (B, 's'), (A, 't')), ((A, 'g'), (B, 'g')), {'g': (B,)}, ('g',)),
+    Case((*AB, (A, 't')), RENAMED[:2], {'g': (B,)}, 'g'),
 )
 
 
-def tell(
-    directory: GroupDirectory, told: tuple[tuple[object, str], ...]
-) -> None:
+def tell(directory: GroupDirectory, told: Told) -> None:
     for about, name in told:
-        if isinstance(about, set):
+        if isinstance(about, frozenset):
             directory.record_ranks(GroupKey('s', name), about)
-        elif isinstance(about, tuple):
+        else:
             directory.record_name(about, name)
 
 
-@pytest.mark.parametrize(('registered', 'told', 'groups', 'rooms'), CASES)
-def test_groups_are_joined_with_registrations(
-    registered: tuple[tuple[tuple[str, int], str], ...],
-    told: tuple[tuple[object, str], ...],
-    groups: dict[str, tuple[tuple[str, int], ...]],
-    rooms: tuple[str, ...],
-) -> None:
+@pytest.mark.parametrize('case', CASES)
+def test_groups_are_joined_with_registrations(case: Case) -> None:
     directory = GroupDirectory()
-    directory.update_registered(register(*registered))
-    tell(directory, told)
+    directory.update_registered(register(*case.registered))
+    tell(directory, case.told)
     view = directory.make_view()
     found = {
         key.name: members
         for key, members in view.members.items()
         if key.service == 's'
     }
-    assert found == groups
-    places = sorted(place for members in groups.values() for place in members)
-    assert tuple(view.rooms[place] for place in places) == rooms
+    assert found == case.groups
+    places = sorted(place for members in found.values() for place in members)
+    rooms = ''.join(view.rooms[place] or '-' for place in places)
+    assert rooms == case.rooms
     for key in view.list_groups('s'):
         assert view.tags[key.compute_tag()] == key
 
--- a/tests/direct/test_groupreplay.py
+++ b/tests/direct/test_groupreplay.py
@@ -6,6 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
+from types import MappingProxyType
 
 import curio
 import pytest
@@ -29,8 +30,8 @@
 PASSES = 22
 #: Additional pass time per stream of the groups, in seconds: the smaller one
 #: has half the ranks.
-COSTS = {'big': 0.0012, 'small': 0.0024}
-SLOTS = {'big': 40, 'small': 20}
+COSTS = MappingProxyType({'big': 0.0012, 'small': 0.0024})
+SLOTS = MappingProxyType({'big': 40, 'small': 20})
 #: Streams per second: 1.2 times what both groups run within their limits.
 REGULAR_PASS = 0.47 * MAX_GAP
 ROOM = sum((REGULAR_PASS - BASE) / cost for cost in COSTS.values())
--- a/tests/direct/test_grouprooms.py
+++ b/tests/direct/test_grouprooms.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from random import Random
+from types import MappingProxyType
 from typing import NamedTuple
 
 import curio
@@ -32,44 +34,48 @@
 class Case(NamedTuple):
     """Groups with their reports in turn, and the streams admitted to each."""
 
-    groups: dict[str, GroupBackends]
+    groups: Mapping[str, GroupBackends]
     reports: tuple[tuple[str, GroupLoad], ...]
     admitted: dict[str, int]
     retry_after: float = BUSY_RETRY_AFTER_SECONDS
 
 
-TWO = {'big': BIG, 'small': SMALL}
-CASES = {
-    'one': Case({'big': BIG}, (('big', OPEN),), {'big': 40}),
-    'two': Case(
-        TWO, (('big', OPEN), ('small', OPEN)), {'big': 40, 'small': 20}
-    ),
-    'three': Case(
-        TWO | {'least': LEAST},
-        (('big', OPEN), ('least', OPEN)),
-        {'big': 40, 'small': 20, 'least': 5},
-    ),
-    'unassigned': Case(TWO | {'': LEAST}, (), {'big': 40, 'small': 20, '': 5}),
-    'broken': Case(TWO, (('small', OPEN), ('big', BROKEN)), {'small': 20}),
-    'formed': Case(
-        TWO, (('big', BROKEN), ('big', FORMED)), {'big': 40, 'small': 20}
-    ),
-    'stale': Case(TWO, (('big', BROKEN), ('big', OPEN)), {'small': 20}),
-    'both': Case(
-        TWO,
-        (('small', BROKEN), ('big', BROKEN)),
-        {},
-        CLOSED_RETRY_AFTER_SECONDS,
-    ),
-    'away': Case(
-        {'small': SMALL}, (('big', OPEN), ('small', OPEN)), {'small': 20}
-    ),
-    'unknown': Case(TWO, (('other', BROKEN),), {'big': 40, 'small': 20}),
-}
+TWO = MappingProxyType({'big': BIG, 'small': SMALL})
+CASES = MappingProxyType(
+    {
+        'one': Case({'big': BIG}, (('big', OPEN),), {'big': 40}),
+        'two': Case(
+            TWO, (('big', OPEN), ('small', OPEN)), {'big': 40, 'small': 20}
+        ),
+        'three': Case(
+            {**TWO, 'least': LEAST},
+            (('big', OPEN), ('least', OPEN)),
+            {'big': 40, 'small': 20, 'least': 5},
+        ),
+        'unassigned': Case(
+            {**TWO, '': LEAST}, (), {'big': 40, 'small': 20, '': 5}
+        ),
+        'broken': Case(TWO, (('small', OPEN), ('big', BROKEN)), {'small': 20}),
+        'formed': Case(
+            TWO, (('big', BROKEN), ('big', FORMED)), {'big': 40, 'small': 20}
+        ),
+        'stale': Case(TWO, (('big', BROKEN), ('big', OPEN)), {'small': 20}),
+        'both': Case(
+            TWO,
+            (('small', BROKEN), ('big', BROKEN)),
+            {},
+            CLOSED_RETRY_AFTER_SECONDS,
+        ),
+        'away': Case(
+            {'small': SMALL}, (('big', OPEN), ('small', OPEN)), {'small': 20}
+        ),
+        'unknown': Case(TWO, (('other', BROKEN),), {'big': 40, 'small': 20}),
+    }
+)
 
 
 async def make_gate(
-    groups: dict[str, GroupBackends],
+    groups: Mapping[str, GroupBackends],
     reports: tuple[tuple[str, GroupLoad], ...] = (),
 ) -> StreamGate:
     gate = StreamGate(MAX_GAP, random=Random(1))
@@ -128,7 +134,7 @@
 
 
 async def learn_groups(
-    *steps: dict[str, GroupBackends],
+    *steps: Mapping[str, GroupBackends],
 ) -> tuple[StreamGate, GroupRoom]:
     """Run a stream, learn groups in turn, and return its room."""
     gate = await make_gate({'': BIG})
--- a/tests/direct/test_roomchoice.py
+++ b/tests/direct/test_roomchoice.py
@@ -53,5 +53,5 @@
 def test_a_single_group_costs_no_draw(options: tuple[RoomOption, ...]) -> None:
     random = Random(1)
     before = random.getstate()
-    assert choose_option(options, random) == (options[0] if options else None)
+    assert choose_option(options, random) == next(iter(options), None)
     assert random.getstate() == before
