--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
 
 from ospreyford.direct.agents import AgentLink
+from ospreyford.direct.gates import process_queues, refresh_groups
 from ospreyford.direct.handler import RequestHandler
 from ospreyford.direct.messages import CONTENT_TYPE, encode_problem
 from ospreyford.direct.operatorport import OperatorPort
@@ -158,19 +158,10 @@
             await self._context.pool.close_expired()
             await self.updater.remove_expired()
             self._context.declarations.forget_ended(self._context.backends)
-            await self._process_queues()
+            refresh_groups(self._context)
+            await process_queues(self._context)
             self._log_readiness()
 
-    async def _process_queues(self) -> None:
-        context = self._context
-        for service, gate in context.gates.items():
-            if context.suspects.blocked_count:
-                await gate.refuse_blocked(context.suspects.is_blocked)
-            resume_at = context.declarations.find_resume_time(
-                context.backends.list_preferred(service)
-            )
-            await gate.process_queue(is_accepting=resume_at <= time.monotonic())
-
     def _log_readiness(self) -> None:
         is_ready = self._context.is_ready()
         if is_ready is self._was_ready:
