Stand-in of the platform's ranks takes orders, with the engine's rules

Passes of a group begin in step and wait where one is held; orders and passes that begin with two maps are recorded. Ranks can move between groups.

--- a/src/ospreyford/platform/standins/rankgroup.py
+++ b/src/ospreyford/platform/standins/rankgroup.py
@@ -1,58 +1,86 @@
-"""Stand-in of a group of ranks that stream in step and fail together."""
+"""Stand-in of a group of ranks that begin passes in step and fail together."""
 
 from __future__ import annotations
 
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
-import msgspec
-
-from ospreyford.http.errors import ConnectionLost
-from ospreyford.http.message import find_header
-from ospreyford.platform.headernames import HEADER_NAMES
-from ospreyford.platform.standins.replicas import (
-    Arrivals,
-    Replica,
-    ReplicaOptions,
+
+from ospreyford.platform.standins.enginegroup import (
+    EngineGroup,
+    InconsistentMaps,
 )
+from ospreyford.platform.standins.orders import GroupRecord
+from ospreyford.rebalance.mapdelta import build_initial_map
 
 if TYPE_CHECKING:
-    from ospreyford.http.server import Exchange
-    from ospreyford.platform.standins.storestate import StoreState
+    from ospreyford.platform.standins.rank import Rank
+    from ospreyford.rebalance.group import ExpertMap
 
-#: Counts of experts in a rank's answer; the group has one set of four.
-COUNTS: Final = (0, 0, 0, 0)
 EVENTS: Final = 5
+#: Experts chosen in a set by a request in each pass, half of them the same one.
+PICKS: Final = 8
 
 
 class GroupOptions(NamedTuple):
     """How a group behaves.
 
-    :param ranks: number of ranks.
+    :param ranks: number of ranks at its start.
     :param pass_seconds: time between two events of a stream.
     :param stall_seconds: time from a crash until the other ranks fail.
     :param form_seconds: time from the crashed rank's return to the opening.
+    :param name: of the group.
+    :param events: events of a stream.
+    :param sets: sets of experts.
+    :param experts: experts of a set.
+    :param spare: maximum experts of a set that a new map adds to a rank.
+    :param copy_seconds: time from the order to the end of the copy.
+    :param drift_passes: passes until another expert is chosen most.
     """
 
     ranks: int
     pass_seconds: float = 0.02
     stall_seconds: float = 0.4
     form_seconds: float = 0.5
+    name: str = 'g'
+    events: int = EVENTS
+    sets: int = 1
+    experts: int = 12
+    spare: int = 3
+    copy_seconds: float = 0.02
+    drift_passes: int = 60
 
 
 class RankGroup:
     """What the ranks of a group share.
 
     :param options: how it behaves.
+    :param record: receives the orders that reach its ranks.
     """
 
-    def __init__(self, options: GroupOptions) -> None:
+    def __init__(
+        self, options: GroupOptions, record: GroupRecord | None = None
+    ) -> None:
         self.options = options
-        self.epoch = 1
+        self.record = GroupRecord() if record is None else record
         self.is_open = True
         #: Times that a crash closed the group.
         self.closings = 0
+        #: Its ranks, in order.
+        self.members: list[Rank] = []
+        self.engine = EngineGroup(
+            options.ranks,
+            name=options.name,
+            first_map=build_first_map(options, options.ranks),
+            spare=options.spare,
+        )
+        self._passed = curio.Event()
+        self._is_running = False
+
+    @property
+    def epoch(self) -> int:
+        """Number of times that the group has formed."""
+        return self.engine.epoch
 
     def close(self) -> None:
         """Close the group after a crash."""
@@ -63,119 +91,69 @@
     async def open_again(self) -> None:
         """Open the group after the crashed rank is back."""
         await curio.sleep(self.options.form_seconds)
-        self.epoch += 1
-        self.is_open = True
-
-
-class Rank(Replica):
-    """One rank, as replica and as seen by its agent.
-
-    :param number: its rank in the group.
-    :param group: what the ranks share.
-    :param options: how the replica behaves.
-    :param store: the state of the store.
-    :param arrivals: receives what the replica saw.
-    """
+        self.form()
 
-    def __init__(
-        self,
-        number: int,
-        group: RankGroup,
-        options: ReplicaOptions,
-        store: StoreState,
-        arrivals: Arrivals,
-    ) -> None:
-        super().__init__(options, store, arrivals)
-        self._number = number
-        self._group = group
-        self._active = 0
-
-    async def crash(self) -> None:
-        """End at once, and close the group for all."""
-        self._group.close()
-        await super().crash()
-
-    async def come_back(self) -> None:
-        """Start again, and open the group."""
-        await super().come_back()
-        await self._group.open_again()
-
-    async def answer_probe(self, exchange: Exchange) -> bool:
-        """Answer a call of an agent.
-
-        :param exchange: the call.
-        :returns: whether it was one.
-        """
-        match exchange.request.target.partition('?')[0]:
-            case '/report':
-                await _respond_json(exchange, self._report())
-            case '/picked':
-                shown = {'step': 1, 'epoch': self._group.epoch}
-                await _respond_json(exchange, {**shown, 'Counts': COUNTS})
-            case '/order':
-                await exchange.respond(HTTPStatus.CONFLICT, b'')
-            case _:
-                return False
-        return True
-
-    async def refuse(self, exchange: Exchange) -> bool:
-        """Refuse a request while the group is closed, after a stall.
-
-        :param exchange: the request.
-        :returns: whether it was refused.
-        """
-        if self._group.is_open:
-            return False
-        await curio.sleep(self._group.options.stall_seconds)
-        await exchange.respond(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            b'',
-            ((HEADER_NAMES.refused, b'1'),),
-        )
-        return True
+    def form(self) -> None:
+        """Form the group of its members, in a new epoch."""
+        ranks = [one.engine for one in self.members]
+        self.engine.form(ranks, build_first_map(self.options, len(ranks)))
+        self.is_open = True
 
-    async def run_request(self, exchange: Exchange, request_id: bytes) -> None:
-        """Stream events while the group is open.
+    async def move(self, rank: Rank, target: RankGroup) -> None:
+        """Move a rank to another group: both form anew.
 
-        :param exchange: the request.
-        :param request_id: the caller's request id.
-        :raises ConnectionLost: the group was closed in the middle.
+        :param rank: one of this group.
+        :param target: the other group.
         """
-        group = self._group
-        options = group.options
-        epoch = group.epoch
-        last = find_header(exchange.request.headers, HEADER_NAMES.last_event)
-        await exchange.start(HTTPStatus.OK, self.sign_answer(request_id))
-        self._active += 1
+        self.is_open = False
+        target.is_open = False
+        await curio.sleep(self.options.form_seconds)
+        self.members.remove(rank)
+        target.members.append(rank)
+        rank.group = target
+        self.form()
+        target.form()
+
+    async def ensure_running(self) -> None:
+        """Begin passes from now on, while requests run."""
+        if not self._is_running:
+            self._is_running = True
+            await curio.spawn(self._run_passes, daemon=True)
+
+    async def wait_for_pass(self) -> None:
+        """Wait until the next pass is due; it may be held back."""
+        await self._passed.wait()
+
+    async def _run_passes(self) -> None:
+        while True:
+            await curio.sleep(self.options.pass_seconds)
+            if self.is_open and any(one.active for one in self.members):
+                self._begin_pass()
+            passed = self._passed
+            self._passed = curio.Event()
+            await passed.set()
+
+    def _begin_pass(self) -> None:
+        name = self.options.name
         try:
-            for event in range(int(last or 0) + 1, EVENTS + 1):
-                await curio.sleep(options.pass_seconds)
-                if not group.is_open or group.epoch != epoch:
-                    await curio.sleep(options.stall_seconds)
-                    raise ConnectionLost
-                await exchange.write(b'id: %d\ndata: x\n\n' % event)
-        finally:
-            self._active -= 1
-        await exchange.finish()
-
-    def _report(self) -> dict[str, object]:
-        group = self._group
-        return {
-            'group': {
-                'Name': 'g',
-                'epoch': group.epoch,
-                'rank': self._number,
-                'State': 'open' if group.is_open else 'broken',
-            },
-            'size': group.options.ranks,
-            'step': 1,
-            'Sequence': 0,
-            'ExpertMap': 0,
-            'Active': self._active,
-            'Queued': 0,
-            'pace': 1,
-        }
-
-
-async def _respond_json(exchange: Exchange, shown: object) -> None:
-    await exchange.respond(HTTPStatus.OK, msgspec.json.encode(shown))
+            has_begun = self.engine.begin_pass()
+        except InconsistentMaps:
+            self.record.mixed_passes.append((name, self.engine.step))
+            return
+        if has_begun:
+            favourite = self.engine.step // self.options.drift_passes
+            for rank in self.members:
+                rank.pick_experts(favourite % self.options.experts)
+            return
+        held = self.record.held_seconds
+        held[name] = held.get(name, 0) + self.options.pass_seconds
+
+
+def build_first_map(options: GroupOptions, ranks: int) -> ExpertMap:
+    """Build the map of a new epoch: experts in turn.
+
+    :param options: of the group.
+    :param ranks: number of ranks.
+    :returns: the map.
+    """
+    return build_initial_map(options.sets, options.experts, ranks)
--- a/src/ospreyford/platform/standins/replicas.py
+++ b/src/ospreyford/platform/standins/replicas.py
@@ -186,10 +186,11 @@
         """
         return False
 
-    async def answer_probe(self, exchange: Exchange) -> bool:
+    async def answer_probe(self, exchange: Exchange, body: bytes) -> bool:
         """Answer a call that is no request, if it is one.
 
         :param exchange: the call.
+        :param body: its body.
         :returns: whether it was answered.
         """
         return False
@@ -253,7 +254,7 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         body = await exchange.read_body()
-        if await self.answer_probe(exchange):
+        if await self.answer_probe(exchange, body):
             return
         headers = exchange.request.headers
         expected = find_header(headers, HEADER_NAMES.instance)
@@ -289,20 +290,6 @@
         await curio.sleep(self._options.back_seconds)
 
 
-class PlainReplica(Replica):
-    """A replica of a plain service."""
-
-    async def run_request(self, exchange: Exchange, request_id: bytes) -> None:
-        """Run a request and answer it.
-
-        :param exchange: the request.
-        :param request_id: the caller's request id.
-        """
-        await curio.sleep(self._options.work_seconds)
-        fields = self.sign_answer(request_id)
-        await exchange.respond(HTTPStatus.OK, b'answer', fields)
-
-
 async def begin_answer(
     exchange: Exchange, fields: Headers, events: int
 ) -> None:
--- a/tests/platform/drills/day.py
+++ b/tests/platform/drills/day.py
@@ -14,12 +14,10 @@
 from ospreyford.http.errors import HttpError
 from ospreyford.http.message import Request
 from ospreyford.platform.headernames import HEADER_NAMES
-from ospreyford.platform.standins.rankgroup import (
-    GroupOptions,
-    Rank,
-    RankGroup,
-)
-from ospreyford.platform.standins.replicas import PlainReplica, ReplicaOptions
+from ospreyford.platform.standins.plainreplica import PlainReplica
+from ospreyford.platform.standins.rank import Rank
+from ospreyford.platform.standins.rankgroup import GroupOptions, RankGroup
+from ospreyford.platform.standins.replicas import ReplicaOptions
 from ospreyford.platform.standins.storeserver import StoreServer
 from ospreyford.platform.standins.storestate import StoreCopy, StoreState
 from tests.fakes.loopback import next_address
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -18,14 +18,11 @@
 from ospreyford.http.server import listen, port_of
 from ospreyford.platform.feed import StoreFeed
 from ospreyford.platform.headernames import HEADER_NAMES
-from ospreyford.platform.standins.rankgroup import (
-    GroupOptions,
-    Rank,
-    RankGroup,
-)
+from ospreyford.platform.standins.plainreplica import PlainReplica
+from ospreyford.platform.standins.rank import Rank
+from ospreyford.platform.standins.rankgroup import GroupOptions, RankGroup
 from ospreyford.platform.standins.replicas import (
     Arrivals,
-    PlainReplica,
     ReplicaOptions,
 )
 from ospreyford.platform.standins.storeserver import StoreServer
--- a/tests/rebalance/test_fault_injection.py
+++ b/tests/rebalance/test_fault_injection.py
@@ -11,8 +11,9 @@
 
 import pytest
 
+from ospreyford.platform.standins.enginegroup import InconsistentMaps
 from tests.rebalance.coordinators import Simulation
-from tests.rebalance.fakegroup import FakeGroup, InconsistentMaps
+from tests.rebalance.fakegroup import FakeGroup
 
 #: Steps at which faults are injected: the first two changes.
 FAULT_STEPS = 60
--- a/tests/rebalance/test_large_group.py
+++ b/tests/rebalance/test_large_group.py
@@ -10,6 +10,7 @@
 import curio
 import pytest
 
+from ospreyford.platform.standins.enginegroup import InconsistentMaps
 from ospreyford.ports.clock import SystemClock
 from ospreyford.rebalance.broadcast import TreeBroadcast, decode_relayed
 from ospreyford.rebalance.coordinator import Change, Coordinator, Group
@@ -31,7 +32,7 @@
 from ospreyford.rebalance.ports import Reply
 from ospreyford.rebalance.ranks import GroupRanks
 from ospreyford.rebalance.versions import FENCE_AUTHOR, encode_version
-from tests.rebalance.fakegroup import FakeGroup, InconsistentMaps
+from tests.rebalance.fakegroup import FakeGroup
 from tests.rebalance.test_narrow_links import NullMetrics
 from tests.rebalance.test_tree import make_members
 
--- a/tests/rebalance/test_machine.py
+++ b/tests/rebalance/test_machine.py
@@ -14,8 +14,9 @@
     run_state_machine_as_test,
 )
 
+from ospreyford.platform.standins.enginegroup import InconsistentMaps
 from tests.rebalance.coordinators import Simulation
-from tests.rebalance.fakegroup import FakeGroup, InconsistentMaps
+from tests.rebalance.fakegroup import FakeGroup
 
 #: 0: answered; 1: unanswered and delivered late; 2: delivered, reply lost.
 DELIVERY_FAULTS = st.sampled_from((0, 0, 0, 0, 1, 2))
