--- a/src/ospreyford/rebalance/groupsocket.py
+++ b/src/ospreyford/rebalance/groupsocket.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from ospreyford.rebalance.messages import MemberMessage, add_group, encode
+from ospreyford.rebalance.groupprefix import add_group
+from ospreyford.rebalance.messages import MemberMessage, encode
 
 if TYPE_CHECKING:
     from ospreyford.rebalance.datagrams import Address, DatagramSocket
@@ -18,11 +19,14 @@
 
     :param datagram_socket: the process's socket.
     :param key: the group.
+
+    ``link_bytes`` is the bandwidth of the host's link, in bytes per second.
     """
 
     def __init__(self, datagram_socket: DatagramSocket, key: GroupKey) -> None:
         self._datagram_socket = datagram_socket
         self._tag = key.compute_tag()
+        self.link_bytes = datagram_socket.link_bytes
 
     async def send(self, message: MemberMessage, address: Address) -> None:
         """Send a message without delivery guarantee.
--- a/src/ospreyford/rebalance/ranks.py
+++ b/src/ospreyford/rebalance/ranks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
 
@@ -27,13 +27,19 @@
 from ospreyford.rebalance.ordercodec import encode_map_change, encode_order
 from ospreyford.rebalance.participant import RankParticipant
 from ospreyford.rebalance.ports import Reply
+from ospreyford.rebalance.rankstates import RankStates
 from ospreyford.rebalance.remoteranks import RemoteRanks
 
 if TYPE_CHECKING:
     from ospreyford.ports.clock import Clock
     from ospreyford.rebalance.broadcast import TreeBroadcast
-    from ospreyford.rebalance.datagrams import Address, DatagramSocket
-    from ospreyford.rebalance.ports import EnginePort
+    from ospreyford.rebalance.datagrams import Address
+    from ospreyford.rebalance.groupengine import GroupEngine
+    from ospreyford.rebalance.groupsocket import GroupSocket
+    from ospreyford.rebalance.incidents import GroupIncidents
+
+#: Time for which a rank of another group is not read again.
+FOREIGN_SECONDS: Final = 3.0
 
 
 class _CachedEncoding(NamedTuple):
@@ -55,10 +61,13 @@
     :param own_rank: the rank beside this agent.
     :param own_host: IP address of this agent's host.
     :param participant: carries out orders on this agent's rank.
-    :param datagram_socket: the process's socket.
-    :param connect: returns the engine on a host, by its IP address.
+    :param datagram_socket: sends messages to the group's agents.
+    :param connect: returns the engine on a host as a member of the group, by
+        its IP address.
     :param clock: source of time.
     :param tree_broadcast: sends a message to all agents.
+
+    ``incidents`` records refused orders and foreign ranks, if set.
     """
 
     def __init__(
@@ -66,19 +75,20 @@
         own_rank: int,
         own_host: str,
         participant: RankParticipant,
-        datagram_socket: DatagramSocket,
-        connect: Callable[[str], EnginePort | None],
+        datagram_socket: GroupSocket,
+        connect: Callable[[str], GroupEngine | None],
         clock: Clock,
         tree_broadcast: TreeBroadcast,
     ) -> None:
-        self.agents: dict[int, Address] = {}
+        self._states = RankStates(own_rank)
+        self.agents = self._states.agents
         self.maps = MapCache()
         self.own_rank = own_rank
         self.own_host = own_host
+        self.incidents: GroupIncidents | None = None
         self._participant = participant
         self._remote_ranks = RemoteRanks(connect, clock)
         self._clock = clock
-        self._states: dict[int, RankState] = {}
         self._cached_encoding: _CachedEncoding | None = None
         self.failure_detector = FailureDetector(clock)
         self.order_client = OrderClient(datagram_socket, tree_broadcast, clock)
@@ -88,7 +98,7 @@
 
         :returns: states by rank.
         """
-        return self._states
+        return self._states.by_rank
 
     def record_report(self, state: RankState, agent: Address) -> None:
         """Record an agent's report.
@@ -96,23 +106,29 @@
         :param state: state of the rank beside the agent.
         :param agent: the agent's address.
         """
-        self.agents[state.rank] = agent
         self.failure_detector.record_report(agent[0])
-        self.record_state(state)
+        self._states.record_agent(state, agent)
 
     async def probe_silent_ranks(
-        self, members: Sequence[Address]
-    ) -> list[tuple[int, EnginePort]]:
+        self, members: Sequence[Address], unassigned: Sequence[Address] = ()
+    ) -> list[tuple[int, GroupEngine]]:
         """Read the states of ranks whose agents are silent.
 
         Without them, no map change could start and no held pass be released.
 
         :param members: addresses of the group's agents.
+        :param unassigned: addresses of agents that no group is known of; read
+            as well while ranks are missing.
         :returns: the ranks that responded, with their engines.
         """
+        asked = (
+            (*members, *unassigned)
+            if self._states.is_missing_any()
+            else members
+        )
         silent_agents = [
             address
-            for address in members
+            for address in asked
             if address[0] != self.own_host
             and self.failure_detector.try_probe(address[0])
         ]
@@ -129,12 +145,7 @@
 
         :param state: the state.
         """
-        known = self._states.get(state.rank)
-        if known is not None and _get_recency_key(known) > _get_recency_key(
-            state
-        ):
-            return
-        self._states[state.rank] = state
+        self._states.record(state)
 
     def record_map_switch(self, version: int) -> None:
         """Record that the armed map has become active.
@@ -143,11 +154,7 @@
 
         :param version: version of the active map.
         """
-        for rank, state in tuple(self._states.items()):
-            if state.armed is not None and state.armed.version == version:
-                self._states[rank] = state._replace(
-                    version=version, prepared=None, armed=None
-                )
+        self._states.record_map_switch(version)
 
     async def wait_for_pass(self, seconds: float) -> RankState | None:
         """Poll the rank beside this agent until a pass starts.
@@ -208,16 +215,24 @@
         state = getattr(outcome, 'state', None)
         if state is not None:
             self.record_state(state)
+        if self.incidents is not None:
+            self.incidents.record_outcome(rank, order, term, outcome)
         return outcome
 
-    async def _probe(self, address: Address) -> tuple[int, EnginePort] | None:
+    async def _probe(self, address: Address) -> tuple[int, GroupEngine] | None:
         engine = self._remote_ranks.find_engine(address[0])
-        state = None if engine is None else await engine.read_state()
-        if engine is None or state is None:
+        if engine is None:
             return None
-        self.agents[state.rank] = address
-        self.record_state(state)
-        return state.rank, engine
+        reading = await engine.read_member()
+        if reading.is_foreign:
+            self.failure_detector.postpone_probe(address[0], FOREIGN_SECONDS)
+            self._states.forget_agent(address)
+            if self.incidents is not None:
+                self.incidents.record_foreign()
+        if reading.state is None:
+            return None
+        self._states.record_agent(reading.state, address)
+        return reading.state.rank, engine
 
     async def _hold(self, rank: int, order: Hold, term: Term) -> Outcome:
         """Hold a pass at a rank directly, bypassing its agent.
@@ -226,7 +241,7 @@
         unreachable for the other agents.
         """
         agent = self.agents.get(rank)
-        known = self._states.get(rank)
+        known = self._states.by_rank.get(rank)
         engine = (
             None if agent is None else self._remote_ranks.find_engine(agent[0])
         )
@@ -265,7 +280,7 @@
     def _encode(self, rank: int, order: Order) -> tuple[EncodedOrder, ...]:
         if not isinstance(order, Prepare):
             return (encode_order(order),)
-        known = self._states.get(rank)
+        known = self._states.by_rank.get(rank)
         base_version = NO_MAP_VERSION if known is None else known.version
         cached = self._cached_encoding
         if (
@@ -277,11 +292,3 @@
             cached = _CachedEncoding(order, base_version, encodings)
             self._cached_encoding = cached
         return cached.encodings
-
-
-def _get_recency_key(state: RankState) -> tuple[int, int, int, int]:
-    """Return a key that orders the states of one rank by age.
-
-    Includes the start time, since a restarted rank's numbers begin at zero.
-    """
-    return (state.epoch, state.born_ms, state.sequence, state.step)
--- a/tests/rebalance/test_tree.py
+++ b/tests/rebalance/test_tree.py
@@ -10,10 +10,6 @@
 from ospreyford.rebalance.datagrams import DATAGRAM_HEADER_BYTES, Address
 from ospreyford.rebalance.election import HEARTBEAT_INTERVAL_SECONDS
 from ospreyford.rebalance.entrymessages import GroupStatus, RankDetails
-from ospreyford.rebalance.entryregistry import (
-    DETAILS_LINK_FRACTION,
-    STATUS_LINK_FRACTION,
-)
 from ospreyford.rebalance.loads import QuantizedLoad, quantize_sum
 from ospreyford.rebalance.messages import (
     CoordinatorHeartbeat,
@@ -29,6 +25,10 @@
     compute_state_interval,
 )
 from ospreyford.rebalance.settings import AgentSettings
+from ospreyford.rebalance.statuspublisher import (
+    DETAILS_LINK_FRACTION,
+    STATUS_LINK_FRACTION,
+)
 from ospreyford.rebalance.tree import (
     TREE_DEGREE,
     compute_depth,
@@ -102,9 +102,9 @@
 
 def measure_status_bytes(ranks: int) -> tuple[int, int]:
     details = RankDetails(1 << 31, bytes(2 for _ in range(ranks)))
-    news = GroupStatus('service', 1 << 50, True, 0.08, 3, 300, 20, ENTRY_COUNT)
+    news = GroupStatus(1 << 31, 1 << 50, True, 0.08, 3, 300, 20, ENTRY_COUNT)
     whole = GroupStatus(
-        'service', 1 << 50, True, 0.08, 3, 300, 20, ENTRY_COUNT, details
+        1 << 31, 1 << 50, True, 0.08, 3, 300, 20, ENTRY_COUNT, details
     )
     return len(encode(news)), len(encode(whole))
 
@@ -131,7 +131,7 @@
     ) * (load_bytes + DATAGRAM_HEADER_BYTES) / compute_load_interval(
         node, ranks, load_bytes
     )
-    beat = encode(CoordinatorHeartbeat('group', 1 << 50, node.datagrams, 1))
+    beat = encode(CoordinatorHeartbeat(1 << 50, node.datagrams, 1))
     passed = encode(RelayedMessage(node.datagrams, 9, 1, ranks, beat))
     sent = (
         min(ranks - 1, TREE_DEGREE)
