--- a/src/ospreyford/platform/standins/enginegroup.py
+++ b/src/ospreyford/platform/standins/enginegroup.py
@@ -33,6 +33,8 @@
     stale = 'stale'
     #: The pass has begun.
     late = 'late'
+    #: A map that the rank has, or is copying.
+    repeated = 'repeated'
     #: Does not fit the rank's state.
     unfit = 'unfit'
 
@@ -200,8 +202,10 @@
         return Verdict.accepted
 
     def _prepare(self, rank: EngineRank, order: Prepare) -> Verdict:
-        if rank.armed is not None or order.version <= rank.highest_version:
+        if rank.armed is not None or order.version < rank.highest_version:
             return Verdict.unfit
+        if order.version == rank.highest_version:
+            return Verdict.repeated
         if self.spare is not None and _count_new(rank, order) > self.spare:
             return Verdict.unfit
         rank.highest_version = order.version
--- a/tests/platform/drills/programs.py
+++ b/tests/platform/drills/programs.py
@@ -94,6 +94,11 @@
         """Address for callers."""
         return self.ip, FRONT_PORT
 
+    @property
+    def is_running(self) -> bool:
+        """Whether it was started and not killed."""
+        return self._process is not None
+
     def start(self) -> None:
         """Start the process."""
         self.starts += 1
