--- a/tests/platform/groupfleet.py
+++ b/tests/platform/groupfleet.py
@@ -31,6 +31,7 @@
 DRAIN_MS = 2000
 REVOKE_MS = 5000
 OK_STATUS = 200
+QUIET_SECONDS = 0.5
 
 
 class Call(NamedTuple):
@@ -70,6 +71,7 @@
         self._entries: list[Program] = []
         self._numbers = itertools.count()
         self._group_by_id: dict[str, str] = {}
+        self._is_over = False
 
     async def start(self, stack: ExitStack) -> None:
         """Start all, and wait until each entry serves."""
@@ -134,16 +136,21 @@
         self, interval: float, scenario: Callable[[], Awaitable[None]]
     ) -> None:
         """Run a scenario while streams begin at each entry."""
-        with ExitStack() as stack:
-            await self.start(stack)
-            for entry in range(ENTRIES):
-                await curio.spawn(
-                    self._call_often, entry, interval, daemon=True
-                )
-            await scenario()
+        try:
+            with ExitStack() as stack:
+                await self.start(stack)
+                for entry in range(ENTRIES):
+                    await curio.spawn(
+                        self._call_often, entry, interval, daemon=True
+                    )
+                await scenario()
+        finally:
+            self._is_over = True
+            # The kernel does not end while tasks start others.
+            await curio.sleep(QUIET_SECONDS)
 
     async def _call_often(self, entry: int, interval: float) -> None:
-        while True:
+        while not self._is_over:
             await curio.spawn(self._call, entry, daemon=True)
             await curio.sleep(interval)
 
