--- a/src/ospreyford/platform/standins/orders.py
+++ b/src/ospreyford/platform/standins/orders.py
@@ -55,11 +55,14 @@
 
     :param orders: orders that reached a rank.
     :param mixed_passes: group and number of each pass that began with two maps.
+    :param closings: group and time of each crash that closed one, in seconds
+        since the Unix epoch.
     :param held_seconds: by group, time for which a pass was held back.
     """
 
     orders: list[SeenOrder] = field(default_factory=list)
     mixed_passes: list[tuple[str, int]] = field(default_factory=list)
+    closings: list[tuple[str, float]] = field(default_factory=list)
     held_seconds: dict[str, float] = field(default_factory=dict)
 
 
--- a/src/ospreyford/platform/standins/rankgroup.py
+++ b/src/ospreyford/platform/standins/rankgroup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
@@ -86,6 +87,8 @@
         """Close the group after a crash."""
         if self.is_open:
             self.closings += 1
+            closing = (self.options.name, time.time())
+            self.record.closings.append(closing)
         self.is_open = False
 
     async def open_again(self) -> None:
--- a/tests/platform/drills/__main__.py
+++ b/tests/platform/drills/__main__.py
@@ -1,4 +1,4 @@
-"""Plays days by hand: ``python -m tests.platform.drills 0 30 [RANKS]``."""
+"""Plays days by hand: ``python -m tests.platform.drills 0 30 [RANKS...]``."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 def main() -> None:
     """Play the seeds from the first number to before the second."""
     first, end, *others = map(int, sys.argv[1:])
-    size = Size(ranks=others[0]) if others else Size()
+    size = Size(groups=tuple(others))
     broken = 0
     for seed in range(first, end):
         with tempfile.TemporaryDirectory() as directory:
@@ -28,6 +28,7 @@
         print(
             f'seed {seed}: {len(findings)} findings, '
             f'{len(record.arrivals.crashes)} crashes, '
+            f'orders {dict(Counter(one.group for one in record.groups.orders))}, '
             f'statuses {dict(sorted(statuses.items()))}',
             flush=True,
         )
--- a/tests/platform/drills/day.py
+++ b/tests/platform/drills/day.py
@@ -33,14 +33,18 @@
     Restart,
     Step,
     Withdraw,
+    draw_groups,
     draw_plan,
 )
 from tests.platform.drills.programs import Program, Site
 from tests.platform.drills.record import Record, Seen, Told, make_request_id
+from tests.platform.drills.terms import read_terms
 from tests.platform.fleet import BOUNDS, DRAIN_SECONDS, SERVICE
 from tests.platform.storefake import make_config
 
 MS_PER_SECOND = 1000
+#: Long enough that a change of the map pays.
+PASS_SECONDS = 0.04
 KEYS = ('k0', 'k1', 'k2')
 #: Key of requests that crash replicas; it stays valid.
 CRASHER_KEY = 'k0'
@@ -86,12 +90,12 @@
 
     :param entries: number of entries.
     :param replicas: replicas of the plain service.
-    :param ranks: ranks of the group, each with an agent.
+    :param groups: ranks of each group, each with an agent; drawn if empty.
     """
 
     entries: int = 4
     replicas: int = 5
-    ranks: int = 3
+    groups: tuple[int, ...] = ()
 
 
 class Day:
@@ -111,7 +115,16 @@
         self._store = StoreServer(self._state)
         self._copies: list[tuple[float, StoreCopy]] = []
         self._replicas: list[PlainReplica] = []
-        self._group = RankGroup(GroupOptions(size.ranks))
+        self._groups = [
+            RankGroup(
+                GroupOptions(
+                    ranks, pass_seconds=PASS_SECONDS, name=f'g{number}'
+                ),
+                self.record.groups,
+            )
+            for number, ranks in enumerate(size.groups or draw_groups(seed))
+        ]
+        self._agents: list[Program] = []
         self._entries: list[Program] = []
         self._numbers = itertools.count()
         self._version = 3
@@ -145,6 +158,8 @@
             await curio.sleep(CALL_SECONDS)
         for number, program in enumerate(self._entries):
             self.record.seen += read_seen(number, program)
+        for agent in self._agents:
+            self.record.terms += read_terms(agent)
         return self.record
 
     async def _start(self, stack: ExitStack) -> None:
@@ -163,11 +178,11 @@
             await replica.start(next_address())
             self._replicas.append(replica)
         ranked = ReplicaOptions('s1', back_seconds=1.0)
-        for number in range(self._size.ranks):
-            rank = Rank(number, self._group, ranked, self._state, arrivals)
+        for group, number in list_ranks(self._groups):
+            rank = Rank(number, group, ranked, self._state, arrivals)
             await rank.start(next_address())
             agent = Program(site, 'agent', rank.address[0], rank.address)
-            stack.enter_context(agent)
+            self._agents.append(stack.enter_context(agent))
         for _ in range(self._size.entries):
             entry = Program(site, 'entry', next_address())
             self._entries.append(stack.enter_context(entry))
@@ -305,6 +320,19 @@
             await connection.close()
 
 
+def list_ranks(groups: list[RankGroup]) -> list[tuple[RankGroup, int]]:
+    """List the ranks of groups.
+
+    :param groups: the groups.
+    :returns: the group and the number of each rank.
+    """
+    return [
+        (group, number)
+        for group in groups
+        for number in range(group.options.ranks)
+    ]
+
+
 def read_seen(number: int, entry: Program) -> list[Seen]:
     """Read an entry's log lines that a day is judged by.
 
--- a/tests/platform/drills/judge.py
+++ b/tests/platform/drills/judge.py
@@ -9,6 +9,11 @@
 from ospreyford.platform.standins.replicas import CRASH_MARK
 from tests.platform.drills.record import Record, Seen, find_entry, find_key
 from tests.platform.fleet import BOUNDS, DRAIN_SECONDS, STABLE_SECONDS
+from tests.platform.groupchecks import (
+    find_fenced,
+    find_mixed_passes,
+    find_shared_tokens,
+)
 
 REVOKE_SECONDS = BOUNDS.revoke_seconds or 0
 LEAVING = frozenset(('draining', 'gone'))
@@ -20,6 +25,9 @@
 #: be blocked.
 BLOCKED_SECONDS = 3
 SERVED_FRACTION = 0.95
+#: Time from a rank's crash until its group has a coordinator for good: its
+#: return, the forming, and two elections.
+FENCE_SECONDS = 5
 
 
 def judge(record: Record) -> list[str]:
@@ -36,6 +44,9 @@
         find_blocked_innocents,
         find_untrue_refusals,
         find_lasting_failures,
+        find_foreign_tokens,
+        find_causeless_fences,
+        find_mixed_maps,
     )
     return [finding for check in checks for finding in check(record)]
 
@@ -166,3 +177,26 @@
     served = sum(status == 200 for status in late)
     if not late or served < SERVED_FRACTION * len(late):
         yield f'{served} of {len(late)} requests served after the faults'
+
+
+def find_foreign_tokens(record: Record) -> Iterator[str]:
+    """Find tokens that ordered ranks of several groups."""
+    yield from find_shared_tokens(record.groups.orders, record.terms)
+
+
+def find_causeless_fences(record: Record) -> Iterator[str]:
+    """Find tokens fenced in a group in which no process had failed."""
+    causeless = [
+        order
+        for order in record.groups.orders
+        if not any(
+            name == order.group and 0 <= order.at - at <= FENCE_SECONDS
+            for name, at in record.groups.closings
+        )
+    ]
+    yield from find_fenced(causeless)
+
+
+def find_mixed_maps(record: Record) -> Iterator[str]:
+    """Find passes that began with two maps."""
+    yield from find_mixed_passes(record.groups)
--- a/tests/platform/drills/plan.py
+++ b/tests/platform/drills/plan.py
@@ -83,6 +83,10 @@
     seconds: float
 
 
+#: Most ranks of a day with three groups; each has an agent process.
+MAX_RANKS = 4
+MAX_GROUPS = 3
+
 Event = Drill | Leave | Withdraw | Repeat | Restart | Pause
 
 
@@ -137,5 +141,19 @@
     return sorted(steps, key=_get_time)
 
 
+def draw_groups(seed: int) -> tuple[int, ...]:
+    """Draw the rank groups of a day's service.
+
+    They have a generator of their own, so that a seed's events stay the same.
+
+    :param seed: of the day.
+    :returns: the size of each group.
+    """
+    random = Random(f'groups of {seed}')
+    count = random.randint(1, MAX_GROUPS)
+    largest = MAX_RANKS if count < MAX_GROUPS else MAX_RANKS - 1
+    return tuple(random.randint(2, largest) for _ in range(count))
+
+
 def _get_time(step: Step) -> float:
     return step.at
--- a/tests/platform/drills/record.py
+++ b/tests/platform/drills/record.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ospreyford.platform.standins.orders import GroupRecord
 from ospreyford.platform.standins.replicas import Arrivals
+from tests.platform.groupchecks import TakenTerm
 
 
 class Seen(NamedTuple):
@@ -53,6 +55,8 @@
     :param seen: log lines of the entries.
     :param withdrawn: time of the acknowledgement, by withdrawn key.
     :param calm_at: time from which everything must be served again.
+    :param groups: what the ranks of all groups saw.
+    :param terms: terms that agents have taken.
     """
 
     arrivals: Arrivals = field(default_factory=Arrivals)
@@ -60,6 +64,8 @@
     seen: list[Seen] = field(default_factory=list)
     withdrawn: dict[str, float] = field(default_factory=dict)
     calm_at: float = 0
+    groups: GroupRecord = field(default_factory=GroupRecord)
+    terms: list[TakenTerm] = field(default_factory=list)
 
 
 def make_request_id(entry: int, key: str, number: int) -> str:
--- a/tests/platform/drills/test_days.py
+++ b/tests/platform/drills/test_days.py
@@ -7,12 +7,15 @@
 import curio
 import pytest
 
+from ospreyford.platform.standins.enginegroup import Verdict
+from ospreyford.platform.standins.orders import SeenOrder
 from ospreyford.platform.standins.replicas import Arrival
 from tests.platform.drills.day import Day, Size
 from tests.platform.drills.judge import judge
-from tests.platform.drills.plan import draw_plan
+from tests.platform.drills.plan import draw_groups, draw_plan
 from tests.platform.drills.record import Record, Seen, Told
 from tests.platform.fleet import DRAIN_SECONDS, STABLE_SECONDS
+from tests.platform.groupchecks import TakenTerm
 
 #: Kept short; each day takes some 22 s.
 SEEDS = (0, 1)
@@ -30,6 +33,12 @@
     assert draw_plan(7, 4, 5) != draw_plan(8, 4, 5)
 
 
+def test_groups_are_drawn_apart_from_events() -> None:
+    drawn = [draw_groups(seed) for seed in range(60)]
+    assert {len(sizes) for sizes in drawn} == {1, 2, 3}
+    assert any(len(draw_groups(seed)) > 1 for seed in SEEDS)
+
+
 def make_record() -> Record:
     """Make a record of a day that kept every promise."""
     record = Record(calm_at=50)
@@ -87,6 +96,27 @@
     record.told.append(Told(51, '0.k0.2', b'own', 503, b''))
 
 
+def order(record: Record, group: str, verdict: Verdict) -> None:
+    seen = SeenOrder(20, '127.0.0.1', group, 0, 1024, 'Arm', verdict)
+    record.groups.orders.append(seen)
+
+
+def order_two_groups(record: Record) -> None:
+    record.terms.append(TakenTerm(10, '127.0.0.1', 'g0', 1024))
+    order(record, 'g0', Verdict.accepted)
+    order(record, 'g1', Verdict.accepted)
+
+
+def fence_without_cause(record: Record) -> None:
+    # Of another group, and too long ago.
+    record.groups.closings.extend((('g1', 19), ('g0', 14)))
+    order(record, 'g0', Verdict.fenced)
+
+
+def mix_maps(record: Record) -> None:
+    record.groups.mixed_passes.append(('g0', 7))
+
+
 DOCTORS = (
     use_a_draining_replica,
     forget_a_draining_replica,
@@ -96,6 +126,9 @@
     block_an_innocent,
     refuse_what_ran,
     fail_for_good,
+    order_two_groups,
+    fence_without_cause,
+    mix_maps,
 )
 
 
--- a/tests/platform/groupfleet.py
+++ b/tests/platform/groupfleet.py
@@ -27,6 +27,7 @@
 from tests.fakes.loopback import next_address
 from tests.platform.drills.day import ROUTES, STREAM_PATH, send
 from tests.platform.drills.programs import Program, Site
+from tests.platform.drills.terms import read_terms
 from tests.platform.groupchecks import TakenTerm
 from tests.platform.storefake import make_config
 
@@ -111,14 +112,9 @@
 
     def list_terms(self) -> list[TakenTerm]:
         """List the terms that agents have taken, by time."""
-        terms = []
-        for host, agent in self.agents.items():
-            for line in agent.read_log():
-                is_own = line.get('coordinator') == host
-                if line['message_type'] == 'CoordinatorChanged' and is_own:
-                    at = float(line['timestamp'])
-                    term = TakenTerm(at, host, line['group'], line['token'])
-                    terms.append(term)
+        terms = [
+            term for agent in self.agents.values() for term in read_terms(agent)
+        ]
         return sorted(terms)
 
     def find_coordinator(self, group: RankGroup) -> TakenTerm:
