--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -12,10 +12,13 @@
 from ospreyford.direct.backendselector import (
     MAX_ATTEMPTS,
     BackendSelector,
+    OtherGroup,
     Unavailable,
 )
 from ospreyford.direct.beginnings import AnswerBeginning
 from ospreyford.direct.call import SHED, Attempt
+from ospreyford.direct.closedgroups import is_known_closed
+from ospreyford.direct.gates import find_gate
 from ospreyford.direct.headers import drop_hop_by_hop
 from ospreyford.direct.migration import StreamMigrator
 from ospreyford.direct.streaming import StreamResult, forward_stream
@@ -47,9 +50,6 @@
 GATEWAY_TIMEOUT: Final = 504
 SERVER_ERROR: Final = 500
 MILLISECONDS = 1000
-#: Consecutive refusals after which a group counts as closed; a single rank may
-#: be full or leaving.
-CLOSED_REFUSALS = 2
 #: Retry time where nothing better is known.
 DEFAULT_RETRY_AFTER_SECONDS = 0.3
 
@@ -69,7 +69,7 @@
         self._exchange = exchange
         self._context = context
         self._suspects = context.suspects
-        self._gate = context.find_gate(call)
+        self._gate = find_gate(context, call)
         self._cause = Cause.no_backend
         self._retry_after: float | None = None
         self._migrator = StreamMigrator(call, context, MAX_ATTEMPTS)
@@ -116,7 +116,9 @@
         unavailable = self._selector.find_unavailable()
         if unavailable is not None:
             return self._handle_unavailable(unavailable)
-        if not await gate.acquire(self._call):
+        if not await gate.acquire(
+            self._call, self._selector.groups.list_allowed()
+        ):
             if self._suspects.is_blocked(self._call):
                 return self._make_failure(Cause.crashes_backends, BAD_GATEWAY)
             unavailable = self._selector.find_unavailable()
@@ -127,7 +129,7 @@
         try:
             return await self._send_with_retries()
         finally:
-            await gate.release()
+            await gate.release(self._call)
 
     async def _send_with_retries(self) -> Verdict | None:
         """Send until the request has an outcome or its group is closed.
@@ -139,12 +141,12 @@
             selected = await self._selector.select()
             if isinstance(selected, Unavailable):
                 return self._handle_unavailable(selected)
+            if isinstance(selected, OtherGroup):
+                return None
             verdict = await self._attempt(selected)
-            refusals = self._call.count_trailing_refusals()
-            is_closed = verdict is None and refusals >= CLOSED_REFUSALS
-            if self._gate is not None and is_closed:
-                self._gate.record_refusal()
-                break
+            if verdict is None and self._gate is not None:
+                if is_known_closed(self._call, self._gate.rooms):
+                    break
         return verdict
 
     def _handle_unavailable(self, unavailable: Unavailable) -> Verdict:
@@ -156,7 +158,9 @@
         call = self._call
         now = time.monotonic()
         attempt = Attempt(
-            backend.server.id, int((now - call.started_at) * MILLISECONDS)
+            backend.server.id,
+            int((now - call.started_at) * MILLISECONDS),
+            room=call.room,
         )
         call.attempts.append(attempt)
         backend.in_flight += 1
@@ -244,8 +248,8 @@
         backend: BackendState,
     ) -> Verdict | None:
         self._call.may_have_run = True
-        if self._gate is not None:
-            self._gate.record_start()
+        if self._call.room is not None:
+            self._call.room.record_start()
         if not self._exchange.started:
             fields = tuple(drop_hop_by_hop(head.headers))
             self._exchange.add((self._exchange.make_head(head.status, fields),))
