--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 
+from ospreyford.direct.urgency import PriorityTurns
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -268,18 +271,36 @@
 class AdmissionQueue:
     """Requests waiting for admission to a group.
 
-    On-time requests go first in order of arrival, then retries, then late ones.
-    In plain order of arrival, one burst would make every request behind it
-    late.
+    Among requests of one priority, on-time ones go first in order of arrival,
+    then retries, then late ones. In plain order of arrival, one burst would
+    make every request behind it late.
     """
 
     def __init__(self) -> None:
         self._requests: dict[int, QueuedRequest] = {}
         self._consecutive_first_tries = 0
+        self._turns = PriorityTurns()
 
     def __len__(self) -> int:
         return len(self._requests)
 
+    def count_by_priority(self) -> Counter[int]:
+        """Count the requests by their priority.
+
+        :returns: the numbers.
+        """
+        return Counter(one.priority for one in self._requests.values())
+
+    def is_out_of_turn(self, request: QueuedRequest) -> bool:
+        """Check whether a request goes before a more urgent one.
+
+        :param request: the request.
+        :returns: whether one waits.
+        """
+        return request.priority > min(
+            self.count_by_priority(), default=request.priority
+        )
+
     def add(self, request: QueuedRequest) -> None:
         """Add a request.
 
@@ -314,18 +335,22 @@
         :param held: numbers of requests that are passed over.
         :returns: the request, or ``None`` if there is none.
         """
+        candidates = [
+            request
+            for request in self._requests.values()
+            if request.number not in held
+        ]
+        if not candidates:
+            return None
+        priority = self._turns.select({one.priority for one in candidates})
         return min(
-            (
-                request
-                for request in self._requests.values()
-                if request.number not in held
-            ),
+            candidates,
             key=lambda request: (
-                self._compute_order(request, now, first_event),
+                request.priority != priority,
                 request.priority,
+                self._compute_order(request, now, first_event),
                 request.number,
             ),
-            default=None,
         )
 
     def admit(self, request: QueuedRequest) -> None:
@@ -334,6 +359,7 @@
         :param request: the request.
         """
         self.remove(request.number)
+        self._turns.record_admission(request.priority, self.count_by_priority())
         self._consecutive_first_tries = (
             0 if request.is_retry else self._consecutive_first_tries + 1
         )
@@ -350,8 +376,8 @@
         :param first_event: expected time to the first event, in seconds.
         :param capacity: streams that this entry may run concurrently.
         :param free: unused part of that capacity.
-        :returns: those without enough time, and the newest late ones beyond the
-            bound.
+        :returns: those without enough time, and the least urgent and newest
+            late ones beyond the bound.
         """
         late = [
             request
@@ -365,7 +391,7 @@
         ]
         bound = max(int(LATE_QUEUE_RATIO * capacity + max(free, 0)), 1)
         servable = [request for request in late if request not in expired]
-        servable.sort(key=lambda request: request.number)
+        servable.sort(key=lambda request: (request.priority, request.number))
         return expired + servable[bound:]
 
     def _compute_order(
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -18,6 +18,11 @@
 from ospreyford.direct.grouproom import NO_GROUP
 from ospreyford.direct.grouprooms import GroupRooms
 from ospreyford.direct.roomchoice import choose_option
+from ospreyford.direct.urgency import (
+    RecentPriorities,
+    Rivals,
+    count_less_urgent,
+)
 from ospreyford.direct.waitingcalls import WaitingCalls
 
 if TYPE_CHECKING:
@@ -56,6 +61,7 @@
         self.rooms = GroupRooms(max_gap, slots, entries)
         self._random = random or Random()
         self._queue = AdmissionQueue()
+        self._recent = RecentPriorities()
         self._sequence = itertools.count()
         self._waiting = WaitingCalls()
         self._is_stopping = False
@@ -168,19 +174,27 @@
             room = self._choose_room(request, now)
             if room:
                 self._queue.admit(request)
-                room.admit(now)
+                room.admit(request, now)
                 await self._waiting.admit(request.number, room)
-            elif request.groups is None:
-                return
-            else:
+            elif request.groups or self._queue.is_out_of_turn(request):
                 held.add(request.number)
+            else:
+                return
 
     def _choose_room(
         self, request: QueuedRequest, now: float, *, is_first: bool = False
     ) -> GroupRoom | None:
         rooms = self.rooms.list_usable(now, request.groups)
+        rivals = Rivals(
+            count_less_urgent(
+                self._queue.count_by_priority(), request.priority
+            ),
+            self._recent.has_more_urgent(request.priority, now),
+            self._queue.is_out_of_turn(request),
+        )
         offers = [
-            room.make_option(request, now, is_first=is_first) for room in rooms
+            room.make_option(request, now, is_first=is_first, rivals=rivals)
+            for room in rooms
         ]
         options = [one for one in offers if one is not None]
         chosen = choose_option(options, self._random)
@@ -202,10 +216,11 @@
             call.is_retry,
             groups,
         )
+        self._recent.record(request.priority, now)
         if not self._queue and not call.is_retry:
             room = self._choose_room(request, now, is_first=True)
             if room is not None:
-                room.running += 1
+                room.enter(request.priority)
                 call.room = room
                 return True
         self._queue.add(request)
@@ -230,5 +245,5 @@
 
 def _leave_room(call: Call) -> None:
     if call.room is not None:
-        call.room.running -= 1
+        call.room.leave(call.get_priority())
         call.room = None
--- a/src/ospreyford/direct/grouproom.py
+++ b/src/ospreyford/direct/grouproom.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from collections import Counter
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from ospreyford.direct.admission import (
@@ -13,6 +14,12 @@
     is_late,
 )
 from ospreyford.direct.roomchoice import RoomOption
+from ospreyford.direct.urgency import (
+    NO_RIVALS,
+    Rivals,
+    adjust_limit,
+    count_less_urgent,
+)
 
 if TYPE_CHECKING:
     from ospreyford.direct.admission import GroupLoad, QueuedRequest
@@ -59,7 +66,8 @@
         self, name: str, max_gap: float, slots: int = 0, entries: int = 1
     ) -> None:
         self.name = name
-        self.running = 0
+        #: Running streams by priority.
+        self._running: Counter[int] = Counter()
         self.limit = StreamLimit(max_gap)
         if slots:
             self.limit.update_slots(slots, entries)
@@ -72,6 +80,11 @@
         self._closed_epoch = NO_EPOCH
         self._paused_until: float = 0
 
+    @property
+    def running(self) -> int:
+        """Number of running streams."""
+        return self._running.total()
+
     @property
     def first_event(self) -> float:
         """Expected time to the first event of a stream, in seconds."""
@@ -85,31 +98,56 @@
         """
         return self.is_closed and now < self._paused_until
 
-    def admit(self, now: float) -> None:
+    def enter(self, priority: int) -> None:
+        """Take a place.
+
+        :param priority: of the stream.
+        """
+        self._running[priority] += 1
+
+    def leave(self, priority: int) -> None:
+        """Give a place back.
+
+        :param priority: of the stream.
+        """
+        self._running[priority] -= 1
+
+    def admit(self, request: QueuedRequest, now: float) -> None:
         """Take a place for a queued request.
 
+        :param request: the request.
         :param now: seconds on the monotonic clock.
         """
-        self.running += 1
+        self.enter(request.priority)
         if self.is_closed:
             # A single request probes whether the group has reopened.
             self._paused_until = now + PROBE_INTERVAL_SECONDS
 
     def make_option(
-        self, request: QueuedRequest, now: float, *, is_first: bool
+        self,
+        request: QueuedRequest,
+        now: float,
+        *,
+        is_first: bool,
+        rivals: Rivals = NO_RIVALS,
     ) -> RoomOption | None:
         """Offer the group's free places to a request.
 
         :param request: the request.
         :param now: seconds on the monotonic clock.
         :param is_first: whether it found an empty queue.
+        :param rivals: requests of other priorities that wait or came recently.
         :returns: the offer; ``None`` if there is no place for it.
         """
         first_event = self.first_event
-        limit = (
+        running = count_less_urgent(self._running, request.priority)
+        limit = adjust_limit(
+            self.limit,
             self.limit.regular
             if is_first
-            else self.limit.select_limit(request, now, first_event)
+            else self.limit.select_limit(request, now, first_event),
+            rivals._replace(less_urgent=rivals.less_urgent + running),
+            is_late=is_late(request, now, first_event),
         )
         if self.running >= limit:
             return None
--- a/tests/direct/test_gate.py
+++ b/tests/direct/test_gate.py
@@ -147,9 +147,14 @@
     assert curio.run(stay_open)
 
 
+def fill_room(gate: StreamGate, streams: int) -> None:
+    for _ in range(streams):
+        get_room(gate).enter(make_call().get_priority())
+
+
 async def refuse_when_full() -> Call:
     gate = StreamGate(0.12)
-    get_room(gate).running = 12
+    fill_room(gate, 12)
     await gate.update_load(FULL, 4)
     call = make_call()
     call.started_at -= 3
@@ -179,7 +184,7 @@
 
 async def enter_behind_a_late_one(*, is_retry: bool) -> int:
     gate = StreamGate(0.12)
-    get_room(gate).running = 7
+    fill_room(gate, 7)
     get_room(gate).limit.late = 6
     get_room(gate).limit.regular = 0
     late = make_call()
