--- a/tests/rebalance/test_entryregistry.py
+++ b/tests/rebalance/test_entryregistry.py
@@ -153,6 +153,7 @@
     agent.hear(told, moved)
     roster = agent.registry.find_roster(other)
     assert roster is not None
+    assert roster.members == (AGENT.datagrams,)
     assert roster.unassigned == (('10.0.0.9', AGENT.datagrams[1]),)
     assert roster.find_backend('10.0.0.9') == ('10.0.0.9', 80)
     agent.registry.record_group('g')
