--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -80,6 +80,8 @@
         self._in_group = in_group
         self._slots = SlotSelector(context.limits, context.random)
         self.groups = CallGroups(call, context)
+        #: Whether the retry of a group that had no backend is still unused.
+        self._is_paid = False
 
     async def select(self) -> BackendState | Unavailable | OtherGroup:
         """Select the backend of the next attempt, and wait for its slot.
@@ -95,6 +97,7 @@
         while selected is None:
             selected = await self._select_once()
         if isinstance(selected, Unavailable) and self._may_leave(selected):
+            self._is_paid = bool(self._call.attempts)
             return OtherGroup()
         return selected
 
@@ -179,7 +182,8 @@
             return False
         if not call.has_attempts_left():
             return False
-        if self._migrator.consume_reserved_retry():
+        if self._migrator.consume_reserved_retry() or self._is_paid:
+            self._is_paid = False
             return True
         if not call.list_reached_backends():
             # No backend has received it yet.
@@ -228,9 +232,7 @@
     ) -> tuple[list[BackendState], SelectionCriteria]:
         call = self._call
         excluded = call.list_tried_backends()
-        selectable = self.groups.find_selectable(
-            self._context.backends.list_preferred(call.service)
-        )
+        selectable = self.groups.find_selectable()
         backends = self.groups.list_backends()
         if selectable is not None:
             # Only ranks that were tried may get it again.
--- a/src/ospreyford/direct/callgroups.py
+++ b/src/ospreyford/direct/callgroups.py
@@ -7,8 +7,6 @@
 from ospreyford.direct.selection import find_selectable
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from ospreyford.direct.call import Call
     from ospreyford.direct.context import EntryContext
     from ospreyford.direct.grouprooms import GroupRooms
@@ -32,13 +30,12 @@
 
         :returns: names of the groups; ``None`` if there is no restriction.
         """
-        rooms = self._find_rooms()
-        if rooms is None:
+        if self._find_rooms() is None:
             return None
-        backends = self._context.backends.list_preferred(self._call.service)
-        selectable = self.find_selectable(backends)
+        selectable = self.find_selectable()
         if selectable is None and not self._avoided:
             return None
+        backends = self._context.backends.list_preferred(self._call.service)
         names = self._context.groups.find_names(
             one
             for one in backends
@@ -46,17 +43,16 @@
         )
         return frozenset(names - self._avoided) or None
 
-    def find_selectable(
-        self, backends: Sequence[BackendState]
-    ) -> set[str] | None:
+    def find_selectable(self) -> set[str] | None:
         """Find the backends to which the route's limit restricts it.
 
-        :param backends: backends of its service.
         :returns: ids of the backends, or ``None`` if others may be tried.
         """
         call = self._call
+        if not call.attempts:
+            return None
         return find_selectable(
-            backends,
+            self._context.backends.list_preferred(call.service),
             call.list_tried_backends(),
             call.list_reached_backends(),
             call.route.attempts,
--- a/src/ospreyford/direct/coordinators.py
+++ b/src/ospreyford/direct/coordinators.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Container, Iterable
 
     from ospreyford.rebalance.entrymessages import Address
     from ospreyford.rebalance.groupkey import GroupKey
@@ -80,16 +80,17 @@
             math.inf if known is None else time.monotonic() - known.reported_at
         )
 
-    def is_silent(self, key: GroupKey) -> bool:
-        """Check whether all agents of a group must hear of this entry.
+    def list_silent(self, keys: Iterable[GroupKey]) -> list[GroupKey]:
+        """List the groups of which all agents must hear of this entry.
 
         Coordinators of many groups report less often, as hellos are rarer then.
 
-        :param key: key of the group.
-        :returns: whether its coordinator has been silent for too long.
+        :param keys: keys of groups.
+        :returns: those whose coordinators have been silent for too long.
         """
         pace = self.compute_hello_interval() / HELLO_INTERVAL_SECONDS
-        return self.compute_silence(key) > pace * COORDINATOR_TIMEOUT_SECONDS
+        timeout = pace * COORDINATOR_TIMEOUT_SECONDS
+        return [key for key in keys if self.compute_silence(key) > timeout]
 
     def count_heard(self) -> int:
         """Count the groups whose coordinators report.
--- a/src/ospreyford/direct/hello.py
+++ b/src/ospreyford/direct/hello.py
@@ -210,7 +210,7 @@
         """
         keys = self._list_keys(service)
         named = [key for key in keys if key.name]
-        silent = [key for key in named if self.coordinators.is_silent(key)]
+        silent = self.coordinators.list_silent(named)
         if not named or self._context.is_starting():
             silent.extend(keys[len(named) :])
         return silent
--- a/tests/direct/test_groupdirectory.py
+++ b/tests/direct/test_groupdirectory.py
@@ -19,9 +19,12 @@
 
 A, B, C = (('10.0.0.1', 80), ('10.0.0.2', 80), ('10.0.0.3', 80))
 AB = ((A, 's'), (B, 's'))
+TAKEN = (*AB, (A, 't'))
 ABC = (*AB, (C, 's'))
 TWO = ((A, 'g'), (B, 'h'))
 RENAMED = ((A, 'g'), (B, 'g'), (A, ''), (B, 'h'))
+UNKNOWN = MappingProxyType({'': (A, B)})
+HALF = MappingProxyType({'g': (A,), '': (B,)})
 NAMED = MappingProxyType({'g': (A, C), 'h': (B,)})
 SPLIT = MappingProxyType({'g': (A,), 'h': (B,)})
 
@@ -54,9 +57,9 @@
 
 CASES = (
     # Nothing is known.
-    Case(AB, (), {'': (A, B)}, '--'),
+    Case(AB, (), UNKNOWN, '--'),
     # The only group counts what is unknown.
-    Case(AB, TWO[:1], {'g': (A,), '': (B,)}, 'gg'),
+    Case(AB, TWO[:1], HALF, 'gg'),
     # With two groups it is on its own.
     Case(ABC, TWO, {**SPLIT, '': (C,)}, 'gh-'),
     # An empty name is no news, another one is.
@@ -64,9 +67,9 @@
     # A coordinator names its ranks, but agents know better.
     Case(ABC, (*TWO, (RANKS, 'g')), NAMED, 'ghg'),
     # What isn't registered has no group.
-    Case(((A, 's'),), ((B, 'g'),), {'': (A,)}, '-'),
+    Case(AB[:1], TWO[1:], {'': (A,)}, '-'),
     # The newest registration tells the service.
-    Case((*AB, (A, 't')), RENAMED[:2], {'g': (B,)}, 'g'),
+    Case(TAKEN, RENAMED[:2], {'g': (B,)}, 'g'),
 )
 
 
