make demo runs two rank groups of unequal size in one service

The loopback product's agreement names its group in each topic and takes its members from settings, so groups keep apart; each follows its own load, and all ranks of a step use one map.

--- a/src/ospreyford/standins/demo.py
+++ b/src/ospreyford/standins/demo.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
@@ -18,6 +18,7 @@
 from ospreyford.standins.asking import Ask, Told, ask_entry
 from ospreyford.standins.deployment import CATERER, PENSION_OFFICE, Size
 from ospreyford.standins.fleet import Fleet, ask
+from ospreyford.standins.groupdemo import judge_groups, shift_loads
 from ospreyford.standins.judging import judge_told
 from ospreyford.standins.launcher import Launcher
 from ospreyford.wire.ids import create_id
@@ -35,66 +36,102 @@
 NANOSECONDS = 1_000_000
 
 
+class ShownSite(NamedTuple):
+    """A site and what the demo does there.
+
+    :param site: the site.
+    :param customers: who sends.
+    :param call: the path of a call that may run once only.
+    :param groups: ranks of each group of the model's replicas; without any,
+        they form no groups.
+    """
+
+    site: Site
+    customers: tuple[str, ...]
+    call: str
+    groups: tuple[int, ...] = ()
+
+
+SHOWN_SITES = (
+    ShownSite(PENSION_OFFICE, ('soum-insurance-clerks',), '/quotes'),
+    ShownSite(
+        CATERER, ('home-carrier-stations',), '/invoice-lines', groups=(2, 3)
+    ),
+)
+
+
 def main() -> None:
     """Run the demo; exit 0 only if every promise held."""
     signal.signal(signal.SIGTERM, _stop)
     problems: list[str] = []
-    for site, customers, call in (
-        (PENSION_OFFICE, ('soum-insurance-clerks',), '/quotes'),
-        (CATERER, ('home-carrier-stations',), '/invoice-lines'),
-    ):
+    for shown in SHOWN_SITES:
         with tempfile.TemporaryDirectory() as directory, Launcher() as launcher:
-            fleet = Fleet(
-                launcher,
-                site,
-                SIZE,
-                EXAMPLES / site.name / 'documents',
-                Path(directory),
-            )
-            problems += show_site(fleet, site, customers, call)
+            fleet = start_fleet(launcher, shown, Path(directory))
+            problems += show_site(fleet, shown)
     for problem in problems:
         _say(f'BROKEN: {problem}')
     _say(f'{len(problems)} promises broken')
     sys.exit(1 if problems else 0)
 
 
-def show_site(
-    fleet: Fleet,
-    site: Site,
-    customers: tuple[str, ...],
-    call: str,
-) -> list[str]:
+def start_fleet(launcher: Launcher, shown: ShownSite, directory: Path) -> Fleet:
+    """Start a site's stand-ins of the platform and of its rank groups.
+
+    :param launcher: starts processes.
+    :param shown: the site.
+    :param directory: for settings.
+    :returns: the site's processes, not started yet.
+    """
+    replicas = sum(shown.groups) or SIZE.model_replicas
+    fleet = Fleet(
+        launcher,
+        shown.site,
+        SIZE._replace(model_replicas=replicas),
+        EXAMPLES / shown.site.name / 'documents',
+        directory,
+    )
+    if shown.groups:
+        fleet.start_ranks(sizes=shown.groups)
+    return fleet
+
+
+def show_site(fleet: Fleet, shown: ShownSite) -> list[str]:
     """Send a site's requests, kill one agent on the way, and judge.
 
     :param fleet: the site's processes, not started yet.
-    :param site: the site.
-    :param customers: who sends.
-    :param call: the path of a call that may run once only.
+    :param shown: the site, who sends and what.
     :returns: the promises that did not hold.
     """
+    site = shown.site
     _say(f'\n== {site.name}')
     began = time.monotonic()
     fleet.start()
     _say('ready after {0:.1f} s'.format(time.monotonic() - began))
+    shift_loads(fleet)
     told: list[Told] = []
     for wave in range(WAVES):
         if wave == 1:
-            told += _send_and_kill(fleet, site, customers, call)
-        for request in _make_requests(site, customers, call):
+            told += _send_and_kill(fleet, shown)
+        for request in _make_requests(shown):
             told.append(_send(fleet, request, wave))
     told += _retry(fleet, told)
     time.sleep(PAUSE_SECONDS)
-    outcomes = Counter(each.outcome for each in told)
-    _say('outcomes: {0}'.format(dict(outcomes)))
-    return judge_told(told, fleet.read_journals(site.plain_service), call)
+    _say('outcomes: {0}'.format(dict(Counter(one.outcome for one in told))))
+    problems = _judge_groups(fleet)
+    journals = fleet.read_journals(site.plain_service)
+    return problems + judge_told(told, journals, shown.call)
+
+
+def _judge_groups(fleet: Fleet) -> list[str]:
+    shown, problems = judge_groups(fleet)
+    for line in shown:
+        _say(line)
+    return problems
 
 
-def _make_requests(
-    site: Site,
-    customers: tuple[str, ...],
-    call: str,
-) -> Iterator[Ask]:
-    for customer in customers:
+def _make_requests(shown: ShownSite) -> Iterator[Ask]:
+    site = shown.site
+    for customer in shown.customers:
         prompt = {'prompt': 'hello', 'prefix': site.name, 'max_tokens': TOKENS}
         yield Ask(
             customer,
@@ -107,26 +144,21 @@
         yield Ask(customer, site.plain_service, 'GET', '/rates/a', b'', '')
         key = create_id()
         body = msgspec.json.encode({'line': key})
-        yield Ask(customer, site.plain_service, 'POST', call, body, key)
+        yield Ask(customer, site.plain_service, 'POST', shown.call, body, key)
 
 
-def _send_and_kill(
-    fleet: Fleet,
-    site: Site,
-    customers: tuple[str, ...],
-    call: str,
-) -> list[Told]:
+def _send_and_kill(fleet: Fleet, shown: ShownSite) -> list[Told]:
     victim = next(
         program
         for program in fleet.programs.values()
-        if program.host.service == site.plain_service
+        if program.host.service == shown.site.plain_service
     )
     _say('killing the agent of {0}'.format(victim.host.name))
     victim.process.kill()
     told = [
         _send(fleet, request, number)
         for number in range(WAVES)
-        for request in _make_requests(site, customers, call)
+        for request in _make_requests(shown)
     ]
     fleet.start_program(victim.host)
     fleet.wait_until_ready()
--- a/src/ospreyford/standins/fleet.py
+++ b/src/ospreyford/standins/fleet.py
@@ -123,6 +123,19 @@
     """The deployment was not ready in time; holds what was missing."""
 
 
+class RunningGroup(NamedTuple):
+    """A rank group of the model replicas.
+
+    :param name: of the group.
+    :param hosts: the hosts of its ranks, in order.
+    :param engine: the stand-in of its ranks.
+    """
+
+    name: str
+    hosts: tuple[Host, ...]
+    engine: Launched
+
+
 class Program(NamedTuple):
     """One of the product's processes.
 
@@ -174,6 +187,7 @@
             str(documents),
         )
         self.ranks: Launched | None = None
+        self.rank_groups: list[RunningGroup] = []
         self.weights: Launched | None = None
         self.host_list = launcher.start(
             'ospreyford.standins.hostlist',
@@ -182,16 +196,22 @@
         )
 
     def start_ranks(
-        self, ignoring: int = -1, store_rate: float = STORE_RATE
+        self,
+        ignoring: int = -1,
+        store_rate: float = STORE_RATE,
+        sizes: tuple[int, ...] = (),
     ) -> None:
-        """Have the model replicas' ranks form one lock-step group.
+        """Have the model replicas' ranks form lock-step groups.
 
         :param ignoring: the rank whose engine ignores fencing numbers.
         :param store_rate: the weight store's limit, in bytes a second.
+        :param sizes: ranks of each group; without any, one group of all.
         """
-        size = sum(
-            self._kinds.get(host.service) == MODEL for host in self.hosts
-        )
+        models = [
+            host
+            for host in self.hosts
+            if self._kinds.get(host.service) == MODEL
+        ]
         self.weights = self._launcher.start(
             'ospreyford.standins.weightstore',
             '--expert-bytes',
@@ -199,15 +219,21 @@
             '--bytes-per-second',
             store_rate,
         )
-        self.ranks = self._launcher.start(
-            'ospreyford.standins.rankgroup',
-            '--weights-port',
-            self.weights.port,
-            '--ranks',
-            size,
-            '--ignoring',
-            ignoring,
-        )
+        for number, size in enumerate(sizes or (len(models),)):
+            hosts = tuple(models[:size])
+            models = models[size:]
+            name = f'{hosts[0].service}-{number}' if sizes else hosts[0].service
+            engine = self._launcher.start(
+                'ospreyford.standins.rankgroup',
+                '--weights-port',
+                self.weights.port,
+                '--ranks',
+                size,
+                '--ignoring',
+                ignoring,
+            )
+            self.rank_groups.append(RunningGroup(name, hosts, engine))
+        self.ranks = self.rank_groups[0].engine
 
     def start(self) -> None:
         """Start every back end, agent and entry, and wait for them.
@@ -308,25 +334,24 @@
         return text + self._write_ranks(host)
 
     def _write_ranks(self, host: Host) -> str:
-        group = [
-            each
-            for each in self.hosts
-            if self._kinds.get(each.service) == MODEL
-        ]
-        if self.ranks is None or host not in group:
-            return ''
-        addresses = ', '.join(
-            '"{0}"'.format(each.peer_address) for each in group
-        )
-        return _RANKS.format(
-            engine=_address(self.ranks),
-            group=host.service,
-            slot=group.index(host),
-            addresses=addresses,
-            members=', '.join('"{0}"'.format(each.name) for each in group),
-            ranks=len(group),
-            expert_bytes=EXPERT_BYTES,
-        )
+        for group in self.rank_groups:
+            if host in group.hosts:
+                return _format_ranks(host, group)
+        return ''
+
+
+def _format_ranks(host: Host, group: RunningGroup) -> str:
+    hosts = group.hosts
+    addresses = ', '.join('"{0}"'.format(each.peer_address) for each in hosts)
+    return _RANKS.format(
+        engine=_address(group.engine),
+        group=group.name,
+        slot=hosts.index(host),
+        addresses=addresses,
+        members=', '.join('"{0}"'.format(each.name) for each in hosts),
+        ranks=len(hosts),
+        expert_bytes=EXPERT_BYTES,
+    )
 
 
 def ask(port: int, target: str, body: object = None) -> Any:
