--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -4,6 +4,7 @@
 
 import itertools
 import time
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 import curio
@@ -182,6 +183,7 @@
         self.store = StoreServer(self.state)
         self.arrivals = Arrivals()
         self.replicas: list[PlainReplica] = []
+        self.ranks: list[Rank] = []
         self.entries: list[FleetEntry] = []
         self.group: RankGroup | None = None
         self._ids = itertools.count()
@@ -191,15 +193,20 @@
         self._agent_port = 0
 
     async def start(
-        self, entries: int, replicas: int, options: ReplicaOptions
+        self,
+        entries: int,
+        replicas: int,
+        options: ReplicaOptions,
+        zones: Sequence[str] = ('a',),
     ) -> None:
         self._store_address = await self.store.open(next_address())
         agent = await self._start_agent()
         self.state.put('op/config', self.make_config(3))
         # The model service only makes the agent known.
         self.state.put('servers/rank', _make_rank(agent))
-        for _ in range(replicas):
-            replica = PlainReplica(options, self.state, self.arrivals)
+        for number in range(replicas):
+            placed = options._replace(zone=zones[number % len(zones)])
+            replica = PlainReplica(placed, self.state, self.arrivals)
             await replica.start(next_address())
             self.replicas.append(replica)
         for _ in range(entries):
@@ -207,20 +214,27 @@
         await curio.sleep(0.5)
 
     async def start_group(
-        self, entries: int, group: GroupOptions, options: ReplicaOptions
+        self,
+        entries: int,
+        group: GroupOptions,
+        options: ReplicaOptions,
+        zones: Sequence[str] = ('a',),
     ) -> None:
         """Start entries in front of a rank group, with an agent at its first.
 
         :param entries: number of entries.
         :param group: how the group behaves.
         :param options: how each rank behaves.
+        :param zones: availability zones of the ranks, in turn.
         """
         self._store_address = await self.store.open(next_address())
         host = await self._start_agent()
         self.state.put('op/config', self.make_config(3))
         self.group = RankGroup(group)
         for number in range(group.ranks):
-            rank = Rank(number, self.group, options, self.state, self.arrivals)
+            placed = options._replace(zone=zones[number % len(zones)])
+            rank = Rank(number, self.group, placed, self.state, self.arrivals)
+            self.ranks.append(rank)
             await rank.start(next_address() if number else host)
         for _ in range(entries):
             await self.add_entry()
