Send nothing to zones that operators have taken out of service

Cause: the keys were not read. The feed lists their prefix at its start and follows it in the one watch; what is out is asked where declarations of backends are asked, a last time as the connection is open.

Nothing else changed.

--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -76,6 +76,8 @@
     :param is_open: whether the group accepts requests.
     :param epoch: incremented each time the group opens.
     :param slots: requests that all its ranks run concurrently.
+    :param free_slots: further requests that ranks take while others get none;
+        infinite if all may be sent to.
     """
 
     running: int
@@ -85,6 +87,7 @@
     is_open: bool = True
     epoch: int = 0
     slots: int = 0
+    free_slots: float = float('inf')
 
 
 class QueuedRequest(NamedTuple):
@@ -251,10 +254,10 @@
         self, load: GroupLoad, fraction: float, cost: float | None
     ) -> float:
         if not cost:
-            return float('inf')
+            return load.free_slots
         target = fraction * self._max_gap - load.base_seconds
         capacity = max(target / cost, MIN_CAPACITY_STREAMS)
-        return capacity - load.running - load.queued
+        return min(capacity - load.running - load.queued, load.free_slots)
 
 
 class AdmissionQueue:
--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -17,6 +17,7 @@
     SlotSelector,
 )
 from ospreyford.direct.verdicts import Cause
+from ospreyford.direct.zonereturn import leave_out_returning
 
 if TYPE_CHECKING:
     from ospreyford.direct.call import Call
@@ -33,6 +34,10 @@
 MAX_RETRY_AFTER_SECONDS = 2.0
 #: Spreads the callers that come back as backends take requests again.
 MAX_JITTER_SECONDS = 0.5
+#: Bounds of the retry time while all zones are out: nobody knows when one is
+#: taken back, and callers that come back together would be a rush on it.
+MIN_ZONES_OUT_SECONDS = 1.0
+MAX_ZONES_OUT_SECONDS = 3.0
 #: A slot lapses if the process was paused for longer.
 MAX_SLOT_DELAY_SECONDS = 0.25
 
@@ -113,8 +118,15 @@
         connectable = self._list_connectable(backends)
         if backends and not connectable:
             return Unavailable(Cause.limited, MIN_RETRY_AFTER_SECONDS)
+        candidates = leave_out_returning(
+            connectable,
+            criteria.excluded,
+            self._context.zones,
+            criteria.now,
+            self._context.random,
+        )
         match self._slots.select(
-            connectable, criteria, self._call.compute_remaining(criteria.now)
+            candidates, criteria, self._call.compute_remaining(criteria.now)
         ):
             case SendNow(backend=backend):
                 self._context.limits.take_slot(backend.server, criteria.now)
@@ -183,6 +195,14 @@
         if seconds <= 0:
             return Unavailable(Cause.refused, MIN_RETRY_AFTER_SECONDS)
         if math.isinf(seconds):
+            zones = context.zones
+            if any(zones.is_out(one.server.zone) for one in backends):
+                return Unavailable(
+                    Cause.zones_out,
+                    context.random.uniform(
+                        MIN_ZONES_OUT_SECONDS, MAX_ZONES_OUT_SECONDS
+                    ),
+                )
             # Others must register first.
             return Unavailable(Cause.no_backend)
         jitter = MAX_JITTER_SECONDS * context.random.random()
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -74,6 +74,8 @@
             self.header_names, self.settings.name, self.log
         )
         self.limits = self.declarations.limits
+        self.zones = self.declarations.zones
+        self.room = self.declarations.room
         self.metrics = EntryMetrics()
         serve_tallies(self)
         self.started_at = time.monotonic()
@@ -97,7 +99,7 @@
         if gate is None:
             gate = StreamGate(
                 call.route.max_gap,
-                self.backends.count_slots(call.service),
+                self.room.count_slots(self.backends, call.service),
                 self.count_entries(),
             )
             self.gates[call.service] = gate
@@ -115,7 +117,8 @@
             return
         reported = load._replace(
             base_seconds=known.engine.pass_seconds,
-            slots=self.backends.count_slots(service),
+            slots=self.room.count_slots(self.backends, service),
+            free_slots=self.room.count_free_slots(self.backends, service),
         )
         await gate.update_load(reported, self.count_entries())
 
--- a/src/ospreyford/direct/declarations.py
+++ b/src/ospreyford/direct/declarations.py
@@ -14,6 +14,8 @@
     BackendLeaving,
     BackoffUnreadable,
 )
+from ospreyford.direct.zoneroom import ZoneRoom
+from ospreyford.direct.zones import ZonesOut
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -61,7 +63,7 @@
 
 
 class BackendDeclarations:
-    """What all backends declare about further requests.
+    """What all backends declare, and operators of their zones.
 
     Declarations belong to a process. They are kept apart from the
     registrations, which may lapse, return, or show an earlier state.
@@ -73,6 +75,8 @@
 
     def __init__(self, names: HeaderNames, entry: str, log: ChangeLog) -> None:
         self.limits = BackendLimits(names.limit, entry, log)
+        self.zones = ZonesOut()
+        self.room = ZoneRoom(self.zones)
         self._names = names
         self._log = log
         #: By incarnation.
@@ -92,11 +96,12 @@
         return sum(one.is_leaving for one in self._declarations.values())
 
     def has_any(self) -> bool:
-        """Check whether any backend has declared something.
+        """Check whether anything may keep requests from a backend.
 
-        :returns: whether one has, even if it no longer matters.
+        :returns: whether a backend has declared something, even if it no longer
+            matters, or a zone is out or was so recently.
         """
-        return bool(self._declarations)
+        return bool(self._declarations) or self.zones.has_any()
 
     def accepts(self, server: BackendServer, now: float) -> bool:
         """Check whether a backend takes requests of this entry.
@@ -123,7 +128,8 @@
 
         :param backends: the backends.
         :returns: time on the monotonic clock; not above the present one if a
-            backend takes requests now, infinite if all are leaving.
+            backend takes requests now, infinite if all are leaving or in zones
+            that are out.
         """
         return min(
             (self._get_resume_time(one.server) for one in backends),
@@ -163,6 +169,8 @@
         }
 
     def _get_resume_time(self, server: BackendServer) -> float:
+        if self.zones.is_out(server.zone):
+            return math.inf
         declaration = self._declarations.get(server.get_incarnation())
         return (
             -math.inf if declaration is None else declaration.get_resume_time()
--- a/src/ospreyford/direct/metrics.py
+++ b/src/ospreyford/direct/metrics.py
@@ -15,7 +15,10 @@
 from ospreyford.observability.tallies import serve_tally
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ospreyford.direct.context import EntryContext
+    from ospreyford.direct.zonereport import ZoneRow
 
 #: Bucket bounds of the latency histograms, in seconds.
 LATENCY_BOUNDS: Final = (
@@ -52,6 +55,29 @@
             'Age of what is known of the published state.',
             registry=self.registry,
         )
+        self.zone_shares = Gauge(
+            'ospreyford_zone_share',
+            'Part of the requests that may go to a zone; 0 while it is out.',
+            ('zone',),
+            registry=self.registry,
+        )
+        self.zone_requests = Gauge(
+            'ospreyford_zone_requests',
+            'Requests of this entry under way in a zone.',
+            ('zone',),
+            registry=self.registry,
+        )
+
+    def show_zones(self, rows: Iterable[ZoneRow]) -> None:
+        """Show the zones in place of those shown before.
+
+        :param rows: one for each zone.
+        """
+        self.zone_shares.clear()
+        self.zone_requests.clear()
+        for row in rows:
+            self.zone_shares.labels(row.zone).set(row.share)
+            self.zone_requests.labels(row.zone).set(row.under_way)
 
     def render(self) -> bytes:
         """Render all metrics.
@@ -98,6 +124,12 @@
             context.declarations,
             'leaving_count',
         ),
+        (
+            'zones_out',
+            'Zones that operators have taken out of service.',
+            context.zones,
+            'out_count',
+        ),
         (
             'retries_spent',
             'Retries taken from the shared budget.',
--- a/src/ospreyford/direct/operatorport.py
+++ b/src/ospreyford/direct/operatorport.py
@@ -1,4 +1,4 @@
-"""Port of an entry for operators: metrics, and requests that crash backends."""
+"""Port of an entry for operators: its state, metrics, suspected requests."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 import curio
 import msgspec
 
+from ospreyford.direct.zonereport import list_zones
 from ospreyford.http.server import listen
 from ospreyford.observability.exposition import CONTENT_TYPE, accept
 
@@ -19,6 +20,7 @@
     from ospreyford.suspects.suspect import Suspect
 
 JSON_TYPE: Final = (b'content-type', b'application/json')
+STATUS_PATH: Final = '/status'
 SUSPECTS_PATH: Final = '/suspects'
 LIFT_PATH: Final = '/suspects/lift'
 
@@ -46,7 +48,7 @@
 
 
 class OperatorPort:
-    """Serves metrics and suspected requests, and lifts a block.
+    """Serves state, metrics and suspected requests, and lifts a block.
 
     :param context: shared state of the entry.
     """
@@ -64,6 +66,23 @@
         sock = listen(host, port)
         await curio.spawn(accept, sock, self._answer, daemon=True)
 
+    def describe_status(self) -> dict[str, object]:
+        """Describe the state of the entry.
+
+        :returns: the entry, what it knows of the store, and a row for each
+            zone.
+        """
+        context = self._context
+        now = time.monotonic()
+        return {
+            'entry': context.settings.name,
+            'zone': context.settings.zone,
+            'ready': context.is_ready(),
+            'version': context.get_version(),
+            'state_age_ms': context.compute_state_age_ms(),
+            'zones': [row._asdict() for row in list_zones(context, now)],
+        }
+
     def list_suspects(self) -> list[SuspectRow]:
         """List the suspected requests.
 
@@ -82,6 +101,9 @@
     async def _answer(self, exchange: Exchange) -> None:
         target = urlsplit(exchange.request.target)
         match exchange.request.method, target.path:
+            case 'GET', path if path == STATUS_PATH:
+                shown = self.describe_status()
+                await _respond(exchange, HTTPStatus.OK, shown)
             case 'GET', path if path == SUSPECTS_PATH:
                 await _respond(exchange, HTTPStatus.OK, self.list_suspects())
             case 'POST', path if path == LIFT_PATH:
@@ -112,6 +134,7 @@
     def _render_metrics(self) -> bytes:
         context = self._context
         context.metrics.state_age.set(context.freshness.compute_age() or 0)
+        context.metrics.show_zones(list_zones(context, time.monotonic()))
         return context.metrics.render()
 
 
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -13,6 +13,7 @@
 from ospreyford.direct.operatorport import OperatorPort
 from ospreyford.direct.updates import StateUpdater
 from ospreyford.direct.verdicts import Cause
+from ospreyford.direct.zonereport import ZoneReporter
 from ospreyford.http.closing import POLL_SECONDS, ClosingPace, close_server
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.errors import (
@@ -84,6 +85,7 @@
         self._handler = RequestHandler(context)
         self._connections = OpenConnections(MAX_CONNECTIONS)
         self._was_ready = False
+        self._zone_reporter = ZoneReporter(context)
         self.updater = StateUpdater(context)
 
     async def run(self, feed: Callable[[], Awaitable[None]]) -> None:
@@ -159,6 +161,7 @@
             await self.updater.remove_expired()
             self._context.declarations.forget_ended(self._context.backends)
             await self._process_queues()
+            self._zone_reporter.report(time.monotonic())
             self._log_readiness()
 
     async def _process_queues(self) -> None:
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -160,6 +160,9 @@
         )
         call.attempts.append(attempt)
         backend.in_flight += 1
+        zone = backend.server.zone
+        under_way = self._context.zones.under_way
+        under_way[zone] += 1
         try:
             async with BackendRequest(
                 call, backend.server, self._context.resources
@@ -171,6 +174,7 @@
                 )
         finally:
             backend.in_flight -= 1
+            under_way[zone] -= 1
 
     async def _handle_outcome(
         self,
--- a/src/ospreyford/direct/updates.py
+++ b/src/ospreyford/direct/updates.py
@@ -44,6 +44,7 @@
         context = self._context
         self._guard.start(position, time.monotonic())
         context.key_guard.start(read_boot_clock())
+        context.zones.start_restore(time.monotonic())
         context.store_restores += 1
         self._kept.clear()
         context.log.log_change(
@@ -62,6 +63,7 @@
             seconds on the boot clock.
         """
         context = self._context
+        context.zones.settle(time.monotonic())
         key_guard = context.key_guard
         waited_seconds = key_guard.compute_wait(read_boot_clock())
         if not key_guard.settle(context.get_version(), confirmed_at):
--- a/src/ospreyford/direct/verdicts.py
+++ b/src/ospreyford/direct/verdicts.py
@@ -24,6 +24,7 @@
     unreachable = 'back ends unreachable'
     overloaded = 'no place in time'
     backoff = 'back ends want no requests for some time'
+    zones_out = 'all zones with back ends are out of service'
     limited = 'back ends take no more requests now'
     lost = 'connection to the back end lost'
     garbled = 'answer of the back end unusable'
--- a/src/ospreyford/observability/loggedevents.py
+++ b/src/ospreyford/observability/loggedevents.py
@@ -11,6 +11,7 @@
 from ospreyford.direct.limitdecisions import LimitDecision
 from ospreyford.direct.restoredecisions import RestoreDecision
 from ospreyford.direct.retrydecisions import RetryDecision
+from ospreyford.direct.zonedecisions import ZoneDecision
 from ospreyford.observability.events import (
     BackendEjected,
     BackendReturned,
@@ -62,6 +63,7 @@
     | DeclarationDecision
     | LimitDecision
     | RetryDecision
+    | ZoneDecision
     | AgentDecision
     | TaskFailed
 )
--- a/src/ospreyford/platform/feed.py
+++ b/src/ospreyford/platform/feed.py
@@ -17,6 +17,7 @@
 from ospreyford.platform.records import (
     CATALOG_KEY,
     SERVERS_PREFIX,
+    ZONES_PREFIX,
 )
 from ospreyford.platform.throttle import WatchThrottle
 
@@ -25,7 +26,7 @@
     from ospreyford.direct.updates import StateUpdater
     from ospreyford.platform.store import StoreClient
 
-#: A single watch covers the catalog and all registrations.
+#: A single watch covers catalog, registrations and zones out of service.
 ALL_KEYS_PREFIX = ''
 #: Duration of a watch relative to the time for which a revoked key may be
 #: accepted; its response confirms the view even if nothing changed.
@@ -57,7 +58,9 @@
         self._last_revision = 0
         self._has_failed = False
         self._health = StoreHealth(context)
-        self._applier = ItemApplier(updater, self._health, context.log)
+        self._applier = ItemApplier(
+            updater, self._health, context.zones, context.log
+        )
         self._throttle = WatchThrottle()
 
     async def run(self) -> None:
@@ -113,13 +116,16 @@
 
     async def _read_all(self) -> None:
         servers = await self._store.list_prefix(SERVERS_PREFIX)
+        zones = await self._store.list_prefix(ZONES_PREFIX)
         # Read last: a missing configuration shows no revision, and one that is
         # written after the listing comes with the watch.
         config = await self._store.get(CATALOG_KEY)
-        revisions = [servers.revision]
+        revisions = [servers.revision, zones.revision]
         if config.items:
             revisions.append(config.revision)
         self._context.registration_guard.record_reading(min(revisions))
+        # First: no backend of a zone that is out may be used in between.
+        self._applier.apply_zones(zones)
         for item in config.items:
             self._applier.apply_catalog(item, is_change=False)
         await self._applier.apply_servers(servers)
--- a/src/ospreyford/platform/records.py
+++ b/src/ospreyford/platform/records.py
@@ -22,6 +22,7 @@
 from ospreyford.platform.errors import BadRecord
 from ospreyford.platform.nodefile import parse_address
 from ospreyford.platform.schema import (
+    MAX_NAME_CHARACTERS,
     StoredConfig,
     StoredEngine,
     StoredLimits,
@@ -34,6 +35,8 @@
 #: Key of the operators' configuration and prefix of backend registrations.
 CATALOG_KEY: Final = 'op/config'
 SERVERS_PREFIX: Final = 'servers/'
+#: Prefix of the keys that take a zone out of service, whatever their value.
+ZONES_PREFIX: Final = 'op/evacuate/'
 MS_PER_SECOND = 1000
 MEGABITS_PER_MEGABYTE = 8
 
@@ -116,6 +119,23 @@
     )
 
 
+def decode_zone(key: str) -> str:
+    """Decode which zone a key takes out of service.
+
+    :param key: the key.
+    :returns: the zone's name.
+    :raises BadRecord: no backend can be registered in a zone of this name.
+    """
+    zone = key.removeprefix(ZONES_PREFIX)
+    if not zone:
+        raise BadRecord(key, 'no name of a zone')
+    if len(zone) > MAX_NAME_CHARACTERS:
+        raise BadRecord(
+            key, f'name longer than {MAX_NAME_CHARACTERS} characters'
+        )
+    return zone
+
+
 def _negate_prefix_length(route: Route) -> int:
     return -len(route.prefix)
 
--- a/src/ospreyford/platform/store.py
+++ b/src/ospreyford/platform/store.py
@@ -57,7 +57,8 @@
 class _Item(msgspec.Struct, frozen=True, rename='pascal'):
     key: str
     revision: int
-    value: str = ''
+    # An empty value may be encoded as null.
+    value: str | None = ''
     deleted: bool = False
     # Revision of the store; only in responses for a single key.
     at: int = 0
@@ -215,7 +216,7 @@
     if item.deleted:
         return Item(item.key, None, item.revision)
     try:
-        raw = b64decode(item.value, validate=True)
+        raw = b64decode(item.value or '', validate=True)
     except ValueError as error:
         raise BadRecord(item.key, str(error)) from None
     return Item(item.key, raw, item.revision)
