--- a/src/ospreyford/direct/declarations.py
+++ b/src/ospreyford/direct/declarations.py
@@ -99,9 +99,9 @@
         """Check whether anything may keep requests from a backend.
 
         :returns: whether a backend has declared something, even if it no longer
-            matters, or a zone is out or was so recently.
+            matters, or a zone is out.
         """
-        return bool(self._declarations) or self.zones.has_any()
+        return bool(self._declarations or self.zones.names)
 
     def accepts(self, server: BackendServer, now: float) -> bool:
         """Check whether a backend takes requests of this entry.
@@ -121,7 +121,11 @@
         :param now: seconds on the monotonic clock.
         :returns: those to which a request may be sent.
         """
-        return [one for one in backends if self.accepts(one.server, now)]
+        if self._declarations:
+            return [one for one in backends if self.accepts(one.server, now)]
+        # Asked for each request, for all backends of its service.
+        names = self.zones.names
+        return [one for one in backends if one.server.zone not in names]
 
     def find_resume_time(self, backends: Iterable[BackendState]) -> float:
         """Find when the first of several backends takes requests again.
--- a/src/ospreyford/direct/zonereturn.py
+++ b/src/ospreyford/direct/zonereturn.py
@@ -35,8 +35,11 @@
     if now >= zones.returning_until:
         return backends
     point = random.random()
-    names = {one.server.zone for one in backends}
-    chosen = {name for name in names if point < zones.compute_share(name, now)}
-    left = [one for one in backends if one.server.zone in chosen]
+    names = {
+        name
+        for name in zones.get_statuses()
+        if point >= zones.compute_share(name, now)
+    }
+    left = [one for one in backends if one.server.zone not in names]
     has_untried = any(one.server.id not in tried for one in left)
     return left if has_untried else backends
--- a/src/ospreyford/direct/zones.py
+++ b/src/ospreyford/direct/zones.py
@@ -51,6 +51,8 @@
     def __init__(self) -> None:
         #: Requests of this entry that are under way, by zone.
         self.under_way: Counter[str] = Counter()
+        #: Names of the zones that are out.
+        self.names: frozenset[str] = frozenset()
         self._zones: dict[str, ZoneStatus] = {}
         #: Keys that the store shows, with their revisions.
         self._shown: dict[str, int] = {}
@@ -62,7 +64,7 @@
     @property
     def out_count(self) -> int:
         """Number of zones that are out."""
-        return sum(one.is_out for one in self._zones.values())
+        return len(self.names)
 
     def has_any(self) -> bool:
         """Check whether any zone is out, or was so recently.
@@ -77,8 +79,7 @@
         :param zone: its name.
         :returns: whether its backends get no requests.
         """
-        status = self._zones.get(zone)
-        return status is not None and status.is_out
+        return zone in self.names
 
     def get_statuses(self) -> Mapping[str, ZoneStatus]:
         """Return the zones that are out or were so recently.
@@ -176,6 +177,7 @@
         status = self._zones.get(zone)
         if status is None or not status.is_out:
             self._zones[zone] = ZoneStatus(True, now, written, written)
+            self.names |= {zone}
             return
         status.revision = written
         status.written = written
@@ -185,6 +187,7 @@
         if status is None or not status.is_out:
             return
         status.is_out = False
+        self.names -= {zone}
         status.changed_at = now
         status.revision = revision
         self.returning_until = now + RETURN_SECONDS
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -19,6 +19,7 @@
 )
 from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.updates import StateUpdater
+from ospreyford.direct.zonedecisions import ZoneKeyRefused
 from ospreyford.platform.errors import (
     BadRecord,
     HistoryCompacted,
@@ -26,7 +27,7 @@
     StoreUnavailable,
 )
 from ospreyford.platform.feed import WATCH_WAIT_RATIO, StoreFeed
-from ospreyford.platform.store import StoreClient
+from ospreyford.platform.store import Item, StoreClient
 from tests.direct.backends import DIALECT, SETTINGS, RecordingLog
 from tests.platform.storefake import (
     FakeStore,
@@ -209,7 +210,7 @@
     return harness
 
 
-@pytest.mark.parametrize('number', [1, 2, 3])
+@pytest.mark.parametrize('number', [1, 2, 3, 4])
 def test_first_configuration_written_while_the_store_is_read(
     number: int,
 ) -> None:
@@ -219,7 +220,40 @@
     assert harness.context.is_ready()
 
 
-@pytest.mark.parametrize('number', [1, 2, 3])
+@pytest.mark.parametrize('number', [1, 2, 3, 4])
+def test_zone_taken_out_while_the_store_is_read(number: int) -> None:
+    """A key written between two reads must not stay unknown."""
+    harness = curio.run(write_before_call, number, 'op/evacuate/a', b'')
+    assert harness.context.zones.is_out('a')
+
+
+def test_keys_that_take_no_zone_out_are_logged_once() -> None:
+    harness = curio.run(
+        apply_changes,
+        make_store(),
+        ('op/evacuate/', b'1'),
+        ('op/evacuate/', b'2'),
+        ('op/evacuate/', None),
+        (f'op/evacuate/{"z" * 201}', b'\xff'),
+        ('op/evacuate/b', b'\xff'),
+    )
+    assert len(harness.log.find(ZoneKeyRefused)) == 2
+    assert list(harness.context.zones.get_statuses()) == ['b']
+
+
+async def watch_null() -> Any:
+    event = {'Key': 'op/evacuate/a', 'Value': None, 'Revision': 7}
+    raw = msgspec.json.encode({'events': [event], 'At': 7})
+    store = StoreClient(await FakeStore(faults=[raw]).open())
+    return await store.watch('', 5, 0.01)
+
+
+def test_an_empty_value_may_be_null() -> None:
+    """It must not stop the watch of all other keys."""
+    assert curio.run(watch_null).items == (Item('op/evacuate/a', b'', 7),)
+
+
+@pytest.mark.parametrize('number', [1, 2, 3, 4])
 def test_registration_written_while_the_store_is_read(number: int) -> None:
     """A backend that registers between two reads must not stay unknown."""
     harness = curio.run(
