--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -76,6 +76,8 @@
         )
         self.limits = self.declarations.limits
         self.gates: dict[str, StreamGate] = {}
+        self.zones = self.declarations.zones
+        self.room = self.declarations.room
         self.metrics = EntryMetrics()
         serve_tallies(self)
         self.started_at = time.monotonic()
--- a/src/ospreyford/direct/gates.py
+++ b/src/ospreyford/direct/gates.py
@@ -30,7 +30,9 @@
     if gate is None:
         gate = StreamGate(
             call.route.max_gap,
-            context.backends.count_slots(call.service),
+            context.room.count_slots(
+                context.backends.list_available(call.service)
+            ),
             context.count_entries(),
             context.random,
         )
@@ -56,6 +58,9 @@
     :param context: shared state of the entry.
     """
     for service, gate in context.gates.items():
+        if context.zones.has_any():
+            # Zones that return get more by the second.
+            _update_rooms(context, service, gate)
         if context.suspects.blocked_count:
             await gate.refuse_blocked(context.suspects.is_blocked)
         is_accepting = _update_accepting(context, service, gate)
@@ -79,9 +84,13 @@
     if gate is None or room is None or service is None:
         return
     if service.engine is not None:
+        members = context.groups.select_members(
+            context.backends.list_available(key.service), key.name
+        )
         reported = load._replace(
             base_seconds=service.engine.pass_seconds,
             slots=room.backends.slots,
+            free_slots=context.room.count_free_slots(members),
         )
         await gate.update_load(reported, context.count_entries(), key.name)
 
@@ -91,7 +100,8 @@
 ) -> None:
     zone = context.settings.zone
     gate.rooms.update_backends(
-        context.groups.list_backends(service, zone), context.count_entries()
+        context.groups.list_backends(service, zone, context.room),
+        context.count_entries(),
     )
 
 
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
@@ -13,6 +14,7 @@
 from ospreyford.direct.operatorport import OperatorPort
 from ospreyford.direct.updates import StateUpdater
 from ospreyford.direct.verdicts import Cause
+from ospreyford.direct.zonereport import ZoneReporter
 from ospreyford.http.closing import POLL_SECONDS, ClosingPace, close_server
 from ospreyford.http.connections import OpenConnections
 from ospreyford.http.errors import (
@@ -84,6 +86,7 @@
         self._handler = RequestHandler(context)
         self._connections = OpenConnections(MAX_CONNECTIONS)
         self._was_ready = False
+        self._zone_reporter = ZoneReporter(context)
         self.updater = StateUpdater(context)
 
     async def run(self, feed: Callable[[], Awaitable[None]]) -> None:
@@ -160,6 +163,7 @@
             self._context.declarations.forget_ended(self._context.backends)
             refresh_groups(self._context)
             await process_queues(self._context)
+            self._zone_reporter.report(time.monotonic())
             self._log_readiness()
 
     def _log_readiness(self) -> None:
--- a/src/ospreyford/direct/rankgroups.py
+++ b/src/ospreyford/direct/rankgroups.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterable, Sequence
 
     from ospreyford.direct.registry import BackendRegistry, BackendState
+    from ospreyford.direct.zoneroom import ZoneRoom
 
 
 class RankGroups:
@@ -68,15 +69,13 @@
         return [one for one in backends if self.find_name(one) == name]
 
     def list_backends(
-        self, service: str, zone: str
+        self, service: str, zone: str, room: ZoneRoom
     ) -> dict[str, GroupBackends]:
         """List what is known of the available backends of each group.
 
-        A dead backend stays registered for some seconds, so backends at the
-        same address count once.
-
         :param service: name of the service.
         :param zone: the entry's availability zone.
+        :param room: counts their slots.
         :returns: backends by name of the group.
         """
         grouped: dict[str, list[BackendState]] = defaultdict(list)
@@ -85,12 +84,7 @@
         return {
             name: GroupBackends(
                 len(members),
-                sum(
-                    {
-                        (one.server.host, one.server.port): one.server.slots
-                        for one in members
-                    }.values()
-                ),
+                room.count_slots(members),
                 any(one.server.zone == zone for one in members),
             )
             for name, members in grouped.items()
--- a/src/ospreyford/observability/loggedevents.py
+++ b/src/ospreyford/observability/loggedevents.py
@@ -12,6 +12,7 @@
 from ospreyford.direct.restoredecisions import RestoreDecision
 from ospreyford.direct.retrydecisions import RetryDecision
 from ospreyford.direct.roomdecisions import RoomDecision
+from ospreyford.direct.zonedecisions import ZoneDecision
 from ospreyford.observability.events import (
     BackendEjected,
     BackendReturned,
@@ -64,6 +65,7 @@
     | LimitDecision
     | RetryDecision
     | RoomDecision
+    | ZoneDecision
     | AgentDecision
     | TaskFailed
 )
--- a/tests/direct/test_grouprooms.py
+++ b/tests/direct/test_grouprooms.py
@@ -156,7 +156,7 @@
 async def end_unassigned() -> list[list[str]]:
     gate, room = await learn_groups(TWO)
     names = [sorted(one.name for one in gate.rooms.list_all())]
-    room.running -= 1
+    room.leave(make_call().get_priority())
     gate.rooms.update_backends(TWO, 1)
     return [*names, sorted(one.name for one in gate.rooms.list_all())]
 
