--- a/tests/rebalance/test_groupparts.py
+++ b/tests/rebalance/test_groupparts.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any
 
 import curio
 import pytest
 
-from ospreyford.observability.levels import find_level
-from ospreyford.rebalance.decisions import OrderRefused, TermFenced
+from ospreyford.rebalance.agentcontext import AgentContext
+from ospreyford.rebalance.agentports import AgentPorts
 from ospreyford.rebalance.election import (
     CANDIDATE_STAGGER_SECONDS,
     INCOMPLETE_TIMEOUT_SECONDS,
@@ -18,23 +19,15 @@
 )
 from ospreyford.rebalance.failuredetector import FailureDetector
 from ospreyford.rebalance.group import (
-    Arm,
-    Armed,
-    Disarm,
-    Done,
-    Fenced,
     Go,
     Guard,
-    Hold,
     Order,
-    Outcome,
-    Prepare,
     RankState,
-    Rejected,
 )
 from ospreyford.rebalance.groupengine import GroupEngine, Reading
 from ospreyford.rebalance.groupkey import GroupKey
-from ospreyford.rebalance.incidents import GroupIncidents, find_cause
+from ospreyford.rebalance.groupprefix import GroupDatagram
+from ospreyford.rebalance.groupsessions import GroupSessions
 from ospreyford.rebalance.memberstates import fill_group, strip_group
 from ospreyford.rebalance.messages import OrderResponse, RankReport, encode
 from ospreyford.rebalance.metrics import AgentMetrics
@@ -48,9 +41,8 @@
 from ospreyford.rebalance.remoteranks import RemoteRanks
 from ospreyford.rebalance.sessiondecisions import select_group
 from ospreyford.rebalance.statuspublisher import compute_status_interval
-from tests.direct.backends import RecordingLog
 from tests.fakes.clock import FakeClock
-from tests.rebalance.test_ranks import STEP, TERM, make_state
+from tests.rebalance.test_ranks import TERM, make_state
 
 OWN, OTHER = GroupKey('s', 'g'), GroupKey('s', 'h')
 AGENTS = tuple((f'10.0.0.{number}', 7) for number in range(1, 5))
@@ -275,54 +267,6 @@
     assert compute_status_interval(groups) == pytest.approx(interval)
 
 
-IDLE = make_state()
-ARMED = IDLE._replace(prepared=9, armed=Armed(9, STEP))
-MAP = (((0,), (1,)),)
-
-
-@pytest.mark.parametrize(
-    ('order', 'state', 'cause'),
-    [
-        (Go(STEP), IDLE._replace(epoch=7), 'other epoch'),
-        (Hold(STEP), IDLE._replace(step=STEP), 'pass has begun'),
-        (Arm(9, STEP), IDLE._replace(step=STEP), 'pass has begun'),
-        (Hold(STEP), IDLE._replace(held=STEP + 1), 'holds another pass'),
-        (Arm(9, STEP), IDLE, 'map is not prepared'),
-        (Arm(9, STEP), IDLE._replace(prepared=8), 'another map is prepared'),
-        (Prepare(10, MAP), ARMED, 'armed for another map'),
-        (Disarm(3), IDLE, 'other state'),
-    ],
-)
-def test_refusal_has_a_cause(
-    order: Order, state: RankState, cause: str
-) -> None:
-    assert find_cause(order, state, TERM) == cause
-
-
-def test_incidents_are_warnings_and_counted() -> None:
-    log, metrics = RecordingLog(), AgentMetrics()
-    incidents = GroupIncidents('g', metrics, log)  # type: ignore[arg-type]
-    late = Rejected(IDLE._replace(step=STEP))
-    given: tuple[tuple[Order, Outcome], ...] = (
-        (Hold(STEP), Done(IDLE)),
-        # Another pass is held then, as on any day.
-        (Hold(STEP), late),
-        (Arm(9, STEP), Rejected(IDLE)),
-        (Arm(9, STEP), Fenced()),
-    )
-    for order, outcome in given:
-        incidents.record_outcome(1, order, TERM, outcome)
-    incidents.record_fenced_term(TERM.token)
-    refused, fenced = log.events
-    assert isinstance(refused, OrderRefused)
-    assert fenced == TermFenced('g', TERM.token, 1, 'Arm')
-    assert [find_level(one) for one in log.events] == ['warning', 'warning']
-    rendered = metrics.render().decode()
-    assert 'ospreyford_terms_fenced_total 1.0' in rendered
-    assert 'cause="pass has begun",order="Hold"} 1.0' in rendered
-    assert 'cause="map is not prepared",order="Arm"} 1.0' in rendered
-
-
 def test_states_between_members_bear_no_name() -> None:
     """Guards against messages that grow with the names of groups."""
     state = make_state()
@@ -333,3 +277,20 @@
     assert fill_group(answer, 'g') == OrderResponse(1, 'Done', state)
     pending = OrderResponse(1, None)
     assert fill_group(pending, 'g') == pending
+
+
+def test_datagram_of_another_group_is_dropped_undecoded() -> None:
+    metrics, sock = AgentMetrics(), SimpleNamespace(malformed=0)
+    nothing: Any = None
+    context: Any = AgentContext(
+        nothing,
+        AgentPorts(nothing, nothing, nothing, nothing),
+        sock,  # type: ignore[arg-type]
+        nothing,
+        metrics,
+    )
+    sessions = GroupSessions(context)
+    datagram = GroupDatagram(OTHER.compute_tag(), b'\xff')
+    curio.run(sessions.handle_datagram, datagram, AGENTS[1])
+    assert b'ospreyford_foreign_datagrams_total 1.0' in metrics.render()
+    assert not sock.malformed
