--- a/src/ospreyford/direct/coordinators.py
+++ b/src/ospreyford/direct/coordinators.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
+from ospreyford.rebalance.statuspublisher import compute_status_interval
+
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
 
@@ -16,6 +18,8 @@
 #: any of them may be elected, after 0.45 s at the earliest, and must know the
 #: entries.
 COORDINATOR_TIMEOUT_SECONDS: Final = 0.3
+#: The same beyond that time, in intervals between reports of many groups.
+STATUS_INTERVALS: Final = 1.5
 #: Interval between hellos.
 HELLO_INTERVAL_SECONDS: Final = 0.5
 #: Upper bound of that interval; agents forget an entry after three seconds.
@@ -88,8 +92,8 @@
         :param keys: keys of groups.
         :returns: those whose coordinators have been silent for too long.
         """
-        pace = self.compute_hello_interval() / HELLO_INTERVAL_SECONDS
-        timeout = pace * COORDINATOR_TIMEOUT_SECONDS
+        interval = compute_status_interval(self.count_heard())
+        timeout = COORDINATOR_TIMEOUT_SECONDS + STATUS_INTERVALS * interval
         return [key for key in keys if self.compute_silence(key) > timeout]
 
     def count_heard(self) -> int:
--- a/src/ospreyford/rebalance/participant.py
+++ b/src/ospreyford/rebalance/participant.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ospreyford.rebalance.effects import compute_state_after
@@ -33,6 +34,11 @@
 PASS_POLL_SECONDS = 0.004
 
 
+@dataclass(frozen=True)
+class _Unanswered:
+    """The rank did not answer; it may have accepted the order."""
+
+
 class RankParticipant:
     """Executes a coordinator's orders on one rank.
 
@@ -76,17 +82,23 @@
         :param term: token and epoch of the coordinator.
         :returns: the outcome.
         """
+        unanswered: RankState | None = None
         for _ in range(MAX_SEND_ATTEMPTS):
             state = await self._engine.read_state()
-            if state is not None:
-                outcome = await self._send_once(order, term, state)
-                if outcome is not None:
-                    return outcome
+            if state is None:
+                continue
+            if _was_accepted(order, unanswered, state):
+                return await self._finish(order, state, Reply.accepted)
+            outcome = await self._send_once(order, term, state)
+            if isinstance(outcome, _Unanswered):
+                unanswered = state
+            elif outcome is not None:
+                return outcome
         return Silent()
 
     async def _send_once(
         self, order: Order, term: Term, state: RankState
-    ) -> Outcome | None:
+    ) -> Outcome | _Unanswered | None:
         if state.epoch != term.epoch or not _may_apply(state, order):
             return Rejected(state)
         if self._is_redundant(state, order):
@@ -99,7 +111,7 @@
                 return await self._finish(order, state, reply)
             case Reply.rejected:
                 return await self._resolve_rejection(order, state)
-        return None
+        return _Unanswered()
 
     def _is_redundant(self, state: RankState, order: Order) -> bool:
         # Only an accepted order fences lower tokens, and the state of a remote
@@ -143,6 +155,27 @@
         return Rejected(state)
 
 
+def _was_accepted(
+    order: Order, before: RankState | None, state: RankState
+) -> bool:
+    """Check whether an unanswered attempt seems to have been accepted.
+
+    A rank that copies experts reports nothing of it until it is done, and
+    refuses the order meanwhile.
+
+    :param order: the order.
+    :param before: state before the attempt without an answer, if any.
+    :param state: the rank's state.
+    :returns: whether the rank has accepted one order since.
+    """
+    return (
+        isinstance(order, Prepare)
+        and before is not None
+        and (state.epoch, state.born_ms) == (before.epoch, before.born_ms)
+        and state.sequence == before.sequence + 1
+    )
+
+
 def _may_apply(state: RankState, order: Order) -> bool:
     # An order accepted after this read makes the rank refuse this one.
     if isinstance(order, Disarm) and order.held is not None:
--- a/tests/direct/test_agents.py
+++ b/tests/direct/test_agents.py
@@ -17,6 +17,7 @@
 from ospreyford.direct.coordinators import (
     COORDINATOR_TIMEOUT_SECONDS,
     HELLO_INTERVAL_SECONDS,
+    KnownCoordinators,
 )
 from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.gates import refresh_groups
@@ -28,6 +29,7 @@
 from ospreyford.direct.registry import BackendServer
 from ospreyford.http.message import Limits
 from ospreyford.rebalance.datagrams import Address
+from ospreyford.rebalance.election import HEARTBEAT_INTERVAL_SECONDS
 from ospreyford.rebalance.entrymessages import (
     UNKNOWN_REQUESTS,
     GroupStatus,
@@ -38,6 +40,7 @@
 )
 from ospreyford.rebalance.groupkey import GroupKey
 from ospreyford.rebalance.messages import decode, encode
+from ospreyford.rebalance.statuspublisher import compute_status_interval
 from tests.direct.backends import DIALECT, SETTINGS, RecordingLog
 
 RANKS = 129
@@ -397,3 +400,20 @@
     assert all(
         len(encode(hello)) <= MAX_HELLO_BYTES for hello, _ in entry.post.sent
     )
+
+
+@pytest.mark.parametrize('groups', [1, 2, 4, 5, 37, 67])
+def test_reporting_coordinators_are_not_taken_for_silent(
+    monkeypatch: pytest.MonkeyPatch, groups: int
+) -> None:
+    """Hellos to all agents of many groups would follow each missed report."""
+    now = [100.0]
+    monkeypatch.setattr(time, 'monotonic', lambda: now[0])
+    known = KnownCoordinators()
+    keys = [GroupKey('s', f'g{number}') for number in range(groups)]
+    for key in keys:
+        known.record(key, ('10.0.0.1', 1), 1)
+    now[0] += max(HEARTBEAT_INTERVAL_SECONDS, compute_status_interval(groups))
+    assert not known.list_silent(keys)
+    now[0] += 5
+    assert known.list_silent(keys) == keys
