--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -10,19 +10,12 @@
 from ospreyford.direct.agents import AgentLink
 from ospreyford.direct.gates import process_queues, refresh_groups
 from ospreyford.direct.handler import RequestHandler
-from ospreyford.direct.messages import CONTENT_TYPE, encode_problem
+from ospreyford.direct.invalidrequests import respond_to_error
 from ospreyford.direct.operatorport import OperatorPort
 from ospreyford.direct.updates import StateUpdater
-from ospreyford.direct.verdicts import Cause
 from ospreyford.direct.zonereport import ZoneReporter
 from ospreyford.http.closing import POLL_SECONDS, ClosingPace, close_server
 from ospreyford.http.connections import OpenConnections
-from ospreyford.http.errors import (
-    BadMessage,
-    BodyTooLarge,
-    HttpError,
-    TooSlow,
-)
 from ospreyford.http.message import Limits
 from ospreyford.http.server import serve_connection
 from ospreyford.observability.events import Draining, NotReady, Ready, Stopped
@@ -36,12 +29,10 @@
 
     from ospreyford.console.stopping import Stop
     from ospreyford.direct.context import EntryContext
-    from ospreyford.http.server import Exchange, ServerConnection
+    from ospreyford.http.server import Exchange
 
 OK: Final = 200
 UNAVAILABLE: Final = 503
-REQUEST_TIMEOUT: Final = 408
-TOO_LARGE: Final = 413
 #: Callers' connections; leaves as many file descriptors for backends.
 MAX_CONNECTIONS = 1800
 #: Interval of the checks for expired connections and missing backends.
@@ -178,23 +169,3 @@
             self._context.log.log_change(
                 NotReady(f'state of the store is {age_ms} ms old')
             )
-
-
-async def respond_to_error(
-    error: HttpError, connection: ServerConnection
-) -> None:
-    """Respond to an invalid request where the protocol still allows it.
-
-    :param error: the error.
-    :param connection: the caller's connection.
-    """
-    match error:
-        case BadMessage(status=status):
-            body = encode_problem(Cause.garbled, '')
-            await connection.refuse(status, body, (CONTENT_TYPE,))
-        case BodyTooLarge():
-            body = encode_problem(Cause.refused, '')
-            await connection.refuse(TOO_LARGE, body, (CONTENT_TYPE,))
-        case TooSlow():
-            body = encode_problem(Cause.out_of_time, '')
-            await connection.refuse(REQUEST_TIMEOUT, body, (CONTENT_TYPE,))
--- a/tests/direct/backends.py
+++ b/tests/direct/backends.py
@@ -26,7 +26,7 @@
 from ospreyford.direct.grouproom import GroupRoom
 from ospreyford.direct.handler import RequestHandler
 from ospreyford.direct.headernames import HeaderNames
-from ospreyford.direct.program import respond_to_error
+from ospreyford.direct.invalidrequests import respond_to_error
 from ospreyford.direct.registry import BackendServer
 from ospreyford.direct.retryshare import SETTLING_SECONDS
 from ospreyford.direct.settings import Bounds, DirectSettings, RetrySettings
--- a/tests/direct/test_urgency.py
+++ b/tests/direct/test_urgency.py
@@ -84,7 +84,8 @@
                 )
 
     def _end_streams(self, now: float) -> None:
-        for _, priority in [one for one in self.ends if one[0] <= now]:
+        ended = [one for one in self.ends if one[0] <= now]
+        for _, priority in ended:
             self.room.leave(priority)
         self.ends = [one for one in self.ends if one[0] > now]
 
