Cold backends and declared limits: agents grant sendings, small equal parts beside them

Cause: a limit was shared equally among the counted entries and never lent, so one entry with all callers used a fraction of it; cold backends (published rate, registered or told time) were not limited at all. A backend is cold by its registration, its start or a response, and as long as the view of the store is too old to tell.

--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -24,6 +24,7 @@
     ImpairedRank,
     RankDetails,
 )
+from ospreyford.sendgrants.messages import SendingGrant
 from ospreyford.suspects.messages import SuspectReport
 
 if TYPE_CHECKING:
@@ -43,6 +44,8 @@
         self._transport = DatagramSocket(context.settings.datagrams)
         self.hello_sender = HelloSender(context, self._transport)
         self._tokens: dict[str, int] = {}
+        self._grant_client = context.limits.grant_client
+        self._grant_client.transport = self._transport
 
     async def run(self) -> None:
         """Receive datagrams until the process ends."""
@@ -52,6 +55,7 @@
         """Send hellos until the process ends."""
         while True:
             await self.hello_sender.send_due()
+            self._grant_client.update_agents(self.hello_sender.list_agents())
             report = self._context.suspect_sharing.take_changes()
             if report is not None:
                 await self.hello_sender.send_suspects(report)
@@ -68,6 +72,8 @@
                 await self._handle_load(message, address)
             case GroupStatus():
                 await self._handle_group_news(message, address)
+            case SendingGrant():
+                await self._grant_client.handle_grant(message, address)
             case SuspectReport():
                 missing = self._context.suspect_sharing.merge(message)
                 if missing is not None:
--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.headers import make_backend_headers
 from ospreyford.direct.verdicts import (
     AttemptOutcome,
@@ -112,6 +113,10 @@
             self.server, time.monotonic()
         ):
             return Withheld()
+        lapses_at = self._call.send_before
+        if lapses_at is not None and read_boot_clock() > lapses_at:
+            # Opening the connection, or a pause, took too long.
+            return Withheld()
         try:
             return await self._exchange(self._connection)
         except HttpError:
--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -9,8 +9,14 @@
 
 import curio
 
+from ospreyford.direct.backendlimits import (
+    MAX_SLOT_DELAY_SECONDS,
+    name_process,
+)
+from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.selection import SelectionCriteria, find_selectable
 from ospreyford.direct.slotselection import (
+    AskFirst,
     NoSlot,
     SendLater,
     SendNow,
@@ -23,6 +29,7 @@
     from ospreyford.direct.context import EntryContext
     from ospreyford.direct.migration import StreamMigrator
     from ospreyford.direct.registry import BackendState
+    from ospreyford.direct.slotselection import Selection
 
 #: Maximum number of attempts per request, including refused ones: a closed
 #: group refuses for some seconds, and each attempt spends the shared budget.
@@ -33,8 +40,6 @@
 MAX_RETRY_AFTER_SECONDS = 2.0
 #: Spreads the callers that come back as backends take requests again.
 MAX_JITTER_SECONDS = 0.5
-#: A slot lapses if the process was paused for longer.
-MAX_SLOT_DELAY_SECONDS = 0.25
 
 
 @dataclass(frozen=True)
@@ -71,6 +76,9 @@
         self._migrator = migrator
         self._in_group = in_group
         self._slots = SlotSelector(context.limits, context.random)
+        self._may_ask = True
+        #: End of the waits for grants, in seconds on the boot clock.
+        self._asks_until: float | None = None
 
     async def select(self) -> BackendState | Unavailable:
         """Select the backend of the next attempt, and wait for its slot.
@@ -82,6 +90,8 @@
             return Unavailable(barrier)
         if self._call.attempts and not self._may_retry():
             return Unavailable()
+        self._may_ask = True
+        self._asks_until = None
         selected: BackendState | Unavailable | None = None
         while selected is None:
             selected = await self._select_once()
@@ -113,12 +123,25 @@
         connectable = self._list_connectable(backends)
         if backends and not connectable:
             return Unavailable(Cause.limited, MIN_RETRY_AFTER_SECONDS)
-        match self._slots.select(
-            connectable, criteria, self._call.compute_remaining(criteria.now)
-        ):
+        selection = self._slots.select(
+            connectable,
+            criteria,
+            self._call.compute_remaining(criteria.now),
+            may_ask=self._may_ask,
+        )
+        return await self._follow(selection, criteria.now)
+
+    async def _follow(
+        self, selection: Selection | None, now: float
+    ) -> BackendState | Unavailable | None:
+        match selection:
             case SendNow(backend=backend):
-                self._context.limits.take_slot(backend.server, criteria.now)
+                self._call.send_before = self._context.limits.take_slot(
+                    backend.server, now
+                )
                 return backend
+            case AskFirst(backend=backend, seconds=seconds):
+                return await self._ask_first(backend, seconds)
             case SendLater(backend=backend, at=at):
                 return await self._wait_for_slot(backend, at)
             case NoSlot(wait_seconds=seconds):
@@ -128,12 +151,32 @@
                 )
         return Unavailable()
 
+    async def _ask_first(
+        self, backend: BackendState, seconds: float
+    ) -> Unavailable | None:
+        """Wait for a grant; what is held then is used by the next selection."""
+        limits = self._context.limits
+        rate = limits.get_rate(backend.server)
+        if rate is None:
+            return None
+        now = read_boot_clock()
+        if self._asks_until is None:
+            self._asks_until = now + seconds
+        self._may_ask = await limits.grant_client.obtain(
+            name_process(backend.server),
+            rate,
+            min(now + seconds, self._asks_until),
+        )
+        # What allowed the request to be sent may have changed meanwhile.
+        barrier = self._find_barrier()
+        return None if barrier is None else Unavailable(barrier)
+
     async def _wait_for_slot(
         self, backend: BackendState, at: float
     ) -> BackendState | Unavailable | None:
         limits = self._context.limits
         rate = limits.get_rate(backend.server)
-        limits.take_slot(backend.server, at)
+        self._call.send_before = limits.take_slot(backend.server, at)
         await curio.sleep(max(at - time.monotonic(), 0))
         # What allowed the request to be sent may have changed meanwhile.
         barrier = self._find_barrier()
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -58,6 +58,8 @@
     :param is_retry: whether it is a retry of a refused request.
     :param identities: its own and those of the prompt parts that it shares,
         once they are needed.
+    :param send_before: when its place at a limited backend lapses, in seconds
+        on the boot clock.
     :param trial_from: number of attempts before it was sent as a trial.
     """
 
@@ -82,6 +84,7 @@
     longest_gap: float = 0
     identities: tuple[bytes, ...] = ()
     trial_from: int | None = None
+    send_before: float | None = None
 
     def record_event(self, now: float) -> None:
         """Record that events were forwarded.
--- a/src/ospreyford/direct/catalog.py
+++ b/src/ospreyford/direct/catalog.py
@@ -92,11 +92,18 @@
     :param max_connections: connections that one backend accepts from all
         callers together.
     :param engine: engine parameters, for model services.
+    :param cold_seconds: time for which a backend is cold after its start.
+    :param cold_rate: requests per second that a cold backend takes from all
+        entries together; ``None`` if it takes as many as a warm one.
+    :param problems: what in the published service could not be read.
     """
 
     name: str
     max_connections: int
     engine: Engine | None
+    cold_seconds: float = 0
+    cold_rate: float | None = None
+    problems: tuple[str, ...] = ()
 
 
 class Customer(NamedTuple):
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -74,6 +74,7 @@
             self.header_names, self.settings.name, self.log
         )
         self.limits = self.declarations.limits
+        self.limits.cold.freshness = self.freshness
         self.metrics = EntryMetrics()
         serve_tallies(self)
         self.started_at = time.monotonic()
--- a/src/ospreyford/direct/declarations.py
+++ b/src/ospreyford/direct/declarations.py
@@ -72,7 +72,7 @@
     """
 
     def __init__(self, names: HeaderNames, entry: str, log: ChangeLog) -> None:
-        self.limits = BackendLimits(names.limit, entry, log)
+        self.limits = BackendLimits(names.limit, entry, log, names.cold)
         self._names = names
         self._log = log
         #: By incarnation.
--- a/src/ospreyford/direct/headernames.py
+++ b/src/ospreyford/direct/headernames.py
@@ -21,6 +21,8 @@
     :param leaving: marks the responses of a backend that is leaving.
     :param prompt_parts: parts of the prompt in order, as comma-separated
         ID:TOKENS entries; requests share all parts but the last.
+    :param cold: milliseconds for which a backend stays cold, in its responses;
+        empty if they never tell.
     """
 
     request_id: bytes
@@ -34,3 +36,4 @@
     limit: bytes
     leaving: bytes
     prompt_parts: bytes
+    cold: bytes = b''
--- a/src/ospreyford/direct/hello.py
+++ b/src/ospreyford/direct/hello.py
@@ -107,6 +107,19 @@
             for address in addresses[: HELLO_FANOUT + 1]:
                 await self._transport.send_bytes(encoded, address)
 
+    def list_agents(self) -> set[Address]:
+        """List the agents of all model services.
+
+        :returns: their addresses.
+        """
+        port = self._context.settings.agent_port
+        hosts = {
+            host
+            for hello in self.hellos.values()
+            for host, _ in hello.members or ()
+        }
+        return {(host, port) for host in hosts}
+
     def record_coordinator(self, service: str, address: Address) -> None:
         """Record the agent that reported on a group.
 
--- a/src/ospreyford/direct/registry.py
+++ b/src/ospreyford/direct/registry.py
@@ -25,6 +25,9 @@
     :param revision: revision of the registration in the store.
     :param started_ms: start of the process in Unix milliseconds; 0 if not
         registered.
+    :param cold_seconds: time for which it stays cold, as of the registration;
+        ``None`` if not registered.
+    :param problems: what in the registration could not be read.
     """
 
     id: str
@@ -36,6 +39,8 @@
     is_draining: bool
     revision: int
     started_ms: int = 0
+    cold_seconds: float | None = None
+    problems: tuple[str, ...] = ()
 
     def is_same_incarnation(self, other: BackendServer) -> bool:
         """Check whether two registrations are of the same process.
@@ -193,7 +198,8 @@
         """Add or update a registration.
 
         :param server: the registration.
-        :returns: whether anything but the revision changed.
+        :returns: whether anything but the revision and the time for which it
+            stays cold changed.
         """
         backend = self._backends.get(server.id)
         if backend is None or not server.is_same_incarnation(backend.server):
@@ -202,7 +208,10 @@
             return True
         backend.expires_at = None
         backend.was_removed = False
-        changed = backend.server._replace(revision=server.revision) != server
+        known = backend.server._replace(
+            revision=server.revision, cold_seconds=server.cold_seconds
+        )
+        changed = known != server
         backend.server = server
         return changed
 
@@ -257,6 +266,13 @@
             self.remove(backend.server.id)
         return expired
 
+    def list_registrations(self) -> list[BackendServer]:
+        """List the registrations of all backends.
+
+        :returns: the latest ones.
+        """
+        return [one.server for one in self._backends.values()]
+
     def list_ids(self) -> Iterable[str]:
         """List the ids of all backends.
 
--- a/src/ospreyford/direct/settings.py
+++ b/src/ospreyford/direct/settings.py
@@ -31,12 +31,17 @@
         if keys stay valid during a store outage.
     :param knowledge_margin: subtracted from it for the time between check and
         start of the request, in seconds.
+    :param cold_overage: requests that a cold backend may get in a second,
+        relative to the rate that its service publishes.
+    :param cold_slack: additional requests in that second.
     """
 
     drain_seconds: float
     grace_seconds: float
     revoke_seconds: float | None
     knowledge_margin: float = 0.6
+    cold_overage: float = 1.5
+    cold_slack: float = 5
 
 
 class DirectSettings(NamedTuple):
--- a/src/ospreyford/direct/updates.py
+++ b/src/ospreyford/direct/updates.py
@@ -88,6 +88,11 @@
         if known is not None and catalog.version <= known.version:
             return
         self._context.catalog = catalog
+        limits = self._context.limits
+        limits.cold.update_services(catalog.services)
+        limits.grants.has_agents = any(
+            one.engine is not None for one in catalog.services.values()
+        )
         self._context.log.log_change(
             CatalogInForce(
                 catalog.version,
@@ -109,6 +114,7 @@
         is_restarted = known is not None and not server.is_same_incarnation(
             known.server
         )
+        self._context.limits.cold.record_registration(server, registered)
         if self._context.backends.put(server):
             change = 'draining' if server.is_draining else 'ready'
             self._log(server, change, server.revision)
--- a/src/ospreyford/observability/loggedevents.py
+++ b/src/ospreyford/observability/loggedevents.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from ospreyford.direct.colddecisions import ColdDecision
 from ospreyford.direct.crashdecisions import CrashDecision
 from ospreyford.direct.decisions import Decision as EntryDecision
 from ospreyford.direct.declarationdecisions import DeclarationDecision
@@ -61,6 +62,7 @@
     | CrashDecision
     | DeclarationDecision
     | LimitDecision
+    | ColdDecision
     | RetryDecision
     | AgentDecision
     | TaskFailed
--- /dev/null
+++ b/src/ospreyford/platform/coldfields.py
@@ -0,0 +1,26 @@
+"""Numbers about cold replicas in the records of the platform's store."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+#: Characters of an unreadable value that a log line shows.
+MAX_SHOWN_CHARACTERS = 32
+
+
+def read_quantity(name: str, stored: Any) -> tuple[float | None, str | None]:
+    """Read an optional quantity that other programs may have written.
+
+    :param name: its name, for the problem.
+    :param stored: the decoded value.
+    :returns: the number, 0 or greater, or ``None`` if it is missing or
+        unreadable; and what is wrong with it, or ``None``.
+    """
+    if stored is None:
+        return None, None
+    is_number = isinstance(stored, int | float) and not isinstance(stored, bool)
+    if is_number and 0 <= stored < math.inf:
+        return float(stored), None
+    shown = repr(stored)[:MAX_SHOWN_CHARACTERS]
+    return None, f'{name} is no quantity: {shown}'
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -48,7 +48,11 @@
             node.retry_ratio, node.retry_slack, node.retry_window
         ),
         bounds=Bounds(
-            node.drain_seconds, node.grace_seconds, node.revoke_seconds
+            node.drain_seconds,
+            node.grace_seconds,
+            node.revoke_seconds,
+            cold_overage=node.cold_overage,
+            cold_slack=node.cold_slack,
         ),
         identity_salt=make_identity_salt(node),
     )
--- a/src/ospreyford/platform/headernames.py
+++ b/src/ospreyford/platform/headernames.py
@@ -19,6 +19,7 @@
     limit=b'server-limit',
     leaving=b'server-leaving',
     prompt_parts=b'x-prompt-prefix',
+    cold=b'x-cold-ms',
 )
 
 #: Generation of the store, in each of its responses.
--- a/src/ospreyford/platform/nodefile.py
+++ b/src/ospreyford/platform/nodefile.py
@@ -19,6 +19,9 @@
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 BYTES_PER_MEGABIT = 125_000
+#: Bounds of settings files that name none.
+DEFAULT_COLD_OVERAGE = 1.5
+DEFAULT_COLD_SLACK = 5.0
 
 
 class Node(NamedTuple):
@@ -43,6 +46,9 @@
     :param backend: address of the backend on this host, on agents only.
     :param service: the service of that backend.
     :param link_bytes: bandwidth of the host's link, in bytes per second.
+    :param cold_overage: requests that a cold backend may get in a second,
+        relative to the rate that its service publishes.
+    :param cold_slack: additional requests in that second.
     """
 
     name: str
@@ -62,6 +68,8 @@
     backend: tuple[str, int] | None
     service: str | None
     link_bytes: float = float('inf')
+    cold_overage: float = DEFAULT_COLD_OVERAGE
+    cold_slack: float = DEFAULT_COLD_SLACK
 
 
 class FieldReader:
@@ -105,6 +113,16 @@
             raise BadNodeFile(self._path, key, f'out of range: {text}')
         return number
 
+    def read_optional_number(self, key: str, default: float) -> float:
+        """Read an optional number.
+
+        :param key: its key.
+        :param default: the number if it is missing.
+        :returns: a finite number, 0 or greater.
+        :raises BadNodeFile: it is invalid.
+        """
+        return self.read_number(key) if self._entries.get(key) else default
+
     def read_seconds(self, key: str) -> float:
         """Read a required duration in milliseconds.
 
@@ -217,6 +235,12 @@
         link_bytes=reader.read_number('Limits.LinkMbps') * BYTES_PER_MEGABIT
         if entries.get('Limits.LinkMbps')
         else float('inf'),
+        cold_overage=reader.read_optional_number(
+            'Bounds.ColdOverage', DEFAULT_COLD_OVERAGE
+        ),
+        cold_slack=reader.read_optional_number(
+            'Bounds.ColdSlack', DEFAULT_COLD_SLACK
+        ),
     )
 
 
--- a/src/ospreyford/platform/records.py
+++ b/src/ospreyford/platform/records.py
@@ -19,6 +19,7 @@
 )
 from ospreyford.direct.registry import BackendServer
 from ospreyford.http.message import Limits
+from ospreyford.platform.coldfields import read_quantity
 from ospreyford.platform.errors import BadRecord
 from ospreyford.platform.nodefile import parse_address
 from ospreyford.platform.schema import (
@@ -103,6 +104,9 @@
         raise BadRecord(
             key, 'id contains characters not allowed in a header field'
         )
+    cold_ms, problem = read_quantity(
+        'ColdRemainingMs', registration.cold_remaining_ms
+    )
     return BackendServer(
         id=server_id,
         service=registration.service,
@@ -113,6 +117,8 @@
         is_draining=registration.state != 'ready',
         revision=revision,
         started_ms=registration.started_ms,
+        cold_seconds=None if cold_ms is None else cold_ms / MS_PER_SECOND,
+        problems=() if problem is None else (problem,),
     )
 
 
@@ -148,10 +154,18 @@
 
 def _make_service(service: StoredService) -> Service:
     engine = service.engine
+    cold_seconds, seconds_problem = read_quantity(
+        'ColdStartS', service.cold_start_s
+    )
+    cold_rate, rate_problem = read_quantity('ColdPerS', service.cold_per_s)
     return Service(
         name=service.name,
         max_connections=service.max_connections,
         engine=None if engine is None else _make_engine(engine),
+        # Services without such a time publish 0 for both.
+        cold_seconds=cold_seconds or 0,
+        cold_rate=cold_rate or None,
+        problems=tuple(filter(None, (seconds_problem, rate_problem))),
     )
 
 
--- a/src/ospreyford/platform/schema.py
+++ b/src/ospreyford/platform/schema.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Annotated, Final, Literal
+from typing import Annotated, Any, Final, Literal
 
 import msgspec
 
@@ -68,6 +68,9 @@
     name: str
     max_connections: int
     engine: StoredEngine | None = None
+    # Of any type: an unreadable one must not void the configuration.
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class StoredLimits(msgspec.Struct, frozen=True, rename=PASCAL):
@@ -113,3 +116,5 @@
     started_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = (
         msgspec.field(name='born', default=0)
     )
+    # Of any type: an unreadable one must not void the registration.
+    cold_remaining_ms: Any = None
--- a/src/ospreyford/rebalance/dispatcher.py
+++ b/src/ospreyford/rebalance/dispatcher.py
@@ -21,6 +21,7 @@
     RankReport,
     RelayedMessage,
 )
+from ospreyford.sendgrants.messages import SendingRequest
 from ospreyford.suspects.messages import SuspectReport
 
 if TYPE_CHECKING:
@@ -100,6 +101,8 @@
                 self.shutdown.handle_leave_granted(message)
             case SuspectReport():
                 await self.suspect_relay.handle_report(message, address)
+            case SendingRequest():
+                await self.entries.rates.handle_request(message, address)
 
     def _handle_report(self, report: RankReport, address: Address) -> None:
         if self.leader is not None:
--- a/src/ospreyford/rebalance/entryregistry.py
+++ b/src/ospreyford/rebalance/entryregistry.py
@@ -18,6 +18,7 @@
     RankDetails,
 )
 from ospreyford.rebalance.messages import encode
+from ospreyford.rebalance.raterelay import RateRelay
 
 if TYPE_CHECKING:
     from ospreyford.direct.catalog import Engine
@@ -39,6 +40,8 @@
 class EntryRegistry:
     """Tracks entries and learns the members of the service from them.
 
+    ``rates`` grants them sendings to backends of a limited rate.
+
     :param settings: the agent's settings.
     :param datagram_socket: the process's socket.
     """
@@ -46,6 +49,7 @@
     def __init__(
         self, settings: AgentSettings, datagram_socket: DatagramSocket
     ) -> None:
+        self.rates = RateRelay(datagram_socket)
         self.members: tuple[Address, ...] = ()
         self.engine: Engine | None = None
         self.max_gap: float = 0
--- a/src/ospreyford/rebalance/messages.py
+++ b/src/ospreyford/rebalance/messages.py
@@ -15,6 +15,7 @@
 )
 from ospreyford.rebalance.group import ExpertMap, RankState
 from ospreyford.rebalance.loads import QuantizedLoad
+from ospreyford.sendgrants.messages import SendingGrant, SendingRequest
 from ospreyford.suspects.messages import SuspectReport
 
 MAX_DATAGRAM_BYTES: Final = 60_000
@@ -168,7 +169,14 @@
 
 
 #: Messages that are meant for no group.
-EntryMessage = Hello | HelloReply | GroupStatus | SuspectReport
+EntryMessage = (
+    Hello
+    | HelloReply
+    | GroupStatus
+    | SuspectReport
+    | SendingRequest
+    | SendingGrant
+)
 OrderMessage = OrderRequest | OrderResponse
 LeaveMessage = Leave | LeaveGranted
 CoordinatorMessage = CoordinatorHeartbeat | FindCoordinator | RelayedMessage
--- /dev/null
+++ b/src/ospreyford/sendgrants/messages.py
@@ -0,0 +1,36 @@
+"""Messages in which entries ask agents for sendings to a backend."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class SendingRequest(msgspec.Struct, frozen=True, tag='q', array_like=True):
+    """An entry's request for sendings to a backend.
+
+    :param number: number of the request, unique at the entry.
+    :param backend: name of the backend's process.
+    :param rate: requests per second that the backend takes from all entries.
+    :param count: number of sendings wanted.
+    :param has_moved: whether another agent may have granted the entry sendings
+        to this backend a moment ago.
+    """
+
+    number: int
+    backend: str
+    rate: float
+    count: int
+    has_moved: bool = False
+
+
+class SendingGrant(msgspec.Struct, frozen=True, tag='r', array_like=True):
+    """Agent's reply to a :class:`SendingRequest`.
+
+    :param number: that of the request.
+    :param count: number of sendings granted, maybe none.
+    :param wait_ms: time until more can be granted, in milliseconds.
+    """
+
+    number: int
+    count: int
+    wait_ms: int = 0
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -36,6 +36,7 @@
 from ospreyford.rebalance.entryregistry import EntryRegistry
 from ospreyford.rebalance.settings import AgentSettings
 from ospreyford.rebalance.suspectrelay import SuspectRelay
+from ospreyford.sendgrants.messages import SendingRequest
 from ospreyford.suspects.messages import SuspectReport
 from tests.direct.backends import SETTINGS, RecordingLog
 from tests.direct.test_program import FakeStop
@@ -97,6 +98,8 @@
                 await self.relay.handle_hello(message, address)
             case SuspectReport():
                 await self.relay.handle_report(message, address)
+            case SendingRequest():
+                await self.entries.rates.handle_request(message, address)
 
 
 class FleetEntry:
