--- a/src/ospreyford/rebalance/raterelay.py
+++ b/src/ospreyford/rebalance/raterelay.py
@@ -38,7 +38,7 @@
         await self._datagram_socket.send(
             SendingGrant(
                 request.number,
-                granted.count,
+                granted.sendings,
                 math.ceil(granted.wait_seconds * MS_PER_SECOND),
             ),
             address,
--- a/src/ospreyford/sendgrants/arbiters.py
+++ b/src/ospreyford/sendgrants/arbiters.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from heapq import nsmallest
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import xxhash
 
+from ospreyford.sendgrants.bounds import GRANT_FRACTIONS
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -17,6 +20,17 @@
 SILENCE_SECONDS: Final = 5.0
 
 
+class Arbiter(NamedTuple):
+    """The agent that grants the sendings to a backend.
+
+    :param address: its address.
+    :param rank: its place in the order of the agents for the backend.
+    """
+
+    address: Address
+    rank: int
+
+
 class ArbiterTable:
     """Agents of which each backend has one that grants sendings to it.
 
@@ -59,24 +73,26 @@
             if agent in agents
         }
 
-    def find(self, backend: str, now: float) -> Address | None:
+    def find(self, backend: str, now: float) -> Arbiter | None:
         """Find the agent to ask about a backend.
 
         :param backend: name of the backend's process.
         :param now: seconds on the boot clock.
-        :returns: its address, or ``None`` if no agent is known.
+        :returns: the agent, or ``None`` if none is known.
         """
         order = self._orders.get(backend)
         if order is None:
-            order = sorted(
-                self._agents, key=lambda agent: _rank(agent, backend)
+            order = nsmallest(
+                len(GRANT_FRACTIONS),
+                self._agents,
+                key=lambda agent: _draw(agent, backend),
             )
             self._orders[backend] = order
-        for agent in order:
+        for rank, agent in enumerate(order):
             if self._silent_until.get(agent, now) <= now:
-                return agent
+                return Arbiter(agent, rank)
         # All were silent: the first may be back.
-        return order[0] if order else None
+        return Arbiter(order[0], 0) if order else None
 
     def forget_backend(self, backend: str) -> None:
         """Forget the order of the agents for a backend.
@@ -105,6 +121,6 @@
             self._silent_until[agent] = now + SILENCE_SECONDS
 
 
-def _rank(agent: Address, backend: str) -> int:
+def _draw(agent: Address, backend: str) -> int:
     digest: int = xxhash.xxh64_intdigest(f'{agent[0]}/{backend}'.encode())
     return digest
--- a/src/ospreyford/sendgrants/book.py
+++ b/src/ospreyford/sendgrants/book.py
@@ -15,10 +15,9 @@
 
 from ospreyford.sendgrants.arbiters import ArbiterTable
 from ospreyford.sendgrants.bounds import (
-    GRANT_FRACTION,
+    GRANT_FRACTIONS,
     GRANT_SECONDS,
     MIN_RATE,
-    SHORT_WINDOW_SECONDS,
 )
 from ospreyford.sendgrants.messages import SendingGrant, SendingRequest
 
@@ -56,7 +55,6 @@
     :param waiting: callers that wait for one.
     :param pending: the request that was not answered yet.
     :param next_at: when to ask again.
-    :param agent: the agent asked last, and when.
     :param used_at: when the account was used last.
     """
 
@@ -64,11 +62,7 @@
     waiting: int = 0
     pending: _Pending | None = None
     next_at: float = -math.inf
-    agent: Address | None = None
-    asked_at: float = -math.inf
     used_at: float = 0
-    #: Until when another agent may have granted sendings.
-    moved_until: float = -math.inf
 
 
 class GrantBook:
@@ -113,7 +107,7 @@
         :param seconds: how long the caller can wait.
         :returns: whether the agent may grant that many in this time.
         """
-        granted = GRANT_FRACTION * max(rate, MIN_RATE) * seconds
+        granted = GRANT_FRACTIONS[0] * max(rate, MIN_RATE) * seconds
         return self.count_waiting(backend) < max(granted, 1)
 
     def join(self, backend: str, change: int) -> None:
@@ -176,23 +170,14 @@
         is_due = account.pending is None and now >= account.next_at
         if count <= 0 or not is_due:
             return None
-        agent = self.arbiters.find(backend, now)
-        if agent is None:
+        arbiter = self.arbiters.find(backend, now)
+        if arbiter is None:
             return None
-        if agent != account.agent:
-            if now - account.asked_at <= SHORT_WINDOW_SECONDS:
-                account.moved_until = now + SHORT_WINDOW_SECONDS
-            account.agent = agent
-        account.asked_at = now
         self.asked_count += 1
         question = Question(
-            agent,
+            arbiter.address,
             SendingRequest(
-                self.asked_count,
-                backend,
-                rate,
-                count,
-                has_moved=now <= account.moved_until,
+                self.asked_count, backend, rate, count, arbiter.rank
             ),
         )
         account.pending = _Pending(question, now)
--- a/src/ospreyford/sendgrants/bounds.py
+++ b/src/ospreyford/sendgrants/bounds.py
@@ -5,8 +5,8 @@
 
 A sending is used at most :data:`GRANT_SECONDS` after the entry asked for it, so
 those used within any second were granted within a little more than that second.
-With two agents that grant at once, and what entries send without a grant, at
-most ``1.5 * rate + 3`` are sent in any second, ``6 * rate + 5`` in any four.
+What all its agents grant at once, and what entries send without a grant, is at
+most ``1.5 * rate + 3`` in any second, and ``6 * rate + 5`` in any four.
 """
 
 from __future__ import annotations
@@ -20,8 +20,11 @@
 SHORT_WINDOW_SECONDS: Final = 1.25
 LONG_WINDOWS: Final = 4
 LONG_WINDOW_SECONDS: Final = LONG_WINDOWS * SHORT_WINDOW_SECONDS
-#: Part of a second's rate that one agent grants in each short window.
-GRANT_FRACTION: Final = 0.7
+#: Part of a second's rate that an agent grants in each short window, by its
+#: rank. All grant at once where entries have lost messages of different ones.
+GRANT_FRACTIONS: Final = (0.7, 0.4, 0.2, 0.1)
+#: Ranks that grant a sending now and then also at low rates.
+ROUNDED_UP_RANKS: Final = 2
 #: Part of the rate that all entries together send without a grant.
 FREE_FRACTION: Final = 0.05
 #: The same where no agents exist: a share may be used at both ends of a second.
@@ -44,16 +47,21 @@
     grants: int
 
 
-def list_windows(rate: float) -> tuple[Window, Window]:
+def list_windows(rate: float, rank: int) -> tuple[Window, Window]:
     """List the bounds of one agent's grants.
 
     :param rate: requests per second that the backend takes from all entries.
+    :param rank: the agent's place among those of the backend.
     :returns: the bounds, the shorter window first.
     """
-    grants = GRANT_FRACTION * max(rate, MIN_RATE)
+    fraction: float = 0
+    if 0 <= rank < len(GRANT_FRACTIONS):
+        fraction = GRANT_FRACTIONS[rank]
+    grants = fraction * max(rate, MIN_RATE)
+    to_whole = math.ceil if rank < ROUNDED_UP_RANKS else math.floor
     return (
-        Window(SHORT_WINDOW_SECONDS, math.ceil(grants)),
-        Window(LONG_WINDOW_SECONDS, math.ceil(LONG_WINDOWS * grants)),
+        Window(SHORT_WINDOW_SECONDS, to_whole(grants)),
+        Window(LONG_WINDOW_SECONDS, to_whole(LONG_WINDOWS * grants)),
     )
 
 
--- a/src/ospreyford/sendgrants/ledger.py
+++ b/src/ospreyford/sendgrants/ledger.py
@@ -16,18 +16,19 @@
 if TYPE_CHECKING:
     from ospreyford.sendgrants.messages import SendingRequest
 
-#: A higher rate than another entry told counts after this time.
-RATE_MEMORY_SECONDS: Final = 1.0
+#: A higher rate, or a better rank, than another entry told counts after this
+#: time.
+TOLD_MEMORY_SECONDS: Final = 1.0
 
 
 class Granted(NamedTuple):
     """What an agent grants.
 
-    :param count: number of sendings.
+    :param sendings: their number.
     :param wait_seconds: time until more can be granted.
     """
 
-    count: int
+    sendings: int
     wait_seconds: float
 
 
@@ -37,9 +38,10 @@
     def __init__(self) -> None:
         self.asked_at = -math.inf
         self._granted_at: deque[float] = deque()
-        self._closed_until = -math.inf
         self._rate = math.inf
         self._rate_at = -math.inf
+        self._rank = 0
+        self._rank_at = -math.inf
 
     def grant(self, request: SendingRequest, now: float) -> Granted:
         """Grant as many sendings as the bounds allow.
@@ -48,33 +50,34 @@
         :param now: seconds on the boot clock.
         :returns: the grant.
         """
-        is_idle = now - self.asked_at > SHORT_WINDOW_SECONDS
-        if is_idle and request.has_moved:
-            # The agent before has grants in use, and its successor too if this
-            # one is lost at once.
-            self._closed_until = now + SHORT_WINDOW_SECONDS
         self.asked_at = now
-        self._record_rate(request.rate, now)
-        if now < self._closed_until:
-            return Granted(0, self._closed_until - now)
+        self._record_told(request, now)
         while self._granted_at and (
             self._granted_at[0] <= now - LONG_WINDOW_SECONDS
         ):
             self._granted_at.popleft()
         room = min(
             window.grants - self._count_since(now - window.seconds)
-            for window in list_windows(self._rate)
+            for window in list_windows(self._rate, self._rank)
         )
         count = max(min(room, request.count), 0)
         self._granted_at.extend(repeat(now, count))
         return Granted(count, self._find_next(now) - now)
 
-    def _record_rate(self, rate: float, now: float) -> None:
-        # Entries that have not heard of a lower rate yet must not set it.
-        is_old = now - self._rate_at > RATE_MEMORY_SECONDS
-        if rate <= self._rate or is_old:
-            self._rate = rate
+    def _record_told(self, request: SendingRequest, now: float) -> None:
+        """Record rate and rank; of entries that differ, the cautious count."""
+        if (
+            request.rate <= self._rate
+            or now - self._rate_at > TOLD_MEMORY_SECONDS
+        ):
+            self._rate = request.rate
             self._rate_at = now
+        if (
+            request.rank >= self._rank
+            or now - self._rank_at > TOLD_MEMORY_SECONDS
+        ):
+            self._rank = request.rank
+            self._rank_at = now
 
     def _count_since(self, oldest: float) -> int:
         count = 0
@@ -87,7 +90,9 @@
     def _find_next(self, now: float) -> float:
         """Find when the next sending can be granted."""
         found = now
-        for window in list_windows(self._rate):
+        for window in list_windows(self._rate, self._rank):
+            if not window.grants:
+                return now + window.seconds
             if len(self._granted_at) >= window.grants:
                 opening = self._granted_at[-window.grants] + window.seconds
                 found = max(found, opening)
--- a/src/ospreyford/sendgrants/messages.py
+++ b/src/ospreyford/sendgrants/messages.py
@@ -12,15 +12,15 @@
     :param backend: name of the backend's process.
     :param rate: requests per second that the backend takes from all entries.
     :param count: number of sendings wanted.
-    :param has_moved: whether another agent may have granted the entry sendings
-        to this backend a moment ago.
+    :param rank: place of the agent in the order of those for the backend, as
+        the entry knows it.
     """
 
     number: int
     backend: str
     rate: float
     count: int
-    has_moved: bool = False
+    rank: int = 0
 
 
 class SendingGrant(msgspec.Struct, frozen=True, tag='r', array_like=True):
