Cold replicas before real entries on loopback; doubt only beyond the usual age

Cause: a view of the store is up to 0.6 of the revocation time old between two watches, so a doubt from 0.5 of it closed warm backends for 0.4 s each round. Change: doubt from 0.75; stand-in replicas register cold times.

--- a/src/ospreyford/direct/coldbackends.py
+++ b/src/ospreyford/direct/coldbackends.py
@@ -34,11 +34,11 @@
 
 MS_PER_SECOND = 1000
 #: Age of the view of the store from which it may lack a sign, as a fraction of
-#: the time for which withdrawn keys may be used. A waiting watch confirms the
-#: view each 0.3 of that time.
-DOUBT_FRACTION: Final = 0.5
-#: The same where keys may be used for any time.
-DOUBT_SECONDS: Final = 15.0
+#: the time for which withdrawn keys may be used. A watch waits for 0.3 of that
+#: time, and confirms the view as of its start, so ages up to 0.6 are usual.
+DOUBT_FRACTION: Final = 0.75
+#: The same where keys may be used for any time and a watch waits for 10 s.
+DOUBT_SECONDS: Final = 25.0
 
 #: Clocks of hosts differ by less.
 CLOCK_MARGIN_SECONDS: Final = 1.0
--- a/src/ospreyford/platform/standins/replicas.py
+++ b/src/ospreyford/platform/standins/replicas.py
@@ -44,6 +44,8 @@
         an answer on it, except as the last part; ``None`` if there is none.
     :param crash_events: events of that answer before the crash; ``None`` if it
         ends before its head.
+    :param cold_ms: what it registers as the time for which it stays cold after
+        a start.
     """
 
     service: str
@@ -53,6 +55,7 @@
     expiry_seconds: float = 3.6
     crash_part: bytes | None = None
     crash_events: int | None = None
+    cold_ms: int = 0
 
 
 class Arrival(NamedTuple):
@@ -96,7 +99,8 @@
     ``is_leaving`` is set by a drill that has announced its end: a crash is then
     its end. ``limit`` is the request rate that its responses declare,
     ``leaving`` marks them as those of a leaving backend. With a ``backoff``, it
-    refuses all requests and asks for so many seconds without any.
+    refuses all requests and asks for so many seconds without any. It registers
+    as cold for ``cold_ms``.
 
     :param options: how it behaves.
     :param store: the state of the store.
@@ -112,6 +116,7 @@
         self.limit: bytes | None = None
         self.leaving: bytes | None = None
         self.backoff: bytes | None = None
+        self.cold_ms = options.cold_ms
         self._options = options
         self._store = store
         self._arrivals = arrivals
@@ -149,7 +154,7 @@
             'Version': 'v1',
             'Slots': SLOTS,
             'State': state,
-            'ColdRemainingMs': 0,
+            'ColdRemainingMs': self.cold_ms,
             'Sequence': 0,
         }
         self._store.put(key, msgspec.json.encode(registration))
--- a/tests/direct/grantfleet.py
+++ b/tests/direct/grantfleet.py
@@ -173,9 +173,6 @@
             heapq.heappush(self._events, event)
             return
         granted = self.offices[agent].grant(message, now)
-        reply = SendingGrant(
-            message.number,
-            granted.sendings,
-            int(granted.wait_seconds * 1000) + 1,
-        )
+        wait_ms = int(granted.wait_seconds * 1000) + 1
+        reply = SendingGrant(message.number, granted.sendings, wait_ms)
         self._deliver(lambda _: entry.inbox.append((reply, agent)))
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -187,6 +187,8 @@
         self.replicas: list[PlainReplica] = []
         self.entries: list[FleetEntry] = []
         self.group: RankGroup | None = None
+        #: More fields of the plain service's configuration.
+        self.service_fields: dict[str, Any] = {}
         self._ids = itertools.count()
         self._route_type = route_type
         self._has_agent = has_agent
@@ -266,7 +268,13 @@
             'CanResume': True,
             'Service': GROUP_SERVICE,
         }
-        return make_config(version, Routes=[route, streams], **other)
+        config = msgspec.json.decode(
+            make_config(version, Routes=[route, streams], **other)
+        )
+        for service in config['Services']:
+            if service['Name'] == SERVICE:
+                service.update(self.service_fields)
+        return msgspec.json.encode(config)
 
     async def ask_in_turn(
         self, body: bytes, count: int, interval: float
--- a/tests/platform/load.py
+++ b/tests/platform/load.py
@@ -33,15 +33,20 @@
     """A steady load on all entries of a fleet."""
 
     def __init__(
-        self, fleet: Fleet, interval: float = REQUEST_INTERVAL_SECONDS
+        self,
+        fleet: Fleet,
+        interval: float = REQUEST_INTERVAL_SECONDS,
+        busy: int | None = None,
     ) -> None:
         self.fleet = fleet
+        #: Number of entries with callers; all if not given.
+        self._busy = busy
         self._interval = interval
         self.asked: list[Asked] = []
 
     async def run(self, seconds: float) -> None:
         async with curio.TaskGroup() as group:
-            for number, entry in enumerate(self.fleet.entries):
+            for number, entry in enumerate(self.fleet.entries[: self._busy]):
                 await group.spawn(self._ask_often, number, entry, seconds)
 
     async def _ask_often(
