--- a/src/ospreyford/direct/metrics.py
+++ b/src/ospreyford/direct/metrics.py
@@ -86,6 +86,36 @@
             context.limits,
             'limited_count',
         ),
+        (
+            'backends_cold',
+            'Back ends that are cold: they take few requests.',
+            context.limits.cold,
+            'cold_count',
+        ),
+        (
+            'cold_unknown',
+            '1 while it is unknown which back ends are cold.',
+            context.limits.cold,
+            'unknown_count',
+        ),
+        (
+            'grants_asked',
+            'Requests to agents for sendings to limited back ends.',
+            context.limits.grants,
+            'asked_count',
+        ),
+        (
+            'grants_received',
+            'Sendings that agents granted.',
+            context.limits.grants,
+            'granted_count',
+        ),
+        (
+            'grants_lapsed',
+            'Granted sendings that were not used in time.',
+            context.limits.grants,
+            'lapsed_count',
+        ),
         (
             'backends_backing_off',
             'Back ends that want no requests for some time.',
--- /dev/null
+++ b/tests/platform/test_coldfields.py
@@ -0,0 +1,79 @@
+"""Numbers about cold replicas in records and settings."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+import pytest
+
+from ospreyford.platform.errors import BadNodeFile
+from ospreyford.platform.nodefile import parse_node
+from ospreyford.platform.records import decode_catalog, decode_registration
+from tests.platform.storefake import make_config
+from tests.platform.test_records import NODE
+
+Number = float | None
+#: Stored value, the quantity read, and whether a line is due.
+STORED: tuple[tuple[Any, Number, bool], ...] = (
+    (None, None, False),
+    (0, 0, False),
+    (1500, 1500, False),
+    (2.5, 2.5, False),
+    (-1, None, True),
+    ('3000', None, True),
+    (True, None, True),
+    ([1], None, True),
+    ({'a': 1}, None, True),
+)
+REGISTRATION = MappingProxyType(
+    {
+        'Service': 's',
+        'Address': '10.0.0.1:80',
+        'Zone': 'a',
+        'State': 'ready',
+    }
+)
+
+
+@pytest.mark.parametrize(('stored', 'number', 'has_line'), STORED)
+def test_a_registration_stays_usable(
+    stored: Any, number: Number, *, has_line: bool
+) -> None:
+    """A cold time of another type must not take a backend away."""
+    raw = msgspec.json.encode({**REGISTRATION, 'ColdRemainingMs': stored})
+    server = decode_registration('servers/i-1', raw, 1)
+    expected = None if number is None else number / 1000
+    assert server.cold_seconds == expected
+    assert bool(server.problems) == has_line
+
+
+@pytest.mark.parametrize(('stored', 'number', 'has_line'), STORED)
+def test_a_configuration_stays_usable(
+    stored: Any, number: Number, *, has_line: bool
+) -> None:
+    """A negative rate of one service must not void the configuration."""
+    fields = {'Name': 's', 'MaxConnections': 9, 'ColdPerS': stored}
+    raw = make_config(3, Services=[{**fields, 'ColdStartS': 3}])
+    service = decode_catalog(raw).services['s']
+    assert service.cold_rate == (number or None)
+    assert service.cold_seconds == 3
+    assert bool(service.problems) == has_line
+
+
+@pytest.mark.parametrize(
+    ('lines', 'overage', 'slack'),
+    [
+        ('', 1.5, 5),
+        ('Bounds.ColdOverage=1.2\nBounds.ColdSlack=0', 1.2, 0),
+    ],
+)
+def test_bounds_are_read(lines: str, overage: float, slack: float) -> None:
+    node = parse_node('f', f'{NODE}\n{lines}')
+    assert (node.cold_overage, node.cold_slack) == (overage, slack)
+
+
+def test_a_negative_bound_is_refused() -> None:
+    with pytest.raises(BadNodeFile):
+        parse_node('f', f'{NODE}\nBounds.ColdOverage=-1')
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -177,3 +177,18 @@
     assert rejected
     # Three replicas take five requests a second each.
     assert served >= LOAD_SECONDS * 3 * 5 / 2
+
+
+async def press_on_one_entry() -> int:
+    fleet = Fleet()
+    await fleet.start(8, 3, OPTIONS)
+    for replica in fleet.replicas:
+        replica.limit = b'4'
+    load = Load(fleet, 0.02, busy=1)
+    await load.run(LOAD_SECONDS)
+    return sum(one.reply.status == OK for one in load.asked)
+
+
+def test_an_entry_with_all_callers_uses_the_limit() -> None:
+    """Shares of entries without callers must not lapse."""
+    assert curio.run(press_on_one_entry) >= LOAD_SECONDS * 3 * 4 / 2
