--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -45,6 +45,7 @@
         self.hello_sender = HelloSender(context, self._transport)
         self._tokens: dict[str, int] = {}
         self._grant_client = context.limits.grant_client
+        self._digests: set[int] = set()
         self._grant_client.transport = self._transport
 
     async def run(self) -> None:
@@ -55,7 +56,7 @@
         """Send hellos until the process ends."""
         while True:
             await self.hello_sender.send_due()
-            self._grant_client.update_agents(self.hello_sender.list_agents())
+            self._update_arbiters()
             report = self._context.suspect_sharing.take_changes()
             if report is not None:
                 await self.hello_sender.send_suspects(report)
@@ -79,6 +80,15 @@
                 if missing is not None:
                     await self._transport.send(missing, address)
 
+    def _update_arbiters(self) -> None:
+        if not self._context.limits.has_any():
+            return
+        hellos = self.hello_sender.hellos.values()
+        digests = {hello.digest for hello in hellos}
+        if digests != self._digests:
+            self._digests = digests
+            self._grant_client.update_agents(self.hello_sender.list_agents())
+
     async def _handle_load(self, load: HelloReply, address: Address) -> None:
         self._record_told_state(load)
         self._context.limits.shares.record_position(load.position, load.entries)
--- a/src/ospreyford/direct/backendlimits.py
+++ b/src/ospreyford/direct/backendlimits.py
@@ -216,7 +216,7 @@
 
         :param backends: the registered backends.
         """
-        self.cold.sweep(backends.list_registrations())
+        self.cold.sweep(backends)
         self.grants.forget_idle(read_boot_clock(), LIMIT_MEMORY_SECONDS)
         self._slots = {
             incarnation: slots
--- a/src/ospreyford/direct/coldbackends.py
+++ b/src/ospreyford/direct/coldbackends.py
@@ -24,11 +24,11 @@
 from ospreyford.sendgrants.bounds import compute_cold_rate
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
 
     from ospreyford.direct.catalog import Service
     from ospreyford.direct.freshness import StateFreshness
-    from ospreyford.direct.registry import BackendServer
+    from ospreyford.direct.registry import BackendRegistry, BackendServer
     from ospreyford.http.message import Headers
     from ospreyford.observability.logs import ChangeLog
 
@@ -209,10 +209,10 @@
             state.told_until = max(state.told_until, end)
         self._log_start(state, now)
 
-    def sweep(self, registered: Iterable[BackendServer]) -> None:
+    def sweep(self, backends: BackendRegistry) -> None:
         """Forget and log the backends that are warm.
 
-        :param registered: registrations of all known backends.
+        :param backends: the registered backends.
         """
         is_unknown = self.is_unknown()
         if is_unknown is not self._was_unknown:
@@ -221,11 +221,10 @@
         if not self._states or not self._is_configured:
             return
         now = read_boot_clock()
-        incarnations = {one.get_incarnation() for one in registered}
         for incarnation, state in list(self._states.items()):
             self._log_start(state, now)
             is_over = state.find_end(self._get_seconds(state)) <= now
-            if is_over or incarnation not in incarnations:
+            if is_over or backends.find(incarnation[0]) is None:
                 self._states.pop(incarnation)
             if is_over and state.is_cold:
                 self._log.log_change(
--- a/src/ospreyford/direct/registry.py
+++ b/src/ospreyford/direct/registry.py
@@ -266,13 +266,6 @@
             self.remove(backend.server.id)
         return expired
 
-    def list_registrations(self) -> list[BackendServer]:
-        """List the registrations of all backends.
-
-        :returns: the latest ones.
-        """
-        return [one.server for one in self._backends.values()]
-
     def list_ids(self) -> Iterable[str]:
         """List the ids of all backends.
 
--- a/tests/direct/test_coldbackends.py
+++ b/tests/direct/test_coldbackends.py
@@ -18,7 +18,7 @@
     ColdUnreadable,
 )
 from ospreyford.direct.freshness import StateFreshness
-from ospreyford.direct.registry import BackendServer
+from ospreyford.direct.registry import BackendRegistry, BackendServer
 from ospreyford.direct.settings import Bounds
 from tests.direct.backends import RecordingLog
 
@@ -144,7 +144,9 @@
     )
     assert recorder.cold.cold_count == 1
     recorder.now += 3
-    recorder.cold.sweep([SERVER])
+    registry = BackendRegistry()
+    registry.put(SERVER)
+    recorder.cold.sweep(registry)
     assert recorder.log.events == [
         ColdUnreadable('b', 'ColdRemainingMs is odd'),
         BackendCold('b', 's', 'registration', RATE, 2),
@@ -160,11 +162,11 @@
     recorder = Recorder(monkeypatch)
     recorder.cold.freshness = StateFreshness(Bounds(2, 8, 4))
     assert recorder.cold.get_rate(SERVER) == RATE
-    recorder.cold.sweep([])
+    recorder.cold.sweep(BackendRegistry())
     recorder.cold.freshness.confirm(recorder.now)
     recorder.now += 2.9
     assert recorder.cold.get_rate(SERVER) is None
-    recorder.cold.sweep([])
+    recorder.cold.sweep(BackendRegistry())
     recorder.now += 0.2
     assert recorder.cold.get_rate(SERVER) == RATE
     assert recorder.cold.get_rate(SERVER._replace(service='t')) is None
