--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -25,6 +25,7 @@
     RankDetails,
 )
 from ospreyford.rebalance.groupkey import GroupKey
+from ospreyford.sendgrants.messages import SendingGrant
 from ospreyford.suspects.messages import SuspectReport
 
 if TYPE_CHECKING:
@@ -43,6 +44,9 @@
         self._context = context
         self._transport = DatagramSocket(context.settings.datagrams)
         self.hello_sender = HelloSender(context, self._transport)
+        self._grant_client = context.limits.grant_client
+        self._digests: set[int] = set()
+        self._grant_client.transport = self._transport
 
     async def run(self) -> None:
         """Receive datagrams until the process ends."""
@@ -52,6 +56,7 @@
         """Send hellos until the process ends."""
         while True:
             await self.hello_sender.send_due()
+            self._update_arbiters()
             report = self._context.suspect_sharing.take_changes()
             if report is not None:
                 await self.hello_sender.send_suspects(report)
@@ -68,11 +73,22 @@
                 await self._handle_load(message, address)
             case GroupStatus():
                 await self._handle_group_news(message, address)
+            case SendingGrant():
+                await self._grant_client.handle_grant(message, address)
             case SuspectReport():
                 missing = self._context.suspect_sharing.merge(message)
                 if missing is not None:
                     await self._transport.send(missing, address)
 
+    def _update_arbiters(self) -> None:
+        if not self._context.limits.has_any():
+            return
+        hellos = self.hello_sender.hellos.values()
+        digests = {hello.digest for hello in hellos}
+        if digests != self._digests:
+            self._digests = digests
+            self._grant_client.update_agents(self.hello_sender.list_agents())
+
     async def _handle_load(self, load: HelloReply, address: Address) -> None:
         self._record_told_state(load)
         self._context.limits.shares.record_position(load.position, load.entries)
--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -9,9 +9,15 @@
 
 import curio
 
+from ospreyford.direct.backendlimits import (
+    MAX_SLOT_DELAY_SECONDS,
+    name_process,
+)
 from ospreyford.direct.callgroups import CallGroups
+from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.selection import SelectionCriteria
 from ospreyford.direct.slotselection import (
+    AskFirst,
     NoSlot,
     SendLater,
     SendNow,
@@ -25,6 +31,7 @@
     from ospreyford.direct.context import EntryContext
     from ospreyford.direct.migration import StreamMigrator
     from ospreyford.direct.registry import BackendState
+    from ospreyford.direct.slotselection import Selection
 
 #: Maximum number of attempts per request, including refused ones: a closed
 #: group refuses for some seconds, and each attempt spends the shared budget.
@@ -39,8 +46,6 @@
 #: taken back, and callers that come back together would be a rush on it.
 MIN_ZONES_OUT_SECONDS = 1.0
 MAX_ZONES_OUT_SECONDS = 3.0
-#: A slot lapses if the process was paused for longer.
-MAX_SLOT_DELAY_SECONDS = 0.25
 #: Reasons that hold for all backends.
 BARRIERS: Final = frozenset((Cause.key_withdrawn, Cause.crashes_backends))
 
@@ -87,6 +92,9 @@
         self.groups = CallGroups(call, context)
         #: Whether the retry of a group that had no backend is still unused.
         self._is_paid = False
+        self._may_ask = True
+        #: End of the waits for grants, in seconds on the boot clock.
+        self._asks_until: float | None = None
 
     async def select(self) -> BackendState | Unavailable | OtherGroup:
         """Select the backend of the next attempt, and wait for its slot.
@@ -98,6 +106,8 @@
             return Unavailable(barrier)
         if self._call.attempts and not self._may_retry():
             return Unavailable()
+        self._may_ask = True
+        self._asks_until = None
         selected: BackendState | Unavailable | None = None
         while selected is None:
             selected = await self._select_once()
@@ -139,12 +149,25 @@
             criteria.now,
             self._context.random,
         )
-        match self._slots.select(
-            candidates, criteria, self._call.compute_remaining(criteria.now)
-        ):
+        selection = self._slots.select(
+            candidates,
+            criteria,
+            self._call.compute_remaining(criteria.now),
+            may_ask=self._may_ask,
+        )
+        return await self._follow(selection, criteria.now)
+
+    async def _follow(
+        self, selection: Selection | None, now: float
+    ) -> BackendState | Unavailable | None:
+        match selection:
             case SendNow(backend=backend):
-                self._context.limits.take_slot(backend.server, criteria.now)
+                self._call.send_before = self._context.limits.take_slot(
+                    backend.server, now
+                )
                 return backend
+            case AskFirst(backend=backend, seconds=seconds):
+                return await self._ask_first(backend, seconds)
             case SendLater(backend=backend, at=at):
                 return await self._wait_for_slot(backend, at)
             case NoSlot(wait_seconds=seconds):
@@ -154,12 +177,32 @@
                 )
         return Unavailable()
 
+    async def _ask_first(
+        self, backend: BackendState, seconds: float
+    ) -> Unavailable | None:
+        """Wait for a grant; what is held then is used by the next selection."""
+        limits = self._context.limits
+        rate = limits.get_rate(backend.server)
+        if rate is None:
+            return None
+        now = read_boot_clock()
+        if self._asks_until is None:
+            self._asks_until = now + seconds
+        self._may_ask = await limits.grant_client.obtain(
+            name_process(backend.server),
+            rate,
+            min(now + seconds, self._asks_until),
+        )
+        # What allowed the request to be sent may have changed meanwhile.
+        barrier = self._find_barrier()
+        return None if barrier is None else Unavailable(barrier)
+
     async def _wait_for_slot(
         self, backend: BackendState, at: float
     ) -> BackendState | Unavailable | None:
         limits = self._context.limits
         rate = limits.get_rate(backend.server)
-        limits.take_slot(backend.server, at)
+        self._call.send_before = limits.take_slot(backend.server, at)
         await curio.sleep(max(at - time.monotonic(), 0))
         # What allowed the request to be sent may have changed meanwhile.
         barrier = self._find_barrier()
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -61,6 +61,8 @@
     :param is_retry: whether it is a retry of a refused request.
     :param identities: its own and those of the prompt parts that it shares,
         once they are needed.
+    :param send_before: when its place at a limited backend lapses, in seconds
+        on the boot clock.
     :param trial_from: number of attempts before it was sent as a trial.
     :param room: room of the group that it is admitted to, for streams.
     """
@@ -87,6 +89,7 @@
     identities: tuple[bytes, ...] = ()
     trial_from: int | None = None
     room: GroupRoom | None = None
+    send_before: float | None = None
 
     def record_event(self, now: float) -> None:
         """Record that events were forwarded.
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -78,6 +78,7 @@
         self.gates: dict[str, StreamGate] = {}
         self.zones = self.declarations.zones
         self.room = self.declarations.room
+        self.limits.cold.freshness = self.freshness
         self.metrics = EntryMetrics()
         serve_tallies(self)
         self.started_at = time.monotonic()
--- a/src/ospreyford/direct/declarations.py
+++ b/src/ospreyford/direct/declarations.py
@@ -74,7 +74,7 @@
     """
 
     def __init__(self, names: HeaderNames, entry: str, log: ChangeLog) -> None:
-        self.limits = BackendLimits(names.limit, entry, log)
+        self.limits = BackendLimits(names.limit, entry, log, names.cold)
         self.zones = ZonesOut()
         self.room = ZoneRoom(self.zones)
         self._names = names
--- a/src/ospreyford/direct/registry.py
+++ b/src/ospreyford/direct/registry.py
@@ -25,6 +25,9 @@
     :param revision: revision of the registration in the store.
     :param started_ms: start of the process in Unix milliseconds; 0 if not
         registered.
+    :param cold_seconds: time for which it stays cold, as of the registration;
+        ``None`` if not registered.
+    :param problems: what in the registration could not be read.
     """
 
     id: str
@@ -36,6 +39,8 @@
     is_draining: bool
     revision: int
     started_ms: int = 0
+    cold_seconds: float | None = None
+    problems: tuple[str, ...] = ()
 
     def is_same_incarnation(self, other: BackendServer) -> bool:
         """Check whether two registrations are of the same process.
@@ -195,7 +200,8 @@
         """Add or update a registration.
 
         :param server: the registration.
-        :returns: whether anything but the revision changed.
+        :returns: whether anything but the revision and the time for which it
+            stays cold changed.
         """
         backend = self._backends.get(server.id)
         if backend is None or not server.is_same_incarnation(backend.server):
@@ -205,7 +211,10 @@
             return True
         backend.expires_at = None
         backend.was_removed = False
-        changed = backend.server._replace(revision=server.revision) != server
+        known = backend.server._replace(
+            revision=server.revision, cold_seconds=server.cold_seconds
+        )
+        changed = known != server
         backend.server = server
         self.version += changed
         return changed
--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -17,6 +17,7 @@
 from ospreyford.rebalance.groupsessions import GroupSessions
 from ospreyford.rebalance.metrics import AgentMetrics
 from ospreyford.rebalance.suspectrelay import SuspectRelay
+from ospreyford.sendgrants.messages import SendingRequest
 from ospreyford.suspects.messages import SuspectReport
 
 if TYPE_CHECKING:
@@ -89,6 +90,8 @@
                 await self._suspect_relay.handle_hello(message, address)
             case SuspectReport():
                 await self._suspect_relay.handle_report(message, address)
+            case SendingRequest():
+                await self._entries.rates.handle_request(message, address)
 
     async def _poll_rank(self) -> None:
         while True:
--- a/src/ospreyford/rebalance/entryregistry.py
+++ b/src/ospreyford/rebalance/entryregistry.py
@@ -7,6 +7,7 @@
 
 from ospreyford.rebalance.entrymessages import Hello, HelloReply
 from ospreyford.rebalance.groupkey import GroupKey
+from ospreyford.rebalance.raterelay import RateRelay
 from ospreyford.rebalance.roster import Roster, make_roster
 
 if TYPE_CHECKING:
@@ -37,6 +38,8 @@
 class EntryRegistry:
     """Tracks entries and learns service and members of the group from them.
 
+    ``rates`` grants them sendings to backends of a limited rate.
+
     :param settings: the agent's settings.
     :param datagram_socket: the process's socket.
 
@@ -47,6 +50,7 @@
     def __init__(
         self, settings: AgentSettings, datagram_socket: DatagramSocket
     ) -> None:
+        self.rates = RateRelay(datagram_socket)
         self.service = ''
         self.group = ''
         self._service_heard_at: float = 0
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -34,6 +34,7 @@
 from ospreyford.rebalance.entryregistry import EntryRegistry
 from ospreyford.rebalance.settings import AgentSettings
 from ospreyford.rebalance.suspectrelay import SuspectRelay
+from ospreyford.sendgrants.messages import SendingRequest
 from ospreyford.suspects.messages import SuspectReport
 from tests.direct.backends import SETTINGS, RecordingLog
 from tests.direct.test_program import FakeStop
@@ -95,6 +96,8 @@
                 await self.relay.handle_hello(message, address)
             case SuspectReport():
                 await self.relay.handle_report(message, address)
+            case SendingRequest():
+                await self.entries.rates.handle_request(message, address)
 
 
 class FleetEntry:
@@ -183,6 +186,8 @@
         self.ranks: list[Rank] = []
         self.entries: list[FleetEntry] = []
         self.group: RankGroup | None = None
+        #: More fields of the plain service's configuration.
+        self.service_fields: dict[str, Any] = {}
         self._ids = itertools.count()
         self._route_type = route_type
         self._has_agent = has_agent
@@ -274,7 +279,13 @@
             'CanResume': True,
             'Service': GROUP_SERVICE,
         }
-        return make_config(version, Routes=[route, streams], **other)
+        config = msgspec.json.decode(
+            make_config(version, Routes=[route, streams], **other)
+        )
+        for service in config['Services']:
+            if service['Name'] == SERVICE:
+                service.update(self.service_fields)
+        return msgspec.json.encode(config)
 
     async def ask_in_turn(
         self, body: bytes, count: int, interval: float
