--- a/src/ospreyford/direct/agents.py
+++ b/src/ospreyford/direct/agents.py
@@ -87,7 +87,21 @@
         digests = {hello.digest for hello in hellos}
         if digests != self._digests:
             self._digests = digests
-            self._grant_client.update_agents(self.hello_sender.list_agents())
+            port = self._context.settings.agent_port
+            self._grant_client.update_agents(
+                {(host, port) for host in self._list_hosts()}
+            )
+
+    def _list_hosts(self) -> set[str]:
+        """List the hosts of the agents of all model services."""
+        services = {key.service for key in self.hello_sender.hellos}
+        members = self._context.groups.view.members
+        return {
+            host
+            for key, addresses in members.items()
+            if key.service in services
+            for host, _ in addresses
+        }
 
     async def _handle_load(self, load: HelloReply, address: Address) -> None:
         self._record_told_state(load)
--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -139,7 +139,7 @@
         backends = self._list_accepting(selectable, criteria.now)
         if selectable and not backends:
             return self._make_unavailable(criteria.now)
-        connectable = self._list_connectable(backends)
+        connectable = _list_connectable(self._context, backends)
         if backends and not connectable:
             return Unavailable(Cause.limited, MIN_RETRY_AFTER_SECONDS)
         candidates = leave_out_returning(
@@ -216,9 +216,10 @@
         return backend
 
     def _is_usable(self, backend: BackendState, now: float) -> bool:
+        if backend.is_gone or backend.server.is_draining:
+            return False
         accepting = self._list_accepting([backend], now)
-        is_leaving = backend.is_gone or backend.server.is_draining
-        return bool(self._list_connectable(accepting)) and not is_leaving
+        return bool(_list_connectable(self._context, accepting))
 
     def _may_leave(self, unavailable: Unavailable) -> bool:
         """Check whether another group may run what this one doesn't take."""
@@ -280,16 +281,6 @@
             return backends
         return declarations.list_accepting(backends, now)
 
-    def _list_connectable(
-        self, backends: list[BackendState]
-    ) -> list[BackendState]:
-        """List the backends to which this entry may open a connection.
-
-        Backends reset the connections that all entries open beyond a maximum.
-        """
-        share = self._context.compute_connection_share(self._call.service)
-        return [one for one in backends if one.in_flight < share]
-
     def _list_selectable(
         self, now: float
     ) -> tuple[list[BackendState], SelectionCriteria]:
@@ -307,3 +298,16 @@
             excluded = set()
         zone = self._context.settings.zone
         return backends, SelectionCriteria(zone, excluded, now)
+
+
+def _list_connectable(
+    context: EntryContext, backends: list[BackendState]
+) -> list[BackendState]:
+    """List the backends of a service to which the entry may open a connection.
+
+    Backends reset the connections that all entries open beyond a maximum.
+    """
+    if not backends:
+        return backends
+    share = context.compute_connection_share(backends[0].server.service)
+    return [one for one in backends if one.in_flight < share]
--- a/src/ospreyford/direct/hello.py
+++ b/src/ospreyford/direct/hello.py
@@ -109,18 +109,6 @@
             for address in targets:
                 await self._transport.send_bytes(encoded, address)
 
-    def list_agents(self) -> set[Address]:
-        """List the agents of all model services.
-
-        :returns: their addresses.
-        """
-        services = {key.service for key in self.hellos}
-        return {
-            address
-            for service in services
-            for address, _ in self._list_agents(self._list_keys(service))
-        }
-
     def _is_due(self, service: str) -> bool:
         now = time.monotonic()
         schedule = self._schedules.get(service, NO_HELLO)
