--- a/tests/platform/drills/__main__.py
+++ b/tests/platform/drills/__main__.py
@@ -25,10 +25,11 @@
         findings = judge(record)
         broken += bool(findings)
         statuses = Counter(one.status for one in record.told)
+        orders = Counter(one.group for one in record.groups.orders)
         print(
             f'seed {seed}: {len(findings)} findings, '
             f'{len(record.arrivals.crashes)} crashes, '
-            f'orders {dict(Counter(one.group for one in record.groups.orders))}, '
+            f'orders {dict(orders)}, '
             f'statuses {dict(sorted(statuses.items()))}',
             flush=True,
         )
