--- a/src/ospreyford/direct/coldbackends.py
+++ b/src/ospreyford/direct/coldbackends.py
@@ -150,7 +150,6 @@
         :param server: the registration.
         :param known: the one before, if any.
         """
-        self._unreadable.record(server.id, server.problems)
         incarnation = server.get_incarnation()
         is_known = known is not None and server.is_same_incarnation(known)
         if is_known and known is not None and known.revision == server.revision:
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -11,10 +11,10 @@
 
 from ospreyford.direct.admission import (
     LATE_CAPACITY_FRACTION,
-    AdmissionQueue,
     QueuedRequest,
     compute_caller_timeout,
 )
+from ospreyford.direct.admissionqueue import AdmissionQueue
 from ospreyford.direct.grouproom import NO_GROUP
 from ospreyford.direct.grouprooms import GroupRooms
 from ospreyford.direct.roomchoice import choose_option
--- a/src/ospreyford/direct/registry.py
+++ b/src/ospreyford/direct/registry.py
@@ -27,7 +27,6 @@
         registered.
     :param cold_seconds: time for which it stays cold, as of the registration;
         ``None`` if not registered.
-    :param problems: what in the registration could not be read.
     """
 
     id: str
@@ -40,7 +39,6 @@
     revision: int
     started_ms: int = 0
     cold_seconds: float | None = None
-    problems: tuple[str, ...] = ()
 
     def is_same_incarnation(self, other: BackendServer) -> bool:
         """Check whether two registrations are of the same process.
--- a/src/ospreyford/platform/records.py
+++ b/src/ospreyford/platform/records.py
@@ -110,6 +110,8 @@
     cold_ms, problem = read_quantity(
         'ColdRemainingMs', registration.cold_remaining_ms
     )
+    if problem is not None:
+        raise BadRecord(key, problem)
     return BackendServer(
         id=server_id,
         service=registration.service,
@@ -121,7 +123,6 @@
         revision=revision,
         started_ms=registration.started_ms,
         cold_seconds=None if cold_ms is None else cold_ms / MS_PER_SECOND,
-        problems=() if problem is None else (problem,),
     )
 
 
--- a/src/ospreyford/platform/schema.py
+++ b/src/ospreyford/platform/schema.py
@@ -116,5 +116,5 @@
     started_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = (
         msgspec.field(name='born', default=0)
     )
-    # Of any type: an unreadable one must not void the registration.
+    # Of any type: checked with the other quantities of cold replicas.
     cold_remaining_ms: Any = None
--- a/tests/direct/test_admission.py
+++ b/tests/direct/test_admission.py
@@ -6,7 +6,6 @@
 
 from ospreyford.direct import admission
 from ospreyford.direct.admission import (
-    AdmissionQueue,
     GroupLoad,
     QueuedRequest,
     StreamLimit,
@@ -14,6 +13,7 @@
     is_late,
     is_unservable,
 )
+from ospreyford.direct.admissionqueue import AdmissionQueue
 
 MAX_GAP = 0.12
 BASE = 0.018
--- a/tests/direct/test_overload.py
+++ b/tests/direct/test_overload.py
@@ -8,12 +8,14 @@
 from ospreyford.direct.admission import (
     FIRST_EVENT_PASSES,
     LATE_CAPACITY_FRACTION,
-    MAX_CONSECUTIVE_FIRST_TRIES,
-    AdmissionQueue,
     GroupLoad,
     QueuedRequest,
     StreamLimit,
 )
+from ospreyford.direct.admissionqueue import (
+    MAX_CONSECUTIVE_FIRST_TRIES,
+    AdmissionQueue,
+)
 from ospreyford.direct.retrydetection import RetryDetector
 
 MAX_GAP = 0.15
--- a/tests/direct/test_retrydetection.py
+++ b/tests/direct/test_retrydetection.py
@@ -7,7 +7,10 @@
 import pytest
 
 from ospreyford.direct import retrydetection
-from ospreyford.direct.admission import AdmissionQueue, QueuedRequest
+from ospreyford.direct.admission import (
+    QueuedRequest,
+)
+from ospreyford.direct.admissionqueue import AdmissionQueue
 from ospreyford.direct.retrydetection import (
     MIN_CUSTOMER_REQUESTS,
     RetryDetector,
--- a/tests/direct/test_urgency.py
+++ b/tests/direct/test_urgency.py
@@ -10,10 +10,10 @@
 import pytest
 
 from ospreyford.direct.admission import (
-    AdmissionQueue,
     QueuedRequest,
     StreamLimit,
 )
+from ospreyford.direct.admissionqueue import AdmissionQueue
 from ospreyford.direct.grouproom import GroupRoom
 from ospreyford.direct.urgency import (
     MAX_PASSED_OVER,
