--- a/src/ospreyford/direct/admissionqueue.py
+++ b/src/ospreyford/direct/admissionqueue.py
@@ -59,13 +59,26 @@
     def is_out_of_turn(self, request: QueuedRequest) -> bool:
         """Check whether a request goes before a more urgent one.
 
-        :param request: the request.
-        :returns: whether one waits.
+        :param request: the request, as selected.
+        :returns: whether one waits that any group may run.
         """
-        return request.priority > min(
-            self.count_by_priority(), default=request.priority
+        return any(
+            one.priority < request.priority and not one.groups
+            for one in self._requests.values()
         )
 
+    def list_unrestricted(self, priority: int) -> list[int]:
+        """List the requests of a priority that any group may run.
+
+        :param priority: the priority.
+        :returns: their numbers.
+        """
+        return [
+            one.number
+            for one in self._requests.values()
+            if one.priority == priority and not one.groups
+        ]
+
     def add(self, request: QueuedRequest) -> None:
         """Add a request.
 
--- a/src/ospreyford/direct/callgroups.py
+++ b/src/ospreyford/direct/callgroups.py
@@ -92,6 +92,9 @@
         room = self._call.room
         if room is None or self._find_rooms() is None:
             return False
+        if room.name in self._avoided:
+            # No other group was known as it was admitted again.
+            return False
         self._avoided.add(room.name)
         return self.list_allowed() is not None
 
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -176,8 +176,11 @@
                 self._queue.admit(request)
                 room.admit(request, now)
                 await self._waiting.admit(request.number, room)
-            elif request.groups or self._queue.is_out_of_turn(request):
+            elif request.groups:
                 held.add(request.number)
+            elif self._queue.is_out_of_turn(request):
+                # The limit is the same for all of its priority.
+                held.update(self._queue.list_unrestricted(request.priority))
             else:
                 return
 
@@ -185,12 +188,14 @@
         self, request: QueuedRequest, now: float, *, is_first: bool = False
     ) -> GroupRoom | None:
         rooms = self.rooms.list_usable(now, request.groups)
+        waiting = count_less_urgent(
+            self._queue.count_by_priority(), request.priority
+        )
         rivals = Rivals(
-            count_less_urgent(
-                self._queue.count_by_priority(), request.priority
-            ),
-            self._recent.has_more_urgent(request.priority, now),
-            self._queue.is_out_of_turn(request),
+            less_urgent=waiting,
+            are_waiting=waiting > 0,
+            has_more_urgent=self._recent.has_more_urgent(request.priority, now),
+            is_due=self._queue.is_out_of_turn(request),
         )
         offers = [
             room.make_option(request, now, is_first=is_first, rivals=rivals)
--- a/src/ospreyford/direct/grouproom.py
+++ b/src/ospreyford/direct/grouproom.py
@@ -78,6 +78,8 @@
         self.epoch = NO_EPOCH
         self.reported_at: float | None = None
         self._closed_epoch = NO_EPOCH
+        #: Whether the group's last report told that it is open.
+        self._is_reported_open = False
         self._paused_until: float = 0
         self._was_closed = False
 
@@ -155,7 +157,7 @@
         return RoomOption(
             self.name,
             limit - self.running,
-            self.is_closed,
+            self.is_closed and not self._is_reported_open,
             is_late(request, now, first_event),
             self.backends.is_local,
         )
@@ -184,6 +186,7 @@
         self.reported_at = time.monotonic()
         self.epoch = load.epoch
         self.limit.update_load(load, self.running, entries)
+        self._is_reported_open = load.is_open
         if not load.is_open:
             self.record_refusal()
         elif self.is_closed and load.epoch != self._closed_epoch:
--- a/src/ospreyford/direct/grouprooms.py
+++ b/src/ospreyford/direct/grouprooms.py
@@ -58,9 +58,9 @@
         return list(self._rooms.values())
 
     def is_sole(self) -> bool:
-        """Check whether all requests go to the same group.
+        """Check whether there is a single room.
 
-        :returns: whether there is a single room.
+        :returns: whether there is; one that only lasts for its streams counts.
         """
         return len(self._rooms) == 1
 
@@ -69,15 +69,18 @@
     ) -> None:
         """Apply what is known of the groups' backends.
 
-        The room that a service had before its only group was known becomes the
-        room of that group. A room without backends lasts as long as streams
+        The only room keeps its state when its group becomes known, or is not
+        known any more. A room without backends lasts as long as streams
         run in it.
 
         :param groups: backends by name of the group.
         :param entries: number of entries that share them.
         """
-        if list(self._rooms) == [NO_GROUP] and len(groups) == 1:
-            self._rename_sole(next(iter(groups)))
+        if self.is_sole() and len(groups) == 1:
+            (known,), (name,) = self._rooms, groups
+            # All backends may have been away, and their group isn't told yet.
+            if known != name and NO_GROUP in {known, name}:
+                self._rename_sole(known, name)
         for name, backends in groups.items():
             if name not in self._rooms:
                 self._rooms[name] = GroupRoom(
@@ -165,8 +168,8 @@
         served = self.list_served()
         return [room for room in served if not room.is_closed] or served
 
-    def _rename_sole(self, name: str) -> None:
-        room = self._rooms.pop(NO_GROUP)
+    def _rename_sole(self, known: str, name: str) -> None:
+        room = self._rooms.pop(known)
         room.name = name
         self._rooms[name] = room
 
--- a/src/ospreyford/direct/roomchoice.py
+++ b/src/ospreyford/direct/roomchoice.py
@@ -32,7 +32,8 @@
 
     :param name: name of the group.
     :param free: places that this entry may still fill; above zero.
-    :param is_closed: whether it refused the last request.
+    :param is_closed: whether it refused the last request, and its coordinator
+        does not report that it is open.
     :param is_late: whether the stream would miss its objective there.
     :param is_local: whether it has backends in the entry's zone.
     """
--- a/src/ospreyford/direct/urgency.py
+++ b/src/ospreyford/direct/urgency.py
@@ -100,11 +100,13 @@
 
     :param less_urgent: number of less urgent ones that run in the group or
         wait.
+    :param are_waiting: whether some of them wait.
     :param has_more_urgent: whether more urgent ones came recently.
     :param is_due: whether the request goes before more urgent ones that wait.
     """
 
     less_urgent: int = 0
+    are_waiting: bool = False
     has_more_urgent: bool = False
     is_due: bool = False
 
@@ -132,6 +134,9 @@
     adjusted = min(base, limit.regular) if rivals.has_more_urgent else base
     if not rivals.less_urgent:
         return adjusted
+    if is_late and rivals.are_waiting:
+        # They would take any place up to the regular limit.
+        return max(adjusted, limit.regular)
     if is_late:
         return max(
             adjusted, min(limit.regular, limit.late + rivals.less_urgent)
--- a/src/ospreyford/rebalance/groupsession.py
+++ b/src/ospreyford/rebalance/groupsession.py
@@ -19,6 +19,7 @@
     from ospreyford.rebalance.datagrams import Address
     from ospreyford.rebalance.group import RankState
     from ospreyford.rebalance.groupkey import GroupKey
+    from ospreyford.rebalance.leader import GroupLeader
 
 #: Time for which a coordinator that leaves waits until its group is quiet.
 LEAVE_SECONDS = 0.8
@@ -40,6 +41,9 @@
         self._parts = SessionComponents(key, context)
         self._tasks: list[curio.Task] = []
         self._is_leaving = False
+        #: Kept while the rank does not respond: it may come back with another
+        #: number, in a group of another size.
+        self._last_state: RankState | None = None
 
     async def start(self) -> None:
         """Start the periodic tasks."""
@@ -69,7 +73,9 @@
 
         :param state: its state, just read, of this group.
         """
-        before = self._parts.watcher.state
+        was_lost = self._parts.watcher.state is None
+        before = self._last_state
+        self._last_state = state
         if before is not None and before.size != state.size:
             # The initial map of each size is version 0.
             self._parts.order_executor.maps.clear()
@@ -83,7 +89,7 @@
         if leader is None:
             return
         leader.record_state(state)
-        if before is None or before.is_open != state.is_open:
+        if was_lost or before is None or before.is_open != state.is_open:
             # Entries queue requests until the group opens.
             await self._send_heartbeat()
 
@@ -99,18 +105,18 @@
         self._is_leaving = True
         began = time.monotonic()
         leader = self._parts.dispatcher.leader
-        await self._parts.shutdown.leave(
-            leader,
-            began + LEAVE_SECONDS,
-            self._parts.reporter.compute_interval(),
-        )
-        latest = began + LEAVE_SECONDS + LAST_CHANGE_SECONDS
-        while leader is not None and leader.is_changing():
-            if time.monotonic() >= latest:
-                break
-            await curio.sleep(POLL_SECONDS)
-        for task in self._tasks:
-            await task.cancel()
+        try:
+            await self._parts.shutdown.leave(
+                leader,
+                began + LEAVE_SECONDS,
+                self._parts.reporter.compute_interval(),
+            )
+            await _wait_for_change(
+                leader, began + LEAVE_SECONDS + LAST_CHANGE_SECONDS
+            )
+        finally:
+            for task in self._tasks:
+                await task.cancel()
 
     async def shut_down(self, deadline: float) -> None:
         """Prepare for the end of the process.
@@ -200,3 +206,11 @@
             if not await leader.run_once(token, roster.engine, roster.max_gap):
                 self._parts.incidents.record_fenced_term(token)
                 self._parts.election.step_down()
+
+
+async def _wait_for_change(leader: GroupLeader | None, latest: float) -> None:
+    """Wait until no change is under way, or until ``latest``."""
+    while leader is not None and leader.is_changing():
+        if time.monotonic() >= latest:
+            return
+        await curio.sleep(POLL_SECONDS)
--- a/src/ospreyford/rebalance/statuspublisher.py
+++ b/src/ospreyford/rebalance/statuspublisher.py
@@ -20,6 +20,8 @@
 DETAILS_LINK_FRACTION = 0.15
 #: Status messages that the coordinators of all groups may send to one entry.
 MAX_STATUS_PER_SECOND = 40
+#: Upper bound of the interval; entries forget a coordinator after 3 s.
+MAX_STATUS_INTERVAL_SECONDS = 1.0
 #: Groups up to which each heartbeat of a coordinator comes with a status.
 MAX_UNSLOWED_GROUPS = 4
 
@@ -90,4 +92,4 @@
     """
     if groups <= MAX_UNSLOWED_GROUPS:
         return 0
-    return groups / MAX_STATUS_PER_SECOND
+    return min(groups / MAX_STATUS_PER_SECOND, MAX_STATUS_INTERVAL_SECONDS)
--- a/tests/direct/test_grouprooms.py
+++ b/tests/direct/test_grouprooms.py
@@ -17,6 +17,7 @@
     StreamGate,
 )
 from ospreyford.direct.grouproom import GroupBackends, GroupRoom
+from ospreyford.direct.grouprooms import GroupRooms
 from tests.direct.test_gate import MAX_GAP, make_call
 
 BIG, SMALL, LEAST = (
@@ -179,3 +180,17 @@
 def test_groups_fill_evenly() -> None:
     """A group that is given more than its part makes its streams late."""
     assert curio.run(fill_in_turn) == pytest.approx(20, abs=4)
+
+
+def test_a_group_that_is_not_known_any_more_keeps_its_room() -> None:
+    """Backends that all come back would get every waiting stream at once."""
+    rooms = GroupRooms(0.12, 60, 1)
+    rooms.update_backends({'g': BIG}, 1)
+    room = rooms.find('g')
+    assert room is not None
+    room.record_refusal()
+    rooms.update_backends({'': BIG}, 1)
+    assert rooms.list_all() == [room]
+    assert room.is_closed
+    rooms.update_backends({'g': BIG}, 1)
+    assert rooms.find('g') is room
--- a/tests/direct/test_groupstreams.py
+++ b/tests/direct/test_groupstreams.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from ospreyford.direct.callgroups import CallGroups
 from ospreyford.direct.gates import find_gate, refresh_groups
 from ospreyford.direct.grouproom import GroupRoom
 from ospreyford.direct.migration import StreamMigrator
@@ -116,3 +117,19 @@
 def test_streams_move_within_their_group(target: str, moves: bool) -> None:
     """A move to a rank of another group would pass its admission by."""
     assert curio.run(move, target) is moves
+
+
+async def leave_twice() -> list[bool]:
+    site = await open_groups(*(be.stream(4) for _ in GROUPS))
+    call = make_call()
+    groups = CallGroups(call, site.context)
+    left = []
+    for _ in range(2):
+        call.room = find_room(site, 'g')
+        left.append(groups.leave())
+    return left
+
+
+def test_a_group_is_left_once() -> None:
+    """A call that is admitted to the same group again would never end."""
+    assert curio.run(leave_twice) == [True, False]
--- a/tests/direct/test_urgency.py
+++ b/tests/direct/test_urgency.py
@@ -102,8 +102,9 @@
             )
             rivals = Rivals(
                 less_urgent,
-                self.recent.has_more_urgent(one.priority, now),
-                self.queue.is_out_of_turn(one),
+                are_waiting=less_urgent > 0,
+                has_more_urgent=self.recent.has_more_urgent(one.priority, now),
+                is_due=self.queue.is_out_of_turn(one),
             )
             option = self.room.make_option(
                 one, now, is_first=False, rivals=rivals
@@ -111,7 +112,7 @@
             if option is None:
                 if not self.queue.is_out_of_turn(one):
                     return
-                held.add(one.number)
+                held.update(self.queue.list_unrestricted(one.priority))
                 continue
             self.queue.admit(one)
             self.room.admit(one, now)
@@ -225,3 +226,24 @@
     rivals = Rivals(less_urgent, has_more_urgent=True)
     adjusted = adjust_limit(make_limit(PLACES), base, rivals, is_late=False)
     assert adjusted == pytest.approx(expected)
+
+
+def test_a_late_request_takes_a_place_that_a_patient_one_would_take() -> None:
+    """A late urgent request must not hold up others while places are free."""
+    rivals = Rivals(1, are_waiting=True)
+    limit = make_limit(PLACES)
+    limit.late = 5
+    assert adjust_limit(limit, 5, rivals, is_late=True) == PLACES
+
+
+def test_requests_of_one_group_put_no_other_out_of_turn() -> None:
+    """Patient requests would take the places kept for urgent ones."""
+    queue = AdmissionQueue()
+    urgent = QueuedRequest(0, 10, 0.4, 17, 0, groups=frozenset('a'))
+    patient = QueuedRequest(1, 10, 1, 17, 2)
+    queue.add(urgent)
+    queue.add(patient)
+    assert not queue.is_out_of_turn(patient)
+    queue.add(urgent._replace(number=2, groups=None))
+    assert queue.is_out_of_turn(patient)
+    assert queue.list_unrestricted(0) == [2]
