--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -113,9 +113,7 @@
             self.server, time.monotonic()
         ):
             return Withheld()
-        lapses_at = self._call.send_before
-        if lapses_at is not None and read_boot_clock() > lapses_at:
-            # Opening the connection, or a pause, took too long.
+        if self._has_lapsed():
             return Withheld()
         try:
             return await self._exchange(self._connection)
@@ -143,6 +141,18 @@
                 yield piece
         self._is_complete = True
 
+    def _has_lapsed(self) -> bool:
+        """Check whether the request may not be sent any more.
+
+        Opening the connection, or a pause, may have taken too long, or the
+        backend may have become limited meanwhile.
+        """
+        lapses_at = self._call.send_before
+        if lapses_at is None:
+            limits = self._resources.declarations.limits
+            return limits.get_rate(self.server) is not None
+        return read_boot_clock() > lapses_at
+
     async def _exchange(self, connection: ClientConnection) -> AttemptOutcome:
         call = self._call
         self._sent_at = time.monotonic()
--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -42,6 +42,8 @@
 MAX_RETRY_AFTER_SECONDS = 2.0
 #: Spreads the callers that come back as backends take requests again.
 MAX_JITTER_SECONDS = 0.5
+#: Requests to agents, without a grant, after which no further one is asked.
+MAX_VAIN_ASKS = 3
 #: Bounds of the retry time while all zones are out: nobody knows when one is
 #: taken back, and callers that come back together would be a rush on it.
 MIN_ZONES_OUT_SECONDS = 1.0
@@ -93,6 +95,7 @@
         #: Whether the retry of a group that had no backend is still unused.
         self._is_paid = False
         self._may_ask = True
+        self._vain_asks = 0
         #: End of the waits for grants, in seconds on the boot clock.
         self._asks_until: float | None = None
 
@@ -107,6 +110,7 @@
         if self._call.attempts and not self._may_retry():
             return Unavailable()
         self._may_ask = True
+        self._vain_asks = 0
         self._asks_until = None
         selected: BackendState | Unavailable | None = None
         while selected is None:
@@ -188,11 +192,13 @@
         now = read_boot_clock()
         if self._asks_until is None:
             self._asks_until = now + seconds
-        self._may_ask = await limits.grant_client.obtain(
+        is_held = await limits.grant_client.obtain(
             name_process(backend.server),
             rate,
             min(now + seconds, self._asks_until),
         )
+        self._vain_asks += not is_held
+        self._may_ask = self._vain_asks < MAX_VAIN_ASKS
         # What allowed the request to be sent may have changed meanwhile.
         barrier = self._find_barrier()
         return None if barrier is None else Unavailable(barrier)
--- a/src/ospreyford/direct/coldbackends.py
+++ b/src/ospreyford/direct/coldbackends.py
@@ -111,10 +111,12 @@
         :returns: requests per second from all entries together; ``None`` if it
             is warm or its service publishes none.
         """
+        state = self._states.get(server.get_incarnation())
+        if state is None and not self.is_unknown():
+            return None
         service = self._services.get(server.service)
         if service is None or service.cold_rate is None:
             return None
-        state = self._states.get(server.get_incarnation())
         is_cold = state is not None and self._is_cold(state, read_boot_clock())
         if not is_cold and not self.is_unknown():
             return None
--- a/src/ospreyford/direct/migration.py
+++ b/src/ospreyford/direct/migration.py
@@ -48,7 +48,12 @@
         members = CallGroups(self._call, context).select_members(
             context.backends.list_available(self._call.service)
         )
-        backends = context.declarations.list_accepting(members, now)
+        # A stream that is taken off its rank must not wait for a slot.
+        backends = [
+            one
+            for one in context.declarations.list_accepting(members, now)
+            if context.limits.get_rate(one.server) is None
+        ]
         if find_migration_target(backends, backend) is None:
             return False
         if not context.retries.spend(self._call.service):
--- a/src/ospreyford/direct/slotselection.py
+++ b/src/ospreyford/direct/slotselection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ospreyford.direct.backendlimits import name_process
+from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.selection import has_failed_recently, select_backend
 from ospreyford.sendgrants.book import REPLY_SECONDS
 
@@ -201,7 +202,7 @@
     def _has_room(self, backend: BackendState, seconds: float) -> bool:
         rate = self._limits.get_rate(backend.server)
         return rate is not None and self._limits.grants.has_queue_room(
-            name_process(backend.server), rate, seconds
+            name_process(backend.server), rate, seconds, read_boot_clock()
         )
 
     def _is_overdue(self, backend: BackendState, now: float) -> bool:
--- a/src/ospreyford/platform/coldfields.py
+++ b/src/ospreyford/platform/coldfields.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
+#: Upper bound of all quantities.
+MAX_QUANTITY = 1_000_000_000
 #: Characters of an unreadable value that a log line shows.
 MAX_SHOWN_CHARACTERS = 32
 
@@ -20,7 +21,9 @@
     if stored is None:
         return None, None
     is_number = isinstance(stored, int | float) and not isinstance(stored, bool)
-    if is_number and 0 <= stored < math.inf:
-        return float(stored), None
-    shown = repr(stored)[:MAX_SHOWN_CHARACTERS]
-    return None, f'{name} is no quantity: {shown}'
+    if not is_number:
+        shown = repr(stored)[:MAX_SHOWN_CHARACTERS]
+        return None, f'{name} is no quantity: {shown}'
+    if not 0 <= stored <= MAX_QUANTITY:
+        return None, f'{name} is not between 0 and {MAX_QUANTITY}'
+    return float(stored), None
--- a/src/ospreyford/sendgrants/book.py
+++ b/src/ospreyford/sendgrants/book.py
@@ -19,15 +19,17 @@
     GRANT_SECONDS,
     MIN_RATE,
 )
-from ospreyford.sendgrants.messages import SendingGrant, SendingRequest
+from ospreyford.sendgrants.messages import (
+    MAX_SENDINGS,
+    SendingGrant,
+    SendingRequest,
+)
 
 if TYPE_CHECKING:
     from ospreyford.rebalance.entrymessages import Address
 
 #: Time until an agent's reply counts as lost.
 REPLY_SECONDS: Final = 0.12
-#: Sendings wanted by one request, at the most.
-MAX_COUNT: Final = 64
 MS_PER_SECOND = 1000
 
 
@@ -99,14 +101,21 @@
         account = self._accounts.get(backend)
         return 0 if account is None else account.waiting
 
-    def has_queue_room(self, backend: str, rate: float, seconds: float) -> bool:
+    def has_queue_room(
+        self, backend: str, rate: float, seconds: float, now: float
+    ) -> bool:
         """Check whether another caller may be served if it waits.
 
         :param backend: name of the backend's process.
         :param rate: requests per second that it takes from all entries.
         :param seconds: how long the caller can wait.
+        :param now: seconds on the boot clock.
         :returns: whether the agent may grant that many in this time.
         """
+        account = self._accounts.get(backend)
+        if account is not None and account.next_at > now + seconds:
+            # The agent has told that it grants nothing until then.
+            return False
         granted = GRANT_FRACTIONS[0] * max(rate, MIN_RATE) * seconds
         return self.count_waiting(backend) < max(granted, 1)
 
@@ -166,7 +175,9 @@
         account = self._accounts.setdefault(backend, _Account())
         account.used_at = now
         self._expire(account, now)
-        count = min(account.waiting - self._count_held(account, now), MAX_COUNT)
+        count = min(
+            account.waiting - self._count_held(account, now), MAX_SENDINGS
+        )
         is_due = account.pending is None and now >= account.next_at
         if count <= 0 or not is_due:
             return None
--- a/src/ospreyford/sendgrants/messages.py
+++ b/src/ospreyford/sendgrants/messages.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Final
+
 import msgspec
 
+#: Upper bounds of what a message may ask for or tell.
+MAX_RATE: Final = 1_000_000
+MAX_SENDINGS: Final = 64
+MAX_ARBITERS: Final = 1_000_000
+MAX_WAIT_MS: Final = 10_000
+
 
 class SendingRequest(msgspec.Struct, frozen=True, tag='q', array_like=True):
     """An entry's request for sendings to a backend.
@@ -18,9 +26,9 @@
 
     number: int
     backend: str
-    rate: float
-    count: int
-    rank: int = 0
+    rate: Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+    count: Annotated[int, msgspec.Meta(ge=0, le=MAX_SENDINGS)]
+    rank: Annotated[int, msgspec.Meta(ge=0, le=MAX_ARBITERS)] = 0
 
 
 class SendingGrant(msgspec.Struct, frozen=True, tag='r', array_like=True):
@@ -32,5 +40,5 @@
     """
 
     number: int
-    count: int
-    wait_ms: int = 0
+    count: Annotated[int, msgspec.Meta(ge=0, le=MAX_SENDINGS)]
+    wait_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_WAIT_MS)] = 0
--- a/tests/direct/test_limited_backends.py
+++ b/tests/direct/test_limited_backends.py
@@ -302,9 +302,9 @@
         self._take_slot = limits.take_slot
         limits.take_slot = self._count  # type: ignore[method-assign]
 
-    def _count(self, server: BackendServer, at: float) -> None:
+    def _count(self, server: BackendServer, at: float) -> float | None:
         self.taken += 1
-        self._take_slot(server, at)
+        return self._take_slot(server, at)
 
 
 async def change_while_waiting(change: Any) -> tuple[int, list[int]]:
--- a/tests/platform/test_coldfields.py
+++ b/tests/platform/test_coldfields.py
@@ -22,6 +22,8 @@
     (1500, 1500, False),
     (2.5, 2.5, False),
     (-1, None, True),
+    (1e9, 1e9, False),
+    (1e10, None, True),
     ('3000', None, True),
     (True, None, True),
     ([1], None, True),
@@ -80,3 +82,12 @@
 def test_a_negative_bound_is_refused() -> None:
     with pytest.raises(BadNodeFile):
         parse_node('f', f'{NODE}\nBounds.ColdOverage=-1')
+
+
+@pytest.mark.parametrize('digits', ['9' * 400, '9' * 5000, '1e999', 'NaN'])
+def test_numbers_beyond_all_bounds_are_refused(digits: str) -> None:
+    """One such registration would stop the reader of the store."""
+    fields = msgspec.json.encode({**REGISTRATION}).decode()
+    raw = f'{fields[:-1]},"ColdRemainingMs":{digits}}}'
+    with pytest.raises(BadRecord):
+        decode_registration('servers/i-1', raw.encode(), 1)
