--- a/src/ospreyford/direct/admission.py
+++ b/src/ospreyford/direct/admission.py
@@ -79,11 +79,13 @@
     :param started_at: when it was read, on the monotonic clock.
     :param objective: latency objective, in seconds.
     :param deadline: when it expires, on that clock.
-    :param priority: 0 goes first.
+    :param priority: that of the customer or else of the route; 0 goes first
+        among requests that are as late.
     :param caller_timeout: how long its caller waits for the first event, in
         seconds.
     :param is_retry: whether it is a retry of a refused request.
     :param groups: names of the groups that may run it; ``None`` for all.
+    :param urgency: priority of its route; 0 is the most urgent.
     """
 
     number: int
@@ -94,6 +96,7 @@
     caller_timeout: float = MIN_CALLER_TIMEOUT_SECONDS
     is_retry: bool = False
     groups: frozenset[str] | None = None
+    urgency: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/ospreyford/direct/admissionqueue.py
+++ b/src/ospreyford/direct/admissionqueue.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ospreyford.direct.admission import is_late, is_unservable
-from ospreyford.direct.urgency import PriorityTurns
+from ospreyford.direct.urgency import UrgencyTurns
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -36,7 +36,7 @@
 class AdmissionQueue:
     """Requests waiting for admission to a group.
 
-    Among requests of one priority, on-time ones go first in order of arrival,
+    Among requests of one urgency, on-time ones go first in order of arrival,
     then retries, then late ones. In plain order of arrival, one burst would
     make every request behind it late.
     """
@@ -44,17 +44,17 @@
     def __init__(self) -> None:
         self._requests: dict[int, QueuedRequest] = {}
         self._consecutive_first_tries = 0
-        self._turns = PriorityTurns()
+        self._turns = UrgencyTurns()
 
     def __len__(self) -> int:
         return len(self._requests)
 
-    def count_by_priority(self) -> Counter[int]:
-        """Count the requests by their priority.
+    def count_by_urgency(self) -> Counter[int]:
+        """Count the requests by their urgency.
 
         :returns: the numbers.
         """
-        return Counter(one.priority for one in self._requests.values())
+        return Counter(one.urgency for one in self._requests.values())
 
     def is_out_of_turn(self, request: QueuedRequest) -> bool:
         """Check whether a request goes before a more urgent one.
@@ -63,20 +63,20 @@
         :returns: whether one waits that any group may run.
         """
         return any(
-            one.priority < request.priority and not one.groups
+            one.urgency < request.urgency and not one.groups
             for one in self._requests.values()
         )
 
-    def list_unrestricted(self, priority: int) -> list[int]:
-        """List the requests of a priority that any group may run.
+    def list_unrestricted(self, urgency: int) -> list[int]:
+        """List the requests of one urgency that any group may run.
 
-        :param priority: the priority.
+        :param urgency: the urgency.
         :returns: their numbers.
         """
         return [
             one.number
             for one in self._requests.values()
-            if one.priority == priority and not one.groups
+            if one.urgency == urgency and not one.groups
         ]
 
     def add(self, request: QueuedRequest) -> None:
@@ -120,13 +120,14 @@
         ]
         if not candidates:
             return None
-        priority = self._turns.select({one.priority for one in candidates})
+        urgency = self._turns.select({one.urgency for one in candidates})
         return min(
             candidates,
             key=lambda request: (
-                request.priority != priority,
-                request.priority,
+                request.urgency != urgency,
+                request.urgency,
                 self._compute_order(request, now, first_event),
+                request.priority,
                 request.number,
             ),
         )
@@ -137,7 +138,7 @@
         :param request: the request.
         """
         self.remove(request.number)
-        self._turns.record_admission(request.priority, self.count_by_priority())
+        self._turns.record_admission(request.urgency, self.count_by_urgency())
         self._consecutive_first_tries = (
             0 if request.is_retry else self._consecutive_first_tries + 1
         )
@@ -169,7 +170,7 @@
         ]
         bound = max(int(LATE_QUEUE_RATIO * capacity + max(free, 0)), 1)
         servable = [request for request in late if request not in expired]
-        servable.sort(key=lambda request: (request.priority, request.number))
+        servable.sort(key=lambda request: (request.urgency, request.number))
         return expired + servable[bound:]
 
     def _compute_order(
--- a/src/ospreyford/direct/gate.py
+++ b/src/ospreyford/direct/gate.py
@@ -19,7 +19,7 @@
 from ospreyford.direct.grouprooms import GroupRooms
 from ospreyford.direct.roomchoice import choose_option
 from ospreyford.direct.urgency import (
-    RecentPriorities,
+    RecentUrgencies,
     Rivals,
     count_less_urgent,
 )
@@ -61,7 +61,7 @@
         self.rooms = GroupRooms(max_gap, slots, entries)
         self._random = random or Random()
         self._queue = AdmissionQueue()
-        self._recent = RecentPriorities()
+        self._recent = RecentUrgencies()
         self._sequence = itertools.count()
         self._waiting = WaitingCalls()
         self._is_stopping = False
@@ -179,8 +179,8 @@
             elif request.groups:
                 held.add(request.number)
             elif self._queue.is_out_of_turn(request):
-                # The limit is the same for all of its priority.
-                held.update(self._queue.list_unrestricted(request.priority))
+                # The limit is the same for all of its urgency.
+                held.update(self._queue.list_unrestricted(request.urgency))
             else:
                 return
 
@@ -189,12 +189,12 @@
     ) -> GroupRoom | None:
         rooms = self.rooms.list_usable(now, request.groups)
         waiting = count_less_urgent(
-            self._queue.count_by_priority(), request.priority
+            self._queue.count_by_urgency(), request.urgency
         )
         rivals = Rivals(
             less_urgent=waiting,
             are_waiting=waiting > 0,
-            has_more_urgent=self._recent.has_more_urgent(request.priority, now),
+            has_more_urgent=self._recent.has_more_urgent(request.urgency, now),
             is_due=self._queue.is_out_of_turn(request),
         )
         offers = [
@@ -220,12 +220,13 @@
             + compute_caller_timeout(call.route.objective, call.route.max_gap),
             call.is_retry,
             groups,
+            call.route.priority,
         )
-        self._recent.record(request.priority, now)
+        self._recent.record(request.urgency, now)
         if not self._queue and not call.is_retry:
             room = self._choose_room(request, now, is_first=True)
             if room is not None:
-                room.enter(request.priority)
+                room.enter(request.urgency)
                 call.room = room
                 return True
         self._queue.add(request)
@@ -250,5 +251,5 @@
 
 def _leave_room(call: Call) -> None:
     if call.room is not None:
-        call.room.leave(call.get_priority())
+        call.room.leave(call.route.priority)
         call.room = None
--- a/src/ospreyford/direct/grouproom.py
+++ b/src/ospreyford/direct/grouproom.py
@@ -66,7 +66,7 @@
         self, name: str, max_gap: float, slots: int = 0, entries: int = 1
     ) -> None:
         self.name = name
-        #: Running streams by priority.
+        #: Running streams by urgency.
         self._running: Counter[int] = Counter()
         self.limit = StreamLimit(max_gap)
         if slots:
@@ -101,19 +101,19 @@
         """
         return self.is_closed and now < self._paused_until
 
-    def enter(self, priority: int) -> None:
+    def enter(self, urgency: int) -> None:
         """Take a place.
 
-        :param priority: of the stream.
+        :param urgency: of the stream.
         """
-        self._running[priority] += 1
+        self._running[urgency] += 1
 
-    def leave(self, priority: int) -> None:
+    def leave(self, urgency: int) -> None:
         """Give a place back.
 
-        :param priority: of the stream.
+        :param urgency: of the stream.
         """
-        self._running[priority] -= 1
+        self._running[urgency] -= 1
 
     def admit(self, request: QueuedRequest, now: float) -> None:
         """Take a place for a queued request.
@@ -121,7 +121,7 @@
         :param request: the request.
         :param now: seconds on the monotonic clock.
         """
-        self.enter(request.priority)
+        self.enter(request.urgency)
         if self.is_closed:
             # A single request probes whether the group has reopened.
             self._paused_until = now + PROBE_INTERVAL_SECONDS
@@ -143,7 +143,7 @@
         :returns: the offer; ``None`` if there is no place for it.
         """
         first_event = self.first_event
-        running = count_less_urgent(self._running, request.priority)
+        running = count_less_urgent(self._running, request.urgency)
         limit = adjust_limit(
             self.limit,
             self.limit.regular
--- a/src/ospreyford/direct/urgency.py
+++ b/src/ospreyford/direct/urgency.py
@@ -1,4 +1,7 @@
-"""Turns and places of requests whose priorities differ.
+"""Turns and places of requests of more and less urgent kinds.
+
+The urgency of a request is the priority of its route. Priorities of customers
+decide among equally late requests of one urgency.
 
 Load pattern: a burst of patient requests fills the groups of a service, then
 urgent ones come, together two to three times what there is room for. In plain
@@ -18,85 +21,85 @@
     from ospreyford.direct.admission import StreamLimit
 
 #: Admissions of more urgent requests in a row after which a waiting request of
-#: a lower priority goes next: a kind that waits gets a fifth of the places.
+#: a lower urgency goes next: a kind that waits gets a fifth of the places.
 MAX_PASSED_OVER: Final = 4
-#: Time for which places are kept for a priority after its last request.
+#: Time for which places are kept for a urgency after its last request.
 NEED_MEMORY_SECONDS: Final = 10.0
 
 
-class RecentPriorities:
+class RecentUrgencies:
     """Priorities of recent requests."""
 
     def __init__(self) -> None:
         self._seen_at: dict[int, float] = {}
 
-    def record(self, priority: int, now: float) -> None:
+    def record(self, urgency: int, now: float) -> None:
         """Record a request.
 
-        :param priority: its priority.
+        :param urgency: its urgency.
         :param now: seconds on the monotonic clock.
         """
-        self._seen_at[priority] = now
+        self._seen_at[urgency] = now
 
-    def has_more_urgent(self, priority: int, now: float) -> bool:
+    def has_more_urgent(self, urgency: int, now: float) -> bool:
         """Check whether more urgent requests came recently.
 
-        :param priority: of a request.
+        :param urgency: of a request.
         :param now: seconds on the monotonic clock.
         :returns: whether there were any.
         """
         if len(self._seen_at) < 2:
             return False
         return any(
-            one < priority and now - seen_at < NEED_MEMORY_SECONDS
+            one < urgency and now - seen_at < NEED_MEMORY_SECONDS
             for one, seen_at in self._seen_at.items()
         )
 
 
-class PriorityTurns:
-    """Whose turn it is among the priorities that wait."""
+class UrgencyTurns:
+    """Whose turn it is among the urgencies that wait."""
 
     def __init__(self) -> None:
         self._passed_over: dict[int, int] = {}
 
     def select(self, waiting: Collection[int]) -> int:
-        """Select the priority that goes next.
+        """Select the urgency that goes next.
 
-        :param waiting: priorities of the waiting requests; 0 is the most
+        :param waiting: urgencies of the waiting requests; 0 is the most
             urgent.
         :returns: the most urgent one, unless another was passed over too often.
         """
         due = [one for one in waiting if self._count(one) >= MAX_PASSED_OVER]
         return max(due, key=self._count) if due else min(waiting)
 
-    def record_admission(self, priority: int, waiting: Collection[int]) -> None:
+    def record_admission(self, urgency: int, waiting: Collection[int]) -> None:
         """Record that a request was admitted.
 
-        :param priority: its priority.
-        :param waiting: priorities of the requests that still wait.
+        :param urgency: its urgency.
+        :param waiting: urgencies of the requests that still wait.
         """
         self._passed_over = {
-            one: self._count(one) + (one > priority)
+            one: self._count(one) + (one > urgency)
             for one in waiting
-            if one != priority
+            if one != urgency
         }
 
-    def _count(self, priority: int) -> int:
-        return self._passed_over.get(priority, 0)
+    def _count(self, urgency: int) -> int:
+        return self._passed_over.get(urgency, 0)
 
 
-def count_less_urgent(counts: Mapping[int, int], priority: int) -> int:
+def count_less_urgent(counts: Mapping[int, int], urgency: int) -> int:
     """Count the requests that are less urgent than one.
 
-    :param counts: number of requests by priority.
-    :param priority: of the request.
+    :param counts: number of requests by urgency.
+    :param urgency: of the request.
     :returns: the number.
     """
-    return sum(count for one, count in counts.items() if one > priority)
+    return sum(count for one, count in counts.items() if one > urgency)
 
 
 class Rivals(NamedTuple):
-    """Requests of other priorities that compete with one.
+    """Requests of other urgencies that compete with one.
 
     :param less_urgent: number of less urgent ones that run in the group or
         wait.
@@ -117,14 +120,14 @@
 def adjust_limit(
     limit: StreamLimit, base: float, rivals: Rivals, *, is_late: bool
 ) -> float:
-    """Adjust the limit of a request to requests of other priorities.
+    """Adjust the limit of a request to requests of other urgencies.
 
     A late request would leave its place to a less urgent one that is still in
     time.
 
     :param limit: the limits of the group.
-    :param base: limit that applies without regard to priorities.
-    :param rivals: requests of other priorities.
+    :param base: limit that applies without regard to urgencies.
+    :param rivals: requests of other urgencies.
     :param is_late: whether the request will miss its objective.
     :returns: number of running streams below which it is admitted.
     """
--- a/tests/direct/test_urgency.py
+++ b/tests/direct/test_urgency.py
@@ -17,9 +17,9 @@
 from ospreyford.direct.grouproom import GroupRoom
 from ospreyford.direct.urgency import (
     MAX_PASSED_OVER,
-    PriorityTurns,
-    RecentPriorities,
+    RecentUrgencies,
     Rivals,
+    UrgencyTurns,
     adjust_limit,
 )
 
@@ -31,9 +31,9 @@
 
 
 class Kind(NamedTuple):
-    """Requests of one kind: priority, rate a second, objective in seconds."""
+    """Requests of one kind: urgency, rate a second, objective in seconds."""
 
-    priority: int
+    urgency: int
     rate: float
     objective: float
 
@@ -45,7 +45,7 @@
     kinds: tuple[Kind, ...]
     random: Random = field(default_factory=lambda: Random(5))
     queue: AdmissionQueue = field(default_factory=AdmissionQueue)
-    recent: RecentPriorities = field(default_factory=RecentPriorities)
+    recent: RecentUrgencies = field(default_factory=RecentUrgencies)
     room: GroupRoom = field(default_factory=lambda: make_room(PLACES))
     ends: list[tuple[float, int]] = field(default_factory=list)
     came: Counter[int] = field(default_factory=Counter)
@@ -71,15 +71,16 @@
     def _add_arrivals(self, now: float) -> None:
         for kind in self.kinds:
             if self.random.random() < kind.rate * TICK_SECONDS:
-                self.came[kind.priority] += 1
-                self.recent.record(kind.priority, now)
+                self.came[kind.urgency] += 1
+                self.recent.record(kind.urgency, now)
                 self.queue.add(
                     QueuedRequest(
                         self.came.total(),
                         now,
                         kind.objective,
                         now + 8,
-                        kind.priority,
+                        1,
+                        urgency=kind.urgency,
                     )
                 )
 
@@ -97,13 +98,13 @@
                 return
             less_urgent = sum(
                 count
-                for priority, count in self.queue.count_by_priority().items()
-                if priority > one.priority
+                for priority, count in self.queue.count_by_urgency().items()
+                if priority > one.urgency
             )
             rivals = Rivals(
                 less_urgent,
                 are_waiting=less_urgent > 0,
-                has_more_urgent=self.recent.has_more_urgent(one.priority, now),
+                has_more_urgent=self.recent.has_more_urgent(one.urgency, now),
                 is_due=self.queue.is_out_of_turn(one),
             )
             option = self.room.make_option(
@@ -112,15 +113,15 @@
             if option is None:
                 if not self.queue.is_out_of_turn(one):
                     return
-                held.update(self.queue.list_unrestricted(one.priority))
+                held.update(self.queue.list_unrestricted(one.urgency))
                 continue
             self.queue.admit(one)
             self.room.admit(one, now)
             seconds = self.random.uniform(0.2, 1.8) * STREAM_SECONDS
-            self.ends.append((now + seconds, one.priority))
-            self.served[one.priority] += 1
+            self.ends.append((now + seconds, one.urgency))
+            self.served[one.urgency] += 1
             waited = now - one.started_at + FIRST_EVENT_SECONDS
-            self.on_time[one.priority] += waited <= one.objective
+            self.on_time[one.urgency] += waited <= one.objective
 
 
 def make_room(places: int) -> GroupRoom:
@@ -154,7 +155,7 @@
     )
     load = Load(kinds)
     load.run(0, 20)
-    shares = [load.compute_share(kind.priority) for kind in kinds]
+    shares = [load.compute_share(kind.urgency) for kind in kinds]
     assert shares[0] >= shares[1] - 0.05
     assert shares[1] >= shares[2] - 0.05
     assert shares[2] >= sum(shares) / 3 / 4
@@ -186,7 +187,7 @@
 
 def test_a_waiting_priority_gets_its_turn() -> None:
     """No kind of request may be starved by more urgent ones."""
-    turns = PriorityTurns()
+    turns = UrgencyTurns()
     chosen = []
     for _ in range(3 * (MAX_PASSED_OVER + 2)):
         chosen.append(turns.select({0, 1, 2}))
@@ -239,11 +240,27 @@
 def test_requests_of_one_group_put_no_other_out_of_turn() -> None:
     """Patient requests would take the places kept for urgent ones."""
     queue = AdmissionQueue()
-    urgent = QueuedRequest(0, 10, 0.4, 17, 0, groups=frozenset('a'))
-    patient = QueuedRequest(1, 10, 1, 17, 2)
+    urgent = QueuedRequest(0, 10, 0.4, 17, 1, groups=frozenset('a'))
+    patient = QueuedRequest(1, 10, 1, 17, 1, urgency=2)
     queue.add(urgent)
     queue.add(patient)
     assert not queue.is_out_of_turn(patient)
     queue.add(urgent._replace(number=2, groups=None))
     assert queue.is_out_of_turn(patient)
     assert queue.list_unrestricted(0) == [2]
+
+
+def test_priorities_of_customers_decide_among_equally_late_requests() -> None:
+    """A late request must not go before those that can still be in time."""
+    queue = AdmissionQueue()
+    for number, (started_at, priority) in enumerate(
+        ((9.0, 0), (9.95, 2), (9.97, 1))
+    ):
+        queue.add(QueuedRequest(number, started_at, 0.4, 17, priority))
+    chosen = []
+    for _ in range(3):
+        one = queue.select_next(10, 0.1)
+        assert one is not None
+        queue.admit(one)
+        chosen.append(one.number)
+    assert chosen == [2, 1, 0]
