Log what an attempt's outcome was derived from, and each signal

Attempts now end with the status of the response, 'not-run' and 'other-request', and for streams with how forwarding ended. SignalReceived has the name of each signal and the requests in flight. No decision changes.

--- a/src/ospreyford/console/program.py
+++ b/src/ospreyford/console/program.py
@@ -147,6 +147,7 @@
     except OSError as error:
         return _fail(error)
     stop = Stop(settings.drain.deadline_seconds)
+    stop.record_signal = changes.log_change
     stop.install()
     program = Program(settings, stop, changes, secrets)
     try:
--- a/src/ospreyford/console/stopping.py
+++ b/src/ospreyford/console/stopping.py
@@ -13,6 +13,8 @@
 import curio
 from curio.io import Socket
 
+from ospreyford.observability.signals import SignalReceived
+
 SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 READ_BYTES = 16
 
@@ -44,6 +46,8 @@
         self.hung_up = curio.Event()
         self.deadline = deadline
         self.count_in_flight: Callable[[], int] = _count_nothing
+        #: Called with each signal.
+        self.record_signal: Callable[[SignalReceived], None] = _record_nothing
         self._pair = socket.socketpair()
         for end in self._pair:
             end.setblocking(False)
@@ -87,9 +91,17 @@
             signal.signal(number, signal.SIG_DFL)
         return Cut(self.count_in_flight(), cause)
 
+    def _record(self, received: bytes) -> None:
+        for number in received:
+            if number in (*SIGNALS, signal.SIGHUP):
+                name = signal.Signals(number).name
+                event = SignalReceived(name, self.count_in_flight())
+                self.record_signal(event)
+
     async def _wait_for_signal(self, wakeups: Socket) -> None:
         while True:
             received: bytes = await wakeups.recv(READ_BYTES)
+            self._record(received)
             if signal.SIGHUP in received:
                 await self.hung_up.set()
             # Other signals, such as SIGCHLD, come through the same socket.
@@ -97,6 +109,10 @@
                 return
 
 
+def _record_nothing(event: SignalReceived) -> None:
+    """Leave the signal out of the log."""
+
+
 def _ignore(number: int, frame: FrameType | None) -> None:
     """Leave the signal to the task that watches the socket."""
 
--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -99,6 +99,23 @@
             # A host that does not respond must not receive it later.
             await connection.close(resets=True)
 
+    def describe_response(self) -> tuple[str, ...]:
+        """Describe the response head for the log.
+
+        :returns: status, and what tells whether the request has run; nothing
+            before the head was read.
+        """
+        head = self._head
+        if head is None:
+            return ()
+        names = self._resources.header_names
+        is_marked = find_header(head.headers, names.refused) is not None
+        return (
+            str(head.status),
+            *(('not-run',) if is_marked else ()),
+            *(() if self._is_mine(head) else ('other-request',)),
+        )
+
     async def start(self) -> AttemptOutcome:
         """Send the request and wait for the response head.
 
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -34,6 +34,7 @@
     :param outcome: how it ended.
     :param is_connected: whether a connection could be opened.
     :param room: room of the backend's group, for streams.
+    :param details: what the outcome was derived from.
     """
 
     backend: str
@@ -41,6 +42,15 @@
     outcome: str = IN_FLIGHT
     is_connected: bool = True
     room: GroupRoom | None = None
+    details: tuple[str, ...] = ()
+
+    def describe(self) -> str:
+        """Describe the attempt in the log.
+
+        :returns: backend, time, outcome and details.
+        """
+        words = (self.backend, str(self.sent_ms), self.outcome, *self.details)
+        return ' '.join(words)
 
 
 @dataclass
--- a/src/ospreyford/direct/decisions.py
+++ b/src/ospreyford/direct/decisions.py
@@ -16,7 +16,8 @@
     :param service: the selected service.
     :param version: version of the catalog.
     :param age_ms: age of the catalog when the request was read.
-    :param attempts: backend, time in milliseconds and outcome of each attempt.
+    :param attempts: backend, time in milliseconds, outcome and its details of
+        each attempt.
     :param verdict: type of the outcome.
     :param detail: its fields.
     :param given_ms: timeout set by the caller or the route.
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -173,6 +173,7 @@
             ) as backend_request:
                 outcome = await backend_request.start()
                 attempt.outcome = type(outcome).__name__
+                attempt.details = backend_request.describe_response()
                 return await self._handle_outcome(
                     outcome, backend_request, backend
                 )
@@ -268,6 +269,7 @@
             beginning,
             partial(self._migrator.should_migrate, backend),
         )
+        self._call.attempts[-1].details += (stream_result.value,)
         match stream_result:
             case StreamResult.whole:
                 backend.record_success()
--- a/src/ospreyford/direct/requestlog.py
+++ b/src/ospreyford/direct/requestlog.py
@@ -73,10 +73,7 @@
                 service=call.service,
                 version=catalog.version if catalog else -1,
                 age_ms=age_ms,
-                attempts=[
-                    f'{one.backend} {one.sent_ms} {one.outcome}'
-                    for one in call.attempts
-                ],
+                attempts=[one.describe() for one in call.attempts],
                 verdict=type(verdict).__name__,
                 detail=asdict(verdict),
                 given_ms=compute_elapsed_ms(call.started_at, call.deadline),
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -27,12 +27,21 @@
 
 
 class StreamResult(Enum):
-    """How forwarding from one backend ended."""
+    """How forwarding from one backend ended.
+
+    Unless it is whole or migrated, the stream resumes elsewhere or is cut.
+    """
 
     #: The stream is complete.
     whole = 'whole'
-    #: The stream broke off and must resume elsewhere or be cut.
-    broken = 'broken'
+    #: The backend sent nothing for ``STALL_SECONDS``.
+    silent = 'silent'
+    #: The connection ended before the stream did.
+    lost = 'lost'
+    #: An event is missing.
+    unordered = 'unordered'
+    #: The stream ended within an event, or before the first one.
+    partial = 'partial'
     #: The stream migrates to another backend.
     migrated = 'moved'
 
@@ -61,7 +70,7 @@
     # A backend that ends before its first event closes the connection as well.
     is_empty = backend_request.ends_with_connection() and not call.cursor
     if outcome is StreamResult.whole and is_empty:
-        return StreamResult.broken
+        return StreamResult.partial
     return outcome
 
 
@@ -78,17 +87,19 @@
             piece = await curio.timeout_after(STALL_SECONDS, anext(pieces))
         except StopAsyncIteration:
             return (
-                StreamResult.broken
+                StreamResult.partial
                 if splitter.has_rest()
                 else StreamResult.whole
             )
-        except (HttpError, curio.TaskTimeout):
-            return StreamResult.broken
+        except HttpError:
+            return StreamResult.lost
+        except curio.TaskTimeout:
+            return StreamResult.silent
         is_in_order = _forward_all(splitter.add(piece), call, exchange)
         beginning.record_events(call.cursor)
         await exchange.push(STALL_SECONDS)
         if not is_in_order:
-            return StreamResult.broken
+            return StreamResult.unordered
         if should_migrate():
             return StreamResult.migrated
 
--- a/src/ospreyford/observability/loggedevents.py
+++ b/src/ospreyford/observability/loggedevents.py
@@ -30,6 +30,7 @@
     Started,
     Stopped,
 )
+from ospreyford.observability.signals import SignalReceived
 from ospreyford.observability.supervision import TaskFailed
 from ospreyford.rebalance.decisions import Decision as AgentDecision
 from ospreyford.security.events import SecretRefused, SecretsReplaced
@@ -70,4 +71,5 @@
     | ZoneDecision
     | AgentDecision
     | TaskFailed
+    | SignalReceived
 )
--- a/src/ospreyford/platform/agent.py
+++ b/src/ospreyford/platform/agent.py
@@ -114,6 +114,7 @@
         unused.close()
     log = open_log(node)
     stop = Stop(node.grace_seconds)
+    stop.record_signal = log.log_change
     stop.install()
     try:
         curio.run(serve, node, log, stop)
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -133,6 +133,7 @@
     hand_back_memory()
     log = open_log(node)
     stop = Stop(node.grace_seconds)
+    stop.record_signal = log.log_change
     stop.install()
     try:
         curio.run(serve, node, listeners, log, stop)
