--- a/tests/platform/drills/programs.py
+++ b/tests/platform/drills/programs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -115,6 +116,31 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def send(self, name: str) -> None:
+        """Send a signal.
+
+        :param name: its name.
+        """
+        self._signal(signal.Signals[name])
+
+    def poll(self) -> int | None:
+        """Look whether the process has ended.
+
+        :returns: its exit code, negative for a signal; ``None`` while it runs.
+        """
+        return None if self._process is None else self._process.poll()
+
+    def change_settings(self, slack: int) -> None:
+        """Write the settings file anew, at once.
+
+        :param slack: slack of the retry budget.
+        """
+        text = self._settings_path.read_text()
+        changed = re.sub(r'(?<=BudgetSlack=)\d+', str(slack), text)
+        new_path = self._settings_path.with_suffix('.new')
+        new_path.write_text(changed)
+        new_path.replace(self._settings_path)
+
     def pause(self) -> None:
         """Stop the process until it is resumed."""
         self._signal(signal.SIGSTOP)
