A refusal that names another request refuses none

Cause: the mark of a refusal, and status 421, were looked at before the id that the response echoes, so a second copy of an earlier refusal on a kept connection was taken for the answer to the next request.

Now the id decides first, for all responses: one that names another request leaves the outcome unknown, and declares nothing.

--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -189,14 +189,16 @@
         self, connection: ClientConnection, head: Response
     ) -> AttemptOutcome:
         header_names = self._resources.header_names
+        if not self._is_mine(head):
+            # A refusal of another request says nothing of this one.
+            return Lost(Cause.garbled)
         if head.status == MISDIRECTED:
             # Another backend at the same address.
             await self._drain_refusal(connection)
             return Refused(head)
-        if self._is_mine(head):
-            self._resources.declarations.record_response(
-                self.server, head, self._sent_at
-            )
+        self._resources.declarations.record_response(
+            self.server, head, self._sent_at
+        )
         refused = find_header(head.headers, header_names.refused) is not None
         if not refused and not self._is_valid_response(head):
             return Lost(Cause.garbled)
@@ -228,13 +230,11 @@
         return echoed is None or echoed.decode('latin-1') == self._call.id
 
     def _is_valid_response(self, head: Response) -> bool:
-        """Check whether a response belongs to this request and is usable."""
+        """Check whether a response to this request is usable."""
         header_names = self._resources.header_names
         echoed = find_header(head.headers, header_names.request_id)
         if not OK <= head.status < MAX_STATUS_EXCLUSIVE:
             return False
-        if not self._is_mine(head):
-            return False
         if find_header(head.headers, b'content-encoding') is not None:
             return False
         is_success = OK <= head.status < REDIRECTION
--- a/tests/direct/test_promises.py
+++ b/tests/direct/test_promises.py
@@ -55,3 +55,14 @@
 )
 def test_refusal_of_the_request_is_told(status: int, fields: Headers) -> None:
     assert curio.run(ask, ONCE, respond(status, *fields))[0] == 503
+
+
+@pytest.mark.parametrize('status', [421, 429, 503])
+@pytest.mark.parametrize('attempts', [1, 2])
+def test_refusal_of_another_request_is_not_taken(
+    status: int, attempts: int
+) -> None:
+    """A refusal that came twice was taken for the next request's."""
+    route = be.make_route(RetryMode.once, attempts=attempts)
+    late = respond(status, MARK, (b'x-id', b'another'))
+    assert curio.run(ask, route, late, late)[0] == 502
