On the platform a repeated SIGTERM does not end a stop

Cause: a second SIGTERM cut a program at once, whatever was under way. The platform ends the grace by SIGKILL; stops that overlap send SIGTERM again.

Programs on the platform now treat further signals like the first. The loopback programs keep what their page says: a second signal ends them at once.

--- a/src/ospreyford/console/stopping.py
+++ b/src/ospreyford/console/stopping.py
@@ -42,12 +42,15 @@
     ``hung_up`` is set by each SIGHUP; who reads the settings clears it.
 
     :param deadline: seconds from the first signal until the program is cut.
+    :param may_repeat: whether a second signal asks for nothing more than the
+        first one. Otherwise it cuts the program at once.
     """
 
-    def __init__(self, deadline: float) -> None:
+    def __init__(self, deadline: float, *, may_repeat: bool = False) -> None:
         self.requested = curio.Event()
         self.hung_up = curio.Event()
         self.deadline = deadline
+        self._may_repeat = may_repeat
         self.count_in_flight: Callable[[], int] = _count_nothing
         #: Called with each signal.
         self.record_signal: Callable[[SignalReceived], None] = _record_nothing
@@ -86,7 +89,7 @@
             cause = 'drain deadline'
             with suppress(curio.TaskTimeout):
                 await curio.timeout_after(
-                    self.deadline, self._wait_for_signal, wakeups
+                    self.deadline, self._wait_for_second, wakeups
                 )
                 cause = 'second signal'
         # What is left to do is bounded only as far as the program's own code
@@ -95,6 +98,11 @@
             signal.signal(number, signal.SIG_DFL)
         return Cut(self.count_in_flight(), cause)
 
+    async def _wait_for_second(self, wakeups: Socket) -> None:
+        await self._wait_for_signal(wakeups)
+        while self._may_repeat:
+            await self._wait_for_signal(wakeups)
+
     def _record(self, received: bytes) -> None:
         for number in received:
             if number in HANDLED_SIGNALS:
--- a/src/ospreyford/platform/agent.py
+++ b/src/ospreyford/platform/agent.py
@@ -113,7 +113,8 @@
     for unused in listeners:
         unused.close()
     log = open_log(node)
-    stop = Stop(node.grace_seconds)
+    # The platform ends the grace by SIGKILL, never by a second SIGTERM.
+    stop = Stop(node.grace_seconds, may_repeat=True)
     stop.record_signal = log.log_change
     stop.install()
     try:
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -132,7 +132,8 @@
     """
     hand_back_memory()
     log = open_log(node)
-    stop = Stop(node.grace_seconds)
+    # The platform ends the grace by SIGKILL, never by a second SIGTERM.
+    stop = Stop(node.grace_seconds, may_repeat=True)
     stop.record_signal = log.log_change
     stop.install()
     try:
