A stream stays with its backend until another one sends its events

Callers saw streams reset in the middle while their backend was still at work (LOST), around stops and at any other time.

Cause: 1.2 s without an event ended the attempt. What came next, another backend, could fail: the request may run once only, no retries were left, the others were full, or were silent as well. Then the stream was cut. Where processes have little processor time, a group is silent for so long without any fault. A migration from a slow backend gave its stream up in the same way.

Now silence, or slowness, only begins a search for another backend beside the stream (direct/takeover.py), which takes it over with its first event. Nothing is given up before.

--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from contextlib import aclosing
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 import curio
@@ -23,8 +22,6 @@
 from ospreyford.http.message import Request, Response, find_header
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
-
     from ospreyford.direct.call import Call
     from ospreyford.direct.connections import ConnectionPool
     from ospreyford.direct.declarations import BackendDeclarations
@@ -59,8 +56,8 @@
 class BackendRequest:
     """A request sent to a backend, and its response.
 
-    Leaving the context resets a connection whose response was not read
-    completely, so that the backend stops its work, or never receives it.
+    Closing it resets a connection whose response was not read completely, so
+    that the backend stops its work, or never receives it.
 
     :param call: the request.
     :param server: the backend.
@@ -78,14 +75,7 @@
         self._is_complete = False
         self._sent_at: float = 0
 
-    async def __aenter__(self) -> BackendRequest:
-        """Enter the context.
-
-        :returns: itself.
-        """
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
+    async def aclose(self) -> None:
         """Release the connection, or reset it if the response is incomplete."""
         connection = self._connection
         self._connection = None
@@ -145,18 +135,17 @@
         headers = self._head.headers if self._head else ()
         return not any(name in FRAMING_FIELDS for name, _ in headers)
 
-    async def read_pieces(self) -> AsyncGenerator[bytes, None]:
-        """Read the body of a stream.
+    async def read_piece(self) -> bytes | None:
+        """Read the next piece of the body of a stream.
 
-        :returns: an iterator of chunks.
+        :returns: the piece; ``None`` at the end.
         :raises HttpError: the stream was cut.
         """
         if self._connection is None:
-            return
-        async with aclosing(self._connection.read_pieces()) as pieces:
-            async for piece in pieces:
-                yield piece
-        self._is_complete = True
+            return None
+        piece = await self._connection.read_piece()
+        self._is_complete = piece is None
+        return piece
 
     def _has_lapsed(self) -> bool:
         """Check whether the request may not be sent any more.
--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -99,9 +99,12 @@
         #: End of the waits for grants, in seconds on the boot clock.
         self._asks_until: float | None = None
 
-    async def select(self) -> BackendState | Unavailable | OtherGroup:
+    async def select(
+        self, *, may_leave: bool = True
+    ) -> BackendState | Unavailable | OtherGroup:
         """Select the backend of the next attempt, and wait for its slot.
 
+        :param may_leave: whether another group may be told to take it.
         :returns: the backend; the request must be sent to it at once.
         """
         barrier = self._find_barrier()
@@ -115,10 +118,12 @@
         selected: BackendState | Unavailable | None = None
         while selected is None:
             selected = await self._select_once()
-        if isinstance(selected, Unavailable) and self._may_leave(selected):
-            self._is_paid = bool(self._call.attempts)
-            return OtherGroup()
-        return selected
+        if not isinstance(selected, Unavailable) or not may_leave:
+            return selected
+        if not self._may_leave(selected):
+            return selected
+        self._is_paid = bool(self._call.attempts)
+        return OtherGroup()
 
     def find_unavailable(self) -> Unavailable | None:
         """Find out whether no backend takes this request.
--- a/src/ospreyford/direct/relay.py
+++ b/src/ospreyford/direct/relay.py
@@ -3,25 +3,24 @@
 from __future__ import annotations
 
 import time
-from functools import partial
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Final
 
 import curio
 
-from ospreyford.direct.backendrequest import BackendRequest
+from ospreyford.direct.attempts import BackendAttempt
 from ospreyford.direct.backendselector import (
     MAX_ATTEMPTS,
     BackendSelector,
     OtherGroup,
     Unavailable,
 )
-from ospreyford.direct.beginnings import AnswerBeginning
-from ospreyford.direct.call import SHED, Attempt
 from ospreyford.direct.closedgroups import is_known_closed
 from ospreyford.direct.gates import find_gate
 from ospreyford.direct.headers import drop_hop_by_hop
 from ospreyford.direct.migration import StreamMigrator
-from ospreyford.direct.streaming import StreamResult, forward_stream
+from ospreyford.direct.streamrelay import StreamRelay
+from ospreyford.direct.takeover import StreamTakeover
 from ospreyford.direct.verdicts import (
     BLOCKED,
     NOT_RUN_STATUSES,
@@ -50,7 +49,6 @@
 BAD_GATEWAY: Final = 502
 GATEWAY_TIMEOUT: Final = 504
 SERVER_ERROR: Final = 500
-MILLISECONDS = 1000
 #: Retry time where nothing better is known.
 DEFAULT_RETRY_AFTER_SECONDS = 0.3
 
@@ -77,6 +75,14 @@
         self._selector = BackendSelector(
             call, context, self._migrator, in_group=self._gate is not None
         )
+        self._streams = StreamRelay(
+            call,
+            exchange,
+            context,
+            StreamTakeover(call, context, self._selector),
+            self._migrator,
+            in_group=self._gate is not None,
+        )
 
     async def run(self) -> Verdict:
         """Relay the request within its deadline.
@@ -156,65 +162,27 @@
         return self._make_failure(self._cause, BAD_GATEWAY)
 
     async def _attempt(self, backend: BackendState) -> Verdict | None:
-        call = self._call
-        now = time.monotonic()
-        attempt = Attempt(
-            backend.server.id,
-            int((now - call.started_at) * MILLISECONDS),
-            room=call.room,
-        )
-        call.attempts.append(attempt)
-        backend.in_flight += 1
-        zone = backend.server.zone
-        under_way = self._context.zones.under_way
-        under_way[zone] += 1
-        try:
-            async with BackendRequest(
-                call, backend.server, self._context.resources
-            ) as backend_request:
-                outcome = await backend_request.start()
-                attempt.outcome = type(outcome).__name__
-                attempt.details = backend_request.describe_response()
-                return await self._handle_outcome(
-                    outcome, backend_request, backend
-                )
-        finally:
-            backend.in_flight -= 1
-            under_way[zone] -= 1
+        attempt = BackendAttempt(self._call, backend, self._context)
+        async with aclosing(attempt):
+            return await self._handle_outcome(await attempt.start(), attempt)
 
     async def _handle_outcome(
-        self,
-        outcome: AttemptOutcome,
-        backend_request: BackendRequest,
-        backend: BackendState,
+        self, outcome: AttemptOutcome, attempt: BackendAttempt
     ) -> Verdict | None:
         match outcome:
             case Refused(head=head):
-                self._record_refusal(head, backend)
+                self._cause = attempt.record_refusal(head)
                 return None
             case Withheld():
-                self._call.attempts[-1].is_connected = False
+                attempt.record.is_connected = False
                 self._cause = Cause.backoff
                 return None
             case Lost(cause=cause):
-                return await self._handle_loss(cause, backend)
+                return await self._handle_loss(cause, attempt.backend)
             case Replied(head=head, body=body):
-                return await self._forward_response(head, body, backend)
+                return await self._forward_response(head, body, attempt.backend)
             case Streaming(head=head):
-                return await self._forward_stream(
-                    head, backend_request, backend
-                )
-
-    def _record_refusal(
-        self, head: Response | None, backend: BackendState
-    ) -> None:
-        attempt = self._call.attempts[-1]
-        attempt.is_connected = head is not None
-        now = time.monotonic()
-        if not self._context.declarations.accepts(backend.server, now):
-            attempt.outcome = SHED
-        backend.record_failure(now)
-        self._cause = Cause.refused if head else Cause.unreachable
+                return await self._forward_stream(head, attempt)
 
     async def _handle_loss(
         self, cause: Cause, backend: BackendState
@@ -252,44 +220,12 @@
         return Answered(head.status)
 
     async def _forward_stream(
-        self,
-        head: Response,
-        backend_request: BackendRequest,
-        backend: BackendState,
+        self, head: Response, attempt: BackendAttempt
     ) -> Verdict | None:
         self._call.may_have_run = True
-        if self._call.room is not None:
-            self._call.room.record_start()
-        if not self._exchange.started:
-            fields = tuple(drop_hop_by_hop(head.headers))
-            self._exchange.add((self._exchange.make_head(head.status, fields),))
-        beginning = AnswerBeginning(
-            self._call.cursor,
-            partial(self._suspects.record_answer, self._call),
-        )
-        stream_result = await forward_stream(
-            self._call,
-            backend_request,
-            self._exchange,
-            beginning,
-            partial(self._migrator.should_migrate, backend),
-        )
-        self._call.attempts[-1].details += (stream_result.value,)
-        match stream_result:
-            case StreamResult.whole:
-                backend.record_success()
-                self._suspects.record_answer(self._call)
-                await self._exchange.finish()
-                return Answered(head.status)
-            case StreamResult.migrated:
-                self._call.attempts[-1].outcome = 'Moved'
-                return None
-        backend.record_failure(time.monotonic())
+        if await self._streams.forward(head, attempt):
+            return Answered(head.status)
         self._cause = Cause.lost
-        if not beginning.is_over:
-            await self._suspects.record_loss(
-                self._call, backend, in_group=self._gate is not None
-            )
         if self._call.is_retryable():
             return None
         return self._make_failure(Cause.lost, BAD_GATEWAY)
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -3,105 +3,174 @@
 from __future__ import annotations
 
 import time
-from collections.abc import AsyncGenerator, Callable, Sequence
-from contextlib import aclosing
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
 import curio
 import h11
 
+from ospreyford.direct.attempts import BackendAttempt
 from ospreyford.direct.events import EventSplitter
 from ospreyford.http.errors import HttpError
 
 if TYPE_CHECKING:
-    from ospreyford.direct.backendrequest import BackendRequest
     from ospreyford.direct.beginnings import AnswerBeginning
     from ospreyford.direct.call import Call
     from ospreyford.direct.events import StreamEvent
+    from ospreyford.direct.takeover import StreamTakeover
     from ospreyford.http.server import Exchange
 
-#: Silence after which a stream counts as lost; callers disconnect after two
-#: seconds of it.
+#: Silence after which another backend is asked to take a stream over; callers
+#: disconnect after two seconds of it.
 STALL_SECONDS = 1.2
+#: Interval of the checks for the result of a search.
+SEARCH_POLL_SECONDS = 0.02
 
 
 class StreamResult(Enum):
     """How forwarding from one backend ended.
 
-    Unless it is whole or migrated, the stream resumes elsewhere or is cut.
+    Unless it is whole, the stream resumes elsewhere or is cut.
     """
 
     #: The stream is complete.
     whole = 'whole'
-    #: The backend sent nothing for ``STALL_SECONDS``.
-    silent = 'silent'
     #: The connection ended before the stream did.
     lost = 'lost'
     #: An event is missing.
     unordered = 'unordered'
     #: The stream ended within an event, or before the first one.
     partial = 'partial'
-    #: The stream migrates to another backend.
-    migrated = 'moved'
 
 
-async def forward_stream(
-    call: Call,
-    backend_request: BackendRequest,
-    exchange: Exchange,
-    beginning: AnswerBeginning,
-    should_migrate: Callable[[], bool],
-) -> StreamResult:
-    """Forward complete events as they arrive.
+@dataclass(frozen=True)
+class TakenOver:
+    """Another backend goes on with the stream.
+
+    :param successor: the attempt at the other backend.
+    :param is_migrated: whether the stream's own backend was slow; it was silent
+        otherwise.
+    """
+
+    successor: BackendAttempt
+    is_migrated: bool
+
+
+@dataclass(frozen=True)
+class _Piece:
+    """What a backend sent.
+
+    :param content: bytes of the body; ``None`` at its end.
+    """
+
+    content: bytes | None
+
+
+class StreamForwarder:
+    """Forwards complete events as they arrive.
+
+    A backend's silence never ends a stream. It stays with its backend until
+    that one ends it, or another one has begun to send.
 
     :param call: the request; its cursor is advanced.
-    :param backend_request: the request to the backend.
+    :param attempt: the attempt at the backend.
     :param exchange: the caller's response channel.
-    :param beginning: is told of the events.
+    :param takeover: searches for another backend.
     :param should_migrate: called after each chunk to decide on a migration.
-    :returns: how the stream ended.
-    :raises ConnectionLost: the caller disconnected.
     """
-    async with aclosing(backend_request.read_pieces()) as pieces:
-        outcome = await _forward_events(
-            pieces, call, exchange, beginning, should_migrate
-        )
-    # A backend that ends before its first event closes the connection as well.
-    is_empty = backend_request.ends_with_connection() and not call.cursor
-    if outcome is StreamResult.whole and is_empty:
-        return StreamResult.partial
-    return outcome
-
-
-async def _forward_events(
-    pieces: AsyncGenerator[bytes, None],
-    call: Call,
-    exchange: Exchange,
-    beginning: AnswerBeginning,
-    should_migrate: Callable[[], bool],
-) -> StreamResult:
-    splitter = EventSplitter()
-    while True:
+
+    def __init__(
+        self,
+        call: Call,
+        attempt: BackendAttempt,
+        exchange: Exchange,
+        takeover: StreamTakeover,
+        should_migrate: Callable[[], bool],
+    ) -> None:
+        self._call = call
+        self._attempt = attempt
+        self._exchange = exchange
+        self._takeover = takeover
+        self._should_migrate = should_migrate
+        self._is_migrating = False
+
+    async def run(self, beginning: AnswerBeginning) -> StreamResult | TakenOver:
+        """Forward until the stream ends or is taken over.
+
+        :param beginning: is told of the events.
+        :returns: how forwarding ended.
+        :raises ConnectionLost: the caller disconnected.
+        """
         try:
-            piece = await curio.timeout_after(STALL_SECONDS, anext(pieces))
-        except StopAsyncIteration:
-            return (
-                StreamResult.partial
-                if splitter.has_rest()
-                else StreamResult.whole
-            )
-        except HttpError:
-            return StreamResult.lost
-        except curio.TaskTimeout:
-            return StreamResult.silent
-        is_in_order = _forward_all(splitter.add(piece), call, exchange)
-        beginning.record_events(call.cursor)
-        await exchange.push(STALL_SECONDS)
-        if not is_in_order:
-            return StreamResult.unordered
-        if should_migrate():
-            return StreamResult.migrated
+            ended = await self._forward(beginning)
+        finally:
+            await self._takeover.cancel()
+        # A backend that ends before its first event closes the connection as
+        # well.
+        if ended is not StreamResult.whole or self._call.cursor:
+            return ended
+        if self._attempt.request.ends_with_connection():
+            return StreamResult.partial
+        return ended
+
+    async def _forward(
+        self, beginning: AnswerBeginning
+    ) -> StreamResult | TakenOver:
+        splitter = EventSplitter()
+        while True:
+            try:
+                received = await self._receive()
+            except HttpError:
+                return StreamResult.lost
+            if isinstance(received, TakenOver):
+                return received
+            if received.content is None:
+                return (
+                    StreamResult.partial
+                    if splitter.has_rest()
+                    else StreamResult.whole
+                )
+            events = splitter.add(received.content)
+            is_in_order = _forward_all(events, self._call, self._exchange)
+            beginning.record_events(self._call.cursor)
+            await self._exchange.push(STALL_SECONDS)
+            if not is_in_order:
+                return StreamResult.unordered
+            await self._consider_migration()
+
+    async def _receive(self) -> _Piece | TakenOver:
+        """Wait for the backend, or for one that takes the stream over."""
+        while True:
+            successor = await self._take_successor()
+            if successor is not None:
+                return TakenOver(successor, self._is_migrating)
+            is_searching = self._takeover.is_active
+            try:
+                piece = await curio.timeout_after(
+                    SEARCH_POLL_SECONDS if is_searching else STALL_SECONDS,
+                    self._attempt.read_piece,
+                )
+            except curio.TaskTimeout:
+                await self._takeover.begin()
+                continue
+            if is_searching and not self._is_migrating:
+                # The backend is no longer silent.
+                await self._takeover.cancel()
+            return _Piece(piece)
+
+    async def _take_successor(self) -> BackendAttempt | None:
+        if not self._takeover.has_ended():
+            return None
+        successor = await self._takeover.take()
+        self._is_migrating = self._is_migrating and successor is not None
+        return successor
+
+    async def _consider_migration(self) -> None:
+        if not self._takeover.is_active and self._should_migrate():
+            self._is_migrating = True
+            await self._takeover.begin()
 
 
 def _forward_all(
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -64,7 +64,11 @@
         :raises Unsendable: not a valid request; nothing was sent.
         :raises ConnectionLost: the request may or may not have arrived.
         """
-        await self._send_all(self._encode(request, body))
+        encoded = self._encode(request, body)
+        try:
+            await self._sock.sendall(encoded)
+        except OSError:
+            raise ConnectionLost from None
 
     async def read_head(self) -> Response:
         """Wait for the answer's head.
@@ -87,13 +91,26 @@
         :raises ConnectionLost: the body was cut.
         :raises BadMessage: the server broke the protocol.
         """
-        while True:
-            event = await self._read_event()
-            if isinstance(event, h11.EndOfMessage):
-                return
-            if not isinstance(event, h11.Data):
-                raise ConnectionLost
-            yield bytes(event.data)
+        piece = await self.read_piece()
+        while piece is not None:
+            yield piece
+            piece = await self.read_piece()
+
+    async def read_piece(self) -> bytes | None:
+        """Read the next piece of the answer's body.
+
+        A call that is cancelled loses nothing; the next one goes on.
+
+        :returns: the piece; ``None`` at the end of the answer.
+        :raises ConnectionLost: the body was cut.
+        :raises BadMessage: the server broke the protocol.
+        """
+        event = await self._read_event()
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        if not isinstance(event, h11.Data):
+            raise ConnectionLost
+        return bytes(event.data)
 
     async def read_body(self) -> bytes:
         """Read the answer's whole body.
@@ -149,12 +166,6 @@
         encoded += self._parser.send(h11.Data(data=body)) or b''
         return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
 
-    async def _send_all(self, encoded: bytes) -> None:
-        try:
-            await self._sock.sendall(encoded)
-        except OSError:
-            raise ConnectionLost from None
-
     async def _read_event(self) -> Any:
         while True:
             try:
