A takeover never selects the stream's own backend; docs of the mended faults

Found by reading the new module again: with no attempt left for other backends the selector offers those that were tried, so a silent backend could have got the stream a second time; and a migration that found no backend was begun again with each event, a retry of the budget each time. A silent backend counts as failing as soon as it is silent, not when its stream has left.

--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -95,6 +95,7 @@
         self._takeover = takeover
         self._should_migrate = should_migrate
         self._is_migrating = False
+        self._may_migrate = True
 
     async def run(self, beginning: AnswerBeginning) -> StreamResult | TakenOver:
         """Forward until the stream ends or is taken over.
@@ -153,24 +154,34 @@
                     self._attempt.read_piece,
                 )
             except curio.TaskTimeout:
-                await self._takeover.begin()
+                if not is_searching:
+                    await self._search()
                 continue
             if is_searching and not self._is_migrating:
                 # The backend is no longer silent.
                 await self._takeover.cancel()
             return _Piece(piece)
 
+    async def _search(self) -> None:
+        backend = self._attempt.backend
+        backend.record_failure(time.monotonic())
+        await self._takeover.begin(backend)
+
     async def _take_successor(self) -> BackendAttempt | None:
         if not self._takeover.has_ended():
             return None
         successor = await self._takeover.take()
-        self._is_migrating = self._is_migrating and successor is not None
+        if self._is_migrating and successor is None:
+            self._is_migrating = False
+            self._may_migrate = False
         return successor
 
     async def _consider_migration(self) -> None:
-        if not self._takeover.is_active and self._should_migrate():
+        if self._takeover.is_active or not self._may_migrate:
+            return
+        if self._should_migrate():
             self._is_migrating = True
-            await self._takeover.begin()
+            await self._takeover.begin(self._attempt.backend)
 
 
 def _forward_all(
--- a/src/ospreyford/direct/streamrelay.py
+++ b/src/ospreyford/direct/streamrelay.py
@@ -90,7 +90,8 @@
             self._suspects.record_answer(self._call)
             await self._exchange.finish()
             return True
-        await self._record_break(attempt, beginning)
+        attempt.backend.record_failure(time.monotonic())
+        await self._record_loss(attempt, beginning)
         return False
 
     async def _leave(
@@ -103,14 +104,12 @@
             attempt.record.outcome = 'Moved'
         else:
             attempt.record.outcome = 'Silent'
-            await self._record_break(attempt, beginning)
+            await self._record_loss(attempt, beginning)
         await attempt.aclose()
 
-    async def _record_break(
+    async def _record_loss(
         self, attempt: BackendAttempt, beginning: AnswerBeginning
     ) -> None:
-        """Record that a backend broke a stream off, or fell silent."""
-        attempt.backend.record_failure(time.monotonic())
         if not beginning.is_over:
             await self._suspects.record_loss(
                 self._call, attempt.backend, in_group=self._in_group
--- a/src/ospreyford/direct/takeover.py
+++ b/src/ospreyford/direct/takeover.py
@@ -50,10 +50,13 @@
         """Whether a search goes on, or its result was not taken."""
         return self._search is not None
 
-    async def begin(self) -> None:
-        """Begin to search, if the request may be sent again."""
+    async def begin(self, current: BackendState) -> None:
+        """Begin to search, if the request may be sent again.
+
+        :param current: the stream's own backend.
+        """
         if self._search is None and self._call.is_retryable():
-            self._search = await curio.spawn(self._find, daemon=True)
+            self._search = await curio.spawn(self._find, current, daemon=True)
 
     def has_ended(self) -> bool:
         """Check whether a search has ended.
@@ -91,9 +94,10 @@
         if found is not None:
             await found.drop()
 
-    async def _find(self) -> BackendAttempt | None:
+    async def _find(self, current: BackendState) -> BackendAttempt | None:
         selected = await self._selector.select(may_leave=False)
-        while isinstance(selected, BackendState):
+        # With no attempt left for others, those that were tried are selected.
+        while isinstance(selected, BackendState) and selected is not current:
             attempt = BackendAttempt(self._call, selected, self._context)
             if await self._try(attempt):
                 return attempt
