A signal at the end of a process leaves no traceback in its log

Cause: the task that watches for signals closed its end of the pair as it was cancelled, while the C library's handler still wrote to the other one until finish(). A signal in between met a broken pipe.

Now the pair is closed once the signals are ignored. tests/console/test_stopping.py: the case of the late signal failed before.

--- a/src/ospreyford/console/stopping.py
+++ b/src/ospreyford/console/stopping.py
@@ -77,21 +77,25 @@
         for number in HANDLED_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
         signal.set_wakeup_fd(-1)
+        for end in self._pair:
+            end.close()
 
     async def watch(self) -> Cut:
         """Wait for the signals.
 
         :returns: why the program's work is cut, and how much.
         """
-        async with Socket(self._pair[1]) as wakeups:
-            await self._wait_for_signal(wakeups)
-            await self.requested.set()
-            cause = 'drain deadline'
-            with suppress(curio.TaskTimeout):
-                await curio.timeout_after(
-                    self.deadline, self._wait_for_second, wakeups
-                )
-                cause = 'second signal'
+        # It stays open until the signals are ignored: the C library's handler
+        # writes to its other end.
+        wakeups = Socket(self._pair[1])
+        await self._wait_for_signal(wakeups)
+        await self.requested.set()
+        cause = 'drain deadline'
+        with suppress(curio.TaskTimeout):
+            await curio.timeout_after(
+                self.deadline, self._wait_for_second, wakeups
+            )
+            cause = 'second signal'
         # What is left to do is bounded only as far as the program's own code
         # is; a third signal ends even a program that hangs in it.
         for number in STOP_SIGNALS:
