--- a/src/ospreyford/direct/attempts.py
+++ b/src/ospreyford/direct/attempts.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from typing import TYPE_CHECKING, Final
 
 from ospreyford.direct.backendrequest import BackendRequest
-from ospreyford.direct.call import IN_FLIGHT, SHED, Attempt
+from ospreyford.direct.call import DROPPED, IN_FLIGHT, SHED, Attempt
 from ospreyford.direct.verdicts import AttemptOutcome, Cause
 
 if TYPE_CHECKING:
@@ -16,8 +17,6 @@
     from ospreyford.http.message import Response
 
 MILLISECONDS: Final = 1000
-#: Outcome of an attempt that was given up for another one.
-DROPPED: Final = 'Dropped'
 
 
 class BackendAttempt:
@@ -38,8 +37,8 @@
             int((time.monotonic() - call.started_at) * MILLISECONDS),
             room=call.room,
         )
-        #: A piece of the stream that was read before it is forwarded.
-        self.first_piece: bytes | None = None
+        #: Pieces of a stream that were read ahead; ``None`` is its end.
+        self.read_ahead: deque[bytes | None] = deque()
         self._context = context
         self._is_open = True
         call.attempts.append(self.record)
@@ -62,9 +61,9 @@
         :returns: the piece; ``None`` at the end.
         :raises HttpError: the stream was cut.
         """
-        piece = self.first_piece
-        self.first_piece = None
-        return await self.request.read_piece() if piece is None else piece
+        if self.read_ahead:
+            return self.read_ahead.popleft()
+        return await self.request.read_piece()
 
     def record_refusal(self, head: Response | None) -> Cause:
         """Record that the backend has not run the request.
--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -92,6 +92,8 @@
         self._in_group = in_group
         self._slots = SlotSelector(context.limits, context.random)
         self.groups = CallGroups(call, context)
+        #: The backend that has the request while another one is searched.
+        self.current: BackendState | None = None
         #: Whether the retry of a group that had no backend is still unused.
         self._is_paid = False
         self._may_ask = True
@@ -249,6 +251,12 @@
             return False
         if not call.has_attempts_left():
             return False
+        if self.current is not None:
+            # A search that can find nothing must not use up retries.
+            now = time.monotonic()
+            selectable, _ = self._list_selectable(now)
+            if not self._list_accepting(selectable, now):
+                return False
         if self._migrator.consume_reserved_retry() or self._is_paid:
             self._is_paid = False
             return True
@@ -307,6 +315,8 @@
                 if self._in_group and one.server.id in selectable
             ]
             excluded = set()
+        if self.current is not None:
+            backends = [one for one in backends if one is not self.current]
         zone = self._context.settings.zone
         return backends, SelectionCriteria(zone, excluded, now)
 
--- a/src/ospreyford/direct/call.py
+++ b/src/ospreyford/direct/call.py
@@ -22,7 +22,11 @@
 REFUSED: Final = 'Refused'
 SHED: Final = 'Shed'
 WITHHELD: Final = 'Withheld'
-NOT_RUN: Final = frozenset((REFUSED, SHED, WITHHELD))
+#: Refused while the request ran at another backend.
+DECLINED: Final = 'Declined'
+NOT_RUN: Final = frozenset((REFUSED, SHED, WITHHELD, DECLINED))
+#: Outcome of an attempt that was given up for another one.
+DROPPED: Final = 'Dropped'
 
 
 @dataclass
@@ -163,9 +167,16 @@
     def has_attempts_left(self) -> bool:
         """Check whether its route allows another attempt.
 
-        :returns: whether attempts that weren't refused are below the limit.
+        The limit is one of backends. A backend whose attempt was dropped counts
+        as reached; it may get the request again.
+
+        :returns: whether attempts that were neither refused nor dropped are
+            below the limit.
         """
-        runs = sum(one.outcome not in NOT_RUN for one in self.attempts)
+        runs = sum(
+            one.outcome not in NOT_RUN and one.outcome != DROPPED
+            for one in self.attempts
+        )
         return runs < self.route.attempts
 
     def count_trailing_refusals(self) -> int:
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -13,6 +13,7 @@
 
 from ospreyford.direct.attempts import BackendAttempt
 from ospreyford.direct.events import EventSplitter
+from ospreyford.direct.takeover import STALL_SECONDS
 from ospreyford.http.errors import HttpError
 
 if TYPE_CHECKING:
@@ -22,12 +23,6 @@
     from ospreyford.direct.takeover import StreamTakeover
     from ospreyford.http.server import Exchange
 
-#: Silence after which another backend is asked to take a stream over; callers
-#: disconnect after two seconds of it.
-STALL_SECONDS = 1.2
-#: Interval of the checks for the result of a search.
-SEARCH_POLL_SECONDS = 0.02
-
 
 class StreamResult(Enum):
     """How forwarding from one backend ended.
@@ -96,6 +91,7 @@
         self._should_migrate = should_migrate
         self._is_migrating = False
         self._may_migrate = True
+        self._was_searched = False
 
     async def run(self, beginning: AnswerBeginning) -> StreamResult | TakenOver:
         """Forward until the stream ends or is taken over.
@@ -106,15 +102,14 @@
         """
         try:
             ended = await self._forward(beginning)
+            if ended is StreamResult.whole or isinstance(ended, TakenOver):
+                return ended
+            # What the search finds is all that is left.
+            await self._takeover.wait()
+            successor = await self._takeover.take()
         finally:
             await self._takeover.cancel()
-        # A backend that ends before its first event closes the connection as
-        # well.
-        if ended is not StreamResult.whole or self._call.cursor:
-            return ended
-        if self._attempt.request.ends_with_connection():
-            return StreamResult.partial
-        return ended
+        return TakenOver(successor, is_migrated=False) if successor else ended
 
     async def _forward(
         self, beginning: AnswerBeginning
@@ -128,11 +123,7 @@
             if isinstance(received, TakenOver):
                 return received
             if received.content is None:
-                return (
-                    StreamResult.partial
-                    if splitter.has_rest()
-                    else StreamResult.whole
-                )
+                return self._judge_end(has_rest=splitter.has_rest())
             events = splitter.add(received.content)
             is_in_order = _forward_all(events, self._call, self._exchange)
             beginning.record_events(self._call.cursor)
@@ -141,28 +132,67 @@
                 return StreamResult.unordered
             await self._consider_migration()
 
+    def _judge_end(self, *, has_rest: bool) -> StreamResult:
+        # A backend that ends before its first event closes the connection as
+        # well.
+        is_empty = (
+            not self._call.cursor
+            and self._attempt.request.ends_with_connection()
+        )
+        if has_rest or is_empty:
+            return StreamResult.partial
+        return StreamResult.whole
+
     async def _receive(self) -> _Piece | TakenOver:
         """Wait for the backend, or for one that takes the stream over."""
         while True:
             successor = await self._take_successor()
             if successor is not None:
                 return TakenOver(successor, self._is_migrating)
-            is_searching = self._takeover.is_active
-            try:
-                piece = await curio.timeout_after(
-                    SEARCH_POLL_SECONDS if is_searching else STALL_SECONDS,
-                    self._attempt.read_piece,
-                )
-            except curio.TaskTimeout:
-                if not is_searching:
-                    await self._search()
-                continue
-            if is_searching and not self._is_migrating:
-                # The backend is no longer silent.
-                await self._takeover.cancel()
-            return _Piece(piece)
+            if self._takeover.is_active:
+                piece = await self._read_beside_search()
+            else:
+                piece = await self._read_until_silent()
+            if piece is not None:
+                self._was_searched = False
+                return piece
+
+    async def _read_until_silent(self) -> _Piece | None:
+        """Wait for the backend.
+
+        :returns: what it sent; ``None`` if it is silent.
+        """
+        if self._was_searched:
+            # The next search of the same silence would find no more.
+            return _Piece(await self._attempt.read_piece())
+        try:
+            piece = await curio.timeout_after(
+                STALL_SECONDS, self._attempt.read_piece
+            )
+        except curio.TaskTimeout:
+            await self._search()
+            return None
+        return _Piece(piece)
+
+    async def _read_beside_search(self) -> _Piece | None:
+        """Wait for the backend until the search ends.
+
+        :returns: what it sent; ``None`` if the search ended first.
+        """
+        async with curio.TaskGroup(wait=any) as group:
+            reading = await group.spawn(self._attempt.read_piece)
+            await group.spawn(self._takeover.wait)
+        error = reading.exception
+        if isinstance(error, HttpError):
+            raise error
+        if error is not None:
+            return None
+        if not self._is_migrating:
+            await self._takeover.cancel()
+        return _Piece(reading.result)
 
     async def _search(self) -> None:
+        self._was_searched = True
         backend = self._attempt.backend
         backend.record_failure(time.monotonic())
         await self._takeover.begin(backend)
--- a/src/ospreyford/direct/takeover.py
+++ b/src/ospreyford/direct/takeover.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import curio
 
 from ospreyford.direct.attempts import BackendAttempt
+from ospreyford.direct.call import DECLINED
+from ospreyford.direct.events import EventSplitter
 from ospreyford.direct.registry import BackendState
 from ospreyford.direct.verdicts import (
     AttemptOutcome,
@@ -24,6 +27,12 @@
     from ospreyford.direct.backendselector import BackendSelector
     from ospreyford.direct.call import Call
     from ospreyford.direct.context import EntryContext
+    from ospreyford.direct.events import StreamEvent
+
+#: Silence after which another backend is asked to take a stream over; callers
+#: disconnect after two seconds of it.
+STALL_SECONDS: Final = 1.2
+DATA_FIELD: Final = b'data'
 
 
 class StreamTakeover:
@@ -56,7 +65,8 @@
         :param current: the stream's own backend.
         """
         if self._search is None and self._call.is_retryable():
-            self._search = await curio.spawn(self._find, current, daemon=True)
+            self._selector.current = current
+            self._search = await curio.spawn(self._find, daemon=True)
 
     def has_ended(self) -> bool:
         """Check whether a search has ended.
@@ -65,14 +75,20 @@
         """
         return self._search is not None and self._search.terminated
 
+    async def wait(self) -> None:
+        """Wait until the search ends; at once if there is none."""
+        if self._search is not None:
+            await self._search.wait()
+
     async def take(self) -> BackendAttempt | None:
         """Take the result of a search that has ended.
 
-        :returns: an attempt whose backend has sent events; ``None`` if no
-            backend takes the stream.
+        :returns: an attempt whose backend has sent the next event; ``None`` if
+            no backend takes the stream.
         """
         search = self._search
         self._search = None
+        self._selector.current = None
         if search is None:
             return None
         error = search.exception
@@ -94,10 +110,9 @@
         if found is not None:
             await found.drop()
 
-    async def _find(self, current: BackendState) -> BackendAttempt | None:
+    async def _find(self) -> BackendAttempt | None:
         selected = await self._selector.select(may_leave=False)
-        # With no attempt left for others, those that were tried are selected.
-        while isinstance(selected, BackendState) and selected is not current:
+        while isinstance(selected, BackendState):
             attempt = BackendAttempt(self._call, selected, self._context)
             if await self._try(attempt):
                 return attempt
@@ -105,36 +120,59 @@
         return None
 
     async def _try(self, attempt: BackendAttempt) -> bool:
-        """Wait for the first events of a backend.
+        """Wait for the next event from a backend.
 
-        :returns: whether they came; otherwise the attempt is closed.
+        :returns: whether it came; otherwise the attempt is closed.
         """
-        is_streaming = False
+        # The last backend that may get the request has all the time there is.
+        seconds = STALL_SECONDS if self._call.has_attempts_left() else math.inf
+        has_begun = False
         try:
-            is_streaming = await self._read_first(attempt)
+            has_begun = await curio.timeout_after(
+                min(seconds, self._call.compute_remaining(time.monotonic())),
+                self._begin,
+                attempt,
+            )
+        except (HttpError, curio.TaskTimeout):
+            attempt.backend.record_failure(time.monotonic())
         finally:
-            if not is_streaming:
+            if not has_begun:
                 await attempt.drop()
-        return is_streaming
+        return has_begun
 
-    async def _read_first(self, attempt: BackendAttempt) -> bool:
+    async def _begin(self, attempt: BackendAttempt) -> bool:
         outcome = await attempt.start()
         if not isinstance(outcome, Streaming):
             self._record(outcome, attempt)
             return False
         if self._call.room is not None:
             self._call.room.record_start()
-        try:
-            attempt.first_piece = await attempt.request.read_piece()
-        except HttpError:
-            attempt.backend.record_failure(time.monotonic())
-            return False
-        return attempt.first_piece is not None
+        return await self._read_ahead(attempt)
+
+    async def _read_ahead(self, attempt: BackendAttempt) -> bool:
+        """Read until the next event that the caller needs, or the end."""
+        splitter = EventSplitter()
+        while True:
+            piece = await attempt.request.read_piece()
+            attempt.read_ahead.append(piece)
+            if piece is None:
+                is_framed = not attempt.request.ends_with_connection()
+                return is_framed and bool(self._call.cursor)
+            events = splitter.add(piece)
+            if any(self._is_next(one) for one in events):
+                return True
+
+    def _is_next(self, event: StreamEvent) -> bool:
+        cursor = self._call.cursor
+        if event.id is None:
+            return cursor is None and DATA_FIELD in event.encoded
+        return event.id == (cursor or 0) + 1
 
     def _record(self, outcome: AttemptOutcome, attempt: BackendAttempt) -> None:
         match outcome:
             case Refused(head=head):
                 attempt.record_refusal(head)
+                attempt.record.outcome = DECLINED
             case Withheld():
                 attempt.record.is_connected = False
             case Lost() | Replied():
