Soak: a cut at the end of a grace is judged by the stop that it belongs to

The trace shows an allowed case: sent 2.45 s after SIGTERM, cut 7.45 s after it by the end of the process, with their runs at work until 11 s after it. The judge had taken the SIGTERM of the process before, 7.3 s before the request, for the stop. Each SIGTERM is now looked at; for each the bounds of the rule are asked in full, as before.

--- a/tests/platform/soak/judge.py
+++ b/tests/platform/soak/judge.py
@@ -82,29 +82,29 @@
         return lasted <= CROSSING_SECONDS
     if max(runs, key=lambda run: run.began_at).is_broken:
         return True
-    stop = find_stop(told, signals)
-    if stop is None or told.sent_at > stop.at + TAKEN_SECONDS:
-        return False
-    last = stop.at + GRACE_SECONDS * LAST_FRACTION
-    is_late = told.ended_at >= last - DEADLINE_MARGIN
-    return is_late and any(run.began_at < last < run.ended_at for run in runs)
+    return any(
+        is_end_of_grace(told, runs, one.at)
+        for one in signals
+        if one.entry == told.entry and one.name == 'SIGTERM'
+    )
 
 
-def find_stop(told: Told, signals: list[Signalled]) -> Signalled | None:
-    """Find the stop of an entry during a request.
+def is_end_of_grace(told: Told, runs: list[Run], stopped_at: float) -> bool:
+    """Check whether the end of a stop's grace may have cut a request.
 
     :param told: the request.
-    :param signals: signals to all entries.
-    :returns: the first SIGTERM of that stop, if there was one.
+    :param runs: its runs.
+    :param stopped_at: time of a SIGTERM.
+    :returns: whether a run went on in the last part of the grace.
     """
-    stops = [
-        one
-        for one in signals
-        if one.entry == told.entry
-        and one.name == 'SIGTERM'
-        and told.sent_at - GRACE_SECONDS < one.at < told.ended_at
-    ]
-    return stops[0] if stops else None
+    last = stopped_at + GRACE_SECONDS * LAST_FRACTION
+    is_cut_there = (
+        told.sent_at <= stopped_at + TAKEN_SECONDS
+        and told.ended_at >= last - DEADLINE_MARGIN
+    )
+    return is_cut_there and any(
+        run.began_at < last < run.ended_at for run in runs
+    )
 
 
 def find_untrue_promises(record: SoakRecord) -> Iterator[str]:
