A stop counts from its signal, and requests are taken by the clock

Callers could be cut by the end of an entry that had taken their requests later than 3 s after SIGTERM (LOST), where it lacks processor time.

Cause: the stop began when a task got to read the signal, and requests were taken until another task said otherwise. Both come late together with all else.

Tests: tests/console/test_stopping.py and tests/http/test_closing.py (new interfaces; they could not run before).

--- a/src/ospreyford/console/stopping.py
+++ b/src/ospreyford/console/stopping.py
@@ -4,6 +4,7 @@
 
 import signal
 import socket
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -50,6 +51,8 @@
         self.requested = curio.Event()
         self.hung_up = curio.Event()
         self.deadline = deadline
+        #: When the first signal that asks to stop came, on the monotonic clock.
+        self.requested_at: float | None = None
         self._may_repeat = may_repeat
         self.count_in_flight: Callable[[], int] = _count_nothing
         #: Called with each signal.
@@ -60,12 +63,12 @@
 
     def install(self) -> None:
         """Take over the signals; from the main thread only."""
-        # The handler itself does nothing: code run between two bytecodes of
+        # The handler only notes the time: code run between two bytecodes of
         # the event loop must not touch its locks. The C library's handler
         # writes the signal's number to the socket, which wakes the loop.
         signal.set_wakeup_fd(self._pair[0].fileno(), warn_on_full_buffer=False)
         for number in HANDLED_SIGNALS:
-            signal.signal(number, _ignore)
+            signal.signal(number, self._note_time)
         release_signals()
 
     def finish(self) -> None:
@@ -102,6 +105,11 @@
             signal.signal(number, signal.SIG_DFL)
         return Cut(self.count_in_flight(), cause)
 
+    def _note_time(self, number: int, frame: FrameType | None) -> None:
+        """Note when a stop begins, however late the event loop learns of it."""
+        if number in STOP_SIGNALS and self.requested_at is None:
+            self.requested_at = time.monotonic()
+
     async def _wait_for_second(self, wakeups: Socket) -> None:
         await self._wait_for_signal(wakeups)
         while self._may_repeat:
@@ -129,9 +137,5 @@
     """Leave the signal out of the log."""
 
 
-def _ignore(number: int, frame: FrameType | None) -> None:
-    """Leave the signal to the task that watches the socket."""
-
-
 def _count_nothing() -> int:
     return 0
--- a/src/ospreyford/http/closing.py
+++ b/src/ospreyford/http/closing.py
@@ -30,17 +30,23 @@
 
 
 async def close_server(
-    connections: OpenConnections, accepting: curio.Task, pace: ClosingPace
+    connections: OpenConnections,
+    accepting: curio.Task,
+    pace: ClosingPace,
+    requested_at: float | None = None,
 ) -> None:
     """Take no more requests, and wait for the answers to those there are.
 
     :param connections: the server's.
     :param accepting: the task that accepts them; it is cancelled.
     :param pace: how long the steps take.
+    :param requested_at: when the stop was asked for, on the monotonic clock;
+        now if it is ``None``.
     """
-    started = time.monotonic()
-    connections.start_closing()
-    await curio.sleep(pace.accept)
+    started = time.monotonic() if requested_at is None else requested_at
+    take_until = started + pace.accept
+    connections.start_closing(take_until)
+    await curio.sleep(max(take_until - time.monotonic(), 0))
     await accepting.cancel()
     connections.stop_taking()
     quiet_since = time.monotonic()
--- a/src/ospreyford/http/connections.py
+++ b/src/ospreyford/http/connections.py
@@ -40,7 +40,7 @@
 
     def __init__(self, limit: float = math.inf) -> None:
         self.closing = False
-        self.taking = True
+        self._take_until = math.inf
         self._closing_since: float | None = None
         self._limit = limit
         self._open: set[ServerConnection] = set()
@@ -48,6 +48,15 @@
     def __len__(self) -> int:
         return len(self._open)
 
+    @property
+    def taking(self) -> bool:
+        """Whether requests are taken.
+
+        By the clock: a process that lacks processor time stops taking them
+        sooner than a task of it gets to say so.
+        """
+        return time.monotonic() < self._take_until
+
     def is_full(self) -> bool:
         """Tell whether one more would be too many.
 
@@ -55,9 +64,14 @@
         """
         return len(self._open) >= self._limit
 
-    def start_closing(self) -> None:
-        """Have each answer that begins from now on be its connection's last."""
+    def start_closing(self, take_until: float = math.inf) -> None:
+        """Have each answer that begins from now on be its connection's last.
+
+        :param take_until: until when requests are taken, in seconds on the
+            monotonic clock.
+        """
         self.closing = True
+        self._take_until = take_until
         self._closing_since = time.monotonic()
 
     def tell_closing_ms(self) -> int:
@@ -85,7 +99,7 @@
         began before the stop did not say that it is the last, and its
         connection would rest, and be used, after this.
         """
-        self.taking = False
+        self._take_until = min(self._take_until, time.monotonic())
         for connection in tuple(self._open):
             # What is arriving at one of these is read, and refused.
             if not connection.busy:
--- a/tests/console/test_stopping.py
+++ b/tests/console/test_stopping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Iterator
 
 import curio
@@ -45,6 +46,20 @@
     assert stop.requested.is_set()
 
 
+def test_stop_begins_with_its_signal(stop: Stop) -> None:
+    """A process short of processor time counted its stop from too late."""
+    stop.install()
+    before = time.monotonic()
+    signal.raise_signal(signal.SIGTERM)
+    noted = stop.requested_at
+    time.sleep(0.02)
+    signal.raise_signal(signal.SIGTERM)
+    curio.run(read_signals, stop)
+    assert noted is not None
+    assert before <= noted <= before + 0.02
+    assert stop.requested_at == noted
+
+
 def test_signal_after_the_watch_is_ignored(stop: Stop) -> None:
     """A signal at a process's end left a traceback in its log."""
     stop.install()
--- a/tests/direct/test_program.py
+++ b/tests/direct/test_program.py
@@ -38,6 +38,7 @@
 
     def __init__(self) -> None:
         self.requested = curio.Event()
+        self.requested_at: float | None = None
         self.count_in_flight: Any = None
 
 
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -9,6 +9,7 @@
 
 from ospreyford.http.client import ClientConnection
 from ospreyford.http.closing import ClosingPace, close_server
+from ospreyford.http.connections import OpenConnections
 from ospreyford.http.errors import HttpError
 from ospreyford.http.message import Response
 from ospreyford.http.server import Exchange
@@ -93,3 +94,13 @@
     """
     received = curio.run(stop_taking_within, REQUEST[:sent], REQUEST[sent:])
     assert received.startswith(b'HTTP/1.1 503')
+
+
+@pytest.mark.parametrize(('seconds', 'takes'), [(-0.01, False), (5, True)])
+def test_requests_are_taken_by_the_clock(seconds: float, takes: bool) -> None:
+    """A process short of processor time took requests that it had to cut."""
+    connections = OpenConnections()
+    connections.start_closing(time.monotonic() + seconds)
+    assert connections.taking is takes
+    connections.stop_taking()
+    assert not connections.taking
