--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -43,9 +43,7 @@
 ACCEPT_FRACTION = 0.35
 #: Fraction of the grace period after which requests in flight are answered.
 DRAIN_FRACTION = 0.93
-#: Fraction of the grace period until which the last responses are written.
-FINAL_FRACTION = 0.975
-#: Least time to write the last responses.
+#: Time to write the last responses.
 FINAL_RESPONSE_SECONDS = 0.2
 #: The process ends after being idle for this time.
 IDLE_BEFORE_EXIT_SECONDS = 0.15
@@ -105,14 +103,7 @@
     async def finish_requests(self) -> None:
         """Answer all requests in flight and wait for the responses."""
         await self._handler.finish_all()
-        seconds = FINAL_RESPONSE_SECONDS
-        requested_at = self._stop.requested_at
-        if requested_at is not None:
-            # With little processor time the responses take several turns.
-            grace = self._context.settings.bounds.grace_seconds
-            last_at = requested_at + grace * FINAL_FRACTION
-            seconds = max(seconds, last_at - time.monotonic())
-        async with curio.ignore_after(seconds):
+        async with curio.ignore_after(FINAL_RESPONSE_SECONDS):
             while self._connections.count_busy():
                 await curio.sleep(POLL_SECONDS)
 
