--- a/src/ospreyford/direct/backendselector.py
+++ b/src/ospreyford/direct/backendselector.py
@@ -13,6 +13,7 @@
     MAX_SLOT_DELAY_SECONDS,
     name_process,
 )
+from ospreyford.direct.call import DROPPED
 from ospreyford.direct.callgroups import CallGroups
 from ospreyford.direct.freshness import read_boot_clock
 from ospreyford.direct.selection import SelectionCriteria
@@ -92,8 +93,8 @@
         self._in_group = in_group
         self._slots = SlotSelector(context.limits, context.random)
         self.groups = CallGroups(call, context)
-        #: The backend that has the request while another one is searched.
-        self.current: BackendState | None = None
+        #: Ids of backends that a search passes over; ``None`` without a search.
+        self.passed_over: set[str] | None = None
         #: Whether the retry of a group that had no backend is still unused.
         self._is_paid = False
         self._may_ask = True
@@ -122,11 +123,21 @@
             selected = await self._select_once()
         if not isinstance(selected, Unavailable) or not may_leave:
             return selected
-        if not self._may_leave(selected):
+        # Another group may run what this one doesn't take.
+        if selected.cause in BARRIERS or not self.groups.leave():
             return selected
         self._is_paid = bool(self._call.attempts)
         return OtherGroup()
 
+    def list_usable(self) -> list[BackendState]:
+        """List the backends that may get the request now.
+
+        :returns: the backends.
+        """
+        now = time.monotonic()
+        selectable, _ = self._list_selectable(now)
+        return self._list_accepting(selectable, now)
+
     def find_unavailable(self) -> Unavailable | None:
         """Find out whether no backend takes this request.
 
@@ -234,10 +245,6 @@
         accepting = self._list_accepting([backend], now)
         return bool(_list_connectable(self._context, accepting))
 
-    def _may_leave(self, unavailable: Unavailable) -> bool:
-        """Check whether another group may run what this one doesn't take."""
-        return unavailable.cause not in BARRIERS and self.groups.leave()
-
     def _find_barrier(self) -> Cause | None:
         if not self._context.may_serve(self._call):
             return Cause.key_withdrawn
@@ -247,16 +254,14 @@
 
     def _may_retry(self) -> bool:
         call = self._call
-        if len(call.attempts) >= MAX_ATTEMPTS:
+        kept = [one for one in call.attempts if one.outcome != DROPPED]
+        if len(kept) >= MAX_ATTEMPTS:
             return False
         if not call.has_attempts_left():
             return False
-        if self.current is not None:
-            # A search that can find nothing must not use up retries.
-            now = time.monotonic()
-            selectable, _ = self._list_selectable(now)
-            if not self._list_accepting(selectable, now):
-                return False
+        # A search that can find nothing must not use up retries.
+        if self.passed_over is not None and not self.list_usable():
+            return False
         if self._migrator.consume_reserved_retry() or self._is_paid:
             self._is_paid = False
             return True
@@ -315,8 +320,10 @@
                 if self._in_group and one.server.id in selectable
             ]
             excluded = set()
-        if self.current is not None:
-            backends = [one for one in backends if one is not self.current]
+        if self.passed_over is not None:
+            backends = [
+                one for one in backends if one.server.id not in self.passed_over
+            ]
         zone = self._context.settings.zone
         return backends, SelectionCriteria(zone, excluded, now)
 
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -91,7 +91,6 @@
         self._should_migrate = should_migrate
         self._is_migrating = False
         self._may_migrate = True
-        self._was_searched = False
 
     async def run(self, beginning: AnswerBeginning) -> StreamResult | TakenOver:
         """Forward until the stream ends or is taken over.
@@ -105,8 +104,7 @@
             if ended is StreamResult.whole or isinstance(ended, TakenOver):
                 return ended
             # What the search finds is all that is left.
-            await self._takeover.wait()
-            successor = await self._takeover.take()
+            successor = await self._takeover.finish()
         finally:
             await self._takeover.cancel()
         return TakenOver(successor, is_migrated=False) if successor else ended
@@ -154,7 +152,6 @@
             else:
                 piece = await self._read_until_silent()
             if piece is not None:
-                self._was_searched = False
                 return piece
 
     async def _read_until_silent(self) -> _Piece | None:
@@ -162,9 +159,6 @@
 
         :returns: what it sent; ``None`` if it is silent.
         """
-        if self._was_searched:
-            # The next search of the same silence would find no more.
-            return _Piece(await self._attempt.read_piece())
         try:
             piece = await curio.timeout_after(
                 STALL_SECONDS, self._attempt.read_piece
@@ -183,16 +177,15 @@
             reading = await group.spawn(self._attempt.read_piece)
             await group.spawn(self._takeover.wait)
         error = reading.exception
-        if isinstance(error, HttpError):
-            raise error
-        if error is not None:
+        if isinstance(error, curio.CancelledError):
             return None
+        if error is not None:
+            raise error
         if not self._is_migrating:
             await self._takeover.cancel()
         return _Piece(reading.result)
 
     async def _search(self) -> None:
-        self._was_searched = True
         backend = self._attempt.backend
         backend.record_failure(time.monotonic())
         await self._takeover.begin(backend)
--- a/src/ospreyford/direct/takeover.py
+++ b/src/ospreyford/direct/takeover.py
@@ -53,6 +53,7 @@
         self._context = context
         self._selector = selector
         self._search: curio.Task | None = None
+        self._own_ended = curio.Event()
 
     @property
     def is_active(self) -> bool:
@@ -65,7 +66,8 @@
         :param current: the stream's own backend.
         """
         if self._search is None and self._call.is_retryable():
-            self._selector.current = current
+            self._selector.passed_over = {current.server.id}
+            self._own_ended = curio.Event()
             self._search = await curio.spawn(self._find, daemon=True)
 
     def has_ended(self) -> bool:
@@ -80,6 +82,15 @@
         if self._search is not None:
             await self._search.wait()
 
+    async def finish(self) -> BackendAttempt | None:
+        """Wait for the search, as the stream's own backend has broken off.
+
+        :returns: the result, see :meth:`take`.
+        """
+        await self._own_ended.set()
+        await self.wait()
+        return await self.take()
+
     async def take(self) -> BackendAttempt | None:
         """Take the result of a search that has ended.
 
@@ -88,7 +99,7 @@
         """
         search = self._search
         self._search = None
-        self._selector.current = None
+        self._selector.passed_over = None
         if search is None:
             return None
         error = search.exception
@@ -116,6 +127,8 @@
             attempt = BackendAttempt(self._call, selected, self._context)
             if await self._try(attempt):
                 return attempt
+            if self._selector.passed_over is not None:
+                self._selector.passed_over.add(selected.server.id)
             selected = await self._selector.select(may_leave=False)
         return None
 
@@ -125,7 +138,7 @@
         :returns: whether it came; otherwise the attempt is closed.
         """
         # The last backend that may get the request has all the time there is.
-        seconds = STALL_SECONDS if self._call.has_attempts_left() else math.inf
+        seconds = STALL_SECONDS if self._has_untried() else math.inf
         has_begun = False
         try:
             has_begun = await curio.timeout_after(
@@ -143,7 +156,7 @@
     async def _begin(self, attempt: BackendAttempt) -> bool:
         outcome = await attempt.start()
         if not isinstance(outcome, Streaming):
-            self._record(outcome, attempt)
+            record_refusal(outcome, attempt)
             return False
         if self._call.room is not None:
             self._call.room.record_start()
@@ -156,24 +169,50 @@
             piece = await attempt.request.read_piece()
             attempt.read_ahead.append(piece)
             if piece is None:
-                is_framed = not attempt.request.ends_with_connection()
-                return is_framed and bool(self._call.cursor)
+                return not splitter.has_rest() and await self._is_end(attempt)
             events = splitter.add(piece)
-            if any(self._is_next(one) for one in events):
+            if any(is_next(one, self._call.cursor) for one in events):
                 return True
 
-    def _is_next(self, event: StreamEvent) -> bool:
-        cursor = self._call.cursor
-        if event.id is None:
-            return cursor is None and DATA_FIELD in event.encoded
-        return event.id == (cursor or 0) + 1
-
-    def _record(self, outcome: AttemptOutcome, attempt: BackendAttempt) -> None:
-        match outcome:
-            case Refused(head=head):
-                attempt.record_refusal(head)
-                attempt.record.outcome = DECLINED
-            case Withheld():
-                attempt.record.is_connected = False
-            case Lost() | Replied():
-                attempt.backend.record_failure(time.monotonic())
+    async def _is_end(self, attempt: BackendAttempt) -> bool:
+        """Check whether an end without events may be the stream's.
+
+        While its own backend goes on, more events may come from there.
+        """
+        if not self._call.cursor or attempt.request.ends_with_connection():
+            return False
+        await self._own_ended.wait()
+        return True
+
+    def _has_untried(self) -> bool:
+        tried = self._call.list_tried_backends()
+        usable = self._selector.list_usable()
+        return any(one.server.id not in tried for one in usable)
+
+
+def record_refusal(outcome: AttemptOutcome, attempt: BackendAttempt) -> None:
+    """Record that a backend does not take a stream over.
+
+    :param outcome: of the attempt.
+    :param attempt: the attempt.
+    """
+    match outcome:
+        case Refused(head=head):
+            attempt.record_refusal(head)
+            attempt.record.outcome = DECLINED
+        case Withheld():
+            attempt.record.is_connected = False
+        case Lost() | Replied():
+            attempt.backend.record_failure(time.monotonic())
+
+
+def is_next(event: StreamEvent, cursor: int | None) -> bool:
+    """Check whether an event is the one that the caller needs next.
+
+    :param event: an event of another backend.
+    :param cursor: id of the last event that the caller has.
+    :returns: whether it is.
+    """
+    if event.id is None:
+        return cursor is None and DATA_FIELD in event.encoded
+    return event.id == (cursor or 0) + 1
--- a/tests/direct/test_takeover.py
+++ b/tests/direct/test_takeover.py
@@ -14,6 +14,9 @@
 from tests.direct import backends as be
 
 RESUMABLE = be.make_route(RetryMode.resumable, streams=True, timeout=6.0)
+THREE = be.make_route(
+    RetryMode.resumable, streams=True, timeout=6.0, attempts=3
+)
 ONCE = be.make_route(RetryMode.once, streams=True, timeout=6.0)
 NO_RETRIES = RetrySettings(ratio=0, slack=0, window=10)
 RETRIES = be.SETTINGS.retries
@@ -63,6 +66,11 @@
     await curio.sleep(60)
 
 
+async def end_at_once(exchange: Exchange) -> None:
+    await exchange.start(200, be.sign(exchange))
+    await exchange.finish()
+
+
 async def send_half(exchange: Exchange) -> None:
     await exchange.start(200, be.sign(exchange))
     await exchange.write(be.make_event(3)[:9])
@@ -119,7 +127,7 @@
         ),
         (
             RESUMABLE,
-            (pause(EVENTS, 60), be.stream(EVENTS)),
+            (pause(EVENTS, 1.6, breaks=True), be.stream(EVENTS)),
             RETRIES,
             ['Silent', 'Streaming'],
         ),
@@ -131,13 +139,18 @@
         ),
         (RESUMABLE, (pause(2), send_half), RETRIES, ['Streaming', 'Dropped']),
         (
-            be.make_route(
-                RetryMode.resumable, streams=True, timeout=6.0, attempts=3
-            ),
+            THREE,
             (pause(2, 60), mute, be.stream(EVENTS)),
             RETRIES,
             ['Silent', 'Dropped', 'Streaming'],
         ),
+        (RESUMABLE, (pause(2), end_at_once), RETRIES, ['Streaming', 'Dropped']),
+        (
+            THREE,
+            (pause(2, 60), begin_late(1.5), begin_late(1.5)),
+            RETRIES,
+            ['Silent', 'Dropped', 'Streaming'],
+        ),
     ],
     ids=[
         'once',
@@ -151,6 +164,8 @@
         'comment',
         'half an event',
         'third backend',
+        'empty end',
+        'late candidates',
     ],
 )
 def test_silent_backend_ends_no_stream(
