Show a held event loop: a line, a metric and the stack on a signal

Logs and metrics could not tell that from a process that is paused, lacks processor time or waits for its caller: it writes nothing more and answers no metrics.

SIGUSR1 now writes the stack of a process on the platform to standard error, without its event loop. A delay that has passed has a line, LoopDelayed, whose processor time tells a held loop from a pause.

--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -20,6 +20,7 @@
 from ospreyford.http.server import serve_connection
 from ospreyford.observability.events import Draining, NotReady, Ready, Stopped
 from ospreyford.observability.exposition import accept
+from ospreyford.observability.loopwatch import watch_loop
 from ospreyford.observability.supervision import keep_running
 
 if TYPE_CHECKING:
@@ -95,7 +96,14 @@
             settings.front[0], settings.metrics_port
         )
         agents = AgentLink(context)
-        for task in (feed, agents.run, agents.greet_often, self._sweep):
+        watch = watch_loop(context.metrics.registry, context.log)
+        for task in (
+            feed,
+            agents.run,
+            agents.greet_often,
+            self._sweep,
+            watch.run,
+        ):
             await curio.spawn(keep_running, task, context.log, daemon=True)
         await self._stop.requested.wait()
         await self._shut_down(accepting)
--- a/src/ospreyford/observability/levels.py
+++ b/src/ospreyford/observability/levels.py
@@ -13,6 +13,7 @@
     PauseNoticed,
     Stopped,
 )
+from ospreyford.observability.loopwatch import LoopDelayed
 from ospreyford.rebalance.decisions import OrderRefused, TermFenced
 from ospreyford.security.events import SecretRefused
 
@@ -29,6 +30,7 @@
     DocumentRejected,
     BackendEjected,
     PauseNoticed,
+    LoopDelayed,
     LinesDropped,
     SecretRefused,
     OrderRefused,
--- a/src/ospreyford/observability/loggedevents.py
+++ b/src/ospreyford/observability/loggedevents.py
@@ -30,6 +30,7 @@
     Started,
     Stopped,
 )
+from ospreyford.observability.loopwatch import LoopDelayed
 from ospreyford.observability.signals import SignalReceived
 from ospreyford.observability.supervision import TaskFailed
 from ospreyford.rebalance.decisions import Decision as AgentDecision
@@ -72,4 +73,5 @@
     | AgentDecision
     | TaskFailed
     | SignalReceived
+    | LoopDelayed
 )
--- a/src/ospreyford/platform/start.py
+++ b/src/ospreyford/platform/start.py
@@ -11,7 +11,7 @@
 from importlib import import_module
 from typing import Final
 
-from ospreyford.console.earlysignals import hold_signals
+from ospreyford.console.earlysignals import dump_stack_on_signal, hold_signals
 from ospreyford.platform.nodefile import Node, read_node
 
 BACKLOG: Final = 512
@@ -36,6 +36,7 @@
 def main() -> None:
     """Start the program named on the command line."""
     hold_signals()
+    dump_stack_on_signal()
     name = sys.argv[-1]
     if name not in PROGRAMS:
         sys.exit(f'unknown program: {name}; expected one of {PROGRAMS}')
--- a/src/ospreyford/rebalance/agent.py
+++ b/src/ospreyford/rebalance/agent.py
@@ -9,6 +9,7 @@
 
 from ospreyford.observability.events import Draining, Stopped
 from ospreyford.observability.exposition import FigureServer
+from ospreyford.observability.loopwatch import watch_loop
 from ospreyford.observability.supervision import keep_running
 from ospreyford.rebalance.agentcontext import AgentContext
 from ospreyford.rebalance.datagrams import DatagramSocket
@@ -63,7 +64,8 @@
         :param stop: signals the stop and its grace period.
         """
         log = self._ports.log
-        for task in (self._receive_datagrams, self._poll_rank):
+        watch = watch_loop(self.metrics.registry, log)
+        for task in (self._receive_datagrams, self._poll_rank, watch.run):
             await curio.spawn(keep_running, task, log, daemon=True)
         await FigureServer(self.metrics.render).start(
             self._settings.datagrams[0], self._settings.metrics_port
--- a/tests/console/test_stopping.py
+++ b/tests/console/test_stopping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import signal
 import time
 from collections.abc import Iterator
@@ -9,7 +10,12 @@
 import curio
 import pytest
 
-from ospreyford.console.earlysignals import HANDLED_SIGNALS, hold_signals
+from ospreyford.console.earlysignals import (
+    HANDLED_SIGNALS,
+    STACK_SIGNAL,
+    dump_stack_on_signal,
+    hold_signals,
+)
 from ospreyford.console.stopping import Stop
 from ospreyford.observability.signals import SignalReceived
 
@@ -81,3 +87,15 @@
 
     stop.install()
     assert not curio.run(repeat)
+
+
+def test_stack_is_written_without_the_event_loop(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Nothing told what a process did whose event loop was held."""
+    dump_stack_on_signal()
+    signal.raise_signal(STACK_SIGNAL)
+    faulthandler.unregister(STACK_SIGNAL)
+    assert test_stack_is_written_without_the_event_loop.__name__ in (
+        capfd.readouterr().err
+    )
