An answer without end no longer holds the event loop

Cause: a read of curio returns at once while bytes are there. The client's side of HTTP reads and parses in loops that await nothing else, so the task never gives way, and time limits and signals, which the event loop handles, never strike. Evidence: SIGUSR1 and a sampling profiler show the same stack each time, BackendRequest -> ClientConnection.read_body -> h11.

Fix: each message has an allowance of parser events and content, refilled while the peer is waited for. A connection that has used it up waits for a turn; one of them has a turn each 4 ms, whatever their number, so all of them together use a bounded part of the processor and every turn lets other tasks run. Answers of the usual size never wait. All reads of answers go through it: entries, agents, the store, figures, health answers.

--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING, Any
 
@@ -16,6 +17,7 @@
     Unsendable,
 )
 from ospreyford.http.message import Request, Response
+from ospreyford.http.pacing import Pacer, ReadingAllowance
 from ospreyford.http.polling import has_news
 from ospreyford.http.resets import reset_on_close
 
@@ -23,6 +25,8 @@
     from curio.io import Socket
 
 READ_BYTES = 65_536
+#: Shared by all connections of the process.
+_pacer = Pacer()
 
 
 class ClientConnection:
@@ -33,6 +37,7 @@
 
     def __init__(self, sock: Socket) -> None:
         self._sock = sock
+        self._allowance = ReadingAllowance(_pacer)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._parser = h11.Connection(h11.CLIENT)
 
@@ -132,6 +137,7 @@
         )
         if reusable:
             self._parser.start_next_cycle()
+            self._allowance.renew()
         return reusable
 
     def is_quiet(self) -> bool:
@@ -168,19 +174,24 @@
 
     async def _read_event(self) -> Any:
         while True:
+            if self._allowance.is_used_up():
+                await self._allowance.settle()
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise self._explain(error) from None
             if event is not h11.NEED_DATA:
+                self._allowance.charge(len(getattr(event, 'data', b'')))
                 return event
             await self._feed()
 
     async def _feed(self) -> None:
+        asked_at = time.monotonic()
         try:
             received = await self._sock.recv(READ_BYTES)
         except OSError:
             raise ConnectionLost from None
+        self._allowance.refill(time.monotonic() - asked_at)
         self._parser.receive_data(received)
 
     def _explain(
