Limit the memory of responses that are not complete yet

What operators saw: a body without end is kept until its request's timeout.

Cause: read_body kept all pieces, a list entry and an object for each, and each read took up to 64 KiB into the parser's buffer.

Fix: unfinished bodies of a process share a limit (0.7 % of the process's memory on the platform, 2 MiB where none is named). Beyond it the largest is dropped: the likeliest never to end. Its request is sent again where it may run twice, and is answered 502 otherwise: outcome unknown. Reads are of 8 KiB, which bounds what is received and not parsed. Heads, chunk lines and trailers are limited by the parser to 16 KiB, now however they are cut into reads. The store has a limit and turns of its own, so that backends do not delay it. ospreyford_responses_dropped and ospreyford_reading_turns count both.

--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -18,7 +18,7 @@
     Streaming,
     Withheld,
 )
-from ospreyford.http.errors import ConnectionRefused, HttpError
+from ospreyford.http.errors import BufferFull, ConnectionRefused, HttpError
 from ospreyford.http.message import Request, Response, find_header
 
 if TYPE_CHECKING:
@@ -124,6 +124,8 @@
             return Withheld()
         try:
             return await self._exchange(self._connection)
+        except BufferFull:
+            return Lost(Cause.oversized)
         except HttpError:
             return Lost(Cause.lost)
 
--- a/src/ospreyford/direct/connections.py
+++ b/src/ospreyford/direct/connections.py
@@ -5,8 +5,10 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
+from ospreyford.http.buffers import DEFAULT_BUFFER_BYTES
 from ospreyford.http.client import ClientConnection
 from ospreyford.http.message import find_header
+from ospreyford.http.reading import make_resources
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,10 +43,17 @@
 
     :param compute_share: computes how many connections this entry may hold at
         one backend of a service.
+    :param buffer_bytes: limit of all unfinished responses together, in bytes.
     """
 
-    def __init__(self, compute_share: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        compute_share: Callable[[str], int],
+        buffer_bytes: int = DEFAULT_BUFFER_BYTES,
+    ) -> None:
         self.opened = 0
+        #: For reading the responses.
+        self.reading = make_resources(buffer_bytes)
         self._compute_share = compute_share
         # By incarnation.
         self._idle: dict[tuple[str, int], list[_IdleConnection]] = {}
@@ -72,7 +81,7 @@
             await kept.connection.close()
         self.opened += 1
         return await ClientConnection.open(
-            server.host, server.port, CONNECT_TIMEOUT_SECONDS
+            server.host, server.port, CONNECT_TIMEOUT_SECONDS, self.reading
         )
 
     async def release(
--- a/src/ospreyford/direct/context.py
+++ b/src/ospreyford/direct/context.py
@@ -70,7 +70,9 @@
             self.log, self.settings, self.header_names
         )
         self.suspect_sharing = SuspectSharing(self.suspects)
-        self.pool = ConnectionPool(self.compute_connection_share)
+        self.pool = ConnectionPool(
+            self.compute_connection_share, self.settings.buffer_bytes
+        )
         self.declarations = BackendDeclarations(
             self.header_names, self.settings.name, self.log
         )
--- a/src/ospreyford/direct/metrics.py
+++ b/src/ospreyford/direct/metrics.py
@@ -107,6 +107,18 @@
             context.pool,
             'idle_count',
         ),
+        (
+            'reading_turns',
+            'Turns given to back ends that send more than others.',
+            context.pool.reading.pacer,
+            'turns',
+        ),
+        (
+            'responses_dropped',
+            'Unfinished responses dropped for want of memory.',
+            context.pool.reading.buffers,
+            'dropped',
+        ),
         (
             'backends_limited',
             'Back ends that declare how many requests they take.',
--- a/src/ospreyford/direct/settings.py
+++ b/src/ospreyford/direct/settings.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from ospreyford.http.buffers import DEFAULT_BUFFER_BYTES
+
 
 class RetrySettings(NamedTuple):
     """Retry budget shared by all entries.
@@ -59,6 +61,8 @@
     :param bounds: limits on the use of old state.
     :param identity_salt: key of the identities of requests, up to 64 bytes, the
         same in all entries.
+    :param buffer_bytes: limit of all unfinished responses of backends together,
+        in bytes.
     """
 
     name: str
@@ -72,3 +76,4 @@
     retries: RetrySettings
     bounds: Bounds
     identity_salt: bytes = b''
+    buffer_bytes: int = DEFAULT_BUFFER_BYTES
--- a/src/ospreyford/direct/verdicts.py
+++ b/src/ospreyford/direct/verdicts.py
@@ -28,6 +28,7 @@
     limited = 'back ends take no more requests now'
     lost = 'connection to the back end lost'
     garbled = 'answer of the back end unusable'
+    oversized = 'answer of the back end too large'
     unmarked = 'refusal of the back end does not say that it has not run'
     out_of_time = 'time is up'
     left = 'caller left'
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -17,39 +17,48 @@
     Unsendable,
 )
 from ospreyford.http.message import Request, Response
-from ospreyford.http.pacing import Pacer, ReadingAllowance
+from ospreyford.http.pacing import ReadingAllowance
 from ospreyford.http.polling import has_news
+from ospreyford.http.reading import DEFAULT_RESOURCES, ReadingResources
 from ospreyford.http.resets import reset_on_close
 
 if TYPE_CHECKING:
     from curio.io import Socket
 
-READ_BYTES = 65_536
-#: Shared by all connections of the process.
-_pacer = Pacer()
+#: What a server has sent beyond the current event stays in memory meanwhile.
+READ_BYTES = 8192
 
 
 class ClientConnection:
     """One connection to a server; one request at a time.
 
     :param sock: a connected curio socket.
+    :param resources: shared with other connections.
     """
 
-    def __init__(self, sock: Socket) -> None:
+    def __init__(
+        self, sock: Socket, resources: ReadingResources = DEFAULT_RESOURCES
+    ) -> None:
         self._sock = sock
-        self._allowance = ReadingAllowance(_pacer)
+        self._buffers = resources.buffers
+        self._allowance = ReadingAllowance(resources.pacer)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._parser = h11.Connection(h11.CLIENT)
 
     @classmethod
     async def open(
-        cls, host: str, port: int, timeout: float
+        cls,
+        host: str,
+        port: int,
+        timeout: float,
+        resources: ReadingResources = DEFAULT_RESOURCES,
     ) -> ClientConnection:
         """Connect.
 
         :param host: the server's IP number.
         :param port: the server's port.
         :param timeout: seconds to wait for the connection.
+        :param resources: shared with other connections.
         :returns: the open connection.
         :raises ConnectionRefused: no connection; nothing was sent.
         """
@@ -59,7 +68,7 @@
             )
         except (OSError, curio.TaskTimeout):
             raise ConnectionRefused from None
-        return cls(sock)
+        return cls(sock, resources)
 
     async def send(self, request: Request, body: bytes = b'') -> None:
         """Send a whole request.
@@ -122,8 +131,14 @@
 
         :returns: the body's bytes.
         :raises ConnectionLost: the body was cut.
+        :raises BufferFull: unfinished answers need too much memory.
         """
-        return b''.join([piece async for piece in self.read_pieces()])
+        with self._buffers.open() as buffer:
+            piece = await self.read_piece()
+            while piece is not None:
+                buffer.add(piece)
+                piece = await self.read_piece()
+            return buffer.take_all()
 
     def start_next_cycle(self) -> bool:
         """Make ready for another request.
--- a/src/ospreyford/http/errors.py
+++ b/src/ospreyford/http/errors.py
@@ -24,6 +24,13 @@
     limit: int
 
 
+@dataclass(unsafe_hash=True)
+class BufferFull(HttpError):
+    """Unfinished messages exceed the limit in bytes, this one the most."""
+
+    limit: int
+
+
 @dataclass(unsafe_hash=True)
 class TooSlow(HttpError):
     """The peer took longer than ``seconds`` over one part of a message."""
--- a/src/ospreyford/http/kept.py
+++ b/src/ospreyford/http/kept.py
@@ -9,6 +9,7 @@
 from ospreyford.http.client import ClientConnection
 from ospreyford.http.errors import HttpError, TooSlow
 from ospreyford.http.message import Headers, Request
+from ospreyford.http.reading import DEFAULT_RESOURCES, ReadingResources
 
 
 class KeptAnswer(NamedTuple):
@@ -33,11 +34,16 @@
     :param address: IP number and port; another one counts from the next
         connection on.
     :param connect_seconds: time for opening a connection.
+    :param resources: shared with other connections.
     """
 
     def __init__(
-        self, address: tuple[str, int], connect_seconds: float
+        self,
+        address: tuple[str, int],
+        connect_seconds: float,
+        resources: ReadingResources = DEFAULT_RESOURCES,
     ) -> None:
+        self._resources = resources
         self.address = address
         self._connect_seconds = connect_seconds
         self._connection: ClientConnection | None = None
@@ -77,7 +83,7 @@
         if connection is None or not connection.is_quiet():
             await self.close()
             connection = await ClientConnection.open(
-                *self.address, self._connect_seconds
+                *self.address, self._connect_seconds, self._resources
             )
             self._connection = connection
         host = ':'.join(map(str, self.address)).encode()
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -14,6 +14,7 @@
 from ospreyford.direct.context import EntryContext
 from ospreyford.direct.program import EntryServer, Listeners
 from ospreyford.direct.settings import Bounds, DirectSettings, RetrySettings
+from ospreyford.http.buffers import DEFAULT_BUFFER_BYTES
 from ospreyford.observability.events import Started
 from ospreyford.observability.logs import ChangeLog
 from ospreyford.observability.tallies import serve_tally
@@ -25,6 +26,10 @@
 from ospreyford.platform.reloader import SettingsReloader
 from ospreyford.platform.store import StoreClient
 
+#: Part of the process's memory for unfinished responses of backends.
+BUFFER_FRACTION = 0.007
+MIN_BUFFER_BYTES = 1_048_576
+
 
 def make_settings(node: Node) -> DirectSettings:
     """Convert node settings to entry settings.
@@ -55,9 +60,21 @@
             cold_slack=node.cold_slack,
         ),
         identity_salt=make_identity_salt(node),
+        buffer_bytes=compute_buffer_bytes(node),
     )
 
 
+def compute_buffer_bytes(node: Node) -> int:
+    """Compute the limit of unfinished responses of backends.
+
+    :param node: the node settings.
+    :returns: bytes of all of them together.
+    """
+    if node.memory_bytes is None:
+        return DEFAULT_BUFFER_BYTES
+    return max(int(node.memory_bytes * BUFFER_FRACTION), MIN_BUFFER_BYTES)
+
+
 def make_identity_salt(node: Node) -> bytes:
     """Make the key of requests' identities, the same on all hosts.
 
--- a/src/ospreyford/platform/nodefile.py
+++ b/src/ospreyford/platform/nodefile.py
@@ -19,6 +19,7 @@
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 BYTES_PER_MEGABIT = 125_000
+BYTES_PER_MEGABYTE = 1_048_576
 #: Bounds of settings files that name none.
 DEFAULT_COLD_OVERAGE = 1.5
 DEFAULT_COLD_SLACK = 5.0
@@ -49,6 +50,8 @@
     :param cold_overage: requests that a cold backend may get in a second,
         relative to the rate that its service publishes.
     :param cold_slack: additional requests in that second.
+    :param memory_bytes: limit of the process's memory, in bytes; ``None`` if
+        the file names none.
     """
 
     name: str
@@ -70,6 +73,7 @@
     link_bytes: float = float('inf')
     cold_overage: float = DEFAULT_COLD_OVERAGE
     cold_slack: float = DEFAULT_COLD_SLACK
+    memory_bytes: float | None = None
 
 
 class FieldReader:
@@ -241,6 +245,9 @@
         cold_slack=reader.read_optional_number(
             'Bounds.ColdSlack', DEFAULT_COLD_SLACK
         ),
+        memory_bytes=reader.read_number('Limits.MemoryMb') * BYTES_PER_MEGABYTE
+        if entries.get('Limits.MemoryMb')
+        else None,
     )
 
 
--- a/src/ospreyford/platform/store.py
+++ b/src/ospreyford/platform/store.py
@@ -11,6 +11,7 @@
 from ospreyford.http.errors import HttpError, TooSlow
 from ospreyford.http.kept import KeptAnswer, KeptConnection
 from ospreyford.http.message import Request
+from ospreyford.http.reading import make_resources
 from ospreyford.platform.errors import (
     BadRecord,
     HistoryCompacted,
@@ -28,6 +29,8 @@
 #: Response timeout, in addition to the requested duration of a watch.
 RESPONSE_TIMEOUT_SECONDS = 1.0
 MS_PER_SECOND = 1000
+#: Limit of an unfinished response; a page of a listing has one megabyte.
+MAX_RESPONSE_BYTES: Final = 16_777_216
 
 
 class Item(NamedTuple):
@@ -91,7 +94,12 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self.calls = 0
         self.generations = GenerationTracker()
-        self._connection = KeptConnection(address, CONNECT_TIMEOUT_SECONDS)
+        # Of its own: backends that send without end must not slow it down.
+        self._connection = KeptConnection(
+            address,
+            CONNECT_TIMEOUT_SECONDS,
+            make_resources(MAX_RESPONSE_BYTES),
+        )
 
     async def get(self, key: str) -> StoreResponse:
         """Read one value.
--- a/tests/direct/test_withheld_requests.py
+++ b/tests/direct/test_withheld_requests.py
@@ -20,6 +20,7 @@
 from ospreyford.direct.verdicts import Cause
 from ospreyford.http.client import ClientConnection
 from ospreyford.http.message import Headers, Response, find_header
+from ospreyford.http.reading import DEFAULT_RESOURCES, ReadingResources
 from ospreyford.http.server import Exchange
 from tests.direct import backends as be
 from tests.direct.test_program import Entry
@@ -130,9 +131,12 @@
     first = find_backend(site, 'b0').server
 
     async def open_late(
-        host: str, port: int, timeout: float
+        host: str,
+        port: int,
+        timeout: float,
+        resources: ReadingResources = DEFAULT_RESOURCES,
     ) -> ClientConnection:
-        opened = await open_connection(host, port, timeout)
+        opened = await open_connection(host, port, timeout, resources)
         if (host, port) == (first.host, first.port):
             declare(site, 'b0', declared)
         return opened
--- a/tests/http/endless.py
+++ b/tests/http/endless.py
@@ -18,9 +18,13 @@
 
 
 class Ticker:
-    """A task that has something to do all the time."""
+    """A task that has something to do all the time.
 
-    def __init__(self) -> None:
+    :param bound: processor time for which it may wait, in seconds.
+    """
+
+    def __init__(self, bound: float = HELD_SECONDS) -> None:
+        self._bound = bound
         self.longest_held: float = 0
         self._ticked_at = time.thread_time()
 
@@ -33,7 +37,7 @@
         """Check that the task was not kept from running."""
         held = time.thread_time() - self._ticked_at
         self.longest_held = max(self.longest_held, held)
-        if held > HELD_SECONDS:
+        if held > self._bound:
             raise LoopHeld(f'no other task ran for {held:.2f} s')
 
 
@@ -46,17 +50,23 @@
     """
 
     def __init__(self, head: bytes, block: bytes, ticker: Ticker) -> None:
-        self._rest = head
+        self._head = head
         self._block = block
+        self._position = 0
         self._ticker = ticker
         self.is_closed = False
 
     async def recv(self, size: int, flags: int = 0) -> bytes:
         self._ticker.check()
-        while len(self._rest) < size:
-            self._rest += self._block * (1 + size // len(self._block))
-        piece = self._rest[:size]
-        self._rest = self._rest[size:]
+        position = self._position - len(self._head)
+        if position < 0:
+            end = min(self._position + size, len(self._head))
+            piece = self._head[self._position : end]
+        else:
+            offset = position % len(self._block)
+            count = 1 + (offset + size) // len(self._block)
+            piece = (self._block * count)[offset : offset + size]
+        self._position += len(piece)
         return piece
 
     async def sendall(self, sent: bytes) -> None:
--- a/tests/http/test_endless_answers.py
+++ b/tests/http/test_endless_answers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import time
+import tracemalloc
 from typing import Any
 
 import curio
@@ -17,6 +19,8 @@
 TIMEOUT_SECONDS = 0.3
 #: Part of the processor that endless answers may use together.
 MAX_SHARE = 0.5
+#: Memory of 200 endless answers, in bytes (issue 59).
+MAX_MEMORY_BYTES = 5_000_000
 HEAD = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = b'%bTransfer-Encoding: chunked\r\n\r\n' % HEAD
 
@@ -112,3 +116,23 @@
     used = time.thread_time()
     await curio.sleep(seconds)
     return (time.thread_time() - used) / (time.monotonic() - began_at)
+
+
+def test_many_answers_without_end_need_little_memory() -> None:
+    """Endless answers took a process beyond its memory."""
+
+    async def main() -> int:
+        # Tracing slows the reader down: others are not looked at here.
+        ticker = Ticker(math.inf)
+        began_with, _ = tracemalloc.get_traced_memory()
+        for number in range(200):
+            _, head, block = ENDLESS[number % len(ENDLESS)]
+            await curio.spawn(read_again, head, block, ticker, daemon=True)
+        await curio.sleep(4)
+        return tracemalloc.get_traced_memory()[1] - began_with
+
+    tracemalloc.start()
+    try:
+        assert curio.run(main) < MAX_MEMORY_BYTES
+    finally:
+        tracemalloc.stop()
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -9,6 +9,8 @@
 from hypothesis import strategies as st
 
 from ospreyford.direct.catalog import RetryMode, find_route
+from ospreyford.http.buffers import DEFAULT_BUFFER_BYTES
+from ospreyford.platform.entry import compute_buffer_bytes
 from ospreyford.platform.errors import BadNodeFile, BadRecord
 from ospreyford.platform.nodefile import parse_node
 from ospreyford.platform.records import decode_catalog, decode_registration
@@ -258,3 +260,20 @@
         parse_node('f', content)
     except BadNodeFile as error:
         assert error.reason
+
+
+@pytest.mark.parametrize(
+    ('line', 'expected'),
+    [
+        ('', DEFAULT_BUFFER_BYTES),
+        ('Limits.MemoryMb=300', 2_202_009),
+        ('Limits.MemoryMb=4000', 29_360_128),
+        ('Limits.MemoryMb=20', 1_048_576),
+    ],
+)
+def test_unfinished_responses_get_part_of_the_memory(
+    line: str, expected: int
+) -> None:
+    """Unfinished responses were limited by nothing."""
+    node = parse_node('f', f'{NODE}\n{line}')
+    assert compute_buffer_bytes(node) == expected
