An event without end costs what its bytes cost, and is silence

Within two seconds the entry answers nothing: no plain request, no readiness check, no SIGTERM; the stream outlasts its route's timeout and its caller.

Cause: EventSplitter joined the bytes of the event so far with each piece and split them anew, so an event costs the square of its length, and its length had no limit. Evidence: SIGUSR1 and a sampling profiler show EventSplitter.add in each sample. Found beside it: a piece full of short events was forwarded with a write for each; a takeover read ahead without limit; and a backend counted as alive as long as bytes came, so that a resumable stream was not taken over.

Fix: bytes are appended and searched once. Partial events and what is read ahead count for the limit of unfinished responses; beyond it the stream is resumed at another backend or cut (oversized in its line). Events that come in one piece are forwarded in one write, and count for the reading allowance.

--- a/src/ospreyford/direct/attempts.py
+++ b/src/ospreyford/direct/attempts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections import deque
 from typing import TYPE_CHECKING, Final
 
 from ospreyford.direct.backendrequest import BackendRequest
@@ -37,8 +36,10 @@
             int((time.monotonic() - call.started_at) * MILLISECONDS),
             room=call.room,
         )
-        #: Pieces of a stream that were read ahead; ``None`` is its end.
-        self.read_ahead: deque[bytes | None] = deque()
+        #: Bytes of a stream that were read ahead.
+        self.read_ahead = context.pool.reading.buffers.open()
+        #: Whether they are all of it.
+        self.has_ended = False
         self._context = context
         self._is_open = True
         call.attempts.append(self.record)
@@ -61,9 +62,9 @@
         :returns: the piece; ``None`` at the end.
         :raises HttpError: the stream was cut.
         """
-        if self.read_ahead:
-            return self.read_ahead.popleft()
-        return await self.request.read_piece()
+        if len(self.read_ahead):
+            return self.read_ahead.take_all()
+        return None if self.has_ended else await self.request.read_piece()
 
     def record_refusal(self, head: Response | None) -> Cause:
         """Record that the backend has not run the request.
@@ -89,6 +90,7 @@
         if not self._is_open:
             return
         self._is_open = False
+        self.read_ahead.close()
         self.backend.in_flight -= 1
         self._context.zones.under_way[self.backend.server.zone] -= 1
         await self.request.aclose()
--- a/src/ospreyford/direct/backendrequest.py
+++ b/src/ospreyford/direct/backendrequest.py
@@ -149,6 +149,14 @@
         self._is_complete = piece is None
         return piece
 
+    def charge_stream(self, events: int) -> None:
+        """Count the work for events of the stream that were read.
+
+        :param events: number of events.
+        """
+        if self._connection is not None:
+            self._connection.allowance.charge_stream(events)
+
     def _has_lapsed(self) -> bool:
         """Check whether the request may not be sent any more.
 
--- a/src/ospreyford/direct/events.py
+++ b/src/ospreyford/direct/events.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from types import TracebackType
+from typing import NamedTuple, Self
+
+from ospreyford.http.buffers import BufferPool
 
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
@@ -24,27 +27,48 @@
 
     Forwarding a partial event would corrupt the stream if another backend then
     resumes it.
+
+    :param buffers: limits the memory of partial events.
     """
 
-    def __init__(self) -> None:
-        self._rest = b''
+    def __init__(self, buffers: BufferPool) -> None:
+        self._rest = buffers.open()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._rest.close()
 
     def add(self, piece: bytes) -> list[StreamEvent]:
         """Add bytes of the stream.
 
         :param piece: the bytes.
         :returns: the events that are now complete.
+        :raises BufferFull: the event is too large.
         """
-        parts = (self._rest + piece).split(EVENT_END)
-        self._rest = parts.pop()
-        return [read_event(text + EVENT_END) for text in parts]
+        # The rest has no end of an event, but its last byte may begin one.
+        start = max(len(self._rest) - 1, 0)
+        self._rest.add(piece)
+        events = []
+        end = self._rest.find(EVENT_END, start)
+        while end >= 0:
+            encoded = self._rest.take(end + len(EVENT_END))
+            events.append(read_event(encoded))
+            end = self._rest.find(EVENT_END, 0)
+        return events
 
     def has_rest(self) -> bool:
         """Check whether a partial event is buffered.
 
         :returns: whether it is.
         """
-        return bool(self._rest)
+        return bool(len(self._rest))
 
 
 def read_event(encoded: bytes) -> StreamEvent:
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -14,15 +14,19 @@
 from ospreyford.direct.attempts import BackendAttempt
 from ospreyford.direct.events import EventSplitter
 from ospreyford.direct.takeover import STALL_SECONDS
-from ospreyford.http.errors import HttpError
+from ospreyford.http.errors import BufferFull, HttpError
 
 if TYPE_CHECKING:
     from ospreyford.direct.beginnings import AnswerBeginning
     from ospreyford.direct.call import Call
     from ospreyford.direct.events import StreamEvent
     from ospreyford.direct.takeover import StreamTakeover
+    from ospreyford.http.buffers import BufferPool
     from ospreyford.http.server import Exchange
 
+#: Work of reading beside a search, in events of a stream.
+SEARCH_EVENTS = 32
+
 
 class StreamResult(Enum):
     """How forwarding from one backend ended.
@@ -38,6 +42,8 @@
     unordered = 'unordered'
     #: The stream ended within an event, or before the first one.
     partial = 'partial'
+    #: An event does not end.
+    oversized = 'oversized'
 
 
 @dataclass(frozen=True)
@@ -67,12 +73,14 @@
     """Forwards complete events as they arrive.
 
     A backend's silence never ends a stream. It stays with its backend until
-    that one ends it, or another one has begun to send.
+    that one ends it, or another one has begun to send. Bytes without the end of
+    an event are silence, too.
 
     :param call: the request; its cursor is advanced.
     :param attempt: the attempt at the backend.
     :param exchange: the caller's response channel.
     :param takeover: searches for another backend.
+    :param buffers: limits the memory of partial events.
     :param should_migrate: called after each chunk to decide on a migration.
     """
 
@@ -82,6 +90,7 @@
         attempt: BackendAttempt,
         exchange: Exchange,
         takeover: StreamTakeover,
+        buffers: BufferPool,
         should_migrate: Callable[[], bool],
     ) -> None:
         self._call = call
@@ -91,6 +100,8 @@
         self._should_migrate = should_migrate
         self._is_migrating = False
         self._may_migrate = True
+        self._buffers = buffers
+        self._silent_at = time.monotonic() + STALL_SECONDS
 
     async def run(self, beginning: AnswerBeginning) -> StreamResult | TakenOver:
         """Forward until the stream ends or is taken over.
@@ -112,23 +123,43 @@
     async def _forward(
         self, beginning: AnswerBeginning
     ) -> StreamResult | TakenOver:
-        splitter = EventSplitter()
-        while True:
-            try:
-                received = await self._receive()
-            except HttpError:
-                return StreamResult.lost
-            if isinstance(received, TakenOver):
-                return received
-            if received.content is None:
-                return self._judge_end(has_rest=splitter.has_rest())
-            events = splitter.add(received.content)
-            is_in_order = _forward_all(events, self._call, self._exchange)
-            beginning.record_events(self._call.cursor)
-            await self._exchange.push(STALL_SECONDS)
-            if not is_in_order:
-                return StreamResult.unordered
-            await self._consider_migration()
+        with EventSplitter(self._buffers) as splitter:
+            while True:
+                try:
+                    received = await self._receive()
+                except HttpError:
+                    return StreamResult.lost
+                if isinstance(received, TakenOver):
+                    return received
+                if received.content is None:
+                    return self._judge_end(has_rest=splitter.has_rest())
+                try:
+                    events = splitter.add(received.content)
+                except BufferFull:
+                    return StreamResult.oversized
+                is_in_order = await self._forward_events(events)
+                beginning.record_events(self._call.cursor)
+                if not is_in_order:
+                    return StreamResult.unordered
+                await self._consider_migration()
+
+    async def _forward_events(self, events: Sequence[StreamEvent]) -> bool:
+        """Forward events, and count them as a sign of the backend.
+
+        :returns: whether they are in sequence.
+        """
+        if events and not self._is_migrating:
+            await self._takeover.cancel()
+        self._attempt.request.charge_stream(len(events))
+        is_in_order = _forward_all(events, self._call, self._exchange)
+        pushed_at = time.monotonic()
+        await self._exchange.push(STALL_SECONDS)
+        now = time.monotonic()
+        # The backend is not silent while its caller does not read.
+        self._silent_at += now - pushed_at
+        if events:
+            self._silent_at = now + STALL_SECONDS
+        return is_in_order
 
     def _judge_end(self, *, has_rest: bool) -> StreamResult:
         # A backend that ends before its first event closes the connection as
@@ -159,14 +190,16 @@
 
         :returns: what it sent; ``None`` if it is silent.
         """
-        try:
-            piece = await curio.timeout_after(
-                STALL_SECONDS, self._attempt.read_piece
-            )
-        except curio.TaskTimeout:
-            await self._search()
-            return None
-        return _Piece(piece)
+        seconds = self._silent_at - time.monotonic()
+        if seconds > 0:
+            try:
+                return _Piece(
+                    await curio.timeout_after(seconds, self._attempt.read_piece)
+                )
+            except curio.TaskTimeout:
+                """The backend is silent."""
+        await self._search()
+        return None
 
     async def _read_beside_search(self) -> _Piece | None:
         """Wait for the backend until the search ends.
@@ -181,13 +214,14 @@
             return None
         if error is not None:
             raise error
-        if not self._is_migrating:
-            await self._takeover.cancel()
+        self._attempt.request.charge_stream(SEARCH_EVENTS)
         return _Piece(reading.result)
 
     async def _search(self) -> None:
+        now = time.monotonic()
+        self._silent_at = now + STALL_SECONDS
         backend = self._attempt.backend
-        backend.record_failure(time.monotonic())
+        backend.record_failure(now)
         await self._takeover.begin(backend)
 
     async def _take_successor(self) -> BackendAttempt | None:
@@ -210,17 +244,24 @@
 def _forward_all(
     events: Sequence[StreamEvent], call: Call, exchange: Exchange
 ) -> bool:
-    is_in_order = all([_forward(event, call, exchange) for event in events])
+    """Queue events for the caller, without duplicates.
+
+    :returns: whether they are in sequence; after a gap the stream must resume
+        at another backend.
+    """
+    forwarded: list[bytes] = []
+    is_in_order = all([_select(event, call, forwarded) for event in events])
+    if forwarded:
+        exchange.add((h11.Data(data=b''.join(forwarded)),))
     if events:
         call.record_event(time.monotonic())
     return is_in_order
 
 
-def _forward(event: StreamEvent, call: Call, exchange: Exchange) -> bool:
-    """Queue an event for the caller unless it is a duplicate.
+def _select(event: StreamEvent, call: Call, forwarded: list[bytes]) -> bool:
+    """Append an event to those to be forwarded, unless it is a duplicate.
 
-    :returns: whether it is in sequence; after a gap the stream must resume at
-        another backend.
+    :returns: whether it is in sequence.
     """
     if event.id is not None and call.cursor is not None:
         if event.id <= call.cursor:
@@ -229,5 +270,5 @@
             return False
     if event.id is not None:
         call.cursor = event.id
-    exchange.add((h11.Data(data=event.encoded),))
+    forwarded.append(event.encoded)
     return True
--- a/src/ospreyford/direct/streamrelay.py
+++ b/src/ospreyford/direct/streamrelay.py
@@ -49,6 +49,7 @@
         self._call = call
         self._exchange = exchange
         self._suspects = context.suspects
+        self._buffers = context.pool.reading.buffers
         self._in_group = in_group
         self._takeover = takeover
         self._migrator = migrator
@@ -77,6 +78,7 @@
             attempt,
             self._exchange,
             self._takeover,
+            self._buffers,
             partial(self._migrator.should_migrate, attempt.backend),
         )
         ended = await forwarder.run(beginning)
--- a/src/ospreyford/direct/takeover.py
+++ b/src/ospreyford/direct/takeover.py
@@ -164,15 +164,18 @@
 
     async def _read_ahead(self, attempt: BackendAttempt) -> bool:
         """Read until the next event that the caller needs, or the end."""
-        splitter = EventSplitter()
-        while True:
-            piece = await attempt.request.read_piece()
-            attempt.read_ahead.append(piece)
-            if piece is None:
-                return not splitter.has_rest() and await self._is_end(attempt)
-            events = splitter.add(piece)
-            if any(is_next(one, self._call.cursor) for one in events):
-                return True
+        with EventSplitter(self._context.pool.reading.buffers) as splitter:
+            while True:
+                piece = await attempt.request.read_piece()
+                if piece is None:
+                    attempt.has_ended = True
+                    break
+                attempt.read_ahead.add(piece)
+                events = splitter.add(piece)
+                attempt.request.charge_stream(len(events))
+                if any(is_next(one, self._call.cursor) for one in events):
+                    return True
+            return not splitter.has_rest() and await self._is_end(attempt)
 
     async def _is_end(self, attempt: BackendAttempt) -> bool:
         """Check whether an end without events may be the stream's.
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -41,7 +41,8 @@
     ) -> None:
         self._sock = sock
         self._buffers = resources.buffers
-        self._allowance = ReadingAllowance(resources.pacer)
+        #: Limits the work that the current answer causes.
+        self.allowance = ReadingAllowance(resources.pacer)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._parser = h11.Connection(h11.CLIENT)
 
@@ -152,7 +153,7 @@
         )
         if reusable:
             self._parser.start_next_cycle()
-            self._allowance.renew()
+            self.allowance.renew()
         return reusable
 
     def is_quiet(self) -> bool:
@@ -189,14 +190,14 @@
 
     async def _read_event(self) -> Any:
         while True:
-            if self._allowance.is_used_up():
-                await self._allowance.settle()
+            if self.allowance.is_used_up():
+                await self.allowance.settle()
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise self._explain(error) from None
             if event is not h11.NEED_DATA:
-                self._allowance.charge(len(getattr(event, 'data', b'')))
+                self.allowance.charge(len(getattr(event, 'data', b'')))
                 return event
             await self._feed()
 
@@ -206,7 +207,7 @@
             received = await self._sock.recv(READ_BYTES)
         except OSError:
             raise ConnectionLost from None
-        self._allowance.refill(time.monotonic() - asked_at)
+        self.allowance.refill(time.monotonic() - asked_at)
         self._parser.receive_data(received)
 
     def _explain(
--- a/src/ospreyford/http/pacing.py
+++ b/src/ospreyford/http/pacing.py
@@ -20,6 +20,8 @@
 TURN_UNITS: Final = 32
 #: Time between two turns of all peers together, in seconds.
 TURN_SECONDS: Final = 0.004
+#: Part of a unit for each event of a stream, beside those of the parser.
+STREAM_EVENT_UNITS: Final = 0.25
 #: Content that costs as much as one more event of the parser.
 BYTES_PER_UNIT: Final = 16_384
 
@@ -64,6 +66,13 @@
         """
         self._units -= 1 + size / BYTES_PER_UNIT
 
+    def charge_stream(self, events: int) -> None:
+        """Count events of a stream that were found in its content.
+
+        :param events: number of events.
+        """
+        self._units -= events * STREAM_EVENT_UNITS
+
     def refill(self, seconds: float) -> None:
         """Count time for which the peer was waited for.
 
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -20,6 +20,7 @@
     select_service,
 )
 from ospreyford.direct.settings import Bounds, RetrySettings
+from ospreyford.http.buffers import BufferPool
 
 
 def make_server(name: str, zone: str = 'a', **other: bool) -> BackendServer:
@@ -151,7 +152,7 @@
 @given(st.lists(st.integers(1, 40), max_size=20))
 def test_events_are_reassembled_from_any_chunks(sizes: list[int]) -> None:
     stream = b''.join(map(make_event, range(9)))
-    splitter = EventSplitter()
+    splitter = EventSplitter(BufferPool())
     events = []
     rest = b'%bid: 9\nda' % stream
     for size in (*sizes, len(rest)):
