A cut answer reaches its HTTP/1.1 caller as far as it was sent

What callers saw: where a stream is cut, its caller's connection is reset, and the reset discards what the kernel still holds for it: events that were forwarded already.

Cause: reset_if_cut resets whatever the protocol. Its reason holds for HTTP/1.0 alone: there an orderly close is the end mark. To a caller of HTTP/1.1 every answer has a length or chunks, so one that ends early is known to be cut (RFC 9112, section 8).

Fix: a cut answer's connection is reset for HTTP/1.0, after an error of the protocol, and where the caller did not take in what was written; otherwise it is closed in order, and what was sent arrives.

--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -37,6 +37,8 @@
 BACKLOG = 512
 GO_ON = h11.InformationalResponse(status_code=100, headers=[])
 HEAD = b'HEAD'
+#: With it an answer has a length or chunks: its end is marked.
+HTTP_VERSION = b'1.1'
 
 
 class Exchange:
@@ -270,10 +272,15 @@
         """Have the close break the connection under an unfinished answer.
 
         To a caller of HTTP/1.0 an orderly close is the end mark: it would
-        take half an answer for a whole one.
+        take half an answer for a whole one. To others it is not, and a reset
+        would discard what is still on its way to them.
         """
-        cut = self._parser.our_state in {h11.SEND_BODY, h11.ERROR}
-        if cut or not self.outgoing.is_whole():
+        state = self._parser.our_state
+        may_look_whole = (
+            state is h11.SEND_BODY
+            and self._parser.their_http_version != HTTP_VERSION
+        )
+        if may_look_whole or state is h11.ERROR or not self.outgoing.is_whole():
             reset_on_close(self._sock)
 
     def tell_origin(self) -> Origin:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from socket import SO_RCVBUF, SOL_SOCKET
 from typing import Any
 
 import curio
@@ -245,6 +246,54 @@
         """Only the end counts."""
 
 
+#: More than a caller that does not read receives at once.
+CUT_BYTES = 400_000
+ASK = b'GET / HTTP/%b\r\nhost: x\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('version', 'expected'),
+    [(b'1.1', (CUT_BYTES, 'closed')), (b'1.0', (None, 'reset'))],
+)
+def test_cut_answer_reaches_its_caller_as_far_as_it_was_sent(
+    version: bytes, expected: tuple[int | None, str]
+) -> None:
+    """The last events of a cut stream were discarded on their way."""
+
+    async def cut(exchange: Exchange) -> None:
+        await exchange.read_body()
+        await exchange.start(200)
+        await exchange.write(b'x' * CUT_BYTES)
+        raise ConnectionLost
+
+    async def main() -> tuple[int, str]:
+        async with Server(cut) as server:
+            sock = curio.socket.socket()
+            sock.setsockopt(SOL_SOCKET, SO_RCVBUF, 8192)
+            await sock.connect(('127.0.0.1', server.port))
+            async with sock:
+                await sock.sendall(
+                    b'GET / HTTP/%b\r\nhost: x\r\n\r\n' % version
+                )
+                await curio.sleep(0.2)
+                return await read_until_end(sock)
+
+    received, ending = curio.run(main)
+    assert (expected[0] and received, ending) == expected
+
+
+async def read_until_end(sock: Any) -> tuple[int, str]:
+    """Count the bytes of a body, and tell how the connection ended."""
+    received = 0
+    try:
+        while piece := await sock.recv(1_000_000):
+            assert not piece.endswith(b'\r\n0\r\n\r\n')
+            received += piece.count(b'x')
+    except ConnectionResetError:
+        return received, 'reset'
+    return received, 'closed'
+
+
 def wrap_noise(noise: bytes) -> bytes:
     return b'POST / HTTP/1.1\r\nhost: x\r\n%b\r\n\r\n' % noise
 
