A caller's request without end no longer holds the event loop or memory

A caller that sends its body in short chunks, or requests without a pause, is read in a loop that gives way to no other task; nothing else of the process is served meanwhile. Each body is limited (MaxBodyBytes), all of them together are not: 200 callers with 1 MiB each exceed the memory of an entry, and short chunks take many times their size, as each was kept as an object.

Cause: the server's side of HTTP shares the cause of the client's side: reads return at once while bytes are there, and the parser is called in a loop.

Fix: requests have the same allowance and turns, of their server's own; a connection gives way after each request; unfinished bodies are kept in one buffer each, and all of them share a limit (0.1 of the process's memory on the platform, 32 MiB where none is named). Beyond it the largest is refused with 503 and Retry-After: it was not read, so it has not run and never will.

--- a/src/ospreyford/direct/invalidrequests.py
+++ b/src/ospreyford/direct/invalidrequests.py
@@ -4,11 +4,16 @@
 
 from typing import TYPE_CHECKING, Final
 
-from ospreyford.direct.messages import CONTENT_TYPE, encode_problem
+from ospreyford.direct.messages import (
+    CONTENT_TYPE,
+    encode_problem,
+    format_retry_after,
+)
 from ospreyford.direct.verdicts import Cause
 from ospreyford.http.errors import (
     BadMessage,
     BodyTooLarge,
+    BufferFull,
     HttpError,
     TooSlow,
 )
@@ -18,6 +23,9 @@
 
 REQUEST_TIMEOUT: Final = 408
 TOO_LARGE: Final = 413
+UNAVAILABLE: Final = 503
+#: Retry time if there is no memory for a request; retries reach other entries.
+FULL_RETRY_AFTER_SECONDS: Final = 0.05
 
 
 async def respond_to_error(
@@ -35,6 +43,12 @@
         case BodyTooLarge():
             body = encode_problem(Cause.refused, '')
             await connection.refuse(TOO_LARGE, body, (CONTENT_TYPE,))
+        case BufferFull():
+            body = encode_problem(Cause.overloaded, '')
+            retry_after = format_retry_after(FULL_RETRY_AFTER_SECONDS)
+            await connection.refuse(
+                UNAVAILABLE, body, (CONTENT_TYPE, *retry_after)
+            )
         case TooSlow():
             body = encode_problem(Cause.out_of_time, '')
             await connection.refuse(REQUEST_TIMEOUT, body, (CONTENT_TYPE,))
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -76,7 +76,9 @@
         self._context = context
         self._stop = stop
         self._handler = RequestHandler(context)
-        self._connections = OpenConnections(MAX_CONNECTIONS)
+        self._connections = OpenConnections(
+            MAX_CONNECTIONS, context.settings.request_bytes
+        )
         self._was_ready = False
         self._zone_reporter = ZoneReporter(context)
         self.updater = StateUpdater(context)
--- a/src/ospreyford/direct/settings.py
+++ b/src/ospreyford/direct/settings.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from ospreyford.http.buffers import DEFAULT_BUFFER_BYTES
+from ospreyford.http.buffers import DEFAULT_BUFFER_BYTES, DEFAULT_REQUEST_BYTES
 
 
 class RetrySettings(NamedTuple):
@@ -63,6 +63,7 @@
         same in all entries.
     :param buffer_bytes: limit of all unfinished responses of backends together,
         in bytes.
+    :param request_bytes: the same of callers' unfinished requests.
     """
 
     name: str
@@ -77,3 +78,4 @@
     bounds: Bounds
     identity_salt: bytes = b''
     buffer_bytes: int = DEFAULT_BUFFER_BYTES
+    request_bytes: int = DEFAULT_REQUEST_BYTES
--- a/src/ospreyford/entry/service.py
+++ b/src/ospreyford/entry/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
 from ospreyford.entry.admission import BadCall
@@ -19,6 +20,7 @@
 from ospreyford.http.errors import (
     BadMessage,
     BodyTooLarge,
+    BufferFull,
     ConnectionLost,
     HttpError,
     TooSlow,
@@ -27,6 +29,8 @@
 from ospreyford.wire.ids import create_id
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from ospreyford.entry.admission import Admission
     from ospreyford.entry.call import Call, Directory, Plan
     from ospreyford.entry.dispatcher import Dispatcher
@@ -39,6 +43,14 @@
     from ospreyford.ports.clock import Clock
 
 
+#: Why a request's body was not read.
+BODY_CAUSES: Mapping[type[HttpError], Cause] = MappingProxyType(
+    {
+        BodyTooLarge: Cause.body_too_large,
+        BufferFull: Cause.overloaded,
+        TooSlow: Cause.too_slow,
+    },
+)
 #: Causes where the service name is not known to exist.
 UNVERIFIED_SERVICE_CAUSES = frozenset(
     (Cause.unknown_service, Cause.unknown_customer, Cause.not_ready),
@@ -117,10 +129,8 @@
             call = self._dependencies.admission.parse_call(
                 exchange.request, body
             )
-        except BodyTooLarge:
-            await self._reject(exchange, Cause.body_too_large)
-        except TooSlow:
-            await self._reject(exchange, Cause.too_slow)
+        except (BodyTooLarge, BufferFull, TooSlow) as error:
+            await self._reject(exchange, BODY_CAUSES[type(error)])
         except BadCall as error:
             await self._reject(exchange, error.cause)
         else:
--- a/src/ospreyford/http/body.py
+++ b/src/ospreyford/http/body.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from ospreyford.http.buffers import MessageBuffer
 from ospreyford.http.errors import BodyTooLarge, ConnectionLost
 
 EventReader = Callable[[], Awaitable[Any]]
@@ -16,12 +17,12 @@
     """Collects the pieces of a body.
 
     :param limit: the longest body, in bytes.
+    :param buffer: holds the body meanwhile.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, buffer: MessageBuffer) -> None:
         self._limit = limit
-        self._pieces: list[bytes] = []
-        self._size = 0
+        self._buffer = buffer
 
     def add(self, event: Any) -> bool:
         """Add what a parser made of the next bytes.
@@ -29,16 +30,16 @@
         :param event: an h11 event.
         :returns: whether the body is whole.
         :raises BodyTooLarge: beyond the limit.
+        :raises BufferFull: unfinished bodies need too much memory.
         :raises ConnectionLost: the body was cut.
         """
         if isinstance(event, h11.EndOfMessage):
             return True
         if not isinstance(event, h11.Data):
             raise ConnectionLost
-        self._size += len(event.data)
-        if self._size > self._limit:
+        if len(self._buffer) + len(event.data) > self._limit:
             raise BodyTooLarge(self._limit)
-        self._pieces.append(bytes(event.data))
+        self._buffer.add(event.data)
         return False
 
     async def collect(self, read_event: EventReader) -> None:
@@ -46,6 +47,7 @@
 
         :param read_event: waits for the next event of the parser.
         :raises BodyTooLarge: beyond the limit.
+        :raises BufferFull: unfinished bodies need too much memory.
         :raises ConnectionLost: the body was cut.
         """
         whole = False
@@ -53,8 +55,8 @@
             whole = self.add(await read_event())
 
     def join(self) -> bytes:
-        """Join the pieces.
+        """Take the whole body.
 
-        :returns: the body so far.
+        :returns: its bytes.
         """
-        return b''.join(self._pieces)
+        return self._buffer.take_all()
--- a/src/ospreyford/http/buffers.py
+++ b/src/ospreyford/http/buffers.py
@@ -9,6 +9,8 @@
 
 #: Default limit of all unfinished messages together.
 DEFAULT_BUFFER_BYTES: Final = 2_097_152
+#: The same of callers' requests, which are limited one by one as well.
+DEFAULT_REQUEST_BYTES: Final = 33_554_432
 
 
 class BufferPool:
--- a/src/ospreyford/http/connections.py
+++ b/src/ospreyford/http/connections.py
@@ -6,6 +6,9 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
+from ospreyford.http.buffers import DEFAULT_REQUEST_BYTES
+from ospreyford.http.reading import make_resources
+
 if TYPE_CHECKING:
     from ospreyford.http.server import ServerConnection
 
@@ -36,9 +39,16 @@
     :meth:`stop_taking`, from which no connection carries another request.
 
     :param limit: connections open at once.
+    :param buffer_bytes: limit of all unfinished requests together, in bytes.
     """
 
-    def __init__(self, limit: float = math.inf) -> None:
+    def __init__(
+        self,
+        limit: float = math.inf,
+        buffer_bytes: int = DEFAULT_REQUEST_BYTES,
+    ) -> None:
+        #: For reading the requests.
+        self.reading = make_resources(buffer_bytes)
         self.closing = False
         self._take_until = math.inf
         self._closing_since: float | None = None
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -27,13 +27,15 @@
 from ospreyford.http.head import decode_head
 from ospreyford.http.message import Headers, Limits, Request
 from ospreyford.http.outgoing import Outgoing
+from ospreyford.http.pacing import ReadingAllowance
 from ospreyford.http.polling import has_news
 from ospreyford.http.resets import reset_on_close
 
 if TYPE_CHECKING:
     from curio.io import Socket
 
-READ_BYTES = 65_536
+#: What a caller has sent beyond the current event stays in memory meanwhile.
+READ_BYTES = 8192
 BACKLOG = 512
 GO_ON = h11.InformationalResponse(status_code=100, headers=[])
 HEAD = b'HEAD'
@@ -69,6 +71,7 @@
 
         :returns: the body's bytes.
         :raises BodyTooLarge: beyond the limit of the connection.
+        :raises BufferFull: unfinished bodies need too much memory.
         :raises TooSlow: the body took longer than the limit.
         :raises ConnectionLost: the caller went away.
         """
@@ -184,6 +187,7 @@
         self._resting_since = self._opened_at
         self._requests = 0
         self.siblings = OpenConnections() if siblings is None else siblings
+        self._allowance = ReadingAllowance(self.siblings.reading.pacer)
         self._sock = sock
         # A token that waits for the acknowledgement of the one before it
         # comes up to 40 ms late.
@@ -217,24 +221,27 @@
 
         :returns: the body's bytes.
         :raises BodyTooLarge: beyond the limit.
+        :raises BufferFull: unfinished bodies need too much memory.
         :raises TooSlow: the body took longer than the limit.
         :raises ConnectionLost: the caller went away.
         """
-        body = IncomingBody(self._limits.body_bytes)
-        # Most bodies came with their heads: only one that has not wholly
-        # arrived has to be waited for, and needs a time limit.
-        event = self._parse_event()
-        while event is not h11.NEED_DATA:
-            if body.add(event):
-                return body.join()
-            event = self._parse_event()
-        limit = self._limits.body_seconds
-        try:
-            async with curio.timeout_after(limit):
-                await body.collect(self._read_event)
-        except curio.TaskTimeout:
-            raise TooSlow('body', limit) from None
-        return body.join()
+        with self.siblings.reading.buffers.open() as buffer:
+            body = IncomingBody(self._limits.body_bytes, buffer)
+            # Most bodies came with their heads: only one that has not wholly
+            # arrived has to be waited for, and needs a time limit.
+            while not self._allowance.is_used_up():
+                event = self._parse_event()
+                if event is h11.NEED_DATA:
+                    break
+                if body.add(event):
+                    return body.join()
+            limit = self._limits.body_seconds
+            try:
+                async with curio.timeout_after(limit):
+                    await body.collect(self._read_event)
+            except curio.TaskTimeout:
+                raise TooSlow('body', limit) from None
+            return body.join()
 
     async def refuse(self, status: int, body: bytes, headers: Headers) -> None:
         """Answer what is no request, where the protocol still allows it.
@@ -315,6 +322,7 @@
         )
         if reusable:
             self._parser.start_next_cycle()
+            self._allowance.renew()
             self._resting_since = time.monotonic()
             self.busy = bool(self._parser.trailing_data[0])
         return reusable
@@ -342,6 +350,8 @@
             raise TooSlow(part, seconds) from None
 
     async def _read_event(self) -> Any:
+        if self._allowance.is_used_up():
+            await self._allowance.settle()
         event = self._parse_event()
         while event is h11.NEED_DATA:
             if self._parser.they_are_waiting_for_100_continue:
@@ -352,15 +362,19 @@
 
     def _parse_event(self) -> Any:
         try:
-            return self._parser.next_event()
+            event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
             raise BadMessage(error.error_status_hint, str(error)) from None
+        self._allowance.charge(len(getattr(event, 'data', b'')))
+        return event
 
     async def _feed(self) -> bool:
+        asked_at = time.monotonic()
         try:
             received = await self._sock.recv(READ_BYTES)
         except OSError:
             received = b''
+        self._allowance.refill(time.monotonic() - asked_at)
         self._parser.receive_data(received)
         self.busy = self.busy or bool(received)
         return bool(received)
@@ -412,6 +426,8 @@
         await handler(exchange)
         if not connection.start_next_cycle():
             return
+        # The next request may be here already, and need nothing else.
+        await curio.sleep(0)
 
 
 def listen(host: str, port: int) -> Socket:
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -14,7 +14,10 @@
 from ospreyford.direct.context import EntryContext
 from ospreyford.direct.program import EntryServer, Listeners
 from ospreyford.direct.settings import Bounds, DirectSettings, RetrySettings
-from ospreyford.http.buffers import DEFAULT_BUFFER_BYTES
+from ospreyford.http.buffers import (
+    DEFAULT_BUFFER_BYTES,
+    DEFAULT_REQUEST_BYTES,
+)
 from ospreyford.observability.events import Started
 from ospreyford.observability.logs import ChangeLog
 from ospreyford.observability.tallies import serve_tally
@@ -28,6 +31,8 @@
 
 #: Part of the process's memory for unfinished responses of backends.
 BUFFER_FRACTION = 0.007
+#: The same for callers' unfinished requests.
+REQUEST_FRACTION = 0.1
 MIN_BUFFER_BYTES = 1_048_576
 
 
@@ -60,19 +65,24 @@
             cold_slack=node.cold_slack,
         ),
         identity_salt=make_identity_salt(node),
-        buffer_bytes=compute_buffer_bytes(node),
+        buffer_bytes=compute_share(node, BUFFER_FRACTION, DEFAULT_BUFFER_BYTES),
+        request_bytes=compute_share(
+            node, REQUEST_FRACTION, DEFAULT_REQUEST_BYTES
+        ),
     )
 
 
-def compute_buffer_bytes(node: Node) -> int:
-    """Compute the limit of unfinished responses of backends.
+def compute_share(node: Node, fraction: float, default: int) -> int:
+    """Compute a part of the process's memory.
 
     :param node: the node settings.
-    :returns: bytes of all of them together.
+    :param fraction: the part.
+    :param default: bytes if the node settings name no limit of memory.
+    :returns: bytes; at least one mebibyte.
     """
     if node.memory_bytes is None:
-        return DEFAULT_BUFFER_BYTES
-    return max(int(node.memory_bytes * BUFFER_FRACTION), MIN_BUFFER_BYTES)
+        return default
+    return max(int(node.memory_bytes * fraction), MIN_BUFFER_BYTES)
 
 
 def make_identity_salt(node: Node) -> bytes:
--- a/tests/http/endless.py
+++ b/tests/http/endless.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import curio
@@ -77,3 +79,16 @@
 
     def setsockopt(self, *option: Any) -> None:
         """Take any option."""
+
+    def send(self, sent: bytes) -> int:
+        return len(sent)
+
+    @contextmanager
+    def blocking(self) -> Iterator[EndlessSocket]:
+        yield self
+
+    async def __aenter__(self) -> EndlessSocket:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -9,8 +9,11 @@
 from hypothesis import strategies as st
 
 from ospreyford.direct.catalog import RetryMode, find_route
-from ospreyford.http.buffers import DEFAULT_BUFFER_BYTES
-from ospreyford.platform.entry import compute_buffer_bytes
+from ospreyford.http.buffers import (
+    DEFAULT_BUFFER_BYTES,
+    DEFAULT_REQUEST_BYTES,
+)
+from ospreyford.platform.entry import make_settings
 from ospreyford.platform.errors import BadNodeFile, BadRecord
 from ospreyford.platform.nodefile import parse_node
 from ospreyford.platform.records import decode_catalog, decode_registration
@@ -71,6 +74,9 @@
     assert catalog.customers['k2'].name == 't1'
 
 
+ENTRY_LINES = 'Listen.Front=10.9.0.2:80\nListen.Ready=10.9.0.2:81'
+
+
 @pytest.mark.parametrize(
     ('path', 'name'),
     [('/a/', 'r1'), ('/a/b/', 'r2'), ('/a/b', 'r1'), ('/a', None)],
@@ -265,15 +271,16 @@
 @pytest.mark.parametrize(
     ('line', 'expected'),
     [
-        ('', DEFAULT_BUFFER_BYTES),
-        ('Limits.MemoryMb=300', 2_202_009),
-        ('Limits.MemoryMb=4000', 29_360_128),
-        ('Limits.MemoryMb=20', 1_048_576),
+        ('', (DEFAULT_BUFFER_BYTES, DEFAULT_REQUEST_BYTES)),
+        ('Limits.MemoryMb=300', (2_202_009, 31_457_280)),
+        ('Limits.MemoryMb=4000', (29_360_128, 419_430_400)),
+        ('Limits.MemoryMb=20', (1_048_576, 2_097_152)),
     ],
 )
-def test_unfinished_responses_get_part_of_the_memory(
-    line: str, expected: int
+def test_unfinished_messages_get_part_of_the_memory(
+    line: str, expected: tuple[int, int]
 ) -> None:
-    """Unfinished responses were limited by nothing."""
-    node = parse_node('f', f'{NODE}\n{line}')
-    assert compute_buffer_bytes(node) == expected
+    """Unfinished messages were limited by nothing."""
+    node = parse_node('f', f'{NODE}\n{ENTRY_LINES}\n{line}')
+    made = make_settings(node)
+    assert (made.buffer_bytes, made.request_bytes) == expected
