Loops that accept connections or receive datagrams give way

The same cause as in the readers of HTTP: accept and recvfrom of curio return at once while connections or datagrams are queued, and neither spawn nor a handler that sends need give way. A caller that opens connections without a pause, or a burst of datagrams, kept all other tasks from running.

Each accept now gives way first; the receiver of datagrams does so after each 16, as most come alone.

--- a/src/ospreyford/agent/program.py
+++ b/src/ospreyford/agent/program.py
@@ -10,6 +10,7 @@
 from ospreyford.agent.factory import make_components
 from ospreyford.agent.group import GroupTasks
 from ospreyford.agent.views import AgentViews
+from ospreyford.http.connections import accept_next
 from ospreyford.http.server import listen
 from ospreyford.node.process import FleetProcess
 from ospreyford.node.queries import Topic
@@ -135,7 +136,7 @@
     async def _accept(self, listening: Socket) -> None:
         async with listening:
             while True:
-                sock, _ = await listening.accept()
+                sock = await accept_next(listening)
                 await curio.spawn(self._serve, sock, daemon=True)
 
     async def _serve(self, sock: Socket) -> None:
--- a/src/ospreyford/direct/program.py
+++ b/src/ospreyford/direct/program.py
@@ -15,7 +15,7 @@
 from ospreyford.direct.updates import StateUpdater
 from ospreyford.direct.zonereport import ZoneReporter
 from ospreyford.http.closing import POLL_SECONDS, ClosingPace, close_server
-from ospreyford.http.connections import OpenConnections
+from ospreyford.http.connections import OpenConnections, accept_next
 from ospreyford.http.message import Limits
 from ospreyford.http.server import serve_connection
 from ospreyford.observability.events import Draining, NotReady, Ready, Stopped
@@ -137,7 +137,7 @@
     async def _accept_callers(self, sock: Socket) -> None:
         async with sock:
             while True:
-                client, _ = await sock.accept()
+                client = await accept_next(sock)
                 if self._connections.is_full():
                     await client.close()
                     continue
--- a/src/ospreyford/entry/program.py
+++ b/src/ospreyford/entry/program.py
@@ -11,7 +11,7 @@
 from ospreyford.entry.factory import make_components
 from ospreyford.entry.views import Views
 from ospreyford.http.closing import ClosingPace, close_server
-from ospreyford.http.connections import OpenConnections
+from ospreyford.http.connections import OpenConnections, accept_next
 from ospreyford.http.server import listen, serve_connection
 from ospreyford.membership.member import MemberState
 from ospreyford.node.process import FleetProcess
@@ -128,7 +128,7 @@
     async def _accept(self, listening: Socket) -> None:
         async with listening:
             while True:
-                sock, _ = await listening.accept()
+                sock = await accept_next(listening)
                 if self._connections.is_full():
                     await sock.close()
                     continue
--- a/src/ospreyford/http/connections.py
+++ b/src/ospreyford/http/connections.py
@@ -6,10 +6,14 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
+import curio
+
 from ospreyford.http.buffers import DEFAULT_REQUEST_BYTES
 from ospreyford.http.reading import make_resources
 
 if TYPE_CHECKING:
+    from curio.io import Socket
+
     from ospreyford.http.server import ServerConnection
 
 MILLISECONDS = 1000
@@ -128,3 +132,17 @@
         :param connection: one that ended.
         """
         self._open.discard(connection)
+
+
+async def accept_next(listening: Socket) -> Socket:
+    """Accept a connection; other tasks run in any case.
+
+    :param listening: the listening socket.
+    :returns: the connection.
+    :raises OSError: none can be accepted.
+    """
+    # It returns at once while connections are queued.
+    await curio.sleep(0)
+    accepted: Socket
+    accepted, _ = await listening.accept()
+    return accepted
--- a/src/ospreyford/observability/admin.py
+++ b/src/ospreyford/observability/admin.py
@@ -11,6 +11,7 @@
 import curio
 import msgspec
 
+from ospreyford.http.connections import accept_next
 from ospreyford.http.errors import HttpError
 from ospreyford.http.message import Limits
 from ospreyford.http.server import listen, port_of, serve_connection
@@ -143,7 +144,7 @@
 
     async def _accept(self, connections: curio.TaskGroup) -> None:
         while True:
-            sock, _ = await self._sock.accept()
+            sock = await accept_next(self._sock)
             if self._open >= MAX_CONNECTIONS:
                 await sock.close()
                 continue
--- a/src/ospreyford/observability/exposition.py
+++ b/src/ospreyford/observability/exposition.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from ospreyford.http.connections import accept_next
 from ospreyford.http.message import Limits
 from ospreyford.http.server import listen, serve_connection
 
@@ -29,7 +30,7 @@
     """
     async with sock:
         while True:
-            client, _ = await sock.accept()
+            client = await accept_next(sock)
             await curio.spawn(
                 serve_connection, client, Limits(), handler, daemon=True
             )
--- a/src/ospreyford/rebalance/datagrams.py
+++ b/src/ospreyford/rebalance/datagrams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final
@@ -27,6 +28,8 @@
 PACKET_PAYLOAD_BYTES = 1400
 #: IPv4 and UDP headers.
 DATAGRAM_HEADER_BYTES: Final = 28
+#: Messages that are handled before other tasks run in any case.
+BATCH_DATAGRAMS: Final = 16
 LARGE_MESSAGE_LINK_FRACTION = 0.5
 MessageHandler = Callable[[EntryMessage, Address], Awaitable[None]]
 GroupHandler = Callable[[GroupDatagram, Address], Awaitable[None]]
@@ -106,7 +109,10 @@
             at a time.
         :param handle_group: the same for messages between members of a group.
         """
-        while True:
+        for number in itertools.count():
+            if not number % BATCH_DATAGRAMS:
+                # Reading returns at once while datagrams are queued.
+                await curio.sleep(0)
             try:
                 datagram, address = await self._socket.recvfrom(
                     MAX_DATAGRAM_BYTES
