Limit the memory of an agent's running answers

A backend whose answer does not end fills the agent's memory at the pace of the reader, for records.retention or the run's timeout of 120 s.

Fix: all running answers share records.max_running_bytes (64 MiB). Beyond it the largest is dropped, as is done with long answers after their end: its run is cancelled, its followers are told that the answer was dropped, and the outcome is unknown. The others keep theirs.

--- a/src/ospreyford/agent/backend.py
+++ b/src/ospreyford/agent/backend.py
@@ -12,7 +12,7 @@
 from ospreyford.ports.fleet import LoadReport
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from ospreyford.http.message import Response
 
@@ -142,7 +142,7 @@
         """
         return await self._connection.read_head()
 
-    def read_pieces(self) -> AsyncIterator[bytes]:
+    def read_pieces(self) -> AsyncGenerator[bytes, None]:
         """Read the response body.
 
         :returns: an iterator over the chunks of the body.
--- a/src/ospreyford/agent/execution.py
+++ b/src/ospreyford/agent/execution.py
@@ -80,6 +80,8 @@
     @property
     def fate(self) -> Fate | None:
         """Fate of an execution that ended without a complete answer."""
+        if self._dropped:
+            return Fate.answer_dropped
         last = self._frames[-1] if self._frames else None
         return last.fate if isinstance(last, Failed) else None
 
@@ -196,6 +198,18 @@
             ),
         )
 
+    async def drop_answer(self, now: float) -> None:
+        """End the execution, and release the memory of its answer.
+
+        :param now: monotonic seconds.
+        """
+        self.ended_at = now
+        self._dropped = True
+        self._frames.clear()
+        waiting = self._wait_list
+        self._wait_list = _ENDED_WAIT_LIST
+        await waiting.notify()
+
     def trim_answer(self, max_bytes: int) -> None:
         """Pack an answer without followers, and drop it if it is too long.
 
@@ -207,7 +221,9 @@
             # One frame per token has a large memory overhead.
             self._packed = PackedAnswer(self._frames)
             self._frames.clear()
-        if self._count_bytes() > max_bytes:
+        packed = self._packed
+        size = packed.size if packed else _count_bytes(self._frames)
+        if size > max_bytes:
             self._dropped = True
             self._packed = None
             self._frames.clear()
@@ -221,11 +237,8 @@
             self._wait_list = _ENDED_WAIT_LIST
         await wait_list.notify()
 
-    def _count_bytes(self) -> int:
-        if self._packed is not None:
-            return self._packed.size
-        return sum(
-            len(frame.content)
-            for frame in self._frames
-            if isinstance(frame, Piece)
-        )
+
+def _count_bytes(frames: list[AnswerFrame]) -> int:
+    return sum(
+        len(frame.content) for frame in frames if isinstance(frame, Piece)
+    )
--- a/src/ospreyford/agent/record.py
+++ b/src/ospreyford/agent/record.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
+from ospreyford.agent.answermemory import AnswerMemory
 from ospreyford.agent.execution import Execution
 from ospreyford.agent.executiontable import ExecutionTable, Tombstone
 from ospreyford.wire.frame import Fate, Refusal
@@ -68,6 +69,7 @@
         self._clock = clock
         self._started_at = clock.wall()
         self.table = ExecutionTable(settings, clock)
+        self.memory = AnswerMemory(settings.max_running_bytes)
 
     def start(self, frame: Start) -> Decision:
         """Decide whether to run a request.
--- a/src/ospreyford/agent/runner.py
+++ b/src/ospreyford/agent/runner.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 import curio
 
 from ospreyford.http.errors import (
+    BufferFull,
     ConnectionRefused,
     HttpError,
     Unsendable,
@@ -111,6 +113,7 @@
 
     async def _end(self, execution: Execution) -> None:
         self._meter.in_flight -= 1
+        self._record.memory.remove(execution)
         # Unexpected errors must also end the execution, or its followers and
         # a shutdown would wait for it indefinitely.
         await execution.fail(Fate.unknown, self._clock.monotonic())
@@ -170,10 +173,25 @@
         await call.send(request, start.body)
         head = await call.read_head()
         await execution.add_head(head.status, head.headers)
-        async for piece in call.read_pieces():
-            await execution.add_piece(piece)
+        async with aclosing(call.read_pieces()) as pieces:
+            async for piece in pieces:
+                await self._make_room(execution, len(piece))
+                await execution.add_piece(piece)
         await execution.finish(self._meter.report(), self._clock.monotonic())
 
+    async def _make_room(self, execution: Execution, size: int) -> None:
+        """Count a piece of an answer, and drop the largest answers if needed.
+
+        :raises BufferFull: this answer was dropped.
+        """
+        memory = self._record.memory
+        for largest in memory.add(execution, size):
+            await largest.drop_answer(self._clock.monotonic())
+            if largest is execution:
+                raise BufferFull(memory.limit)
+            if largest.task is not None:
+                await largest.task.cancel(blocking=False)
+
 
 def _end_span(span: OpenSpan, fate: Fate | None) -> None:
     outcome = 'answered' if fate is None else fate.value
--- a/src/ospreyford/agent/settings.py
+++ b/src/ospreyford/agent/settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ospreyford.settings.types import Count, Seconds
+from ospreyford.settings.types import Bytes, Count, Seconds
 
 
 class RecordSettings(
@@ -24,6 +24,8 @@
     :param skew_seconds: the largest difference between two hosts' clocks.
     :param max_entries: executions and tombstones held at once.
     :param max_answer_bytes: bytes of one answer kept for a later retry.
+    :param max_running_bytes: bytes of all running answers together; beyond it
+        the largest one is dropped, its outcome unknown.
     """
 
     retention_seconds: Seconds = 600
@@ -32,6 +34,7 @@
     skew_seconds: Seconds = 2
     max_entries: Count = 20_000
     max_answer_bytes: Count = 65_536
+    max_running_bytes: Bytes = 67_108_864
 
 
 class ServiceSettings(
--- a/src/ospreyford/ports/backend.py
+++ b/src/ospreyford/ports/backend.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Protocol
 
 from ospreyford.http.message import Request, Response
@@ -27,7 +27,7 @@
         :raises HttpError: no response was received.
         """
 
-    def read_pieces(self) -> AsyncIterator[bytes]:
+    def read_pieces(self) -> AsyncGenerator[bytes, None]:
         """Read the response body.
 
         :returns: an iterator over the chunks of the body.
--- a/tests/faults/backend.py
+++ b/tests/faults/backend.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
 
 import curio
@@ -61,7 +61,7 @@
             raise ConnectionLost
         return Response(200, ((b'content-type', b'text/plain'),))
 
-    async def read_pieces(self) -> AsyncIterator[bytes]:
+    async def read_pieces(self) -> AsyncGenerator[bytes, None]:
         for number in range(PIECES):
             if self.backend.die_after == number + 1:
                 raise ConnectionLost
