Soak: answers, events and figures without end

The plan draws times in which a share of the answers of plain servers, of the streams of ranks and of the figures that agents read never end, in six forms; an agent that does not answer at the end is a finding.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -16,6 +16,7 @@
 from ospreyford.http.errors import HttpError
 from ospreyford.http.message import Request
 from ospreyford.platform.headernames import HEADER_NAMES
+from ospreyford.platform.output import METRICS_PORT
 from tests.platform.soak.record import EVENTS, STREAMS, Kind, Told
 
 KEYS = ('k0', 'k1')
@@ -71,6 +72,21 @@
             self.misses[entry] = 0 if is_ready else missed + 1
             await curio.sleep(CHECK_SECONDS)
 
+    async def find_silent(self, hosts: list[str]) -> list[str]:
+        """Find the agents that do not serve their metrics.
+
+        :param hosts: IP addresses of the agents.
+        :returns: those without an answer.
+        """
+        asked = Request('GET', '/metrics', ())
+        silent = []
+        for host in hosts:
+            try:
+                await fetch((host, METRICS_PORT), asked)
+            except HttpError:
+                silent.append(host)
+        return silent
+
 
 class Caller:
     """Sends one request after the other.
--- a/tests/platform/soak/plan.py
+++ b/tests/platform/soak/plan.py
@@ -90,7 +90,19 @@
     unmarked: float
 
 
-Event = Restart | HangUp | Publish | Silence | Crowd | Faulty
+@dataclass(frozen=True)
+class Endless:
+    """Servers, and ranks of the group, send answers that never end.
+
+    :param seconds: for how long such answers begin.
+    :param share: share of the answers, of figures of the ranks as well.
+    """
+
+    seconds: float
+    share: float
+
+
+Event = Restart | HangUp | Publish | Silence | Crowd | Faulty | Endless
 
 
 class Step(NamedTuple):
@@ -116,6 +128,7 @@
         *_draw_restarts(random, entries),
         *_draw_configurations(random, entries),
         *_draw_servers(random),
+        *_draw_endless(random),
     ]
     return sorted(steps, key=lambda step: step.at)
 
@@ -183,3 +196,13 @@
         for _ in range(random.randint(1, 3))
     ]
     return steps
+
+
+def _draw_endless(random: Random) -> list[Step]:
+    return [
+        Step(
+            _draw_time(random),
+            Endless(random.uniform(1, 4), random.choice((0.02, 0.1, 0.3))),
+        )
+        for _ in range(random.randint(0, 2))
+    ]
--- a/tests/platform/soak/play.py
+++ b/tests/platform/soak/play.py
@@ -24,6 +24,7 @@
 from tests.platform.soak.plan import (
     RECOVERY_SECONDS,
     Crowd,
+    Endless,
     Event,
     Faulty,
     HangUp,
@@ -121,7 +122,10 @@
             GroupOptions(size.ranks, pass_seconds=PASS_SECONDS, events=EVENTS)
         )
         self._group.runs = self.record.runs
+        self._group.faults = self._faults
+        self._group.random = Random(f'group {seed}')
         self._entries: list[Program] = []
+        self._agents: list[Program] = []
         self._stopping: set[int] = set()
         self._version = 3
         self._rotation = Rotation([], [])
@@ -141,6 +145,9 @@
             for caller in callers:
                 await caller.join()
             await self._wait_for_restarts()
+            agents = [agent.ip for agent in self._agents]
+            for silent in await self._rotation.find_silent(agents):
+                self.record.failures.append(f'agent on {silent} is silent')
             self._record_unasked_ends()
         self._read_logs()
         return self.record
@@ -166,7 +173,7 @@
             )
             await rank.start(next_address())
             agent = Program(site, 'agent', rank.address[0], rank.address)
-            stack.enter_context(agent)
+            self._agents.append(stack.enter_context(agent))
         for _ in range(self._size.entries):
             entry = Program(site, 'entry', next_address())
             self._entries.append(stack.enter_context(entry))
@@ -219,6 +226,10 @@
                 self._group.crowded_until = time.monotonic() + seconds
             case Faulty():
                 await self._spoil(event)
+            case Endless(seconds=seconds, share=share):
+                self._faults.endless = share
+                await curio.sleep(seconds)
+                self._faults.endless = 0
 
     async def _spoil(self, faulty: Faulty) -> None:
         self._faults.late = faulty.late
--- a/tests/platform/soak/servers.py
+++ b/tests/platform/soak/servers.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, NoReturn
 
 import curio
 import msgspec
@@ -24,6 +24,17 @@
 READ_BYTES = 65_536
 HEAD_END = b'\r\n\r\n'
 
+#: What comes without end: after a head with chunks, with a length, with
+#: neither; in place of a head.
+CHUNKS = ('Transfer-Encoding: chunked\r\n\r\n', b'1\r\nx\r\n')
+LARGE_CHUNKS = (CHUNKS[0], b'3e8\r\n%b\r\n' % bytes(1000))
+LENGTH = ('Content-Length: 99999999999\r\n\r\n', bytes(1000))
+UNFRAMED = ('\r\n', bytes(1000))
+FIELDS = ('', b'A: b\r\n')
+HEADS = (None, b'HTTP/1.1 100 Continue\r\n\r\n')
+ENDLESS = (CHUNKS, LARGE_CHUNKS, LENGTH, UNFRAMED, FIELDS, HEADS)
+BLOCK_BYTES = 10_000
+
 _numbers = itertools.count(1)
 
 
@@ -38,16 +49,29 @@
     body: bytes
 
 
+class Unending(NamedTuple):
+    """An answer without end.
+
+    :param head: how it begins.
+    :param block: what comes again and again.
+    """
+
+    head: bytes
+    block: bytes
+
+
 @dataclass
 class Faults:
     """What all servers do wrong now.
 
     :param late: share of answers of which a second copy comes late.
     :param unmarked: share of runs that end in an unmarked 503.
+    :param endless: share of answers that never end.
     """
 
     late: float = 0
     unmarked: float = 0
+    endless: float = 0
 
 
 class PlainServer:
@@ -110,6 +134,8 @@
         request = await read_request(sock)
         while request is not None:
             answer = await self._answer(request.fields)
+            if isinstance(answer, Unending):
+                await send_without_end(sock, answer)
             # The copy comes where the answer to this request is expected.
             await sock.sendall(late + answer)
             late = self._draw_copy(answer)
@@ -118,7 +144,7 @@
     def _draw_copy(self, answer: bytes) -> bytes:
         return answer if self._random.random() < self._faults.late else b''
 
-    async def _answer(self, fields: dict[str, str]) -> bytes:
+    async def _answer(self, fields: dict[str, str]) -> bytes | Unending:
         name = fields.get('x-attempt-id', '')
         common = (
             f'X-Attempt-Id: {name}\r\nKeep-Alive: timeout={KEEP_SECONDS}\r\n'
@@ -135,6 +161,10 @@
         finally:
             self._held -= 1
         seal = f'{common}X-Response-Seal: {self.id}.{name}\r\n'
+        if run.is_broken:
+            head, block = self._random.choice(ENDLESS)
+            begun = '' if head is None else f'HTTP/1.1 200 x\r\n{seal}{head}'
+            return Unending(begun.encode(), block)
         return encode(run.status, seal, b'a' * 800)
 
     async def _run(self, run: Run) -> None:
@@ -142,10 +172,25 @@
         self._runs.append(run)
         await curio.sleep(self._random.uniform(0.02, 0.3))
         run.ended_at = time.time()
+        run.is_broken = self._random.random() < self._faults.endless
         is_failed = self._random.random() < self._faults.unmarked
         run.status = 503 if is_failed else 200
 
 
+async def send_without_end(sock: Socket, answer: Unending) -> NoReturn:
+    """Send an answer until the caller closes the connection.
+
+    :param sock: connection of the caller.
+    :param answer: the answer.
+    :raises OSError: the caller has closed it.
+    """
+    await sock.sendall(answer.head)
+    block = answer.block * (1 + BLOCK_BYTES // len(answer.block))
+    while True:
+        await sock.sendall(block)
+        await curio.sleep(0)
+
+
 async def read_request(sock: Socket) -> PlainRequest | None:
     """Read a request.
 
--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -10,6 +10,7 @@
 from tests.platform.soak.judge import judge
 from tests.platform.soak.plan import (
     Crowd,
+    Endless,
     Faulty,
     HangUp,
     Restart,
@@ -81,6 +82,16 @@
     assert play(tmp_path, 5, [Step(2, first), Step(2.5, second)]) == []
 
 
+def test_answers_without_end_stop_no_process(tmp_path: Path) -> None:
+    """One answer or event without end stopped entries and agents."""
+    steps = [
+        Step(1, Endless(5, 0.3)),
+        Step(3, stop(0)),
+        Step(4, stop(1)),
+    ]
+    assert play(tmp_path, 6, steps) == []
+
+
 def test_a_seed_draws_the_same_plan() -> None:
     assert draw_plan(7, 3) == draw_plan(7, 3)
     assert draw_plan(7, 3) != draw_plan(8, 3)
