Unfinished messages in blocks, with a lower limit where they are many

Buffers that grow by reallocation leave gaps in the heap: 2 MiB of content took 4.8 MB, 0.2 MB took 2.2 MB in all.

Fix: a message is kept in pieces as they came, short ones joined to blocks of 4 KiB. The limit is 3 MiB where up to eight messages are unfinished, so that a sound answer may be as large, and falls to a quarter where they are many: those are not many large answers.

--- a/src/ospreyford/direct/attempts.py
+++ b/src/ospreyford/direct/attempts.py
@@ -13,6 +13,7 @@
     from ospreyford.direct.call import Call
     from ospreyford.direct.context import EntryContext
     from ospreyford.direct.registry import BackendState
+    from ospreyford.http.buffers import MessageBuffer
     from ospreyford.http.message import Response
 
 MILLISECONDS: Final = 1000
@@ -37,7 +38,7 @@
             room=call.room,
         )
         #: Bytes of a stream that were read ahead.
-        self.read_ahead = context.pool.reading.buffers.open()
+        self.read_ahead: MessageBuffer | None = None
         #: Whether they are all of it.
         self.has_ended = False
         self._context = context
@@ -62,8 +63,11 @@
         :returns: the piece; ``None`` at the end.
         :raises HttpError: the stream was cut.
         """
-        if len(self.read_ahead):
-            return self.read_ahead.take_all()
+        if self.read_ahead is not None:
+            ahead = self.read_ahead.take_all()
+            self.read_ahead = None
+            if ahead:
+                return ahead
         return None if self.has_ended else await self.request.read_piece()
 
     def record_refusal(self, head: Response | None) -> Cause:
@@ -90,7 +94,8 @@
         if not self._is_open:
             return
         self._is_open = False
-        self.read_ahead.close()
+        if self.read_ahead is not None:
+            self.read_ahead.close()
         self.backend.in_flight -= 1
         self._context.zones.under_way[self.backend.server.zone] -= 1
         await self.request.aclose()
--- a/src/ospreyford/direct/events.py
+++ b/src/ospreyford/direct/events.py
@@ -33,6 +33,8 @@
 
     def __init__(self, buffers: BufferPool) -> None:
         self._rest = buffers.open()
+        # Last byte of the rest: the end of an event may begin with it.
+        self._last = b''
 
     def __enter__(self) -> Self:
         return self
@@ -52,23 +54,28 @@
         :returns: the events that are now complete.
         :raises BufferFull: the event is too large.
         """
-        # The rest has no end of an event, but its last byte may begin one.
-        start = max(len(self._rest) - 1, 0)
-        self._rest.add(piece)
-        events = []
-        end = self._rest.find(EVENT_END, start)
-        while end >= 0:
-            encoded = self._rest.take(end + len(EVENT_END))
-            events.append(read_event(encoded))
-            end = self._rest.find(EVENT_END, 0)
-        return events
+        received = piece
+        if self._last:
+            if EVENT_END not in self._last + piece:
+                self._keep(piece)
+                return []
+            received = self._rest.take_all() + piece
+            self._last = b''
+        parts = received.split(EVENT_END)
+        self._keep(parts.pop())
+        return [read_event(text + EVENT_END) for text in parts]
 
     def has_rest(self) -> bool:
         """Check whether a partial event is buffered.
 
         :returns: whether it is.
         """
-        return bool(len(self._rest))
+        return bool(self._last)
+
+    def _keep(self, piece: bytes) -> None:
+        if piece:
+            self._rest.add(piece)
+            self._last = piece[-1:]
 
 
 def read_event(encoded: bytes) -> StreamEvent:
--- a/src/ospreyford/direct/streaming.py
+++ b/src/ospreyford/direct/streaming.py
@@ -101,7 +101,8 @@
         self._is_migrating = False
         self._may_migrate = True
         self._buffers = buffers
-        self._silent_at = time.monotonic() + STALL_SECONDS
+        # Since the last event; ``None`` until the next one is waited for.
+        self._silent_at: float | None = None
 
     async def run(self, beginning: AnswerBeginning) -> StreamResult | TakenOver:
         """Forward until the stream ends or is taken over.
@@ -148,17 +149,15 @@
 
         :returns: whether they are in sequence.
         """
-        if events and not self._is_migrating:
-            await self._takeover.cancel()
-        self._attempt.request.charge_stream(len(events))
-        is_in_order = _forward_all(events, self._call, self._exchange)
-        pushed_at = time.monotonic()
-        await self._exchange.push(STALL_SECONDS)
-        now = time.monotonic()
-        # The backend is not silent while its caller does not read.
-        self._silent_at += now - pushed_at
         if events:
-            self._silent_at = now + STALL_SECONDS
+            self._silent_at = None
+            self._attempt.request.charge_stream(len(events))
+            if self._takeover.is_active and not self._is_migrating:
+                await self._takeover.cancel()
+        is_in_order = _forward_all(events, self._call, self._exchange)
+        if not await self._exchange.push(STALL_SECONDS):
+            # The backend is not silent while its caller does not read.
+            self._silent_at = None
         return is_in_order
 
     def _judge_end(self, *, has_rest: bool) -> StreamResult:
@@ -190,7 +189,10 @@
 
         :returns: what it sent; ``None`` if it is silent.
         """
-        seconds = self._silent_at - time.monotonic()
+        now = time.monotonic()
+        if self._silent_at is None:
+            self._silent_at = now + STALL_SECONDS
+        seconds = self._silent_at - now
         if seconds > 0:
             try:
                 return _Piece(
@@ -218,10 +220,9 @@
         return _Piece(reading.result)
 
     async def _search(self) -> None:
-        now = time.monotonic()
-        self._silent_at = now + STALL_SECONDS
+        self._silent_at = None
         backend = self._attempt.backend
-        backend.record_failure(now)
+        backend.record_failure(time.monotonic())
         await self._takeover.begin(backend)
 
     async def _take_successor(self) -> BackendAttempt | None:
--- a/src/ospreyford/direct/takeover.py
+++ b/src/ospreyford/direct/takeover.py
@@ -164,13 +164,16 @@
 
     async def _read_ahead(self, attempt: BackendAttempt) -> bool:
         """Read until the next event that the caller needs, or the end."""
-        with EventSplitter(self._context.pool.reading.buffers) as splitter:
+        buffers = self._context.pool.reading.buffers
+        ahead = buffers.open()
+        attempt.read_ahead = ahead
+        with EventSplitter(buffers) as splitter:
             while True:
                 piece = await attempt.request.read_piece()
                 if piece is None:
                     attempt.has_ended = True
                     break
-                attempt.read_ahead.add(piece)
+                ahead.add(piece)
                 events = splitter.add(piece)
                 attempt.request.charge_stream(len(events))
                 if any(is_next(one, self._call.cursor) for one in events):
--- a/src/ospreyford/http/buffers.py
+++ b/src/ospreyford/http/buffers.py
@@ -8,18 +8,26 @@
 from ospreyford.http.errors import BufferFull
 
 #: Default limit of all unfinished messages together.
-DEFAULT_BUFFER_BYTES: Final = 2_097_152
+DEFAULT_BUFFER_BYTES: Final = 3_145_728
 #: The same of callers' requests, which are limited one by one as well.
 DEFAULT_REQUEST_BYTES: Final = 33_554_432
+#: Number of unfinished messages that share the whole limit.
+FEW_MESSAGES: Final = 8
+#: Part of the limit that any number of them shares.
+MANY_FRACTION: Final = 0.25
+#: Shorter pieces are joined, to blocks of about this size.
+SHORT_BYTES: Final = 512
+BLOCK_BYTES: Final = 4096
 
 
 class BufferPool:
     """Limits the memory of all unfinished messages together.
 
     Beyond the limit the largest one is dropped: it is the likeliest never to
-    end, and the others go on.
+    end, and the others go on. Where more than a few are unfinished, they are
+    not many large messages but many that do not end: the limit is lower.
 
-    :param limit: bytes of all messages together.
+    :param limit: bytes of all messages together, where they are few.
     """
 
     def __init__(self, limit: int = DEFAULT_BUFFER_BYTES) -> None:
@@ -45,7 +53,7 @@
         """
         self._buffers.add(buffer)
         self.size += size
-        while self.size > self.limit:
+        while self.size > self._compute_limit():
             self.dropped += 1
             max(self._buffers, key=len).drop()
 
@@ -59,20 +67,28 @@
         if not buffer:
             self._buffers.discard(buffer)
 
+    def _compute_limit(self) -> float:
+        count = max(len(self._buffers), FEW_MESSAGES)
+        return self.limit * max(FEW_MESSAGES / count, MANY_FRACTION)
+
 
 class MessageBuffer:
     """Bytes of one unfinished message.
 
+    They are kept in blocks of a bounded size: contiguous ones that grow would
+    leave gaps in the heap that need as much memory again.
+
     :param pool: limits the memory of all of them.
     """
 
     def __init__(self, pool: BufferPool) -> None:
         self._pool = pool
-        self._content = bytearray()
+        self._blocks: list[bytes | bytearray] = []
+        self._size = 0
         self._is_dropped = False
 
     def __len__(self) -> int:
-        return len(self._content)
+        return self._size
 
     def __enter__(self) -> Self:
         return self
@@ -92,47 +108,38 @@
         :raises BufferFull: the message was dropped.
         """
         if not self._is_dropped:
-            self._content += piece
+            self._append(piece)
+            self._size += len(piece)
             self._pool.add(self, len(piece))
         if self._is_dropped:
             raise BufferFull(self._pool.limit)
 
-    def find(self, part: bytes, start: int) -> int:
-        """Find the first occurrence of bytes.
-
-        :param part: the bytes.
-        :param start: where to begin.
-        :returns: its place, or -1.
-        """
-        return self._content.find(part, start)
-
-    def take(self, size: int) -> bytes:
-        """Remove bytes from the beginning.
-
-        :param size: number of bytes.
-        :returns: the bytes.
-        """
-        taken = bytes(self._content[:size])
-        del self._content[:size]  # noqa: WPS420 -- avoids a copy of the rest
-        self._pool.remove(self, len(taken))
-        return taken
-
     def take_all(self) -> bytes:
         """Remove all bytes.
 
         :returns: the bytes.
         """
-        taken = bytes(self._content)
+        taken = b''.join(self._blocks)
         self.close()
         return taken
 
     def close(self) -> None:
         """Release the memory."""
-        size = len(self._content)
-        self._content = bytearray()
+        size = self._size
+        self._blocks.clear()
+        self._size = 0
         self._pool.remove(self, size)
 
     def drop(self) -> None:
         """Release the memory; the message can't be completed any more."""
         self._is_dropped = True
         self.close()
+
+    def _append(self, piece: bytes) -> None:
+        last = self._blocks[-1] if self._blocks else b''
+        if len(piece) >= SHORT_BYTES:
+            self._blocks.append(piece)
+        elif isinstance(last, bytearray) and len(last) < BLOCK_BYTES:
+            last.extend(piece)
+        else:
+            self._blocks.append(bytearray(piece))
--- a/src/ospreyford/http/client.py
+++ b/src/ospreyford/http/client.py
@@ -190,7 +190,7 @@
 
     async def _read_event(self) -> Any:
         while True:
-            if self.allowance.is_used_up():
+            if self.allowance.units <= 0:
                 await self.allowance.settle()
             try:
                 event = self._parser.next_event()
--- a/src/ospreyford/http/pacing.py
+++ b/src/ospreyford/http/pacing.py
@@ -56,44 +56,38 @@
     """
 
     def __init__(self, pacer: Pacer) -> None:
+        #: What is left; at zero the next event must wait for :meth:`settle`.
+        self.units: float = MESSAGE_UNITS
         self._pacer = pacer
-        self._units: float = MESSAGE_UNITS
 
     def charge(self, size: int) -> None:
         """Count an event of the parser.
 
         :param size: its content, in bytes.
         """
-        self._units -= 1 + size / BYTES_PER_UNIT
+        self.units -= 1 + size / BYTES_PER_UNIT
 
     def charge_stream(self, events: int) -> None:
         """Count events of a stream that were found in its content.
 
         :param events: number of events.
         """
-        self._units -= events * STREAM_EVENT_UNITS
+        self.units -= events * STREAM_EVENT_UNITS
 
     def refill(self, seconds: float) -> None:
         """Count time for which the peer was waited for.
 
         :param seconds: the time.
         """
-        refilled = self._units + seconds * UNITS_PER_SECOND
-        self._units = min(refilled, MESSAGE_UNITS)
+        refilled = self.units + seconds * UNITS_PER_SECOND
+        self.units = min(refilled, MESSAGE_UNITS)
 
     def renew(self) -> None:
         """Begin another message."""
-        self._units = MESSAGE_UNITS
-
-    def is_used_up(self) -> bool:
-        """Check whether the next event has to wait.
-
-        :returns: whether :meth:`settle` must be called first.
-        """
-        return self._units <= 0
+        self.units = MESSAGE_UNITS
 
     async def settle(self) -> None:
         """Wait until the next event may be parsed."""
-        while self.is_used_up():
+        while self.units <= 0:
             await self._pacer.wait_turn()
-            self._units += TURN_UNITS
+            self.units += TURN_UNITS
--- a/src/ospreyford/http/server.py
+++ b/src/ospreyford/http/server.py
@@ -229,7 +229,7 @@
             body = IncomingBody(self._limits.body_bytes, buffer)
             # Most bodies came with their heads: only one that has not wholly
             # arrived has to be waited for, and needs a time limit.
-            while not self._allowance.is_used_up():
+            while self._allowance.units > 0:
                 event = self._parse_event()
                 if event is h11.NEED_DATA:
                     break
@@ -350,7 +350,7 @@
             raise TooSlow(part, seconds) from None
 
     async def _read_event(self) -> Any:
-        if self._allowance.is_used_up():
+        if self._allowance.units <= 0:
             await self._allowance.settle()
         event = self._parse_event()
         while event is h11.NEED_DATA:
--- a/src/ospreyford/platform/entry.py
+++ b/src/ospreyford/platform/entry.py
@@ -30,7 +30,7 @@
 from ospreyford.platform.store import StoreClient
 
 #: Part of the process's memory for unfinished responses of backends.
-BUFFER_FRACTION = 0.007
+BUFFER_FRACTION = 0.01
 #: The same for callers' unfinished requests.
 REQUEST_FRACTION = 0.1
 MIN_BUFFER_BYTES = 1_048_576
--- a/tests/platform/drills/programs.py
+++ b/tests/platform/drills/programs.py
@@ -130,6 +130,16 @@
         """
         return None if self._process is None else self._process.poll()
 
+    def read_memory(self) -> int:
+        """Read the resident memory of the process.
+
+        :returns: bytes; 0 if it does not run.
+        """
+        if self._process is None:
+            return 0
+        path = Path(f'/proc/{self._process.pid}/statm')
+        return int(path.read_text().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
     def change_settings(self, slack: int) -> None:
         """Write the settings file anew, at once.
 
