Test responses without end after a whole one, a refusal and a failure

All of them pass on the commit before as well: bytes after a whole answer cost its connection and nothing else, a refusal without end still says that the request has not run, and a failure without end has an unknown outcome.

--- a/tests/direct/test_endless_responses.py
+++ b/tests/direct/test_endless_responses.py
@@ -61,6 +61,9 @@
 LENGTH = b'%bcontent-length: 9000000000\r\n\r\n' % HEAD
 UNFRAMED = b'%b\r\n' % HEAD
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+WHOLE = b'%bcontent-length: 5\r\n\r\nwhole' % HEAD
+REFUSAL = CHUNKED.replace(b'200 OK\r\n', b'503 No\r\nx-refused: 1\r\n')
+FAILURE = CHUNKED.replace(b'200 OK', b'500 No')
 OVERSIZED = 'answer of the back end too large'
 LOST = 'connection to the back end lost'
 OUT_OF_TIME = 'time is up'
@@ -77,6 +80,12 @@
     (CHUNKED, SMALL, 0.01, RetryMode.idempotent, 504, [1, 0], OUT_OF_TIME),
     (b'', CONTINUE, 0, RetryMode.once, 504, [1, 0], OUT_OF_TIME),
     (b'', CONTINUE, 0.01, RetryMode.once, 504, [1, 0], OUT_OF_TIME),
+    # After a whole answer; after a refusal, which says that it has not run.
+    (WHOLE, CONTINUE, 0, RetryMode.once, 200, [1, 0], ''),
+    (WHOLE, b'x' * 500, 0.01, RetryMode.once, 200, [1, 0], ''),
+    (REFUSAL, SMALL, 0, RetryMode.once, 200, [1, 1], ''),
+    (FAILURE, LARGE, 0, RetryMode.once, 502, [1, 0], OVERSIZED),
+    (FAILURE, SMALL, 0, RetryMode.once, 504, [1, 0], OUT_OF_TIME),
     # No head: its size is limited.
     (b'%bx-y: ' % HEAD, b'z' * 500, 0, RetryMode.once, 502, [1, 0], LOST),
     (HEAD, b'x-y: z\r\n' * 50, 0, RetryMode.idempotent, 200, [1, 1], ''),
